Set up the build, the messages and the transport

Cause: an empty repository. Conclusion: the contracts are fixed well enough to build the daemons on.

--- /dev/null
+++ b/core/src/main/java/org/ragwortrun/core/config/Configuration.java
@@ -0,0 +1,176 @@
+package org.ragwortrun.core.config;
+
+import java.util.Collection;
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import org.ragwortrun.proto.MoveProgress;
+import org.ragwortrun.proto.MoveState;
+import org.ragwortrun.proto.Section;
+import org.ragwortrun.proto.VersionDecision;
+
+/** An accepted configuration with the state of its moves. Immutable. */
+public final class Configuration {
+    private static final int WHOLE_PERMILLE = 1000;
+
+    private final long number;
+    private final Map<String, Account> accounts;
+    private final Map<String, Account> accountsByKey;
+    private final Map<String, Budget> budgets;
+    private final Map<String, Service> services;
+    private final Map<String, Service> servicesByModel;
+    private final Map<String, Route> routes;
+    private final Map<String, Endpoint> endpoints;
+    private final Map<String, Move> moves;
+    private final Map<String, MoveProgress> progress;
+    private final Map<String, VersionDecision> decisions;
+
+    private Configuration(
+            long number,
+            Collection<Section> sections,
+            Collection<MoveProgress> moveProgress,
+            Collection<VersionDecision> versionDecisions)
+            throws ConfigurationException {
+        this.number = number;
+        SectionReader reader = new SectionReader();
+        accounts = index(reader.accounts(sections), Account::name);
+        accountsByKey = accounts.values().stream()
+                .flatMap(a -> a.keyDigests().stream().map(k -> Map.entry(k, a)))
+                .collect(Collectors.toUnmodifiableMap(Map.Entry::getKey, Map.Entry::getValue, (a, b) -> a));
+        budgets = index(reader.budgets(sections), b -> budgetKey(b.account(), b.service()));
+        services = index(reader.services(sections), Service::name);
+        servicesByModel = services.values().stream()
+                .filter(s -> !s.model().isEmpty())
+                .collect(Collectors.toUnmodifiableMap(Service::model, Function.identity(), (a, b) -> a));
+        routes = index(reader.routes(sections), Route::name);
+        endpoints = index(reader.endpoints(sections), Endpoint::name);
+        moves = index(reader.moves(sections), Move::name);
+        progress = index(moveProgress, MoveProgress::getMove);
+        decisions = index(versionDecisions, d -> versionKey(d.getService(), d.getVersion()));
+        reader.throwIfErrors();
+    }
+
+    /**
+     * Builds a configuration from checked sections.
+     *
+     * @throws ConfigurationException if a value cannot be read; names every such value
+     */
+    public static Configuration of(
+            long number,
+            Collection<Section> sections,
+            Collection<MoveProgress> moves,
+            Collection<VersionDecision> decisions)
+            throws ConfigurationException {
+        return new Configuration(number, sections, moves, decisions);
+    }
+
+    public long number() {
+        return number;
+    }
+
+    public Optional<Account> accountByKey(String keyDigest) {
+        return Optional.ofNullable(accountsByKey.get(keyDigest));
+    }
+
+    public Collection<Account> accounts() {
+        return accounts.values();
+    }
+
+    public Collection<Budget> budgets() {
+        return budgets.values();
+    }
+
+    public Collection<Service> services() {
+        return services.values();
+    }
+
+    public Optional<Service> service(String name) {
+        return Optional.ofNullable(services.get(name));
+    }
+
+    public Optional<Service> serviceByModel(String model) {
+        return Optional.ofNullable(servicesByModel.get(model));
+    }
+
+    public Collection<Route> routes() {
+        return routes.values();
+    }
+
+    public Optional<Endpoint> endpoint(String name) {
+        return Optional.ofNullable(endpoints.get(name));
+    }
+
+    public Collection<Endpoint> endpoints() {
+        return endpoints.values();
+    }
+
+    public List<Endpoint> endpointsOf(String service) {
+        return endpoints.values().stream()
+                .filter(e -> e.service().equals(service))
+                .toList();
+    }
+
+    public Collection<Move> moves() {
+        return moves.values();
+    }
+
+    public Optional<MoveProgress> progress(String move) {
+        return Optional.ofNullable(progress.get(move));
+    }
+
+    public Collection<MoveProgress> allProgress() {
+        return progress.values();
+    }
+
+    public Collection<VersionDecision> decisions() {
+        return decisions.values();
+    }
+
+    /** Tells whether a durable verdict keeps all traffic from a version. */
+    public boolean isBlocked(String service, String version) {
+        VersionDecision d = decisions.get(versionKey(service, version));
+        return d != null && d.getBlocked();
+    }
+
+    /** Returns the share of each version of a service in thousandths. The shares add up to 1000. */
+    public Map<String, Integer> versionShares(Service service) {
+        Map<String, Integer> shares = new LinkedHashMap<>();
+        Optional<Move> move = moves.values().stream()
+                .filter(m -> m.service().equals(service.name()))
+                .filter(m -> progress.containsKey(m.name()))
+                .findFirst();
+        if (move.isEmpty()) {
+            shares.put(service.version(), WHOLE_PERMILLE);
+            return shares;
+        }
+        Move m = move.get();
+        MoveProgress p = progress.get(m.name());
+        boolean refused = p != null && p.getState() == MoveState.MOVE_TAKEN_BACK;
+        int share = refused || isBlocked(service.name(), m.to()) || p == null ? 0 : p.getSharePermille();
+        if (share < WHOLE_PERMILLE) {
+            shares.put(m.from(), WHOLE_PERMILLE - share);
+        }
+        if (share > 0) {
+            shares.put(m.to(), share);
+        }
+        return shares;
+    }
+
+    public static String budgetKey(String account, String service) {
+        return account + "/" + service;
+    }
+
+    private static String versionKey(String service, String version) {
+        return service + "/" + version;
+    }
+
+    private static <T> Map<String, T> index(Collection<T> items, Function<T, String> key) {
+        Map<String, T> map = new LinkedHashMap<>();
+        items.forEach(i -> map.put(key.apply(i), i));
+        return Collections.unmodifiableMap(map);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/ragwortrun/core/config/SectionReader.java
@@ -0,0 +1,227 @@
+package org.ragwortrun.core.config;
+
+import java.time.DateTimeException;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import org.ragwortrun.proto.Section;
+
+/** Reads typed values from sections and collects what cannot be read. */
+final class SectionReader {
+    private static final String TOP_UP_PREFIX = "topup.";
+    private static final int DEFAULT_TRIAL_PERMILLE = 50;
+    private static final int DEFAULT_PRIORITY = 5;
+    private static final long DEFAULT_MAX_OUTPUT = 1024;
+    private static final int DEFAULT_SLOTS = 16;
+
+    private final List<ConfigurationError> errors = new ArrayList<>();
+
+    List<Account> accounts(Collection<Section> sections) {
+        return read(sections, SectionKind.ACCOUNT, s -> new Account(s.getName(), list(s, "keys")));
+    }
+
+    List<Budget> budgets(Collection<Section> sections) {
+        return read(sections, SectionKind.BUDGET, s -> {
+            String[] parts = s.getName().split("/", 2);
+            if (parts.length < 2) {
+                fail(s, "", "budget-name", "a name of the form ACCOUNT/SERVICE");
+                return new Budget(s.getName(), "", Map.of());
+            }
+            return new Budget(parts[0], parts[1], topUps(s));
+        });
+    }
+
+    List<Service> services(Collection<Section> sections) {
+        return read(
+                sections,
+                SectionKind.SERVICE,
+                s -> new Service(
+                        s.getName(),
+                        choice(s, "kind", Service.Kind.class),
+                        text(s, "model", ""),
+                        required(s, "version")));
+    }
+
+    List<Route> routes(Collection<Section> sections) {
+        return read(
+                sections,
+                SectionKind.ROUTE,
+                s -> new Route(
+                        s.getName(),
+                        required(s, "service"),
+                        required(s, "path"),
+                        yes(s, "repeatable", true),
+                        number(s, "price", 0),
+                        number(s, "max-output", DEFAULT_MAX_OUTPUT),
+                        (int) number(s, "priority", DEFAULT_PRIORITY),
+                        duration(s, "deadline", Duration.ofSeconds(60))));
+    }
+
+    List<Endpoint> endpoints(Collection<Section> sections) {
+        return read(
+                sections,
+                SectionKind.ENDPOINT,
+                s -> new Endpoint(
+                        s.getName(),
+                        required(s, "service"),
+                        required(s, "version"),
+                        required(s, "agent"),
+                        required(s, "url"),
+                        required(s, "data-center"),
+                        (int) number(s, "slots", DEFAULT_SLOTS),
+                        number(s, "kv-capacity", 0),
+                        yes(s, "checks-fencing", false),
+                        text(s, "dedupe-header", "")));
+    }
+
+    List<Move> moves(Collection<Section> sections) {
+        return read(
+                sections,
+                SectionKind.MOVE,
+                s -> new Move(
+                        s.getName(),
+                        required(s, "service"),
+                        required(s, "from"),
+                        required(s, "to"),
+                        permille(s, "share", 1000),
+                        permille(s, "trial-share", DEFAULT_TRIAL_PERMILLE),
+                        instant(s, "start", Instant.EPOCH),
+                        instant(s, "finish", Instant.MAX)));
+    }
+
+    void throwIfErrors() throws ConfigurationException {
+        if (!errors.isEmpty()) {
+            throw new ConfigurationException(errors);
+        }
+    }
+
+    private static <T> List<T> read(Collection<Section> sections, SectionKind kind, Function<Section, T> reader) {
+        return sections.stream()
+                .filter(s -> s.getKind().equals(kind.text()))
+                .map(reader)
+                .toList();
+    }
+
+    private Map<String, Long> topUps(Section s) {
+        Map<String, Long> topUps = new LinkedHashMap<>();
+        s.getPropertiesMap().keySet().stream()
+                .filter(k -> k.startsWith(TOP_UP_PREFIX))
+                .sorted()
+                .forEach(k -> topUps.put(k.substring(TOP_UP_PREFIX.length()), number(s, k, 0)));
+        return topUps;
+    }
+
+    private String required(Section s, String key) {
+        String value = s.getPropertiesOrDefault(key, "");
+        if (value.isBlank()) {
+            fail(s, key, "required-key", "a value");
+        }
+        return value;
+    }
+
+    private static String text(Section s, String key, String fallback) {
+        return s.getPropertiesOrDefault(key, fallback);
+    }
+
+    private static Set<String> list(Section s, String key) {
+        return Arrays.stream(s.getPropertiesOrDefault(key, "").split(","))
+                .map(String::trim)
+                .filter(v -> !v.isEmpty())
+                .collect(Collectors.toUnmodifiableSet());
+    }
+
+    private boolean yes(Section s, String key, boolean fallback) {
+        String value = s.getPropertiesOrDefault(key, fallback ? "yes" : "no");
+        if (!"yes".equals(value) && !"no".equals(value)) {
+            fail(s, key, "yes-or-no", "yes or no");
+        }
+        return "yes".equals(value);
+    }
+
+    private long number(Section s, String key, long fallback) {
+        String value = s.getPropertiesOrDefault(key, Long.toString(fallback));
+        try {
+            long n = Long.parseLong(value.replace("_", ""));
+            if (n >= 0) {
+                return n;
+            }
+        } catch (NumberFormatException e) {
+            // reported below with the negative numbers
+        }
+        fail(s, key, "whole-number", "a whole number from 0 to " + Long.MAX_VALUE);
+        return fallback;
+    }
+
+    /** Reads a percentage such as {@code 12.5%} or {@code 12.5}. */
+    private int permille(Section s, String key, int fallback) {
+        String value = s.getPropertiesMap().get(key);
+        if (value == null) {
+            return fallback;
+        }
+        try {
+            double percent = Double.parseDouble(value.replace("%", "").trim());
+            if (percent >= 0 && percent <= 100) {
+                return (int) Math.round(percent * 10);
+            }
+        } catch (NumberFormatException e) {
+            // reported below with the values out of range
+        }
+        fail(s, key, "percentage", "a percentage from 0 to 100");
+        return fallback;
+    }
+
+    private Duration duration(Section s, String key, Duration fallback) {
+        String value = s.getPropertiesMap().get(key);
+        if (value == null) {
+            return fallback;
+        }
+        try {
+            return Durations.parse(value);
+        } catch (DateTimeException e) {
+            fail(s, key, "duration", "a duration such as 500ms, 30s, 10m or 24h");
+            return fallback;
+        }
+    }
+
+    private Instant instant(Section s, String key, Instant fallback) {
+        String value = s.getPropertiesMap().get(key);
+        if (value == null) {
+            return fallback;
+        }
+        try {
+            return Instant.parse(value);
+        } catch (DateTimeException e) {
+            fail(s, key, "time", "a UTC time such as 2026-12-04T18:00:00Z");
+            return fallback;
+        }
+    }
+
+    private <E extends Enum<E>> E choice(Section s, String key, Class<E> type) {
+        E[] values = type.getEnumConstants();
+        String value = s.getPropertiesOrDefault(key, "");
+        return Arrays.stream(values)
+                .filter(v -> v.name().toLowerCase(Locale.ROOT).equals(value))
+                .findFirst()
+                .orElseGet(() -> {
+                    String expected = Arrays.stream(values)
+                            .map(v -> v.name().toLowerCase(Locale.ROOT))
+                            .collect(Collectors.joining(" or "));
+                    fail(s, key, "choice", expected);
+                    return values[0];
+                });
+    }
+
+    private void fail(Section s, String key, String rule, String expected) {
+        errors.add(
+                new ConfigurationError(s.getFile(), s.getLine(), s.getKind() + " " + s.getName(), key, rule, expected));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/ragwortrun/core/config/package-info.java
@@ -0,0 +1,5 @@
+/** The configuration that operators publish. */
+@NullMarked
+package org.ragwortrun.core.config;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/core/src/main/java/org/ragwortrun/core/id/Incarnations.java
@@ -0,0 +1,18 @@
+package org.ragwortrun.core.id;
+
+import java.security.SecureRandom;
+import java.util.HexFormat;
+
+/** Creates names for the lifetime of a process. */
+public final class Incarnations {
+    private static final int RANDOM_BYTES = 6;
+
+    private Incarnations() {}
+
+    /** Returns a name that no earlier process of this name has had. */
+    public static String create(String name, long wallMillis) {
+        byte[] random = new byte[RANDOM_BYTES];
+        new SecureRandom().nextBytes(random);
+        return name + "@" + Long.toHexString(wallMillis) + HexFormat.of().formatHex(random);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/ragwortrun/core/metrics/Metrics.java
@@ -0,0 +1,79 @@
+package org.ragwortrun.core.metrics;
+
+import io.opentelemetry.api.common.AttributeKey;
+import io.opentelemetry.api.common.Attributes;
+import io.opentelemetry.api.metrics.LongCounter;
+import io.opentelemetry.api.metrics.Meter;
+import io.opentelemetry.exporter.prometheus.PrometheusHttpServer;
+import io.opentelemetry.sdk.metrics.SdkMeterProvider;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.LongSupplier;
+import org.ragwortrun.core.refusal.RefusalReason;
+
+/** Counters and gauges of one process. */
+public final class Metrics implements AutoCloseable {
+    private static final AttributeKey<String> REASON = AttributeKey.stringKey("reason");
+
+    private final SdkMeterProvider provider;
+    private final Meter meter;
+    private final LongCounter refusals;
+    private final LongCounter retries;
+    private final Map<String, LongCounter> counters = new ConcurrentHashMap<>();
+
+    private Metrics(SdkMeterProvider provider) {
+        this.provider = provider;
+        meter = provider.get("org.ragwortrun");
+        refusals = meter.counterBuilder("ragwortrun_refusals")
+                .setDescription("Requests refused, by reason")
+                .build();
+        retries = meter.counterBuilder("ragwortrun_retries")
+                .setDescription("Attempts repeated, by reason")
+                .build();
+    }
+
+    /** Exports at {@code http://host:port/metrics}. Port 0 exports nothing. */
+    public static Metrics exporting(String host, int port) {
+        if (port == 0) {
+            return local();
+        }
+        PrometheusHttpServer reader =
+                PrometheusHttpServer.builder().setHost(host).setPort(port).build();
+        return new Metrics(
+                SdkMeterProvider.builder().registerMetricReader(reader).build());
+    }
+
+    /** Creates metrics that are not exported. */
+    public static Metrics local() {
+        return new Metrics(SdkMeterProvider.builder().build());
+    }
+
+    public void refused(RefusalReason reason) {
+        refusals.add(1, Attributes.of(REASON, reason.code()));
+    }
+
+    /** Counts one repeated attempt. The reason is a lower-case name with hyphens. */
+    public void retried(String reason) {
+        retries.add(1, Attributes.of(REASON, reason));
+    }
+
+    /** Adds to a counter that is created on first use. */
+    public void count(String name, long amount) {
+        counters.computeIfAbsent(
+                        name, n -> meter.counterBuilder("ragwortrun_" + n).build())
+                .add(amount);
+    }
+
+    /** Registers a gauge that is read at each scrape. */
+    public void gauge(String name, String description, LongSupplier value) {
+        meter.gaugeBuilder("ragwortrun_" + name)
+                .ofLongs()
+                .setDescription(description)
+                .buildWithCallback(m -> m.record(value.getAsLong()));
+    }
+
+    @Override
+    public void close() {
+        provider.close();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/ragwortrun/core/settings/package-info.java
@@ -0,0 +1,5 @@
+/** Checked settings of daemons. */
+@NullMarked
+package org.ragwortrun.core.settings;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/ledger/src/main/java/org/ragwortrun/ledger/package-info.java
@@ -0,0 +1,5 @@
+/** Budgets, bills and the register of requests. */
+@NullMarked
+package org.ragwortrun.ledger;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/measure/src/main/java/org/ragwortrun/measure/package-info.java
@@ -0,0 +1,5 @@
+/** Measurements and benchmarks. */
+@NullMarked
+package org.ragwortrun.measure;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/net/src/main/java/org/ragwortrun/net/Peer.java
@@ -0,0 +1,37 @@
+package org.ragwortrun.net;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import org.ragwortrun.proto.Frame;
+import org.ragwortrun.proto.Hello;
+
+/** An open connection to another process. */
+public interface Peer {
+    /** Returns how the other process introduced itself. */
+    Hello hello();
+
+    /** Sends a one-way frame or a reply. Returns false if the connection is closed. */
+    boolean send(Frame frame);
+
+    /**
+     * Sends a request and completes with the first reply.
+     *
+     * <p>Fails with {@link TransportException}. A reply of type {@code ErrorReply} or {@code NotLeader} completes
+     * normally; the caller reads its type.
+     */
+    CompletableFuture<Frame> call(Frame.Builder request, Duration timeout);
+
+    /**
+     * Sends a request whose replies all go to the listener until the call is closed or the connection ends.
+     *
+     * @return the call, or a closed one if the frame was not sent; then the listener hears {@code onLost(NOT_SENT)}
+     */
+    OpenCall open(Frame.Builder request, FrameListener listener);
+
+    /** Returns whether the send buffer has room. */
+    boolean isWritable();
+
+    boolean isOpen();
+
+    void close();
+}
--- /dev/null
+++ b/net/src/main/java/org/ragwortrun/net/internal/FramePipeline.java
@@ -0,0 +1,54 @@
+package org.ragwortrun.net.internal;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufInputStream;
+import io.netty.buffer.ByteBufOutputStream;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPipeline;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.MessageToByteEncoder;
+import io.netty.handler.codec.MessageToMessageDecoder;
+import java.io.IOException;
+import java.util.List;
+import org.ragwortrun.proto.Frame;
+
+/** Sets up the codec of a connection: four bytes of length, then the frame. */
+public final class FramePipeline {
+    /** Largest frame in bytes. */
+    public static final int MAX_FRAME_BYTES = 16 << 20;
+
+    private static final int LENGTH_BYTES = 4;
+
+    private FramePipeline() {}
+
+    public static void addCodec(ChannelPipeline pipeline) {
+        pipeline.addLast(new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES));
+        pipeline.addLast(new Decoder());
+        pipeline.addLast(new Encoder());
+    }
+
+    private static final class Decoder extends MessageToMessageDecoder<ByteBuf> {
+        @Override
+        protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws IOException {
+            try (ByteBufInputStream bytes = new ByteBufInputStream(in)) {
+                out.add(Frame.parseFrom(bytes));
+            } catch (InvalidProtocolBufferException e) {
+                ctx.close();
+                throw e;
+            }
+        }
+    }
+
+    private static final class Encoder extends MessageToByteEncoder<Frame> {
+        @Override
+        protected void encode(ChannelHandlerContext ctx, Frame frame, ByteBuf out) throws IOException {
+            int size = frame.getSerializedSize();
+            out.ensureWritable(LENGTH_BYTES + size);
+            out.writeInt(size);
+            try (ByteBufOutputStream bytes = new ByteBufOutputStream(out)) {
+                frame.writeTo(bytes);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/net/src/main/java/org/ragwortrun/net/internal/package-info.java
@@ -0,0 +1,5 @@
+/** Netty plumbing of the transport. */
+@NullMarked
+package org.ragwortrun.net.internal;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/routing/src/main/java/org/ragwortrun/routing/package-info.java
@@ -0,0 +1,5 @@
+/** Routing decisions, free of input and output. */
+@NullMarked
+package org.ragwortrun.routing;
+
+import org.jspecify.annotations.NullMarked;
