Add the control client and the configuration watch

Cause: routers, agents and the command line all call group leaders and need the configuration with its lease. Change: ControlClient follows leader hints and repeats only what certainly had no effect; ConfigWatch applies rising numbers only and counts its lease from the time the confirmation was sent.

--- /dev/null
+++ b/net/src/main/java/org/ragwortrun/net/control/ConfigWatch.java
@@ -0,0 +1,200 @@
+package org.ragwortrun.net.control;
+
+import com.google.protobuf.ByteString;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.jspecify.annotations.Nullable;
+import org.ragwortrun.core.config.Configuration;
+import org.ragwortrun.core.config.ConfigurationException;
+import org.ragwortrun.core.log.Event;
+import org.ragwortrun.core.refusal.Refusal;
+import org.ragwortrun.core.refusal.RefusalReason;
+import org.ragwortrun.core.refusal.RefusedException;
+import org.ragwortrun.core.time.Time;
+import org.ragwortrun.proto.ConfigUpdate;
+import org.ragwortrun.proto.Confirm;
+import org.ragwortrun.proto.CrashReport;
+import org.ragwortrun.proto.Frame;
+import org.ragwortrun.proto.Heartbeat;
+import org.ragwortrun.proto.MoveProgress;
+import org.ragwortrun.proto.Section;
+import org.ragwortrun.proto.SectionId;
+import org.ragwortrun.proto.VersionDecision;
+import org.ragwortrun.proto.Watch;
+
+/**
+ * Follows the accepted configuration and holds the daemon's configuration lease.
+ *
+ * <p>The lease counts from the time at which the confirmation was sent, so it ends here before the leader may consider
+ * it ended. A number below the highest that was seen is never applied.
+ */
+public final class ConfigWatch implements AutoCloseable {
+    private static final Logger LOG = LogManager.getLogger(ConfigWatch.class);
+    private static final int META_GROUP = 0;
+    private static final Duration CALL_TIMEOUT = Duration.ofMillis(900);
+    private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
+
+    private final ControlClient control;
+    private final ScheduledExecutorService timer;
+    private final Time time;
+    private final Consumer<Configuration> listener;
+    private final Map<SectionId, Section> sections = new LinkedHashMap<>();
+    private final Map<String, MoveProgress> moves = new LinkedHashMap<>();
+    private final Map<String, VersionDecision> decisions = new LinkedHashMap<>();
+    private final Map<ByteString, CrashReport> suspects = new LinkedHashMap<>();
+    private volatile @Nullable Configuration current;
+    private volatile long leaseUntil;
+    private volatile boolean leased;
+
+    /**
+     * Creates a watch that is started by {@link #start}.
+     *
+     * @param listener hears each configuration that is applied, on the timer's thread
+     */
+    public ConfigWatch(
+            ControlClient control, ScheduledExecutorService timer, Time time, Consumer<Configuration> listener) {
+        this.control = control;
+        this.timer = timer;
+        this.time = time;
+        this.listener = listener;
+    }
+
+    /** Starts to confirm at a fixed interval. */
+    public void start(Duration interval) {
+        timer.scheduleWithFixedDelay(this::confirm, 0, interval.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    /** Applies a frame that a control member pushed. Other frames are ignored. */
+    public void onPush(Frame frame) {
+        if (frame.hasConfigUpdate()) {
+            timer.execute(() -> apply(frame.getConfigUpdate()));
+        }
+    }
+
+    /** Returns the configuration in force, if the lease on it is valid. */
+    public Optional<Configuration> inForce() {
+        Configuration c = current;
+        boolean valid = leased && leaseUntil - time.nanos() > 0;
+        return valid ? Optional.ofNullable(c) : Optional.empty();
+    }
+
+    /** Returns the latest configuration, whether or not the lease is valid, for work that is already running. */
+    public Optional<Configuration> latest() {
+        return Optional.ofNullable(current);
+    }
+
+    /**
+     * Returns the configuration in force.
+     *
+     * @throws RefusedException with {@code configuration-lease-expired} if the lease has run out
+     */
+    public Configuration require() throws RefusedException {
+        return inForce()
+                .orElseThrow(() -> new RefusedException(Refusal.notRun(
+                        RefusalReason.CONFIGURATION_LEASE_EXPIRED,
+                        "no control member has confirmed the configuration of this host",
+                        RETRY_AFTER)));
+    }
+
+    /** Returns the crash suspects of the fleet. */
+    public synchronized List<CrashReport> suspects() {
+        return new ArrayList<>(suspects.values());
+    }
+
+    @Override
+    public void close() {
+        leased = false;
+    }
+
+    private void confirm() {
+        Configuration c = current;
+        long number = c == null ? 0 : c.number();
+        long sentAt = time.nanos();
+        control.call(
+                        META_GROUP,
+                        Frame.newBuilder().setConfirm(Confirm.newBuilder().setNumber(number)),
+                        CALL_TIMEOUT)
+                .whenComplete((reply, failure) -> {
+                    if (reply != null && reply.hasHeartbeat()) {
+                        onHeartbeat(reply.getHeartbeat(), number, sentAt);
+                    }
+                });
+    }
+
+    private void onHeartbeat(Heartbeat beat, long confirmed, long sentAt) {
+        if (beat.getNumber() > confirmed || current == null) {
+            fetch();
+        } else if (beat.getLeaseMs() > 0 && beat.getNumber() == confirmed) {
+            leaseUntil = sentAt + TimeUnit.MILLISECONDS.toNanos(beat.getLeaseMs());
+            leased = true;
+        }
+    }
+
+    private void fetch() {
+        Configuration c = current;
+        long have = c == null ? 0 : c.number();
+        control.call(META_GROUP, Frame.newBuilder().setWatch(Watch.newBuilder().setHaveNumber(have)), CALL_TIMEOUT)
+                .whenComplete((reply, failure) -> {
+                    if (reply != null && reply.hasConfigUpdate()) {
+                        timer.execute(() -> apply(reply.getConfigUpdate()));
+                    }
+                });
+    }
+
+    private void apply(ConfigUpdate update) {
+        Configuration before = current;
+        long have = before == null ? 0 : before.number();
+        boolean first = before == null;
+        if (!first && update.getNumber() <= have) {
+            return;
+        }
+        if (update.getBase() != 0 && update.getBase() != have) {
+            fetch();
+            return;
+        }
+        Configuration next;
+        synchronized (this) {
+            merge(update);
+            try {
+                next = Configuration.of(update.getNumber(), sections.values(), moves.values(), decisions.values());
+            } catch (ConfigurationException e) {
+                // Control checks before it accepts, so this is a version mismatch: keep refusing rather than guess.
+                Event.of("configuration-unreadable")
+                        .with("number", update.getNumber())
+                        .error(LOG, e);
+                return;
+            }
+        }
+        current = next;
+        Event.of("configuration-applied").with("number", next.number()).info(LOG);
+        listener.accept(next);
+        confirm();
+    }
+
+    private void merge(ConfigUpdate update) {
+        if (update.getBase() == 0) {
+            sections.clear();
+            moves.clear();
+            decisions.clear();
+            suspects.clear();
+        }
+        update.getRemovedList().forEach(sections::remove);
+        update.getChangedList().forEach(s -> sections.put(id(s), s));
+        update.getMovesList().forEach(m -> moves.put(m.getMove(), m));
+        update.getDecisionsList().forEach(d -> decisions.put(d.getService() + "/" + d.getVersion(), d));
+        update.getSuspectsList().forEach(s -> suspects.put(s.getDigest(), s));
+    }
+
+    private static SectionId id(Section s) {
+        return SectionId.newBuilder().setKind(s.getKind()).setName(s.getName()).build();
+    }
+}
--- /dev/null
+++ b/net/src/main/java/org/ragwortrun/net/control/ControlClient.java
@@ -0,0 +1,147 @@
+package org.ragwortrun.net.control;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.ragwortrun.core.concurrent.Closer;
+import org.ragwortrun.net.Address;
+import org.ragwortrun.net.FrameClient;
+import org.ragwortrun.net.FrameHandler;
+import org.ragwortrun.net.Transport;
+import org.ragwortrun.net.TransportException;
+import org.ragwortrun.proto.Frame;
+import org.ragwortrun.proto.NotLeader;
+
+/**
+ * Calls the leaders of the replicated groups.
+ *
+ * <p>A call moves on to another member only when it certainly had no effect: it was not sent, or the member answered
+ * that it is not the leader. After a lost connection or a timeout the effect is unknown and the call fails, so that the
+ * caller decides whether its request is idempotent.
+ */
+public final class ControlClient implements AutoCloseable {
+    private static final long RETRY_PAUSE_MS = 50;
+
+    private final List<String> names;
+    private final Map<String, FrameClient> clients = new ConcurrentHashMap<>();
+    private final Map<Integer, String> leaders = new ConcurrentHashMap<>();
+    private final AtomicInteger next = new AtomicInteger();
+    private final Closer closer = new Closer();
+
+    /**
+     * Connects to all members.
+     *
+     * @param members addresses of the control members by name
+     * @param pushes receiver of frames that members send unasked
+     */
+    public ControlClient(Transport transport, Map<String, Address> members, FrameHandler pushes) {
+        names = List.copyOf(members.keySet());
+        members.forEach((name, address) -> clients.put(name, closer.register(transport.connect(address, pushes))));
+    }
+
+    /**
+     * Calls the leader of a group.
+     *
+     * @param group 0 for the meta group, otherwise a shard
+     * @return the reply, which may be an {@code ErrorReply}; fails with {@link TransportException}, of kind
+     *     {@code NOT_SENT} if no leader was found in time and the request certainly had no effect
+     */
+    public CompletableFuture<Frame> call(int group, Frame.Builder request, Duration timeout) {
+        long deadline = System.nanoTime() + timeout.toNanos();
+        CompletableFuture<Frame> result = new CompletableFuture<>();
+        attempt(group, request.build(), deadline, result);
+        return result;
+    }
+
+    /** Returns the member that is thought to lead a group. */
+    public Optional<String> leader(int group) {
+        return Optional.ofNullable(leaders.get(group));
+    }
+
+    @Override
+    public void close() {
+        closer.close();
+    }
+
+    private void attempt(int group, Frame request, long deadline, CompletableFuture<Frame> result) {
+        long leftMs = TimeUnit.NANOSECONDS.toMillis(deadline - System.nanoTime());
+        if (leftMs <= 0) {
+            result.completeExceptionally(new TransportException(
+                    TransportException.Kind.NOT_SENT, "no leader of group " + group + " was found in time"));
+            return;
+        }
+        String target = target(group);
+        FrameClient client = clients.get(target);
+        if (client == null) {
+            leaders.remove(group, target);
+            retryLater(group, request, deadline, result);
+            return;
+        }
+        client.call(request.toBuilder(), Duration.ofMillis(leftMs)).whenComplete((reply, failure) -> {
+            if (failure != null) {
+                onFailure(group, request, deadline, result, target, unwrap(failure));
+            } else if (reply.hasNotLeader()) {
+                onNotLeader(group, target, reply.getNotLeader());
+                retryLater(group, request, deadline, result);
+            } else {
+                leaders.put(group, target);
+                result.complete(reply);
+            }
+        });
+    }
+
+    private void onFailure(
+            int group,
+            Frame request,
+            long deadline,
+            CompletableFuture<Frame> result,
+            String target,
+            Throwable failure) {
+        leaders.remove(group, target);
+        boolean notSent = failure instanceof TransportException e && e.kind() == TransportException.Kind.NOT_SENT;
+        if (notSent) {
+            retryLater(group, request, deadline, result);
+        } else {
+            result.completeExceptionally(failure);
+        }
+    }
+
+    private void onNotLeader(int group, String target, NotLeader hint) {
+        String leader = hint.getLeaderName();
+        if (leader.isEmpty() || leader.equals(target)) {
+            leaders.remove(group, target);
+        } else {
+            leaders.put(group, leader);
+        }
+    }
+
+    private void retryLater(int group, Frame request, long deadline, CompletableFuture<Frame> result) {
+        CompletableFuture.delayedExecutor(RETRY_PAUSE_MS, TimeUnit.MILLISECONDS)
+                .execute(() -> attempt(group, request, deadline, result));
+    }
+
+    private String target(int group) {
+        String known = leaders.get(group);
+        if (known != null) {
+            return known;
+        }
+        List<String> open = clients.entrySet().stream()
+                .filter(e -> e.getValue().peer().isPresent())
+                .map(Map.Entry::getKey)
+                .sorted()
+                .toList();
+        List<String> from = open.isEmpty() ? names : open;
+        return from.get(Math.floorMod(next.getAndIncrement(), from.size()));
+    }
+
+    private static Throwable unwrap(Throwable failure) {
+        Throwable cause = failure.getCause();
+        return failure instanceof CompletionException && cause != null ? cause : failure;
+    }
+}
