--- /dev/null
+++ b/standins/src/main/java/org/ragwortrun/standins/StandinServer.java
@@ -0,0 +1,103 @@
+package org.ragwortrun.standins;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicReference;
+import org.apache.hc.core5.http.ClassicHttpRequest;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpEntity;
+import org.apache.hc.core5.http.impl.bootstrap.HttpServer;
+import org.apache.hc.core5.http.impl.bootstrap.ServerBootstrap;
+import org.apache.hc.core5.http.io.HttpRequestHandler;
+import org.apache.hc.core5.http.io.SocketConfig;
+import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
+import org.apache.hc.core5.http.io.entity.EntityUtils;
+import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.util.Timeout;
+import org.jspecify.annotations.Nullable;
+
+/** HTTP server of a stand-in that can be stopped hard and started again on the same port. */
+final class StandinServer implements AutoCloseable {
+    static final ObjectMapper JSON = new ObjectMapper();
+
+    private static final int SOCKET_TIMEOUT_MINUTES = 10;
+
+    private final InetAddress address;
+    private final HttpRequestHandler handler;
+    private final AtomicReference<@Nullable HttpServer> server = new AtomicReference<>();
+    private volatile int port;
+
+    StandinServer(String host, int port, HttpRequestHandler handler) throws IOException {
+        address = InetAddress.getByName(host);
+        this.port = port;
+        this.handler = handler;
+    }
+
+    int port() {
+        return port;
+    }
+
+    boolean isRunning() {
+        return server.get() != null;
+    }
+
+    void start() throws IOException {
+        HttpServer next = ServerBootstrap.bootstrap()
+                .setLocalAddress(address)
+                .setListenerPort(port)
+                .setSocketConfig(SocketConfig.custom()
+                        .setSoTimeout(Timeout.ofMinutes(SOCKET_TIMEOUT_MINUTES))
+                        .setSoReuseAddress(true)
+                        .setTcpNoDelay(true)
+                        .build())
+                .setRequestRouter((request, context) -> handler)
+                .setExceptionListener(new QuietListener())
+                .create();
+        next.start();
+        port = next.getLocalPort();
+        server.set(next);
+    }
+
+    /** Stops listening and closes all connections without finishing their answers. */
+    void stopHard() {
+        HttpServer s = server.getAndSet(null);
+        if (s != null) {
+            s.close(CloseMode.IMMEDIATE);
+        }
+    }
+
+    @Override
+    public void close() {
+        stopHard();
+    }
+
+    static byte[] body(ClassicHttpRequest request) throws IOException {
+        HttpEntity entity = request.getEntity();
+        byte[] body = entity == null ? null : EntityUtils.toByteArray(entity);
+        return body == null ? new byte[0] : body;
+    }
+
+    static JsonNode json(ClassicHttpRequest request) throws IOException {
+        byte[] body = body(request);
+        return body.length == 0 ? JSON.createObjectNode() : JSON.readTree(body);
+    }
+
+    static void answer(ClassicHttpResponse response, int status, Object content) throws IOException {
+        response.setCode(status);
+        response.setEntity(new ByteArrayEntity(JSON.writeValueAsBytes(content), ContentType.APPLICATION_JSON));
+    }
+
+    static void error(ClassicHttpResponse response, int status, String message) throws IOException {
+        answer(response, status, Map.of("error", Map.of("message", message)));
+    }
+
+    static String header(ClassicHttpRequest request, String name) {
+        Header h = request.getFirstHeader(name);
+        return h == null ? "" : h.getValue();
+    }
+}
