Add a first working agent

Cause: routers need one guarded way to each endpoint, which admits, meters, bills and keeps answers. Tested: mvn verify -pl agent -am; 10 tests of a model endpoint against the stand-in engine and a fake control member pass in 29 s. Conclusion: the path from a router to an engine works; plain services, fences, stops and memory bounds still need tests.

--- /dev/null
+++ b/agent/src/main/java/org/ragwortrun/agent/internal/AgentProcess.java
@@ -0,0 +1,272 @@
+package org.ragwortrun.agent.internal;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.ragwortrun.agent.AdmissionGate;
+import org.ragwortrun.core.concurrent.Closer;
+import org.ragwortrun.core.concurrent.Duty;
+import org.ragwortrun.core.config.Endpoint;
+import org.ragwortrun.core.config.Service;
+import org.ragwortrun.core.error.RagwortrunException;
+import org.ragwortrun.core.log.Event;
+import org.ragwortrun.core.metrics.Metrics;
+import org.ragwortrun.core.refusal.Refusal;
+import org.ragwortrun.core.refusal.RefusalReason;
+import org.ragwortrun.core.time.Time;
+import org.ragwortrun.net.FrameHandler;
+import org.ragwortrun.net.FrameServer;
+import org.ragwortrun.net.Peer;
+import org.ragwortrun.net.Transport;
+import org.ragwortrun.net.control.ConfigWatch;
+import org.ragwortrun.net.control.ControlClient;
+import org.ragwortrun.proto.CrashReport;
+import org.ragwortrun.proto.Frame;
+import org.ragwortrun.proto.Hello;
+import org.ragwortrun.proto.Role;
+
+/** Connects the agent's parts: the network, the request duty, the endpoint and the control members. */
+public final class AgentProcess implements AutoCloseable {
+    private static final Logger LOG = LogManager.getLogger(AgentProcess.class);
+    // Control and engine events use one entry for each request at most; the rest is for frames of routers.
+    private static final int RING = 4_096;
+    private static final int TICK_MS = 20;
+    private static final int REPORT_TICKS = 5;
+    private static final int META_GROUP = 0;
+    private static final Duration CONFIRM_INTERVAL = Duration.ofSeconds(1);
+    private static final Duration CRASH_REPORT_TIMEOUT = Duration.ofSeconds(5);
+    private static final int CRASH_REPORT_ATTEMPTS = 5;
+    private static final Duration SETTLE_GRACE = Duration.ofSeconds(30);
+    private static final int CLOSE_POLL_MS = 20;
+
+    private final AgentSettings settings;
+    private final AgentIdentity identity;
+    private final Duty duty;
+    private final ControlClient control;
+    private final ConfigWatch watch;
+    private final RequestDesk desk;
+    private final LoadReporter reporter;
+    private final LoadOrders orders;
+    private final FrameServer server;
+    private final Closer closer = new Closer();
+    private final AtomicBoolean closing = new AtomicBoolean();
+    private int ticks;
+
+    private AgentProcess(AgentSettings settings, AdmissionGate gate, Time time) throws RagwortrunException {
+        this.settings = settings;
+        identity = new AgentIdentity(settings.name(), time);
+        Metrics metrics = closer.register(Metrics.exporting(settings.listen().host(), settings.metricsPort()));
+        AgentSettings.Timing timing = settings.timing();
+        HttpEndpoint endpoint = closer.register(new HttpEndpoint(settings.url(), timing.connect(), timing.idle()));
+        Transport transport = closer.register(new Transport(hello(), 1));
+        ScheduledExecutorService timer = Duty.timer("timer");
+        closer.register(() -> Duty.stop(timer));
+        duty = closer.register(new Duty("requests", RING));
+        control = closer.register(new ControlClient(transport, settings.control(), new ControlPushes()));
+        watch = closer.register(new ConfigWatch(control, timer, time, c -> {}));
+        PlainHttpClient.Repeats noRepeats = new PlainHttpClient.Repeats("", 0, 0);
+        EndpointPort dialects = EndpointPort.caching((kind, header) -> kind == Service.Kind.MODEL
+                ? new ChatCompletionsClient(endpoint)
+                : new PlainHttpClient(
+                        endpoint,
+                        timer,
+                        header.isEmpty()
+                                ? noRepeats
+                                : new PlainHttpClient.Repeats(
+                                        header,
+                                        timing.dedupeRepeats(),
+                                        timing.dedupePause().toMillis())));
+        HealthMonitor[] health = new HealthMonitor[1];
+        desk = new RequestDesk(
+                settings,
+                identity,
+                time,
+                metrics,
+                watch::inForce,
+                watch::latest,
+                gate,
+                new RequestDesk.Ports(
+                        dialects,
+                        control::call,
+                        duty::offer,
+                        () -> health[0].ask(),
+                        report -> reportCrash(report, CRASH_REPORT_ATTEMPTS)));
+        reporter = new LoadReporter(desk, time);
+        orders = new LoadOrders(endpoint, duty::offer);
+        health[0] = new HealthMonitor(endpoint, timer, this::isEngine, duty::offer, desk::onHealth, desk::onLoad);
+        server = closer.register(transport.listen(settings.listen(), new RouterFrames()));
+        watch.start(CONFIRM_INTERVAL);
+        health[0].start(timing.healthInterval().toMillis());
+        timer.scheduleWithFixedDelay(this::queueTick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /**
+     * Starts all parts.
+     *
+     * @throws RagwortrunException if the address cannot be bound
+     */
+    public static AgentProcess start(AgentSettings settings, AdmissionGate gate, Time time) throws RagwortrunException {
+        AgentProcess process = new AgentProcess(settings, gate, time);
+        Event.of("agent-started")
+                .with("name", settings.name())
+                .with("incarnation", process.incarnation())
+                .with("endpoint", settings.endpoint())
+                .with("port", process.port())
+                .info(LOG);
+        return process;
+    }
+
+    public int port() {
+        return server.port();
+    }
+
+    public String incarnation() {
+        return identity.incarnation();
+    }
+
+    @Override
+    public void close() {
+        if (closing.getAndSet(true)) {
+            return;
+        }
+        Event.of("agent-leaving").with("name", settings.name()).info(LOG);
+        onDuty(desk::leave);
+        onDuty(reporter::tick);
+        awaitIdle(settings.timing().stop().plus(SETTLE_GRACE));
+        closer.close();
+        Event.of("agent-stopped").with("name", settings.name()).info(LOG);
+    }
+
+    private void awaitIdle(Duration longest) {
+        long end = System.nanoTime() + longest.toNanos();
+        try {
+            while (System.nanoTime() - end < 0) {
+                CompletableFuture<Boolean> idle = new CompletableFuture<>();
+                onDuty(() -> idle.complete(desk.isIdle()));
+                if (idle.completeOnTimeout(false, 1, TimeUnit.SECONDS).join()) {
+                    return;
+                }
+                TimeUnit.MILLISECONDS.sleep(CLOSE_POLL_MS);
+            }
+            Event.of("stop-timeout").with("seconds", longest.toSeconds()).warn(LOG);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void queueTick() {
+        onDuty(() -> {
+            desk.tick();
+            if (++ticks % REPORT_TICKS == 0) {
+                reporter.tick();
+            }
+        });
+    }
+
+    /** Queues a task that is repeated soon, so that it may be left out when the ring is full. */
+    private void onDuty(Runnable task) {
+        duty.offer(task);
+    }
+
+    private boolean isEngine() {
+        return watch.latest()
+                .flatMap(c ->
+                        c.endpoint(settings.endpoint()).map(Endpoint::service).flatMap(c::service))
+                .map(s -> s.kind() == Service.Kind.MODEL)
+                .orElse(false);
+    }
+
+    private void reportCrash(CrashReport report, int attempts) {
+        control.call(META_GROUP, Frame.newBuilder().setCrashReport(report), CRASH_REPORT_TIMEOUT)
+                .whenComplete((reply, failure) -> {
+                    if (failure != null && attempts > 1 && !closing.get()) {
+                        // A repeated report of the same crash is recognized by request, endpoint and incarnation.
+                        reportCrash(report, attempts - 1);
+                    }
+                });
+    }
+
+    private Hello hello() {
+        return Hello.newBuilder()
+                .setName(settings.name())
+                .setIncarnation(identity.incarnation())
+                .setRole(Role.AGENT)
+                .setDataCenter(settings.dataCenter())
+                .build();
+    }
+
+    /** Frames of routers. */
+    private final class RouterFrames implements FrameHandler {
+        @Override
+        public void onConnected(Peer peer) {
+            mustQueue(peer, () -> reporter.onConnected(peer));
+        }
+
+        @Override
+        public void onFrame(Peer peer, Frame frame) {
+            switch (frame.getBodyCase()) {
+                case DISPATCH -> {
+                    if (!duty.offer(() -> desk.onDispatch(peer, frame))) {
+                        Refusal refusal = Refusal.notRun(
+                                RefusalReason.OVERLOADED, "the agent's ring is full", Duration.ofSeconds(1));
+                        peer.send(Frame.newBuilder()
+                                .setCall(frame.getCall())
+                                .setRefused(Refusals.toWire(refusal))
+                                .build());
+                    }
+                }
+                case ATTACH -> mustQueue(peer, () -> desk.onAttach(peer, frame));
+                case CREDIT ->
+                    mustQueue(
+                            peer,
+                            () -> desk.onCredit(
+                                    peer, frame.getCall(), frame.getCredit().getBytes()));
+                case CANCEL ->
+                    mustQueue(
+                            peer,
+                            () -> desk.onCancel(
+                                    peer, frame.getCall(), frame.getCancel().getReason()));
+                case REQUEST_QUERY -> mustQueue(peer, () -> desk.onQuery(peer, frame));
+                default ->
+                    Event.of("unexpected-frame")
+                            .with("peer", peer.hello().getName())
+                            .with("body", frame.getBodyCase())
+                            .warn(LOG);
+            }
+        }
+
+        @Override
+        public void onClosed(Peer peer) {
+            mustQueue(peer, () -> {
+                reporter.onClosed(peer);
+                desk.onClosed(peer);
+            });
+        }
+
+        /** A connection whose frame would be lost is closed, so that the router attaches anew. */
+        private void mustQueue(Peer peer, Runnable task) {
+            if (!duty.offer(task)) {
+                peer.close();
+            }
+        }
+    }
+
+    /** Frames that control members push. */
+    private final class ControlPushes implements FrameHandler {
+        @Override
+        public void onFrame(Peer peer, Frame frame) {
+            switch (frame.getBodyCase()) {
+                case CONFIG_UPDATE -> watch.onPush(frame);
+                case FENCE_ROUTER -> duty.offer(() -> desk.onFence(peer, frame));
+                case LOAD_ORDER -> duty.offer(() -> orders.onOrder(peer, frame));
+                default -> {
+                    // Late replies of calls that have ended.
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/agent/src/main/java/org/ragwortrun/agent/internal/HttpEndpoint.java
@@ -0,0 +1,127 @@
+package org.ragwortrun.agent.internal;
+
+import java.net.URI;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpHeaders;
+import org.apache.hc.core5.http.HttpHost;
+import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.http.impl.bootstrap.AsyncRequesterBootstrap;
+import org.apache.hc.core5.http.impl.bootstrap.HttpAsyncRequester;
+import org.apache.hc.core5.http.message.BasicHttpRequest;
+import org.apache.hc.core5.http.protocol.HttpCoreContext;
+import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.reactor.IOReactorConfig;
+import org.apache.hc.core5.util.Timeout;
+
+/**
+ * HTTP connections to the endpoint, served by one thread.
+ *
+ * <p>Each request has a connection of its own: a reused connection that the endpoint has just closed would leave it
+ * open whether the request ran.
+ */
+final class HttpEndpoint implements AutoCloseable {
+    /** Answer of a small request to the endpoint itself. */
+    record Reply(int status, String body) {}
+
+    private static final int MAX_CONNECTIONS = 4_096;
+    private static final int MAX_REPLY_BYTES = 64 << 10;
+
+    private final HttpHost host;
+    private final HttpAsyncRequester requester;
+    private final Timeout connectTimeout;
+
+    HttpEndpoint(URI url, Duration connectTimeout, Duration idleTimeout) {
+        host = new HttpHost(url.getScheme(), url.getHost(), url.getPort());
+        this.connectTimeout = Timeout.of(connectTimeout);
+        requester = AsyncRequesterBootstrap.bootstrap()
+                .setIOReactorConfig(IOReactorConfig.custom()
+                        .setIoThreadCount(1)
+                        .setTcpNoDelay(true)
+                        .setSoTimeout(Timeout.of(idleTimeout))
+                        .build())
+                .setHttp1Config(Http1Config.custom()
+                        .setInitialWindowSize(HttpExchange.WINDOW)
+                        .build())
+                .setConnectionReuseStrategy((request, response, context) -> false)
+                .setDefaultMaxPerRoute(MAX_CONNECTIONS)
+                .setMaxTotal(MAX_CONNECTIONS)
+                .create();
+        requester.start();
+    }
+
+    BasicHttpRequest request(String method, String path) {
+        BasicHttpRequest request = new BasicHttpRequest(method, host, path);
+        request.setHeader(HttpHeaders.CONNECTION, "close");
+        return request;
+    }
+
+    /** Sends a request once. */
+    HttpExchange send(BasicHttpRequest request, byte[] body, HttpExchange.Receiver receiver) {
+        HttpExchange exchange = new HttpExchange(request, body, receiver);
+        requester.execute(host, exchange, null, connectTimeout, HttpCoreContext.create());
+        return exchange;
+    }
+
+    /** Sends a small request and returns its answer; completes exceptionally never, but with status 0 on a failure. */
+    CompletableFuture<Reply> ask(String method, String path, byte[] body) {
+        CompletableFuture<Reply> reply = new CompletableFuture<>();
+        BasicHttpRequest request = request(method, path);
+        if (body.length > 0) {
+            request.setHeader(HttpHeaders.CONTENT_TYPE, "application/json");
+        }
+        send(request, body, new SmallReply(reply));
+        return reply;
+    }
+
+    @Override
+    public void close() {
+        requester.close(CloseMode.IMMEDIATE);
+    }
+
+    private static final class SmallReply implements HttpExchange.Receiver {
+        private final CompletableFuture<Reply> reply;
+        private final StringBuilder text = new StringBuilder();
+        private int status;
+
+        SmallReply(CompletableFuture<Reply> reply) {
+            this.reply = reply;
+        }
+
+        @Override
+        public void onSent() {
+            // Only the answer matters.
+        }
+
+        @Override
+        public void onHead(int answerStatus, List<Header> headers) {
+            status = answerStatus;
+        }
+
+        @Override
+        public void onData(ByteBuffer data) {
+            if (text.length() < MAX_REPLY_BYTES) {
+                text.append(StandardCharsets.UTF_8.decode(data));
+            }
+        }
+
+        @Override
+        public void onEnd() {
+            reply.complete(new Reply(status, text.toString()));
+        }
+
+        @Override
+        public void onFailed(String detail) {
+            reply.complete(new Reply(0, detail));
+        }
+
+        @Override
+        public boolean hasRoom() {
+            return true;
+        }
+    }
+}
