Close the agent's gaps found by failure tests

Change: connect first and send then; Transport.introduceAs and FrameServer.disconnect; the incarnation is renewed while idle; confirmations go to every shard leader that asked; running requests end when the endpoint stays silent for endpoint.dead-after; the agent goes by its endpoint's name.

--- a/agent/src/main/java/org/ragwortrun/agent/internal/AgentProcess.java
+++ b/agent/src/main/java/org/ragwortrun/agent/internal/AgentProcess.java
@@ -1,7 +1,9 @@
 package org.ragwortrun.agent.internal;
 
 import java.time.Duration;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -46,6 +48,7 @@
     private final AgentSettings settings;
     private final AgentIdentity identity;
     private final Duty duty;
+    private final Transport transport;
     private final ControlClient control;
     private final ConfigWatch watch;
     private final RequestDesk desk;
@@ -54,15 +57,17 @@
     private final FrameServer server;
     private final Closer closer = new Closer();
     private final AtomicBoolean closing = new AtomicBoolean();
+    private final Set<Peer> controlPeers = ConcurrentHashMap.newKeySet();
     private int ticks;
 
     private AgentProcess(AgentSettings settings, AdmissionGate gate, Time time) throws RagwortrunException {
         this.settings = settings;
-        identity = new AgentIdentity(settings.name(), time);
+        // Control members know an agent by the name of its endpoint.
+        identity = new AgentIdentity(settings.endpoint(), time);
         Metrics metrics = closer.register(Metrics.exporting(settings.listen().host(), settings.metricsPort()));
         AgentSettings.Timing timing = settings.timing();
         HttpEndpoint endpoint = closer.register(new HttpEndpoint(settings.url(), timing.connect(), timing.idle()));
-        Transport transport = closer.register(new Transport(hello(), 1));
+        transport = closer.register(new Transport(hello(), 1));
         ScheduledExecutorService timer = Duty.timer("timer");
         closer.register(() -> Duty.stop(timer));
         duty = closer.register(new Duty("requests", RING));
@@ -94,7 +99,8 @@
                         control::call,
                         duty::offer,
                         () -> health[0].ask(),
-                        report -> reportCrash(report, CRASH_REPORT_ATTEMPTS)));
+                        report -> reportCrash(report, CRASH_REPORT_ATTEMPTS),
+                        this::introduceAnew));
         reporter = new LoadReporter(desk, time);
         orders = new LoadOrders(endpoint, duty::offer);
         health[0] = new HealthMonitor(endpoint, timer, this::isEngine, duty::offer, desk::onHealth, desk::onLoad);
@@ -190,9 +196,16 @@
                 });
     }
 
+    /** Opens all connections anew, because peers take the incarnation from the first message of a connection. */
+    private void introduceAnew() {
+        transport.introduceAs(hello());
+        server.disconnect();
+        controlPeers.forEach(Peer::close);
+    }
+
     private Hello hello() {
         return Hello.newBuilder()
-                .setName(settings.name())
+                .setName(identity.name())
                 .setIncarnation(identity.incarnation())
                 .setRole(Role.AGENT)
                 .setDataCenter(settings.dataCenter())
@@ -257,6 +270,16 @@
 
     /** Frames that control members push. */
     private final class ControlPushes implements FrameHandler {
+        @Override
+        public void onConnected(Peer peer) {
+            controlPeers.add(peer);
+        }
+
+        @Override
+        public void onClosed(Peer peer) {
+            controlPeers.remove(peer);
+        }
+
         @Override
         public void onFrame(Peer peer, Frame frame) {
             switch (frame.getBodyCase()) {
--- a/agent/src/main/java/org/ragwortrun/agent/internal/AgentSettings.java
+++ b/agent/src/main/java/org/ragwortrun/agent/internal/AgentSettings.java
@@ -57,6 +57,7 @@
      * @param connect time for connecting to the endpoint
      * @param idle time without a byte after which a connection to the endpoint is given up
      * @param healthInterval time between health checks
+     * @param deadAfter time without an answer to a health check after which running requests are given up
      * @param stop longest wait for running requests when the agent stops
      * @param dedupePause time between repeats of a request whose outcome is unknown
      * @param dedupeRepeats number of such repeats
@@ -68,6 +69,7 @@
             Duration connect,
             Duration idle,
             Duration healthInterval,
+            Duration deadAfter,
             Duration stop,
             Duration dedupePause,
             int dedupeRepeats) {}
@@ -115,6 +117,7 @@
                 s.duration("endpoint.connect-timeout", Duration.ofSeconds(1)),
                 s.duration("endpoint.idle-timeout", Duration.ofMinutes(2)),
                 s.duration("endpoint.health-interval", Duration.ofMillis(500)),
+                s.duration("endpoint.dead-after", Duration.ofSeconds(5)),
                 s.duration("agent.stop-timeout", Duration.ofMinutes(10)),
                 s.duration("endpoint.dedupe-pause", Duration.ofMillis(200)),
                 (int) s.number("endpoint.dedupe-repeats", 20, 0, 1_000));
--- a/agent/src/main/java/org/ragwortrun/agent/internal/FencedRouters.java
+++ b/agent/src/main/java/org/ragwortrun/agent/internal/FencedRouters.java
@@ -2,21 +2,23 @@
 
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.ragwortrun.net.Peer;
 
 /** Router incarnations whose dispatches are refused for ever, and the confirmations that are still owed. */
 final class FencedRouters {
-    /** Where a confirmation goes. */
+    /** Where a confirmation goes: the leaders of several shards may ask for the same incarnation. */
     record Asker(Peer peer, long call) {}
 
     private final Set<String> fenced = new HashSet<>();
-    private final Map<String, Asker> owed = new LinkedHashMap<>();
+    private final Map<String, Set<Asker>> owed = new LinkedHashMap<>();
 
     void fence(String incarnation, Asker asker) {
         fenced.add(incarnation);
-        owed.put(incarnation, asker);
+        owed.computeIfAbsent(incarnation, i -> new LinkedHashSet<>()).add(asker);
     }
 
     boolean isFenced(String incarnation) {
@@ -24,11 +26,13 @@
     }
 
     /** Returns the incarnations that are not confirmed yet. */
-    Map<String, Asker> owed() {
-        return new LinkedHashMap<>(owed);
+    List<String> owed() {
+        return List.copyOf(owed.keySet());
     }
 
-    void confirmed(String incarnation) {
-        owed.remove(incarnation);
+    /** Notes that an incarnation is confirmed and returns all who asked. */
+    Set<Asker> confirm(String incarnation) {
+        Set<Asker> askers = owed.remove(incarnation);
+        return askers == null ? Set.of() : askers;
     }
 }
--- a/agent/src/main/java/org/ragwortrun/agent/internal/HealthMonitor.java
+++ b/agent/src/main/java/org/ragwortrun/agent/internal/HealthMonitor.java
@@ -24,7 +24,9 @@
     private final Consumer<Boolean> health;
     private final Consumer<EndpointLoad> load;
     private final AtomicLong round = new AtomicLong();
-    private volatile long decided;
+    private long decided;
+    private long waitingRound;
+    private long waitingSince;
 
     HealthMonitor(
             HttpEndpoint endpoint,
@@ -47,16 +49,33 @@
 
     /** Checks now. */
     void ask() {
-        long own = round.incrementAndGet();
+        giveUpOldRound();
+        long own = startRound();
         endpoint.ask("GET", "/health", NOTHING).thenAccept(reply -> {
             decide(own, reply.status() > 0 && reply.status() < FIRST_FAILURE);
         });
-        timer.schedule(() -> decide(own, false), ANSWER_MS, TimeUnit.MILLISECONDS);
         if (isEngine.getAsBoolean()) {
             endpoint.ask("GET", "/v1/load", NOTHING).thenAccept(this::onLoad);
         }
     }
 
+    private synchronized long startRound() {
+        long own = round.incrementAndGet();
+        if (waitingRound <= decided) {
+            waitingRound = own;
+            waitingSince = System.nanoTime();
+        }
+        return own;
+    }
+
+    /** A check that is not answered in time counts as failed. */
+    private synchronized void giveUpOldRound() {
+        boolean late = System.nanoTime() - waitingSince > TimeUnit.MILLISECONDS.toNanos(ANSWER_MS);
+        if (waitingRound > decided && late) {
+            decide(waitingRound, false);
+        }
+    }
+
     /** Takes the first verdict of each round, and none that is older than one already taken. */
     private synchronized void decide(long own, boolean answers) {
         if (own > decided) {
--- a/agent/src/main/java/org/ragwortrun/agent/internal/HttpEndpoint.java
+++ b/agent/src/main/java/org/ragwortrun/agent/internal/HttpEndpoint.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import org.apache.hc.core5.concurrent.FutureCallback;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.HttpHost;
@@ -13,6 +14,7 @@
 import org.apache.hc.core5.http.impl.bootstrap.AsyncRequesterBootstrap;
 import org.apache.hc.core5.http.impl.bootstrap.HttpAsyncRequester;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
+import org.apache.hc.core5.http.nio.AsyncClientEndpoint;
 import org.apache.hc.core5.http.protocol.HttpCoreContext;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.IOReactorConfig;
@@ -63,7 +65,25 @@
     /** Sends a request once. */
     HttpExchange send(BasicHttpRequest request, byte[] body, HttpExchange.Receiver receiver) {
         HttpExchange exchange = new HttpExchange(request, body, receiver);
-        requester.execute(host, exchange, null, connectTimeout, HttpCoreContext.create());
+        // The requester's own execute method produces the request before it connects, which would hide whether a byte
+        // can have been sent.
+        requester.connect(host, connectTimeout, null, new FutureCallback<>() {
+            @Override
+            public void completed(AsyncClientEndpoint connection) {
+                exchange.connected(connection);
+                connection.execute(exchange, HttpCoreContext.create());
+            }
+
+            @Override
+            public void failed(Exception cause) {
+                exchange.failed(cause);
+            }
+
+            @Override
+            public void cancelled() {
+                exchange.cancel();
+            }
+        });
         return exchange;
     }
 
--- a/agent/src/main/java/org/ragwortrun/agent/internal/HttpExchange.java
+++ b/agent/src/main/java/org/ragwortrun/agent/internal/HttpExchange.java
@@ -12,6 +12,7 @@
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.impl.BasicEntityDetails;
+import org.apache.hc.core5.http.nio.AsyncClientEndpoint;
 import org.apache.hc.core5.http.nio.AsyncClientExchangeHandler;
 import org.apache.hc.core5.http.nio.CapacityChannel;
 import org.apache.hc.core5.http.nio.DataStreamChannel;
@@ -24,6 +25,8 @@
     /** Bytes that are read beyond what the receiver has room for. */
     static final int WINDOW = 16 << 10;
 
+    private static final ByteBuffer NOTHING = ByteBuffer.allocate(0);
+
     /** Receives the parts of the response on the reactor's thread. */
     interface Receiver {
         void onSent();
@@ -40,12 +43,13 @@
     }
 
     private final HttpRequest request;
-    private final ByteBuffer body;
+    private ByteBuffer body;
     private final Receiver receiver;
     private final AtomicBoolean over = new AtomicBoolean();
     private final Object lock = new Object();
     private volatile boolean aborted;
     private @Nullable CapacityChannel paused;
+    private volatile @Nullable AsyncClientEndpoint connection;
 
     HttpExchange(HttpRequest request, byte[] body, Receiver receiver) {
         this.request = request;
@@ -53,6 +57,11 @@
         this.receiver = receiver;
     }
 
+    /** Takes the connection of its own that the exchange gives back when it is over. */
+    void connected(AsyncClientEndpoint own) {
+        connection = own;
+    }
+
     @Override
     public void produceRequest(RequestChannel channel, HttpContext context) throws HttpException, IOException {
         if (aborted) {
@@ -74,6 +83,8 @@
             channel.write(body);
         }
         if (!body.hasRemaining()) {
+            // The body's memory is not needed while the answer arrives.
+            body = NOTHING;
             channel.endStream(null);
         }
     }
@@ -120,6 +131,7 @@
     @Override
     public void failed(Exception cause) {
         if (over.compareAndSet(false, true)) {
+            release();
             receiver.onFailed(cause.getClass().getSimpleName() + ": " + cause.getMessage());
         }
     }
@@ -158,7 +170,15 @@
 
     private void end() {
         if (over.compareAndSet(false, true)) {
+            release();
             receiver.onEnd();
         }
     }
+
+    private void release() {
+        AsyncClientEndpoint c = connection;
+        if (c != null) {
+            c.releaseAndDiscard();
+        }
+    }
 }
--- a/agent/src/main/java/org/ragwortrun/agent/internal/PlainHttpClient.java
+++ b/agent/src/main/java/org/ragwortrun/agent/internal/PlainHttpClient.java
@@ -63,7 +63,7 @@
 
     /** One answer, with the repeats that it took. */
     private final class PlainCall implements EndpointCall, HttpExchange.Receiver {
-        private final Dispatch dispatch;
+        private Dispatch dispatch;
         private final EndpointListener listener;
         private volatile @Nullable HttpExchange exchange;
         private volatile boolean cancelled;
@@ -88,7 +88,11 @@
                 request.setHeader(
                         repeats.dedupeHeader(), dispatch.getBudget().getAccount() + "/" + dispatch.getRequestId());
             }
-            exchange = endpoint.send(request, dispatch.getBody().toByteArray(), this);
+            byte[] body = dispatch.getBody().toByteArray();
+            if (repeats.dedupeHeader().isEmpty()) {
+                dispatch = dispatch.toBuilder().clearBody().build();
+            }
+            exchange = endpoint.send(request, body, this);
         }
 
         @Override
--- a/agent/src/main/java/org/ragwortrun/agent/internal/RequestDesk.java
+++ b/agent/src/main/java/org/ragwortrun/agent/internal/RequestDesk.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -40,7 +41,8 @@
             UsageOutbox.ShardCalls shards,
             TaskRing duty,
             Runnable askHealth,
-            java.util.function.Consumer<CrashReport> crashes) {}
+            Consumer<CrashReport> crashes,
+            Runnable renewed) {}
 
     private static final Logger LOG = LogManager.getLogger(RequestDesk.class);
 
@@ -68,7 +70,8 @@
     private long arrivals;
     private long outputTokens;
     private boolean leaving;
-    private boolean healthy = true;
+    private boolean healthy;
+    private long answeredAt;
     private AdmissionGate.@Nullable EndpointLoad engineLoad;
 
     RequestDesk(
@@ -101,7 +104,8 @@
                 new LeaseRule(inForce, settings.endpoint()),
                 new HealthyRule(() -> healthy),
                 new BodySizeRule(limits.bodyBytes()),
-                new OutboxRule(outbox));
+                new OutboxRule(outbox),
+                new MemoryRule(tombstones, seen));
     }
 
     // ---- frames of routers ----
@@ -116,7 +120,7 @@
                 attachToKnown(peer, frame, known, d);
                 return;
             }
-            if (known == null && seen.contains(key, d.getAttempt())) {
+            if (known == null && !d.getRepeatable() && seen.contains(key, d.getAttempt())) {
                 refusal = Optional.of(answerExpired());
             }
         }
@@ -181,9 +185,9 @@
     void onQuery(Peer peer, Frame frame) {
         RequestQuery q = frame.getRequestQuery();
         RequestKey key = RequestKey.of(q.getBudget(), q.getRequestId());
-        // A query that fills the tombstones is still answered in the name of the incarnation that knows the answer.
         RequestState.Builder state = RequestState.newBuilder().setAgentIncarnation(identity.incarnation());
         RunningRequest known = find(key);
+        boolean bury = false;
         if (known != null && known.dispatch().getAttempt() == q.getAttempt()) {
             state.setState(
                     switch (known.state()) {
@@ -195,19 +199,24 @@
         } else if (seen.contains(key, q.getAttempt())) {
             state.setState(RequestState.State.ANSWER_DROPPED);
         } else {
-            state.setState(RequestState.State.NEVER_SEEN);
-            if (q.getSetTombstone()) {
-                if (tombstones.isFull() && !tombstones.contains(key, q.getAttempt())) {
-                    renewIncarnation("tombstones-full");
-                }
-                tombstones.add(key, q.getAttempt());
-                state.setTombstone(true);
-            }
+            bury = q.getSetTombstone();
+            state.setState(RequestState.State.NEVER_SEEN).setTombstone(bury);
         }
         peer.send(Frame.newBuilder()
                 .setCall(frame.getCall())
                 .setRequestState(state)
                 .build());
+        if (bury) {
+            bury(key, q.getAttempt());
+        }
+    }
+
+    /** Sets a tombstone. The query was answered in the name of the old incarnation, which a renewal closes. */
+    private void bury(RequestKey key, int attempt) {
+        if (tombstones.isFull() && !tombstones.contains(key, attempt)) {
+            renewIncarnation("tombstones-full");
+        }
+        tombstones.add(key, attempt);
     }
 
     void onClosed(Peer peer) {
@@ -237,7 +246,13 @@
             Event.of("endpoint-health").with("healthy", answers).info(LOG);
         }
         healthy = answers;
-        if (!answers) {
+        long now = time.nanos();
+        if (answers) {
+            answeredAt = now;
+        } else {
+            if (now - answeredAt > settings.timing().deadAfter().toNanos()) {
+                giveUpRunning();
+            }
             crashLog.take().forEach(ports.crashes());
         }
         crashLog.clear();
@@ -250,6 +265,16 @@
         startWaiting();
     }
 
+    /** Ends what runs on an endpoint that is gone without a closed connection; others wait for their outcome. */
+    private void giveUpRunning() {
+        for (RunningRequest r : new ArrayList<>(live.values())) {
+            if (r.state() == RunningRequest.State.RUNNING && r.dispatch().getRepeatable()) {
+                r.cancelCall();
+                onFailed(r, "the endpoint does not answer");
+            }
+        }
+    }
+
     private void onEvents(RunningRequest r) {
         EndpointFeed feed = feeds.get(r);
         if (feed == null) {
@@ -304,7 +329,9 @@
                             "the endpoint is not reachable: " + detail,
                             Duration.ofSeconds(1)));
         }
-        ports.askHealth().run();
+        if (healthy) {
+            ports.askHealth().run();
+        }
     }
 
     // ---- time ----
@@ -324,6 +351,7 @@
         store.requests().forEach(this::pumpQuietly);
         startWaiting();
         store.evict(now);
+        renewIfIdle();
         outbox.flush(now, (shard, sent, reply) -> ports.duty().offer(() -> onSettleReply(shard, sent, reply)));
         confirmFences();
     }
@@ -450,9 +478,6 @@
     }
 
     private void start(RunningRequest r, AdmissionGate.Place place) {
-        if (seen.isFull()) {
-            renewIncarnation("remembered-requests-full");
-        }
         seen.add(r.key(), r.dispatch().getAttempt());
         EndpointFeed.Bounds bounds = new EndpointFeed.Bounds(
                 settings.limits().streamUnsent(), settings.limits().totalUnsent(), totalUnsent);
@@ -520,11 +545,8 @@
         pump(r);
     }
 
-    /** Tells whether a new attempt may run although the agent knows an earlier one. */
+    /** Tells whether a dispatch may run although the agent knows an earlier one of the same request. */
     private static boolean mayRunAgain(RunningRequest known, Dispatch d) {
-        if (d.getAttempt() <= known.dispatch().getAttempt()) {
-            return false;
-        }
         boolean failed = known.isFinished() && !known.finished().getFailure().isEmpty();
         return known.state() == RunningRequest.State.REFUSED || failed && d.getRepeatable();
     }
@@ -579,7 +601,7 @@
     }
 
     private void confirmFences() {
-        fenced.owed().forEach((incarnation, asker) -> {
+        for (String incarnation : fenced.owed()) {
             boolean working = live.values().stream()
                     .anyMatch(r -> r.dispatch().getIncarnation().equals(incarnation));
             if (!working && !outbox.holdsFor(incarnation)) {
@@ -588,21 +610,30 @@
                         .setAgent(identity.name())
                         .setAgentIncarnation(identity.incarnation())
                         .build();
-                asker.peer()
-                        .send(Frame.newBuilder()
-                                .setCall(asker.call())
-                                .setFenceConfirmed(confirmed)
-                                .build());
-                // If the confirmation is lost, control asks again and gets it at once.
-                fenced.confirmed(incarnation);
+                // If a confirmation is lost, control asks again and gets it at once.
+                fenced.confirm(incarnation)
+                        .forEach(a -> a.peer()
+                                .send(Frame.newBuilder()
+                                        .setCall(a.call())
+                                        .setFenceConfirmed(confirmed)
+                                        .build()));
             }
-        });
+        }
     }
 
     private void renewIncarnation(String cause) {
         identity.renew(cause);
         tombstones.clear();
         seen.clear();
+        ports.renewed().run();
+    }
+
+    /** Renews while nothing would be cut off, long before it would have to. */
+    private void renewIfIdle() {
+        boolean due = tombstones.isFilling() || seen.isFilling();
+        if (due && live.isEmpty() && readers.size() == 0) {
+            renewIncarnation("memory-filling");
+        }
     }
 
     // ---- helpers ----
--- a/agent/src/main/java/org/ragwortrun/agent/internal/SeenRequests.java
+++ b/agent/src/main/java/org/ragwortrun/agent/internal/SeenRequests.java
@@ -16,6 +16,11 @@
         this.limit = limit;
     }
 
+    /** Returns whether half of the room is used, so that a new incarnation is taken when nothing runs. */
+    boolean isFilling() {
+        return accepted.size() * 2L >= limit;
+    }
+
     boolean isFull() {
         return accepted.size() >= limit;
     }
--- a/agent/src/main/java/org/ragwortrun/agent/internal/Tombstones.java
+++ b/agent/src/main/java/org/ragwortrun/agent/internal/Tombstones.java
@@ -14,12 +14,21 @@
         this.limit = limit;
     }
 
+    /** Returns whether half of the room is used, so that a new incarnation is taken when nothing runs. */
+    boolean isFilling() {
+        return attempts.size() * 2L >= limit;
+    }
+
+    boolean isNearlyFull() {
+        return attempts.size() * 10L >= limit * 9L;
+    }
+
     boolean isFull() {
         return attempts.size() >= limit;
     }
 
     void add(RequestKey key, int attempt) {
-        if (isFull()) {
+        if (isFull() && !contains(key, attempt)) {
             throw new IllegalStateException("no tombstone may be added to a full set");
         }
         attempts.add(key.hash(attempt));
--- a/agent/src/test/java/org/ragwortrun/agent/AgentFixture.java
+++ b/agent/src/test/java/org/ragwortrun/agent/AgentFixture.java
@@ -31,7 +31,7 @@
     static final String ROUTER = "router-1@1";
     static final int CREDIT = 64 << 10;
 
-    private static final BudgetRef BUDGET =
+    static final BudgetRef BUDGET =
             BudgetRef.newBuilder().setAccount("dealer-17").setService("assay").build();
     private static final Duration WAIT = Duration.ofSeconds(10);
 
@@ -173,18 +173,21 @@
         return reader.opened(router.peer().orElseThrow().open(frame, reader));
     }
 
+    /** Returns the reason for which a request that is too large in any case is refused. */
+    String probe(FrameClient router) throws Exception {
+        return send(router, chat("probe", "x").setBody(ByteString.copyFrom(new byte[2 << 20])))
+                .refused()
+                .getReason();
+    }
+
     private void awaitLease(FrameClient router) throws Exception {
         long end = System.nanoTime() + WAIT.toNanos();
-        int n = 0;
-        while (System.nanoTime() < end) {
-            AnswerReader reader = send(
-                    router, dispatch("probe-" + n++, "/health", "").setBody(ByteString.copyFrom(new byte[2 << 20])));
-            if (!"configuration-lease-expired".equals(reader.refused().getReason())) {
-                return;
+        while ("configuration-lease-expired".equals(probe(router))) {
+            if (System.nanoTime() > end) {
+                throw new AssertionError("no configuration lease");
             }
             TimeUnit.MILLISECONDS.sleep(10);
         }
-        throw new AssertionError("no configuration lease");
     }
 
     static void await(BooleanSupplier condition) throws InterruptedException {
--- a/net/src/main/java/org/ragwortrun/net/FrameClient.java
+++ b/net/src/main/java/org/ragwortrun/net/FrameClient.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 import org.ragwortrun.net.internal.Connection;
 import org.ragwortrun.net.internal.FramePipeline;
@@ -27,7 +28,7 @@
     private static final int CONNECT_TIMEOUT_MS = 1_000;
 
     private final EventLoopGroup loops;
-    private final Hello own;
+    private final Supplier<Hello> own;
     private final Address address;
     private final FrameHandler handler;
     private final AtomicReference<@Nullable Peer> current = new AtomicReference<>();
@@ -35,7 +36,7 @@
     private volatile @Nullable Channel channel;
     private long backoffMs = FIRST_BACKOFF_MS;
 
-    FrameClient(EventLoopGroup loops, Hello own, Address address, FrameHandler handler) {
+    FrameClient(EventLoopGroup loops, Supplier<Hello> own, Address address, FrameHandler handler) {
         this.loops = loops;
         this.own = own;
         this.address = address;
@@ -81,7 +82,7 @@
                     @Override
                     protected void initChannel(Channel ch) {
                         FramePipeline.addCodec(ch.pipeline());
-                        ch.pipeline().addLast(new Connection(own, new Tracking(), true));
+                        ch.pipeline().addLast(new Connection(own.get(), new Tracking(), true));
                     }
                 });
         ChannelFuture future = bootstrap.connect(address.host(), address.port());
--- a/net/src/main/java/org/ragwortrun/net/FrameServer.java
+++ b/net/src/main/java/org/ragwortrun/net/FrameServer.java
@@ -11,6 +11,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.net.InetSocketAddress;
+import java.util.function.Supplier;
 import org.ragwortrun.net.internal.Connection;
 import org.ragwortrun.net.internal.FramePipeline;
 import org.ragwortrun.proto.Hello;
@@ -25,7 +26,7 @@
         this.accepted = accepted;
     }
 
-    static FrameServer start(EventLoopGroup loops, Hello own, Address address, FrameHandler handler)
+    static FrameServer start(EventLoopGroup loops, Supplier<Hello> own, Address address, FrameHandler handler)
             throws TransportException {
         ChannelGroup accepted = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
         ServerBootstrap bootstrap = new ServerBootstrap()
@@ -38,7 +39,7 @@
                     protected void initChannel(Channel ch) {
                         accepted.add(ch);
                         FramePipeline.addCodec(ch.pipeline());
-                        ch.pipeline().addLast(new Connection(own, handler, false));
+                        ch.pipeline().addLast(new Connection(own.get(), handler, false));
                     }
                 });
         ChannelFuture bound = bootstrap.bind(address.host(), address.port()).awaitUninterruptibly();
@@ -54,6 +55,11 @@
         return ((InetSocketAddress) channel.localAddress()).getPort();
     }
 
+    /** Closes the accepted connections, so that peers connect anew. */
+    public void disconnect() {
+        accepted.close();
+    }
+
     /** Stops listening and closes the accepted connections. */
     @Override
     public void close() {
--- a/net/src/main/java/org/ragwortrun/net/Transport.java
+++ b/net/src/main/java/org/ragwortrun/net/Transport.java
@@ -12,7 +12,7 @@
     private static final long CLOSE_TIMEOUT_MS = 1_000;
 
     private final EventLoopGroup loops;
-    private final Hello own;
+    private volatile Hello own;
 
     /**
      * Starts the network threads.
@@ -32,12 +32,17 @@
      * @throws TransportException if the address cannot be bound
      */
     public FrameServer listen(Address address, FrameHandler handler) throws TransportException {
-        return FrameServer.start(loops, own, address, handler);
+        return FrameServer.start(loops, this::own, address, handler);
     }
 
     /** Keeps a connection to an address open, reconnecting with backoff until closed. */
     public FrameClient connect(Address address, FrameHandler handler) {
-        return new FrameClient(loops, own, address, handler);
+        return new FrameClient(loops, this::own, address, handler);
+    }
+
+    /** Changes how this process introduces itself on connections that are opened from now on. */
+    public void introduceAs(Hello hello) {
+        own = hello;
     }
 
     public Hello own() {
