Add the entry to measurements and the fleet of real processes

Cause: demonstration, tests and measurements all need real processes on loopback and one form of result. Conclusion: ready for the first whole path.

--- /dev/null
+++ b/measure/src/main/java/org/ragwortrun/measure/Measurements.java
@@ -0,0 +1,15 @@
+package org.ragwortrun.measure;
+
+import java.util.Map;
+import java.util.TreeMap;
+import org.ragwortrun.measure.process.FootprintMeasurement;
+import org.ragwortrun.measure.process.OverheadMeasurement;
+
+/** The measurements by name. */
+final class Measurements {
+    private Measurements() {}
+
+    static Map<String, Measurement> all() {
+        return new TreeMap<>(Map.of("overhead", new OverheadMeasurement(), "footprint", new FootprintMeasurement()));
+    }
+}
--- /dev/null
+++ b/measure/src/main/java/org/ragwortrun/measure/fleet/Fleet.java
@@ -0,0 +1,317 @@
+package org.ragwortrun.measure.fleet;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.ragwortrun.core.concurrent.Closer;
+import org.ragwortrun.core.id.Digests;
+
+/** A fleet of control members, routers, agents and stand-in endpoints as separate processes on loopback. */
+public final class Fleet implements AutoCloseable {
+    /** Entry class of the program. */
+    public static final String PROGRAM = "org.ragwortrun.cli.Main";
+
+    private static final String STANDIN = "org.ragwortrun.standins.StandinMain";
+    private static final long START_TIMEOUT_S = 30;
+    private static final List<String> CONTROL_JVM = List.of("-Xmx128m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1");
+    private static final List<String> ROUTER_JVM = List.of("-Xmx128m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1");
+    private static final List<String> AGENT_JVM = List.of("-Xmx64m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1");
+    private static final List<String> STANDIN_JVM = List.of("-Xmx64m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1");
+    private static final List<String> CLI_JVM =
+            List.of("-Xmx64m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xshare:auto");
+
+    private final Closer closer = new Closer();
+    private final Ports ports = new Ports();
+    private final Path folder;
+    private final int shards;
+    private final Map<String, FleetProcess> processes = new LinkedHashMap<>();
+    private final Map<String, Integer> controlPorts = new LinkedHashMap<>();
+    private final Map<String, Integer> routerPorts = new LinkedHashMap<>();
+    private final Map<String, Integer> agentPorts = new LinkedHashMap<>();
+    private final Map<String, Integer> endpointPorts = new LinkedHashMap<>();
+    private final Map<String, EndpointSpec> endpoints = new LinkedHashMap<>();
+    private String members = "";
+
+    /** Creates a fleet whose files lie in a new temporary folder that is deleted on close. */
+    public Fleet(int shards) throws FleetException {
+        this.shards = shards;
+        try {
+            folder = Files.createTempDirectory("ragwortrun-fleet");
+        } catch (IOException e) {
+            throw new FleetException("no temporary folder", e);
+        }
+    }
+
+    /** Adds control members named {@code c1}, {@code c2} and so on, each in a data center of its own. */
+    public void addControls(int count) throws FleetException {
+        for (int i = 1; i <= count; i++) {
+            controlPorts.put("c" + i, ports.next());
+        }
+        members = controlPorts.entrySet().stream()
+                .map(e -> e.getKey() + "=" + Ports.HOST + ":" + e.getValue())
+                .collect(Collectors.joining(", "));
+        int i = 0;
+        for (Map.Entry<String, Integer> e : controlPorts.entrySet()) {
+            i++;
+            addDaemon(
+                    "control",
+                    e.getKey(),
+                    CONTROL_JVM,
+                    settings(e.getKey(), "dc" + i)
+                            + "[control]\nmembers = " + members + "\nlisten = " + Ports.HOST + ":" + e.getValue()
+                            + "\n[storage]\nfolder = " + folder.resolve("data-" + e.getKey())
+                            + "\n[cluster]\nshards = " + shards + "\nbootstrap = "
+                            + String.join(", ", controlPorts.keySet()) + "\n");
+        }
+    }
+
+    /** Adds a router. */
+    public void addRouter(String name, String dataCenter) throws FleetException {
+        addRouter(name, dataCenter, members);
+    }
+
+    /** Adds a router that reaches the control members under other addresses, such as those of fault proxies. */
+    public void addRouter(String name, String dataCenter, String controlMembers) throws FleetException {
+        routerPorts.put(name, ports.next());
+        addDaemon(
+                "router",
+                name,
+                ROUTER_JVM,
+                settings(name, dataCenter)
+                        + "[control]\nmembers = " + controlMembers + "\n[cluster]\nshards = " + shards
+                        + "\n[http]\naddress = "
+                        + Ports.HOST + ":" + routerPorts.get(name) + "\n");
+    }
+
+    /** Adds a stand-in endpoint and the agent beside it. */
+    public void addEndpoint(EndpointSpec spec) throws FleetException {
+        int port = ports.next();
+        endpoints.put(spec.name(), spec);
+        endpointPorts.put(spec.name(), port);
+        agentPorts.put(spec.name(), ports.next());
+        List<String> args = new ArrayList<>(
+                List.of("--kind", spec.kind(), "--listen", Ports.HOST + ":" + port, "--version", spec.version()));
+        args.addAll(spec.standinOptions());
+        add(standinName(spec.name()), FleetProcess.java(STANDIN_JVM, STANDIN, args));
+        addDaemon(
+                "agent",
+                spec.name(),
+                AGENT_JVM,
+                settings(spec.name(), spec.dataCenter())
+                        + "[control]\nmembers = " + members + "\n[cluster]\nshards = " + shards + "\n[agent]\nlisten = "
+                        + Ports.HOST + ":" + agentPorts.get(spec.name()) + "\n[endpoint]\nname = " + spec.name()
+                        + "\nurl = http://" + Ports.HOST + ":" + port + "\n");
+    }
+
+    /** Returns the name of the stand-in's process of an endpoint. */
+    public static String standinName(String endpoint) {
+        return "standin-" + endpoint;
+    }
+
+    public FleetProcess process(String name) throws FleetException {
+        FleetProcess p = processes.get(name);
+        if (p == null) {
+            throw new FleetException("no process " + name);
+        }
+        return p;
+    }
+
+    /** Starts all processes that do not run yet. */
+    public void startAll() throws FleetException {
+        for (FleetProcess p : processes.values()) {
+            if (!p.isAlive()) {
+                p.start();
+            }
+        }
+    }
+
+    /** Returns the base URL of a router. */
+    public String url(String router) {
+        return "http://" + Ports.HOST + ":" + routerPorts.get(router);
+    }
+
+    /** Returns the base URL of a stand-in endpoint. */
+    public String endpointUrl(String endpoint) {
+        return "http://" + Ports.HOST + ":" + endpointPorts.get(endpoint);
+    }
+
+    public String members() {
+        return members;
+    }
+
+    /** Returns the port of a control member. */
+    public int controlPort(String name) {
+        return controlPorts.getOrDefault(name, 0);
+    }
+
+    public Path folder() {
+        return folder;
+    }
+
+    /** Waits until a router is ready. */
+    public void awaitReady(String router) throws FleetException {
+        Caller caller = new Caller("none");
+        await(router + " to be ready", () -> caller.get(url(router) + "/readyz").status() == 200);
+    }
+
+    /** Waits until a condition holds. */
+    public void await(String what, Condition condition) throws FleetException {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(START_TIMEOUT_S);
+        while (!condition.holds()) {
+            if (System.nanoTime() > end) {
+                throw new FleetException("waited " + START_TIMEOUT_S + " s for " + what + "\n" + tails());
+            }
+            sleep(20);
+        }
+    }
+
+    /** Runs a command of the program and returns its exit code and output. */
+    public CommandResult command(String... args) throws FleetException {
+        List<String> all = new ArrayList<>(List.of(args));
+        all.add("--control");
+        all.add(members);
+        try {
+            Path out = Files.createTempFile(folder, "command", ".out");
+            Process p = new ProcessBuilder(FleetProcess.java(CLI_JVM, PROGRAM, all))
+                    .redirectOutput(out.toFile())
+                    .redirectError(ProcessBuilder.Redirect.appendTo(
+                            folder.resolve("command.err").toFile()))
+                    .start();
+            if (!p.waitFor(START_TIMEOUT_S, TimeUnit.SECONDS)) {
+                p.destroyForcibly();
+                throw new FleetException("command " + all + " did not end within " + START_TIMEOUT_S + " s");
+            }
+            return new CommandResult(p.exitValue(), Files.readString(out));
+        } catch (IOException e) {
+            throw new FleetException("command " + all + " failed", e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new FleetException("interrupted", e);
+        }
+    }
+
+    /** Writes the operators' files of all endpoints and the given text, and returns their folder. */
+    public Path writeFiles(String text) throws FleetException {
+        StringBuilder all = new StringBuilder(text).append('\n');
+        endpoints
+                .values()
+                .forEach(e -> all.append("[endpoint ")
+                        .append(e.name())
+                        .append("]\nservice = ")
+                        .append(e.service())
+                        .append("\nversion = ")
+                        .append(e.version())
+                        .append("\nagent = " + Ports.HOST + ":")
+                        .append(agentPorts.get(e.name()))
+                        .append("\nurl = ")
+                        .append(endpointUrl(e.name()))
+                        .append("\ndata-center = ")
+                        .append(e.dataCenter())
+                        .append("\nslots = 32\n")
+                        .append("engine".equals(e.kind()) ? "kv-capacity = 200000\n\n" : "\n"));
+        try {
+            Path files = Files.createDirectories(folder.resolve("files"));
+            Files.writeString(files.resolve("fleet.ini"), all);
+            return files;
+        } catch (IOException e) {
+            throw new FleetException("cannot write operators' files", e);
+        }
+    }
+
+    /** Returns an account section with the digest of its key. */
+    public static String account(String name, String key) {
+        return "[account " + name + "]\nkeys = " + Digests.apiKey(key) + "\n\n";
+    }
+
+    /** Stops every process gracefully, agents and routers before control, and returns the names of those that failed. */
+    public List<String> stopAll() throws FleetException {
+        List<String> failed = new ArrayList<>();
+        List<List<String>> groups = List.of(
+                List.copyOf(routerPorts.keySet()),
+                List.copyOf(agentPorts.keySet()),
+                List.copyOf(controlPorts.keySet()),
+                endpointPorts.keySet().stream().map(Fleet::standinName).toList());
+        for (List<String> group : groups) {
+            List<FleetProcess> alive = new ArrayList<>();
+            for (String name : group) {
+                if (process(name).isAlive()) {
+                    process(name).signalStop();
+                    alive.add(process(name));
+                }
+            }
+            for (FleetProcess p : alive) {
+                int exit = p.await();
+                // 143 is the status of a process that ended on SIGTERM after its shutdown hooks.
+                if (exit != 0 && exit != 143) {
+                    failed.add(p.name() + " exited with " + exit);
+                }
+            }
+        }
+        return failed;
+    }
+
+    /** Returns the ends of all logs, for messages. */
+    public String tails() {
+        return processes.values().stream()
+                .map(p -> "--- " + p.name() + "\n" + p.logTail())
+                .collect(Collectors.joining("\n"));
+    }
+
+    @Override
+    public void close() {
+        closer.close();
+        if (Boolean.getBoolean("ragwortrun.keep")) {
+            return;
+        }
+        try (Stream<Path> files = Files.walk(folder)) {
+            files.sorted(Comparator.reverseOrder()).map(Path::toFile).forEach(f -> f.delete());
+        } catch (IOException e) {
+            throw new IllegalStateException("cannot delete " + folder, e);
+        }
+    }
+
+    /** Lets the processes run for a second without load. */
+    public static void settle() throws FleetException {
+        sleep(TimeUnit.SECONDS.toMillis(1));
+    }
+
+    static void sleep(long ms) throws FleetException {
+        try {
+            TimeUnit.MILLISECONDS.sleep(ms);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new FleetException("interrupted", e);
+        }
+    }
+
+    private static String settings(String name, String dataCenter) {
+        return "[daemon]\nname = " + name + "\ndata-center = " + dataCenter + "\nmetrics-port = 0\n";
+    }
+
+    private void addDaemon(String role, String name, List<String> jvm, String settings) throws FleetException {
+        try {
+            Path file = Files.writeString(folder.resolve(name + ".ini"), settings);
+            add(name, FleetProcess.java(jvm, PROGRAM, List.of(role, "--settings", file.toString())));
+        } catch (IOException e) {
+            throw new FleetException("cannot write settings of " + name, e);
+        }
+    }
+
+    private void add(String name, List<String> command) {
+        processes.put(name, closer.register(new FleetProcess(name, command, folder.resolve(name + ".log"))));
+    }
+
+    /** A condition to wait for. */
+    @FunctionalInterface
+    public interface Condition {
+        boolean holds() throws FleetException;
+    }
+}
