--- a/proto/src/main/java/org/ragwortrun/proto/GroupMessage.java
+++ b/proto/src/main/java/org/ragwortrun/proto/GroupMessage.java
@@ -20,6 +20,7 @@
     GroupMessageOrBuilder {
   private GroupMessage() {
     from_ = "";
+    toIdentity_ = "";
   }
   private int bodyCase_ = 0;
   private java.lang.Object body_;
@@ -33,6 +34,7 @@
     SNAPSHOT_REPLY(8),
     JOIN_REQUEST(9),
     JOIN_REPLY(10),
+    TAKE_OVER(12),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -56,6 +58,7 @@
         case 8: return SNAPSHOT_REPLY;
         case 9: return JOIN_REQUEST;
         case 10: return JOIN_REPLY;
+        case 12: return TAKE_OVER;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -550,6 +553,123 @@
     }
   }
 
+  public static final int TAKE_OVER_FIELD_NUMBER = 12;
+  /**
+   * <code>.org.ragwortrun.proto.TakeOver take_over = 12;</code>
+   */
+  @java.lang.Override
+  public boolean hasTakeOver() {
+    return bodyCase_ == 12;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.TakeOver take_over = 12;</code>
+   */
+  @java.lang.Override
+  public org.ragwortrun.proto.TakeOver getTakeOver() {
+    if (bodyCase_ == 12) {
+       return (org.ragwortrun.proto.TakeOver) body_;
+    }
+    return org.ragwortrun.proto.TakeOver.getDefaultInstance();
+  }
+  /**
+   * <code>.org.ragwortrun.proto.TakeOver take_over = 12;</code>
+   */
+  private void setTakeOver(org.ragwortrun.proto.TakeOver value) {
+    java.util.Objects.requireNonNull(value);
+    body_ = value;
+    bodyCase_ = 12;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.TakeOver take_over = 12;</code>
+   */
+  private void mergeTakeOver(org.ragwortrun.proto.TakeOver value) {
+    java.util.Objects.requireNonNull(value);
+    if (bodyCase_ == 12 &&
+        body_ != org.ragwortrun.proto.TakeOver.getDefaultInstance()) {
+      body_ = org.ragwortrun.proto.TakeOver.newBuilder((org.ragwortrun.proto.TakeOver) body_)
+          .mergeFrom(value).buildPartial();
+    } else {
+      body_ = value;
+    }
+    bodyCase_ = 12;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.TakeOver take_over = 12;</code>
+   */
+  private void clearTakeOver() {
+    if (bodyCase_ == 12) {
+      bodyCase_ = 0;
+      body_ = null;
+    }
+  }
+
+  public static final int TO_IDENTITY_FIELD_NUMBER = 11;
+  private java.lang.String toIdentity_;
+  /**
+   * <pre>
+   * Identity of the addressee. A process that has replaced it drops the message; empty reaches any identity.
+   * </pre>
+   *
+   * <code>string to_identity = 11;</code>
+   * @return The toIdentity.
+   */
+  @java.lang.Override
+  public java.lang.String getToIdentity() {
+    return toIdentity_;
+  }
+  /**
+   * <pre>
+   * Identity of the addressee. A process that has replaced it drops the message; empty reaches any identity.
+   * </pre>
+   *
+   * <code>string to_identity = 11;</code>
+   * @return The bytes for toIdentity.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getToIdentityBytes() {
+    return com.google.protobuf.ByteString.copyFromUtf8(toIdentity_);
+  }
+  /**
+   * <pre>
+   * Identity of the addressee. A process that has replaced it drops the message; empty reaches any identity.
+   * </pre>
+   *
+   * <code>string to_identity = 11;</code>
+   * @param value The toIdentity to set.
+   */
+  private void setToIdentity(
+      java.lang.String value) {
+    java.util.Objects.requireNonNull(value);
+
+    toIdentity_ = value;
+  }
+  /**
+   * <pre>
+   * Identity of the addressee. A process that has replaced it drops the message; empty reaches any identity.
+   * </pre>
+   *
+   * <code>string to_identity = 11;</code>
+   */
+  private void clearToIdentity() {
+
+    toIdentity_ = getDefaultInstance().getToIdentity();
+  }
+  /**
+   * <pre>
+   * Identity of the addressee. A process that has replaced it drops the message; empty reaches any identity.
+   * </pre>
+   *
+   * <code>string to_identity = 11;</code>
+   * @param value The bytes for toIdentity to set.
+   */
+  private void setToIdentityBytes(
+      com.google.protobuf.ByteString value) {
+    checkByteStringIsUtf8(value);
+    toIdentity_ = value.toStringUtf8();
+
+  }
+
   public static org.ragwortrun.proto.GroupMessage parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -1124,6 +1244,123 @@
       return this;
     }
 
+    /**
+     * <code>.org.ragwortrun.proto.TakeOver take_over = 12;</code>
+     */
+    @java.lang.Override
+    public boolean hasTakeOver() {
+      return instance.hasTakeOver();
+    }
+    /**
+     * <code>.org.ragwortrun.proto.TakeOver take_over = 12;</code>
+     */
+    @java.lang.Override
+    public org.ragwortrun.proto.TakeOver getTakeOver() {
+      return instance.getTakeOver();
+    }
+    /**
+     * <code>.org.ragwortrun.proto.TakeOver take_over = 12;</code>
+     */
+    public Builder setTakeOver(org.ragwortrun.proto.TakeOver value) {
+      copyOnWrite();
+      instance.setTakeOver(value);
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.TakeOver take_over = 12;</code>
+     */
+    public Builder setTakeOver(
+        org.ragwortrun.proto.TakeOver.Builder builderForValue) {
+      copyOnWrite();
+      instance.setTakeOver(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.TakeOver take_over = 12;</code>
+     */
+    public Builder mergeTakeOver(org.ragwortrun.proto.TakeOver value) {
+      copyOnWrite();
+      instance.mergeTakeOver(value);
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.TakeOver take_over = 12;</code>
+     */
+    public Builder clearTakeOver() {
+      copyOnWrite();
+      instance.clearTakeOver();
+      return this;
+    }
+
+    /**
+     * <pre>
+     * Identity of the addressee. A process that has replaced it drops the message; empty reaches any identity.
+     * </pre>
+     *
+     * <code>string to_identity = 11;</code>
+     * @return The toIdentity.
+     */
+    @java.lang.Override
+    public java.lang.String getToIdentity() {
+      return instance.getToIdentity();
+    }
+    /**
+     * <pre>
+     * Identity of the addressee. A process that has replaced it drops the message; empty reaches any identity.
+     * </pre>
+     *
+     * <code>string to_identity = 11;</code>
+     * @return The bytes for toIdentity.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getToIdentityBytes() {
+      return instance.getToIdentityBytes();
+    }
+    /**
+     * <pre>
+     * Identity of the addressee. A process that has replaced it drops the message; empty reaches any identity.
+     * </pre>
+     *
+     * <code>string to_identity = 11;</code>
+     * @param value The toIdentity to set.
+     * @return This builder for chaining.
+     */
+    public Builder setToIdentity(
+        java.lang.String value) {
+      copyOnWrite();
+      instance.setToIdentity(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Identity of the addressee. A process that has replaced it drops the message; empty reaches any identity.
+     * </pre>
+     *
+     * <code>string to_identity = 11;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearToIdentity() {
+      copyOnWrite();
+      instance.clearToIdentity();
+      return this;
+    }
+    /**
+     * <pre>
+     * Identity of the addressee. A process that has replaced it drops the message; empty reaches any identity.
+     * </pre>
+     *
+     * <code>string to_identity = 11;</code>
+     * @param value The bytes for toIdentity to set.
+     * @return This builder for chaining.
+     */
+    public Builder setToIdentityBytes(
+        com.google.protobuf.ByteString value) {
+      copyOnWrite();
+      instance.setToIdentityBytes(value);
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.ragwortrun.proto.GroupMessage)
   }
   @java.lang.Override
@@ -1152,10 +1389,13 @@
             org.ragwortrun.proto.SnapshotReply.class,
             org.ragwortrun.proto.JoinRequest.class,
             org.ragwortrun.proto.JoinReply.class,
+            "toIdentity_",
+            org.ragwortrun.proto.TakeOver.class,
           };
           java.lang.String info =
-              "\u0000\n\u0001\u0000\u0001\n\n\u0000\u0000\u0000\u0001\u000b\u0002\u0208\u0003<\u0000" +
-              "\u0004<\u0000\u0005<\u0000\u0006<\u0000\u0007<\u0000\b<\u0000\t<\u0000\n<\u0000";
+              "\u0000\f\u0001\u0000\u0001\f\f\u0000\u0000\u0000\u0001\u000b\u0002\u0208\u0003<\u0000" +
+              "\u0004<\u0000\u0005<\u0000\u0006<\u0000\u0007<\u0000\b<\u0000\t<\u0000\n<\u0000\u000b" +
+              "\u0208\f<\u0000";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/proto/src/main/java/org/ragwortrun/proto/GroupMessageOrBuilder.java
+++ b/proto/src/main/java/org/ragwortrun/proto/GroupMessageOrBuilder.java
@@ -116,5 +116,36 @@
    */
   org.ragwortrun.proto.JoinReply getJoinReply();
 
+  /**
+   * <code>.org.ragwortrun.proto.TakeOver take_over = 12;</code>
+   * @return Whether the takeOver field is set.
+   */
+  boolean hasTakeOver();
+  /**
+   * <code>.org.ragwortrun.proto.TakeOver take_over = 12;</code>
+   * @return The takeOver.
+   */
+  org.ragwortrun.proto.TakeOver getTakeOver();
+
+  /**
+   * <pre>
+   * Identity of the addressee. A process that has replaced it drops the message; empty reaches any identity.
+   * </pre>
+   *
+   * <code>string to_identity = 11;</code>
+   * @return The toIdentity.
+   */
+  java.lang.String getToIdentity();
+  /**
+   * <pre>
+   * Identity of the addressee. A process that has replaced it drops the message; empty reaches any identity.
+   * </pre>
+   *
+   * <code>string to_identity = 11;</code>
+   * @return The bytes for toIdentity.
+   */
+  com.google.protobuf.ByteString
+      getToIdentityBytes();
+
   public org.ragwortrun.proto.GroupMessage.BodyCase getBodyCase();
 }
--- a/proto/src/main/java/org/ragwortrun/proto/JoinRequest.java
+++ b/proto/src/main/java/org/ragwortrun/proto/JoinRequest.java
@@ -68,6 +68,44 @@
     bitField0_ = (bitField0_ & ~0x00000001);
   }
 
+  public static final int UNUSED_FIELD_NUMBER = 2;
+  private boolean unused_;
+  /**
+   * <pre>
+   * The member has never held a log entry or given a vote.
+   * </pre>
+   *
+   * <code>bool unused = 2;</code>
+   * @return The unused.
+   */
+  @java.lang.Override
+  public boolean getUnused() {
+    return unused_;
+  }
+  /**
+   * <pre>
+   * The member has never held a log entry or given a vote.
+   * </pre>
+   *
+   * <code>bool unused = 2;</code>
+   * @param value The unused to set.
+   */
+  private void setUnused(boolean value) {
+    
+    unused_ = value;
+  }
+  /**
+   * <pre>
+   * The member has never held a log entry or given a vote.
+   * </pre>
+   *
+   * <code>bool unused = 2;</code>
+   */
+  private void clearUnused() {
+
+    unused_ = false;
+  }
+
   public static org.ragwortrun.proto.JoinRequest parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -216,6 +254,46 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * The member has never held a log entry or given a vote.
+     * </pre>
+     *
+     * <code>bool unused = 2;</code>
+     * @return The unused.
+     */
+    @java.lang.Override
+    public boolean getUnused() {
+      return instance.getUnused();
+    }
+    /**
+     * <pre>
+     * The member has never held a log entry or given a vote.
+     * </pre>
+     *
+     * <code>bool unused = 2;</code>
+     * @param value The unused to set.
+     * @return This builder for chaining.
+     */
+    public Builder setUnused(boolean value) {
+      copyOnWrite();
+      instance.setUnused(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * The member has never held a log entry or given a vote.
+     * </pre>
+     *
+     * <code>bool unused = 2;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearUnused() {
+      copyOnWrite();
+      instance.clearUnused();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.ragwortrun.proto.JoinRequest)
   }
   @java.lang.Override
@@ -234,9 +312,11 @@
           java.lang.Object[] objects = new java.lang.Object[] {
             "bitField0_",
             "member_",
+            "unused_",
           };
           java.lang.String info =
-              "\u0000\u0001\u0000\u0001\u0001\u0001\u0001\u0000\u0000\u0000\u0001\u1009\u0000";
+              "\u0000\u0002\u0000\u0001\u0001\u0002\u0002\u0000\u0000\u0000\u0001\u1009\u0000\u0002" +
+              "\u0007";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/proto/src/main/java/org/ragwortrun/proto/JoinRequestOrBuilder.java
+++ b/proto/src/main/java/org/ragwortrun/proto/JoinRequestOrBuilder.java
@@ -20,4 +20,14 @@
    * @return The member.
    */
   org.ragwortrun.proto.Member getMember();
+
+  /**
+   * <pre>
+   * The member has never held a log entry or given a vote.
+   * </pre>
+   *
+   * <code>bool unused = 2;</code>
+   * @return The unused.
+   */
+  boolean getUnused();
 }
--- a/proto/src/main/java/org/ragwortrun/proto/SnapshotChunk.java
+++ b/proto/src/main/java/org/ragwortrun/proto/SnapshotChunk.java
@@ -16,6 +16,7 @@
     SnapshotChunkOrBuilder {
   private SnapshotChunk() {
     data_ = com.google.protobuf.ByteString.EMPTY;
+    identity_ = "";
   }
   private int bitField0_;
   public static final int TERM_FIELD_NUMBER = 1;
@@ -248,6 +249,53 @@
     round_ = 0L;
   }
 
+  public static final int IDENTITY_FIELD_NUMBER = 9;
+  private java.lang.String identity_;
+  /**
+   * <code>string identity = 9;</code>
+   * @return The identity.
+   */
+  @java.lang.Override
+  public java.lang.String getIdentity() {
+    return identity_;
+  }
+  /**
+   * <code>string identity = 9;</code>
+   * @return The bytes for identity.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getIdentityBytes() {
+    return com.google.protobuf.ByteString.copyFromUtf8(identity_);
+  }
+  /**
+   * <code>string identity = 9;</code>
+   * @param value The identity to set.
+   */
+  private void setIdentity(
+      java.lang.String value) {
+    java.util.Objects.requireNonNull(value);
+
+    identity_ = value;
+  }
+  /**
+   * <code>string identity = 9;</code>
+   */
+  private void clearIdentity() {
+
+    identity_ = getDefaultInstance().getIdentity();
+  }
+  /**
+   * <code>string identity = 9;</code>
+   * @param value The bytes for identity to set.
+   */
+  private void setIdentityBytes(
+      com.google.protobuf.ByteString value) {
+    checkByteStringIsUtf8(value);
+    identity_ = value.toStringUtf8();
+
+  }
+
   public static org.ragwortrun.proto.SnapshotChunk parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -588,6 +636,55 @@
       return this;
     }
 
+    /**
+     * <code>string identity = 9;</code>
+     * @return The identity.
+     */
+    @java.lang.Override
+    public java.lang.String getIdentity() {
+      return instance.getIdentity();
+    }
+    /**
+     * <code>string identity = 9;</code>
+     * @return The bytes for identity.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getIdentityBytes() {
+      return instance.getIdentityBytes();
+    }
+    /**
+     * <code>string identity = 9;</code>
+     * @param value The identity to set.
+     * @return This builder for chaining.
+     */
+    public Builder setIdentity(
+        java.lang.String value) {
+      copyOnWrite();
+      instance.setIdentity(value);
+      return this;
+    }
+    /**
+     * <code>string identity = 9;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearIdentity() {
+      copyOnWrite();
+      instance.clearIdentity();
+      return this;
+    }
+    /**
+     * <code>string identity = 9;</code>
+     * @param value The bytes for identity to set.
+     * @return This builder for chaining.
+     */
+    public Builder setIdentityBytes(
+        com.google.protobuf.ByteString value) {
+      copyOnWrite();
+      instance.setIdentityBytes(value);
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.ragwortrun.proto.SnapshotChunk)
   }
   @java.lang.Override
@@ -613,10 +710,11 @@
             "data_",
             "done_",
             "round_",
+            "identity_",
           };
           java.lang.String info =
-              "\u0000\b\u0000\u0001\u0001\b\b\u0000\u0000\u0000\u0001\u0003\u0002\u0003\u0003\u0003" +
-              "\u0004\u1009\u0000\u0005\u0003\u0006\n\u0007\u0007\b\u0003";
+              "\u0000\t\u0000\u0001\u0001\t\t\u0000\u0000\u0000\u0001\u0003\u0002\u0003\u0003\u0003" +
+              "\u0004\u1009\u0000\u0005\u0003\u0006\n\u0007\u0007\b\u0003\t\u0208";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/proto/src/main/java/org/ragwortrun/proto/SnapshotChunkOrBuilder.java
+++ b/proto/src/main/java/org/ragwortrun/proto/SnapshotChunkOrBuilder.java
@@ -62,4 +62,16 @@
    * @return The round.
    */
   long getRound();
+
+  /**
+   * <code>string identity = 9;</code>
+   * @return The identity.
+   */
+  java.lang.String getIdentity();
+  /**
+   * <code>string identity = 9;</code>
+   * @return The bytes for identity.
+   */
+  com.google.protobuf.ByteString
+      getIdentityBytes();
 }
--- a/proto/src/main/java/org/ragwortrun/proto/VoteRequest.java
+++ b/proto/src/main/java/org/ragwortrun/proto/VoteRequest.java
@@ -168,6 +168,44 @@
 
   }
 
+  public static final int TRANSFER_FIELD_NUMBER = 6;
+  private boolean transfer_;
+  /**
+   * <pre>
+   * The leader of the previous term has given up its lease and asked this member to take over.
+   * </pre>
+   *
+   * <code>bool transfer = 6;</code>
+   * @return The transfer.
+   */
+  @java.lang.Override
+  public boolean getTransfer() {
+    return transfer_;
+  }
+  /**
+   * <pre>
+   * The leader of the previous term has given up its lease and asked this member to take over.
+   * </pre>
+   *
+   * <code>bool transfer = 6;</code>
+   * @param value The transfer to set.
+   */
+  private void setTransfer(boolean value) {
+    
+    transfer_ = value;
+  }
+  /**
+   * <pre>
+   * The leader of the previous term has given up its lease and asked this member to take over.
+   * </pre>
+   *
+   * <code>bool transfer = 6;</code>
+   */
+  private void clearTransfer() {
+
+    transfer_ = false;
+  }
+
   public static org.ragwortrun.proto.VoteRequest parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -426,6 +464,46 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * The leader of the previous term has given up its lease and asked this member to take over.
+     * </pre>
+     *
+     * <code>bool transfer = 6;</code>
+     * @return The transfer.
+     */
+    @java.lang.Override
+    public boolean getTransfer() {
+      return instance.getTransfer();
+    }
+    /**
+     * <pre>
+     * The leader of the previous term has given up its lease and asked this member to take over.
+     * </pre>
+     *
+     * <code>bool transfer = 6;</code>
+     * @param value The transfer to set.
+     * @return This builder for chaining.
+     */
+    public Builder setTransfer(boolean value) {
+      copyOnWrite();
+      instance.setTransfer(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * The leader of the previous term has given up its lease and asked this member to take over.
+     * </pre>
+     *
+     * <code>bool transfer = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearTransfer() {
+      copyOnWrite();
+      instance.clearTransfer();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.ragwortrun.proto.VoteRequest)
   }
   @java.lang.Override
@@ -447,10 +525,11 @@
             "lastTerm_",
             "preVote_",
             "identity_",
+            "transfer_",
           };
           java.lang.String info =
-              "\u0000\u0005\u0000\u0000\u0001\u0005\u0005\u0000\u0000\u0000\u0001\u0003\u0002\u0003" +
-              "\u0003\u0003\u0004\u0007\u0005\u0208";
+              "\u0000\u0006\u0000\u0000\u0001\u0006\u0006\u0000\u0000\u0000\u0001\u0003\u0002\u0003" +
+              "\u0003\u0003\u0004\u0007\u0005\u0208\u0006\u0007";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/proto/src/main/java/org/ragwortrun/proto/VoteRequestOrBuilder.java
+++ b/proto/src/main/java/org/ragwortrun/proto/VoteRequestOrBuilder.java
@@ -45,4 +45,14 @@
    */
   com.google.protobuf.ByteString
       getIdentityBytes();
+
+  /**
+   * <pre>
+   * The leader of the previous term has given up its lease and asked this member to take over.
+   * </pre>
+   *
+   * <code>bool transfer = 6;</code>
+   * @return The transfer.
+   */
+  boolean getTransfer();
 }
--- /dev/null
+++ b/replication/src/main/java/org/ragwortrun/replication/GroupHost.java
@@ -0,0 +1,224 @@
+package org.ragwortrun.replication;
+
+import java.io.IOException;
+import java.nio.channels.FileChannel;
+import java.nio.channels.OverlappingFileLockException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.jspecify.annotations.Nullable;
+import org.ragwortrun.core.concurrent.Closer;
+import org.ragwortrun.core.concurrent.Duty;
+import org.ragwortrun.core.id.Incarnations;
+import org.ragwortrun.core.log.Event;
+import org.ragwortrun.core.metrics.Metrics;
+import org.ragwortrun.core.time.Time;
+import org.ragwortrun.net.Address;
+import org.ragwortrun.net.FrameClient;
+import org.ragwortrun.net.FrameHandler;
+import org.ragwortrun.net.Peer;
+import org.ragwortrun.net.Transport;
+import org.ragwortrun.proto.Frame;
+import org.ragwortrun.proto.GroupMessage;
+import org.ragwortrun.replication.internal.CoreSettings;
+import org.ragwortrun.replication.internal.GroupRunner;
+import org.ragwortrun.replication.internal.GroupStorage;
+import org.ragwortrun.replication.internal.HostContext;
+import org.ragwortrun.replication.internal.Lane;
+import org.ragwortrun.replication.internal.RaftCore;
+import org.ragwortrun.replication.internal.Restored;
+
+/**
+ * The groups of one process. It opens connections to the other members; the owner listens and passes in the frames that
+ * carry a {@code GroupMessage}.
+ *
+ * <p>Each group has a folder {@code group-N} with its own identity. A member whose folder is empty gets a new identity
+ * and asks to join; it counts in no quorum until it has every entry and a committed member set names it as a voter.
+ *
+ * <p>Bootstrap: the first name of the bootstrap list founds a group when every listed member has reported that its folder
+ * has never held a log entry or given a vote. While a listed member is silent or has a log, nothing is founded, so a
+ * wiped member joins instead. All listed members must therefore run once at the same time.
+ */
+public final class GroupHost implements AutoCloseable {
+    private static final Logger LOG = LogManager.getLogger(GroupHost.class);
+    private static final int TICKS_PER_TIMEOUT = 24;
+
+    private final Closer closer = new Closer();
+    private final Map<Integer, GroupRunner> groups = new TreeMap<>();
+    private final Map<String, FrameClient> others = new TreeMap<>();
+    private final HostContext context;
+
+    private GroupHost(HostSettings settings, Time time, Metrics metrics) {
+        long origin = time.nanos();
+        context = new HostContext(settings, () -> time.nanos() - origin, metrics, this::send);
+    }
+
+    /**
+     * Restores the groups from the data folder and starts them.
+     *
+     * @param machines an empty state machine for each group number
+     * @throws CorruptLogException if stored state of a group is damaged; its folder must be cleared
+     * @throws StorageException if the folder cannot be used or another process uses it
+     */
+    public static GroupHost open(
+            HostSettings settings, Map<Integer, StateMachine> machines, Transport transport, Time time, Metrics metrics)
+            throws CorruptLogException, StorageException {
+        GroupHost host = new GroupHost(settings, time, metrics);
+        boolean started = false;
+        try {
+            host.start(machines, transport, time);
+            started = true;
+            return host;
+        } catch (IOException e) {
+            throw new StorageException(settings.folder(), e);
+        } finally {
+            if (!started) {
+                host.close();
+            }
+        }
+    }
+
+    /**
+     * Returns a group.
+     *
+     * @throws IllegalArgumentException if this host has no such group
+     */
+    public ReplicatedGroup group(int number) {
+        GroupRunner runner = groups.get(number);
+        if (runner == null) {
+            throw new IllegalArgumentException("this host has no group " + number);
+        }
+        return runner;
+    }
+
+    /** Takes a frame with a {@code GroupMessage}; others are ignored. Does not block. */
+    public void onFrame(Peer peer, Frame frame) {
+        if (frame.hasGroupMessage()) {
+            GroupRunner runner = groups.get(frame.getGroupMessage().getGroup());
+            if (runner != null) {
+                runner.receive(frame.getGroupMessage());
+            }
+        }
+    }
+
+    /** Stops all groups. Commands that wait fail. */
+    @Override
+    public void close() {
+        groups.values().forEach(GroupRunner::close);
+        closer.close();
+    }
+
+    private void start(Map<Integer, StateMachine> machines, Transport transport, Time time)
+            throws IOException, CorruptLogException {
+        HostSettings settings = context.settings();
+        Files.createDirectories(settings.folder());
+        closer.register(lock(settings.folder()));
+        closer.register(this::closeStorage);
+        List<Lane> lanes = new ArrayList<>();
+        for (int i = 0; i < Math.min(settings.lanes(), machines.size()); i++) {
+            lanes.add(Lane.start(i, machines.size(), closer));
+        }
+        for (Map.Entry<Integer, StateMachine> e : new TreeMap<>(machines).entrySet()) {
+            Lane lane = lanes.get(groups.size() % lanes.size());
+            groups.put(e.getKey(), restore(e.getKey(), e.getValue(), time, lane));
+        }
+        settings.members().forEach((name, address) -> {
+            if (!name.equals(settings.name())) {
+                others.put(name, closer.register(connect(transport, address)));
+            }
+        });
+        ScheduledExecutorService timer = Duty.timer("replication-timer");
+        closer.register(() -> Duty.stop(timer));
+        long period = Math.max(1, settings.electionTimeout().toMillis() / TICKS_PER_TIMEOUT);
+        timer.scheduleAtFixedRate(this::tick, 0, period, TimeUnit.MILLISECONDS);
+    }
+
+    private GroupRunner restore(int group, StateMachine machine, Time time, Lane lane)
+            throws IOException, CorruptLogException {
+        HostSettings settings = context.settings();
+        LongSupplier clock = context.clock();
+        long start = clock.getAsLong();
+        GroupStorage.Opened opened = GroupStorage.open(
+                settings.folder().resolve("group-" + group),
+                () -> Incarnations.create(settings.name(), time.wallMillis()));
+        Restored restored = opened.restored();
+        if (restored.snapshot().index() > 0) {
+            opened.storage().restore(restored.snapshot().index(), machine);
+        }
+        List<String> names = settings.members().keySet().stream().sorted().toList();
+        CoreSettings core = CoreSettings.of(
+                settings.name(),
+                String.valueOf(settings.members().get(settings.name())),
+                names.stream().filter(n -> !n.equals(settings.name())).toList(),
+                settings.bootstrap(),
+                settings.electionTimeout().toNanos(),
+                names.get(Math.floorMod(group, names.size())));
+        Random random = new Random(restored.state().getIdentity().hashCode() * 31L + group);
+        RaftCore raft = new RaftCore(core, restored, opened.storage(), random, clock.getAsLong());
+        Event.of("group-restarted")
+                .with("group", group)
+                .with("identity", raft.identity())
+                .with("snapshot", restored.snapshot().index())
+                .with("entries", restored.entries().size())
+                .with("cut_bytes", opened.cutBytes())
+                .with("ms", (clock.getAsLong() - start) / 1_000_000)
+                .info(LOG);
+        return new GroupRunner(group, context, raft, opened.storage(), machine, raft.lastIndex(), lane);
+    }
+
+    private FrameClient connect(Transport transport, Address address) {
+        return transport.connect(address, new FrameHandler() {
+            @Override
+            public void onFrame(Peer peer, Frame frame) {
+                GroupHost.this.onFrame(peer, frame);
+            }
+        });
+    }
+
+    private void send(String to, GroupMessage message) {
+        FrameClient client = others.get(to);
+        if (client != null) {
+            client.peer()
+                    .filter(Peer::isWritable)
+                    .ifPresent(p ->
+                            p.send(Frame.newBuilder().setGroupMessage(message).build()));
+        }
+    }
+
+    private void tick() {
+        long now = context.clock().getAsLong();
+        groups.values().forEach(g -> g.tick(now));
+    }
+
+    private void closeStorage() throws IOException {
+        for (GroupRunner runner : groups.values()) {
+            runner.closeStorage();
+        }
+    }
+
+    private static FileChannel lock(Path folder) throws IOException {
+        FileChannel channel =
+                FileChannel.open(folder.resolve("lock"), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
+        @Nullable Object held = null;
+        try {
+            held = channel.tryLock();
+        } catch (OverlappingFileLockException e) {
+            // reported below
+        }
+        if (held == null) {
+            channel.close();
+            throw new IOException("another process uses this folder");
+        }
+        return channel;
+    }
+}
--- /dev/null
+++ b/replication/src/main/java/org/ragwortrun/replication/HostSettings.java
@@ -0,0 +1,72 @@
+package org.ragwortrun.replication;
+
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import org.ragwortrun.net.Address;
+
+/**
+ * Settings of a group host.
+ *
+ * @param name name of this member
+ * @param folder data folder; each group has a folder below it
+ * @param members addresses of all members by name, this one included
+ * @param bootstrap names of the initial members; the first one creates the groups, see {@link GroupHost}
+ * @param electionTimeout time without heartbeats after which followers may elect; the lease is 0.8 times as long
+ * @param lanes number of duties of each kind (core, sync, apply) that share the groups
+ * @param proposalRing commands that may wait in each group
+ * @param snapshotEntries entries after which a snapshot is taken
+ * @param snapshotBytes bytes of log after which a snapshot is taken
+ */
+public record HostSettings(
+        String name,
+        Path folder,
+        Map<String, Address> members,
+        List<String> bootstrap,
+        Duration electionTimeout,
+        int lanes,
+        int proposalRing,
+        long snapshotEntries,
+        long snapshotBytes) {
+
+    // Three kinds of duty with two threads each keep 65 groups at six threads.
+    private static final int DEFAULT_LANES = 2;
+    private static final int DEFAULT_RING = 4_096;
+    private static final long DEFAULT_SNAPSHOT_ENTRIES = 50_000;
+    // Entries since the last snapshot are held in memory: 65 groups hold at most 520 MiB.
+    private static final long DEFAULT_SNAPSHOT_BYTES = 8L << 20;
+
+    public HostSettings {
+        members = Map.copyOf(members);
+        bootstrap = List.copyOf(bootstrap);
+    }
+
+    /** Returns settings with the default sizes and an election timeout of one second. */
+    public static HostSettings of(String name, Path folder, Map<String, Address> members, List<String> bootstrap) {
+        return new HostSettings(
+                name,
+                folder,
+                members,
+                bootstrap,
+                Duration.ofSeconds(1),
+                DEFAULT_LANES,
+                DEFAULT_RING,
+                DEFAULT_SNAPSHOT_ENTRIES,
+                DEFAULT_SNAPSHOT_BYTES);
+    }
+
+    public HostSettings withElectionTimeout(Duration timeout) {
+        return new HostSettings(
+                name, folder, members, bootstrap, timeout, lanes, proposalRing, snapshotEntries, snapshotBytes);
+    }
+
+    public HostSettings withSnapshotLimits(long entries, long bytes) {
+        return new HostSettings(name, folder, members, bootstrap, electionTimeout, lanes, proposalRing, entries, bytes);
+    }
+
+    public HostSettings withProposalRing(int size) {
+        return new HostSettings(
+                name, folder, members, bootstrap, electionTimeout, lanes, size, snapshotEntries, snapshotBytes);
+    }
+}
--- /dev/null
+++ b/replication/src/main/java/org/ragwortrun/replication/internal/Applier.java
@@ -0,0 +1,106 @@
+package org.ragwortrun.replication.internal;
+
+import java.util.List;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.ragwortrun.core.log.Event;
+import org.ragwortrun.proto.LogEntry;
+import org.ragwortrun.proto.MemberSet;
+import org.ragwortrun.replication.StateMachine;
+
+/** Applies committed entries to a state machine and counts what a snapshot would save. */
+final class Applier {
+    private static final Logger LOG = LogManager.getLogger(Applier.class);
+
+    private final int group;
+    private final StateMachine machine;
+    private final Waiting waiting;
+    private final HostContext host;
+    private final long started;
+    private final long replayTo;
+    private MemberSet members;
+    private long term;
+    private long entries;
+    private long bytes;
+    private long replayed;
+    private boolean replaying;
+    private volatile long appliedIndex;
+
+    Applier(int group, StateMachine machine, SnapshotMeta at, Waiting waiting, HostContext host, long replayTo) {
+        this.group = group;
+        this.machine = machine;
+        this.waiting = waiting;
+        this.host = host;
+        this.replayTo = replayTo;
+        started = host.clock().getAsLong();
+        members = at.members();
+        term = at.term();
+        appliedIndex = at.index();
+        replaying = replayTo > at.index();
+    }
+
+    StateMachine machine() {
+        return machine;
+    }
+
+    long appliedIndex() {
+        return appliedIndex;
+    }
+
+    void apply(List<LogEntry> batch) {
+        for (LogEntry e : batch) {
+            if (e.hasCommand()) {
+                byte[] reply = machine.apply(e.getIndex(), e.getCommand().toByteArray());
+                // Before the reply, so that a reader that has seen the reply passes the check of the lease.
+                appliedIndex = e.getIndex();
+                waiting.applied(e.getIndex(), e.getTerm(), reply);
+            } else if (e.hasMembers()) {
+                members = e.getMembers();
+            }
+            appliedIndex = e.getIndex();
+            term = e.getTerm();
+            bytes += e.getSerializedSize();
+        }
+        entries += batch.size();
+        host.metrics().count("replication_applied", batch.size());
+        if (replaying) {
+            replayed += batch.size();
+            reportReplay();
+        }
+    }
+
+    /** The state machine holds the state of a received snapshot. */
+    void restored(SnapshotMeta meta) {
+        members = meta.members();
+        term = meta.term();
+        appliedIndex = meta.index();
+        snapshotTaken();
+        waiting.lose(index -> index <= meta.index(), "a snapshot replaced the entry");
+    }
+
+    SnapshotMeta position() {
+        return new SnapshotMeta(appliedIndex, term, members);
+    }
+
+    boolean hasGrown(long maxEntries, long maxBytes) {
+        return entries >= maxEntries || bytes >= maxBytes;
+    }
+
+    void snapshotTaken() {
+        entries = 0;
+        bytes = 0;
+    }
+
+    private void reportReplay() {
+        if (appliedIndex < replayTo) {
+            return;
+        }
+        replaying = false;
+        Event.of("group-replayed")
+                .with("group", group)
+                .with("entries", replayed)
+                .with("index", appliedIndex)
+                .with("ms", (host.clock().getAsLong() - started) / 1_000_000)
+                .info(LOG);
+    }
+}
--- /dev/null
+++ b/replication/src/main/java/org/ragwortrun/replication/internal/CoreSettings.java
@@ -0,0 +1,100 @@
+package org.ragwortrun.replication.internal;
+
+import java.util.List;
+import org.ragwortrun.proto.Member;
+
+/**
+ * Fixed inputs of a Raft core. Durations are nanoseconds.
+ *
+ * @param name name of this member
+ * @param address address of this member, for the member set
+ * @param others names of the other configured members
+ * @param bootstrap names of the initial members; the first one founds the group
+ * @param electionTimeout least time without heartbeats before an election
+ * @param heartbeat time between heartbeats
+ * @param preferred name of the member that should lead the group while it works, empty for none
+ * @param batchBytes most bytes of entries in one message
+ * @param chunkBytes most bytes of a snapshot in one message
+ * @param retained entries that are kept before a snapshot for followers that are slightly behind
+ * @param window entries that may be on the way to one follower
+ * @param uncommitted entries that a leader takes before it waits for commits
+ */
+public record CoreSettings(
+        String name,
+        String address,
+        List<String> others,
+        List<String> bootstrap,
+        long electionTimeout,
+        long heartbeat,
+        String preferred,
+        int batchBytes,
+        int chunkBytes,
+        int retained,
+        int window,
+        int uncommitted) {
+
+    private static final int BATCH_BYTES = 1 << 20;
+    private static final int CHUNK_BYTES = 512 << 10;
+    private static final int RETAINED = 1_000;
+    private static final int WINDOW = 1_024;
+    private static final int UNCOMMITTED = 8_192;
+    // Four heartbeats may be lost within the lease of 0.8 election timeouts.
+    private static final int HEARTBEATS_PER_TIMEOUT = 6;
+
+    public static CoreSettings of(
+            String name,
+            String address,
+            List<String> others,
+            List<String> bootstrap,
+            long electionTimeout,
+            String preferred) {
+        return new CoreSettings(
+                name,
+                address,
+                List.copyOf(others),
+                List.copyOf(bootstrap),
+                electionTimeout,
+                electionTimeout / HEARTBEATS_PER_TIMEOUT,
+                preferred,
+                BATCH_BYTES,
+                CHUNK_BYTES,
+                RETAINED,
+                WINDOW,
+                UNCOMMITTED);
+    }
+
+    public CoreSettings withSizes(int newBatchBytes, int newChunkBytes, int newRetained) {
+        return new CoreSettings(
+                name,
+                address,
+                others,
+                bootstrap,
+                electionTimeout,
+                heartbeat,
+                preferred,
+                newBatchBytes,
+                newChunkBytes,
+                newRetained,
+                window,
+                uncommitted);
+    }
+
+    /** Returns how long a lease lasts from the time at which the heartbeats that support it were sent. */
+    public long lease() {
+        return electionTimeout / 10 * 8;
+    }
+
+    /** Returns whether this member should lead the group. */
+    public boolean isPreferred() {
+        return preferred.equals(name);
+    }
+
+    /** Returns this member under an identity. */
+    public Member self(String identity) {
+        return Member.newBuilder()
+                .setName(name)
+                .setIdentity(identity)
+                .setAddress(address)
+                .build();
+    }
+}
--- /dev/null
+++ b/replication/src/main/java/org/ragwortrun/replication/internal/Election.java
@@ -0,0 +1,144 @@
+package org.ragwortrun.replication.internal;
+
+import java.util.HashSet;
+import java.util.Set;
+import org.ragwortrun.core.log.Event;
+import org.ragwortrun.proto.GroupMessage;
+import org.ragwortrun.proto.TakeOver;
+import org.ragwortrun.proto.VoteReply;
+import org.ragwortrun.proto.VoteRequest;
+import org.ragwortrun.replication.GroupStatus.Role;
+
+/**
+ * Votes of one member.
+ *
+ * <p>A pre-vote asks whether an election could be won and changes no term, so that a member that was cut off does not
+ * depose a leader when it returns.
+ */
+final class Election {
+    private final RaftCore core;
+    private final Set<String> granted = new HashSet<>();
+    private boolean preVote;
+    private boolean transfer;
+
+    Election(RaftCore core) {
+        this.core = core;
+    }
+
+    /** Starts a pre-vote if this member is a voter. */
+    void campaign(long now) {
+        if (!core.isVoter()) {
+            return;
+        }
+        preVote = true;
+        transfer = false;
+        core.become(Role.CANDIDATE);
+        ask(core.term() + 1);
+        grant(now, core.identity());
+    }
+
+    /** The leader has given up its lease in favour of this member. */
+    void onTakeOver(long now, TakeOver order) {
+        if (order.getTerm() == core.term() && core.leadership() == null && core.isVoter()) {
+            transfer = true;
+            elect(now);
+        }
+    }
+
+    void onRequest(long now, String from, VoteRequest r) {
+        boolean leading = core.leadership() != null;
+        if (!r.getTransfer() && (leading || core.heardOfLeader(now))) {
+            // A leader may hold a lease that this member's acknowledgement supports.
+            return;
+        }
+        if (r.getPreVote()) {
+            boolean grant = r.getTerm() > core.term() && isComplete(r);
+            answer(from, r, grant, grant ? r.getTerm() : core.term());
+            return;
+        }
+        if (r.getTerm() > core.term()) {
+            core.follow(now, r.getTerm(), null);
+        }
+        String vote = core.state().getVote();
+        boolean grant = r.getTerm() == core.term() && (vote.isEmpty() || vote.equals(r.getIdentity())) && isComplete(r);
+        if (grant && vote.isEmpty()) {
+            core.save(core.state().toBuilder().setVote(r.getIdentity()).setStarted(true));
+            core.resetElection(now);
+        }
+        long term = core.term();
+        core.afterWrites(() -> answer(from, r, grant, term));
+    }
+
+    void onReply(long now, VoteReply r) {
+        if (!r.getGranted()) {
+            core.deposedBy(r.getTerm(), r.getIdentity());
+            return;
+        }
+        long asked = preVote ? core.term() + 1 : core.term();
+        if (core.role() == Role.CANDIDATE && r.getPreVote() == preVote && r.getTerm() == asked) {
+            grant(now, r.getIdentity());
+        }
+    }
+
+    private void elect(long now) {
+        preVote = false;
+        core.become(Role.CANDIDATE);
+        core.save(core.state().toBuilder()
+                .setTerm(core.term() + 1)
+                .setVote(core.identity())
+                .setStarted(true));
+        core.resetElection(now);
+        core.event(Event.of("election-started").with("transfer", transfer));
+        granted.clear();
+        long term = core.term();
+        core.afterWrites(() -> {
+            if (core.term() == term && core.role() == Role.CANDIDATE && !preVote) {
+                ask(term);
+                grant(now, core.identity());
+            }
+        });
+    }
+
+    private void grant(long now, String identity) {
+        granted.add(identity);
+        // A vote of an identity that is not a voter counts nothing.
+        if (!Members.hasQuorum(core.members(), granted::contains)) {
+            return;
+        }
+        if (preVote) {
+            elect(now);
+        } else {
+            core.lead(now);
+        }
+    }
+
+    private void ask(long term) {
+        granted.clear();
+        VoteRequest.Builder request = VoteRequest.newBuilder()
+                .setTerm(term)
+                .setLastIndex(core.log().lastIndex())
+                .setLastTerm(core.log().lastTerm())
+                .setPreVote(preVote)
+                .setTransfer(transfer)
+                .setIdentity(core.identity());
+        Members.voters(core.members())
+                .filter(m -> !m.getIdentity().equals(core.identity()))
+                .forEach(m -> core.send(
+                        m.getName(), m.getIdentity(), GroupMessage.newBuilder().setVoteRequest(request)));
+    }
+
+    private boolean isComplete(VoteRequest r) {
+        long lastTerm = core.log().lastTerm();
+        return r.getLastTerm() > lastTerm
+                || r.getLastTerm() == lastTerm && r.getLastIndex() >= core.log().lastIndex();
+    }
+
+    private void answer(String to, VoteRequest r, boolean grant, long term) {
+        VoteReply.Builder reply = VoteReply.newBuilder()
+                .setTerm(term)
+                .setGranted(grant)
+                .setPreVote(r.getPreVote())
+                .setIdentity(core.identity());
+        core.send(to, r.getIdentity(), GroupMessage.newBuilder().setVoteReply(reply));
+    }
+}
--- /dev/null
+++ b/replication/src/main/java/org/ragwortrun/replication/internal/GroupRunner.java
@@ -0,0 +1,403 @@
+package org.ragwortrun.replication.internal;
+
+import com.google.protobuf.ByteString;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicReference;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.jspecify.annotations.Nullable;
+import org.ragwortrun.core.log.Event;
+import org.ragwortrun.proto.GroupMessage;
+import org.ragwortrun.proto.LogEntry;
+import org.ragwortrun.proto.Member;
+import org.ragwortrun.replication.CommandTooLargeException;
+import org.ragwortrun.replication.CorruptLogException;
+import org.ragwortrun.replication.GroupStatus;
+import org.ragwortrun.replication.MemberId;
+import org.ragwortrun.replication.NotLeaderException;
+import org.ragwortrun.replication.OverloadedException;
+import org.ragwortrun.replication.ReplicatedGroup;
+import org.ragwortrun.replication.StateMachine;
+
+/** Runs the core, the storage and the state machine of one group on the duties of a lane. */
+public final class GroupRunner implements ReplicatedGroup {
+    private static final Logger LOG = LogManager.getLogger(GroupRunner.class);
+    /** Largest command in bytes, so that it fits into a frame with its envelope. */
+    static final int MAX_COMMAND_BYTES = 12 << 20;
+
+    private static final int INBOX = 1_024;
+    private static final int WRITES = 1_024;
+    private static final int DELIVERIES = 64;
+    // A message causes at most four writes, so a step never overruns the ring of writes.
+    private static final int STEP_MESSAGES = 64;
+    private static final int WRITES_ROOM = 4 * STEP_MESSAGES;
+    private static final int STEP_PROPOSALS = 1_024;
+    private static final int STEP_BYTES = 4 << 20;
+    // A snapshot waits for transfers to followers until the log has grown to this multiple of its limit.
+    private static final int SNAPSHOT_PATIENCE = 4;
+
+    private final int group;
+    private final HostContext host;
+    private final RaftCore core;
+    private final GroupStorage storage;
+    private final Applier applier;
+    private final Task coreTask;
+    private final Task syncTask;
+    private final Task applyTask;
+    private final BlockingQueue<GroupMessage> inbox = new ArrayBlockingQueue<>(INBOX);
+    private final BlockingQueue<Proposal> proposals;
+    private final BlockingQueue<Write> writes = new ArrayBlockingQueue<>(WRITES);
+    private final BlockingQueue<Delivery> deliveries = new ArrayBlockingQueue<>(DELIVERIES);
+    private final Waiting waiting;
+    private final AtomicReference<@Nullable SnapshotMeta> written = new AtomicReference<>();
+    private final AtomicReference<@Nullable SnapshotMeta> stored = new AtomicReference<>();
+    private final MemberId self;
+    private volatile View view;
+    private volatile long persisted;
+    private volatile long nextTick;
+    private volatile boolean snapshotting;
+    private volatile boolean stopped;
+
+    private record Proposal(ByteString command, CompletableFuture<byte[]> reply) {}
+
+    /** A step of a duty; every failure stops the group. */
+    private interface Step {
+        void run() throws IOException, CorruptLogException;
+    }
+
+    /** Starts a group whose state machine has been restored from the snapshot. */
+    public GroupRunner(
+            int group,
+            HostContext host,
+            RaftCore core,
+            GroupStorage storage,
+            StateMachine machine,
+            long replayTo,
+            Lane lane) {
+        this.group = group;
+        this.host = host;
+        this.core = core;
+        this.storage = storage;
+        waiting = new Waiting(group);
+        proposals = new ArrayBlockingQueue<>(host.settings().proposalRing());
+        self = memberId(Member.newBuilder()
+                .setName(host.settings().name())
+                .setIdentity(core.identity())
+                .build());
+        applier = new Applier(group, machine, core.snapshot(), waiting, host, replayTo);
+        view = View.of(core, host.clock().getAsLong());
+        nextTick = core.nextTick();
+        coreTask = new Task(lane.core(), () -> guard("core", this::step));
+        syncTask = new Task(lane.sync(), () -> guard("sync", this::sync));
+        applyTask = new Task(lane.apply(), () -> guard("apply", this::apply));
+    }
+
+    @Override
+    public CompletableFuture<byte[]> propose(byte[] command) {
+        if (command.length > MAX_COMMAND_BYTES) {
+            return CompletableFuture.failedFuture(new CommandTooLargeException(command.length, MAX_COMMAND_BYTES));
+        }
+        if (view.role() != GroupStatus.Role.LEADER) {
+            return CompletableFuture.failedFuture(notLeader());
+        }
+        Proposal p = new Proposal(ByteString.copyFrom(command), new CompletableFuture<>());
+        if (!proposals.offer(p)) {
+            host.metrics().count("replication_overloads", 1);
+            return CompletableFuture.failedFuture(new OverloadedException(group, proposals.size()));
+        }
+        coreTask.schedule();
+        if (stopped) {
+            refuseProposals();
+        }
+        return p.reply();
+    }
+
+    @Override
+    public void requireLease() throws NotLeaderException {
+        View v = view;
+        boolean ready = v.role() == GroupStatus.Role.LEADER && applier.appliedIndex() >= v.readyIndex();
+        // The clock is read last, so that a member that was frozen before this point notices.
+        if (!ready || v.leaseUntil() - host.clock().getAsLong() <= 0) {
+            throw notLeader();
+        }
+    }
+
+    @Override
+    public Optional<MemberId> leader() {
+        return view.leader().map(this::memberId);
+    }
+
+    @Override
+    public GroupStatus status() {
+        View v = view;
+        return new GroupStatus(
+                group,
+                self,
+                v.role(),
+                leader(),
+                v.term(),
+                v.commitIndex(),
+                applier.appliedIndex(),
+                v.lastIndex(),
+                v.snapshotIndex(),
+                isLeased(),
+                members(v, true),
+                members(v, false));
+    }
+
+    /** Queues a message of another member. A full ring drops it; Raft repeats what matters. */
+    public void receive(GroupMessage message) {
+        if (inbox.offer(message)) {
+            coreTask.schedule();
+        } else {
+            host.metrics().count("replication_dropped_messages", 1);
+        }
+    }
+
+    /** Schedules the core if a tick is due. */
+    public void tick(long now) {
+        if (now - nextTick >= 0) {
+            coreTask.schedule();
+        }
+    }
+
+    @Override
+    public void close() {
+        stop("closed");
+    }
+
+    /** Closes the files after the duties have ended. */
+    public void closeStorage() throws IOException {
+        storage.close();
+    }
+
+    // ---- core duty ----
+
+    private void step() {
+        long now = host.clock().getAsLong();
+        SnapshotMeta meta = stored.getAndSet(null);
+        if (meta != null) {
+            core.snapshotStored(meta);
+        }
+        core.persisted(now, persisted);
+        int taken = 0;
+        while (taken < STEP_MESSAGES && writes.remainingCapacity() > WRITES_ROOM) {
+            GroupMessage message = inbox.poll();
+            if (message == null) {
+                break;
+            }
+            core.receive(now, message);
+            taken++;
+        }
+        if (taken < STEP_MESSAGES && writes.remainingCapacity() > WRITES_ROOM) {
+            takeProposals(now);
+        }
+        core.tick(now);
+        Outputs out = core.take(deliveries.remainingCapacity() / 2);
+        if (out.leadershipLost()) {
+            long committed = core.commitIndex();
+            waiting.lose(index -> index > committed, "leadership ended");
+        }
+        // A lease that was given up must be unknown to readers before another member can hear of it.
+        view = View.of(core, now);
+        nextTick = core.nextTick();
+        perform(out);
+        if (stopped) {
+            view = view.stopped();
+        } else if (!inbox.isEmpty() && writes.remainingCapacity() > WRITES_ROOM || canTakeProposals()) {
+            coreTask.schedule();
+        }
+    }
+
+    private boolean canTakeProposals() {
+        return !proposals.isEmpty()
+                && (core.role() != GroupStatus.Role.LEADER
+                        || core.proposalRoom() > 0 && writes.remainingCapacity() > WRITES_ROOM);
+    }
+
+    private void takeProposals(long now) {
+        if (core.role() != GroupStatus.Role.LEADER) {
+            refuseProposals();
+            return;
+        }
+        int room = Math.min(STEP_PROPOSALS, core.proposalRoom());
+        List<Proposal> batch = new ArrayList<>();
+        int bytes = 0;
+        while (batch.size() < room && bytes < STEP_BYTES) {
+            Proposal p = proposals.poll();
+            if (p == null) {
+                break;
+            }
+            bytes += p.command().size();
+            batch.add(p);
+        }
+        if (batch.isEmpty()) {
+            return;
+        }
+        long first = core.propose(now, batch.stream().map(Proposal::command).toList());
+        for (int i = 0; i < batch.size(); i++) {
+            waiting.add(first + i, core.term(), batch.get(i).reply());
+        }
+    }
+
+    private void refuseProposals() {
+        Proposal p = proposals.poll();
+        while (p != null) {
+            p.reply().completeExceptionally(notLeader());
+            p = proposals.poll();
+        }
+    }
+
+    private void perform(Outputs out) {
+        out.events().forEach(e -> e.with("group", group).info(LOG));
+        for (Outgoing o : out.messages()) {
+            host.sender().accept(o.to(), o.message().setGroup(group).build());
+        }
+        if (!out.writes().isEmpty()) {
+            writes.addAll(out.writes());
+            syncTask.schedule();
+        }
+        if (!out.deliveries().isEmpty()) {
+            deliveries.addAll(out.deliveries());
+            applyTask.schedule();
+        }
+    }
+
+    // ---- sync duty ----
+
+    private void sync() throws IOException, CorruptLogException {
+        List<Write> batch = new ArrayList<>();
+        writes.drainTo(batch);
+        List<LogEntry> entries = new ArrayList<>();
+        for (Write w : batch) {
+            if (w instanceof Write.Entries e) {
+                entries.addAll(e.entries());
+                continue;
+            }
+            append(entries);
+            if (w instanceof Write.State s) {
+                storage.saveState(s.state());
+            } else if (w instanceof Write.Chunk c) {
+                storage.receive(c.chunk());
+            } else if (w instanceof Write.ResetLog) {
+                storage.resetLog();
+            }
+        }
+        append(entries);
+        storage.sync();
+        if (!batch.isEmpty()) {
+            persisted = batch.get(batch.size() - 1).sequence();
+        }
+        SnapshotMeta meta = written.getAndSet(null);
+        if (meta != null) {
+            storage.commitSnapshot(meta);
+            stored.set(meta);
+            snapshotting = false;
+            host.metrics().count("replication_snapshots", 1);
+        }
+        coreTask.schedule();
+    }
+
+    private void append(List<LogEntry> entries) throws IOException {
+        if (!entries.isEmpty()) {
+            storage.append(entries);
+            entries.clear();
+        }
+    }
+
+    // ---- apply duty ----
+
+    private void apply() throws IOException {
+        Delivery next = deliveries.poll();
+        while (next != null) {
+            if (next instanceof Delivery.Entries e) {
+                applier.apply(e.entries());
+            } else if (next instanceof Delivery.Snapshot s) {
+                storage.restore(s.meta().index(), applier.machine());
+                applier.restored(s.meta());
+            }
+            snapshotIfDue();
+            next = deliveries.poll();
+        }
+        coreTask.schedule();
+    }
+
+    private void snapshotIfDue() throws IOException {
+        long entries = host.settings().snapshotEntries();
+        long bytes = host.settings().snapshotBytes();
+        boolean due = applier.hasGrown(entries, bytes)
+                && (!view.sendingSnapshot()
+                        || applier.hasGrown(SNAPSHOT_PATIENCE * entries, SNAPSHOT_PATIENCE * bytes));
+        if (!due || snapshotting) {
+            return;
+        }
+        snapshotting = true;
+        SnapshotMeta meta = applier.position();
+        long start = host.clock().getAsLong();
+        storage.writeSnapshot(meta, applier.machine());
+        applier.snapshotTaken();
+        written.set(meta);
+        syncTask.schedule();
+        Event.of("snapshot-written")
+                .with("group", group)
+                .with("index", meta.index())
+                .with("ms", (host.clock().getAsLong() - start) / 1_000_000)
+                .info(LOG);
+    }
+
+    // ---- all duties ----
+
+    @SuppressWarnings("PMD.AvoidCatchingGenericException")
+    private void guard(String duty, Step step) {
+        if (stopped) {
+            return;
+        }
+        try {
+            step.run();
+        } catch (IOException | CorruptLogException | RuntimeException e) {
+            // After a failed sync the state of the file is unknown, so the group never writes again.
+            Event.of("group-stopped").with("group", group).with("duty", duty).error(LOG, e);
+            stop(duty + " failed");
+        }
+    }
+
+    private void stop(String reason) {
+        stopped = true;
+        view = view.stopped();
+        refuseProposals();
+        waiting.lose(index -> true, reason);
+    }
+
+    private boolean isLeased() {
+        try {
+            requireLease();
+            return true;
+        } catch (NotLeaderException e) {
+            return false;
+        }
+    }
+
+    private NotLeaderException notLeader() {
+        return new NotLeaderException(group, leader().filter(l -> !l.identity().equals(self.identity())));
+    }
+
+    private List<MemberId> members(View v, boolean voters) {
+        return v.members().getMembersList().stream()
+                .filter(m -> m.getVoter() == voters)
+                .map(this::memberId)
+                .toList();
+    }
+
+    private MemberId memberId(Member m) {
+        String address = Optional.ofNullable(host.settings().members().get(m.getName()))
+                .map(Object::toString)
+                .orElse(m.getAddress());
+        return new MemberId(m.getName(), m.getIdentity(), address);
+    }
+}
--- /dev/null
+++ b/replication/src/main/java/org/ragwortrun/replication/internal/GroupStorage.java
@@ -0,0 +1,360 @@
+package org.ragwortrun.replication.internal;
+
+import com.google.protobuf.ByteString;
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Supplier;
+import java.util.stream.Stream;
+import org.ragwortrun.proto.LogBatch;
+import org.ragwortrun.proto.LogEntry;
+import org.ragwortrun.proto.PersistedState;
+import org.ragwortrun.proto.SnapshotChunk;
+import org.ragwortrun.replication.CorruptLogException;
+import org.ragwortrun.replication.StateMachine;
+
+/**
+ * Files of one group: the state record, the snapshot and the log.
+ *
+ * <p>Log files are only appended to. An entry replaces an earlier entry of the same index and all that follow it, so a
+ * conflict needs no cut that a crash could leave half done. The state record and snapshots are written aside, synced and
+ * renamed.
+ */
+public final class GroupStorage implements SnapshotSource, AutoCloseable {
+    private static final String STATE = "state";
+    private static final String LOG = "log-";
+    private static final String SNAPSHOT = "snapshot-";
+    private static final String TEMPORARY = ".tmp";
+    private static final String INCOMING = "incoming" + TEMPORARY;
+    private static final long SEGMENT_BYTES = 4L << 20;
+
+    private final Path folder;
+    private final List<Segment> segments = new ArrayList<>();
+    private RecordFile active;
+    private long nextSegment;
+
+    /** A log file and the greatest index in it. */
+    private static final class Segment {
+        private final Path path;
+        private long maxIndex;
+
+        Segment(Path path) {
+            this.path = path;
+        }
+    }
+
+    private GroupStorage(Path folder, RecordFile active) {
+        this.folder = folder;
+        this.active = active;
+    }
+
+    /** An open folder and what was found in it. */
+    public record Opened(GroupStorage storage, Restored restored, long cutBytes) {}
+
+    /**
+     * Opens the folder of a group, creating it with a new identity if it is empty.
+     *
+     * @throws CorruptLogException if stored data is damaged or missing
+     */
+    public static Opened open(Path folder, Supplier<String> newIdentity) throws IOException, CorruptLogException {
+        Files.createDirectories(folder);
+        for (Path file : list(folder, "", TEMPORARY)) {
+            Files.delete(file);
+        }
+        List<Path> logs = list(folder, LOG, "");
+        Path stateFile = folder.resolve(STATE);
+        if (!Files.exists(stateFile)) {
+            return create(folder, logs, newIdentity.get());
+        }
+        if (logs.isEmpty()) {
+            throw new CorruptLogException(folder, 0, "log files are missing");
+        }
+        PersistedState[] state = {PersistedState.getDefaultInstance()};
+        RecordFile.read(stateFile, false, (offset, in) -> state[0] = PersistedState.parseFrom(in));
+        if (state[0].getIdentity().isEmpty()) {
+            throw new CorruptLogException(stateFile, 0, "state record is empty");
+        }
+        List<Path> snapshots = list(folder, SNAPSHOT, "");
+        SnapshotMeta snapshot =
+                snapshots.isEmpty() ? SnapshotMeta.NONE : SnapshotFile.verify(snapshots.get(snapshots.size() - 1));
+        LogReplay replay = new LogReplay(snapshot);
+        List<Segment> segments = new ArrayList<>();
+        long cut = 0;
+        for (int i = 0; i < logs.size(); i++) {
+            Segment segment = new Segment(logs.get(i));
+            cut += RecordFile.read(segment.path, i == logs.size() - 1, (offset, in) -> {
+                for (LogEntry e : LogBatch.parseFrom(in).getEntriesList()) {
+                    replay.add(segment.path, offset, e);
+                    segment.maxIndex = Math.max(segment.maxIndex, e.getIndex());
+                }
+            });
+            segments.add(segment);
+        }
+        List<LogEntry> tail = replay.tail(segments.get(0).path);
+        GroupStorage storage = new GroupStorage(folder, RecordFile.append(logs.get(logs.size() - 1)));
+        storage.segments.addAll(segments);
+        storage.nextSegment = number(logs.get(logs.size() - 1), LOG) + 1;
+        if (replay.isDropped()) {
+            storage.resetLog();
+        }
+        return new Opened(storage, new Restored(state[0], snapshot, tail), cut);
+    }
+
+    /** Replaces the state record. It is synced on return. */
+    public void saveState(PersistedState state) throws IOException {
+        Path aside = folder.resolve(STATE + TEMPORARY);
+        Files.deleteIfExists(aside);
+        try (RecordFile file = RecordFile.create(aside)) {
+            file.append(state.toByteString());
+            file.sync();
+        }
+        Files.move(aside, folder.resolve(STATE), StandardCopyOption.ATOMIC_MOVE);
+        syncFolder();
+    }
+
+    /** Appends entries as one record. They are durable after {@link #sync()}. */
+    public void append(List<LogEntry> entries) throws IOException {
+        if (active.size() >= SEGMENT_BYTES) {
+            roll();
+        }
+        active.append(LogBatch.newBuilder().addAllEntries(entries).build().toByteString());
+        Segment last = segments.get(segments.size() - 1);
+        last.maxIndex = Math.max(last.maxIndex, entries.get(entries.size() - 1).getIndex());
+    }
+
+    public void sync() throws IOException {
+        active.sync();
+    }
+
+    /**
+     * Takes a part of a leader's snapshot. The last part puts it in force; it is synced then.
+     *
+     * @throws CorruptLogException if the snapshot is damaged
+     */
+    public void receive(SnapshotChunk chunk) throws IOException, CorruptLogException {
+        Path incoming = folder.resolve(INCOMING);
+        if (chunk.getOffset() == 0) {
+            Files.deleteIfExists(incoming);
+        }
+        try (FileChannel out = FileChannel.open(incoming, StandardOpenOption.CREATE, StandardOpenOption.WRITE)) {
+            ByteBuffer data = chunk.getData().asReadOnlyByteBuffer();
+            long at = chunk.getOffset();
+            while (data.hasRemaining()) {
+                at += out.write(data, at);
+            }
+            if (!chunk.getDone()) {
+                return;
+            }
+            out.force(true);
+        }
+        SnapshotMeta meta = SnapshotFile.verify(incoming);
+        if (meta.index() != chunk.getLastIndex()) {
+            throw new CorruptLogException(incoming, 0, "snapshot is of index " + meta.index());
+        }
+        Files.move(incoming, snapshotPath(meta.index()), StandardCopyOption.ATOMIC_MOVE);
+        syncFolder();
+        dropBefore(meta.index());
+    }
+
+    /** Writes a snapshot aside without syncing it. May run while the log is appended to. */
+    public void writeSnapshot(SnapshotMeta meta, StateMachine machine) throws IOException {
+        Path aside = aside(meta.index());
+        Files.deleteIfExists(aside);
+        SnapshotFile.write(aside, meta, machine);
+    }
+
+    /** Syncs a snapshot that was written aside, puts it in force and drops the log files that it covers. */
+    public void commitSnapshot(SnapshotMeta meta) throws IOException {
+        Path aside = aside(meta.index());
+        try (FileChannel file = FileChannel.open(aside, StandardOpenOption.WRITE)) {
+            file.force(true);
+        }
+        Files.move(aside, snapshotPath(meta.index()), StandardCopyOption.ATOMIC_MOVE);
+        syncFolder();
+        dropBefore(meta.index());
+    }
+
+    /** Replaces the state of a machine by the snapshot of an index. */
+    public void restore(long index, StateMachine machine) throws IOException {
+        try (InputStream in = SnapshotFile.open(snapshotPath(index))) {
+            machine.readSnapshot(in);
+        }
+    }
+
+    /** Drops all log files and starts a new one. */
+    public void resetLog() throws IOException {
+        active.close();
+        // Newest first: what a crash leaves is a prefix that does not reach the snapshot, and is dropped on start.
+        for (int i = segments.size() - 1; i >= 0; i--) {
+            Files.delete(segments.get(i).path);
+            syncFolder();
+        }
+        segments.clear();
+        openSegment();
+    }
+
+    @Override
+    public Optional<Part> read(long index, long offset, int maxBytes) {
+        try (FileChannel in = FileChannel.open(snapshotPath(index), StandardOpenOption.READ)) {
+            long size = in.size();
+            ByteBuffer data = ByteBuffer.allocate((int) Math.max(0, Math.min(maxBytes, size - offset)));
+            while (data.hasRemaining() && in.read(data, offset + data.position()) >= 0) {
+                // reads until the part is complete
+            }
+            data.flip();
+            return Optional.of(new Part(ByteString.copyFrom(data), offset + data.limit() >= size));
+        } catch (IOException e) {
+            // A newer snapshot has replaced the file; the sender starts again with that one.
+            return Optional.empty();
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        active.close();
+    }
+
+    private static Opened create(Path folder, List<Path> logs, String identity)
+            throws IOException, CorruptLogException {
+        for (Path log : logs) {
+            if (Files.size(log) > 0) {
+                throw new CorruptLogException(folder, 0, "state record is missing");
+            }
+            Files.delete(log);
+        }
+        if (!list(folder, SNAPSHOT, "").isEmpty()) {
+            throw new CorruptLogException(folder, 0, "state record is missing");
+        }
+        Path first = logPath(folder, 1);
+        GroupStorage storage = new GroupStorage(folder, RecordFile.create(first));
+        storage.segments.add(new Segment(first));
+        storage.nextSegment = 2;
+        PersistedState state = PersistedState.newBuilder().setIdentity(identity).build();
+        storage.saveState(state);
+        return new Opened(storage, new Restored(state, SnapshotMeta.NONE, List.of()), 0);
+    }
+
+    private void roll() throws IOException {
+        // Only the last file may be torn.
+        active.sync();
+        active.close();
+        openSegment();
+    }
+
+    private void openSegment() throws IOException {
+        Path path = logPath(folder, nextSegment);
+        nextSegment++;
+        active = RecordFile.create(path);
+        syncFolder();
+        segments.add(new Segment(path));
+    }
+
+    private void dropBefore(long index) throws IOException {
+        for (Path old : list(folder, SNAPSHOT, "")) {
+            if (number(old, SNAPSHOT) < index) {
+                Files.delete(old);
+            }
+        }
+        if (active.size() > 0) {
+            roll();
+        }
+        while (segments.size() > 1 && segments.get(0).maxIndex <= index) {
+            Files.delete(segments.remove(0).path);
+        }
+        syncFolder();
+    }
+
+    private void syncFolder() throws IOException {
+        try (FileChannel directory = FileChannel.open(folder, StandardOpenOption.READ)) {
+            directory.force(true);
+        }
+    }
+
+    private Path snapshotPath(long index) {
+        return folder.resolve(SNAPSHOT + digits(index));
+    }
+
+    private Path aside(long index) {
+        return folder.resolve(SNAPSHOT + digits(index) + TEMPORARY);
+    }
+
+    private static Path logPath(Path folder, long number) {
+        return folder.resolve(LOG + digits(number));
+    }
+
+    private static String digits(long number) {
+        return String.format("%019d", number);
+    }
+
+    private static long number(Path path, String prefix) {
+        return Long.parseLong(path.getFileName().toString().substring(prefix.length()));
+    }
+
+    private static List<Path> list(Path folder, String prefix, String suffix) throws IOException {
+        try (Stream<Path> files = Files.list(folder)) {
+            return files.filter(f -> f.getFileName().toString().startsWith(prefix)
+                            && f.getFileName().toString().endsWith(suffix))
+                    .filter(f ->
+                            !suffix.isEmpty() || !f.getFileName().toString().endsWith(TEMPORARY))
+                    .sorted()
+                    .toList();
+        } catch (NoSuchFileException e) {
+            return List.of();
+        }
+    }
+
+    /** Rebuilds the log after a snapshot from records in the order in which they were written. */
+    private static final class LogReplay {
+        private final SnapshotMeta snapshot;
+        private final List<LogEntry> entries = new ArrayList<>();
+        private boolean dropped;
+
+        LogReplay(SnapshotMeta snapshot) {
+            this.snapshot = snapshot;
+        }
+
+        void add(Path file, long offset, LogEntry e) throws CorruptLogException {
+            if (!entries.isEmpty()) {
+                long first = entries.get(0).getIndex();
+                long replaced = e.getIndex() - first;
+                if (replaced > entries.size()) {
+                    throw new CorruptLogException(
+                            file, offset, "entry " + e.getIndex() + " follows entry " + (first + entries.size() - 1));
+                }
+                entries.subList((int) Math.max(0, replaced), entries.size()).clear();
+            }
+            entries.add(e);
+        }
+
+        boolean isDropped() {
+            return dropped;
+        }
+
+        List<LogEntry> tail(Path file) throws CorruptLogException {
+            if (entries.isEmpty()) {
+                return List.of();
+            }
+            long covered = snapshot.index() - entries.get(0).getIndex() + 1;
+            if (covered < 0) {
+                throw new CorruptLogException(
+                        file,
+                        0,
+                        "entries " + (snapshot.index() + 1) + " to "
+                                + (entries.get(0).getIndex() - 1) + " are missing");
+            }
+            // A received snapshot is stored before the log that it replaces is dropped.
+            dropped = covered > entries.size()
+                    || covered > 0 && entries.get((int) covered - 1).getTerm() != snapshot.term();
+            return dropped ? List.of() : List.copyOf(entries.subList((int) covered, entries.size()));
+        }
+    }
+}
--- /dev/null
+++ b/replication/src/main/java/org/ragwortrun/replication/internal/MemberChanges.java
@@ -0,0 +1,99 @@
+package org.ragwortrun.replication.internal;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.ragwortrun.core.log.Event;
+import org.ragwortrun.proto.Member;
+import org.ragwortrun.proto.MemberSet;
+
+/**
+ * Member changes of a leader, one at a time.
+ *
+ * <p>A change starts only when an entry of the leader's own term and the previous change are committed and a quorum of
+ * the resulting set is active. A new identity becomes a learner; when it has every entry, the voter that had its name is
+ * removed, and then the learner becomes a voter.
+ */
+final class MemberChanges {
+    private final RaftCore core;
+    private final Leadership leadership;
+    private final Map<String, Member> asking = new TreeMap<>();
+
+    MemberChanges(RaftCore core, Leadership leadership) {
+        this.core = core;
+        this.leadership = leadership;
+    }
+
+    void ask(Member member) {
+        asking.put(member.getName(), member);
+    }
+
+    void advance(long now) {
+        MemberSet set = core.members();
+        boolean settled =
+                core.log().membersIndex() <= core.commitIndex() && core.commitIndex() >= leadership.firstIndex();
+        if (settled && !finishLearner(now, set)) {
+            addLearner(now, set);
+        }
+    }
+
+    private boolean finishLearner(long now, MemberSet set) {
+        Optional<Member> complete = set.getMembersList().stream()
+                .filter(m -> !m.getVoter() && isComplete(now, m))
+                .findFirst();
+        if (complete.isEmpty()) {
+            return false;
+        }
+        Member learner = complete.get();
+        Optional<Member> replaced = Members.voters(set)
+                .filter(m -> m.getName().equals(learner.getName()))
+                .findFirst();
+        if (replaced.isPresent()) {
+            Member old = replaced.get();
+            return change(now, Members.without(set, old.getIdentity()), "remove-voter", old);
+        }
+        Member voter = learner.toBuilder().setVoter(true).build();
+        return change(now, Members.with(set, voter), "promote", voter);
+    }
+
+    private boolean isComplete(long now, Member learner) {
+        Progress p = leadership.progress(learner.getIdentity());
+        return p != null && leadership.isActive(now, learner.getIdentity()) && p.match >= p.target;
+    }
+
+    private void addLearner(long now, MemberSet set) {
+        asking.values().removeIf(m -> Members.find(set, m.getIdentity()).isPresent());
+        for (Member m : asking.values()) {
+            Optional<Member> active = set.getMembersList().stream()
+                    .filter(o -> o.getName().equals(m.getName()) && leadership.isActive(now, o.getIdentity()))
+                    .findFirst();
+            if (active.isPresent()) {
+                // Two processes with one name: the one that works keeps its place.
+                core.event(Event.of("join-refused")
+                        .with("member", m.getName())
+                        .with("identity", m.getIdentity())
+                        .with("reason", "name-in-use"));
+                asking.remove(m.getName());
+                return;
+            }
+            MemberSet.Builder next = MemberSet.newBuilder();
+            set.getMembersList().stream()
+                    .filter(o -> o.getVoter() || !o.getName().equals(m.getName()))
+                    .forEach(next::addMembers);
+            Member learner = m.toBuilder().setVoter(false).build();
+            if (change(now, next.addMembers(learner).build(), "add-learner", learner)) {
+                asking.remove(m.getName());
+                return;
+            }
+        }
+    }
+
+    private boolean change(long now, MemberSet next, String change, Member member) {
+        if (Members.voters(next).findAny().isEmpty()
+                || !Members.hasQuorum(next, identity -> leadership.isActive(now, identity))) {
+            return false;
+        }
+        leadership.proposeMembers(now, next, change, member);
+        return true;
+    }
+}
--- /dev/null
+++ b/replication/src/main/java/org/ragwortrun/replication/internal/Outgoing.java
@@ -0,0 +1,6 @@
+package org.ragwortrun.replication.internal;
+
+import org.ragwortrun.proto.GroupMessage;
+
+/** A message to a member, addressed by the name from the settings. */
+public record Outgoing(String to, GroupMessage.Builder message) {}
--- /dev/null
+++ b/replication/src/main/java/org/ragwortrun/replication/internal/RaftCore.java
@@ -0,0 +1,484 @@
+package org.ragwortrun.replication.internal;
+
+import com.google.protobuf.ByteString;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import org.jspecify.annotations.Nullable;
+import org.ragwortrun.core.log.Event;
+import org.ragwortrun.proto.AppendReply;
+import org.ragwortrun.proto.AppendRequest;
+import org.ragwortrun.proto.GroupMessage;
+import org.ragwortrun.proto.LogEntry;
+import org.ragwortrun.proto.Member;
+import org.ragwortrun.proto.MemberSet;
+import org.ragwortrun.proto.PersistedState;
+import org.ragwortrun.replication.GroupStatus.Role;
+
+/**
+ * Raft state of one member of one group, without input or output.
+ *
+ * <p>Inputs are messages, ticks, commands and the notice that writes have been synced; {@link #take} returns what is
+ * to be done. The same inputs, with the same clock readings and random source, give the same outputs. Times are readings
+ * of the member's monotonic clock in nanoseconds. Not safe for use by several threads.
+ */
+public final class RaftCore {
+    private static final int DELIVERY_BYTES = 4 << 20;
+
+    private final CoreSettings settings;
+    private final RaftLog log;
+    private final Random random;
+    private final SnapshotSource snapshots;
+    private final Election election;
+    private final Joining joining;
+    private final SnapshotReceiver receiver;
+    private final Deque<Pending> pending = new ArrayDeque<>();
+    private final Deque<Held> held = new ArrayDeque<>();
+    private PersistedState state;
+    private Role role = Role.FOLLOWER;
+    private @Nullable Member leader;
+    private @Nullable Leadership leadership;
+    private SnapshotMeta snapshot;
+    private long commit;
+    private long durable;
+    private long handed;
+    private long lastHeartbeat;
+    private long electionDeadline;
+    private long sequence;
+    private long persisted;
+    private Outputs out = new Outputs();
+
+    /** A write that is not yet synced, with the last log index that it makes durable. */
+    private record Pending(long sequence, long lastIndex) {}
+
+    /** An effect that must wait until a write is synced. */
+    private record Held(long sequence, Runnable effect) {}
+
+    public RaftCore(CoreSettings settings, Restored restored, SnapshotSource snapshots, Random random, long now) {
+        this.settings = settings;
+        this.snapshots = snapshots;
+        this.random = random;
+        snapshot = restored.snapshot();
+        log = new RaftLog(snapshot, restored.entries());
+        long term = Math.max(restored.state().getTerm(), log.lastTerm());
+        state = restored.state();
+        if (term > state.getTerm()) {
+            state = state.toBuilder().setTerm(term).setVote("").build();
+        }
+        commit = snapshot.index();
+        handed = commit;
+        durable = log.lastIndex();
+        // A heartbeat that was acknowledged before a restart may support a lease, so no vote is given for one
+        // election timeout after the start.
+        lastHeartbeat = now;
+        election = new Election(this);
+        joining = new Joining(this, now);
+        receiver = new SnapshotReceiver(this);
+        resetElection(now);
+    }
+
+    // ---- inputs ----
+
+    /** Acts on elapsed time. */
+    public void tick(long now) {
+        if (leadership != null) {
+            leadership.tick(now);
+            return;
+        }
+        joining.tick(now);
+        if (now - electionDeadline >= 0) {
+            resetElection(now);
+            election.campaign(now);
+        }
+    }
+
+    /** Takes a message of another member. */
+    public void receive(long now, GroupMessage m) {
+        if (!m.getToIdentity().isEmpty() && !m.getToIdentity().equals(identity())) {
+            return;
+        }
+        switch (m.getBodyCase()) {
+            case VOTE_REQUEST -> election.onRequest(now, m.getFrom(), m.getVoteRequest());
+            case VOTE_REPLY -> election.onReply(now, m.getVoteReply());
+            case APPEND_REQUEST -> onAppend(now, m.getFrom(), m.getAppendRequest());
+            case APPEND_REPLY -> onAppendReply(now, m.getAppendReply());
+            case SNAPSHOT_CHUNK -> receiver.onChunk(now, m.getFrom(), m.getSnapshotChunk());
+            case SNAPSHOT_REPLY -> {
+                var reply = m.getSnapshotReply();
+                if (!deposedBy(reply.getTerm(), reply.getIdentity()) && leadership != null) {
+                    leadership.onSnapshotReply(now, reply);
+                }
+            }
+            case JOIN_REQUEST -> joining.onRequest(now, m.getJoinRequest());
+            case JOIN_REPLY -> joining.onReply(m.getJoinReply());
+            case TAKE_OVER -> election.onTakeOver(now, m.getTakeOver());
+            case BODY_NOT_SET -> {
+                // a message of a later version
+            }
+        }
+    }
+
+    /** Appends commands and returns the index of the first, or 0 if this member is not a leader that takes them. */
+    public long propose(long now, List<ByteString> commands) {
+        return leadership == null ? 0 : leadership.propose(now, commands);
+    }
+
+    /** All writes up to a sequence number are synced. */
+    public void persisted(long now, long upTo) {
+        persisted = Math.max(persisted, upTo);
+        while (!pending.isEmpty() && pending.peek().sequence() <= persisted) {
+            durable = Math.max(durable, pending.remove().lastIndex());
+        }
+        while (!held.isEmpty() && held.peek().sequence() <= persisted) {
+            held.remove().effect().run();
+        }
+        if (leadership != null) {
+            leadership.onDurable(now);
+        }
+    }
+
+    /** A snapshot that this member wrote of its own state is stored. */
+    public void snapshotStored(SnapshotMeta stored) {
+        if (stored.index() <= snapshot.index()) {
+            return;
+        }
+        snapshot = stored;
+        log.compact(Math.min(stored.index(), Math.max(log.base(), stored.index() - settings.retained())));
+    }
+
+    /**
+     * Returns what is to be done since the last call.
+     *
+     * @param maxDeliveries most deliveries of entries; the rest follow later
+     */
+    public Outputs take(int maxDeliveries) {
+        while (handed < commit && out.deliveries().size() < maxDeliveries) {
+            List<LogEntry> entries = log.slice(handed + 1, commit, DELIVERY_BYTES);
+            handed += entries.size();
+            out.deliveries().add(new Delivery.Entries(entries));
+        }
+        Outputs taken = out;
+        out = new Outputs();
+        return taken;
+    }
+
+    // ---- views ----
+
+    public Role role() {
+        return role == Role.FOLLOWER && !isVoter() ? Role.LEARNER : role;
+    }
+
+    public Optional<Member> leader() {
+        return Optional.ofNullable(leader);
+    }
+
+    public String identity() {
+        return state.getIdentity();
+    }
+
+    public long term() {
+        return state.getTerm();
+    }
+
+    public long commitIndex() {
+        return commit;
+    }
+
+    public long lastIndex() {
+        return log.lastIndex();
+    }
+
+    /** Returns the last entry that is synced here. */
+    public long durableIndex() {
+        return durable;
+    }
+
+    public SnapshotMeta snapshot() {
+        return snapshot;
+    }
+
+    public MemberSet members() {
+        return log.members();
+    }
+
+    /** Returns the entries that are held in memory from an index. */
+    public List<LogEntry> entriesFrom(long index) {
+        return log.slice(Math.max(index, log.base() + 1), log.lastIndex(), Integer.MAX_VALUE);
+    }
+
+    /** Returns the time at which the lease ends, or {@link Progress#NEVER} if this member holds none. */
+    public long leaseUntil(long now) {
+        return leadership == null ? Progress.NEVER : leadership.leaseUntil(now);
+    }
+
+    /** Returns the entry that must be applied before reads of a leader are valid. */
+    public long readyIndex() {
+        return leadership == null ? Long.MAX_VALUE : leadership.firstIndex();
+    }
+
+    /** Returns how many more commands this member takes now. */
+    public int proposalRoom() {
+        return leadership == null ? 0 : leadership.room();
+    }
+
+    /** Returns whether a follower is receiving this member's snapshot, which should not be replaced meanwhile. */
+    public boolean isSendingSnapshot() {
+        return leadership != null && leadership.isSendingSnapshot();
+    }
+
+    /** Returns the time of the next necessary tick. */
+    public long nextTick() {
+        if (leadership != null) {
+            return leadership.nextHeartbeat();
+        }
+        return Math.min(electionDeadline, joining.nextRequest());
+    }
+
+    // ---- used by the parts of the core ----
+
+    CoreSettings settings() {
+        return settings;
+    }
+
+    RaftLog log() {
+        return log;
+    }
+
+    SnapshotSource snapshots() {
+        return snapshots;
+    }
+
+    PersistedState state() {
+        return state;
+    }
+
+    Outputs out() {
+        return out;
+    }
+
+    @Nullable
+    Leadership leadership() {
+        return leadership;
+    }
+
+    boolean isVoter() {
+        return Members.isVoter(log.members(), identity());
+    }
+
+    boolean heardOfLeader(long now) {
+        return now - lastHeartbeat < settings.electionTimeout();
+    }
+
+    void send(String to, String toIdentity, GroupMessage.Builder message) {
+        out.messages().add(new Outgoing(to, message.setFrom(settings.name()).setToIdentity(toIdentity)));
+    }
+
+    void event(Event event) {
+        out.events().add(event.with("term", term()));
+    }
+
+    /** Runs an effect once all writes so far are synced. */
+    void afterWrites(Runnable effect) {
+        afterWrite(sequence, effect);
+    }
+
+    void save(PersistedState.Builder changed) {
+        state = changed.build();
+        sequence++;
+        out.writes().add(new Write.State(sequence, state));
+        pending.add(new Pending(sequence, 0));
+    }
+
+    /** Appends entries to the log. The first may replace an uncommitted entry and all that follow it. */
+    void append(List<LogEntry> entries) {
+        long first = entries.get(0).getIndex();
+        if (first <= log.lastIndex()) {
+            limitDurable(first - 1);
+        }
+        log.append(entries);
+        sequence++;
+        out.writes().add(new Write.Entries(sequence, entries));
+        pending.add(new Pending(sequence, log.lastIndex()));
+        if (!state.getStarted()) {
+            save(state.toBuilder().setStarted(true));
+        }
+    }
+
+    void write(SnapshotReceiver.Part part) {
+        sequence++;
+        out.writes().add(new Write.Chunk(sequence, part.chunk()));
+        pending.add(new Pending(sequence, 0));
+    }
+
+    /** Replaces the state by a received snapshot that is stored. */
+    void install(SnapshotMeta received) {
+        snapshot = received;
+        if (log.holds(received.index(), received.term())) {
+            log.compact(received.index());
+        } else {
+            log.reset(received);
+            limitDurable(received.index());
+            sequence++;
+            out.writes().add(new Write.ResetLog(sequence, received.index()));
+            pending.add(new Pending(sequence, 0));
+        }
+        durable = Math.max(durable, received.index());
+        commit = received.index();
+        handed = received.index();
+        out.deliveries().add(new Delivery.Snapshot(received));
+        if (!state.getStarted()) {
+            save(state.toBuilder().setStarted(true));
+        }
+        event(Event.of("snapshot-installed").with("index", received.index()));
+    }
+
+    void commitTo(long index) {
+        commit = Math.max(commit, Math.min(index, log.lastIndex()));
+    }
+
+    void become(Role newRole) {
+        role = newRole;
+        leader = null;
+    }
+
+    void lead(long now) {
+        role = Role.LEADER;
+        leader = settings.self(identity());
+        leadership = new Leadership(this, now);
+        event(Event.of("leader-elected").with("leader", settings.name()).with("last_index", log.lastIndex()));
+        leadership.start(now);
+    }
+
+    /** Follows in a term that is not older than the current one. */
+    void follow(long now, long term, @Nullable Member newLeader) {
+        if (leadership != null) {
+            leadership = null;
+            out.loseLeadership();
+            event(Event.of("leadership-ended").with("next_term", term));
+            resetElection(now);
+        }
+        if (term > term()) {
+            save(state.toBuilder().setTerm(term).setVote(""));
+        }
+        role = Role.FOLLOWER;
+        leader = newLeader;
+    }
+
+    /** Follows the sender of an append or a snapshot in its term. */
+    void hearLeader(long now, long term, String name, String identity) {
+        boolean known = leader != null && leader.getIdentity().equals(identity) && term == term();
+        if (!known || role != Role.FOLLOWER) {
+            Member sender = Members.find(log.members(), identity)
+                    .orElseGet(() -> Member.newBuilder()
+                            .setName(name)
+                            .setIdentity(identity)
+                            .build());
+            follow(now, term, sender);
+            event(Event.of("following").with("leader", name));
+        }
+        lastHeartbeat = now;
+        resetElection(now);
+    }
+
+    /** Follows in the newer term of a reply. Only members can end a leadership in this way. */
+    boolean deposedBy(long term, String identity) {
+        if (term <= term()) {
+            return false;
+        }
+        if (Members.find(log.members(), identity).isPresent()) {
+            follow(lastHeartbeat, term, null);
+        }
+        return true;
+    }
+
+    void resetElection(long now) {
+        long timeout = settings.electionTimeout();
+        // The preferred member stands first, so that the leaders of many groups are spread over the members.
+        long head = settings.isPreferred() ? timeout / 10 : timeout / 2;
+        long spread = settings.isPreferred() ? timeout / 5 : timeout / 2;
+        electionDeadline = now + timeout + head + (long) (random.nextDouble() * spread);
+    }
+
+    private void limitDurable(long last) {
+        durable = Math.min(durable, last);
+        List<Pending> limited = pending.stream()
+                .map(p -> new Pending(p.sequence(), Math.min(p.lastIndex(), last)))
+                .toList();
+        pending.clear();
+        pending.addAll(limited);
+    }
+
+    private void afterWrite(long awaited, Runnable effect) {
+        if (awaited <= persisted) {
+            effect.run();
+        } else {
+            held.add(new Held(awaited, effect));
+        }
+    }
+
+    private void onAppend(long now, String from, AppendRequest a) {
+        AppendReply.Builder reply =
+                AppendReply.newBuilder().setRound(a.getRound()).setIdentity(identity());
+        if (a.getTerm() < term()) {
+            reply(from, a.getIdentity(), reply.setTerm(term()).setLastIndex(log.lastIndex()));
+            return;
+        }
+        hearLeader(now, a.getTerm(), from, a.getIdentity());
+        reply.setTerm(term());
+        long previous = a.getPreviousIndex();
+        boolean covered = previous < log.base();
+        if (!covered && !log.holds(previous, a.getPreviousTerm())) {
+            long hint = previous > log.lastIndex() ? log.lastIndex() : log.beforeTermOf(previous);
+            reply(from, a.getIdentity(), reply.setLastIndex(Math.max(hint, Math.min(commit, previous - 1))));
+            return;
+        }
+        long last = Math.max(previous + a.getEntriesCount(), commit);
+        if (covered && previous + a.getEntriesCount() < log.base()) {
+            last = commit;
+        }
+        List<LogEntry> added = unknown(a.getEntriesList());
+        if (!added.isEmpty()) {
+            append(added);
+        }
+        long verified = Math.min(last, log.lastIndex());
+        commitTo(Math.min(a.getCommitIndex(), verified));
+        reply.setSuccess(true).setLastIndex(log.lastIndex());
+        if (added.isEmpty() && a.getEntriesCount() == 0) {
+            // A heartbeat is answered at once, so that a slow disk does not cost the leader its lease.
+            reply(from, a.getIdentity(), reply.setMatchIndex(Math.min(verified, durable)));
+        } else {
+            reply.setMatchIndex(verified);
+            afterWrites(() -> reply(from, a.getIdentity(), reply));
+        }
+    }
+
+    /** Returns the entries from the first that this log does not hold. */
+    private List<LogEntry> unknown(List<LogEntry> entries) {
+        int known = 0;
+        while (known < entries.size()
+                && (entries.get(known).getIndex() <= log.base()
+                        || log.holds(
+                                entries.get(known).getIndex(),
+                                entries.get(known).getTerm()))) {
+            known++;
+        }
+        List<LogEntry> rest = entries.subList(known, entries.size());
+        if (!rest.isEmpty() && rest.get(0).getIndex() <= commit) {
+            throw new IllegalStateException("leader sent another entry "
+                    + rest.get(0).getIndex() + " although this member knows it to be committed up to " + commit);
+        }
+        return rest;
+    }
+
+    private void reply(String to, String toIdentity, AppendReply.Builder reply) {
+        send(to, toIdentity, GroupMessage.newBuilder().setAppendReply(reply));
+    }
+
+    private void onAppendReply(long now, AppendReply reply) {
+        if (!deposedBy(reply.getTerm(), reply.getIdentity()) && leadership != null && reply.getTerm() == term()) {
+            leadership.onAppendReply(now, reply);
+        }
+    }
+}
--- /dev/null
+++ b/replication/src/main/java/org/ragwortrun/replication/internal/Restored.java
@@ -0,0 +1,8 @@
+package org.ragwortrun.replication.internal;
+
+import java.util.List;
+import org.ragwortrun.proto.LogEntry;
+import org.ragwortrun.proto.PersistedState;
+
+/** What a member finds in its folder on start. The entries follow the snapshot without a gap. */
+public record Restored(PersistedState state, SnapshotMeta snapshot, List<LogEntry> entries) {}
--- /dev/null
+++ b/replication/src/main/java/org/ragwortrun/replication/internal/SnapshotFile.java
@@ -0,0 +1,138 @@
+package org.ragwortrun.replication.internal;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.CodedInputStream;
+import com.google.protobuf.UnsafeByteOperations;
+import java.io.BufferedOutputStream;
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.jspecify.annotations.Nullable;
+import org.ragwortrun.proto.SnapshotChunk;
+import org.ragwortrun.replication.CorruptLogException;
+import org.ragwortrun.replication.StateMachine;
+
+/**
+ * A snapshot in records: the first carries position and member set, the next ones the state, and the last marks the
+ * end.
+ */
+final class SnapshotFile {
+    private static final int PIECE_BYTES = 64 << 10;
+
+    private SnapshotFile() {}
+
+    static void write(Path path, SnapshotMeta meta, StateMachine machine) throws IOException {
+        try (RecordFile file = RecordFile.create(path)) {
+            append(
+                    file,
+                    SnapshotChunk.newBuilder()
+                            .setLastIndex(meta.index())
+                            .setLastTerm(meta.term())
+                            .setMembers(meta.members()));
+            try (OutputStream out = new BufferedOutputStream(new Pieces(file), PIECE_BYTES)) {
+                machine.writeSnapshot(out);
+            }
+            append(file, SnapshotChunk.newBuilder().setDone(true));
+        }
+    }
+
+    /**
+     * Checks every record and returns the position.
+     *
+     * @throws CorruptLogException if the file is damaged or incomplete
+     */
+    static SnapshotMeta verify(Path path) throws IOException, CorruptLogException {
+        @Nullable SnapshotMeta[] meta = {null};
+        boolean[] done = {false};
+        RecordFile.read(path, false, (offset, in) -> {
+            SnapshotChunk piece = SnapshotChunk.parseFrom(in);
+            if (meta[0] == null) {
+                meta[0] = new SnapshotMeta(piece.getLastIndex(), piece.getLastTerm(), piece.getMembers());
+            }
+            done[0] = piece.getDone();
+        });
+        SnapshotMeta found = meta[0];
+        if (found == null || !done[0]) {
+            throw new CorruptLogException(path, Files.size(path), "snapshot has no end");
+        }
+        return found;
+    }
+
+    /** Opens the state in a file that has been verified. */
+    static InputStream open(Path path) throws IOException {
+        return new StateStream(new DataInputStream(Files.newInputStream(path)));
+    }
+
+    private static void append(RecordFile file, SnapshotChunk.Builder piece) throws IOException {
+        file.append(piece.build().toByteString());
+    }
+
+    /** Turns the written state into records. */
+    private static final class Pieces extends OutputStream {
+        private final RecordFile file;
+
+        Pieces(RecordFile file) {
+            this.file = file;
+        }
+
+        @Override
+        public void write(int b) throws IOException {
+            write(new byte[] {(byte) b}, 0, 1);
+        }
+
+        @Override
+        public void write(byte[] bytes, int from, int length) throws IOException {
+            for (int at = 0; at < length; at += PIECE_BYTES) {
+                int n = Math.min(PIECE_BYTES, length - at);
+                ByteString data = UnsafeByteOperations.unsafeWrap(bytes, from + at, n);
+                append(file, SnapshotChunk.newBuilder().setData(data));
+            }
+        }
+    }
+
+    /** Turns records back into the state. */
+    private static final class StateStream extends InputStream {
+        private final DataInputStream in;
+        private InputStream piece = InputStream.nullInputStream();
+        private boolean done;
+
+        StateStream(DataInputStream in) {
+            this.in = in;
+        }
+
+        @Override
+        public int read() throws IOException {
+            byte[] one = new byte[1];
+            return read(one, 0, 1) < 0 ? -1 : one[0] & 0xff;
+        }
+
+        @Override
+        public int read(byte[] target, int from, int length) throws IOException {
+            if (length == 0) {
+                return 0;
+            }
+            int n = piece.read(target, from, length);
+            while (n < 0 && !done) {
+                SnapshotChunk next = next();
+                done = next.getDone();
+                piece = next.getData().newInput();
+                n = piece.read(target, from, length);
+            }
+            return n;
+        }
+
+        @Override
+        public void close() throws IOException {
+            in.close();
+        }
+
+        private SnapshotChunk next() throws IOException {
+            int length = in.readInt();
+            in.skipNBytes(RecordFile.HEADER_BYTES - Integer.BYTES);
+            return SnapshotChunk.parseFrom(CodedInputStream.newInstance(in.readNBytes(length)));
+        }
+    }
+}
--- /dev/null
+++ b/replication/src/main/java/org/ragwortrun/replication/internal/SnapshotReceiver.java
@@ -0,0 +1,70 @@
+package org.ragwortrun.replication.internal;
+
+import org.ragwortrun.proto.GroupMessage;
+import org.ragwortrun.proto.SnapshotChunk;
+import org.ragwortrun.proto.SnapshotReply;
+
+/** Takes a leader's snapshot in chunks. */
+final class SnapshotReceiver {
+    private final RaftCore core;
+    private long index;
+    private long term;
+    private long expected;
+    private boolean installing;
+
+    /** A chunk that continues the snapshot being received. */
+    record Part(SnapshotChunk chunk) {}
+
+    SnapshotReceiver(RaftCore core) {
+        this.core = core;
+    }
+
+    void onChunk(long now, String from, SnapshotChunk c) {
+        SnapshotReply.Builder reply = SnapshotReply.newBuilder()
+                .setRound(c.getRound())
+                .setIdentity(core.identity())
+                .setLastIndex(c.getLastIndex());
+        if (c.getTerm() < core.term()) {
+            reply(from, c, reply);
+            return;
+        }
+        core.hearLeader(now, c.getTerm(), from, c.getIdentity());
+        if (c.getLastIndex() <= core.commitIndex()) {
+            reply(from, c, reply.setInstalled(true));
+            return;
+        }
+        if (installing) {
+            return;
+        }
+        if (c.getOffset() == 0) {
+            index = c.getLastIndex();
+            term = c.getLastTerm();
+            expected = 0;
+        }
+        if (c.getLastIndex() != index || c.getLastTerm() != term || c.getOffset() != expected) {
+            boolean same = c.getLastIndex() == index && c.getLastTerm() == term;
+            reply(from, c, reply.setNextOffset(same ? expected : 0));
+            return;
+        }
+        expected += c.getData().size();
+        core.write(new Part(c));
+        if (!c.getDone()) {
+            reply(from, c, reply.setNextOffset(expected));
+            return;
+        }
+        installing = true;
+        core.afterWrites(() -> {
+            installing = false;
+            expected = 0;
+            index = 0;
+            if (c.getLastIndex() > core.commitIndex()) {
+                core.install(new SnapshotMeta(c.getLastIndex(), c.getLastTerm(), c.getMembers()));
+            }
+            core.afterWrites(() -> reply(from, c, reply.setInstalled(true)));
+        });
+    }
+
+    private void reply(String to, SnapshotChunk c, SnapshotReply.Builder reply) {
+        core.send(to, c.getIdentity(), GroupMessage.newBuilder().setSnapshotReply(reply.setTerm(core.term())));
+    }
+}
--- /dev/null
+++ b/replication/src/main/java/org/ragwortrun/replication/internal/View.java
@@ -0,0 +1,54 @@
+package org.ragwortrun.replication.internal;
+
+import java.util.Optional;
+import org.ragwortrun.proto.Member;
+import org.ragwortrun.proto.MemberSet;
+import org.ragwortrun.replication.GroupStatus.Role;
+
+/**
+ * State of a core after a step, for readers on other threads. Times are readings of the host's clock.
+ *
+ * @param leaseUntil end of the lease, or {@link Progress#NEVER}
+ * @param readyIndex entry that must be applied before a leader may serve reads
+ */
+record View(
+        Role role,
+        Optional<Member> leader,
+        long term,
+        long commitIndex,
+        long lastIndex,
+        long snapshotIndex,
+        MemberSet members,
+        long leaseUntil,
+        long readyIndex,
+        boolean sendingSnapshot) {
+
+    static View of(RaftCore core, long now) {
+        return new View(
+                core.role(),
+                core.leader(),
+                core.term(),
+                core.commitIndex(),
+                core.lastIndex(),
+                core.snapshot().index(),
+                core.members(),
+                core.leaseUntil(now),
+                core.readyIndex(),
+                core.isSendingSnapshot());
+    }
+
+    /** Returns the view of a member that takes part no longer. */
+    View stopped() {
+        return new View(
+                Role.STOPPED,
+                Optional.empty(),
+                term,
+                commitIndex,
+                lastIndex,
+                snapshotIndex,
+                members,
+                Progress.NEVER,
+                Long.MAX_VALUE,
+                false);
+    }
+}
--- /dev/null
+++ b/replication/src/main/java/org/ragwortrun/replication/internal/Waiting.java
@@ -0,0 +1,46 @@
+package org.ragwortrun.replication.internal;
+
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.LongPredicate;
+import org.ragwortrun.replication.ProposalLostException;
+
+/** Commands that were appended and await being applied, by index. */
+final class Waiting {
+    private final int group;
+    private final Map<Long, Appended> appended = new ConcurrentHashMap<>();
+
+    private record Appended(long term, CompletableFuture<byte[]> reply) {}
+
+    Waiting(int group) {
+        this.group = group;
+    }
+
+    void add(long index, long term, CompletableFuture<byte[]> reply) {
+        appended.put(index, new Appended(term, reply));
+    }
+
+    /** The entry of an index was applied. It is the awaited one only if its term is the same. */
+    void applied(long index, long term, byte[] reply) {
+        Appended a = appended.remove(index);
+        if (a == null) {
+            return;
+        }
+        if (a.term() == term) {
+            a.reply().complete(reply);
+        } else {
+            a.reply().completeExceptionally(new ProposalLostException(group, "another leader replaced the entry"));
+        }
+    }
+
+    /** The outcome of these entries will not be learned here. */
+    void lose(LongPredicate indexes, String reason) {
+        appended.keySet().stream().filter(indexes::test).toList().forEach(index -> {
+            Appended a = appended.remove(index);
+            if (a != null) {
+                a.reply().completeExceptionally(new ProposalLostException(group, reason));
+            }
+        });
+    }
+}
