Test the Raft core with seeded schedules of faults

Cause: the core was untested under loss, crashes, partitions and wiped disks. Change: Schedule drives the cores of one group with simulated time, clocks that differ by up to 10 %, message loss, duplication and reordering, crashes with partly written disks, frozen members, cut links and wiped disks, and checks the invariants after each event. The default count is 60 seeds each to keep the build short.

--- a/replication/src/main/java/org/ragwortrun/replication/internal/Applier.java
+++ b/replication/src/main/java/org/ragwortrun/replication/internal/Applier.java
@@ -12,6 +12,8 @@
 final class Applier {
     private static final Logger LOG = LogManager.getLogger(Applier.class);
 
+    private static final byte[] NO_REPLY = {};
+
     private final int group;
     private final StateMachine machine;
     private final Waiting waiting;
@@ -49,15 +51,15 @@
 
     void apply(List<LogEntry> batch) {
         for (LogEntry e : batch) {
+            byte[] reply = NO_REPLY;
             if (e.hasCommand()) {
-                byte[] reply = machine.apply(e.getIndex(), e.getCommand().toByteArray());
-                // Before the reply, so that a reader that has seen the reply passes the check of the lease.
-                appliedIndex = e.getIndex();
-                waiting.applied(e.getIndex(), e.getTerm(), reply);
+                reply = machine.apply(e.getIndex(), e.getCommand().toByteArray());
             } else if (e.hasMembers()) {
                 members = e.getMembers();
             }
+            // Before the reply, so that whoever has seen the reply finds the entry counted as applied.
             appliedIndex = e.getIndex();
+            waiting.applied(e.getIndex(), e.getTerm(), reply);
             term = e.getTerm();
             bytes += e.getSerializedSize();
         }
--- a/replication/src/main/java/org/ragwortrun/replication/internal/CoreSettings.java
+++ b/replication/src/main/java/org/ragwortrun/replication/internal/CoreSettings.java
@@ -16,6 +16,7 @@
  * @param batchBytes most bytes of entries in one message
  * @param chunkBytes most bytes of a snapshot in one message
  * @param retained entries that are kept before a snapshot for followers that are slightly behind
+ * @param catchUpBytes most bytes of entries that are kept before a snapshot for active members that need them
  * @param window entries that may be on the way to one follower
  * @param uncommitted entries that a leader takes before it waits for commits
  */
@@ -30,12 +31,14 @@
         int batchBytes,
         int chunkBytes,
         int retained,
+        long catchUpBytes,
         int window,
         int uncommitted) {
 
     private static final int BATCH_BYTES = 1 << 20;
     private static final int CHUNK_BYTES = 512 << 10;
     private static final int RETAINED = 1_000;
+    private static final long CATCH_UP_BYTES = 64L << 20;
     private static final int WINDOW = 1_024;
     private static final int UNCOMMITTED = 8_192;
     // Four heartbeats may be lost within the lease of 0.8 election timeouts.
@@ -59,6 +62,7 @@
                 BATCH_BYTES,
                 CHUNK_BYTES,
                 RETAINED,
+                CATCH_UP_BYTES,
                 WINDOW,
                 UNCOMMITTED);
     }
@@ -75,6 +79,7 @@
                 newBatchBytes,
                 newChunkBytes,
                 newRetained,
+                catchUpBytes,
                 window,
                 uncommitted);
     }
--- a/replication/src/main/java/org/ragwortrun/replication/internal/GroupRunner.java
+++ b/replication/src/main/java/org/ragwortrun/replication/internal/GroupRunner.java
@@ -39,8 +39,9 @@
     private static final int WRITES_ROOM = 4 * STEP_MESSAGES;
     private static final int STEP_PROPOSALS = 1_024;
     private static final int STEP_BYTES = 4 << 20;
-    // A snapshot waits for transfers to followers until the log has grown to this multiple of its limit.
-    private static final int SNAPSHOT_PATIENCE = 4;
+    // A new snapshot makes transfers of the old one start again, so it waits for them until the log has grown to this
+    // multiple of its limit.
+    private static final int SNAPSHOT_PATIENCE = 16;
 
     private final int group;
     private final HostContext host;
@@ -183,7 +184,7 @@
         long now = host.clock().getAsLong();
         SnapshotMeta meta = stored.getAndSet(null);
         if (meta != null) {
-            core.snapshotStored(meta);
+            core.snapshotStored(now, meta);
         }
         core.persisted(now, persisted);
         int taken = 0;
--- a/replication/src/main/java/org/ragwortrun/replication/internal/Leadership.java
+++ b/replication/src/main/java/org/ragwortrun/replication/internal/Leadership.java
@@ -62,8 +62,20 @@
         return (int) Math.max(0, settings.uncommitted() - (log.lastIndex() - core.commitIndex()));
     }
 
-    boolean isSendingSnapshot() {
-        return others.values().stream().anyMatch(p -> p.snapshot != 0);
+    boolean isSendingSnapshot(long now) {
+        return others.values().stream().anyMatch(p -> p.snapshot != 0 && isActive(now, p.member.getIdentity()));
+    }
+
+    /**
+     * Returns the last index that no active member needs. Without it, a member that has just installed a snapshot
+     * could need the next one at once, again and again.
+     */
+    long leastNeeded(long now) {
+        return others.values().stream()
+                .filter(p -> isActive(now, p.member.getIdentity()))
+                .mapToLong(p -> p.snapshot == 0 ? p.match : p.snapshot)
+                .min()
+                .orElse(Long.MAX_VALUE);
     }
 
     @Nullable
@@ -157,11 +169,9 @@
         } else if (p.snapshot == 0 && r.getRound() >= p.probeSince) {
             p.startProbe(Math.min(p.next - 1, r.getLastIndex() + 1), now);
         }
-        if (core.leadership() == this) {
-            send(p, now, false);
-            changes.advance(now);
-            transfer.advance(now);
-        }
+        send(p, now, false);
+        changes.advance(now);
+        transfer.advance(now);
     }
 
     void onSnapshotReply(long now, SnapshotReply r) {
--- a/replication/src/main/java/org/ragwortrun/replication/internal/RaftCore.java
+++ b/replication/src/main/java/org/ragwortrun/replication/internal/RaftCore.java
@@ -15,6 +15,7 @@
 import org.ragwortrun.proto.Member;
 import org.ragwortrun.proto.MemberSet;
 import org.ragwortrun.proto.PersistedState;
+import org.ragwortrun.proto.SnapshotReply;
 import org.ragwortrun.replication.GroupStatus.Role;
 
 /**
@@ -105,12 +106,7 @@
             case APPEND_REQUEST -> onAppend(now, m.getFrom(), m.getAppendRequest());
             case APPEND_REPLY -> onAppendReply(now, m.getAppendReply());
             case SNAPSHOT_CHUNK -> receiver.onChunk(now, m.getFrom(), m.getSnapshotChunk());
-            case SNAPSHOT_REPLY -> {
-                var reply = m.getSnapshotReply();
-                if (!deposedBy(reply.getTerm(), reply.getIdentity()) && leadership != null) {
-                    leadership.onSnapshotReply(now, reply);
-                }
-            }
+            case SNAPSHOT_REPLY -> onSnapshotReply(now, m.getSnapshotReply());
             case JOIN_REQUEST -> joining.onRequest(now, m.getJoinRequest());
             case JOIN_REPLY -> joining.onReply(m.getJoinReply());
             case TAKE_OVER -> election.onTakeOver(now, m.getTakeOver());
@@ -140,12 +136,16 @@
     }
 
     /** A snapshot that this member wrote of its own state is stored. */
-    public void snapshotStored(SnapshotMeta stored) {
+    public void snapshotStored(long now, SnapshotMeta stored) {
         if (stored.index() <= snapshot.index()) {
             return;
         }
         snapshot = stored;
-        log.compact(Math.min(stored.index(), Math.max(log.base(), stored.index() - settings.retained())));
+        long keep = stored.index() - settings.retained();
+        if (leadership != null && log.bytes() < settings.catchUpBytes()) {
+            keep = Math.min(keep, leadership.leastNeeded(now));
+        }
+        log.compact(Math.max(log.base(), keep));
     }
 
     /**
@@ -223,9 +223,9 @@
         return leadership == null ? 0 : leadership.room();
     }
 
-    /** Returns whether a follower is receiving this member's snapshot, which should not be replaced meanwhile. */
-    public boolean isSendingSnapshot() {
-        return leadership != null && leadership.isSendingSnapshot();
+    /** Returns whether an active member is receiving this member's snapshot, which should not be replaced meanwhile. */
+    public boolean isSendingSnapshot(long now) {
+        return leadership != null && leadership.isSendingSnapshot(now);
     }
 
     /** Returns the time of the next necessary tick. */
@@ -481,4 +481,10 @@
             leadership.onAppendReply(now, reply);
         }
     }
+
+    private void onSnapshotReply(long now, SnapshotReply reply) {
+        if (!deposedBy(reply.getTerm(), reply.getIdentity()) && leadership != null) {
+            leadership.onSnapshotReply(now, reply);
+        }
+    }
 }
--- a/replication/src/main/java/org/ragwortrun/replication/internal/RaftLog.java
+++ b/replication/src/main/java/org/ragwortrun/replication/internal/RaftLog.java
@@ -12,6 +12,7 @@
     private final TreeMap<Long, MemberSet> memberSets = new TreeMap<>();
     private long base;
     private long baseTerm;
+    private long bytes;
 
     RaftLog(SnapshotMeta snapshot, List<LogEntry> tail) {
         reset(snapshot);
@@ -39,6 +40,11 @@
         return index == base ? baseTerm : get(index).getTerm();
     }
 
+    /** Returns the size of the entries in memory. */
+    long bytes() {
+        return bytes;
+    }
+
     boolean holds(long index, long term) {
         return index >= base && index <= lastIndex() && term(index) == term;
     }
@@ -54,6 +60,7 @@
                 truncate(e.getIndex());
             }
             entries.add(e);
+            bytes += e.getSerializedSize();
             if (e.hasMembers()) {
                 memberSets.put(e.getIndex(), e.getMembers());
             }
@@ -85,14 +92,14 @@
         if (inForce != null) {
             memberSets.headMap(inForce, false).clear();
         }
-        entries.subList(0, (int) (index - base)).clear();
+        remove(entries.subList(0, (int) (index - base)));
         base = index;
         baseTerm = term;
     }
 
     /** Drops everything and continues after a snapshot. */
     void reset(SnapshotMeta snapshot) {
-        entries.clear();
+        remove(entries);
         memberSets.clear();
         memberSets.put(snapshot.index(), snapshot.members());
         base = snapshot.index();
@@ -124,7 +131,12 @@
     }
 
     private void truncate(long from) {
-        entries.subList((int) (from - base - 1), entries.size()).clear();
+        remove(entries.subList((int) (from - base - 1), entries.size()));
         memberSets.tailMap(from, true).clear();
     }
+
+    private void remove(List<LogEntry> range) {
+        bytes -= range.stream().mapToLong(LogEntry::getSerializedSize).sum();
+        range.clear();
+    }
 }
--- a/replication/src/main/java/org/ragwortrun/replication/internal/SnapshotFile.java
+++ b/replication/src/main/java/org/ragwortrun/replication/internal/SnapshotFile.java
@@ -96,7 +96,7 @@
     /** Turns records back into the state. */
     private static final class StateStream extends InputStream {
         private final DataInputStream in;
-        private InputStream piece = InputStream.nullInputStream();
+        private InputStream piece = nullInputStream();
         private boolean done;
 
         StateStream(DataInputStream in) {
--- a/replication/src/main/java/org/ragwortrun/replication/internal/Transfer.java
+++ b/replication/src/main/java/org/ragwortrun/replication/internal/Transfer.java
@@ -40,9 +40,6 @@
     }
 
     void advance(long now) {
-        if (core.leadership() != leadership) {
-            return;
-        }
         if (yielded) {
             if (now - deadline >= 0) {
                 core.follow(now, core.term(), null);
--- a/replication/src/main/java/org/ragwortrun/replication/internal/View.java
+++ b/replication/src/main/java/org/ragwortrun/replication/internal/View.java
@@ -34,7 +34,7 @@
                 core.members(),
                 core.leaseUntil(now),
                 core.readyIndex(),
-                core.isSendingSnapshot());
+                core.isSendingSnapshot(now));
     }
 
     /** Returns the view of a member that takes part no longer. */
--- /dev/null
+++ b/replication/src/test/java/org/ragwortrun/replication/internal/RaftCoreTest.java
@@ -0,0 +1,58 @@
+package org.ragwortrun.replication.internal;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.Map;
+import java.util.TreeMap;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.junit.jupiter.api.Test;
+import org.ragwortrun.core.log.Event;
+
+/**
+ * Seeded random schedules. A failure names its seed; {@code -Dschedule.seed=N -Dschedule.count=1} repeats it.
+ */
+final class RaftCoreTest {
+    private static final Logger LOG = LogManager.getLogger(RaftCoreTest.class);
+    private static final long FIRST_SEED = Long.getLong("schedule.seed", 1);
+    private static final int COUNT = Integer.getInteger("schedule.count", 60);
+
+    /**
+     * Guards against two leaders in a term, diverging logs, lost committed entries and two holders of the lease, under
+     * loss, duplication, reordering, crashes, frozen members, partitions and wiped disks; and against a group that does
+     * not recover.
+     */
+    @Test
+    void threeMembersKeepTheInvariants() {
+        runSchedules(3);
+    }
+
+    /** Guards against the same failures with the quorums of five members. */
+    @Test
+    void fiveMembersKeepTheInvariants() {
+        runSchedules(5);
+    }
+
+    private static void runSchedules(int members) {
+        Map<String, Integer> counts = new TreeMap<>();
+        long committed = 0;
+        for (long seed = FIRST_SEED; seed < FIRST_SEED + COUNT; seed++) {
+            Schedule schedule = new Schedule(seed, members);
+            try {
+                schedule.run(10_000, 3_000);
+            } catch (AssertionError | RuntimeException e) {
+                throw new AssertionError("seed " + seed + " with " + members + " members: " + e.getMessage(), e);
+            }
+            committed += schedule.committedCount();
+            schedule.counts.forEach((name, n) -> counts.merge(name, n, Integer::sum));
+        }
+        Event.of("schedules-run")
+                .with("members", members)
+                .with("first_seed", FIRST_SEED)
+                .with("seeds", COUNT)
+                .with("committed", committed)
+                .with("counts", counts)
+                .info(LOG);
+        assertThat(committed).isGreaterThan(0);
+    }
+}
--- /dev/null
+++ b/replication/src/test/java/org/ragwortrun/replication/internal/Schedule.java
@@ -0,0 +1,536 @@
+package org.ragwortrun.replication.internal;
+
+import com.google.protobuf.ByteString;
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.ragwortrun.proto.GroupMessage;
+import org.ragwortrun.proto.LogEntry;
+import org.ragwortrun.proto.Member;
+import org.ragwortrun.proto.PersistedState;
+import org.ragwortrun.replication.CorruptLogException;
+import org.ragwortrun.replication.GroupStatus.Role;
+
+/**
+ * Drives the cores of one group through a seeded schedule of faults and checks the invariants after each event.
+ *
+ * <p>Time is simulated. Each member's clock runs at its own rate, and the rates differ by up to 10 %.
+ */
+final class Schedule {
+    static final long MS = 1_000_000;
+    static final long TIMEOUT = 100 * MS;
+    private static final Logger LOG = LogManager.getLogger(Schedule.class);
+    // Logs the events of all members, to study a seed that fails.
+    private static final boolean TRACE = Boolean.getBoolean("schedule.trace");
+    private static final int SNAPSHOT_EVERY = 25;
+
+    final Map<String, Box> boxes = new TreeMap<>();
+    private final Random random;
+    private final PriorityQueue<Action> actions =
+            new PriorityQueue<>(Comparator.comparingLong(Action::at).thenComparingLong(Action::order));
+    private final Map<Long, LogEntry> committed = new HashMap<>();
+    private final Map<Long, String> leaders = new HashMap<>();
+    private final Set<String> cut = new HashSet<>();
+    private final List<String> names;
+    private long now;
+    private long order;
+    private int identities;
+    private int proposals;
+    private boolean calm;
+    final Map<String, Integer> counts = new TreeMap<>();
+
+    private record Action(long at, long order, Runnable body) {}
+
+    private record OwnSnapshot(SnapshotMeta meta, byte[] bytes) {}
+
+    /** One member with its disk. */
+    final class Box {
+        final String name;
+        private final double rate;
+        private final long offset;
+        private PersistedState state = PersistedState.getDefaultInstance();
+        private SnapshotMeta snapshot = SnapshotMeta.NONE;
+        private byte[] snapshotBytes = {};
+        private List<LogEntry> log = new ArrayList<>();
+        private ByteArrayOutputStream incoming = new ByteArrayOutputStream();
+        private final List<Object> unsynced = new ArrayList<>();
+        private final List<GroupMessage> frozenInbox = new ArrayList<>();
+        private boolean syncing;
+        private boolean frozen;
+        private int life;
+        private RaftCore core;
+        private long leaseUntil;
+        private long applied;
+        private int sinceSnapshot;
+        private List<String> machine = new ArrayList<>();
+
+        Box(String name) {
+            this.name = name;
+            rate = 1 + random.nextDouble() * 0.1;
+            offset = Math.floorMod(random.nextLong(), 1_000 * MS);
+        }
+
+        long clock() {
+            return offset + (long) (now * rate);
+        }
+
+        boolean isUp() {
+            return core != null;
+        }
+
+        RaftCore core() {
+            return core;
+        }
+
+        List<String> machine() {
+            return machine;
+        }
+
+        void start() {
+            if (state.getIdentity().isEmpty()) {
+                identities++;
+                state = PersistedState.newBuilder()
+                        .setIdentity(name + "#" + identities)
+                        .build();
+            }
+            CoreSettings settings = CoreSettings.of(
+                            name,
+                            name,
+                            names.stream().filter(n -> !n.equals(name)).toList(),
+                            names,
+                            TIMEOUT,
+                            names.get(names.size() - 1))
+                    .withSizes(200, 1024, 5);
+            core = new RaftCore(
+                    settings,
+                    new Restored(state, snapshot, replay()),
+                    this::part,
+                    new Random(random.nextLong()),
+                    clock());
+            applied = snapshot.index();
+            machine = parse(snapshotBytes);
+            sinceSnapshot = 0;
+            life++;
+            tickLater(life);
+        }
+
+        void crash() {
+            // Writes that were not reported may have reached the disk, in order.
+            int reached = random.nextInt(unsynced.size() + 1);
+            unsynced.subList(0, reached).forEach(this::perform);
+            unsynced.clear();
+            frozenInbox.clear();
+            incoming = new ByteArrayOutputStream();
+            syncing = false;
+            frozen = false;
+            core = null;
+            leaseUntil = 0;
+            life++;
+        }
+
+        void wipe() {
+            state = PersistedState.getDefaultInstance();
+            snapshot = SnapshotMeta.NONE;
+            snapshotBytes = new byte[0];
+            log = new ArrayList<>();
+        }
+
+        void freeze(boolean freeze) {
+            frozen = freeze;
+            if (!freeze && isUp()) {
+                List<GroupMessage> late = List.copyOf(frozenInbox);
+                frozenInbox.clear();
+                late.forEach(m -> core.receive(clock(), m));
+                flush();
+            }
+        }
+
+        void receive(GroupMessage m) {
+            if (!isUp()) {
+                return;
+            }
+            if (frozen) {
+                frozenInbox.add(m);
+                return;
+            }
+            core.receive(clock(), m);
+            flush();
+        }
+
+        void propose() {
+            if (isUp() && !frozen && core.role() == Role.LEADER && core.proposalRoom() > 0) {
+                List<ByteString> batch = new ArrayList<>();
+                for (int i = random.nextInt(4); i >= 0; i--) {
+                    proposals++;
+                    batch.add(ByteString.copyFromUtf8("p" + proposals));
+                }
+                core.propose(clock(), batch);
+                flush();
+            }
+        }
+
+        boolean holdsLease() {
+            return isUp() && leaseUntil - clock() > 0;
+        }
+
+        private void tickLater(int ofLife) {
+            at(MS + random.nextInt((int) (8 * MS)), () -> {
+                if (life == ofLife) {
+                    if (!frozen) {
+                        core.tick(clock());
+                        flush();
+                    }
+                    tickLater(ofLife);
+                }
+            });
+        }
+
+        private void flush() {
+            Outputs out = core.take(Integer.MAX_VALUE);
+            leaseUntil = core.leaseUntil(clock());
+            if (core.role() == Role.LEADER) {
+                noteLeader(this);
+            }
+            unsynced.addAll(out.writes());
+            out.deliveries().forEach(this::deliver);
+            out.events().forEach(e -> {
+                counts.merge(e.toString().split(" ")[0], 1, Integer::sum);
+                trace(name + " " + e);
+            });
+            out.messages().forEach(o -> send(name, o));
+            syncLater();
+        }
+
+        private void deliver(Delivery delivery) {
+            if (delivery instanceof Delivery.Snapshot s) {
+                machine = parse(incomingState(s.meta()));
+                applied = s.meta().index();
+                sinceSnapshot = 0;
+                return;
+            }
+            for (LogEntry e : ((Delivery.Entries) delivery).entries()) {
+                check(e.getIndex() == applied + 1, "entry " + e.getIndex() + " applied after " + applied);
+                LogEntry known = committed.putIfAbsent(e.getIndex(), e);
+                check(known == null || known.equals(e), "two committed entries at index " + e.getIndex());
+                applied = e.getIndex();
+                machine.add(
+                        e.getIndex() + ":" + e.getTerm() + ":" + e.getCommand().toStringUtf8());
+                sinceSnapshot++;
+            }
+            if (sinceSnapshot >= SNAPSHOT_EVERY && !core.isSendingSnapshot(clock())) {
+                sinceSnapshot = 0;
+                LogEntry last = committed.get(applied);
+                SnapshotMeta meta =
+                        new SnapshotMeta(applied, last.getTerm(), core.log().membersAt(applied));
+                unsynced.add(new OwnSnapshot(meta, String.join("\n", machine).getBytes(StandardCharsets.UTF_8)));
+            }
+        }
+
+        private byte[] incomingState(SnapshotMeta meta) {
+            check(snapshot.index() == meta.index(), "snapshot " + meta.index() + " is not stored");
+            return snapshotBytes;
+        }
+
+        private void syncLater() {
+            if (syncing || unsynced.isEmpty()) {
+                return;
+            }
+            syncing = true;
+            int ofLife = life;
+            int batch = unsynced.size();
+            long delay = random.nextInt(20) == 0 ? 60 * MS : 5 * MS;
+            at((long) (random.nextDouble() * delay), () -> {
+                if (life == ofLife) {
+                    finishSync(batch);
+                }
+            });
+        }
+
+        private void finishSync(int batch) {
+            syncing = false;
+            List<Object> done = List.copyOf(unsynced.subList(0, batch));
+            unsynced.subList(0, batch).clear();
+            long sequence = 0;
+            for (Object write : done) {
+                perform(write);
+                if (write instanceof Write w) {
+                    sequence = w.sequence();
+                }
+            }
+            core.persisted(clock(), sequence);
+            for (Object write : done) {
+                if (write instanceof OwnSnapshot own) {
+                    core.snapshotStored(clock(), own.meta());
+                }
+            }
+            flush();
+        }
+
+        private void perform(Object write) {
+            if (write instanceof Write.State s) {
+                state = s.state();
+            } else if (write instanceof Write.Entries e) {
+                for (LogEntry entry : e.entries()) {
+                    log.removeIf(old -> old.getIndex() >= entry.getIndex());
+                    log.add(entry);
+                }
+            } else if (write instanceof Write.ResetLog) {
+                log.clear();
+            } else if (write instanceof OwnSnapshot own) {
+                if (own.meta().index() > snapshot.index()) {
+                    store(own.meta(), own.bytes());
+                    log.removeIf(old -> old.getIndex() <= own.meta().index());
+                }
+            } else if (write instanceof Write.Chunk c) {
+                if (c.chunk().getOffset() == 0) {
+                    incoming = new ByteArrayOutputStream();
+                }
+                incoming.writeBytes(c.chunk().getData().toByteArray());
+                if (c.chunk().getDone()) {
+                    store(
+                            new SnapshotMeta(
+                                    c.chunk().getLastIndex(),
+                                    c.chunk().getLastTerm(),
+                                    c.chunk().getMembers()),
+                            incoming.toByteArray());
+                }
+            }
+        }
+
+        private void store(SnapshotMeta meta, byte[] bytes) {
+            snapshot = meta;
+            snapshotBytes = bytes;
+        }
+
+        private List<LogEntry> replay() {
+            LogReplay replay = new LogReplay(snapshot);
+            try {
+                for (LogEntry e : log) {
+                    replay.add(Path.of("log"), 0, e);
+                }
+                List<LogEntry> tail = replay.tail(Path.of("log"));
+                if (replay.isDropped()) {
+                    log.clear();
+                }
+                return tail;
+            } catch (CorruptLogException e) {
+                throw new AssertionError(name + " cannot restart", e);
+            }
+        }
+
+        private Optional<SnapshotSource.Part> part(long index, long from, int max) {
+            if (index != snapshot.index()) {
+                return Optional.empty();
+            }
+            int end = (int) Math.min(snapshotBytes.length, from + max);
+            return Optional.of(new SnapshotSource.Part(
+                    ByteString.copyFrom(snapshotBytes, (int) from, end - (int) from), end == snapshotBytes.length));
+        }
+
+        private static List<String> parse(byte[] bytes) {
+            String text = new String(bytes, StandardCharsets.UTF_8);
+            return text.isEmpty() ? new ArrayList<>() : new ArrayList<>(List.of(text.split("\n")));
+        }
+    }
+
+    Schedule(long seed, int members) {
+        random = new Random(seed);
+        List<String> all = new ArrayList<>();
+        for (int i = 1; i <= members; i++) {
+            all.add("c" + i);
+        }
+        names = all;
+        names.forEach(n -> boxes.put(n, new Box(n)));
+    }
+
+    /** Runs with faults for a time, and then without until every member is a voter that has applied a new command. */
+    void run(long faultyMillis, long calmMillis) {
+        boxes.values().forEach(Box::start);
+        faultLater();
+        proposeLater();
+        runUntil(faultyMillis * MS);
+        calm = true;
+        cut.clear();
+        for (Box b : boxes.values()) {
+            b.freeze(false);
+            if (!b.isUp()) {
+                b.start();
+            }
+        }
+        runUntil(now + calmMillis * MS);
+        checkRecovered();
+    }
+
+    private void runUntil(long end) {
+        while (!actions.isEmpty() && actions.peek().at() <= end) {
+            Action next = actions.remove();
+            now = next.at();
+            next.body().run();
+            checkLease();
+        }
+        now = end;
+    }
+
+    private void at(long delay, Runnable body) {
+        order++;
+        actions.add(new Action(now + delay, order, body));
+    }
+
+    private void proposeLater() {
+        at((long) (random.nextDouble() * 10 * MS), () -> {
+            boxes.values().forEach(Box::propose);
+            proposeLater();
+        });
+    }
+
+    private void faultLater() {
+        at((long) (random.nextDouble() * 400 * MS), () -> {
+            if (!calm) {
+                fault();
+                faultLater();
+            }
+        });
+    }
+
+    private void fault() {
+        Box victim = boxes.get(names.get(random.nextInt(names.size())));
+        long time = (long) (random.nextDouble() * 600 * MS);
+        switch (random.nextInt(6)) {
+            case 0 -> restartLater(victim, time, false);
+            case 1 -> restartLater(victim, time, mayWipe());
+            case 2 -> {
+                victim.freeze(true);
+                at(time, () -> victim.freeze(false));
+            }
+            case 3 -> names.forEach(other -> cutLink(victim.name, other, time, true));
+            case 4 -> cutLink(victim.name, names.get(random.nextInt(names.size())), time, false);
+            default ->
+                names.stream().filter(n -> random.nextBoolean()).forEach(n -> cutLink(victim.name, n, time, true));
+        }
+    }
+
+    private void restartLater(Box victim, long time, boolean wipe) {
+        if (!victim.isUp()) {
+            return;
+        }
+        counts.merge(wipe ? "fault=wipe" : "fault=crash", 1, Integer::sum);
+        trace(victim.name + (wipe ? " is wiped" : " crashes"));
+        victim.crash();
+        if (wipe) {
+            victim.wipe();
+        }
+        at(time, () -> {
+            if (!victim.isUp()) {
+                victim.start();
+            }
+        });
+    }
+
+    /** A further disk may be lost only when the newest committed member set names no lost identity. */
+    private boolean mayWipe() {
+        Optional<LogEntry> newest = committed.values().stream()
+                .filter(LogEntry::hasMembers)
+                .max(Comparator.comparingLong(LogEntry::getIndex));
+        Set<String> present =
+                boxes.values().stream().map(b -> b.state.getIdentity()).collect(Collectors.toSet());
+        return newest.isPresent()
+                && newest.get().getMembers().getMembersList().stream()
+                        .map(Member::getIdentity)
+                        .allMatch(present::contains)
+                && newest.get().getMembers().getMembersList().stream()
+                                .filter(Member::getVoter)
+                                .count()
+                        == names.size();
+    }
+
+    private void cutLink(String a, String b, long time, boolean bothWays) {
+        counts.merge("fault=cut", 1, Integer::sum);
+        cut.add(a + ">" + b);
+        if (bothWays) {
+            cut.add(b + ">" + a);
+        }
+        at(time, () -> {
+            cut.remove(a + ">" + b);
+            cut.remove(b + ">" + a);
+        });
+    }
+
+    private void send(String from, Outgoing out) {
+        GroupMessage message = out.message().build();
+        int copies = calm || random.nextInt(20) != 0 ? 1 : 2;
+        for (int i = 0; i < copies; i++) {
+            boolean lost = !calm && random.nextInt(20) == 0;
+            // Different delays reorder messages.
+            long longest = random.nextInt(50) == 0 ? 150 * MS : 4 * MS;
+            if (!lost) {
+                at((long) (random.nextDouble() * longest), () -> {
+                    if (!cut.contains(from + ">" + out.to())) {
+                        boxes.get(out.to()).receive(message);
+                    }
+                });
+            }
+        }
+    }
+
+    private void noteLeader(Box box) {
+        String identity = box.core.identity();
+        String earlier = leaders.putIfAbsent(box.core.term(), identity);
+        check(earlier == null || earlier.equals(identity), "two leaders in term " + box.core.term());
+        if (earlier == null) {
+            committed.values().stream()
+                    .filter(e -> e.getIndex() >= box.core.log().base())
+                    .forEach(e -> check(
+                            box.core.log().holds(e.getIndex(), e.getTerm()),
+                            "leader of term " + box.core.term() + " lacks committed entry " + e.getIndex()));
+        }
+    }
+
+    private void checkLease() {
+        List<String> holders =
+                boxes.values().stream().filter(Box::holdsLease).map(b -> b.name).toList();
+        check(holders.size() <= 1, "lease held by " + holders);
+    }
+
+    private void checkRecovered() {
+        for (Box b : boxes.values()) {
+            check(b.core.isVoter(), b.name + " has not become a voter");
+            check(b.machine.size() > 0, b.name + " has applied nothing");
+        }
+        long leading = boxes.values().stream().filter(Box::holdsLease).count();
+        check(leading == 1, leading + " members hold the lease after the faults ended");
+        long last = committed.keySet().stream().mapToLong(i -> i).max().orElse(0);
+        for (Box b : boxes.values()) {
+            check(b.applied > last - 200, b.name + " has applied " + b.applied + " of " + last);
+        }
+    }
+
+    private void trace(String line) {
+        if (TRACE) {
+            LOG.info("{} ms {}", now / MS, line);
+        }
+    }
+
+    int committedCount() {
+        return committed.size();
+    }
+
+    private void check(boolean holds, String what) {
+        if (!holds) {
+            throw new AssertionError(what + " at " + now / MS + " ms");
+        }
+    }
+}
