--- /dev/null
+++ b/replication/src/test/java/org/ragwortrun/replication/FreezableTime.java
@@ -0,0 +1,37 @@
+package org.ragwortrun.replication;
+
+import org.ragwortrun.core.time.Time;
+
+/** System time that makes every reader wait while it is frozen, like a process that is stopped. */
+final class FreezableTime implements Time {
+    private boolean frozen;
+
+    synchronized void freeze() {
+        frozen = true;
+    }
+
+    synchronized void thaw() {
+        frozen = false;
+        notifyAll();
+    }
+
+    @Override
+    public long nanos() {
+        synchronized (this) {
+            while (frozen) {
+                try {
+                    wait();
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                    break;
+                }
+            }
+        }
+        return System.nanoTime();
+    }
+
+    @Override
+    public long wallMillis() {
+        return System.currentTimeMillis();
+    }
+}
