Add the ledger's state machines and the router's grant pool

Cause: budgets, bills, the request register and the configuration need deterministic owners that replication can carry.

Grant sizes come from GrantPolicy (demand, exact, equal split).

Conclusion: first usable version of the interfaces; behaviour not yet proven.

--- /dev/null
+++ b/ledger/src/main/java/org/ragwortrun/ledger/GrantPolicy.java
@@ -0,0 +1,45 @@
+package org.ragwortrun.ledger;
+
+/** Decides how many tokens the owner of a budget grants to a router. */
+@FunctionalInterface
+public interface GrantPolicy {
+    /** Share of what is left that all routers together may take with one grant each. */
+    int REMAINING_DIVISOR = 4;
+
+    /**
+     * Returns the size of a grant. The owner grants at least the minimum if it is available, and never more than what
+     * is available.
+     */
+    long size(Ask ask);
+
+    /** Grants what demand asks for, at most a quarter of what is left divided by the routers that hold grants. */
+    static GrantPolicy demand() {
+        return a -> Math.min(a.wanted(), a.available() / ((long) REMAINING_DIVISOR * a.holders()));
+    }
+
+    /** Grants exactly what the request needs, so that each request asks the owner. */
+    static GrantPolicy exact() {
+        return Ask::minimum;
+    }
+
+    /**
+     * Grants an equal part of what is prepaid to each router, whatever its demand.
+     *
+     * @param routers routers among which each budget is split
+     */
+    static GrantPolicy equalSplit(int routers) {
+        return a -> a.prepaid() / routers;
+    }
+
+    /**
+     * A request for tokens as the owner sees it.
+     *
+     * @param prepaid tokens paid for so far
+     * @param settled tokens billed so far
+     * @param available tokens neither billed nor granted
+     * @param holders routers that hold grants, with the one that asks
+     * @param minimum least amount that is useful
+     * @param wanted amount that the router's demand asks for
+     */
+    record Ask(long prepaid, long settled, long available, int holders, long minimum, long wanted) {}
+}
--- /dev/null
+++ b/ledger/src/main/java/org/ragwortrun/ledger/MetaState.java
@@ -0,0 +1,270 @@
+package org.ragwortrun.ledger;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import org.ragwortrun.core.config.SectionKind;
+import org.ragwortrun.ledger.internal.PublishAnswers;
+import org.ragwortrun.ledger.internal.SectionStore;
+import org.ragwortrun.ledger.internal.SnapshotReader;
+import org.ragwortrun.ledger.internal.SnapshotWriter;
+import org.ragwortrun.ledger.internal.Suspects;
+import org.ragwortrun.ledger.internal.Versioned;
+import org.ragwortrun.proto.ConfigError;
+import org.ragwortrun.proto.ConfigReply;
+import org.ragwortrun.proto.ConfigUpdate;
+import org.ragwortrun.proto.CrashReport;
+import org.ragwortrun.proto.ErrorReply;
+import org.ragwortrun.proto.MetaCommand;
+import org.ragwortrun.proto.MetaResult;
+import org.ragwortrun.proto.MoveProgress;
+import org.ragwortrun.proto.Publish;
+import org.ragwortrun.proto.PublishReply;
+import org.ragwortrun.proto.Section;
+import org.ragwortrun.proto.VersionDecision;
+
+/**
+ * State machine of the meta group: the accepted configuration and its number, version verdicts, move progress, crash
+ * suspects and fencing counters.
+ *
+ * <p>Each change that daemons must learn raises the number. A publication is accepted if no section has changed since
+ * the number on which it is based; verdicts and move progress in between do not make it conflict.
+ */
+public final class MetaState {
+    private static final long FORMAT = 1;
+
+    private final ConfigurationRules rules;
+    private SectionStore sections = new SectionStore();
+    private Versioned<MoveProgress> moves = new Versioned<>();
+    private Versioned<VersionDecision> decisions = new Versioned<>();
+    private Suspects suspects = new Suspects();
+    private PublishAnswers answers = new PublishAnswers();
+    private SortedMap<String, Long> fencing = new TreeMap<>();
+    private long number;
+    private long publishedNumber;
+    private long appliedIndex;
+
+    public MetaState(ConfigurationRules rules) {
+        this.rules = rules;
+    }
+
+    /** Applies the log entry with this index. The entry is a {@link MetaCommand}, the answer a {@link MetaResult}. */
+    public synchronized byte[] apply(long index, byte[] command) {
+        appliedIndex = index;
+        try {
+            return apply(MetaCommand.parseFrom(command)).toByteArray();
+        } catch (InvalidProtocolBufferException e) {
+            return error("malformed-command", String.valueOf(e.getMessage())).toByteArray();
+        }
+    }
+
+    public synchronized MetaResult apply(MetaCommand command) {
+        return switch (command.getOpCase()) {
+            case PUBLISH ->
+                MetaResult.newBuilder()
+                        .setPublish(publish(command.getPublish(), command.getNowMs()))
+                        .build();
+            case VERSION_DECISION -> decide(command.getVersionDecision());
+            case MOVE_PROGRESS -> progress(command.getMoveProgress());
+            case CRASH -> crash(command.getCrash());
+            case NEXT_FENCING ->
+                MetaResult.newBuilder()
+                        .setFencing(fencing.merge(command.getNextFencing().getEndpoint(), 1L, Long::sum))
+                        .build();
+            case OP_NOT_SET -> error("malformed-command", "command has no operation");
+        };
+    }
+
+    private PublishReply publish(Publish publish, long nowMs) {
+        if (publish.getPublishId().isEmpty()) {
+            return invalid(List.of(ConfigError.newBuilder()
+                    .setRule("publish-id-missing")
+                    .setExpected("a publish id")
+                    .build()));
+        }
+        Optional<PublishReply> first = answers.find(publish.getPublishId());
+        if (first.isPresent()) {
+            return first.get().toBuilder().setResent(true).build();
+        }
+        PublishReply answer = decide(publish, nowMs);
+        answers.put(publish.getPublishId(), answer);
+        return answer;
+    }
+
+    private PublishReply decide(Publish publish, long nowMs) {
+        if (publish.getBasedOn() < publishedNumber || publish.getBasedOn() > number) {
+            return PublishReply.newBuilder()
+                    .setOutcome(PublishReply.Outcome.CONFLICT)
+                    .setNumber(number)
+                    .build();
+        }
+        List<ConfigError> errors = rules.check(sections.all(), publish.getSectionsList(), nowMs);
+        if (!errors.isEmpty()) {
+            return invalid(errors);
+        }
+        List<Section> before = sections.all();
+        number = Math.addExact(number, 1);
+        publishedNumber = number;
+        sections.replace(publish.getSectionsList(), number);
+        // The progress of a move that was removed or changed says nothing about the move that is in force now.
+        moves.removeIf(p -> !moveSection(before, p.getMove()).equals(moveSection(sections.all(), p.getMove())));
+        return PublishReply.newBuilder()
+                .setOutcome(PublishReply.Outcome.ACCEPTED)
+                .setNumber(number)
+                .build();
+    }
+
+    private static Optional<Map<String, String>> moveSection(List<Section> all, String move) {
+        return all.stream()
+                .filter(s -> s.getKind().equals(SectionKind.MOVE.text())
+                        && s.getName().equals(move))
+                .map(Section::getPropertiesMap)
+                .findFirst();
+    }
+
+    private PublishReply invalid(List<ConfigError> errors) {
+        return PublishReply.newBuilder()
+                .setOutcome(PublishReply.Outcome.INVALID)
+                .setNumber(number)
+                .addAllErrors(errors)
+                .build();
+    }
+
+    private MetaResult decide(VersionDecision decision) {
+        String name = decision.getService() + '/' + decision.getVersion();
+        if (decisions.find(name).filter(decision::equals).isEmpty()) {
+            number = Math.addExact(number, 1);
+            decisions.put(name, decision, number);
+        }
+        return numbered();
+    }
+
+    private MetaResult progress(MoveProgress progress) {
+        if (moveSection(sections.all(), progress.getMove()).isEmpty()) {
+            return error("unknown-move", progress.getMove());
+        }
+        if (moves.find(progress.getMove()).filter(progress::equals).isEmpty()) {
+            number = Math.addExact(number, 1);
+            moves.put(progress.getMove(), progress, number);
+        }
+        return numbered();
+    }
+
+    private MetaResult crash(CrashReport report) {
+        if (suspects.count(report, number + 1)) {
+            number = Math.addExact(number, 1);
+        }
+        return numbered();
+    }
+
+    private MetaResult numbered() {
+        return MetaResult.newBuilder().setNumber(number).build();
+    }
+
+    private static MetaResult error(String type, String detail) {
+        return MetaResult.newBuilder()
+                .setError(ErrorReply.newBuilder().setType(type).setDetail(detail))
+                .build();
+    }
+
+    /** Returns the current number. */
+    public synchronized long number() {
+        return number;
+    }
+
+    /** Returns all sections, with budgets, for operators and for the shards' top-ups. */
+    public synchronized ConfigReply configuration() {
+        return ConfigReply.newBuilder()
+                .setNumber(number)
+                .addAllSections(sections.all())
+                .build();
+    }
+
+    /**
+     * Returns the change from a number to the current one, for daemons. The update is the full configuration with base
+     * 0 if the base is 0 or unknown. A daemon drops the progress of a move whose section the update changes or removes,
+     * unless the update carries new progress.
+     */
+    public synchronized ConfigUpdate updateFrom(long base) {
+        boolean known = base > 0 && base <= number && sections.knowsSince(base);
+        long from = known ? base : 0;
+        ConfigUpdate.Builder update = ConfigUpdate.newBuilder()
+                .setNumber(number)
+                .setBase(from)
+                .addAllChanged(sections.changedAfter(from))
+                .addAllMoves(moves.changedAfter(from))
+                .addAllDecisions(decisions.changedAfter(from))
+                .addAllSuspects(suspects.changedAfter(from));
+        if (known) {
+            update.addAllRemoved(sections.removedAfter(from));
+        }
+        return update.build();
+    }
+
+    public synchronized List<MoveProgress> moves() {
+        return moves.all();
+    }
+
+    public synchronized List<VersionDecision> decisions() {
+        return decisions.all();
+    }
+
+    public synchronized Optional<CrashReport> suspect(byte[] digest) {
+        return suspects.find(digest);
+    }
+
+    /** Returns the index of the newest log entry in the state. */
+    public synchronized long appliedIndex() {
+        return appliedIndex;
+    }
+
+    /** Writes the whole state. Equal states give equal bytes. */
+    public synchronized void writeSnapshot(OutputStream stream) throws IOException {
+        SnapshotWriter out = new SnapshotWriter(stream);
+        out.number(FORMAT);
+        out.number(number);
+        out.number(publishedNumber);
+        out.number(appliedIndex);
+        sections.write(out);
+        moves.write(out);
+        decisions.write(out);
+        suspects.write(out);
+        answers.write(out);
+        out.all(fencing.entrySet(), e -> {
+            out.text(e.getKey());
+            out.number(e.getValue());
+        });
+        out.flush();
+    }
+
+    /** Replaces the state by that of a snapshot. If the snapshot cannot be read, the state stays as it was. */
+    public synchronized void readSnapshot(InputStream stream) throws IOException {
+        SnapshotReader in = new SnapshotReader(stream);
+        in.expect(FORMAT);
+        long readNumber = in.number();
+        long readPublished = in.number();
+        long readIndex = in.number();
+        SectionStore readSections = SectionStore.read(in);
+        Versioned<MoveProgress> readMoves = Versioned.read(in, MoveProgress.parser());
+        Versioned<VersionDecision> readDecisions = Versioned.read(in, VersionDecision.parser());
+        Suspects readSuspects = Suspects.read(in);
+        PublishAnswers readAnswers = PublishAnswers.read(in);
+        SortedMap<String, Long> readFencing = new TreeMap<>();
+        in.all(() -> readFencing.put(in.text(), in.number()));
+        number = readNumber;
+        publishedNumber = readPublished;
+        appliedIndex = readIndex;
+        sections = readSections;
+        moves = readMoves;
+        decisions = readDecisions;
+        suspects = readSuspects;
+        answers = readAnswers;
+        fencing = readFencing;
+    }
+}
--- /dev/null
+++ b/ledger/src/main/java/org/ragwortrun/ledger/internal/BudgetAccount.java
@@ -0,0 +1,244 @@
+package org.ragwortrun.ledger.internal;
+
+import java.io.IOException;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import org.jspecify.annotations.Nullable;
+import org.ragwortrun.ledger.GrantPolicy;
+import org.ragwortrun.proto.BudgetRef;
+import org.ragwortrun.proto.GrantResult;
+import org.ragwortrun.proto.GrantTotal;
+import org.ragwortrun.proto.RequestGrant;
+import org.ragwortrun.proto.Usage;
+
+/** The budget of a client account for one service. Settled and outstanding tokens never exceed the prepaid tokens. */
+public final class BudgetAccount {
+    private final BudgetRef ref;
+    private final SortedMap<String, Long> topUps = new TreeMap<>();
+    private final SortedMap<String, Grant> grants = new TreeMap<>();
+    private final SortedMap<String, LastAsk> asks = new TreeMap<>();
+    private long prepaid;
+    private long settled;
+    private long outstanding;
+    private long bills;
+
+    public BudgetAccount(BudgetRef ref) {
+        this.ref = ref;
+    }
+
+    public BudgetRef ref() {
+        return ref;
+    }
+
+    public long prepaid() {
+        return prepaid;
+    }
+
+    public long settled() {
+        return settled;
+    }
+
+    /** Returns the tokens that open grants may still spend. */
+    public long outstanding() {
+        return outstanding;
+    }
+
+    public long available() {
+        return prepaid - settled - outstanding;
+    }
+
+    public long bills() {
+        return bills;
+    }
+
+    public int grantCount() {
+        return grants.size();
+    }
+
+    /** Tells whether a top-up with this id has been counted. */
+    public boolean knowsTopUp(String id) {
+        return topUps.containsKey(id);
+    }
+
+    /** Counts a top-up once by its id and tells whether it was new. The sum must have been checked for overflow. */
+    public boolean topUp(String id, long tokens) {
+        if (topUps.containsKey(id)) {
+            return false;
+        }
+        prepaid = Math.addExact(prepaid, tokens);
+        topUps.put(id, tokens);
+        return true;
+    }
+
+    /**
+     * Answers a request for tokens.
+     *
+     * <p>A copy of an earlier request gets the first answer. A copy whose grant has been used up gets amount 0.
+     *
+     * @param counter counter in the grant id; it rises with each new request of an incarnation
+     */
+    public GrantResult request(RequestGrant ask, long counter, GrantPolicy policy, long nowMs) {
+        Grant open = grants.get(ask.getGrantId());
+        if (open != null) {
+            return granted(open.amount());
+        }
+        LastAsk last = asks.get(ask.getIncarnation());
+        if (last != null && counter <= last.counter()) {
+            boolean refused = counter == last.counter() && last.answer().getOutcome() != GrantResult.Outcome.GRANTED;
+            return refused ? last.answer() : granted(0);
+        }
+        GrantResult answer = decide(ask, policy);
+        if (answer.getAmount() > 0) {
+            long held = Math.addExact(outstanding, answer.getAmount());
+            BudgetInvariant.check(prepaid, settled, held);
+            outstanding = held;
+            grants.put(
+                    ask.getGrantId(),
+                    new Grant(ask.getGrantId(), ask.getIncarnation(), answer.getAmount(), 0, 0, nowMs));
+        }
+        GrantResult complete = answer.toBuilder().setAvailable(available()).build();
+        asks.put(ask.getIncarnation(), new LastAsk(counter, complete, nowMs));
+        return complete;
+    }
+
+    private GrantResult decide(RequestGrant ask, GrantPolicy policy) {
+        if (ask.getMinimum() > available()) {
+            GrantResult.Outcome outcome = outstanding > 0 ? GrantResult.Outcome.HELD : GrantResult.Outcome.SPENT;
+            GrantResult.Builder refused = GrantResult.newBuilder().setOutcome(outcome);
+            holdings().keySet().stream()
+                    .filter(h -> !h.equals(ask.getIncarnation()))
+                    .forEach(refused::addHolders);
+            return refused.build();
+        }
+        Map<String, Long> holdings = holdings();
+        int holders = holdings.size() + (holdings.containsKey(ask.getIncarnation()) ? 0 : 1);
+        long size = policy.size(
+                new GrantPolicy.Ask(prepaid, settled, available(), holders, ask.getMinimum(), ask.getWanted()));
+        return granted(Math.max(ask.getMinimum(), Math.min(size, available())));
+    }
+
+    private GrantResult granted(long amount) {
+        return GrantResult.newBuilder()
+                .setOutcome(GrantResult.Outcome.GRANTED)
+                .setAmount(amount)
+                .setAvailable(available())
+                .build();
+    }
+
+    /** Tells whether a total can be applied: no grant returns tokens that it has settled. */
+    public boolean canReduce(String incarnation, GrantTotal total) {
+        Grant grant = grants.get(total.getGrantId());
+        return grant == null
+                || grant.incarnation().equals(incarnation)
+                        && total.getReturnedTotal() >= 0
+                        && total.getReturnedTotal() <= grant.amount() - grant.settled();
+    }
+
+    /** Takes back part of a grant and returns the tokens that became available. A lower total changes nothing. */
+    public long reduce(GrantTotal total) {
+        Grant grant = grants.get(total.getGrantId());
+        if (grant == null || total.getReturnedTotal() <= grant.returned()) {
+            return 0;
+        }
+        long more = total.getReturnedTotal() - grant.returned();
+        BudgetInvariant.check(prepaid, settled, outstanding - more);
+        outstanding -= more;
+        store(grant.withReturned(total.getReturnedTotal()));
+        return more;
+    }
+
+    /** Bills a usage that the register does not know, or returns the reason why it cannot be billed. */
+    public Optional<String> settle(Usage usage, long acceptFromMs) {
+        Grant grant = grants.get(usage.getGrantId());
+        Optional<String> rejected = SettleRule.reject(usage, grant, acceptFromMs);
+        if (rejected.isPresent() || grant == null) {
+            return rejected;
+        }
+        long total = Math.addExact(settled, usage.getTokens());
+        BudgetInvariant.check(prepaid, total, outstanding - usage.getTokens());
+        settled = total;
+        outstanding -= usage.getTokens();
+        bills++;
+        store(grant.withSettled(usage.getTokens()));
+        return Optional.empty();
+    }
+
+    /** Closes all grants of an incarnation and returns the tokens that became available. */
+    public long release(String incarnation) {
+        long released = grants.values().stream()
+                .filter(g -> g.incarnation().equals(incarnation))
+                .mapToLong(Grant::outstanding)
+                .sum();
+        BudgetInvariant.check(prepaid, settled, outstanding - released);
+        grants.values().removeIf(g -> g.incarnation().equals(incarnation));
+        asks.remove(incarnation);
+        outstanding -= released;
+        return released;
+    }
+
+    private void store(Grant grant) {
+        if (grant.outstanding() == 0) {
+            grants.remove(grant.id());
+        } else {
+            grants.put(grant.id(), grant);
+        }
+    }
+
+    /** Returns the outstanding tokens of each incarnation that holds a grant. */
+    public SortedMap<String, Long> holdings() {
+        SortedMap<String, Long> held = new TreeMap<>();
+        grants.values().forEach(g -> held.merge(g.incarnation(), g.outstanding(), Long::sum));
+        return Collections.unmodifiableSortedMap(held);
+    }
+
+    /** Returns the issue time of the oldest open grant, or the largest number if there is none. */
+    public long oldestGrantMs() {
+        return grants.values().stream().mapToLong(Grant::issuedMs).min().orElse(Long.MAX_VALUE);
+    }
+
+    /** Forgets the last requests of incarnations that hold nothing and have not asked since a time. */
+    public void forgetAsks(long beforeMs) {
+        Collection<String> holders = holdings().keySet();
+        asks.entrySet().removeIf(e -> e.getValue().atMs() < beforeMs && !holders.contains(e.getKey()));
+    }
+
+    public void write(SnapshotWriter out) throws IOException {
+        out.message(ref);
+        out.number(prepaid);
+        out.number(settled);
+        out.number(bills);
+        out.all(topUps.entrySet(), e -> {
+            out.text(e.getKey());
+            out.number(e.getValue());
+        });
+        out.all(grants.values(), g -> g.write(out));
+        out.all(asks.entrySet(), e -> {
+            out.text(e.getKey());
+            e.getValue().write(out);
+        });
+    }
+
+    /** Reads a budget and checks its invariant. */
+    public static BudgetAccount read(SnapshotReader in) throws IOException {
+        BudgetAccount b = new BudgetAccount(in.message(BudgetRef.parser()));
+        b.prepaid = in.number();
+        b.settled = in.number();
+        b.bills = in.number();
+        in.all(() -> b.topUps.put(in.text(), in.number()));
+        in.all(() -> b.addRead(Grant.read(in)));
+        in.all(() -> b.asks.put(in.text(), LastAsk.read(in)));
+        BudgetInvariant.check(b.prepaid, b.settled, b.outstanding);
+        return b;
+    }
+
+    private void addRead(@Nullable Grant grant) {
+        if (grant != null) {
+            grants.put(grant.id(), grant);
+            outstanding = Math.addExact(outstanding, grant.outstanding());
+        }
+    }
+}
--- /dev/null
+++ b/ledger/src/main/java/org/ragwortrun/ledger/internal/BudgetPool.java
@@ -0,0 +1,195 @@
+package org.ragwortrun.ledger.internal;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.LongSupplier;
+import java.util.function.Predicate;
+import org.jspecify.annotations.Nullable;
+import org.ragwortrun.ledger.PoolSettings;
+import org.ragwortrun.ledger.Reservation;
+import org.ragwortrun.ledger.ReserveResult;
+import org.ragwortrun.proto.BudgetRef;
+import org.ragwortrun.proto.GrantResult;
+import org.ragwortrun.proto.GrantTotal;
+import org.ragwortrun.proto.ReduceGrants;
+import org.ragwortrun.proto.RequestGrant;
+
+/** Grants that one router incarnation holds of one budget. Each method takes the lock of this budget only. */
+public final class BudgetPool {
+    private final BudgetRef budget;
+    private final String incarnation;
+    private final PoolSettings settings;
+    private final LongSupplier ids;
+    private final DemandMeter demand;
+    private final Map<String, PooledGrant> grants = new LinkedHashMap<>();
+    private final Map<Long, Reservation> reservations = new LinkedHashMap<>();
+    private @Nullable RequestGrant pending;
+    private long lastSpendMs;
+    private long tightUntilMs = Long.MIN_VALUE;
+
+    public BudgetPool(BudgetRef budget, String incarnation, PoolSettings settings, LongSupplier ids) {
+        this.budget = budget;
+        this.incarnation = incarnation;
+        this.settings = settings;
+        this.ids = ids;
+        this.demand = new DemandMeter(settings.demandMs());
+    }
+
+    /** Reserves from the oldest grant that suffices, or tells what to send to the owner. */
+    public synchronized ReserveResult reserve(long tokens, boolean first, long nowMs) {
+        lastSpendMs = nowMs;
+        if (first) {
+            demand.add(tokens, nowMs);
+        }
+        for (PooledGrant g : grants.values()) {
+            if (g.free() >= tokens && isFresh(g, nowMs)) {
+                g.reserve(tokens);
+                Reservation r = new Reservation(ids.getAsLong(), budget, g.id(), tokens);
+                reservations.put(r.id(), r);
+                return new ReserveResult.Reserved(r);
+            }
+        }
+        if (pending != null) {
+            return new ReserveResult.NeedMore(Optional.empty(), Optional.empty());
+        }
+        Optional<ReduceGrants> giveBack = isTight(nowMs) ? giveBack() : Optional.empty();
+        return new ReserveResult.NeedMore(giveBack, Optional.of(ask(tokens, nowMs)));
+    }
+
+    /** Returns a request that renews the grants before they run out, if it is due. */
+    public synchronized Optional<RequestGrant> refill(long nowMs) {
+        long wanted = demand.sum(nowMs);
+        boolean due = pending == null && !isTight(nowMs) && wanted > 0 && free(nowMs) < wanted;
+        return due ? Optional.of(ask(0, nowMs)) : Optional.empty();
+    }
+
+    private RequestGrant ask(long minimum, long nowMs) {
+        RequestGrant ask = RequestGrant.newBuilder()
+                .setBudget(budget)
+                .setIncarnation(incarnation)
+                .setGrantId(GrantIds.of(incarnation, ids.getAsLong()))
+                .setMinimum(minimum)
+                .setWanted(Math.max(minimum, demand.sum(nowMs)))
+                .build();
+        pending = ask;
+        return ask;
+    }
+
+    /** Takes the owner's answer. The answer to any other request than the pending one changes nothing. */
+    public synchronized void granted(RequestGrant ask, GrantResult result, long nowMs) {
+        RequestGrant awaited = pending;
+        if (awaited == null || !awaited.getGrantId().equals(ask.getGrantId())) {
+            return;
+        }
+        pending = null;
+        if (result.getOutcome() != GrantResult.Outcome.GRANTED || result.getAmount() < ask.getWanted()) {
+            tightUntilMs = nowMs + settings.tightMs();
+        } else {
+            tightUntilMs = Long.MIN_VALUE;
+        }
+        if (result.getOutcome() == GrantResult.Outcome.GRANTED && result.getAmount() > 0) {
+            grants.put(ask.getGrantId(), new PooledGrant(ask.getGrantId(), result.getAmount(), nowMs));
+        }
+    }
+
+    /** Ends a reservation; the unused part is free again. Ending it twice changes nothing. */
+    public synchronized void settle(Reservation reservation, long used) {
+        Reservation open = reservations.remove(reservation.id());
+        PooledGrant grant = grants.get(reservation.grantId());
+        if (open == null || grant == null) {
+            return;
+        }
+        grant.settle(open.tokens(), Math.max(0, Math.min(used, open.tokens())));
+        removeDone();
+    }
+
+    /** Returns all that is free, because the owner needs it. */
+    public synchronized List<GrantTotal> recall(long nowMs) {
+        tightUntilMs = nowMs + settings.tightMs();
+        return returnFree(g -> true);
+    }
+
+    /**
+     * Returns what is due: all that is free if the budget is idle, what is free in old grants, and while the budget is
+     * tight what requests have left over. A new grant waits for the request that asked for it.
+     */
+    public synchronized List<GrantTotal> due(long nowMs) {
+        boolean idle = nowMs - lastSpendMs >= settings.idleMs();
+        boolean tight = isTight(nowMs);
+        return returnFree(g -> idle || tight && g.isTouched() || !isFresh(g, nowMs));
+    }
+
+    /** Returns the totals whose receipt the owner has not confirmed. */
+    public synchronized List<GrantTotal> unacknowledged() {
+        return grants.values().stream()
+                .filter(PooledGrant::isReturnUnacknowledged)
+                .map(this::total)
+                .toList();
+    }
+
+    public synchronized void acknowledge(GrantTotal total) {
+        PooledGrant grant = grants.get(total.getGrantId());
+        if (grant != null) {
+            grant.acknowledge(total.getReturnedTotal());
+            removeDone();
+        }
+    }
+
+    /** Returns the request that the owner has not answered. Sending it again is harmless. */
+    public synchronized Optional<RequestGrant> pending() {
+        return Optional.ofNullable(pending);
+    }
+
+    /** Returns the tokens that can be reserved now. */
+    public synchronized long free(long nowMs) {
+        return grants.values().stream()
+                .filter(g -> isFresh(g, nowMs))
+                .mapToLong(PooledGrant::free)
+                .sum();
+    }
+
+    /** Tells whether this budget can be forgotten: it holds nothing and awaits nothing. */
+    public synchronized boolean isEmpty(long nowMs) {
+        return pending == null && grants.isEmpty() && nowMs - lastSpendMs >= settings.idleMs();
+    }
+
+    private boolean isTight(long nowMs) {
+        return nowMs < tightUntilMs;
+    }
+
+    private boolean isFresh(PooledGrant g, long nowMs) {
+        return nowMs - g.issuedMs() < settings.grantAgeMs();
+    }
+
+    private Optional<ReduceGrants> giveBack() {
+        List<GrantTotal> totals = returnFree(g -> true);
+        return totals.isEmpty()
+                ? Optional.empty()
+                : Optional.of(ReduceGrants.newBuilder()
+                        .setIncarnation(incarnation)
+                        .addAllTotals(totals)
+                        .build());
+    }
+
+    private List<GrantTotal> returnFree(Predicate<PooledGrant> condition) {
+        return grants.values().stream()
+                .filter(condition)
+                .filter(PooledGrant::returnFree)
+                .map(this::total)
+                .toList();
+    }
+
+    private GrantTotal total(PooledGrant g) {
+        return GrantTotal.newBuilder()
+                .setBudget(budget)
+                .setGrantId(g.id())
+                .setReturnedTotal(g.returned())
+                .build();
+    }
+
+    private void removeDone() {
+        grants.values().removeIf(PooledGrant::isDone);
+    }
+}
--- /dev/null
+++ b/ledger/src/main/java/org/ragwortrun/ledger/internal/DemandMeter.java
@@ -0,0 +1,44 @@
+package org.ragwortrun.ledger.internal;
+
+import java.util.Arrays;
+
+/** Sums the tokens that were asked for during the last span, in eight steps. */
+public final class DemandMeter {
+    private static final int STEPS = 8;
+
+    private final long stepMs;
+    private final long[] sums = new long[STEPS];
+    private long step = Long.MIN_VALUE;
+
+    public DemandMeter(long spanMs) {
+        stepMs = Math.max(1, spanMs / STEPS);
+    }
+
+    public void add(long tokens, long nowMs) {
+        advance(nowMs);
+        int i = Math.floorMod(step, STEPS);
+        sums[i] = tokens > Long.MAX_VALUE - sums[i] ? Long.MAX_VALUE : sums[i] + tokens;
+    }
+
+    /** Returns the sum over the span that ends now; at most a quarter of the largest number, so that it can be added. */
+    public long sum(long nowMs) {
+        advance(nowMs);
+        long sum = 0;
+        for (long s : sums) {
+            sum = Math.min(Long.MAX_VALUE / 4, sum + Math.min(s, Long.MAX_VALUE / 4));
+        }
+        return sum;
+    }
+
+    private void advance(long nowMs) {
+        long current = Math.floorDiv(nowMs, stepMs);
+        if (step == Long.MIN_VALUE || current - step >= STEPS) {
+            Arrays.fill(sums, 0);
+            step = current;
+        }
+        while (step < current) {
+            step++;
+            sums[Math.floorMod(step, STEPS)] = 0;
+        }
+    }
+}
--- /dev/null
+++ b/ledger/src/main/java/org/ragwortrun/ledger/internal/LastAsk.java
@@ -0,0 +1,23 @@
+package org.ragwortrun.ledger.internal;
+
+import java.io.IOException;
+import org.ragwortrun.proto.GrantResult;
+
+/**
+ * The newest grant request of one incarnation, so that a late copy of a request gets no second grant.
+ *
+ * @param counter counter in the grant id
+ * @param answer the answer that was given
+ * @param atMs time of the log entry
+ */
+record LastAsk(long counter, GrantResult answer, long atMs) {
+    void write(SnapshotWriter out) throws IOException {
+        out.number(counter);
+        out.message(answer);
+        out.number(atMs);
+    }
+
+    static LastAsk read(SnapshotReader in) throws IOException {
+        return new LastAsk(in.number(), in.message(GrantResult.parser()), in.number());
+    }
+}
--- /dev/null
+++ b/ledger/src/main/java/org/ragwortrun/ledger/internal/RegisterBucket.java
@@ -0,0 +1,234 @@
+package org.ragwortrun.ledger.internal;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import org.jspecify.annotations.Nullable;
+import org.ragwortrun.proto.RunState;
+
+/**
+ * Register entries of one hour in packed form.
+ *
+ * <p>An entry takes 72 bytes in a chunk of longs and 8 to 16 bytes in the index (open addressing, at most half full),
+ * so 80 to 88 bytes. Names that entries share are kept once a bucket. Answers of requests that may not be repeated
+ * come on top, at most 8 KiB each.
+ */
+final class RegisterBucket {
+    private static final int WORDS = 9;
+    private static final int CHUNK_RECORDS = 512;
+    private static final int MIN_INDEX = 64;
+    private static final int BILLED = 1;
+    private static final int REPEATABLE = 2;
+    private static final int LIVE = 4;
+
+    private final long startMs;
+    private final List<long[]> chunks = new ArrayList<>();
+    private final Dictionary<Bill.Profile> profiles = new Dictionary<>();
+    private final Dictionary<String> incarnations = new Dictionary<>();
+    private final Dictionary<List<String>> agents = new Dictionary<>();
+    private final SortedMap<IdHash, byte[]> answers = new TreeMap<>();
+    // Holds record number + 1; 0 marks a free slot.
+    private int[] index = new int[MIN_INDEX];
+    private int records;
+    private int live;
+
+    RegisterBucket(long startMs) {
+        this.startMs = startMs;
+    }
+
+    long startMs() {
+        return startMs;
+    }
+
+    int size() {
+        return live;
+    }
+
+    @Nullable
+    RegisterEntry get(IdHash id) {
+        int record = find(id);
+        return record < 0 ? null : unpack(record);
+    }
+
+    void put(IdHash id, RegisterEntry entry) {
+        int record = find(id);
+        if (record < 0) {
+            record = append(id);
+        }
+        pack(record, entry);
+    }
+
+    /** Removes an entry. Its record stays unused until the bucket is dropped. */
+    void remove(IdHash id) {
+        int record = find(id);
+        if (record >= 0) {
+            chunk(record)[at(record, 7)] &= ~(long) LIVE;
+            live--;
+            answers.remove(id);
+        }
+    }
+
+    byte @Nullable [] answer(IdHash id) {
+        return answers.get(id);
+    }
+
+    void keepAnswer(IdHash id, byte[] answer) {
+        answers.put(id, answer);
+    }
+
+    private int find(IdHash id) {
+        for (int slot = slot(id.low(), index.length); index[slot] != 0; slot = (slot + 1) & (index.length - 1)) {
+            int record = index[slot] - 1;
+            long[] c = chunk(record);
+            boolean same = c[at(record, 0)] == id.high() && c[at(record, 1)] == id.low();
+            if (same && (c[at(record, 7)] & LIVE) != 0) {
+                return record;
+            }
+        }
+        return -1;
+    }
+
+    private int append(IdHash id) {
+        int record = records++;
+        if (record / CHUNK_RECORDS == chunks.size()) {
+            chunks.add(new long[CHUNK_RECORDS * WORDS]);
+        }
+        long[] c = chunk(record);
+        c[at(record, 0)] = id.high();
+        c[at(record, 1)] = id.low();
+        live++;
+        if (records * 2 > index.length) {
+            index = new int[index.length * 2];
+            for (int r = 0; r < records; r++) {
+                addToIndex(r);
+            }
+        } else {
+            addToIndex(record);
+        }
+        return record;
+    }
+
+    private void addToIndex(int record) {
+        int slot = slot(chunk(record)[at(record, 1)], index.length);
+        while (index[slot] != 0) {
+            slot = (slot + 1) & (index.length - 1);
+        }
+        index[slot] = record + 1;
+    }
+
+    private static int slot(long hash, int length) {
+        return (int) hash & (length - 1);
+    }
+
+    private long[] chunk(int record) {
+        return chunks.get(record / CHUNK_RECORDS);
+    }
+
+    private static int at(int record, int word) {
+        return record % CHUNK_RECORDS * WORDS + word;
+    }
+
+    private void pack(int record, RegisterEntry e) {
+        long[] c = chunk(record);
+        Bill bill = e.bill();
+        Attempt a = e.attempt();
+        c[at(record, 2)] = e.digest().high();
+        c[at(record, 3)] = e.digest().low();
+        c[at(record, 4)] = bill == null ? 0 : bill.tokens();
+        c[at(record, 5)] = bill == null ? 0 : pair(bill.promptTokens(), bill.outputTokens());
+        c[at(record, 6)] = pair(offset(e.claimedMs()), bill == null ? 0 : offset(bill.atMs()));
+        int profile = profiles.number(bill == null ? Bill.Profile.NONE : bill.profile());
+        int flags = LIVE | (bill == null ? 0 : BILLED) | (e.repeatable() ? REPEATABLE : 0);
+        int number = Math.min(a.number(), 0xFFFF);
+        c[at(record, 7)] = pair(profile, number << 16 | e.state().getNumber() << 8 | flags);
+        c[at(record, 8)] =
+                pair(incarnations.number(a.incarnation()), agents.number(List.of(a.agent(), a.agentIncarnation())));
+    }
+
+    private RegisterEntry unpack(int record) {
+        long[] c = chunk(record);
+        int flags = (int) c[at(record, 7)];
+        List<String> agent = agents.value((int) c[at(record, 8)]);
+        Attempt attempt =
+                new Attempt(flags >>> 16, incarnations.value(left(c[at(record, 8)])), agent.get(0), agent.get(1));
+        Bill bill = (flags & BILLED) == 0
+                ? null
+                : new Bill(
+                        c[at(record, 4)],
+                        left(c[at(record, 5)]),
+                        (int) c[at(record, 5)],
+                        profiles.value(left(c[at(record, 7)])),
+                        startMs + (int) c[at(record, 6)]);
+        RunState state = RunState.forNumber(flags >>> 8 & 0xFF);
+        return new RegisterEntry(
+                new RegisterEntry.Digest(c[at(record, 2)], c[at(record, 3)]),
+                (flags & REPEATABLE) != 0,
+                state == null ? RunState.RUN_UNKNOWN : state,
+                attempt,
+                startMs + left(c[at(record, 6)]),
+                bill);
+    }
+
+    private int offset(long ms) {
+        return (int) Math.max(Integer.MIN_VALUE, Math.min(Integer.MAX_VALUE, ms - startMs));
+    }
+
+    private static long pair(int left, int right) {
+        return (long) left << 32 | right & 0xFFFF_FFFFL;
+    }
+
+    private static int left(long pair) {
+        return (int) (pair >>> 32);
+    }
+
+    void write(SnapshotWriter out) throws IOException {
+        out.number(startMs);
+        profiles.write(out, p -> {
+            out.text(p.service());
+            out.text(p.endpoint());
+            out.text(p.version());
+            out.text(p.route());
+            out.number(p.status());
+        });
+        incarnations.write(out, out::text);
+        agents.write(out, a -> {
+            out.text(a.get(0));
+            out.text(a.get(1));
+        });
+        out.number(live);
+        for (int r = 0; r < records; r++) {
+            long[] c = chunk(r);
+            if ((c[at(r, 7)] & LIVE) != 0) {
+                for (int w = 0; w < WORDS; w++) {
+                    out.number(c[at(r, w)]);
+                }
+            }
+        }
+        out.all(answers.entrySet(), e -> {
+            out.number(e.getKey().high());
+            out.number(e.getKey().low());
+            out.bytes(e.getValue());
+        });
+    }
+
+    static RegisterBucket read(SnapshotReader in) throws IOException {
+        RegisterBucket b = new RegisterBucket(in.number());
+        in.all(() ->
+                b.profiles.number(new Bill.Profile(in.text(), in.text(), in.text(), in.text(), (int) in.number())));
+        in.all(() -> b.incarnations.number(in.text()));
+        in.all(() -> b.agents.number(List.of(in.text(), in.text())));
+        long size = in.number();
+        long[] words = new long[WORDS];
+        for (long i = 0; i < size; i++) {
+            for (int w = 0; w < WORDS; w++) {
+                words[w] = in.number();
+            }
+            int record = b.append(new IdHash(words[0], words[1]));
+            System.arraycopy(words, 0, b.chunk(record), at(record, 0), WORDS);
+        }
+        in.all(() -> b.answers.put(new IdHash(in.number(), in.number()), in.bytes()));
+        return b;
+    }
+}
--- /dev/null
+++ b/ledger/src/main/java/org/ragwortrun/ledger/internal/RouterSessions.java
@@ -0,0 +1,89 @@
+package org.ragwortrun.ledger.internal;
+
+import java.io.IOException;
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import java.util.SortedMap;
+import java.util.TreeMap;
+
+/** Router incarnations and the agents whose confirmation is awaited before their grants return. */
+public final class RouterSessions {
+    private final SortedMap<String, RouterSession> sessions = new TreeMap<>();
+
+    public Optional<RouterSession> find(String incarnation) {
+        return Optional.ofNullable(sessions.get(incarnation));
+    }
+
+    /** Tells whether an incarnation may take grants and claim requests. */
+    public boolean isOpen(String incarnation) {
+        RouterSession s = sessions.get(incarnation);
+        return s != null && s.phase() == RouterSession.Phase.OPEN;
+    }
+
+    /**
+     * Opens a session and returns the older incarnations of the same router that must be fenced. An incarnation that
+     * has been superseded or closed is not opened again.
+     */
+    public Optional<List<String>> open(String router, String incarnation, long nowMs) {
+        RouterSession known = sessions.get(incarnation);
+        if (known != null && known.phase() != RouterSession.Phase.OPEN) {
+            return Optional.empty();
+        }
+        if (known == null) {
+            sessions.put(incarnation, new RouterSession(router, incarnation, nowMs));
+        }
+        List<RouterSession> older = sessions.values().stream()
+                .filter(s -> s.router().equals(router) && !s.incarnation().equals(incarnation))
+                .filter(s -> s.phase() != RouterSession.Phase.CLOSED)
+                .toList();
+        older.forEach(s -> s.supersede(nowMs));
+        return Optional.of(older.stream().map(RouterSession::incarnation).toList());
+    }
+
+    /** Starts to close a session and tells whether no agent is awaited, so that its grants may return now. */
+    public boolean close(String incarnation, boolean orderly, Collection<String> agents, long nowMs) {
+        RouterSession s = sessions.computeIfAbsent(incarnation, i -> new RouterSession("", i, nowMs));
+        if (s.phase() == RouterSession.Phase.CLOSED) {
+            return false;
+        }
+        s.close(orderly ? List.of() : agents, nowMs);
+        return finishIfConfirmed(s, nowMs);
+    }
+
+    /** Notes an agent's confirmation and tells whether it was the last one awaited. */
+    public boolean confirm(String incarnation, String agent, long nowMs) {
+        RouterSession s = sessions.get(incarnation);
+        if (s == null || s.phase() == RouterSession.Phase.OPEN || s.phase() == RouterSession.Phase.CLOSED) {
+            return false;
+        }
+        s.confirm(agent);
+        return s.phase() == RouterSession.Phase.CLOSING && finishIfConfirmed(s, nowMs);
+    }
+
+    private static boolean finishIfConfirmed(RouterSession s, long nowMs) {
+        if (!s.awaited().isEmpty()) {
+            return false;
+        }
+        s.closed(nowMs);
+        return true;
+    }
+
+    /** Forgets closed sessions that closed before a time. */
+    public void forgetClosed(long beforeMs) {
+        sessions.values().removeIf(s -> s.phase() == RouterSession.Phase.CLOSED && s.changedMs() < beforeMs);
+    }
+
+    public void write(SnapshotWriter out) throws IOException {
+        out.all(sessions.values(), s -> s.write(out));
+    }
+
+    public static RouterSessions read(SnapshotReader in) throws IOException {
+        RouterSessions all = new RouterSessions();
+        in.all(() -> {
+            RouterSession s = RouterSession.read(in);
+            all.sessions.put(s.incarnation(), s);
+        });
+        return all;
+    }
+}
--- /dev/null
+++ b/ledger/src/main/java/org/ragwortrun/ledger/internal/SettleRule.java
@@ -0,0 +1,39 @@
+package org.ragwortrun.ledger.internal;
+
+import java.util.Optional;
+import org.jspecify.annotations.Nullable;
+import org.ragwortrun.proto.Usage;
+
+/** Decides whether a usage that has not been billed yet may be billed against its grant. */
+final class SettleRule {
+    static final String NEGATIVE = "negative-tokens";
+    static final String UNKNOWN_BUDGET = "unknown-budget";
+    static final String CLOSED = "grant-closed";
+    static final String FOREIGN = "grant-of-other-incarnation";
+    static final String EXCEEDS = "exceeds-grant";
+    static final String TOO_OLD = "grant-older-than-register";
+
+    private SettleRule() {}
+
+    /**
+     * Returns the reason for which a usage cannot be billed.
+     *
+     * @param grant the grant that the usage names, null if it is closed or was never made
+     * @param acceptFromMs issue time of the oldest grant under which the register proves that a usage is no duplicate
+     */
+    static Optional<String> reject(Usage usage, @Nullable Grant grant, long acceptFromMs) {
+        if (usage.getTokens() < 0) {
+            return Optional.of(NEGATIVE);
+        }
+        if (grant == null) {
+            return Optional.of(CLOSED);
+        }
+        if (!grant.incarnation().equals(usage.getIncarnation())) {
+            return Optional.of(FOREIGN);
+        }
+        if (grant.issuedMs() < acceptFromMs) {
+            return Optional.of(TOO_OLD);
+        }
+        return usage.getTokens() > grant.outstanding() ? Optional.of(EXCEEDS) : Optional.empty();
+    }
+}
