--- a/ledger/src/main/java/org/ragwortrun/ledger/ShardState.java
+++ b/ledger/src/main/java/org/ragwortrun/ledger/ShardState.java
@@ -233,7 +233,7 @@
     private ShardResult forgetOld(ForgetOld forget) {
         int dropped = register.forget(forget.getBeforeMs(), nowMs, budgets.oldestGrantMs());
         budgets.all().forEach(b -> b.forgetAsks(nowMs - FORGET_ASKS_MS));
-        sessions.forgetClosed(forget.getBeforeMs());
+        sessions.forgetClosed();
         return ShardResult.newBuilder()
                 .setForgotten(Forgotten.newBuilder().setDropped(dropped))
                 .build();
--- a/ledger/src/main/java/org/ragwortrun/ledger/internal/RouterSessions.java
+++ b/ledger/src/main/java/org/ragwortrun/ledger/internal/RouterSessions.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.SortedMap;
@@ -9,6 +10,8 @@
 
 /** Router incarnations and the agents whose confirmation is awaited before their grants return. */
 public final class RouterSessions {
+    private static final int MOST_CLOSED = 4_096;
+
     private final SortedMap<String, RouterSession> sessions = new TreeMap<>();
 
     public Optional<RouterSession> find(String incarnation) {
@@ -69,9 +72,19 @@
         return true;
     }
 
-    /** Forgets closed sessions that closed before a time. */
-    public void forgetClosed(long beforeMs) {
-        sessions.values().removeIf(s -> s.phase() == RouterSession.Phase.CLOSED && s.changedMs() < beforeMs);
+    /**
+     * Forgets the oldest closed sessions beyond the last 4,096. They are not forgotten by time: a router process that
+     * was suspended for long must not open its closed session again and supersede its successor.
+     */
+    public void forgetClosed() {
+        List<RouterSession> closed = sessions.values().stream()
+                .filter(s -> s.phase() == RouterSession.Phase.CLOSED)
+                .sorted(Comparator.comparingLong(RouterSession::changedMs).thenComparing(RouterSession::incarnation))
+                .toList();
+        closed.stream()
+                .limit(Math.max(0, closed.size() - MOST_CLOSED))
+                .map(RouterSession::incarnation)
+                .forEach(sessions::remove);
     }
 
     public void write(SnapshotWriter out) throws IOException {
