Return the tokens of a second run of a billed request

Cause: a request that ran twice is billed once, but its second run had a reservation of its own.

Change: the bill names its grant. A report of a billed request under another grant takes the tokens off that grant once and returns them to the budget. A grant policy may refuse by a size below the minimum, so that the fixed equal split can be expressed.

--- a/ledger/src/main/java/org/ragwortrun/ledger/GrantPolicy.java
+++ b/ledger/src/main/java/org/ragwortrun/ledger/GrantPolicy.java
@@ -7,14 +7,15 @@
     int REMAINING_DIVISOR = 4;
 
     /**
-     * Returns the size of a grant. The owner grants at least the minimum if it is available, and never more than what
-     * is available.
+     * Returns the size of a grant. The owner asks only if the minimum is available, never grants more than what is
+     * available, and refuses if the size is below the minimum.
      */
     long size(Ask ask);
 
     /** Grants what demand asks for, at most a quarter of what is left divided by the routers that hold grants. */
     static GrantPolicy demand() {
-        return a -> Math.min(a.wanted(), a.available() / ((long) REMAINING_DIVISOR * a.holders()));
+        return a ->
+                Math.max(a.minimum(), Math.min(a.wanted(), a.available() / ((long) REMAINING_DIVISOR * a.holders())));
     }
 
     /** Grants exactly what the request needs, so that each request asks the owner. */
@@ -23,12 +24,12 @@
     }
 
     /**
-     * Grants an equal part of what is prepaid to each router, whatever its demand.
+     * Grants an equal part of what is prepaid to each router and nothing beyond it.
      *
      * @param routers routers among which each budget is split
      */
     static GrantPolicy equalSplit(int routers) {
-        return a -> a.prepaid() / routers;
+        return a -> Math.max(0, a.prepaid() / routers - a.taken());
     }
 
     /**
@@ -37,9 +38,10 @@
      * @param prepaid tokens paid for so far
      * @param settled tokens billed so far
      * @param available tokens neither billed nor granted
+     * @param taken tokens granted to this router so far, without what it has returned
      * @param holders routers that hold grants, with the one that asks
      * @param minimum least amount that is useful
      * @param wanted amount that the router's demand asks for
      */
-    record Ask(long prepaid, long settled, long available, int holders, long minimum, long wanted) {}
+    record Ask(long prepaid, long settled, long available, long taken, int holders, long minimum, long wanted) {}
 }
--- a/ledger/src/main/java/org/ragwortrun/ledger/ShardState.java
+++ b/ledger/src/main/java/org/ragwortrun/ledger/ShardState.java
@@ -179,6 +179,9 @@
         for (Usage usage : batch.getUsagesList()) {
             if (register.isBilled(usage.getBudget(), usage.getRequestId())) {
                 result.setDuplicates(result.getDuplicates() + 1);
+                if (register.isNewSecondRun(usage)) {
+                    budgets.find(usage.getBudget()).ifPresent(b -> b.giveBack(usage));
+                }
                 continue;
             }
             Optional<String> rejected = budgets.find(usage.getBudget())
--- a/ledger/src/main/java/org/ragwortrun/ledger/internal/Bill.java
+++ b/ledger/src/main/java/org/ragwortrun/ledger/internal/Bill.java
@@ -2,8 +2,14 @@
 
 import org.ragwortrun.proto.Usage;
 
-/** What was billed for a request. */
-record Bill(long tokens, int promptTokens, int outputTokens, Profile profile, long atMs) {
+/**
+ * What was billed for a request.
+ *
+ * @param incarnation router incarnation whose grant paid
+ * @param grant counter of the grant that paid
+ */
+record Bill(
+        long tokens, int promptTokens, int outputTokens, Profile profile, String incarnation, long grant, long atMs) {
     static Bill of(Usage usage, long nowMs) {
         Profile profile = new Profile(
                 usage.getBudget().getService(),
@@ -12,7 +18,13 @@
                 usage.getRoute(),
                 usage.getStatus());
         return new Bill(
-                usage.getTokens(), clamp(usage.getPromptTokens()), clamp(usage.getOutputTokens()), profile, nowMs);
+                usage.getTokens(),
+                clamp(usage.getPromptTokens()),
+                clamp(usage.getOutputTokens()),
+                profile,
+                usage.getIncarnation(),
+                GrantIds.counter(usage.getGrantId(), usage.getIncarnation()).orElse(0L),
+                nowMs);
     }
 
     private static int clamp(long tokens) {
--- a/ledger/src/main/java/org/ragwortrun/ledger/internal/BudgetAccount.java
+++ b/ledger/src/main/java/org/ragwortrun/ledger/internal/BudgetAccount.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.util.Collection;
 import java.util.Collections;
-import java.util.Map;
 import java.util.Optional;
 import java.util.SortedMap;
 import java.util.TreeMap;
@@ -91,7 +90,8 @@
             boolean refused = counter == last.counter() && last.answer().getOutcome() != GrantResult.Outcome.GRANTED;
             return refused ? last.answer() : granted(0);
         }
-        GrantResult answer = decide(ask, policy);
+        long taken = last == null ? 0 : last.taken();
+        GrantResult answer = decide(ask, policy, taken);
         if (answer.getAmount() > 0) {
             long held = Math.addExact(outstanding, answer.getAmount());
             BudgetInvariant.check(prepaid, settled, held);
@@ -101,24 +101,23 @@
                     new Grant(ask.getGrantId(), ask.getIncarnation(), answer.getAmount(), 0, 0, nowMs));
         }
         GrantResult complete = answer.toBuilder().setAvailable(available()).build();
-        asks.put(ask.getIncarnation(), new LastAsk(counter, complete, nowMs));
+        asks.put(ask.getIncarnation(), new LastAsk(counter, complete, taken + answer.getAmount(), nowMs));
         return complete;
     }
 
-    private GrantResult decide(RequestGrant ask, GrantPolicy policy) {
-        if (ask.getMinimum() > available()) {
-            GrantResult.Outcome outcome = outstanding > 0 ? GrantResult.Outcome.HELD : GrantResult.Outcome.SPENT;
-            GrantResult.Builder refused = GrantResult.newBuilder().setOutcome(outcome);
-            holdings().keySet().stream()
-                    .filter(h -> !h.equals(ask.getIncarnation()))
-                    .forEach(refused::addHolders);
-            return refused.build();
-        }
-        Map<String, Long> holdings = holdings();
+    private GrantResult decide(RequestGrant ask, GrantPolicy policy, long taken) {
+        SortedMap<String, Long> holdings = holdings();
         int holders = holdings.size() + (holdings.containsKey(ask.getIncarnation()) ? 0 : 1);
-        long size = policy.size(
-                new GrantPolicy.Ask(prepaid, settled, available(), holders, ask.getMinimum(), ask.getWanted()));
-        return granted(Math.max(ask.getMinimum(), Math.min(size, available())));
+        GrantPolicy.Ask view =
+                new GrantPolicy.Ask(prepaid, settled, available(), taken, holders, ask.getMinimum(), ask.getWanted());
+        long size = ask.getMinimum() > available() ? -1 : Math.min(policy.size(view), available());
+        if (size >= ask.getMinimum()) {
+            return granted(size);
+        }
+        GrantResult.Outcome outcome = outstanding > 0 ? GrantResult.Outcome.HELD : GrantResult.Outcome.SPENT;
+        GrantResult.Builder refused = GrantResult.newBuilder().setOutcome(outcome);
+        holdings.keySet().stream().filter(h -> !h.equals(ask.getIncarnation())).forEach(refused::addHolders);
+        return refused.build();
     }
 
     private GrantResult granted(long amount) {
@@ -148,6 +147,7 @@
         BudgetInvariant.check(prepaid, settled, outstanding - more);
         outstanding -= more;
         store(grant.withReturned(total.getReturnedTotal()));
+        asks.computeIfPresent(grant.incarnation(), (i, a) -> a.withReturned(more));
         return more;
     }
 
@@ -167,6 +167,23 @@
         return Optional.empty();
     }
 
+    /**
+     * Takes back tokens that a second run of a billed request has used: its router counts them as spent, but they are
+     * billed only once. Returns false if the grant cannot give them back.
+     */
+    public boolean giveBack(Usage usage) {
+        Grant grant = grants.get(usage.getGrantId());
+        if (grant == null
+                || !grant.incarnation().equals(usage.getIncarnation())
+                || usage.getTokens() < 0
+                || usage.getTokens() > grant.outstanding()) {
+            return false;
+        }
+        outstanding -= usage.getTokens();
+        store(grant.withSettled(usage.getTokens()));
+        return true;
+    }
+
     /** Closes all grants of an incarnation and returns the tokens that became available. */
     public long release(String incarnation) {
         long released = grants.values().stream()
--- a/ledger/src/main/java/org/ragwortrun/ledger/internal/Grant.java
+++ b/ledger/src/main/java/org/ragwortrun/ledger/internal/Grant.java
@@ -8,7 +8,7 @@
  * @param id name chosen by the router
  * @param incarnation router incarnation that holds the grant
  * @param amount tokens granted at first
- * @param settled tokens billed under this grant
+ * @param settled tokens billed under this grant, or used by a run of a request that was billed under another grant
  * @param returned tokens that the router has given back
  * @param issuedMs time of the log entry that made the grant
  */
--- a/ledger/src/main/java/org/ragwortrun/ledger/internal/RegisterBucket.java
+++ b/ledger/src/main/java/org/ragwortrun/ledger/internal/RegisterBucket.java
@@ -4,19 +4,21 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SortedMap;
+import java.util.SortedSet;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import org.jspecify.annotations.Nullable;
 import org.ragwortrun.proto.RunState;
 
 /**
  * Register entries of one hour in packed form.
  *
- * <p>An entry takes 72 bytes in a chunk of longs and 8 to 16 bytes in the index (open addressing, at most half full),
- * so 80 to 88 bytes. Names that entries share are kept once a bucket. Answers of requests that may not be repeated
+ * <p>An entry takes 88 bytes in a chunk of longs and 8 to 16 bytes in the index (open addressing, at most half full),
+ * so 96 to 104 bytes. Names that entries share are kept once a bucket. Answers of requests that may not be repeated
  * come on top, at most 8 KiB each.
  */
 final class RegisterBucket {
-    private static final int WORDS = 9;
+    private static final int WORDS = 11;
     private static final int CHUNK_RECORDS = 512;
     private static final int MIN_INDEX = 64;
     private static final int BILLED = 1;
@@ -29,6 +31,7 @@
     private final Dictionary<String> incarnations = new Dictionary<>();
     private final Dictionary<List<String>> agents = new Dictionary<>();
     private final SortedMap<IdHash, byte[]> answers = new TreeMap<>();
+    private final SortedMap<IdHash, SortedSet<String>> secondRuns = new TreeMap<>();
     // Holds record number + 1; 0 marks a free slot.
     private int[] index = new int[MIN_INDEX];
     private int records;
@@ -78,6 +81,11 @@
         answers.put(id, answer);
     }
 
+    /** Notes a grant under which a billed request ran once more, and tells whether that was not known yet. */
+    boolean noteSecondRun(IdHash id, String grantId) {
+        return secondRuns.computeIfAbsent(id, i -> new TreeSet<>()).add(grantId);
+    }
+
     private int find(IdHash id) {
         for (int slot = slot(id.low(), index.length); index[slot] != 0; slot = (slot + 1) & (index.length - 1)) {
             int record = index[slot] - 1;
@@ -143,6 +151,8 @@
         int flags = LIVE | (bill == null ? 0 : BILLED) | (e.repeatable() ? REPEATABLE : 0);
         int number = Math.min(a.number(), 0xFFFF);
         c[at(record, 7)] = pair(profile, number << 16 | e.state().getNumber() << 8 | flags);
+        c[at(record, 9)] = bill == null ? 0 : incarnations.number(bill.incarnation());
+        c[at(record, 10)] = bill == null ? 0 : bill.grant();
         c[at(record, 8)] =
                 pair(incarnations.number(a.incarnation()), agents.number(List.of(a.agent(), a.agentIncarnation())));
     }
@@ -160,6 +170,8 @@
                         left(c[at(record, 5)]),
                         (int) c[at(record, 5)],
                         profiles.value(left(c[at(record, 7)])),
+                        incarnations.value((int) c[at(record, 9)]),
+                        c[at(record, 10)],
                         startMs + (int) c[at(record, 6)]);
         RunState state = RunState.forNumber(flags >>> 8 & 0xFF);
         return new RegisterEntry(
@@ -211,6 +223,11 @@
             out.number(e.getKey().low());
             out.bytes(e.getValue());
         });
+        out.all(secondRuns.entrySet(), e -> {
+            out.number(e.getKey().high());
+            out.number(e.getKey().low());
+            out.all(e.getValue(), out::text);
+        });
     }
 
     static RegisterBucket read(SnapshotReader in) throws IOException {
@@ -229,6 +246,10 @@
             System.arraycopy(words, 0, b.chunk(record), at(record, 0), WORDS);
         }
         in.all(() -> b.answers.put(new IdHash(in.number(), in.number()), in.bytes()));
+        in.all(() -> {
+            IdHash id = new IdHash(in.number(), in.number());
+            in.all(() -> b.noteSecondRun(id, in.text()));
+        });
         return b;
     }
 }
--- a/ledger/src/main/java/org/ragwortrun/ledger/internal/RequestRegister.java
+++ b/ledger/src/main/java/org/ragwortrun/ledger/internal/RequestRegister.java
@@ -121,6 +121,21 @@
         return known != null && known.bill() != null;
     }
 
+    /**
+     * Tells whether a report of a billed request shows another run of it that no earlier report showed. Such a run had
+     * its own reservation, whose tokens must return to the budget.
+     */
+    public boolean isNewSecondRun(Usage usage) {
+        IdHash id = IdHash.of(usage.getBudget().getAccount(), usage.getRequestId());
+        RegisterBucket bucket = find(id);
+        RegisterEntry known = bucket == null ? null : bucket.get(id);
+        Bill bill = known == null ? null : known.bill();
+        return bucket != null
+                && bill != null
+                && !usage.getGrantId().equals(GrantIds.of(bill.incarnation(), bill.grant()))
+                && bucket.noteSecondRun(id, usage.getGrantId());
+    }
+
     /** Records the bill of a request, with its answer if the request may not be repeated. */
     public void bill(Usage usage, long nowMs) {
         IdHash id = IdHash.of(usage.getBudget().getAccount(), usage.getRequestId());
@@ -160,7 +175,8 @@
                             .setBudget(
                                     BudgetRef.newBuilder().setAccount(account).setService(p.service()))
                             .setRequestId(requestId)
-                            .setIncarnation(a.incarnation())
+                            .setIncarnation(bill.incarnation())
+                            .setGrantId(GrantIds.of(bill.incarnation(), bill.grant()))
                             .setTokens(bill.tokens())
                             .setPromptTokens(bill.promptTokens())
                             .setOutputTokens(bill.outputTokens())
--- a/ledger/src/test/java/org/ragwortrun/ledger/NaiveShard.java
+++ b/ledger/src/test/java/org/ragwortrun/ledger/NaiveShard.java
@@ -29,6 +29,7 @@
     final Map<String, Usage> bills = new HashMap<>();
     final Map<String, NaiveRequest> requests = new HashMap<>();
     final Map<String, String> routerOf = new HashMap<>();
+    final Set<String> secondRuns = new HashSet<>();
     final Set<String> stale = new HashSet<>();
     final Map<String, Set<String>> awaited = new HashMap<>();
     final Map<String, Set<String>> confirmed = new HashMap<>();
@@ -171,7 +172,15 @@
 
     /** Returns "billed", "duplicate" or "rejected". */
     String settle(Usage u) {
-        if (bills.containsKey(key(u.getBudget().getAccount(), u.getRequestId()))) {
+        Usage bill = bills.get(key(u.getBudget().getAccount(), u.getRequestId()));
+        if (bill != null) {
+            boolean isSecondRun = !bill.getGrantId().equals(u.getGrantId());
+            String run = key(u.getBudget().getAccount(), u.getRequestId()) + u.getGrantId();
+            if (isSecondRun && secondRuns.add(run)) {
+                grants.stream()
+                        .filter(g -> g.id.equals(u.getGrantId()) && g.left() >= u.getTokens())
+                        .forEach(g -> g.settled += u.getTokens());
+            }
             return "duplicate";
         }
         for (NaiveGrant g : grants) {
