Add the budgets measurement in virtual time

Cause: overspend, false refusals and bills must be measured against two baselines.

Change: routers, agents and the owner run real pools and shards over links with delay, loss, copies and cuts. Registered as 'budgets'.

--- a/measure/src/main/java/org/ragwortrun/measure/Measurements.java
+++ b/measure/src/main/java/org/ragwortrun/measure/Measurements.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import java.util.TreeMap;
+import org.ragwortrun.measure.budgets.BudgetsMeasure;
 import org.ragwortrun.measure.process.FootprintMeasurement;
 import org.ragwortrun.measure.process.OverheadMeasurement;
 
@@ -10,6 +11,12 @@
     private Measurements() {}
 
     static Map<String, Measurement> all() {
-        return new TreeMap<>(Map.of("overhead", new OverheadMeasurement(), "footprint", new FootprintMeasurement()));
+        return new TreeMap<>(Map.of(
+                "budgets",
+                new BudgetsMeasure(),
+                "overhead",
+                new OverheadMeasurement(),
+                "footprint",
+                new FootprintMeasurement()));
     }
 }
--- /dev/null
+++ b/measure/src/main/java/org/ragwortrun/measure/budgets/BudgetsMeasure.java
@@ -0,0 +1,139 @@
+package org.ragwortrun.measure.budgets;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Predicate;
+import org.ragwortrun.measure.Bound;
+import org.ragwortrun.measure.FigureReport;
+import org.ragwortrun.measure.Measurement;
+
+/** Measures overspend, false refusals and bills of the grant design and of two baselines on the same calls. */
+public final class BudgetsMeasure implements Measurement {
+    private static final double PERCENT = 100;
+    private static final Bound ZERO = Bound.atMost(0);
+    private static final Bound WITHOUT_FAULTS = Bound.atMost(0.1);
+    private static final Bound THROUGH_PARTITION = Bound.atMost(1);
+
+    /** Runs the measurement from the command line and exits with 0 only if every bound holds. */
+    public static void main(String[] args) {
+        System.exit(run(args));
+    }
+
+    static int run(String[] args) {
+        long seed = args.length == 2 && args[0].equals("--seed") ? Long.parseLong(args[1]) : 1;
+        FigureReport report = new FigureReport(System.out, seed);
+        new BudgetsMeasure().run(seed, Map.of(), report);
+        return report.finish() ? 0 : 1;
+    }
+
+    @Override
+    public void run(long seed, Map<String, String> options, FigureReport report) {
+        Scenario calm = Scenario.create(seed, false);
+        Scenario faulty = Scenario.create(seed, true);
+        Set<String> calmAdmitted = PerfectLedger.admitted(calm);
+        Set<String> faultyAdmitted = PerfectLedger.admitted(faulty);
+        report.covered("requests", calm.calls().size() + faulty.calls().size());
+        report.covered("requests-a-perfect-ledger-refuses", refusedByPerfect(calm, calmAdmitted));
+        for (Design design : List.of(Design.central(), Design.equalSplit(), Design.grants())) {
+            boolean isProduct = design.name().equals("grants");
+            World without = new World(calm, design).run();
+            World through = new World(faulty, design).run();
+            describe(report, design, without, through);
+            new Figures(report, isProduct ? "" : design.name() + "-", isProduct)
+                    .add(without, through, calm, faulty, calmAdmitted, faultyAdmitted);
+        }
+    }
+
+    private static long refusedByPerfect(Scenario scenario, Set<String> admitted) {
+        return scenario.calls().size() - admitted.size();
+    }
+
+    private static void describe(FigureReport report, Design design, World without, World through) {
+        report.note(
+                design.name() + " refusals without faults " + without.truth().refusals() + ", with faults "
+                        + through.truth().refusals());
+        report.note(design.name() + " tokens held at the end without faults "
+                + without.truth().held(without.owner().shard()) + ", with faults "
+                + through.truth().held(through.owner().shard()));
+        if (design.recalls()) {
+            report.covered("partitions", through.partitions());
+            report.covered("crashes", through.crashes());
+            report.covered("calls-broken-by-crashes", through.brokenCalls());
+            report.covered("retries-by-callers", without.callerRetries() + through.callerRetries());
+            report.covered(
+                    "requests-run",
+                    without.truth().requestsRun() + through.truth().requestsRun());
+            report.note("second runs "
+                    + (without.truth().secondRuns() + through.truth().secondRuns()));
+        }
+    }
+
+    /** Adds the figures of one design; only the product's design has bounds. */
+    private record Figures(FigureReport report, String prefix, boolean bounded) {
+        void add(
+                World without,
+                World through,
+                Scenario calm,
+                Scenario faulty,
+                Set<String> calmAdmitted,
+                Set<String> faultyAdmitted) {
+            Truth a = without.truth();
+            Truth b = through.truth();
+            figure("overspend", Math.max(a.overspend(), b.overspend()), "tokens", ZERO);
+            figure(
+                    "double-bills",
+                    a.doubleBills(without.owner().shard())
+                            + b.doubleBills(through.owner().shard()),
+                    "bills",
+                    ZERO);
+            figure(
+                    "lost-bills",
+                    a.lostBills(without.owner().shard())
+                            + b.lostBills(through.owner().shard()),
+                    "bills",
+                    ZERO);
+            figure("orders-run-twice", a.ordersRunTwice() + b.ordersRunTwice(), "orders", ZERO);
+            figure(
+                    "false-refusals-without-faults",
+                    share(calm, calmAdmitted, without, c -> true),
+                    "percent",
+                    WITHOUT_FAULTS);
+            figure(
+                    "false-refusals-through-partition",
+                    share(faulty, faultyAdmitted, through, c -> faulty.faults().duringPartition(c.atMicros())),
+                    "percent",
+                    THROUGH_PARTITION);
+            figure(
+                    "false-refusals-whole-faulty-run",
+                    share(faulty, faultyAdmitted, through, c -> true),
+                    "percent",
+                    Bound.none());
+            double requests = calm.calls().size() + faulty.calls().size();
+            double messages =
+                    without.links().controlMessages() + through.links().controlMessages();
+            double bytes = without.links().controlBytes() + through.links().controlBytes();
+            double routerSeconds =
+                    Scenario.DATA_CENTERS * (calm.lengthMicros() + faulty.lengthMicros()) / (double) Scenario.SECOND;
+            figure("control-messages-per-request", messages / requests, "messages", Bound.none());
+            figure("control-bytes-per-request", bytes / requests, "bytes", Bound.none());
+            figure("control-messages-per-router", messages / routerSeconds, "messages/s", Bound.none());
+            figure("control-bytes-per-router", bytes / routerSeconds, "bytes/s", Bound.none());
+        }
+
+        private void figure(String name, double value, String unit, Bound bound) {
+            report.figure(prefix + name, value, unit, bounded ? bound : Bound.none());
+        }
+
+        private static double share(Scenario s, Set<String> admitted, World world, Predicate<Call> window) {
+            List<Call> due = s.calls().stream()
+                    .filter(window)
+                    .filter(c -> admitted.contains(c.id()))
+                    .toList();
+            long refused = due.stream()
+                    .filter(c -> world.refusedIds().contains(c.id()))
+                    .count();
+            return due.isEmpty() ? Double.NaN : PERCENT * refused / due.size();
+        }
+    }
+}
--- /dev/null
+++ b/measure/src/main/java/org/ragwortrun/measure/budgets/EventQueue.java
@@ -0,0 +1,48 @@
+package org.ragwortrun.measure.budgets;
+
+import java.util.Comparator;
+import java.util.PriorityQueue;
+import org.ragwortrun.core.time.Time;
+
+/** Runs tasks in the order of their virtual time; tasks of the same time run in the order in which they were added. */
+final class EventQueue implements Time {
+    private static final long EPOCH_MS = 1_800_000_000_000L;
+
+    private final PriorityQueue<Event> events =
+            new PriorityQueue<>(Comparator.comparingLong(Event::atMicros).thenComparingLong(Event::sequence));
+    private long nowMicros;
+    private long sequence;
+
+    @Override
+    public long nanos() {
+        return nowMicros * 1_000;
+    }
+
+    @Override
+    public long wallMillis() {
+        return EPOCH_MS + nowMicros / 1_000;
+    }
+
+    long micros() {
+        return nowMicros;
+    }
+
+    void at(long micros, Runnable task) {
+        events.add(new Event(Math.max(micros, nowMicros), sequence++, task));
+    }
+
+    void after(long micros, Runnable task) {
+        at(nowMicros + micros, task);
+    }
+
+    void runUntil(long micros) {
+        while (!events.isEmpty() && events.peek().atMicros <= micros) {
+            Event e = events.poll();
+            nowMicros = e.atMicros;
+            e.task.run();
+        }
+        nowMicros = micros;
+    }
+
+    private record Event(long atMicros, long sequence, Runnable task) {}
+}
--- /dev/null
+++ b/measure/src/main/java/org/ragwortrun/measure/budgets/Simulation.java
@@ -0,0 +1,8 @@
+package org.ragwortrun.measure.budgets;
+
+import java.util.List;
+import org.apache.commons.rng.UniformRandomProvider;
+
+/** What all processes of a run share. */
+record Simulation(
+        EventQueue queue, Links links, OwnerModel owner, List<AgentModel> agents, UniformRandomProvider random) {}
