Check operators' files before they are published

Cause: an operator must learn of every mistake, with file and line, before anything changes. Start and finish of a move are required, and slots and priority are bounded to the range of an int.

--- a/core/src/main/java/org/ragwortrun/core/config/SectionReader.java
+++ b/core/src/main/java/org/ragwortrun/core/config/SectionReader.java
@@ -62,7 +62,7 @@
                         yes(s, "repeatable", true),
                         number(s, "price", 0),
                         number(s, "max-output", DEFAULT_MAX_OUTPUT),
-                        (int) number(s, "priority", DEFAULT_PRIORITY),
+                        (int) number(s, "priority", DEFAULT_PRIORITY, Integer.MAX_VALUE),
                         duration(s, "deadline", Duration.ofSeconds(60))));
     }
 
@@ -77,7 +77,7 @@
                         required(s, "agent"),
                         required(s, "url"),
                         required(s, "data-center"),
-                        (int) number(s, "slots", DEFAULT_SLOTS),
+                        (int) number(s, "slots", DEFAULT_SLOTS, Integer.MAX_VALUE),
                         number(s, "kv-capacity", 0),
                         yes(s, "checks-fencing", false),
                         text(s, "dedupe-header", "")));
@@ -148,16 +148,20 @@
     }
 
     private long number(Section s, String key, long fallback) {
+        return number(s, key, fallback, Long.MAX_VALUE);
+    }
+
+    private long number(Section s, String key, long fallback, long max) {
         String value = s.getPropertiesOrDefault(key, Long.toString(fallback));
         try {
             long n = Long.parseLong(value.replace("_", ""));
-            if (n >= 0) {
+            if (n >= 0 && n <= max) {
                 return n;
             }
         } catch (NumberFormatException e) {
-            // reported below with the negative numbers
+            // reported below with the numbers out of range
         }
-        fail(s, key, "whole-number", "a whole number from 0 to " + Long.MAX_VALUE);
+        fail(s, key, "whole-number", "a whole number from 0 to " + max);
         return fallback;
     }
 
@@ -193,8 +197,8 @@
     }
 
     private Instant instant(Section s, String key, Instant fallback) {
-        String value = s.getPropertiesMap().get(key);
-        if (value == null) {
+        String value = required(s, key);
+        if (value.isBlank()) {
             return fallback;
         }
         try {
--- /dev/null
+++ b/core/src/main/java/org/ragwortrun/core/config/rule/MissingReferenceRule.java
@@ -0,0 +1,39 @@
+package org.ragwortrun.core.config.rule;
+
+import java.util.stream.Stream;
+import org.ragwortrun.core.config.ConfigurationError;
+import org.ragwortrun.core.config.ConfigurationRule;
+import org.ragwortrun.core.config.Draft;
+import org.ragwortrun.core.config.SectionKind;
+import org.ragwortrun.proto.Section;
+
+/** Checks that the accounts and services that sections name exist. */
+public final class MissingReferenceRule implements ConfigurationRule {
+    private static final String SERVICE = "service";
+
+    @Override
+    public Stream<ConfigurationError> check(Draft draft) {
+        Stream<ConfigurationError> keys = Stream.of(SectionKind.ROUTE, SectionKind.ENDPOINT, SectionKind.MOVE)
+                .flatMap(draft::sections)
+                .filter(s -> s.containsProperties(SERVICE))
+                .flatMap(s -> missing(draft, s, SERVICE, SectionKind.SERVICE, s.getPropertiesOrDefault(SERVICE, "")));
+        return Stream.concat(keys, draft.sections(SectionKind.BUDGET).flatMap(s -> budget(draft, s)));
+    }
+
+    private static Stream<ConfigurationError> budget(Draft draft, Section s) {
+        String[] parts = s.getName().split("/", 2);
+        return parts.length < 2
+                ? Stream.empty()
+                : Stream.concat(
+                        missing(draft, s, "", SectionKind.ACCOUNT, parts[0]),
+                        missing(draft, s, "", SectionKind.SERVICE, parts[1]));
+    }
+
+    private static Stream<ConfigurationError> missing(
+            Draft draft, Section s, String key, SectionKind kind, String name) {
+        return draft.has(kind, name)
+                ? Stream.empty()
+                : Stream.of(Draft.error(
+                        s, key, "missing-reference", "a section [" + kind.text() + " " + name + "] in the files"));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/ragwortrun/core/config/rule/package-info.java
@@ -0,0 +1,5 @@
+/** The rules of the configuration checker, one class a rule. */
+@NullMarked
+package org.ragwortrun.core.config.rule;
+
+import org.jspecify.annotations.NullMarked;
