Add the duties of a control member

Cause: the control daemon needs its handlers before the replicated groups are there. Change: publish, configuration leases and pushes, fencing, recalls, top-ups and forgetting, written against small interfaces of the groups. Moves advance by time only (TimedMoveDriver). Conclusion: the replicated groups can be connected as soon as they land.

--- /dev/null
+++ b/control/src/main/java/org/ragwortrun/control/EvidenceSink.java
@@ -0,0 +1,14 @@
+package org.ragwortrun.control;
+
+import org.ragwortrun.proto.CrashReport;
+import org.ragwortrun.proto.Evidence;
+import org.ragwortrun.proto.Hello;
+
+/** Receives what daemons observe about versions and crashing requests. Called by one thread. */
+public interface EvidenceSink {
+    /** Takes the counts of one daemon for about one second. */
+    void onEvidence(Hello reporter, Evidence evidence);
+
+    /** Takes the report of a request during which an endpoint crashed. */
+    void onCrash(Hello reporter, CrashReport report);
+}
--- /dev/null
+++ b/control/src/main/java/org/ragwortrun/control/TimedMoveDriver.java
@@ -0,0 +1,95 @@
+package org.ragwortrun.control;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.ragwortrun.core.config.Configuration;
+import org.ragwortrun.core.config.Move;
+import org.ragwortrun.proto.CrashReport;
+import org.ragwortrun.proto.Evidence;
+import org.ragwortrun.proto.Hello;
+import org.ragwortrun.proto.MetaCommand;
+import org.ragwortrun.proto.MoveProgress;
+import org.ragwortrun.proto.MoveState;
+
+/**
+ * Raises the share of a running move in steps by time only.
+ *
+ * <p>It ignores evidence: a version that fails keeps receiving traffic until its verdict comes from elsewhere. A move
+ * stays at its trial share for the first quarter of its time, then rises in nine steps and reaches the target share
+ * after three quarters of its time.
+ */
+public final class TimedMoveDriver implements MoveDriver {
+    private static final int STEPS = 10;
+    private static final double TRIAL_PART = 0.25;
+    private static final double RISE_PART = 0.5;
+
+    private final List<CrashReport> crashes = new ArrayList<>();
+
+    @Override
+    public void reset() {
+        crashes.clear();
+    }
+
+    @Override
+    public void onEvidence(Hello reporter, Evidence evidence) {
+        // time alone decides
+    }
+
+    @Override
+    public void onCrash(Hello reporter, CrashReport report) {
+        crashes.add(report);
+    }
+
+    @Override
+    public List<MetaCommand.Builder> decide(Configuration configuration, long wallMillis) {
+        List<MetaCommand.Builder> commands = new ArrayList<>();
+        crashes.forEach(c -> commands.add(MetaCommand.newBuilder().setCrash(c)));
+        crashes.clear();
+        for (Move move : configuration.moves()) {
+            next(configuration, move, wallMillis)
+                    .ifPresent(p -> commands.add(MetaCommand.newBuilder().setMoveProgress(p)));
+        }
+        return commands;
+    }
+
+    private static Optional<MoveProgress> next(Configuration configuration, Move move, long wallMillis) {
+        MoveProgress before = configuration.progress(move.name()).orElse(MoveProgress.getDefaultInstance());
+        boolean ended = before.getState() == MoveState.MOVE_DONE || before.getState() == MoveState.MOVE_TAKEN_BACK;
+        if (ended || wallMillis < move.start().toEpochMilli()) {
+            return Optional.empty();
+        }
+        if (configuration.isBlocked(move.service(), move.to())) {
+            return Optional.of(progress(move, 0, MoveState.MOVE_TAKEN_BACK, "version is blocked", wallMillis));
+        }
+        int share = Math.max(before.getSharePermille(), share(move, wallMillis));
+        boolean done = share >= move.sharePermille();
+        if (share == before.getSharePermille() && !done && before.getState() == MoveState.MOVE_RUNNING) {
+            return Optional.empty();
+        }
+        MoveState state = done ? MoveState.MOVE_DONE : MoveState.MOVE_RUNNING;
+        return Optional.of(progress(move, share, state, "by time", wallMillis));
+    }
+
+    private static int share(Move move, long wallMillis) {
+        double start = move.start().toEpochMilli();
+        double length = Math.max(1, move.finish().toEpochMilli() - start);
+        double part = ((wallMillis - start) / length - TRIAL_PART) / RISE_PART;
+        int trial = Math.min(move.trialPermille(), move.sharePermille());
+        if (part < 0) {
+            return trial;
+        }
+        int step = Math.min(STEPS, 1 + (int) (part * STEPS));
+        return trial + (move.sharePermille() - trial) * step / STEPS;
+    }
+
+    private static MoveProgress progress(Move move, int share, MoveState state, String reason, long wallMillis) {
+        return MoveProgress.newBuilder()
+                .setMove(move.name())
+                .setSharePermille(share)
+                .setState(state)
+                .setReason(reason)
+                .setAtMs(wallMillis)
+                .build();
+    }
+}
--- /dev/null
+++ b/control/src/main/java/org/ragwortrun/control/internal/ControlNode.java
@@ -0,0 +1,87 @@
+package org.ragwortrun.control.internal;
+
+import java.util.List;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.ragwortrun.control.MoveDriver;
+import org.ragwortrun.core.concurrent.Closer;
+import org.ragwortrun.core.concurrent.Duty;
+import org.ragwortrun.core.time.Time;
+import org.ragwortrun.net.FrameHandler;
+import org.ragwortrun.net.Peer;
+import org.ragwortrun.net.Replies;
+import org.ragwortrun.proto.Frame;
+import org.ragwortrun.proto.StatusReply;
+
+/** One control member without its network and files: takes frames and hands them to the duties. */
+public final class ControlNode implements FrameHandler, AutoCloseable {
+    private static final long TICK_MS = 50;
+
+    private final String name;
+    private final MetaGroup meta;
+    private final List<? extends ShardGroup> shards;
+    private final Peers peers;
+    private final MetaService metaService;
+    private final ShardService shardService;
+    private final Closer closer = new Closer();
+
+    /**
+     * Starts the duties.
+     *
+     * @param meta this member's part of the meta group
+     * @param shards its parts of the shard groups
+     */
+    public ControlNode(
+            ControlSettings settings, Time time, MetaGroup meta, List<? extends ShardGroup> shards, MoveDriver moves) {
+        name = settings.name();
+        this.meta = meta;
+        this.shards = shards;
+        peers = new Peers(time);
+        ConfigurationCache cache = new ConfigurationCache(settings.shards());
+        metaService = closer.register(new MetaService(time, meta, moves, cache, settings));
+        shardService = closer.register(new ShardService(time, shards, meta, peers, cache, settings));
+        ScheduledExecutorService timer = Duty.timer("control-tick");
+        closer.register(() -> Duty.stop(timer));
+        timer.scheduleWithFixedDelay(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void onConnected(Peer peer) {
+        peers.connected(peer);
+    }
+
+    @Override
+    public void onFrame(Peer peer, Frame frame) {
+        switch (frame.getBodyCase()) {
+            case SHARD_REQUEST, FENCE_CONFIRMED -> shardService.offer(peer, frame);
+            case PUBLISH, WATCH, CONFIRM, MOVES_QUERY, CONFIG_QUERY, EVIDENCE, CRASH_REPORT ->
+                metaService.offer(peer, frame);
+            case STATUS_QUERY -> metaService.status(peer, frame, status());
+            default ->
+                peer.send(
+                        Replies.error(frame, "unknown-message", frame.getBodyCase() + " is not for a control member"));
+        }
+    }
+
+    @Override
+    public void onClosed(Peer peer) {
+        peers.closed(peer);
+        metaService.closed(peer);
+    }
+
+    @Override
+    public void close() {
+        closer.close();
+    }
+
+    private void tick() {
+        metaService.tick();
+        shardService.tick();
+    }
+
+    private StatusReply.Builder status() {
+        StatusReply.Builder reply = StatusReply.newBuilder().setMember(name).addGroups(meta.state());
+        shards.forEach(s -> reply.addGroups(s.state()));
+        return reply;
+    }
+}
--- /dev/null
+++ b/control/src/main/java/org/ragwortrun/control/internal/Group.java
@@ -0,0 +1,18 @@
+package org.ragwortrun.control.internal;
+
+import java.util.OptionalLong;
+import org.ragwortrun.proto.GroupState;
+import org.ragwortrun.proto.NotLeader;
+
+/** A replicated group as the daemon's handlers see it. */
+public interface Group {
+    int id();
+
+    /** Returns the term in which this member leads the group under a lease, or nothing. */
+    OptionalLong leasedTerm();
+
+    /** Returns where the leader is believed to be. */
+    NotLeader hint();
+
+    GroupState state();
+}
--- /dev/null
+++ b/control/src/main/java/org/ragwortrun/control/internal/MetaService.java
@@ -0,0 +1,256 @@
+package org.ragwortrun.control.internal;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.jspecify.annotations.Nullable;
+import org.ragwortrun.control.MoveDriver;
+import org.ragwortrun.core.concurrent.Duty;
+import org.ragwortrun.core.log.Event;
+import org.ragwortrun.core.time.Time;
+import org.ragwortrun.net.Peer;
+import org.ragwortrun.net.Replies;
+import org.ragwortrun.proto.ConfigReply;
+import org.ragwortrun.proto.Frame;
+import org.ragwortrun.proto.Heartbeat;
+import org.ragwortrun.proto.MetaCommand;
+import org.ragwortrun.proto.MetaResult;
+import org.ragwortrun.proto.MovesReply;
+import org.ragwortrun.proto.PublishReply;
+import org.ragwortrun.proto.StatusReply;
+
+/**
+ * The duties of the meta group's leader: publishes, configuration leases, pushes and moves.
+ *
+ * <p>All state is used by one duty; the only methods that other threads call are {@link #offer} and {@link #tick}.
+ */
+public final class MetaService implements AutoCloseable {
+    private static final Logger LOG = LogManager.getLogger(MetaService.class);
+    private static final long MOVE_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
+    private static final int CHECK_RING = 16;
+
+    private final Duty duty;
+    private final Duty checks = new Duty("control-check", CHECK_RING);
+    private final Time time;
+    private final MetaGroup group;
+    private final MoveDriver moves;
+    private final ConfigurationCache cache;
+    private final PublishCheck check;
+    private final DaemonLeases leases;
+    private final InForceWaiters waiters;
+    private final Watchers watchers = new Watchers();
+    private OptionalLong term = OptionalLong.empty();
+    private long nextMoveNanos;
+
+    public MetaService(
+            Time time, MetaGroup group, MoveDriver moves, ConfigurationCache cache, ControlSettings settings) {
+        this.time = time;
+        this.group = group;
+        this.moves = moves;
+        this.cache = cache;
+        check = new PublishCheck(time);
+        leases = new DaemonLeases(time, settings.configLease());
+        waiters = new InForceWaiters(time, leases);
+        duty = new Duty("control-meta", settings.requestRing());
+        group.onChange(() -> duty.offer(this::advance));
+    }
+
+    /** Queues a request. Replies with a typed error if the ring is full. */
+    public void offer(Peer peer, Frame request) {
+        if (!duty.offer(() -> handle(peer, request))) {
+            peer.send(Failures.overloaded(request, "the meta group's ring is full"));
+        }
+    }
+
+    public void closed(Peer peer) {
+        duty.offer(() -> watchers.remove(peer));
+    }
+
+    /** Queues the periodic work. */
+    public void tick() {
+        duty.offer(this::advance);
+    }
+
+    /** Completes a status reply, which may name this member's groups already, and sends it. */
+    public void status(Peer peer, Frame request, StatusReply.Builder reply) {
+        if (!duty.offer(() -> sendStatus(peer, request, reply))) {
+            peer.send(Failures.overloaded(request, "the meta group's ring is full"));
+        }
+    }
+
+    @Override
+    public void close() {
+        duty.offer(waiters::release);
+        duty.close();
+        checks.close();
+    }
+
+    private void handle(Peer peer, Frame request) {
+        advance();
+        if (!leads()) {
+            peer.send(Failures.notLeader(request, group));
+            return;
+        }
+        switch (request.getBodyCase()) {
+            case PUBLISH -> publish(peer, request);
+            case WATCH -> watchers.add(peer, request, group.snapshot());
+            case CONFIRM -> confirm(peer, request);
+            case MOVES_QUERY ->
+                peer.send(Replies.to(request)
+                        .setMovesReply(moves(group.snapshot()))
+                        .build());
+            case CONFIG_QUERY ->
+                peer.send(Replies.to(request)
+                        .setConfigReply(config(group.snapshot()))
+                        .build());
+            case EVIDENCE -> moves.onEvidence(peer.hello(), request.getEvidence());
+            case CRASH_REPORT -> {
+                moves.onCrash(peer.hello(), request.getCrashReport());
+                decide();
+            }
+            default -> peer.send(Replies.error(request, "unknown-message", "not a call to the meta group"));
+        }
+    }
+
+    /** Follows changes of leadership and state. */
+    private void advance() {
+        OptionalLong now = group.leasedTerm();
+        if (now.isPresent() && !now.equals(term)) {
+            begin(now);
+        }
+        if (now.isEmpty()) {
+            waiters.release();
+            return;
+        }
+        watchers.push(group.snapshot());
+        waiters.check();
+        if (time.nanos() - nextMoveNanos >= 0) {
+            decide();
+        }
+    }
+
+    private void begin(OptionalLong newTerm) {
+        term = newTerm;
+        leases.begin();
+        waiters.release();
+        watchers.clear();
+        moves.reset();
+        nextMoveNanos = time.nanos();
+        Event.of("meta-leadership").with("term", newTerm.getAsLong()).info(LOG);
+    }
+
+    private boolean leads() {
+        OptionalLong now = group.leasedTerm();
+        return now.isPresent() && now.equals(term);
+    }
+
+    private void publish(Peer peer, Frame request) {
+        MetaSnapshot current = group.snapshot();
+        boolean queued = checks.offer(() -> {
+            Optional<PublishReply> refusal = check.refusal(request.getPublish(), current);
+            if (refusal.isPresent()) {
+                peer.send(Replies.to(request).setPublishReply(refusal.get()).build());
+            } else {
+                propose(peer, request);
+            }
+        });
+        if (!queued) {
+            peer.send(Failures.overloaded(request, "too many publishes wait for their check"));
+        }
+    }
+
+    private void propose(Peer peer, Frame request) {
+        group.propose(MetaCommand.newBuilder().setPublish(request.getPublish())).whenComplete((result, failure) -> {
+            if (!duty.offer(() -> published(peer, request, result, failure))) {
+                peer.send(Failures.overloaded(request, "the meta group's ring is full"));
+            }
+        });
+    }
+
+    private void published(Peer peer, Frame request, @Nullable MetaResult result, @Nullable Throwable failure) {
+        if (result == null || failure != null) {
+            Throwable cause = failure == null ? new IllegalStateException("no result") : failure;
+            peer.send(Failures.of(request, group, cause));
+            return;
+        }
+        PublishReply reply = result.getPublish();
+        Event.of("publish")
+                .with("operator", request.getPublish().getOperator())
+                .with("publish-id", request.getPublish().getPublishId())
+                .with("based-on", request.getPublish().getBasedOn())
+                .with("outcome", reply.getOutcome())
+                .with("number", reply.getNumber())
+                .with("resent", reply.getResent())
+                .info(LOG);
+        advance();
+        if (reply.getOutcome() != PublishReply.Outcome.ACCEPTED) {
+            peer.send(Replies.to(request).setPublishReply(reply).build());
+        } else if (leads()) {
+            waiters.add(peer, request, reply);
+        } else {
+            peer.send(Replies.to(request).setPublishReply(reply).build());
+        }
+    }
+
+    private void confirm(Peer peer, Frame request) {
+        long number = request.getConfirm().getNumber();
+        MetaSnapshot current = group.snapshot();
+        // A daemon that is behind sends Watch when it hears the current number; pushing here would send it all twice.
+        if (number == current.number() && !watchers.contains(peer)) {
+            watchers.add(peer, number);
+            watchers.push(current);
+        }
+        Duration lease = leases.confirm(peer.hello(), number, current.number());
+        peer.send(Replies.to(request)
+                .setHeartbeat(Heartbeat.newBuilder()
+                        .setNumber(current.number())
+                        .setLeaseMs((int) lease.toMillis())
+                        .setEcho(request.getCall()))
+                .build());
+        waiters.check();
+    }
+
+    private void decide() {
+        nextMoveNanos = time.nanos() + MOVE_INTERVAL_NANOS;
+        cache.configuration(group.snapshot())
+                .ifPresent(c -> moves.decide(c, time.wallMillis()).forEach(this::proposeDecision));
+    }
+
+    private void proposeDecision(MetaCommand.Builder command) {
+        group.propose(command).whenComplete((r, e) -> {
+            if (e != null) {
+                Event.of("decision-not-proposed").warn(LOG, Failures.unwrap(e));
+            }
+        });
+    }
+
+    private void sendStatus(Peer peer, Frame request, StatusReply.Builder reply) {
+        advance();
+        long number = group.snapshot().number();
+        reply.setConfigNumber(number);
+        if (leads()) {
+            reply.setConfigInForce(leases.inForce(number)).addAllDaemons(leases.states());
+        } else if (!group.hint().getLeaderName().isEmpty()) {
+            peer.send(Failures.notLeader(request, group));
+            return;
+        }
+        peer.send(Replies.to(request).setStatusReply(reply).build());
+    }
+
+    private static MovesReply moves(MetaSnapshot s) {
+        return MovesReply.newBuilder()
+                .addAllMoves(s.moves())
+                .addAllDecisions(s.decisions())
+                .build();
+    }
+
+    private static ConfigReply config(MetaSnapshot s) {
+        return ConfigReply.newBuilder()
+                .setNumber(s.number())
+                .addAllSections(s.sections())
+                .build();
+    }
+}
--- /dev/null
+++ b/control/src/main/java/org/ragwortrun/control/internal/TopUps.java
@@ -0,0 +1,98 @@
+package org.ragwortrun.control.internal;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.Executor;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.jspecify.annotations.Nullable;
+import org.ragwortrun.core.log.Event;
+import org.ragwortrun.proto.ApplyTopUps;
+import org.ragwortrun.proto.ShardCommand;
+import org.ragwortrun.proto.ShardResult;
+import org.ragwortrun.proto.TopUp;
+
+/**
+ * Applies the top-ups of accepted configurations to one shard.
+ *
+ * <p>The shard's leader reads them from its own copy of the meta group, which holds committed entries only, and repeats
+ * what has not been applied. The shard applies each id once, so a repetition after a change of leader is harmless. Used
+ * by one thread, under the shard's lease.
+ */
+final class TopUps {
+    private static final Logger LOG = LogManager.getLogger(TopUps.class);
+    // Keeps an entry of the log near 200 KB.
+    private static final int BATCH = 2_000;
+
+    private final ShardGroup shard;
+    private final MetaGroup meta;
+    private final ConfigurationCache cache;
+    private final Executor thread;
+    private final Set<TopUp> applied = new HashSet<>();
+    private long appliedNumber = -1;
+    private boolean running;
+
+    /**
+     * Creates the duty of one shard.
+     *
+     * @param thread runs tasks on the thread that uses this object
+     */
+    TopUps(ShardGroup shard, MetaGroup meta, ConfigurationCache cache, Executor thread) {
+        this.shard = shard;
+        this.meta = meta;
+        this.cache = cache;
+        this.thread = thread;
+    }
+
+    /** Begins a leadership. What an earlier leader applied is not known here. */
+    void begin() {
+        applied.clear();
+        appliedNumber = -1;
+        running = false;
+    }
+
+    /** Proposes the next batch that has not been applied. */
+    void run() {
+        MetaSnapshot snapshot = meta.snapshot();
+        if (running || snapshot.number() <= appliedNumber) {
+            return;
+        }
+        List<TopUp> batch = cache.topUps(snapshot, shard.id()).stream()
+                .filter(t -> !applied.contains(t))
+                .limit(BATCH)
+                .toList();
+        if (batch.isEmpty()) {
+            appliedNumber = snapshot.number();
+            return;
+        }
+        running = true;
+        shard.propose(ShardCommand.newBuilder()
+                        .setApplyTopUps(ApplyTopUps.newBuilder()
+                                .setConfigNumber(snapshot.number())
+                                .addAllTopUps(batch)))
+                .whenComplete((result, failure) -> thread.execute(() -> completed(batch, result, failure)));
+    }
+
+    private void completed(List<TopUp> batch, @Nullable ShardResult result, @Nullable Throwable failure) {
+        running = false;
+        if (failure != null) {
+            // The next run repeats the batch.
+            Event.of("top-ups-not-applied").with("group", shard.id()).warn(LOG, Failures.unwrap(failure));
+        } else if (result != null && result.hasTopUps()) {
+            applied.addAll(batch);
+            Event.of("top-ups-applied")
+                    .with("group", shard.id())
+                    .with("applied", result.getTopUps().getApplied())
+                    .with("known", result.getTopUps().getKnown())
+                    .info(LOG);
+            run();
+        } else if (result != null) {
+            Event.of("top-ups-refused")
+                    .with("group", shard.id())
+                    .with("type", result.getError().getType())
+                    .with("detail", result.getError().getDetail())
+                    .warn(LOG);
+        }
+    }
+}
