Connect the control duties to the ledger's state machines

Change: publishes are checked by the state machine with the configuration checker; updates come from MetaState.updateFrom; fencing reads ShardState.sessions (new accessor) and closes a session only when this member knows every configured agent. ConfigWatch drops the progress of a move that an update changes or removes, as MetaState.updateFrom requires.

--- a/control/src/main/java/org/ragwortrun/control/internal/ControlNode.java
+++ b/control/src/main/java/org/ragwortrun/control/internal/ControlNode.java
@@ -30,16 +30,23 @@
      *
      * @param meta this member's part of the meta group
      * @param shards its parts of the shard groups
+     * @param leader asks the leader of the meta group, which may be this member
+     * @param moves decides on moves while this member leads the meta group
      */
     public ControlNode(
-            ControlSettings settings, Time time, MetaGroup meta, List<? extends ShardGroup> shards, MoveDriver moves) {
+            ControlSettings settings,
+            Time time,
+            MetaGroup meta,
+            List<? extends ShardGroup> shards,
+            MetaView leader,
+            MoveDriver moves) {
         name = settings.name();
         this.meta = meta;
         this.shards = shards;
         peers = new Peers(time);
         ConfigurationCache cache = new ConfigurationCache(settings.shards());
         metaService = closer.register(new MetaService(time, meta, moves, cache, settings));
-        shardService = closer.register(new ShardService(time, shards, meta, peers, cache, settings));
+        shardService = closer.register(new ShardService(time, shards, meta, leader, peers, cache, settings));
         ScheduledExecutorService timer = Duty.timer("control-tick");
         closer.register(() -> Duty.stop(timer));
         timer.scheduleWithFixedDelay(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
--- a/control/src/main/java/org/ragwortrun/control/internal/Failures.java
+++ b/control/src/main/java/org/ragwortrun/control/internal/Failures.java
@@ -1,15 +1,20 @@
 package org.ragwortrun.control.internal;
 
 import java.util.concurrent.CompletionException;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.ragwortrun.core.error.RagwortrunException;
+import org.ragwortrun.core.log.Event;
+import org.ragwortrun.net.Peer;
 import org.ragwortrun.net.Replies;
 import org.ragwortrun.proto.ErrorReply;
 import org.ragwortrun.proto.Frame;
 
 /** Builds the replies to requests that failed. */
 final class Failures {
-    static final String OVERLOADED = "overloaded";
-    static final String NOT_LEADER = "not-leader";
+    private static final Logger LOG = LogManager.getLogger(Failures.class);
+    private static final String OVERLOADED = "overloaded";
+    private static final String NOT_LEADER = "not-leader";
     private static final int RETRY_AFTER_MS = 200;
 
     private Failures() {}
@@ -41,6 +46,17 @@
         };
     }
 
+    /** Runs a handler and answers the request with a typed error if the handler fails. */
+    @SuppressWarnings("PMD.AvoidCatchingGenericException")
+    static void guard(Peer peer, Frame request, Runnable handler) {
+        try {
+            handler.run();
+        } catch (RuntimeException e) {
+            Event.of("request-failed").with("body", request.getBodyCase()).error(LOG, e);
+            peer.send(Replies.error(request, "internal", String.valueOf(e.getMessage())));
+        }
+    }
+
     static Throwable unwrap(Throwable failure) {
         Throwable cause = failure.getCause();
         return failure instanceof CompletionException && cause != null ? cause : failure;
--- a/control/src/main/java/org/ragwortrun/control/internal/Fencing.java
+++ b/control/src/main/java/org/ragwortrun/control/internal/Fencing.java
@@ -1,52 +1,80 @@
 package org.ragwortrun.control.internal;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.WeakHashMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.ragwortrun.core.config.SectionKind;
 import org.ragwortrun.core.log.Event;
 import org.ragwortrun.core.time.Time;
+import org.ragwortrun.ledger.SessionState;
+import org.ragwortrun.ledger.SessionState.Phase;
 import org.ragwortrun.net.Peer;
 import org.ragwortrun.proto.CloseSession;
 import org.ragwortrun.proto.ConfirmFence;
+import org.ragwortrun.proto.DaemonState;
 import org.ragwortrun.proto.FenceConfirmed;
 import org.ragwortrun.proto.FenceRouter;
 import org.ragwortrun.proto.Frame;
 import org.ragwortrun.proto.Role;
 import org.ragwortrun.proto.Section;
 import org.ragwortrun.proto.ShardCommand;
+import org.ragwortrun.proto.ShardResult;
+import org.ragwortrun.proto.StatusReply;
 
 /**
  * Closes the sessions of router incarnations that are gone, for one shard.
  *
- * <p>A session is closed when a newer incarnation of the router has registered or when the router has been silent for
- * too long. Its grants return when every agent that was configured then has confirmed that it has fenced the
- * incarnation. An agent that is no longer configured and has not been connected for as long counts as confirmed, since
- * its host is gone. Used by one thread, under the shard's lease.
+ * <p>A session is closed when a newer incarnation of the router has registered, or when the router has been silent for
+ * too long and holds no configuration lease. Its grants return when every agent that was configured then has confirmed
+ * that it has fenced the incarnation. An agent that has been removed from the configuration and has not been connected
+ * for as long counts as confirmed, since its host is gone. Used by one thread, under the shard's lease.
  */
 final class Fencing {
     private static final Logger LOG = LogManager.getLogger(Fencing.class);
+    // A closing that is under way is proposed again after this time, in case its entry was lost.
+    private static final long REPEAT_NANOS = TimeUnit.SECONDS.toNanos(5);
 
     private final Time time;
     private final ShardGroup shard;
     private final MetaGroup meta;
+    private final MetaView leader;
     private final Peers peers;
+    private final Executor thread;
     private final long fenceAfterNanos;
-    private final Set<String> proposed = new HashSet<>();
+    private final Map<String, Long> triedNanos = new HashMap<>();
     private final Map<String, Long> agentMissingNanos = new HashMap<>();
+    private final Map<Peer, Set<String>> told = new WeakHashMap<>();
     private long startedNanos;
 
-    Fencing(Time time, ShardGroup shard, MetaGroup meta, Peers peers, Duration fenceAfter) {
+    /**
+     * Creates the duty of one shard.
+     *
+     * @param thread runs tasks on the thread that uses this object
+     */
+    Fencing(
+            Time time,
+            ShardGroup shard,
+            MetaGroup meta,
+            MetaView leader,
+            Peers peers,
+            Duration fenceAfter,
+            Executor thread) {
         this.time = time;
         this.shard = shard;
         this.meta = meta;
+        this.leader = leader;
         this.peers = peers;
+        this.thread = thread;
         fenceAfterNanos = fenceAfter.toNanos();
         startedNanos = time.nanos();
     }
@@ -54,100 +82,152 @@
     /** Begins a leadership. The silence of routers counts from now, because an earlier leader heard them. */
     void begin() {
         startedNanos = time.nanos();
-        proposed.clear();
+        triedNanos.clear();
         agentMissingNanos.clear();
+        told.clear();
     }
 
     /** Does what is due. Called about once a second. */
     void run() {
-        closeGoneSessions();
+        List<SessionState> sessions = shard.sessions();
+        List<SessionState> gone = sessions.stream().filter(this::isDue).toList();
+        if (!gone.isEmpty()) {
+            close(gone);
+        }
         Set<String> configured = configuredAgents();
-        shard.awaitedAgents()
-                .forEach((incarnation, agents) ->
-                        agents.forEach(agent -> ask(incarnation, agent, configured.contains(agent))));
+        for (SessionState s : sessions) {
+            if (s.phase() == Phase.CLOSING) {
+                s.awaitedAgents().forEach(agent -> ask(s.incarnation(), agent, configured.contains(agent)));
+            }
+            if (s.phase() == Phase.CLOSING || s.phase() == Phase.CLOSED) {
+                tellNewConnections(s.incarnation());
+            }
+        }
     }
 
     /** Records what an agent confirmed. */
     void onConfirmed(FenceConfirmed confirmed) {
-        List<String> awaited = shard.awaitedAgents().getOrDefault(confirmed.getIncarnation(), List.of());
-        if (awaited.contains(confirmed.getAgent())) {
+        boolean awaited = shard.sessions().stream()
+                .filter(s -> s.incarnation().equals(confirmed.getIncarnation()))
+                .anyMatch(s -> s.awaitedAgents().contains(confirmed.getAgent()));
+        if (awaited) {
             confirm(confirmed.getIncarnation(), confirmed.getAgent());
         }
     }
 
-    private void closeGoneSessions() {
-        List<RouterSession> sessions = shard.openSessions();
-        for (RouterSession s : sessions) {
-            long silentNanos = time.nanos() - peers.lastSeenNanos(s.incarnation(), startedNanos);
-            boolean connected = peers.byIncarnation(s.incarnation()).isPresent();
-            boolean silent = !connected && silentNanos >= fenceAfterNanos;
-            if ((s.superseded() || silent) && proposed.add(s.incarnation())) {
-                close(s, silent ? "silent" : "superseded");
-            }
-        }
+    private boolean isDue(SessionState s) {
+        boolean due = s.phase() == Phase.SUPERSEDED || s.phase() == Phase.OPEN && isSilent(s);
+        Long tried = triedNanos.get(s.incarnation());
+        return due && (tried == null || time.nanos() - tried >= REPEAT_NANOS);
+    }
+
+    private boolean isSilent(SessionState s) {
+        return peers.byIncarnation(s.incarnation()).isEmpty()
+                && time.nanos() - peers.lastSeenNanos(s.incarnation(), startedNanos) >= fenceAfterNanos;
+    }
+
+    /**
+     * Closes sessions once this member knows every configured agent.
+     *
+     * <p>This member may lag behind in the meta group. A session that is closed without an agent that it may have
+     * dispatched to would return tokens that are still being spent.
+     */
+    private void close(List<SessionState> sessions) {
+        sessions.forEach(s -> triedNanos.put(s.incarnation(), time.nanos()));
+        leader.status()
+                .whenComplete((status, failure) -> thread.execute(() -> {
+                    if (failure != null) {
+                        Event.of("sessions-not-closed")
+                                .with("group", shard.id())
+                                .warn(LOG, Failures.unwrap(failure));
+                    } else if (meta.number() < status.getConfigNumber()) {
+                        sessions.forEach(s -> triedNanos.remove(s.incarnation()));
+                    } else {
+                        closeUnlessLeased(sessions, status);
+                    }
+                }));
+    }
+
+    private void closeUnlessLeased(List<SessionState> sessions, StatusReply status) {
+        Set<String> leased = status.getDaemonsList().stream()
+                .filter(DaemonState::getLeaseValid)
+                .map(DaemonState::getIncarnation)
+                .collect(Collectors.toSet());
+        sessions.stream()
+                .filter(s -> s.phase() == Phase.SUPERSEDED || !leased.contains(s.incarnation()))
+                .forEach(this::propose);
     }
 
-    private void close(RouterSession session, String why) {
-        List<String> agents = new ArrayList<>(configuredAgents());
+    private void propose(SessionState session) {
+        Set<String> agents = configuredAgents();
         Event.of("session-closing")
                 .with("group", shard.id())
                 .with("incarnation", session.incarnation())
-                .with("why", why)
+                .with("why", session.phase() == Phase.SUPERSEDED ? "superseded" : "silent")
                 .with("agents", agents.size())
                 .info(LOG);
-        shard.propose(ShardCommand.newBuilder()
-                        .setCloseSession(CloseSession.newBuilder()
-                                .setIncarnation(session.incarnation())
-                                .addAllAwaitedAgents(agents)))
-                .whenComplete((r, e) -> {
-                    if (e != null) {
-                        failed("session-not-closed", session.incarnation(), e);
-                    }
-                });
+        CompletableFuture<ShardResult> proposal = shard.propose(ShardCommand.newBuilder()
+                .setCloseSession(CloseSession.newBuilder()
+                        .setIncarnation(session.incarnation())
+                        .addAllAwaitedAgents(agents)));
+        logFailure(proposal, "session-not-closed", session.incarnation());
     }
 
     private void ask(String incarnation, String agent, boolean configured) {
         List<Peer> connections = peers.byName(Role.AGENT, agent);
         if (!connections.isEmpty()) {
             agentMissingNanos.remove(agent);
-            Frame push = Frame.newBuilder()
-                    .setFenceRouter(FenceRouter.newBuilder().setIncarnation(incarnation))
-                    .build();
-            connections.forEach(c -> c.send(push));
+            connections.forEach(c -> send(c, incarnation));
             return;
         }
         long since = agentMissingNanos.computeIfAbsent(agent, a -> time.nanos());
         if (!configured && time.nanos() - since >= fenceAfterNanos) {
+            Event.of("fence-without-agent")
+                    .with("group", shard.id())
+                    .with("incarnation", incarnation)
+                    .with("agent", agent)
+                    .info(LOG);
             confirm(incarnation, agent);
         }
     }
 
+    /** Tells agents that connected later, such as restarted ones, which incarnations to refuse. */
+    private void tellNewConnections(String incarnation) {
+        for (Peer p : peers.byRole(Role.AGENT)) {
+            if (told.computeIfAbsent(p, k -> new HashSet<>()).add(incarnation)) {
+                send(p, incarnation);
+            }
+        }
+    }
+
+    private static void send(Peer agent, String incarnation) {
+        agent.send(Frame.newBuilder()
+                .setFenceRouter(FenceRouter.newBuilder().setIncarnation(incarnation))
+                .build());
+    }
+
     private void confirm(String incarnation, String agent) {
-        shard.propose(ShardCommand.newBuilder()
-                        .setConfirmFence(ConfirmFence.newBuilder()
-                                .setIncarnation(incarnation)
-                                .setAgent(agent)))
-                .whenComplete((r, e) -> {
-                    if (e != null) {
-                        failed("fence-not-recorded", incarnation, e);
-                    }
-                });
+        CompletableFuture<ShardResult> proposal = shard.propose(ShardCommand.newBuilder()
+                .setConfirmFence(
+                        ConfirmFence.newBuilder().setIncarnation(incarnation).setAgent(agent)));
+        logFailure(proposal, "fence-not-recorded", incarnation);
     }
 
     private Set<String> configuredAgents() {
-        Set<String> agents = new HashSet<>();
-        for (Section s : meta.snapshot().sections()) {
-            if (s.getKind().equals(SectionKind.ENDPOINT.text())) {
-                agents.add(s.getName());
-            }
-        }
-        return agents;
+        return meta.snapshot().sections().stream()
+                .filter(s -> s.getKind().equals(SectionKind.ENDPOINT.text()))
+                .map(Section::getName)
+                .collect(Collectors.toSet());
     }
 
-    private void failed(String event, String incarnation, Throwable failure) {
-        Event.of(event)
-                .with("group", shard.id())
-                .with("incarnation", incarnation)
-                .warn(LOG, Failures.unwrap(failure));
+    private void logFailure(CompletableFuture<ShardResult> proposal, String event, String incarnation) {
+        proposal.whenComplete((r, e) -> {
+            if (e != null) {
+                Event.of(event)
+                        .with("group", shard.id())
+                        .with("incarnation", incarnation)
+                        .warn(LOG, Failures.unwrap(e));
+            }
+        });
     }
 }
--- a/control/src/main/java/org/ragwortrun/control/internal/MetaGroup.java
+++ b/control/src/main/java/org/ragwortrun/control/internal/MetaGroup.java
@@ -1,17 +1,23 @@
 package org.ragwortrun.control.internal;
 
 import java.util.concurrent.CompletableFuture;
+import org.ragwortrun.proto.ConfigUpdate;
 import org.ragwortrun.proto.MetaCommand;
 import org.ragwortrun.proto.MetaResult;
 
-/** The group that owns the configuration. */
+/** The group that owns the configuration. Reads are current only under a lease. */
 public interface MetaGroup extends Group {
     /** Proposes a command with the time of this member. Fails as a replicated group does. */
     CompletableFuture<MetaResult> propose(MetaCommand.Builder command);
 
-    /** Returns the committed state that this member has applied. Current only under a lease. */
+    /** Returns the number of the committed state that this member has applied. */
+    long number();
+
     MetaSnapshot snapshot();
 
+    /** Returns the change that brings a daemon from a number, 0 for none, to the state that this member has applied. */
+    ConfigUpdate updateFrom(long number);
+
     /** Calls the listener, which must not block, after each entry that this member applies. */
     void onChange(Runnable listener);
 }
--- a/control/src/main/java/org/ragwortrun/control/internal/MetaService.java
+++ b/control/src/main/java/org/ragwortrun/control/internal/MetaService.java
@@ -1,7 +1,6 @@
 package org.ragwortrun.control.internal;
 
 import java.time.Duration;
-import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
@@ -30,18 +29,15 @@
 public final class MetaService implements AutoCloseable {
     private static final Logger LOG = LogManager.getLogger(MetaService.class);
     private static final long MOVE_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
-    private static final int CHECK_RING = 16;
 
     private final Duty duty;
-    private final Duty checks = new Duty("control-check", CHECK_RING);
     private final Time time;
     private final MetaGroup group;
     private final MoveDriver moves;
     private final ConfigurationCache cache;
-    private final PublishCheck check;
     private final DaemonLeases leases;
     private final InForceWaiters waiters;
-    private final Watchers watchers = new Watchers();
+    private final Watchers watchers;
     private OptionalLong term = OptionalLong.empty();
     private long nextMoveNanos;
 
@@ -51,8 +47,8 @@
         this.group = group;
         this.moves = moves;
         this.cache = cache;
-        check = new PublishCheck(time);
         leases = new DaemonLeases(time, settings.configLease());
+        watchers = new Watchers(group);
         waiters = new InForceWaiters(time, leases);
         duty = new Duty("control-meta", settings.requestRing());
         group.onChange(() -> duty.offer(this::advance));
@@ -60,7 +56,7 @@
 
     /** Queues a request. Replies with a typed error if the ring is full. */
     public void offer(Peer peer, Frame request) {
-        if (!duty.offer(() -> handle(peer, request))) {
+        if (!duty.offer(() -> Failures.guard(peer, request, () -> handle(peer, request)))) {
             peer.send(Failures.overloaded(request, "the meta group's ring is full"));
         }
     }
@@ -85,7 +81,6 @@
     public void close() {
         duty.offer(waiters::release);
         duty.close();
-        checks.close();
     }
 
     private void handle(Peer peer, Frame request) {
@@ -96,7 +91,7 @@
         }
         switch (request.getBodyCase()) {
             case PUBLISH -> publish(peer, request);
-            case WATCH -> watchers.add(peer, request, group.snapshot());
+            case WATCH -> watchers.add(peer, request);
             case CONFIRM -> confirm(peer, request);
             case MOVES_QUERY ->
                 peer.send(Replies.to(request)
@@ -106,10 +101,14 @@
                 peer.send(Replies.to(request)
                         .setConfigReply(config(group.snapshot()))
                         .build());
-            case EVIDENCE -> moves.onEvidence(peer.hello(), request.getEvidence());
+            case EVIDENCE -> {
+                moves.onEvidence(peer.hello(), request.getEvidence());
+                acknowledge(peer, request);
+            }
             case CRASH_REPORT -> {
                 moves.onCrash(peer.hello(), request.getCrashReport());
                 decide();
+                acknowledge(peer, request);
             }
             default -> peer.send(Replies.error(request, "unknown-message", "not a call to the meta group"));
         }
@@ -125,7 +124,7 @@
             waiters.release();
             return;
         }
-        watchers.push(group.snapshot());
+        watchers.push();
         waiters.check();
         if (time.nanos() - nextMoveNanos >= 0) {
             decide();
@@ -148,21 +147,6 @@
     }
 
     private void publish(Peer peer, Frame request) {
-        MetaSnapshot current = group.snapshot();
-        boolean queued = checks.offer(() -> {
-            Optional<PublishReply> refusal = check.refusal(request.getPublish(), current);
-            if (refusal.isPresent()) {
-                peer.send(Replies.to(request).setPublishReply(refusal.get()).build());
-            } else {
-                propose(peer, request);
-            }
-        });
-        if (!queued) {
-            peer.send(Failures.overloaded(request, "too many publishes wait for their check"));
-        }
-    }
-
-    private void propose(Peer peer, Frame request) {
         group.propose(MetaCommand.newBuilder().setPublish(request.getPublish())).whenComplete((result, failure) -> {
             if (!duty.offer(() -> published(peer, request, result, failure))) {
                 peer.send(Failures.overloaded(request, "the meta group's ring is full"));
@@ -197,20 +181,30 @@
 
     private void confirm(Peer peer, Frame request) {
         long number = request.getConfirm().getNumber();
-        MetaSnapshot current = group.snapshot();
+        long current = group.number();
         // A daemon that is behind sends Watch when it hears the current number; pushing here would send it all twice.
-        if (number == current.number() && !watchers.contains(peer)) {
-            watchers.add(peer, number);
-            watchers.push(current);
+        if (number == current) {
+            watchers.addIfAbsent(peer, number);
         }
-        Duration lease = leases.confirm(peer.hello(), number, current.number());
+        Duration lease = leases.confirm(peer.hello(), number, current);
+        heartbeat(peer, request, current, lease);
+        waiters.check();
+    }
+
+    /** Answers a report, if it was a call, by a heartbeat that renews no lease. */
+    private void acknowledge(Peer peer, Frame request) {
+        if (request.getCall() != 0) {
+            heartbeat(peer, request, group.number(), Duration.ZERO);
+        }
+    }
+
+    private static void heartbeat(Peer peer, Frame request, long number, Duration lease) {
         peer.send(Replies.to(request)
                 .setHeartbeat(Heartbeat.newBuilder()
-                        .setNumber(current.number())
+                        .setNumber(number)
                         .setLeaseMs((int) lease.toMillis())
                         .setEcho(request.getCall()))
                 .build());
-        waiters.check();
     }
 
     private void decide() {
@@ -229,7 +223,7 @@
 
     private void sendStatus(Peer peer, Frame request, StatusReply.Builder reply) {
         advance();
-        long number = group.snapshot().number();
+        long number = group.number();
         reply.setConfigNumber(number);
         if (leads()) {
             reply.setConfigInForce(leases.inForce(number)).addAllDaemons(leases.states());
--- a/control/src/main/java/org/ragwortrun/control/internal/MetaSnapshot.java
+++ b/control/src/main/java/org/ragwortrun/control/internal/MetaSnapshot.java
@@ -1,26 +1,20 @@
 package org.ragwortrun.control.internal;
 
 import java.util.List;
-import org.ragwortrun.proto.CrashReport;
 import org.ragwortrun.proto.MoveProgress;
 import org.ragwortrun.proto.Section;
 import org.ragwortrun.proto.VersionDecision;
 
 /**
- * State of the meta group after some entry. Immutable.
+ * State of the meta group at a number. Each change of it raises the number. Immutable.
  *
- * @param number number of the accepted configuration, 0 before the first
+ * @param number number of the configuration, 0 before the first publish
  * @param sections its sections
  * @param moves progress of its moves
  * @param decisions verdicts on versions
- * @param suspects requests during which endpoints crashed
  */
 public record MetaSnapshot(
-        long number,
-        List<Section> sections,
-        List<MoveProgress> moves,
-        List<VersionDecision> decisions,
-        List<CrashReport> suspects) {
+        long number, List<Section> sections, List<MoveProgress> moves, List<VersionDecision> decisions) {
     /** State before the first publish. */
-    public static final MetaSnapshot EMPTY = new MetaSnapshot(0, List.of(), List.of(), List.of(), List.of());
+    public static final MetaSnapshot EMPTY = new MetaSnapshot(0, List.of(), List.of(), List.of());
 }
--- a/control/src/main/java/org/ragwortrun/control/internal/Peers.java
+++ b/control/src/main/java/org/ragwortrun/control/internal/Peers.java
@@ -1,6 +1,5 @@
 package org.ragwortrun.control.internal;
 
-import java.util.Collection;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -59,8 +58,12 @@
                 .toList();
     }
 
-    public Collection<Peer> all() {
-        return List.copyOf(open.values());
+    /** Returns the connections of daemons that have this role. */
+    public List<Peer> byRole(Role role) {
+        return open.values().stream()
+                .filter(Peer::isOpen)
+                .filter(p -> is(p.hello(), role))
+                .toList();
     }
 
     /** Returns when the incarnation was last heard of, or the fallback if this member has not heard of it. */
--- a/control/src/main/java/org/ragwortrun/control/internal/ShardDuties.java
+++ b/control/src/main/java/org/ragwortrun/control/internal/ShardDuties.java
@@ -34,6 +34,7 @@
             Time time,
             ShardGroup shard,
             MetaGroup meta,
+            MetaView leader,
             Peers peers,
             ConfigurationCache cache,
             ControlSettings settings,
@@ -41,7 +42,7 @@
         this.time = time;
         this.shard = shard;
         recalls = new Recalls(time, peers);
-        fencing = new Fencing(time, shard, meta, peers, settings.routerFenceAfter());
+        fencing = new Fencing(time, shard, meta, leader, peers, settings.routerFenceAfter(), thread);
         topUps = new TopUps(shard, meta, cache, thread);
         retention = settings.idRetention();
     }
--- a/control/src/main/java/org/ragwortrun/control/internal/ShardService.java
+++ b/control/src/main/java/org/ragwortrun/control/internal/ShardService.java
@@ -23,19 +23,20 @@
             Time time,
             List<? extends ShardGroup> groups,
             MetaGroup meta,
+            MetaView leader,
             Peers peers,
             ConfigurationCache cache,
             ControlSettings settings) {
         this.peers = peers;
         duty = new Duty("control-shards", settings.requestRing());
         for (ShardGroup g : groups) {
-            shards.put(g.id(), new ShardDuties(time, g, meta, peers, cache, settings, this::later));
+            shards.put(g.id(), new ShardDuties(time, g, meta, leader, peers, cache, settings, this::later));
         }
     }
 
     /** Queues a request. Replies with a typed error if the ring is full. */
     public void offer(Peer peer, Frame request) {
-        if (!duty.offer(() -> handle(peer, request))) {
+        if (!duty.offer(() -> Failures.guard(peer, request, () -> handle(peer, request)))) {
             peer.send(Failures.overloaded(request, "the shards' ring is full"));
         }
     }
@@ -67,22 +68,12 @@
             peer.send(Failures.notLeader(request, shard));
             return;
         }
-        ShardReply.Builder reply = ShardReply.newBuilder();
         switch (op.getOpCase()) {
-            case COMMAND -> {
-                propose(peer, request, duties);
-                return;
-            }
-            case STATEMENT ->
-                reply.setStatement(shard.statement(op.getStatement().getAccount()));
-            case EXPLAIN -> reply.setExplanation(shard.explain(op.getExplain()));
-            case SUMMARY -> reply.setSummary(shard.summary());
-            default -> {
-                peer.send(Replies.error(request, "unknown-message", "a shard request without an operation"));
-                return;
-            }
+            case COMMAND -> propose(peer, request, duties);
+            case STATEMENT, EXPLAIN, SUMMARY ->
+                peer.send(Replies.to(request).setShardReply(shard.query(op)).build());
+            default -> peer.send(Replies.error(request, "unknown-message", "a shard request without an operation"));
         }
-        peer.send(Replies.to(request).setShardReply(reply).build());
     }
 
     private void propose(Peer peer, Frame request, ShardDuties duties) {
--- a/control/src/main/java/org/ragwortrun/control/internal/Watchers.java
+++ b/control/src/main/java/org/ragwortrun/control/internal/Watchers.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import org.ragwortrun.net.Peer;
 import org.ragwortrun.net.Replies;
+import org.ragwortrun.proto.ConfigUpdate;
 import org.ragwortrun.proto.Frame;
 
 /**
@@ -12,67 +13,47 @@
  * <p>An update is sent on the connection on which heartbeats are sent, so a daemon that gets a heartbeat has got every
  * update before it. Used by one thread.
  */
-public final class Watchers {
-    private final ConfigHistory history = new ConfigHistory();
-    private final Map<Peer, Sent> watchers = new LinkedHashMap<>();
+final class Watchers {
+    private final MetaGroup group;
+    private final Map<Peer, Long> sentNumbers = new LinkedHashMap<>();
 
-    /** Adds a connection whose daemon has applied the number. It gets the rest with the next push. */
-    public void add(Peer peer, long have) {
-        watchers.put(peer, new Sent(have));
+    Watchers(MetaGroup group) {
+        this.group = group;
     }
 
-    /** Adds a connection and answers its request with what it lacks. */
-    public void add(Peer peer, Frame watch, MetaSnapshot snapshot) {
-        history.remember(snapshot);
-        Sent sent = new Sent(watch.getWatch().getHaveNumber());
-        watchers.put(peer, sent);
-        sent.send(peer, Replies.to(watch), snapshot);
+    /** Adds a connection and answers its watch with what it lacks. */
+    void add(Peer peer, Frame watch) {
+        send(peer, Replies.to(watch), watch.getWatch().getHaveNumber());
     }
 
-    public boolean contains(Peer peer) {
-        return watchers.containsKey(peer);
+    /** Adds a connection whose daemon has applied a number, unless it is known. */
+    void addIfAbsent(Peer peer, long have) {
+        sentNumbers.putIfAbsent(peer, have);
     }
 
-    public void remove(Peer peer) {
-        watchers.remove(peer);
+    void remove(Peer peer) {
+        sentNumbers.remove(peer);
     }
 
-    public void clear() {
-        watchers.clear();
+    void clear() {
+        sentNumbers.clear();
     }
 
-    /** Sends the snapshot to each connection that has not got it. A connection with a full buffer gets it later. */
-    public void push(MetaSnapshot snapshot) {
-        history.remember(snapshot);
-        watchers.keySet().removeIf(p -> !p.isOpen());
-        watchers.forEach((peer, sent) -> {
-            if (sent.isOlderThan(snapshot) && peer.isWritable()) {
-                sent.send(peer, Frame.newBuilder(), snapshot);
+    /** Sends each connection what it has not got. A connection with a full buffer gets it later. */
+    void push() {
+        long number = group.number();
+        sentNumbers.keySet().removeIf(p -> !p.isOpen());
+        for (Map.Entry<Peer, Long> e : Map.copyOf(sentNumbers).entrySet()) {
+            if (e.getValue() < number && e.getKey().isWritable()) {
+                send(e.getKey(), Frame.newBuilder(), e.getValue());
             }
-        });
-    }
-
-    /** What a connection has got. */
-    private final class Sent {
-        private long number;
-        private MetaSnapshot snapshot = MetaSnapshot.EMPTY;
-        private boolean any;
-
-        Sent(long number) {
-            this.number = number;
-        }
-
-        @SuppressWarnings({"ReferenceEquality", "PMD.CompareObjectsWithEquals"}) // a snapshot is compared by identity
-        boolean isOlderThan(MetaSnapshot current) {
-            return !any || snapshot != current;
         }
+    }
 
-        void send(Peer peer, Frame.Builder frame, MetaSnapshot current) {
-            if (peer.send(frame.setConfigUpdate(history.update(number, current)).build())) {
-                number = current.number();
-                snapshot = current;
-                any = true;
-            }
+    private void send(Peer peer, Frame.Builder frame, long have) {
+        ConfigUpdate update = group.updateFrom(have);
+        if (peer.send(frame.setConfigUpdate(update).build())) {
+            sentNumbers.put(peer, update.getNumber());
         }
     }
 }
--- /dev/null
+++ b/control/src/test/java/org/ragwortrun/control/internal/FakePeer.java
@@ -0,0 +1,84 @@
+package org.ragwortrun.control.internal;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+import org.ragwortrun.net.FrameListener;
+import org.ragwortrun.net.OpenCall;
+import org.ragwortrun.net.Peer;
+import org.ragwortrun.proto.Frame;
+import org.ragwortrun.proto.Hello;
+import org.ragwortrun.proto.Role;
+
+/** A connection whose frames tests read. */
+final class FakePeer implements Peer {
+    private final Hello hello;
+    private final BlockingQueue<Frame> sent = new LinkedBlockingQueue<>();
+    volatile boolean open = true;
+
+    FakePeer(String name, Role role) {
+        hello = Hello.newBuilder()
+                .setName(name)
+                .setIncarnation(name + "@1")
+                .setRole(role)
+                .build();
+    }
+
+    /** Returns the next frame that matches and drops those before it. */
+    Frame await(Predicate<Frame> wanted) throws InterruptedException {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(5);
+        while (true) {
+            Frame f = sent.poll(Math.max(0, end - System.nanoTime()), TimeUnit.NANOSECONDS);
+            assertThat(f).isNotNull();
+            if (wanted.test(f)) {
+                return f;
+            }
+        }
+    }
+
+    /** Tells whether no such frame comes within a short time. */
+    boolean staysWithout(Predicate<Frame> unwanted) throws InterruptedException {
+        TimeUnit.MILLISECONDS.sleep(200);
+        return sent.stream().noneMatch(unwanted);
+    }
+
+    @Override
+    public Hello hello() {
+        return hello;
+    }
+
+    @Override
+    public boolean send(Frame frame) {
+        return open && sent.add(frame);
+    }
+
+    @Override
+    public CompletableFuture<Frame> call(Frame.Builder request, Duration timeout) {
+        throw new UnsupportedOperationException("control calls no daemon");
+    }
+
+    @Override
+    public OpenCall open(Frame.Builder request, FrameListener listener) {
+        throw new UnsupportedOperationException("control calls no daemon");
+    }
+
+    @Override
+    public boolean isWritable() {
+        return open;
+    }
+
+    @Override
+    public boolean isOpen() {
+        return open;
+    }
+
+    @Override
+    public void close() {
+        open = false;
+    }
+}
--- /dev/null
+++ b/control/src/test/java/org/ragwortrun/control/internal/FakeShardGroup.java
@@ -0,0 +1,62 @@
+package org.ragwortrun.control.internal;
+
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import org.ragwortrun.core.time.Time;
+import org.ragwortrun.ledger.GrantPolicy;
+import org.ragwortrun.ledger.SessionState;
+import org.ragwortrun.ledger.ShardState;
+import org.ragwortrun.proto.GroupState;
+import org.ragwortrun.proto.NotLeader;
+import org.ragwortrun.proto.ShardCommand;
+import org.ragwortrun.proto.ShardReply;
+import org.ragwortrun.proto.ShardRequest;
+import org.ragwortrun.proto.ShardResult;
+
+/** A shard group with one member in memory. */
+final class FakeShardGroup implements ShardGroup {
+    final ShardState state = new ShardState(GrantPolicy.demand());
+    private final Time time;
+    volatile OptionalLong term = OptionalLong.of(1);
+
+    FakeShardGroup(Time time) {
+        this.time = time;
+    }
+
+    @Override
+    public int id() {
+        return 1;
+    }
+
+    @Override
+    public OptionalLong leasedTerm() {
+        return term;
+    }
+
+    @Override
+    public NotLeader hint() {
+        return NotLeader.newBuilder().setGroup(1).setLeaderName("c2").build();
+    }
+
+    @Override
+    public GroupState state() {
+        return GroupState.newBuilder().setGroup(1).build();
+    }
+
+    @Override
+    public CompletableFuture<ShardResult> propose(ShardCommand.Builder command) {
+        return CompletableFuture.completedFuture(
+                state.apply(command.setNowMs(time.wallMillis()).build()));
+    }
+
+    @Override
+    public ShardReply query(ShardRequest request) {
+        return state.query(request);
+    }
+
+    @Override
+    public List<SessionState> sessions() {
+        return state.sessions();
+    }
+}
--- a/ledger/src/main/java/org/ragwortrun/ledger/ShardState.java
+++ b/ledger/src/main/java/org/ragwortrun/ledger/ShardState.java
@@ -312,6 +312,17 @@
         return sum;
     }
 
+    /** Returns the sessions of router incarnations, with closed ones that are still remembered. */
+    public synchronized List<SessionState> sessions() {
+        return sessions.all()
+                .map(s -> new SessionState(
+                        s.router(),
+                        s.incarnation(),
+                        SessionState.Phase.valueOf(s.phase().name()),
+                        List.copyOf(s.awaited())))
+                .toList();
+    }
+
     /** Returns the index of the newest log entry in the state. */
     public synchronized long appliedIndex() {
         return appliedIndex;
--- a/ledger/src/main/java/org/ragwortrun/ledger/internal/RouterSessions.java
+++ b/ledger/src/main/java/org/ragwortrun/ledger/internal/RouterSessions.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.SortedMap;
 import java.util.TreeMap;
+import java.util.stream.Stream;
 
 /** Router incarnations and the agents whose confirmation is awaited before their grants return. */
 public final class RouterSessions {
@@ -15,6 +16,10 @@
         return Optional.ofNullable(sessions.get(incarnation));
     }
 
+    public Stream<RouterSession> all() {
+        return sessions.values().stream();
+    }
+
     /** Tells whether an incarnation may take grants and claim requests. */
     public boolean isOpen(String incarnation) {
         RouterSession s = sessions.get(incarnation);
--- a/net/src/main/java/org/ragwortrun/net/control/ConfigWatch.java
+++ b/net/src/main/java/org/ragwortrun/net/control/ConfigWatch.java
@@ -15,6 +15,7 @@
 import org.jspecify.annotations.Nullable;
 import org.ragwortrun.core.config.Configuration;
 import org.ragwortrun.core.config.ConfigurationException;
+import org.ragwortrun.core.config.SectionKind;
 import org.ragwortrun.core.log.Event;
 import org.ragwortrun.core.refusal.Refusal;
 import org.ragwortrun.core.refusal.RefusalReason;
@@ -187,13 +188,26 @@
             decisions.clear();
             suspects.clear();
         }
-        update.getRemovedList().forEach(sections::remove);
-        update.getChangedList().forEach(s -> sections.put(id(s), s));
+        update.getRemovedList().forEach(r -> {
+            sections.remove(r);
+            forgetProgress(r.getKind(), r.getName());
+        });
+        update.getChangedList().forEach(s -> {
+            sections.put(id(s), s);
+            forgetProgress(s.getKind(), s.getName());
+        });
         update.getMovesList().forEach(m -> moves.put(m.getMove(), m));
         update.getDecisionsList().forEach(d -> decisions.put(d.getService() + "/" + d.getVersion(), d));
         update.getSuspectsList().forEach(s -> suspects.put(s.getDigest(), s));
     }
 
+    /** Drops the progress of a move that was changed or removed; the update carries the progress that counts. */
+    private void forgetProgress(String kind, String name) {
+        if (kind.equals(SectionKind.MOVE.text())) {
+            moves.remove(name);
+        }
+    }
+
     private static SectionId id(Section s) {
         return SectionId.newBuilder().setKind(s.getKind()).setName(s.getName()).build();
     }
