Add the control daemon over the replicated groups

Change: ControlDaemon hosts the meta group and the shards and serves their leaders' duties. A read is answered only if the lease still holds after the state was read. A stop refuses new requests as a follower would, waits for proposals under way (2 s at most), ends the leaderships and closes the files.

--- /dev/null
+++ b/control/src/main/java/org/ragwortrun/control/ControlDaemon.java
@@ -0,0 +1,116 @@
+package org.ragwortrun.control;
+
+import java.time.Duration;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.ragwortrun.control.internal.ControlNode;
+import org.ragwortrun.control.internal.ControlSettings;
+import org.ragwortrun.control.internal.HostedGroups;
+import org.ragwortrun.control.internal.LeaderView;
+import org.ragwortrun.core.concurrent.Closer;
+import org.ragwortrun.core.error.RagwortrunException;
+import org.ragwortrun.core.id.Incarnations;
+import org.ragwortrun.core.log.Event;
+import org.ragwortrun.core.metrics.Metrics;
+import org.ragwortrun.core.settings.Settings;
+import org.ragwortrun.core.time.Time;
+import org.ragwortrun.net.FrameHandler;
+import org.ragwortrun.net.FrameServer;
+import org.ragwortrun.net.Peer;
+import org.ragwortrun.net.Transport;
+import org.ragwortrun.net.control.ControlClient;
+import org.ragwortrun.proto.Frame;
+import org.ragwortrun.proto.Hello;
+import org.ragwortrun.proto.Role;
+
+/** A control member: the replicated groups with their files, and the duties of their leaders. */
+public final class ControlDaemon implements AutoCloseable {
+    private static final Logger LOG = LogManager.getLogger(ControlDaemon.class);
+    private static final int NETWORK_THREADS = 2;
+    private static final Duration LONGEST_STOP = Duration.ofSeconds(2);
+
+    private final Closer closer = new Closer();
+    private final HostedGroups groups;
+    private final ControlNode node;
+    private final FrameServer server;
+
+    private ControlDaemon(ControlSettings settings, Time time, MoveDriver moves) throws RagwortrunException {
+        boolean started = false;
+        try {
+            Hello own = Hello.newBuilder()
+                    .setName(settings.name())
+                    .setIncarnation(Incarnations.create(settings.name(), time.wallMillis()))
+                    .setRole(Role.CONTROL)
+                    .setDataCenter(settings.dataCenter())
+                    .build();
+            Metrics metrics =
+                    closer.register(Metrics.exporting(settings.listen().host(), settings.metricsPort()));
+            Transport transport = closer.register(new Transport(own, NETWORK_THREADS));
+            ControlClient client = closer.register(new ControlClient(transport, settings.members(), (p, f) -> {}));
+            groups = closer.register(HostedGroups.open(settings, transport, time, metrics));
+            node = closer.register(
+                    new ControlNode(settings, time, groups.meta(), groups.shards(), new LeaderView(client), moves));
+            server = closer.register(transport.listen(settings.listen(), new Handler(groups, node)));
+            started = true;
+        } finally {
+            if (!started) {
+                closer.close();
+            }
+        }
+        Event.of("control-started")
+                .with("name", settings.name())
+                .with("listen", settings.listen())
+                .with("shards", settings.shards())
+                .info(LOG);
+    }
+
+    /**
+     * Starts a member.
+     *
+     * @throws RagwortrunException if the settings, the files or the address cannot be used
+     */
+    public static ControlDaemon start(Settings settings) throws RagwortrunException {
+        return new ControlDaemon(ControlSettings.read(settings), Time.system(), new TimedMoveDriver());
+    }
+
+    /** Returns the port that is bound. */
+    public int port() {
+        return server.port();
+    }
+
+    /** Takes no more requests, waits for the ones under way, ends the leaderships and closes the files. */
+    @Override
+    public void close() {
+        node.drain();
+        try {
+            groups.awaitProposals(LONGEST_STOP);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        groups.close();
+        closer.close();
+        Event.of("control-stopped").info(LOG);
+    }
+
+    /** Separates the messages of the groups from requests. */
+    private record Handler(HostedGroups groups, ControlNode node) implements FrameHandler {
+        @Override
+        public void onConnected(Peer peer) {
+            node.onConnected(peer);
+        }
+
+        @Override
+        public void onFrame(Peer peer, Frame frame) {
+            if (frame.hasGroupMessage()) {
+                groups.onFrame(peer, frame);
+            } else {
+                node.onFrame(peer, frame);
+            }
+        }
+
+        @Override
+        public void onClosed(Peer peer) {
+            node.onClosed(peer);
+        }
+    }
+}
--- a/control/src/main/java/org/ragwortrun/control/internal/ControlNode.java
+++ b/control/src/main/java/org/ragwortrun/control/internal/ControlNode.java
@@ -11,6 +11,7 @@
 import org.ragwortrun.net.Peer;
 import org.ragwortrun.net.Replies;
 import org.ragwortrun.proto.Frame;
+import org.ragwortrun.proto.NotLeader;
 import org.ragwortrun.proto.StatusReply;
 
 /** One control member without its network and files: takes frames and hands them to the duties. */
@@ -24,6 +25,7 @@
     private final MetaService metaService;
     private final ShardService shardService;
     private final Closer closer = new Closer();
+    private volatile boolean draining;
 
     /**
      * Starts the duties.
@@ -57,8 +59,20 @@
         peers.connected(peer);
     }
 
+    /** Refuses further requests as if this member were a follower, so that callers go to the others. */
+    public void drain() {
+        draining = true;
+    }
+
     @Override
     public void onFrame(Peer peer, Frame frame) {
+        if (draining) {
+            peer.send(Replies.to(frame)
+                    .setNotLeader(NotLeader.newBuilder()
+                            .setGroup(frame.getShardRequest().getGroup()))
+                    .build());
+            return;
+        }
         switch (frame.getBodyCase()) {
             case SHARD_REQUEST, FENCE_CONFIRMED -> shardService.offer(peer, frame);
             case PUBLISH, WATCH, CONFIRM, MOVES_QUERY, CONFIG_QUERY, EVIDENCE, CRASH_REPORT ->
--- a/control/src/main/java/org/ragwortrun/control/internal/Fencing.java
+++ b/control/src/main/java/org/ragwortrun/control/internal/Fencing.java
@@ -116,7 +116,7 @@
     }
 
     private boolean isDue(SessionState s) {
-        boolean due = s.phase() == Phase.SUPERSEDED || s.phase() == Phase.OPEN && isSilent(s);
+        boolean due = s.phase() == Phase.SUPERSEDED || (s.phase() == Phase.OPEN && isSilent(s));
         Long tried = triedNanos.get(s.incarnation());
         return due && (tried == null || time.nanos() - tried >= REPEAT_NANOS);
     }
@@ -171,6 +171,7 @@
                         .setIncarnation(session.incarnation())
                         .addAllAwaitedAgents(agents)));
         logFailure(proposal, "session-not-closed", session.incarnation());
+        proposal.whenComplete((r, e) -> thread.execute(this::run));
     }
 
     private void ask(String incarnation, String agent, boolean configured) {
--- /dev/null
+++ b/control/src/main/java/org/ragwortrun/control/internal/HostedGroups.java
@@ -0,0 +1,86 @@
+package org.ragwortrun.control.internal;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.ragwortrun.core.metrics.Metrics;
+import org.ragwortrun.core.time.Time;
+import org.ragwortrun.ledger.GrantPolicy;
+import org.ragwortrun.ledger.MetaState;
+import org.ragwortrun.ledger.ShardState;
+import org.ragwortrun.net.Peer;
+import org.ragwortrun.net.Transport;
+import org.ragwortrun.proto.Frame;
+import org.ragwortrun.replication.CorruptLogException;
+import org.ragwortrun.replication.GroupHost;
+import org.ragwortrun.replication.HostSettings;
+import org.ragwortrun.replication.StateMachine;
+import org.ragwortrun.replication.StorageException;
+
+/** This member's part of all groups: the meta group and the shards, with their files. */
+public final class HostedGroups implements AutoCloseable {
+    private final GroupHost host;
+    private final MetaGroup meta;
+    private final List<ShardGroup> shards = new ArrayList<>();
+    private final InFlight inFlight = new InFlight();
+
+    private HostedGroups(
+            GroupHost host, Time time, MetaState metaState, MetaMachine metaMachine, List<ShardState> states) {
+        this.host = host;
+        meta = new HostedMetaGroup(host.group(0), inFlight, time, metaState, metaMachine);
+        for (int i = 1; i <= states.size(); i++) {
+            shards.add(new HostedShardGroup(i, host.group(i), inFlight, time, states.get(i - 1)));
+        }
+    }
+
+    /**
+     * Restores and starts the groups.
+     *
+     * @throws CorruptLogException if stored state is damaged
+     * @throws StorageException if the data folder cannot be used
+     */
+    public static HostedGroups open(ControlSettings settings, Transport transport, Time time, Metrics metrics)
+            throws CorruptLogException, StorageException {
+        Map<Integer, StateMachine> machines = new TreeMap<>();
+        MetaState metaState = new MetaState(new CheckedRules());
+        MetaMachine metaMachine = new MetaMachine(metaState);
+        machines.put(0, metaMachine);
+        List<ShardState> states = new ArrayList<>();
+        for (int i = 1; i <= settings.shards(); i++) {
+            ShardState state = new ShardState(GrantPolicy.demand());
+            states.add(state);
+            machines.put(i, new ShardMachine(state));
+        }
+        HostSettings hostSettings = HostSettings.of(
+                        settings.name(), settings.folder(), settings.members(), settings.bootstrap())
+                .withElectionTimeout(settings.electionTimeout());
+        GroupHost host = GroupHost.open(hostSettings, machines, transport, time, metrics);
+        return new HostedGroups(host, time, metaState, metaMachine, states);
+    }
+
+    public MetaGroup meta() {
+        return meta;
+    }
+
+    public List<ShardGroup> shards() {
+        return shards;
+    }
+
+    /** Takes a message of another member. */
+    public void onFrame(Peer peer, Frame frame) {
+        host.onFrame(peer, frame);
+    }
+
+    /** Waits until no proposal is under way, or until the time is over. */
+    public void awaitProposals(Duration longest) throws InterruptedException {
+        inFlight.await(longest);
+    }
+
+    /** Ends this member's leaderships, then closes the files. */
+    @Override
+    public void close() {
+        host.close();
+    }
+}
--- a/control/src/main/java/org/ragwortrun/control/internal/MetaService.java
+++ b/control/src/main/java/org/ragwortrun/control/internal/MetaService.java
@@ -93,14 +93,8 @@
             case PUBLISH -> publish(peer, request);
             case WATCH -> watchers.add(peer, request);
             case CONFIRM -> confirm(peer, request);
-            case MOVES_QUERY ->
-                peer.send(Replies.to(request)
-                        .setMovesReply(moves(group.snapshot()))
-                        .build());
-            case CONFIG_QUERY ->
-                peer.send(Replies.to(request)
-                        .setConfigReply(config(group.snapshot()))
-                        .build());
+            case MOVES_QUERY -> reply(peer, request, Replies.to(request).setMovesReply(moves(group.snapshot())));
+            case CONFIG_QUERY -> reply(peer, request, Replies.to(request).setConfigReply(config(group.snapshot())));
             case EVIDENCE -> {
                 moves.onEvidence(peer.hello(), request.getEvidence());
                 acknowledge(peer, request);
@@ -198,13 +192,20 @@
         }
     }
 
-    private static void heartbeat(Peer peer, Frame request, long number, Duration lease) {
-        peer.send(Replies.to(request)
-                .setHeartbeat(Heartbeat.newBuilder()
-                        .setNumber(number)
-                        .setLeaseMs((int) lease.toMillis())
-                        .setEcho(request.getCall()))
-                .build());
+    private void heartbeat(Peer peer, Frame request, long number, Duration lease) {
+        reply(
+                peer,
+                request,
+                Replies.to(request)
+                        .setHeartbeat(Heartbeat.newBuilder()
+                                .setNumber(number)
+                                .setLeaseMs((int) lease.toMillis())
+                                .setEcho(request.getCall())));
+    }
+
+    /** Sends what was read if the lease still holds after the read; otherwise the read may be out of date. */
+    private void reply(Peer peer, Frame request, Frame.Builder reply) {
+        peer.send(leads() ? reply.build() : Failures.notLeader(request, group));
     }
 
     private void decide() {
@@ -227,11 +228,13 @@
         reply.setConfigNumber(number);
         if (leads()) {
             reply.setConfigInForce(leases.inForce(number)).addAllDaemons(leases.states());
-        } else if (!group.hint().getLeaderName().isEmpty()) {
+            reply(peer, request, Replies.to(request).setStatusReply(reply));
+        } else if (group.hint().getLeaderName().isEmpty()) {
+            // Without a known leader this member's view is what an operator can get.
+            peer.send(Replies.to(request).setStatusReply(reply).build());
+        } else {
             peer.send(Failures.notLeader(request, group));
-            return;
         }
-        peer.send(Replies.to(request).setStatusReply(reply).build());
     }
 
     private static MovesReply moves(MetaSnapshot s) {
--- a/control/src/main/java/org/ragwortrun/control/internal/ShardService.java
+++ b/control/src/main/java/org/ragwortrun/control/internal/ShardService.java
@@ -70,12 +70,18 @@
         }
         switch (op.getOpCase()) {
             case COMMAND -> propose(peer, request, duties);
-            case STATEMENT, EXPLAIN, SUMMARY ->
-                peer.send(Replies.to(request).setShardReply(shard.query(op)).build());
+            case STATEMENT, EXPLAIN, SUMMARY -> answer(peer, request, shard);
             default -> peer.send(Replies.error(request, "unknown-message", "a shard request without an operation"));
         }
     }
 
+    private static void answer(Peer peer, Frame request, ShardGroup shard) {
+        ShardReply reply = shard.query(request.getShardRequest());
+        // A read is valid only if the lease still holds after it.
+        boolean valid = shard.leasedTerm().isPresent();
+        peer.send(valid ? Replies.to(request).setShardReply(reply).build() : Failures.notLeader(request, shard));
+    }
+
     private void propose(Peer peer, Frame request, ShardDuties duties) {
         ShardCommand command = request.getShardRequest().getCommand();
         if (!isForCallers(command)) {
--- a/control/src/test/java/org/ragwortrun/control/internal/ControlNodeTest.java
+++ b/control/src/test/java/org/ragwortrun/control/internal/ControlNodeTest.java
@@ -52,7 +52,7 @@
     private long call;
 
     @BeforeEach
-    void start() {
+    void start() throws Exception {
         ControlSettings settings = new ControlSettings(
                 "c1",
                 "a",
@@ -69,6 +69,8 @@
                 Duration.ofSeconds(1));
         node = new ControlNode(settings, time, meta, List.of(shard), this::status, new TimedMoveDriver());
         node.onConnected(router);
+        // The leadership begins before tests move the time.
+        status().get();
     }
 
     @AfterEach
@@ -139,7 +141,9 @@
         time.advance(LEADERS_LEASE);
         confirm(router, 0);
         node.onFrame(operator, publishFrame("p1", 0, 1_000, files(5)));
-        router.await(Frame::hasConfigUpdate);
+        // The publish queues its answer behind the first query, so the second one comes after it.
+        status().get();
+        status().get();
         time.advance(Duration.ofSeconds(1));
         PublishReply reply = operator.await(Frame::hasPublishReply).getPublishReply();
         assertThat(reply.getInForce()).isFalse();
--- a/core/src/main/java/org/ragwortrun/core/config/rule/AddressFormRule.java
+++ b/core/src/main/java/org/ragwortrun/core/config/rule/AddressFormRule.java
@@ -33,7 +33,7 @@
     private static Stream<ConfigurationError> url(Section s) {
         String value = s.getPropertiesOrDefault("url", "");
         Matcher m = URL.matcher(value);
-        return value.isBlank() || m.matches() && isAddress(m.group(1))
+        return value.isBlank() || (m.matches() && isAddress(m.group(1)))
                 ? Stream.empty()
                 : Stream.of(Draft.error(
                         s, "url", "address-form", "a URL with an IP address and port such as http://10.0.1.7:8000"));
--- a/core/src/main/java/org/ragwortrun/core/config/rule/UnknownKeyRule.java
+++ b/core/src/main/java/org/ragwortrun/core/config/rule/UnknownKeyRule.java
@@ -48,7 +48,7 @@
 
     private static boolean isKnown(SectionKind kind, String key) {
         return KEYS.getOrDefault(kind, List.of()).contains(key)
-                || kind == SectionKind.BUDGET && key.startsWith(TOP_UP) && key.length() > TOP_UP.length();
+                || (kind == SectionKind.BUDGET && key.startsWith(TOP_UP) && key.length() > TOP_UP.length());
     }
 
     private static String expected(SectionKind kind) {
