Ask a leased leader in the restart test of the control daemon

Cause: a status query is also answered by a member without a leader, from its own state, so three of three repetitions read an old number after the restart. Change: the test asks for the configuration, which only a leased leader tells. Conclusion: the check is as strict as before and no longer depends on timing.

--- a/control/src/test/java/org/ragwortrun/control/ControlDaemonTest.java
+++ b/control/src/test/java/org/ragwortrun/control/ControlDaemonTest.java
@@ -23,6 +23,7 @@
 import org.ragwortrun.net.Address;
 import org.ragwortrun.net.Transport;
 import org.ragwortrun.net.control.ControlClient;
+import org.ragwortrun.proto.ConfigQuery;
 import org.ragwortrun.proto.Frame;
 import org.ragwortrun.proto.Hello;
 import org.ragwortrun.proto.Publish;
@@ -32,7 +33,6 @@
 import org.ragwortrun.proto.ShardRequest;
 import org.ragwortrun.proto.Statement;
 import org.ragwortrun.proto.StatementQuery;
-import org.ragwortrun.proto.StatusQuery;
 
 /** Three members on loopback with their files. */
 final class ControlDaemonTest {
@@ -83,7 +83,7 @@
             startMember(name);
         }
         awaitPrepaid(7);
-        assertThat(status()).isEqualTo(1);
+        assertThat(number()).isEqualTo(1);
     }
 
     /** Guards against a daemon that starts with a misspelt or impossible key. */
@@ -165,11 +165,12 @@
         }
     }
 
-    private long status() throws Exception {
-        return client.call(0, Frame.newBuilder().setStatusQuery(StatusQuery.getDefaultInstance()), TIMEOUT)
+    /** Asks for the configuration, which only a leased leader tells. */
+    private long number() throws Exception {
+        return client.call(0, Frame.newBuilder().setConfigQuery(ConfigQuery.getDefaultInstance()), TIMEOUT)
                 .get()
-                .getStatusReply()
-                .getConfigNumber();
+                .getConfigReply()
+                .getNumber();
     }
 
     private void awaitPrepaid(long tokens) throws Exception {
