--- /dev/null
+++ b/router/src/main/java/org/ragwortrun/router/internal/agents/AgentLink.java
@@ -0,0 +1,140 @@
+package org.ragwortrun.router.internal.agents;
+
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.jspecify.annotations.Nullable;
+import org.ragwortrun.core.config.Endpoint;
+import org.ragwortrun.net.FrameClient;
+import org.ragwortrun.net.FrameHandler;
+import org.ragwortrun.net.Peer;
+import org.ragwortrun.net.Transport;
+import org.ragwortrun.net.Address;
+import org.ragwortrun.proto.Frame;
+import org.ragwortrun.proto.LoadReport;
+import org.ragwortrun.routing.EndpointCandidate;
+
+/**
+ * The connection to the agent of one endpoint and what is known of the endpoint's state.
+ *
+ * <p>An endpoint that is leaving stays so for the lifetime of its agent; only another incarnation of the agent brings it
+ * back.
+ */
+public final class AgentLink implements AutoCloseable {
+    private final FrameClient client;
+    private final AtomicInteger inFlight = new AtomicInteger();
+    private volatile Endpoint endpoint;
+    private volatile @Nullable LoadReport load;
+    private volatile @Nullable String lastIncarnation;
+    private volatile @Nullable String leavingIncarnation;
+    private volatile boolean leavingAtFirstSight;
+
+    AgentLink(Transport transport, Endpoint endpoint, Address address) {
+        this.endpoint = endpoint;
+        client = transport.connect(address, new Reports());
+    }
+
+    public Endpoint endpoint() {
+        return endpoint;
+    }
+
+    /** Returns the open connection, if there is one. */
+    public Optional<Peer> peer() {
+        return client.peer();
+    }
+
+    /** Returns the incarnation of the connected agent. */
+    public Optional<String> incarnation() {
+        return peer().map(p -> p.hello().getIncarnation());
+    }
+
+    public Optional<LoadReport> load() {
+        return Optional.ofNullable(load);
+    }
+
+    /** Notes that the endpoint is leaving: the agent that is connected, or else the one that was connected last. */
+    void markLeaving() {
+        String last = lastIncarnation;
+        leavingIncarnation = last;
+        leavingAtFirstSight = last == null;
+    }
+
+    /** Takes over changed properties of the endpoint. */
+    void update(Endpoint changed) {
+        endpoint = changed;
+    }
+
+    boolean isIdle() {
+        return inFlight.get() == 0;
+    }
+
+    /** Notes that a request was sent to the endpoint. */
+    public void started() {
+        inFlight.incrementAndGet();
+    }
+
+    public void ended() {
+        inFlight.decrementAndGet();
+    }
+
+    /** Returns the endpoint as a candidate for new work, unless it is leaving, unhealthy or not connected. */
+    Optional<EndpointCandidate> candidate() {
+        LoadReport report = load;
+        Endpoint e = endpoint;
+        return incarnation()
+                .filter(i -> !i.equals(leavingIncarnation))
+                .filter(i -> report == null
+                        || !report.getAgentIncarnation().equals(i)
+                        || report.getHealthy() && !report.getLeaving())
+                .map(i -> new EndpointCandidate(
+                        e.name(),
+                        i,
+                        e.version(),
+                        e.dataCenter(),
+                        e.slots(),
+                        inFlight.get(),
+                        Optional.ofNullable(report)));
+    }
+
+    @Override
+    public void close() {
+        client.close();
+    }
+
+    /** Keeps the latest report; reports of an older incarnation or sequence number are dropped. */
+    private final class Reports implements FrameHandler {
+        @Override
+        public void onConnected(Peer peer) {
+            String incarnation = peer.hello().getIncarnation();
+            LoadReport known = load;
+            if (known != null && !known.getAgentIncarnation().equals(incarnation)) {
+                load = null;
+            }
+            if (leavingAtFirstSight) {
+                leavingAtFirstSight = false;
+                leavingIncarnation = incarnation;
+            }
+            lastIncarnation = incarnation;
+        }
+
+        @Override
+        public void onFrame(Peer peer, Frame frame) {
+            if (!frame.hasLoadReport()) {
+                return;
+            }
+            LoadReport report = frame.getLoadReport();
+            String incarnation = peer.hello().getIncarnation();
+            LoadReport known = load;
+            boolean stale = !report.getAgentIncarnation().equals(incarnation)
+                    || known != null
+                            && known.getAgentIncarnation().equals(incarnation)
+                            && known.getSequence() > report.getSequence();
+            if (stale) {
+                return;
+            }
+            load = report;
+            if (report.getLeaving()) {
+                leavingIncarnation = incarnation;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/ragwortrun/router/internal/agents/HostList.java
@@ -0,0 +1,97 @@
+package org.ragwortrun.router.internal.agents;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.ragwortrun.core.log.Event;
+
+/**
+ * Reads the platform's list of live and leaving hosts.
+ *
+ * <p>Only a host that is newly listed as leaving is reported. The list lags, so an entry that stays after the host has
+ * come back must not take the new agent out of service, and an entry that says live proves nothing.
+ */
+public final class HostList implements Runnable {
+    private static final Logger LOG = LogManager.getLogger(HostList.class);
+    private static final Duration TIMEOUT = Duration.ofMillis(900);
+    private static final int OK = 200;
+
+    private final String source;
+    private final ObjectMapper json;
+    private final Consumer<Set<String>> leaving;
+    private final HttpClient http;
+    private Set<String> known = Set.of();
+    private boolean failing;
+
+    /**
+     * Creates a reader that reads once in each run.
+     *
+     * @param source HTTP URL or file name
+     * @param leaving hears the hosts that are newly listed as leaving
+     */
+    public HostList(String source, ObjectMapper json, Consumer<Set<String>> leaving) {
+        this.source = source;
+        this.json = json;
+        this.leaving = leaving;
+        http = HttpClient.newBuilder().connectTimeout(TIMEOUT).build();
+    }
+
+    @Override
+    public void run() {
+        try {
+            update(json.readTree(read()));
+            failing = false;
+        } catch (IOException e) {
+            if (!failing) {
+                Event.of("host-list-unreadable").with("source", source).warn(LOG, e);
+            }
+            failing = true;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private byte[] read() throws IOException, InterruptedException {
+        if (!source.startsWith("http://")) {
+            return Files.readAllBytes(Path.of(source));
+        }
+        HttpRequest request =
+                HttpRequest.newBuilder(URI.create(source)).timeout(TIMEOUT).build();
+        HttpResponse<byte[]> response = http.send(request, HttpResponse.BodyHandlers.ofByteArray());
+        if (response.statusCode() != OK) {
+            throw new IOException("the host list answered " + response.statusCode());
+        }
+        return response.body();
+    }
+
+    private void update(JsonNode root) throws IOException {
+        if (root == null || !root.path("hosts").isArray()) {
+            throw new IOException("the host list has no hosts");
+        }
+        Set<String> now = new HashSet<>();
+        for (JsonNode host : root.path("hosts")) {
+            if ("leaving".equals(host.path("state").asText())) {
+                now.add(host.path("name").asText());
+            }
+        }
+        Set<String> added = new HashSet<>(now);
+        added.removeAll(known);
+        known = now;
+        if (!added.isEmpty()) {
+            Event.of("hosts-leaving").with("hosts", String.join(",", added)).info(LOG);
+            leaving.accept(added);
+        }
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/ragwortrun/router/internal/flow/RequestFlow.java
@@ -0,0 +1,983 @@
+package org.ragwortrun.router.internal.flow;
+
+import com.google.protobuf.ByteString;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.Executor;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.jspecify.annotations.Nullable;
+import org.ragwortrun.core.config.Configuration;
+import org.ragwortrun.core.log.Event;
+import org.ragwortrun.core.refusal.Refusal;
+import org.ragwortrun.core.refusal.RefusalReason;
+import org.ragwortrun.core.refusal.RefusedException;
+import org.ragwortrun.core.refusal.RunOutcome;
+import org.ragwortrun.net.Peer;
+import org.ragwortrun.net.TransportException;
+import org.ragwortrun.proto.Attach;
+import org.ragwortrun.proto.Cancel;
+import org.ragwortrun.proto.Chunk;
+import org.ragwortrun.proto.Claim;
+import org.ragwortrun.proto.ClaimResult;
+import org.ragwortrun.proto.Credit;
+import org.ragwortrun.proto.Dispatch;
+import org.ragwortrun.proto.Finished;
+import org.ragwortrun.proto.Frame;
+import org.ragwortrun.proto.Refused;
+import org.ragwortrun.proto.RequestQuery;
+import org.ragwortrun.proto.RequestState;
+import org.ragwortrun.proto.RunState;
+import org.ragwortrun.proto.Usage;
+import org.ragwortrun.router.internal.agents.AgentLink;
+import org.ragwortrun.router.internal.evidence.EvidenceKey;
+import org.ragwortrun.router.internal.evidence.LoadBands;
+import org.ragwortrun.router.internal.ledger.Reservation;
+import org.ragwortrun.router.internal.request.AdmittedRequest;
+import org.ragwortrun.router.internal.request.ChatRequest;
+import org.ragwortrun.routing.AnswerGapException;
+import org.ragwortrun.routing.BufferOverflowException;
+import org.ragwortrun.routing.ChoiceRequest;
+import org.ragwortrun.routing.EndpointCandidate;
+import org.ragwortrun.routing.StreamBuffer;
+
+/**
+ * One admitted request from its reservation to its final answer.
+ *
+ * <p>All methods run on the mailbox of the request. The caller gets exactly one final answer; the reservation is ended
+ * exactly once, and only as "not run" if no agent can have run the request.
+ */
+final class RequestFlow implements AgentCall.Events {
+    private static final Logger LOG = LogManager.getLogger(RequestFlow.class);
+    private static final Duration RETRY_SOON = Duration.ofSeconds(1);
+    private static final long POLL_MS = 20;
+    private static final int SERVER_ERROR = 500;
+    private static final int MAX_CLAIMS = 8;
+
+    private final FlowServices services;
+    private final AdmittedRequest request;
+    private final Executor mailbox;
+    private final Runnable onDone;
+    private final long startedAt;
+    private final StreamBuffer buffer;
+    private final AnswerIntake intake;
+    private final Answer answer;
+    private final ReservationHolder reservation = new ReservationHolder();
+    private final LatencyMeter latency = new LatencyMeter();
+    private final Set<String> excluded = new HashSet<>();
+    private FlowState state = FlowState.RESERVING;
+    private @Nullable Future<?> deadline;
+    private @Nullable AgentCall call;
+    private @Nullable EndpointCandidate target;
+    private @Nullable Refusal refusedWith;
+    private String version = "";
+    private String endpoint = "";
+    private int attempt = 1;
+    private int replaces;
+    private int claims;
+    private int attempts;
+    private boolean claimed;
+    private boolean sent;
+    private boolean callerGone;
+    private boolean released;
+    private long lastProgressAt;
+    private long usedTokens;
+
+    RequestFlow(
+            FlowServices services,
+            AdmittedRequest request,
+            CallerResponse response,
+            Executor mailbox,
+            long startedAt,
+            Runnable onDone) {
+        this.services = services;
+        this.request = request;
+        this.mailbox = mailbox;
+        this.startedAt = startedAt;
+        this.onDone = onDone;
+        lastProgressAt = startedAt;
+        buffer = new StreamBuffer(services.buffers(), request.budget().getAccount());
+        boolean resumable = request.isModel() && request.route().repeatable();
+        intake = new AnswerIntake(buffer, resumable, services.settings().resumeBytes());
+        answer = new Answer(
+                request,
+                response,
+                buffer,
+                () -> mailbox.execute(this::onRead),
+                services.time().wallMillis());
+    }
+
+    void start() {
+        services.retries().onRequest(request.route().name());
+        deadline = later(left(), this::onDeadline);
+        if (!buffer.open()) {
+            refuse(Refusal.notRun(RefusalReason.OVERLOADED, "no buffer is left for another answer", RETRY_SOON));
+            return;
+        }
+        services.grants()
+                .reserve(request.budget(), request.reserved())
+                .whenCompleteAsync(this::onReserved, mailbox);
+    }
+
+    /** The exchange with the caller has ended, well or not. */
+    void onExchangeEnded() {
+        callerGone = true;
+        intake.discard();
+        if (state == FlowState.SENT) {
+            if (!answer.isOver()) {
+                // A keyed request goes on, since its caller may come back for the answer.
+                cancelUnlessKeyed("caller-gone");
+            }
+            drain();
+        } else if (state != FlowState.DRAINING) {
+            giveUp(Refusal.notRun(RefusalReason.STOPPING, "the caller has gone"));
+        }
+        end();
+    }
+
+    // ---- before the dispatch ----
+
+    private void onReserved(@Nullable Reservation granted, @Nullable Throwable failure) {
+        if (state != FlowState.RESERVING) {
+            if (granted != null) {
+                granted.release();
+            }
+            return;
+        }
+        if (granted != null) {
+            reservation.set(granted);
+            choose();
+        } else {
+            refuseUnlessKnown(refusal(failure));
+        }
+    }
+
+    /** Refuses a request that has not run now. A keyed one may have run before, which the register tells. */
+    private void refuseUnlessKnown(Refusal refusal) {
+        refusedWith = refusal;
+        if (request.keyed() && !claimed) {
+            claim(null);
+        } else {
+            giveUp(refusal);
+        }
+    }
+
+    private void choose() {
+        Configuration configuration = services.configuration().get().orElse(request.configuration());
+        List<EndpointCandidate> candidates = candidates(configuration);
+        Optional<EndpointCandidate> chosen = services.chooser().choose(choice(), candidates);
+        if (chosen.isEmpty()) {
+            retryOrRefuse(
+                    "no-endpoint",
+                    Refusal.notRun(
+                            RefusalReason.NO_ENDPOINT,
+                            "service " + request.service().name() + " has no endpoint that takes work",
+                            RETRY_SOON));
+        } else if (request.keyed()) {
+            claim(chosen.get());
+        } else {
+            dispatch(chosen.get());
+        }
+    }
+
+    private List<EndpointCandidate> candidates(Configuration configuration) {
+        if (intake.length() > 0) {
+            // An answer that has started is continued by the version that started it.
+            boolean blocked = configuration.isBlocked(request.service().name(), version);
+            return blocked ? List.of() : candidates(configuration, version);
+        }
+        Optional<String> picked = services.versions().pick(configuration, request.service(), request.id());
+        List<EndpointCandidate> own = picked.map(v -> candidates(configuration, v)).orElse(List.of());
+        return own.isEmpty()
+                ? services.versions()
+                        .main(configuration, request.service())
+                        .map(v -> candidates(configuration, v))
+                        .orElse(List.of())
+                : own;
+    }
+
+    private List<EndpointCandidate> candidates(Configuration configuration, String ofVersion) {
+        String service = request.service().name();
+        List<EndpointCandidate> untried =
+                services.agents().candidates(configuration, service, ofVersion, excluded);
+        return untried.isEmpty()
+                ? services.agents().candidates(configuration, service, ofVersion, Set.of())
+                : untried;
+    }
+
+    private ChoiceRequest choice() {
+        return new ChoiceRequest(
+                request.budget().getAccount(),
+                request.route().name(),
+                services.settings().dataCenter(),
+                request.route().priority(),
+                request.chat().map(ChatRequest::promptBound).orElse(0L),
+                request.maxOutput(),
+                request.chat().map(ChatRequest::prefixHash).orElse(0L));
+    }
+
+    // ---- register ----
+
+    /** Claims the request id for an endpoint, or for none to learn what is known of an earlier attempt. */
+    private void claim(@Nullable EndpointCandidate candidate) {
+        state = FlowState.CLAIMING;
+        claims++;
+        Claim.Builder claim = Claim.newBuilder()
+                .setBudget(request.budget())
+                .setRequestId(request.id())
+                .setDigest(request.digest())
+                .setRepeatable(request.route().repeatable())
+                .setIncarnation(services.settings().incarnation())
+                .setRoute(request.route().name())
+                .setReplacesAttempt(replaces);
+        request.key().ifPresent(k -> k.timeMs().ifPresent(claim::setKeyTimeMs));
+        if (candidate != null) {
+            claim.setAgent(candidate.name()).setAgentIncarnation(candidate.agentIncarnation());
+        }
+        services.register()
+                .claim(claim.build())
+                .whenCompleteAsync((result, failure) -> onClaim(candidate, result, failure), mailbox);
+    }
+
+    private void onClaim(
+            @Nullable EndpointCandidate candidate, @Nullable ClaimResult result, @Nullable Throwable failure) {
+        if (state != FlowState.CLAIMING) {
+            if (result != null && result.getOutcome() == ClaimResult.Outcome.FRESH) {
+                resolveNotRun(result.getAttempt());
+            }
+            return;
+        }
+        if (result == null) {
+            onRegisterUnreachable(candidate, failure);
+            return;
+        }
+        Refusal early = refusedWith;
+        switch (ClaimRule.decide(result, request.route().repeatable())) {
+            case DISPATCH -> onClaimed(candidate, result);
+            case REPLACE -> replace(result.getAttempt());
+            case ASK_AGENT -> askEarlier(result);
+            case ANSWER_KEPT -> answerFromRegister(result);
+            case ATTACH -> attachEarlier(result);
+            case REFUSE_REUSED ->
+                refuse(Refusal.notRun(RefusalReason.ID_REUSED, "the id belongs to a request with other content"));
+            case REFUSE_EXPIRED ->
+                refuse(Refusal.unknown(RefusalReason.ID_EXPIRED, "the id is older than ids are remembered"));
+            case REFUSE_FUTURE ->
+                refuse(Refusal.notRun(RefusalReason.ID_IN_FUTURE, "the key's time is in the future"));
+            case REFUSE_UNKNOWN -> refuse(unknownOutcome("it is not known whether an earlier attempt ran"));
+        }
+        if (early != null && state == FlowState.DONE) {
+            Event.of("request-known").with("request", request.id()).debug(LOG);
+        }
+    }
+
+    private void onClaimed(@Nullable EndpointCandidate candidate, ClaimResult result) {
+        claimed = true;
+        attempt = result.getAttempt();
+        Refusal early = refusedWith;
+        if (candidate == null || early != null) {
+            giveUp(early == null ? unknownOutcome("the claim names no endpoint") : early);
+        } else {
+            dispatch(candidate);
+        }
+    }
+
+    private void onRegisterUnreachable(@Nullable EndpointCandidate candidate, @Nullable Throwable failure) {
+        Refusal early = refusedWith;
+        if (early != null) {
+            refuse(early);
+        } else if (request.route().repeatable() && candidate != null) {
+            // It may run twice, but it is billed once.
+            dispatch(candidate);
+        } else {
+            refuse(Refusal.notRun(
+                    RefusalReason.REGISTER_UNREACHABLE,
+                    "the request id could not be claimed: " + message(failure),
+                    RETRY_SOON));
+        }
+    }
+
+    /** Starts a new attempt after the one named, which did not run or may be repeated. */
+    private void replace(int earlier) {
+        Refusal early = refusedWith;
+        if (early != null) {
+            refuse(early);
+        } else if (claims >= MAX_CLAIMS) {
+            refuse(Refusal.notRun(
+                    RefusalReason.REGISTER_UNREACHABLE, "other attempts of the request compete", RETRY_SOON));
+        } else {
+            replaces = earlier;
+            choose();
+        }
+    }
+
+    private void answerFromRegister(ClaimResult result) {
+        reservation.release();
+        answer.head(Chunk.newBuilder()
+                .setStatus(result.getStatus())
+                .addHeaders(Answer.header("Content-Type", "application/json"))
+                .build());
+        buffer.widenFully();
+        try {
+            intake.accept(Chunk.newBuilder().setData(result.getAnswer()).build());
+        } catch (AnswerGapException | BufferOverflowException e) {
+            buffer.resetGrant();
+        }
+        answer.advanced();
+        answer.finish(new AnswerEnd(0, 0, false));
+        done();
+    }
+
+    /** Attaches to a request that ran earlier. */
+    private void attachEarlier(ClaimResult result) {
+        awaitAgent(result.getAgent(), result.getAgentIncarnation(), services.settings().queryWait(), (link, peer) -> {
+            if (peer == null) {
+                refuse(Refusal.ran(RefusalReason.ANSWER_EXPIRED, "the agent that kept the answer is gone"));
+            } else {
+                attach(link, peer);
+            }
+        });
+    }
+
+    /** Asks the agent of an earlier attempt what became of it. */
+    private void askEarlier(ClaimResult result) {
+        if (intake.length() > 0) {
+            // Another router has started the request anew; its answer need not have the same beginning.
+            fail(Refusal.unknown(RefusalReason.ENDPOINT_FAILED, "the answer is continued by another attempt"));
+            return;
+        }
+        boolean repeatable = request.route().repeatable();
+        Duration wait =
+                repeatable ? services.settings().reattachWait() : services.settings().queryWait();
+        awaitAgent(result.getAgent(), result.getAgentIncarnation(), wait, (link, peer) -> {
+            if (peer == null) {
+                onEarlierUnknown(result);
+            } else {
+                query(link, peer, result.getAttempt(), step -> {
+                    switch (step) {
+                        case NOT_RUN -> {
+                            resolveNotRun(result.getAttempt());
+                            replace(result.getAttempt());
+                        }
+                        case ATTACH -> attach(link, peer);
+                        case ANSWER_EXPIRED -> refuse(answerExpired());
+                        case UNKNOWN -> onEarlierUnknown(result);
+                    }
+                });
+            }
+        });
+    }
+
+    private void onEarlierUnknown(ClaimResult result) {
+        if (request.route().repeatable()) {
+            services.metrics().retried("earlier-attempt-lost");
+            replace(result.getAttempt());
+        } else {
+            refuse(unknownOutcome("the agent " + result.getAgent() + " cannot tell whether the request ran"));
+        }
+    }
+
+    // ---- dispatch ----
+
+    private void dispatch(EndpointCandidate candidate) {
+        target = candidate;
+        version = candidate.version();
+        endpoint = candidate.name();
+        Optional<AgentLink> link = services.agents().link(candidate.name());
+        Optional<Peer> peer = link.flatMap(AgentLink::peer)
+                .filter(p -> p.hello().getIncarnation().equals(candidate.agentIncarnation()));
+        if (link.isEmpty() || peer.isEmpty()) {
+            onNotSent("the agent " + candidate.name() + " is not connected");
+            return;
+        }
+        attempts++;
+        sent = true;
+        state = FlowState.SENT;
+        latency.sent(services.time().nanos());
+        buffer.resetGrant();
+        call = AgentCall.open(
+                link.get(), peer.get(), Frame.newBuilder().setDispatch(message(candidate)), mailbox, this);
+    }
+
+    private Dispatch message(EndpointCandidate candidate) {
+        Dispatch.Builder d = Dispatch.newBuilder()
+                .setBudget(request.budget())
+                .setRequestId(request.id())
+                .setAttempt(attempt)
+                .setIncarnation(services.settings().incarnation())
+                .setGrantId(reservation.grantId())
+                .setAgentIncarnation(candidate.agentIncarnation())
+                .setConfigNumber(request.configuration().number())
+                .setRoute(request.route().name())
+                .setVersion(candidate.version())
+                .setReserved(request.reserved())
+                .setMaxOutput(request.maxOutput())
+                .setDeadlineMs((int) Math.max(1, left().toMillis()))
+                .setPriority(request.route().priority())
+                .setRepeatable(request.route().repeatable())
+                .setClaimed(claimed)
+                .setStream(request.chat().map(ChatRequest::stream).orElse(false))
+                .setMethod(request.caller().method())
+                .setPath(request.caller().target())
+                .addAllHeaders(ForwardedHeaders.of(request.caller()))
+                .setBody(ByteString.copyFrom(request.caller().body()))
+                .setDigest(request.digest())
+                .setCredit(buffer.grant());
+        if (intake.length() > 0) {
+            d.setResumeText(intake.text()).setResumeTokens(intake.outputTokens());
+        }
+        return d.build();
+    }
+
+    private void attach(AgentLink link, Peer peer) {
+        state = FlowState.SENT;
+        buffer.resetGrant();
+        Attach.Builder attach = Attach.newBuilder()
+                .setBudget(request.budget())
+                .setRequestId(request.id())
+                .setOffset(intake.length())
+                .setCredit(callerGone ? StreamBuffer.MAX_WINDOW : buffer.grant());
+        call = AgentCall.open(link, peer, Frame.newBuilder().setAttach(attach), mailbox, this);
+        if (!sent) {
+            // The run belongs to an earlier attempt, which has its own reservation.
+            reservation.release();
+        }
+    }
+
+    // ---- events of the agent ----
+
+    @Override
+    public void onFrame(AgentCall from, Frame frame) {
+        if (!isCurrent(from)) {
+            return;
+        }
+        if (frame.hasChunk()) {
+            onChunk(from, frame.getChunk());
+        } else if (frame.hasFinished()) {
+            onFinished(from, frame.getFinished());
+        } else if (frame.hasRefused()) {
+            onRefused(from, frame.getRefused());
+        } else if (frame.hasError()) {
+            Event.of("agent-error")
+                    .with("request", request.id())
+                    .with("type", frame.getError().getType())
+                    .warn(LOG);
+            onUncertain(from, "agent-error");
+        }
+    }
+
+    @Override
+    public void onLost(AgentCall from, TransportException cause) {
+        if (!isCurrent(from)) {
+            return;
+        }
+        if (from.isDispatch() && cause.kind() == TransportException.Kind.NOT_SENT) {
+            endCall();
+            onNotSent(message(cause));
+        } else {
+            onUncertain(from, "connection-lost");
+        }
+    }
+
+    private void onChunk(AgentCall from, Chunk chunk) {
+        lastProgressAt = services.time().nanos();
+        latency.part(lastProgressAt, chunk.getOutputTokens());
+        answer.head(chunk);
+        try {
+            intake.accept(chunk);
+        } catch (AnswerGapException | BufferOverflowException e) {
+            Event.of("answer-chunk-invalid").with("request", request.id()).warn(LOG, e);
+            onUncertain(from, e.type());
+            return;
+        }
+        if (callerGone) {
+            credit(chunk.getData().size());
+            return;
+        }
+        if (buffer.isFull()) {
+            latency.heldUp();
+        }
+        answer.advanced();
+        // What waits for a reader is credited when it is read; the rest of the window is granted as it becomes free.
+        credit(buffer.grant());
+    }
+
+    private void onRead() {
+        if (callerGone) {
+            return;
+        }
+        lastProgressAt = services.time().nanos();
+        buffer.widen();
+        credit(buffer.grant());
+    }
+
+    private void credit(int bytes) {
+        AgentCall c = call;
+        if (bytes > 0 && c != null) {
+            c.send(Frame.newBuilder().setCredit(Credit.newBuilder().setBytes(bytes)));
+        }
+    }
+
+    private void onFinished(AgentCall from, Finished finished) {
+        boolean whole = finished.getFailure().isEmpty();
+        if (whole && finished.getLength() != intake.length()) {
+            onUncertain(from, "answer-short");
+            return;
+        }
+        endCall();
+        if (whole) {
+            onWhole(finished);
+        } else {
+            onFailedRun(finished);
+        }
+    }
+
+    private void onWhole(Finished finished) {
+        Usage usage = finished.getUsage();
+        usedTokens = usage.getTokens();
+        if (sent) {
+            evidence(answer.status() < SERVER_ERROR);
+            settle(usage);
+        }
+        answer.finish(new AnswerEnd(usage.getPromptTokens(), usage.getOutputTokens(), finished.getTruncated()));
+        done();
+    }
+
+    private void onFailedRun(Finished finished) {
+        RunOutcome run = RunOutcome.of(finished.getRun());
+        RefusalReason reason =
+                RefusalReason.ofCode(finished.getFailure()).orElse(RefusalReason.ENDPOINT_FAILED);
+        Refusal refusal = new Refusal(reason, run, "the endpoint ended early: " + finished.getFailure(), Optional.empty());
+        boolean fatal = reason == RefusalReason.REQUEST_CRASHES_ENDPOINTS;
+        if (sent && !fatal) {
+            evidence(false);
+        }
+        if (answer.isOver()) {
+            settle(finished.getUsage());
+            done();
+        } else if (run == RunOutcome.NOT_RUN && !fatal) {
+            retryOrRefuse(reason.code(), refusal);
+        } else if (request.route().repeatable() && !fatal) {
+            resume(reason.code(), refusal);
+        } else {
+            settle(finished.getUsage());
+            fail(refusal);
+        }
+    }
+
+    private void onRefused(AgentCall from, Refused refused) {
+        endCall();
+        RefusalReason reason = RefusalReason.ofCode(refused.getReason()).orElse(RefusalReason.ENDPOINT_FAILED);
+        RunOutcome run = RunOutcome.of(refused.getRun());
+        Optional<Duration> after = refused.getRetryAfterMs() == 0
+                ? Optional.empty()
+                : Optional.of(Duration.ofMillis(refused.getRetryAfterMs()));
+        Refusal refusal = new Refusal(reason, run, refused.getDetail(), after);
+        if (reason == RefusalReason.LEAVING) {
+            from.link().markLeaving();
+        }
+        if (state == FlowState.DRAINING) {
+            endDrained(run);
+            return;
+        }
+        switch (RefusedRule.decide(reason, run)) {
+            case ATTACH -> reattach(from);
+            case TRY_ANOTHER -> retryOrRefuse(reason.code(), refusal);
+            case UNCERTAIN -> {
+                if (request.route().repeatable()) {
+                    resume(reason.code(), refusal);
+                } else {
+                    fail(unknownOutcome(refused.getDetail()));
+                }
+            }
+            case FINAL -> {
+                if (run == RunOutcome.NOT_RUN) {
+                    giveUp(refusal);
+                } else {
+                    fail(refusal);
+                }
+            }
+        }
+    }
+
+    // ---- recovery ----
+
+    /** The dispatch never reached an agent. */
+    private void onNotSent(String detail) {
+        retryOrRefuse("not-sent", Refusal.notRun(RefusalReason.NO_ENDPOINT, detail, RETRY_SOON));
+    }
+
+    /** Tries again after an attempt that certainly did not run. */
+    private void retryOrRefuse(String reason, Refusal last) {
+        excluded.add(endpoint);
+        if (answer.isOver()) {
+            endDrained(RunOutcome.NOT_RUN);
+            return;
+        }
+        Optional<Duration> pause = services.retries().next(request.route().name(), Math.max(1, ++claims), left());
+        if (pause.isEmpty()) {
+            refuseUnlessKnown(last);
+            return;
+        }
+        services.metrics().retried(reason);
+        backOff(pause.get());
+    }
+
+    private void backOff(Duration pause) {
+        if (claimed) {
+            replaces = attempt;
+        }
+        state = FlowState.BACKING_OFF;
+        later(pause, () -> {
+            if (state == FlowState.BACKING_OFF) {
+                choose();
+            }
+        });
+    }
+
+    /** The agent had the request, and what became of it is not known. */
+    private void onUncertain(AgentCall from, String reason) {
+        endCall();
+        if (state == FlowState.DRAINING) {
+            reservation.hold();
+            done();
+            return;
+        }
+        reservation.markUncertain();
+        if (request.route().repeatable()) {
+            awaitAgent(from, services.settings().reattachWait(), (link, peer) -> {
+                if (peer == null) {
+                    resume(reason, Refusal.unknown(RefusalReason.ENDPOINT_FAILED, "the agent was lost: " + reason));
+                } else {
+                    services.metrics().retried("reattach");
+                    attach(link, peer);
+                }
+            });
+        } else {
+            awaitAgent(from, services.settings().queryWait(), (link, peer) -> {
+                if (peer == null) {
+                    fail(unknownOutcome("the agent was lost: " + reason));
+                } else {
+                    reconcile(link, peer);
+                }
+            });
+        }
+    }
+
+    /** Finds out whether a request that may run only once has run. */
+    private void reconcile(AgentLink link, Peer peer) {
+        query(link, peer, attempt, step -> {
+            switch (step) {
+                case NOT_RUN ->
+                    retryOrRefuse(
+                            "proven-not-run",
+                            Refusal.notRun(RefusalReason.NO_ENDPOINT, "the agent never received it", RETRY_SOON));
+                case ATTACH -> {
+                    services.metrics().retried("reattach");
+                    attach(link, peer);
+                }
+                case ANSWER_EXPIRED -> fail(answerExpired());
+                case UNKNOWN -> fail(unknownOutcome("the agent cannot tell whether the request ran"));
+            }
+        });
+    }
+
+    private void reattach(AgentCall from) {
+        awaitAgent(from, services.settings().queryWait(), (link, peer) -> {
+            if (peer == null) {
+                fail(unknownOutcome("the agent was lost"));
+            } else {
+                attach(link, peer);
+            }
+        });
+    }
+
+    /** Continues a repeatable request on another endpoint from the text that has arrived. */
+    private void resume(String reason, Refusal last) {
+        excluded.add(endpoint);
+        reservation.markUncertain();
+        if (!intake.canResume() || !reservation.isSet()) {
+            fail(last);
+            return;
+        }
+        Optional<Duration> pause = services.retries().next(request.route().name(), Math.max(1, attempts), left());
+        if (pause.isEmpty()) {
+            fail(last);
+            return;
+        }
+        services.metrics().retried(reason);
+        backOff(pause.get());
+    }
+
+    private void awaitAgent(AgentCall from, Duration wait, AgentReady then) {
+        awaitAgent(from.link().endpoint().name(), from.incarnation(), wait, then);
+    }
+
+    /** Waits until an incarnation of an agent is connected. Hands over no peer if it is another one or none in time. */
+    private void awaitAgent(String agent, String incarnation, Duration wait, AgentReady then) {
+        state = FlowState.RECOVERING;
+        long until = services.time().nanos() + Math.min(wait.toNanos(), Math.max(0, left().toNanos()));
+        pollAgent(agent, incarnation, until, then);
+    }
+
+    private void pollAgent(String agent, String incarnation, long until, AgentReady then) {
+        if (state != FlowState.RECOVERING) {
+            return;
+        }
+        Optional<AgentLink> link = services.agents().link(agent);
+        Optional<Peer> peer = link.flatMap(AgentLink::peer);
+        if (link.isPresent() && peer.isPresent()) {
+            boolean same = peer.get().hello().getIncarnation().equals(incarnation);
+            then.accept(link.get(), same ? peer.get() : null);
+        } else if (link.isEmpty() || until - services.time().nanos() <= 0) {
+            then.accept(link.orElse(null), null);
+        } else {
+            later(Duration.ofMillis(POLL_MS), () -> pollAgent(agent, incarnation, until, then));
+        }
+    }
+
+    private void query(AgentLink link, Peer peer, int ofAttempt, java.util.function.Consumer<QueryStep> then) {
+        Frame.Builder query = Frame.newBuilder()
+                .setRequestQuery(RequestQuery.newBuilder()
+                        .setBudget(request.budget())
+                        .setRequestId(request.id())
+                        .setAttempt(ofAttempt)
+                        .setSetTombstone(true));
+        String incarnation = peer.hello().getIncarnation();
+        peer.call(query, services.settings().callTimeout())
+                .whenCompleteAsync(
+                        (reply, failure) -> {
+                            if (state == FlowState.RECOVERING) {
+                                RequestState s = reply == null
+                                        ? RequestState.getDefaultInstance()
+                                        : reply.getRequestState();
+                                then.accept(QueryRule.decide(s, incarnation));
+                            }
+                        },
+                        mailbox);
+    }
+
+    // ---- ends ----
+
+    private void onDeadline() {
+        if (answer.isOver()) {
+            return;
+        }
+        Duration stall = services.settings().stallTimeout();
+        boolean reading = buffer.buffered() > 0 && services.time().nanos() - lastProgressAt < stall.toNanos();
+        if (answer.isStarted() && reading) {
+            deadline = later(RETRY_SOON, this::onDeadline);
+            return;
+        }
+        if (state == FlowState.SENT) {
+            if (!answer.isStarted()) {
+                evidence(false);
+            }
+            cancelUnlessKeyed("deadline");
+            answer.fail(Refusal.unknown(RefusalReason.ENDPOINT_TIMEOUT, "the deadline of the route has passed"));
+            drain();
+        } else if (sent || state == FlowState.RECOVERING) {
+            fail(Refusal.unknown(RefusalReason.ENDPOINT_TIMEOUT, "the deadline of the route has passed"));
+        } else {
+            giveUp(Refusal.notRun(RefusalReason.ENDPOINT_TIMEOUT, "the deadline passed before an endpoint was found"));
+        }
+    }
+
+    private void cancelUnlessKeyed(String reason) {
+        AgentCall c = call;
+        if (c != null && !request.keyed()) {
+            c.send(Frame.newBuilder().setCancel(Cancel.newBuilder().setReason(reason)));
+        }
+    }
+
+    /** Lets the agent finish, because its bill is needed and a keyed caller may come back. */
+    private void drain() {
+        state = FlowState.DRAINING;
+        intake.discard();
+        callerGone = true;
+        credit(StreamBuffer.MAX_WINDOW);
+    }
+
+    private void endDrained(RunOutcome run) {
+        if (run == RunOutcome.NOT_RUN) {
+            reservation.release();
+            resolveIfClaimed();
+        } else {
+            reservation.hold();
+        }
+        done();
+    }
+
+    /** Ends a request that certainly did not run. */
+    private void giveUp(Refusal refusal) {
+        if (state == FlowState.DONE) {
+            return;
+        }
+        if (sent && intake.length() > 0) {
+            fail(refusal);
+            return;
+        }
+        resolveIfClaimed();
+        reservation.release();
+        answer.fail(refusal);
+        refused(refusal);
+        done();
+    }
+
+    /** Refuses without a change to the register. */
+    private void refuse(Refusal refusal) {
+        reservation.release();
+        answer.fail(refusal);
+        refused(refusal);
+        done();
+    }
+
+    /** Ends a request that ran or may have run. */
+    private void fail(Refusal refusal) {
+        reservation.hold();
+        answer.fail(refusal);
+        refused(refusal);
+        done();
+    }
+
+    private void settle(Usage usage) {
+        if (usage.hasBudget()) {
+            services.settlements().add(usage);
+            reservation.settle(usage.getTokens());
+        } else {
+            reservation.hold();
+        }
+    }
+
+    private void resolveIfClaimed() {
+        if (claimed) {
+            resolveNotRun(attempt);
+        }
+    }
+
+    private void resolveNotRun(int ofAttempt) {
+        services.register().resolve(request.budget(), request.id(), ofAttempt, RunState.RUN_NOT_RUN);
+    }
+
+    private void refused(Refusal refusal) {
+        services.metrics().refused(refusal.reason());
+        refusedWith = refusal;
+    }
+
+    private void done() {
+        if (state == FlowState.DONE) {
+            return;
+        }
+        state = FlowState.DONE;
+        endCall();
+        Future<?> timer = deadline;
+        if (timer != null) {
+            timer.cancel(false);
+        }
+        Refusal refusal = refusedWith;
+        Event event = Event.of(refusal == null ? "request-finished" : "request-refused")
+                .with("request", request.id())
+                .with("account", request.budget().getAccount())
+                .with("route", request.route().name())
+                .with("endpoint", endpoint)
+                .with("version", version)
+                .with("attempts", attempts)
+                .with("tokens", usedTokens)
+                .with("ms", TimeUnit.NANOSECONDS.toMillis(services.time().nanos() - startedAt));
+        if (refusal == null) {
+            event.with("status", answer.status()).info(LOG);
+        } else {
+            event.with("reason", refusal.reason().code())
+                    .with("run", refusal.run().text())
+                    .info(LOG);
+        }
+        end();
+    }
+
+    /** The request leaves the router when its run is settled and its exchange with the caller has ended. */
+    private void end() {
+        if (state == FlowState.DONE && callerGone && !released) {
+            released = true;
+            onDone.run();
+        }
+    }
+
+    private void endCall() {
+        AgentCall c = call;
+        call = null;
+        if (c != null) {
+            c.end();
+        }
+    }
+
+    private void evidence(boolean good) {
+        EndpointCandidate t = target;
+        if (t == null) {
+            return;
+        }
+        EvidenceKey key = new EvidenceKey(
+                request.service().name(),
+                t.version(),
+                request.route().name(),
+                LoadBands.of(t.load(), t.slots(), t.inFlight() + 1));
+        if (good) {
+            latency.latency(services.time().nanos())
+                    .ifPresentOrElse(
+                            l -> services.evidence().succeeded(key, l),
+                            () -> services.evidence().succeeded(key));
+        } else {
+            services.evidence().failed(key);
+        }
+    }
+
+    @SuppressWarnings("ReferenceEquality")
+    private boolean isCurrent(AgentCall from) {
+        return call == from;
+    }
+
+    private Duration left() {
+        long passed = services.time().nanos() - startedAt;
+        return request.route().deadline().minusNanos(passed);
+    }
+
+    private Future<?> later(Duration wait, Runnable task) {
+        return services.timer()
+                .schedule(() -> mailbox.execute(task), Math.max(0, wait.toMillis()), TimeUnit.MILLISECONDS);
+    }
+
+    private static Refusal unknownOutcome(String detail) {
+        return Refusal.unknown(RefusalReason.OUTCOME_UNKNOWN, detail);
+    }
+
+    private static Refusal answerExpired() {
+        return Refusal.ran(RefusalReason.ANSWER_EXPIRED, "the agent no longer keeps the answer");
+    }
+
+    private static Refusal refusal(@Nullable Throwable failure) {
+        Throwable cause = failure instanceof CompletionException && failure.getCause() != null
+                ? failure.getCause()
+                : failure;
+        return cause instanceof RefusedException r
+                ? r.refusal()
+                : Refusal.notRun(RefusalReason.BUDGET_UNREACHABLE, message(cause), RETRY_SOON);
+    }
+
+    private static String message(@Nullable Throwable failure) {
+        Throwable cause = failure instanceof CompletionException && failure.getCause() != null
+                ? failure.getCause()
+                : failure;
+        return cause == null ? "no reply" : String.valueOf(cause.getMessage());
+    }
+
+    /** Receives the connection to an agent, or none. */
+    @FunctionalInterface
+    private interface AgentReady {
+        void accept(@Nullable AgentLink link, @Nullable Peer peer);
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/ragwortrun/router/internal/ledger/SettlementQueue.java
@@ -0,0 +1,149 @@
+package org.ragwortrun.router.internal.ledger;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.jspecify.annotations.Nullable;
+import org.ragwortrun.core.id.Digests;
+import org.ragwortrun.core.log.Event;
+import org.ragwortrun.core.time.Time;
+import org.ragwortrun.net.control.ControlClient;
+import org.ragwortrun.proto.Frame;
+import org.ragwortrun.proto.RejectedUsage;
+import org.ragwortrun.proto.SettleBatch;
+import org.ragwortrun.proto.ShardCommand;
+import org.ragwortrun.proto.ShardRequest;
+import org.ragwortrun.proto.ShardResult;
+import org.ragwortrun.proto.Usage;
+
+/**
+ * Reports usage to the shards in batches and repeats each batch until its shard acknowledges it.
+ *
+ * <p>The agents report the same usage and keep it until it is acknowledged, so a report may be dropped here when the
+ * shard stays away for long; it is a shortcut, not the only copy.
+ */
+public final class SettlementQueue implements AutoCloseable {
+    private static final Logger LOG = LogManager.getLogger(SettlementQueue.class);
+    private static final int RING = 16_384;
+    private static final int BATCH = 256;
+    private static final long PERIOD_MS = 20;
+    private static final Duration TIMEOUT = Duration.ofSeconds(2);
+
+    private final ControlClient control;
+    private final int shards;
+    private final String reporter;
+    private final Duration closeTimeout;
+    private final Time time;
+    private final Map<Integer, Lane> lanes = new ConcurrentHashMap<>();
+    private final AtomicInteger pending = new AtomicInteger();
+
+    /**
+     * Creates a queue that sends on the timer's thread.
+     *
+     * @param reporter incarnation of this router
+     * @param closeTimeout longest time that close waits for acknowledgements
+     */
+    public SettlementQueue(
+            ControlClient control,
+            ScheduledExecutorService timer,
+            int shards,
+            String reporter,
+            Duration closeTimeout,
+            Time time) {
+        this.control = control;
+        this.shards = shards;
+        this.reporter = reporter;
+        this.closeTimeout = closeTimeout;
+        this.time = time;
+        timer.scheduleWithFixedDelay(this::sendAll, PERIOD_MS, PERIOD_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Queues the usage of one finished request. */
+    public void add(Usage usage) {
+        int group = Digests.shard(usage.getBudget().getAccount(), shards);
+        Lane lane = lanes.computeIfAbsent(group, Lane::new);
+        pending.incrementAndGet();
+        if (!lane.waiting.offer(usage)) {
+            pending.decrementAndGet();
+            Event.of("settlement-dropped").with("request", usage.getRequestId()).warn(LOG);
+        }
+    }
+
+    /** Returns how many reports wait for an acknowledgement. */
+    public int pending() {
+        return pending.get();
+    }
+
+    /** Waits until all reports are acknowledged, or until the time limit. */
+    @Override
+    public void close() throws InterruptedException {
+        long end = time.nanos() + closeTimeout.toNanos();
+        while (pending.get() > 0 && end - time.nanos() > 0) {
+            TimeUnit.MILLISECONDS.sleep(PERIOD_MS);
+        }
+        if (pending.get() > 0) {
+            Event.of("settlements-left-to-agents").with("count", pending.get()).warn(LOG);
+        }
+    }
+
+    private void sendAll() {
+        lanes.values().forEach(Lane::send);
+    }
+
+    /** Reports for one shard; one batch is under way at a time. */
+    private final class Lane {
+        private final int group;
+        private final BlockingQueue<Usage> waiting = new ArrayBlockingQueue<>(RING);
+        private final List<Usage> sent = new ArrayList<>();
+        private @Nullable CompletableFuture<ShardResult> call;
+
+        Lane(int group) {
+            this.group = group;
+        }
+
+        synchronized void send() {
+            if (call != null && !call.isDone()) {
+                return;
+            }
+            if (sent.isEmpty()) {
+                waiting.drainTo(sent, BATCH);
+            }
+            if (sent.isEmpty()) {
+                return;
+            }
+            SettleBatch batch = SettleBatch.newBuilder()
+                    .setReporter(reporter)
+                    .addAllUsages(sent)
+                    .build();
+            Frame.Builder frame = Frame.newBuilder()
+                    .setShardRequest(ShardRequest.newBuilder()
+                            .setGroup(group)
+                            .setCommand(ShardCommand.newBuilder().setSettle(batch)));
+            call = control.call(group, frame, TIMEOUT).thenCompose(ShardReplies::result);
+            call.whenComplete((result, failure) -> {
+                if (result != null && result.hasSettled()) {
+                    acknowledged(result.getSettled().getRejectedList());
+                }
+            });
+        }
+
+        private synchronized void acknowledged(List<RejectedUsage> rejected) {
+            pending.addAndGet(-sent.size());
+            sent.clear();
+            rejected.forEach(r -> Event.of("settlement-rejected")
+                    .with("request", r.getRequestId())
+                    .with("reason", r.getReason())
+                    .warn(LOG));
+        }
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/ragwortrun/router/internal/ledger/package-info.java
@@ -0,0 +1,5 @@
+/** Calls to the shard groups. */
+@NullMarked
+package org.ragwortrun.router.internal.ledger;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/router/src/main/java/org/ragwortrun/router/internal/request/CallerRequest.java
@@ -0,0 +1,30 @@
+package org.ragwortrun.router.internal.request;
+
+import java.util.List;
+import java.util.Optional;
+import org.ragwortrun.proto.Header;
+
+/**
+ * A request as it came from a caller.
+ *
+ * @param method HTTP method
+ * @param target path with query
+ * @param headers headers
+ * @param body whole body
+ */
+@SuppressWarnings("ArrayRecordComponent")
+public record CallerRequest(String method, String target, List<Header> headers, byte[] body) {
+    /** Returns the path without the query. */
+    public String path() {
+        int query = target.indexOf('?');
+        return query < 0 ? target : target.substring(0, query);
+    }
+
+    /** Returns the first header of a name, without regard to case. */
+    public Optional<String> header(String name) {
+        return headers.stream()
+                .filter(h -> h.getName().equalsIgnoreCase(name))
+                .map(Header::getValue)
+                .findFirst();
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/ragwortrun/router/internal/request/ChatReader.java
@@ -0,0 +1,115 @@
+package org.ragwortrun.router.internal.request;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import org.apache.commons.codec.digest.MurmurHash3;
+import org.ragwortrun.core.refusal.Refusal;
+import org.ragwortrun.core.refusal.RefusalReason;
+import org.ragwortrun.core.refusal.RefusedException;
+
+/** Reads chat-completions requests. */
+public final class ChatReader {
+    // Chat templates add a few tokens for the role and the borders of each message.
+    private static final long TOKENS_PER_MESSAGE = 8;
+    // Keeps sums with the prompt bound far from overflow.
+    private static final long MAX_OUTPUT = 1_000_000_000;
+
+    private final ObjectMapper json;
+
+    public ChatReader(ObjectMapper json) {
+        this.json = json;
+    }
+
+    /**
+     * Reads a body.
+     *
+     * @throws RefusedException with {@code malformed-request}
+     */
+    public ChatRequest read(byte[] body) throws RefusedException {
+        JsonNode root = parse(body);
+        JsonNode messages = root.path("messages");
+        if (!root.path("model").isTextual() || !messages.isArray() || messages.isEmpty()) {
+            throw malformed("expected a JSON object with model and messages");
+        }
+        long bound = 0;
+        for (JsonNode message : messages) {
+            requireText(message.path("content"));
+            bound += TOKENS_PER_MESSAGE + promptBytes(message);
+        }
+        // Tool definitions become part of the prompt in a form that only the engine knows; their JSON is longer.
+        bound += root.path("tools").isMissingNode() ? 0 : bytes(root.path("tools").toString());
+        byte[] first = messages.get(0).toString().getBytes(StandardCharsets.UTF_8);
+        return new ChatRequest(
+                root.path("model").asText(),
+                stream(root),
+                bound,
+                maxOutput(root),
+                MurmurHash3.hash32x86(first));
+    }
+
+    private JsonNode parse(byte[] body) throws RefusedException {
+        try {
+            JsonNode root = json.readTree(body);
+            if (root != null && root.isObject()) {
+                return root;
+            }
+        } catch (IOException e) {
+            throw malformed("the body is not JSON");
+        }
+        throw malformed("the body is not a JSON object");
+    }
+
+    /** Refuses images and other parts, because their tokens are not bounded by their bytes. */
+    private static void requireText(JsonNode content) throws RefusedException {
+        for (JsonNode part : content) {
+            if (!"text".equals(part.path("type").asText())) {
+                throw malformed("message content must be text");
+            }
+        }
+    }
+
+    private static boolean stream(JsonNode root) throws RefusedException {
+        JsonNode stream = root.path("stream");
+        if (!stream.isMissingNode() && !stream.isNull() && !stream.isBoolean()) {
+            throw malformed("stream must be true or false");
+        }
+        return stream.asBoolean(false);
+    }
+
+    private static long maxOutput(JsonNode root) throws RefusedException {
+        long limit = 0;
+        for (String key : new String[] {"max_completion_tokens", "max_tokens"}) {
+            JsonNode n = root.path(key);
+            if (n.isMissingNode() || n.isNull()) {
+                continue;
+            }
+            if (!n.isIntegralNumber() || !n.canConvertToLong() || n.asLong() < 1 || n.asLong() > MAX_OUTPUT) {
+                throw malformed(key + " must be a whole number from 1 to " + MAX_OUTPUT);
+            }
+            limit = limit == 0 ? n.asLong() : Math.min(limit, n.asLong());
+        }
+        return limit;
+    }
+
+    /** Counts the bytes of all texts in a message, since a token has at least one byte. */
+    private static long promptBytes(JsonNode node) {
+        if (node.isValueNode()) {
+            return node.isNull() ? 0 : bytes(node.asText());
+        }
+        long sum = 0;
+        for (JsonNode child : node) {
+            sum += promptBytes(child);
+        }
+        return sum;
+    }
+
+    private static long bytes(String text) {
+        return text.getBytes(StandardCharsets.UTF_8).length;
+    }
+
+    private static RefusedException malformed(String detail) {
+        return new RefusedException(Refusal.notRun(RefusalReason.MALFORMED_REQUEST, detail));
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/ragwortrun/router/internal/request/RequestKeys.java
@@ -0,0 +1,71 @@
+package org.ragwortrun.router.internal.request;
+
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.UUID;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.ragwortrun.core.config.Route;
+import org.ragwortrun.core.refusal.Refusal;
+import org.ragwortrun.core.refusal.RefusalReason;
+import org.ragwortrun.core.refusal.RefusedException;
+import org.ragwortrun.core.time.Time;
+
+/** Reads Idempotency-Keys and the time that some of them carry. */
+public final class RequestKeys {
+    private static final String HEADER = "Idempotency-Key";
+    private static final Pattern UUID_FORM =
+            Pattern.compile("[0-9a-fA-F]{8}-[0-9a-fA-F]{4}-7[0-9a-fA-F]{3}-[89abAB][0-9a-fA-F]{3}-[0-9a-fA-F]{12}");
+    // Ten digits of unix seconds reach from 2001 to 2286, so that other numbers are not taken for a time.
+    private static final Pattern SECONDS_FORM = Pattern.compile("([1-9]\\d{9})-.+");
+    private static final int UUID_TIME_SHIFT = 16;
+    private static final int MAX_LENGTH = 255;
+    private static final long MAX_AHEAD_MS = 5 * 60_000L;
+
+    private final Time time;
+
+    public RequestKeys(Time time) {
+        this.time = time;
+    }
+
+    /**
+     * Reads the key of a request on a route.
+     *
+     * @throws RefusedException if the route requires a key, or requires one with a time, or the key's time is ahead
+     */
+    public Optional<RequestKey> read(CallerRequest request, Route route) throws RefusedException {
+        Optional<String> text = request.header(HEADER).map(String::trim).filter(t -> !t.isEmpty());
+        if (text.isEmpty()) {
+            if (!route.repeatable()) {
+                throw refused(RefusalReason.ID_MISSING, "route " + route.name() + " is not repeatable");
+            }
+            return Optional.empty();
+        }
+        RequestKey key = parse(text.get());
+        if (key.text().length() > MAX_LENGTH) {
+            throw refused(RefusalReason.MALFORMED_REQUEST, "Idempotency-Key is longer than " + MAX_LENGTH);
+        }
+        if (!route.repeatable() && key.timeMs().isEmpty()) {
+            throw refused(
+                    RefusalReason.ID_WITHOUT_TIME, "expected a UUID version 7 or a key of the form <unix seconds>-<text>");
+        }
+        if (key.timeMs().isPresent() && key.timeMs().getAsLong() > time.wallMillis() + MAX_AHEAD_MS) {
+            throw refused(RefusalReason.ID_IN_FUTURE, "the key's time is more than 5 minutes in the future");
+        }
+        return Optional.of(key);
+    }
+
+    static RequestKey parse(String text) {
+        if (UUID_FORM.matcher(text).matches()) {
+            long high = UUID.fromString(text).getMostSignificantBits();
+            return new RequestKey(text, OptionalLong.of(high >>> UUID_TIME_SHIFT));
+        }
+        Matcher m = SECONDS_FORM.matcher(text);
+        return new RequestKey(
+                text, m.matches() ? OptionalLong.of(Long.parseLong(m.group(1)) * 1000) : OptionalLong.empty());
+    }
+
+    private static RefusedException refused(RefusalReason reason, String detail) {
+        return new RefusedException(Refusal.notRun(reason, detail));
+    }
+}
--- /dev/null
+++ b/routing/src/main/java/org/ragwortrun/routing/BufferBudget.java
@@ -0,0 +1,39 @@
+package org.ragwortrun.routing;
+
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+
+/** Bounds the bytes that answers may hold in this process, in total and for each client account. */
+public final class BufferBudget {
+    private final long processBytes;
+    private final long accountBytes;
+    private final Map<String, Long> byAccount = new ConcurrentHashMap<>();
+    private long used;
+
+    public BufferBudget(long processBytes, long accountBytes) {
+        this.processBytes = processBytes;
+        this.accountBytes = accountBytes;
+    }
+
+    /** Takes bytes for an account. Returns false and takes nothing if a bound would be passed. */
+    public synchronized boolean tryTake(String account, long bytes) {
+        long own = byAccount.getOrDefault(account, 0L);
+        if (used + bytes > processBytes || own + bytes > accountBytes) {
+            return false;
+        }
+        used += bytes;
+        byAccount.put(account, own + bytes);
+        return true;
+    }
+
+    /** Gives back bytes that {@link #tryTake} took. */
+    public synchronized void giveBack(String account, long bytes) {
+        used -= bytes;
+        byAccount.computeIfPresent(account, (a, own) -> own > bytes ? own - bytes : null);
+    }
+
+    /** Returns the bytes taken by all accounts. */
+    public synchronized long used() {
+        return used;
+    }
+}
--- /dev/null
+++ b/routing/src/main/java/org/ragwortrun/routing/ChoiceRequest.java
@@ -0,0 +1,21 @@
+package org.ragwortrun.routing;
+
+/**
+ * What a choice of endpoint may depend on.
+ *
+ * @param account client account
+ * @param route route
+ * @param dataCenter data center of the router
+ * @param priority lower numbers go first
+ * @param promptBound upper bound of the prompt in tokens
+ * @param maxOutput allowed output in tokens
+ * @param prefixHash hash of the start of the prompt, 0 if there is none
+ */
+public record ChoiceRequest(
+        String account,
+        String route,
+        String dataCenter,
+        int priority,
+        long promptBound,
+        long maxOutput,
+        long prefixHash) {}
