--- /dev/null
+++ b/router/src/main/java/org/ragwortrun/router/internal/ControlPushes.java
@@ -0,0 +1,30 @@
+package org.ragwortrun.router.internal;
+
+import org.jspecify.annotations.Nullable;
+import org.ragwortrun.net.FrameHandler;
+import org.ragwortrun.net.Peer;
+import org.ragwortrun.net.control.ConfigWatch;
+import org.ragwortrun.proto.Frame;
+import org.ragwortrun.router.internal.ledger.Grants;
+
+/** Hands frames that control members push to their receivers, once these exist. */
+final class ControlPushes implements FrameHandler {
+    private volatile @Nullable ConfigWatch watch;
+    private volatile @Nullable Grants grants;
+
+    void connect(ConfigWatch configWatch, Grants pool) {
+        watch = configWatch;
+        grants = pool;
+    }
+
+    @Override
+    public void onFrame(Peer peer, Frame frame) {
+        ConfigWatch w = watch;
+        Grants g = grants;
+        if (frame.hasRecall() && g != null) {
+            g.recall(frame.getRecall().getBudget());
+        } else if (frame.hasConfigUpdate() && w != null) {
+            w.onPush(frame);
+        }
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/ragwortrun/router/internal/Router.java
@@ -0,0 +1,231 @@
+package org.ragwortrun.router.internal;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.apache.commons.rng.simple.ThreadLocalRandomSource;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.ragwortrun.core.concurrent.Closer;
+import org.ragwortrun.core.concurrent.Duty;
+import org.ragwortrun.core.config.Configuration;
+import org.ragwortrun.core.config.Endpoint;
+import org.ragwortrun.core.error.RagwortrunException;
+import org.ragwortrun.core.id.Incarnations;
+import org.ragwortrun.core.log.Event;
+import org.ragwortrun.core.metrics.Metrics;
+import org.ragwortrun.core.time.Time;
+import org.ragwortrun.ledger.GrantPool;
+import org.ragwortrun.ledger.PoolSettings;
+import org.ragwortrun.net.Transport;
+import org.ragwortrun.net.control.ConfigWatch;
+import org.ragwortrun.net.control.ControlClient;
+import org.ragwortrun.proto.Hello;
+import org.ragwortrun.proto.Role;
+import org.ragwortrun.router.internal.agents.AgentPool;
+import org.ragwortrun.router.internal.agents.HostList;
+import org.ragwortrun.router.internal.evidence.EvidenceCollector;
+import org.ragwortrun.router.internal.flow.FlowServices;
+import org.ragwortrun.router.internal.flow.RequestFront;
+import org.ragwortrun.router.internal.http.HttpFront;
+import org.ragwortrun.router.internal.http.ProblemWriter;
+import org.ragwortrun.router.internal.ledger.GrantClient;
+import org.ragwortrun.router.internal.ledger.Register;
+import org.ragwortrun.router.internal.ledger.Sessions;
+import org.ragwortrun.router.internal.ledger.SettlementQueue;
+import org.ragwortrun.router.internal.ledger.Shards;
+import org.ragwortrun.router.internal.request.AccountRule;
+import org.ragwortrun.router.internal.request.Admission;
+import org.ragwortrun.router.internal.request.BudgetRule;
+import org.ragwortrun.router.internal.request.ChatReader;
+import org.ragwortrun.router.internal.request.RequestKeys;
+import org.ragwortrun.router.internal.request.RouteRule;
+import org.ragwortrun.routing.BufferBudget;
+import org.ragwortrun.routing.RetryPolicy;
+import org.ragwortrun.routing.TwoChoicesChooser;
+import org.ragwortrun.routing.VersionPicker;
+
+/** Builds the parts of a router from its settings and ends them in order. */
+public final class Router implements AutoCloseable {
+    private static final Logger LOG = LogManager.getLogger(Router.class);
+    private static final Duration CONFIRM_INTERVAL = Duration.ofSeconds(1);
+    private static final Duration SETTLE_TIMEOUT = Duration.ofSeconds(5);
+    private static final long SECOND_MS = 1_000;
+    private static final long STOP_POLL_MS = 20;
+    private static final int NET_THREADS = 2;
+    private static final int FLOW_DUTIES = 2;
+
+    private final RouterSettings settings;
+    private final Time time;
+    private final RequestFront front;
+    private final HttpFront http;
+    private final Closer closer;
+
+    private Router(RouterSettings settings, Time time, RequestFront front, HttpFront http, Closer closer) {
+        this.settings = settings;
+        this.time = time;
+        this.front = front;
+        this.http = http;
+        this.closer = closer;
+    }
+
+    /**
+     * Starts a router. What was started before a failure is ended again.
+     *
+     * @throws RagwortrunException if an address cannot be bound
+     */
+    public static Router start(RouterSettings settings) throws RagwortrunException {
+        Closer closer = new Closer();
+        try {
+            return start(settings, closer);
+        } catch (RagwortrunException e) {
+            closer.close();
+            throw e;
+        }
+    }
+
+    private static Router start(RouterSettings settings, Closer closer) throws RagwortrunException {
+        Time time = Time.system();
+        ObjectMapper json = new ObjectMapper();
+        String incarnation = Incarnations.create(settings.name(), time.wallMillis());
+        Metrics metrics = closer.register(Metrics.exporting(settings.metricsHost(), settings.metricsPort()));
+        ScheduledExecutorService timer = Duty.timer("router-timer");
+        closer.register(() -> Duty.stop(timer));
+        ScheduledExecutorService slowTimer = Duty.timer("router-host-list");
+        closer.register(() -> Duty.stop(slowTimer));
+        Transport transport = closer.register(new Transport(hello(settings, incarnation), NET_THREADS));
+        AgentPool agents = closer.register(new AgentPool(transport));
+        ControlPushes pushes = new ControlPushes();
+        ControlClient control = closer.register(new ControlClient(transport, settings.members(), pushes));
+        ConfigWatch watch = closer.register(new ConfigWatch(control, timer, time, agents::apply));
+        Shards shards = new Shards(control, settings.shards());
+        Sessions sessions = new Sessions(shards, timer, settings.name(), incarnation);
+        GrantClient grants = closer.register(new GrantClient(
+                new GrantPool(incarnation, time, PoolSettings.usual()),
+                shards,
+                sessions,
+                timer,
+                settings.grantTimeout(),
+                () -> endpoints(watch)));
+        SettlementQueue settlements =
+                closer.register(new SettlementQueue(shards, timer, incarnation, SETTLE_TIMEOUT, time));
+        BufferBudget buffers = new BufferBudget(settings.bufferMemory(), settings.accountBufferMemory());
+        EvidenceCollector evidence = new EvidenceCollector(control);
+        FlowServices services = new FlowServices(
+                settings.flow(incarnation),
+                watch::latest,
+                grants,
+                new Register(shards, settings.registerTimeout()),
+                settlements,
+                agents,
+                new TwoChoicesChooser(n -> random().nextInt(n)),
+                new VersionPicker(),
+                new RetryPolicy(() -> random().nextDouble()),
+                buffers,
+                evidence,
+                metrics,
+                time,
+                timer);
+        RequestFront front = front(settings, services, watch, sessions, json, closer);
+        pushes.connect(watch, grants);
+        watch.start(CONFIRM_INTERVAL);
+        sessions.open();
+        timer.scheduleWithFixedDelay(evidence, SECOND_MS, SECOND_MS, TimeUnit.MILLISECONDS);
+        timer.scheduleWithFixedDelay(agents::closeRetired, SECOND_MS, SECOND_MS, TimeUnit.MILLISECONDS);
+        if (!settings.hostList().isEmpty()) {
+            HostList hosts = new HostList(settings.hostList(), json, agents::markLeaving);
+            slowTimer.scheduleWithFixedDelay(hosts, 0, SECOND_MS, TimeUnit.MILLISECONDS);
+        }
+        gauges(metrics, front, buffers, settlements, grants);
+        HttpFront http = closer.register(
+                HttpFront.start(settings.httpAddress(), settings.http(), front, new ProblemWriter(json), timer, time));
+        Event.of("router-started")
+                .with("name", settings.name())
+                .with("incarnation", incarnation)
+                .with("port", http.port())
+                .info(LOG);
+        return new Router(settings, time, front, http, closer);
+    }
+
+    /** Returns the port for callers. */
+    public int port() {
+        return http.port();
+    }
+
+    /**
+     * Stops in order: the balancer is told, new requests are refused, running ones finish, bills are delivered, grants
+     * are returned, and the sessions at the shards are closed.
+     */
+    @Override
+    public void close() {
+        front.stop();
+        Event.of("router-stopping").with("running", front.active()).info(LOG);
+        long end = time.nanos() + settings.stopTimeout().toNanos();
+        try {
+            while (front.active() > 0 && end - time.nanos() > 0) {
+                TimeUnit.MILLISECONDS.sleep(STOP_POLL_MS);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        int left = front.active();
+        closer.close();
+        Event.of("router-stopped").with("cut-off", left).info(LOG);
+    }
+
+    private static RequestFront front(
+            RouterSettings settings,
+            FlowServices services,
+            ConfigWatch watch,
+            Sessions sessions,
+            ObjectMapper json,
+            Closer closer) {
+        // A mailbox has at most one task in the ring, plus one that yields to others.
+        int ring = 2 * settings.maxRequests() + 1;
+        List<Duty> duties = IntStream.range(0, FLOW_DUTIES)
+                .mapToObj(i -> closer.register(new Duty("flow-" + i, ring)))
+                .toList();
+        Admission admission = new Admission(
+                new AccountRule(),
+                new RouteRule(new ChatReader(json)),
+                new BudgetRule(),
+                new RequestKeys(services.time()));
+        return new RequestFront(services, watch, admission, duties, settings.maxRequests(), () -> !sessions.isFenced());
+    }
+
+    private static void gauges(
+            Metrics metrics,
+            RequestFront front,
+            BufferBudget buffers,
+            SettlementQueue settlements,
+            GrantClient grants) {
+        metrics.gauge("running_requests", "Requests that have not ended", front::active);
+        metrics.gauge("buffered_bytes", "Bytes that answers may hold for their readers", buffers::used);
+        metrics.gauge("pending_settlements", "Bills that no shard has acknowledged", settlements::pending);
+        metrics.gauge("held_reservations", "Reservations whose bill is not known", grants::heldReservations);
+    }
+
+    private static List<String> endpoints(ConfigWatch watch) {
+        return watch.latest().map(Configuration::endpoints).stream()
+                .flatMap(e -> e.stream().map(Endpoint::name))
+                .toList();
+    }
+
+    private static Hello hello(RouterSettings settings, String incarnation) {
+        return Hello.newBuilder()
+                .setName(settings.name())
+                .setIncarnation(incarnation)
+                .setRole(Role.ROUTER)
+                .setDataCenter(settings.dataCenter())
+                .build();
+    }
+
+    private static UniformRandomProvider random() {
+        return ThreadLocalRandomSource.current(RandomSource.XO_RO_SHI_RO_128_PP);
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/ragwortrun/router/internal/RouterSettings.java
@@ -0,0 +1,123 @@
+package org.ragwortrun.router.internal;
+
+import java.time.Duration;
+import java.util.Map;
+import org.ragwortrun.core.settings.Settings;
+import org.ragwortrun.core.settings.SettingsException;
+import org.ragwortrun.net.Address;
+import org.ragwortrun.net.AddressException;
+import org.ragwortrun.net.control.ControlMembers;
+import org.ragwortrun.router.internal.flow.FlowSettings;
+import org.ragwortrun.router.internal.http.HttpSettings;
+
+/**
+ * Settings of the router daemon.
+ *
+ * @param name name of this router
+ * @param dataCenter data center of this router
+ * @param metricsPort port of the metrics, 0 for none
+ * @param metricsHost address of the metrics
+ * @param members control members by name
+ * @param shards number of shard groups
+ * @param httpAddress address for callers
+ * @param http limits of the HTTP front
+ * @param maxRequests most requests at a time
+ * @param bufferMemory most bytes of answers that wait for readers
+ * @param accountBufferMemory the same for one client account
+ * @param grantTimeout longest wait for tokens
+ * @param registerTimeout longest wait for the register of request ids
+ * @param stopTimeout longest wait for running requests when the router stops
+ * @param hostList HTTP URL or file of the platform's host list, empty for none
+ * @param flow settings of the request flow; the incarnation is still empty
+ */
+public record RouterSettings(
+        String name,
+        String dataCenter,
+        int metricsPort,
+        String metricsHost,
+        Map<String, Address> members,
+        int shards,
+        Address httpAddress,
+        HttpSettings http,
+        int maxRequests,
+        long bufferMemory,
+        long accountBufferMemory,
+        Duration grantTimeout,
+        Duration registerTimeout,
+        Duration stopTimeout,
+        String hostList,
+        FlowSettings flow) {
+    private static final int MAX_PORT = 65_535;
+    private static final int MAX_SHARDS = 4096;
+    private static final long MIB = 1 << 20;
+    private static final long MAX_MEMORY = 1L << 40;
+    // A request body travels to the agent in one frame of at most 16 MiB.
+    private static final long MAX_BODY = 15 * MIB;
+
+    /**
+     * Reads and checks the settings.
+     *
+     * @throws SettingsException with all values that cannot be used
+     */
+    public static RouterSettings read(Settings s) throws SettingsException {
+        String name = s.text("daemon.name");
+        String dataCenter = s.text("daemon.data-center");
+        HttpSettings http = new HttpSettings(
+                (int) s.number("http.threads", 2, 1, 64),
+                (int) s.number("http.max-body", 4 * MIB, 1, MAX_BODY),
+                s.number("http.body-memory", 256 * MIB, 1, MAX_MEMORY),
+                s.duration("http.head-timeout", Duration.ofSeconds(10)),
+                s.duration("http.body-timeout", Duration.ofSeconds(30)),
+                s.duration("http.idle-timeout", Duration.ofSeconds(75)));
+        FlowSettings flow = new FlowSettings(
+                name,
+                "",
+                dataCenter,
+                s.duration("agents.reattach-wait", Duration.ofMillis(300)),
+                s.duration("agents.query-wait", Duration.ofSeconds(1)),
+                s.duration("agents.call-timeout", Duration.ofSeconds(1)),
+                s.duration("streams.stall-timeout", Duration.ofMinutes(5)),
+                (int) s.number("streams.resume-bytes", 256 << 10, 0, 8 * MIB));
+        RouterSettings settings = new RouterSettings(
+                name,
+                dataCenter,
+                (int) s.number("daemon.metrics-port", 0, 0, MAX_PORT),
+                s.text("daemon.metrics-host", "127.0.0.1"),
+                ControlMembers.read(s),
+                (int) s.number("cluster.shards", 4, 1, MAX_SHARDS),
+                address(s),
+                http,
+                (int) s.number("http.max-requests", 16_384, 1, 1_000_000),
+                s.number("streams.memory", 256 * MIB, 1, MAX_MEMORY),
+                s.number("streams.account-memory", 64 * MIB, 1, MAX_MEMORY),
+                s.duration("budgets.grant-timeout", Duration.ofMillis(1_500)),
+                s.duration("register.timeout", Duration.ofMillis(1_500)),
+                s.duration("daemon.stop-timeout", Duration.ofMinutes(10)),
+                s.text("platform.host-list", ""),
+                flow);
+        s.check();
+        return settings;
+    }
+
+    /** Returns the settings of the flow with the incarnation of this process. */
+    FlowSettings flow(String incarnation) {
+        return new FlowSettings(
+                flow.name(),
+                incarnation,
+                flow.dataCenter(),
+                flow.reattachWait(),
+                flow.queryWait(),
+                flow.callTimeout(),
+                flow.stallTimeout(),
+                flow.resumeBytes());
+    }
+
+    private static Address address(Settings s) {
+        try {
+            return Address.parse(s.text("http.address"));
+        } catch (AddressException e) {
+            s.reject("http.address", String.valueOf(e.getMessage()));
+            return new Address("127.0.0.1", 0);
+        }
+    }
+}
--- a/router/src/main/java/org/ragwortrun/router/internal/agents/AgentLink.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/agents/AgentLink.java
@@ -4,11 +4,11 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.jspecify.annotations.Nullable;
 import org.ragwortrun.core.config.Endpoint;
+import org.ragwortrun.net.Address;
 import org.ragwortrun.net.FrameClient;
 import org.ragwortrun.net.FrameHandler;
 import org.ragwortrun.net.Peer;
 import org.ragwortrun.net.Transport;
-import org.ragwortrun.net.Address;
 import org.ragwortrun.proto.Frame;
 import org.ragwortrun.proto.LoadReport;
 import org.ragwortrun.routing.EndpointCandidate;
@@ -52,7 +52,7 @@
     }
 
     /** Notes that the endpoint is leaving: the agent that is connected, or else the one that was connected last. */
-    void markLeaving() {
+    public void markLeaving() {
         String last = lastIncarnation;
         leavingIncarnation = last;
         leavingAtFirstSight = last == null;
--- a/router/src/main/java/org/ragwortrun/router/internal/agents/AgentPool.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/agents/AgentPool.java
@@ -33,7 +33,8 @@
         for (AgentLink link : List.copyOf(links.values())) {
             String name = link.endpoint().name();
             Optional<Endpoint> now = configuration.endpoint(name);
-            if (now.isPresent() && now.get().agentAddress().equals(link.endpoint().agentAddress())) {
+            if (now.isPresent()
+                    && now.get().agentAddress().equals(link.endpoint().agentAddress())) {
                 link.update(now.get());
             } else {
                 links.remove(name);
--- a/router/src/main/java/org/ragwortrun/router/internal/evidence/EvidenceCollector.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/evidence/EvidenceCollector.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import org.ragwortrun.net.TransportException;
 import org.ragwortrun.net.control.ControlClient;
 import org.ragwortrun.proto.Evidence;
@@ -22,26 +23,20 @@
         this.control = control;
     }
 
-    /** Counts a request that ended well, without its latency. */
-    public synchronized void succeeded(EvidenceKey key) {
+    /**
+     * Counts a request that an endpoint finished or failed.
+     *
+     * @param latency latency of a finished request, if it says something about the endpoint
+     */
+    public synchronized void record(EvidenceKey key, boolean good, Optional<Duration> latency) {
         EvidenceRow.Builder row = row(key);
-        row.setRequests(row.getRequests() + 1);
-    }
-
-    /** Counts a request that ended well. */
-    public synchronized void succeeded(EvidenceKey key, Duration latency) {
-        succeeded(key);
-        double log = Math.log(Math.max(1, latency.toNanos() / 1_000));
-        EvidenceRow.Builder row = row(key);
-        row.setLogLatencySum(row.getLogLatencySum() + log)
-                .setLogLatencySquareSum(row.getLogLatencySquareSum() + log * log)
-                .setLatencyCount(row.getLatencyCount() + 1);
-    }
-
-    /** Counts a request that the endpoint failed. */
-    public synchronized void failed(EvidenceKey key) {
-        EvidenceRow.Builder row = row(key);
-        row.setRequests(row.getRequests() + 1).setFailures(row.getFailures() + 1);
+        row.setRequests(row.getRequests() + 1).setFailures(row.getFailures() + (good ? 0 : 1));
+        if (good && latency.isPresent()) {
+            double log = Math.log(Math.max(1, latency.get().toNanos() / 1_000));
+            row.setLogLatencySum(row.getLogLatencySum() + log)
+                    .setLogLatencySquareSum(row.getLogLatencySquareSum() + log * log)
+                    .setLatencyCount(row.getLatencyCount() + 1);
+        }
     }
 
     @Override
@@ -55,8 +50,8 @@
         control.call(META_GROUP, Frame.newBuilder().setEvidence(evidence), TIMEOUT)
                 .whenComplete((reply, failure) -> {
                     // After any other failure the leader may have counted the rows, and twice would be wrong.
-                    boolean notSent = failure instanceof TransportException e
-                            && e.kind() == TransportException.Kind.NOT_SENT;
+                    boolean notSent =
+                            failure instanceof TransportException e && e.kind() == TransportException.Kind.NOT_SENT;
                     if (notSent) {
                         putBack(sent);
                     }
@@ -81,10 +76,12 @@
     }
 
     private EvidenceRow.Builder row(EvidenceKey key) {
-        return rows.computeIfAbsent(key, k -> EvidenceRow.newBuilder()
-                .setService(k.service())
-                .setVersion(k.version())
-                .setRoute(k.route())
-                .setLoadBand(k.loadBand()));
+        return rows.computeIfAbsent(
+                key,
+                k -> EvidenceRow.newBuilder()
+                        .setService(k.service())
+                        .setVersion(k.version())
+                        .setRoute(k.route())
+                        .setLoadBand(k.loadBand()));
     }
 }
--- a/router/src/main/java/org/ragwortrun/router/internal/flow/AnswerBody.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/flow/AnswerBody.java
@@ -2,6 +2,7 @@
 
 import java.nio.ByteBuffer;
 import org.jspecify.annotations.Nullable;
+import org.ragwortrun.routing.BufferBudget;
 import org.ragwortrun.routing.StreamBuffer;
 
 /**
@@ -26,6 +27,15 @@
         this.onRead = onRead;
     }
 
+    /** Returns a body that is whole from the start. */
+    public static AnswerBody of(byte[] document) {
+        AnswerBody body = new AnswerBody(new StreamBuffer(new BufferBudget(0, 0), ""), new PlainRenderer(), () -> {});
+        body.rendered = ByteBuffer.wrap(document);
+        body.headDone = true;
+        body.end = new AnswerEnd(0, 0, false);
+        return body;
+    }
+
     /** Returns bytes for the caller, or null if none are there now. The caller of this method consumes from them. */
     public synchronized @Nullable ByteBuffer next() throws BrokenAnswerException {
         if (broken != null) {
@@ -70,7 +80,7 @@
             return true;
         }
         byte[] data = buffer.poll();
-        if (data != null) {
+        if (data.length > 0) {
             rendered = ByteBuffer.wrap(renderer.part(data));
             onRead.run();
             return true;
--- /dev/null
+++ b/router/src/main/java/org/ragwortrun/router/internal/flow/EndpointSelection.java
@@ -0,0 +1,63 @@
+package org.ragwortrun.router.internal.flow;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.ragwortrun.core.config.Configuration;
+import org.ragwortrun.router.internal.request.AdmittedRequest;
+import org.ragwortrun.router.internal.request.ChatRequest;
+import org.ragwortrun.routing.ChoiceRequest;
+import org.ragwortrun.routing.EndpointCandidate;
+
+/** Selects the endpoint of an attempt: first the version, then one of its endpoints. */
+final class EndpointSelection {
+    private final FlowServices services;
+    private final AdmittedRequest request;
+
+    EndpointSelection(FlowServices services, AdmittedRequest request) {
+        this.services = services;
+        this.request = request;
+    }
+
+    /** Selects for a request whose answer has not started. Falls back to the main version if its own has no endpoint. */
+    Optional<EndpointCandidate> first(Set<String> excluded) {
+        Configuration configuration = configuration();
+        return services.versions()
+                .pick(configuration, request.service(), request.id())
+                .flatMap(v -> choose(configuration, v, excluded))
+                .or(() -> services.versions()
+                        .main(configuration, request.service())
+                        .flatMap(v -> choose(configuration, v, excluded)));
+    }
+
+    /** Selects for an answer that a version has started. */
+    Optional<EndpointCandidate> continuing(String version, Set<String> excluded) {
+        Configuration configuration = configuration();
+        return configuration.isBlocked(request.service().name(), version)
+                ? Optional.empty()
+                : choose(configuration, version, excluded);
+    }
+
+    private Optional<EndpointCandidate> choose(Configuration configuration, String version, Set<String> excluded) {
+        String service = request.service().name();
+        List<EndpointCandidate> untried = services.agents().candidates(configuration, service, version, excluded);
+        List<EndpointCandidate> from =
+                untried.isEmpty() ? services.agents().candidates(configuration, service, version, Set.of()) : untried;
+        return services.chooser().choose(choice(), from);
+    }
+
+    private ChoiceRequest choice() {
+        return new ChoiceRequest(
+                request.budget().getAccount(),
+                request.route().name(),
+                services.settings().dataCenter(),
+                request.route().priority(),
+                request.chat().map(ChatRequest::promptBound).orElse(0L),
+                request.maxOutput(),
+                request.chat().map(ChatRequest::prefixHash).orElse(0L));
+    }
+
+    private Configuration configuration() {
+        return services.configuration().get().orElse(request.configuration());
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/ragwortrun/router/internal/flow/Refusals.java
@@ -0,0 +1,39 @@
+package org.ragwortrun.router.internal.flow;
+
+import java.time.Duration;
+import java.util.concurrent.CompletionException;
+import org.jspecify.annotations.Nullable;
+import org.ragwortrun.core.refusal.Refusal;
+import org.ragwortrun.core.refusal.RefusalReason;
+import org.ragwortrun.core.refusal.RefusedException;
+
+/** Builds the refusals that several steps of a request share. */
+final class Refusals {
+    private static final Duration RETRY_SOON = Duration.ofSeconds(1);
+
+    private Refusals() {}
+
+    static Refusal unknownOutcome(String detail) {
+        return Refusal.unknown(RefusalReason.OUTCOME_UNKNOWN, detail);
+    }
+
+    static Refusal answerExpired() {
+        return Refusal.ran(RefusalReason.ANSWER_EXPIRED, "the agent no longer keeps the answer");
+    }
+
+    /** Returns the refusal that a failed reservation carries. */
+    static Refusal ofFailure(@Nullable Throwable failure) {
+        return cause(failure) instanceof RefusedException r
+                ? r.refusal()
+                : Refusal.notRun(RefusalReason.BUDGET_UNREACHABLE, message(failure), RETRY_SOON);
+    }
+
+    static String message(@Nullable Throwable failure) {
+        Throwable cause = cause(failure);
+        return cause == null ? "no reply" : String.valueOf(cause.getMessage());
+    }
+
+    private static @Nullable Throwable cause(@Nullable Throwable failure) {
+        return failure instanceof CompletionException && failure.getCause() != null ? failure.getCause() : failure;
+    }
+}
--- a/router/src/main/java/org/ragwortrun/router/internal/flow/RefusedRule.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/flow/RefusedRule.java
@@ -12,11 +12,12 @@
             case DUPLICATE_DISPATCH -> RefusedStep.ATTACH;
             // No agent takes work of a fenced incarnation, and a request that crashes endpoints must not meet another.
             case ROUTER_FENCED, REQUEST_CRASHES_ENDPOINTS, MALFORMED_REQUEST, REQUEST_TOO_LARGE -> RefusedStep.FINAL;
-            default -> switch (run) {
-                case NOT_RUN -> RefusedStep.TRY_ANOTHER;
-                case RAN -> RefusedStep.FINAL;
-                case UNKNOWN -> RefusedStep.UNCERTAIN;
-            };
+            default ->
+                switch (run) {
+                    case NOT_RUN -> RefusedStep.TRY_ANOTHER;
+                    case RAN -> RefusedStep.FINAL;
+                    case UNKNOWN -> RefusedStep.UNCERTAIN;
+                };
         };
     }
 }
--- a/router/src/main/java/org/ragwortrun/router/internal/flow/RequestFlow.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/flow/RequestFlow.java
@@ -1,23 +1,19 @@
 package org.ragwortrun.router.internal.flow;
 
-import com.google.protobuf.ByteString;
 import java.time.Duration;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.CompletionException;
 import java.util.concurrent.Executor;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.jspecify.annotations.Nullable;
-import org.ragwortrun.core.config.Configuration;
 import org.ragwortrun.core.log.Event;
 import org.ragwortrun.core.refusal.Refusal;
 import org.ragwortrun.core.refusal.RefusalReason;
-import org.ragwortrun.core.refusal.RefusedException;
 import org.ragwortrun.core.refusal.RunOutcome;
 import org.ragwortrun.net.Peer;
 import org.ragwortrun.net.TransportException;
@@ -31,19 +27,13 @@
 import org.ragwortrun.proto.Finished;
 import org.ragwortrun.proto.Frame;
 import org.ragwortrun.proto.Refused;
-import org.ragwortrun.proto.RequestQuery;
-import org.ragwortrun.proto.RequestState;
 import org.ragwortrun.proto.RunState;
 import org.ragwortrun.proto.Usage;
 import org.ragwortrun.router.internal.agents.AgentLink;
-import org.ragwortrun.router.internal.evidence.EvidenceKey;
-import org.ragwortrun.router.internal.evidence.LoadBands;
 import org.ragwortrun.router.internal.ledger.Reservation;
 import org.ragwortrun.router.internal.request.AdmittedRequest;
-import org.ragwortrun.router.internal.request.ChatRequest;
 import org.ragwortrun.routing.AnswerGapException;
 import org.ragwortrun.routing.BufferOverflowException;
-import org.ragwortrun.routing.ChoiceRequest;
 import org.ragwortrun.routing.EndpointCandidate;
 import org.ragwortrun.routing.StreamBuffer;
 
@@ -56,7 +46,6 @@
 final class RequestFlow implements AgentCall.Events {
     private static final Logger LOG = LogManager.getLogger(RequestFlow.class);
     private static final Duration RETRY_SOON = Duration.ofSeconds(1);
-    private static final long POLL_MS = 20;
     private static final int SERVER_ERROR = 500;
     private static final int MAX_CLAIMS = 8;
 
@@ -69,25 +58,22 @@
     private final AnswerIntake intake;
     private final Answer answer;
     private final ReservationHolder reservation = new ReservationHolder();
-    private final LatencyMeter latency = new LatencyMeter();
+    private final AgentFinder finder;
+    private final EndpointSelection selection;
+    private final RequestReport report;
     private final Set<String> excluded = new HashSet<>();
     private FlowState state = FlowState.RESERVING;
     private @Nullable Future<?> deadline;
     private @Nullable AgentCall call;
-    private @Nullable EndpointCandidate target;
     private @Nullable Refusal refusedWith;
-    private String version = "";
-    private String endpoint = "";
     private int attempt = 1;
     private int replaces;
     private int claims;
-    private int attempts;
     private boolean claimed;
     private boolean sent;
     private boolean callerGone;
     private boolean released;
     private long lastProgressAt;
-    private long usedTokens;
 
     RequestFlow(
             FlowServices services,
@@ -103,6 +89,9 @@
         this.onDone = onDone;
         lastProgressAt = startedAt;
         buffer = new StreamBuffer(services.buffers(), request.budget().getAccount());
+        report = new RequestReport(services, request, startedAt);
+        selection = new EndpointSelection(services, request);
+        finder = new AgentFinder(services, mailbox, () -> state == FlowState.RECOVERING);
         boolean resumable = request.isModel() && request.route().repeatable();
         intake = new AnswerIntake(buffer, resumable, services.settings().resumeBytes());
         answer = new Answer(
@@ -120,9 +109,7 @@
             refuse(Refusal.notRun(RefusalReason.OVERLOADED, "no buffer is left for another answer", RETRY_SOON));
             return;
         }
-        services.grants()
-                .reserve(request.budget(), request.reserved())
-                .whenCompleteAsync(this::onReserved, mailbox);
+        services.grants().reserve(request.budget(), request.reserved()).whenCompleteAsync(this::onReserved, mailbox);
     }
 
     /** The exchange with the caller has ended, well or not. */
@@ -154,7 +141,7 @@
             reservation.set(granted);
             choose();
         } else {
-            refuseUnlessKnown(refusal(failure));
+            refuseUnlessKnown(Refusals.ofFailure(failure));
         }
     }
 
@@ -169,9 +156,9 @@
     }
 
     private void choose() {
-        Configuration configuration = services.configuration().get().orElse(request.configuration());
-        List<EndpointCandidate> candidates = candidates(configuration);
-        Optional<EndpointCandidate> chosen = services.chooser().choose(choice(), candidates);
+        // An answer that has started is continued by the version that started it.
+        Optional<EndpointCandidate> chosen =
+                intake.length() > 0 ? selection.continuing(report.version(), excluded) : selection.first(excluded);
         if (chosen.isEmpty()) {
             retryOrRefuse(
                     "no-endpoint",
@@ -186,62 +173,15 @@
         }
     }
 
-    private List<EndpointCandidate> candidates(Configuration configuration) {
-        if (intake.length() > 0) {
-            // An answer that has started is continued by the version that started it.
-            boolean blocked = configuration.isBlocked(request.service().name(), version);
-            return blocked ? List.of() : candidates(configuration, version);
-        }
-        Optional<String> picked = services.versions().pick(configuration, request.service(), request.id());
-        List<EndpointCandidate> own = picked.map(v -> candidates(configuration, v)).orElse(List.of());
-        return own.isEmpty()
-                ? services.versions()
-                        .main(configuration, request.service())
-                        .map(v -> candidates(configuration, v))
-                        .orElse(List.of())
-                : own;
-    }
-
-    private List<EndpointCandidate> candidates(Configuration configuration, String ofVersion) {
-        String service = request.service().name();
-        List<EndpointCandidate> untried =
-                services.agents().candidates(configuration, service, ofVersion, excluded);
-        return untried.isEmpty()
-                ? services.agents().candidates(configuration, service, ofVersion, Set.of())
-                : untried;
-    }
-
-    private ChoiceRequest choice() {
-        return new ChoiceRequest(
-                request.budget().getAccount(),
-                request.route().name(),
-                services.settings().dataCenter(),
-                request.route().priority(),
-                request.chat().map(ChatRequest::promptBound).orElse(0L),
-                request.maxOutput(),
-                request.chat().map(ChatRequest::prefixHash).orElse(0L));
-    }
-
     // ---- register ----
 
     /** Claims the request id for an endpoint, or for none to learn what is known of an earlier attempt. */
     private void claim(@Nullable EndpointCandidate candidate) {
         state = FlowState.CLAIMING;
         claims++;
-        Claim.Builder claim = Claim.newBuilder()
-                .setBudget(request.budget())
-                .setRequestId(request.id())
-                .setDigest(request.digest())
-                .setRepeatable(request.route().repeatable())
-                .setIncarnation(services.settings().incarnation())
-                .setRoute(request.route().name())
-                .setReplacesAttempt(replaces);
-        request.key().ifPresent(k -> k.timeMs().ifPresent(claim::setKeyTimeMs));
-        if (candidate != null) {
-            claim.setAgent(candidate.name()).setAgentIncarnation(candidate.agentIncarnation());
-        }
+        Claim claim = FlowMessages.claim(request, services.settings().incarnation(), candidate, replaces);
         services.register()
-                .claim(claim.build())
+                .claim(claim)
                 .whenCompleteAsync((result, failure) -> onClaim(candidate, result, failure), mailbox);
     }
 
@@ -257,7 +197,6 @@
             onRegisterUnreachable(candidate, failure);
             return;
         }
-        Refusal early = refusedWith;
         switch (ClaimRule.decide(result, request.route().repeatable())) {
             case DISPATCH -> onClaimed(candidate, result);
             case REPLACE -> replace(result.getAttempt());
@@ -268,12 +207,8 @@
                 refuse(Refusal.notRun(RefusalReason.ID_REUSED, "the id belongs to a request with other content"));
             case REFUSE_EXPIRED ->
                 refuse(Refusal.unknown(RefusalReason.ID_EXPIRED, "the id is older than ids are remembered"));
-            case REFUSE_FUTURE ->
-                refuse(Refusal.notRun(RefusalReason.ID_IN_FUTURE, "the key's time is in the future"));
-            case REFUSE_UNKNOWN -> refuse(unknownOutcome("it is not known whether an earlier attempt ran"));
-        }
-        if (early != null && state == FlowState.DONE) {
-            Event.of("request-known").with("request", request.id()).debug(LOG);
+            case REFUSE_FUTURE -> refuse(Refusal.notRun(RefusalReason.ID_IN_FUTURE, "the key's time is in the future"));
+            case REFUSE_UNKNOWN -> refuse(Refusals.unknownOutcome("it is not known whether an earlier attempt ran"));
         }
     }
 
@@ -282,7 +217,7 @@
         attempt = result.getAttempt();
         Refusal early = refusedWith;
         if (candidate == null || early != null) {
-            giveUp(early == null ? unknownOutcome("the claim names no endpoint") : early);
+            giveUp(early == null ? Refusals.unknownOutcome("the claim names no endpoint") : early);
         } else {
             dispatch(candidate);
         }
@@ -298,7 +233,7 @@
         } else {
             refuse(Refusal.notRun(
                     RefusalReason.REGISTER_UNREACHABLE,
-                    "the request id could not be claimed: " + message(failure),
+                    "the request id could not be claimed: " + Refusals.message(failure),
                     RETRY_SOON));
         }
     }
@@ -336,13 +271,17 @@
 
     /** Attaches to a request that ran earlier. */
     private void attachEarlier(ClaimResult result) {
-        awaitAgent(result.getAgent(), result.getAgentIncarnation(), services.settings().queryWait(), (link, peer) -> {
-            if (peer == null) {
-                refuse(Refusal.ran(RefusalReason.ANSWER_EXPIRED, "the agent that kept the answer is gone"));
-            } else {
-                attach(link, peer);
-            }
-        });
+        awaitAgent(
+                result.getAgent(),
+                result.getAgentIncarnation(),
+                services.settings().queryWait(),
+                agent -> {
+                    if (agent == null) {
+                        refuse(Refusal.ran(RefusalReason.ANSWER_EXPIRED, "the agent that kept the answer is gone"));
+                    } else {
+                        attach(agent);
+                    }
+                });
     }
 
     /** Asks the agent of an earlier attempt what became of it. */
@@ -353,20 +292,21 @@
             return;
         }
         boolean repeatable = request.route().repeatable();
-        Duration wait =
-                repeatable ? services.settings().reattachWait() : services.settings().queryWait();
-        awaitAgent(result.getAgent(), result.getAgentIncarnation(), wait, (link, peer) -> {
-            if (peer == null) {
+        Duration wait = repeatable
+                ? services.settings().reattachWait()
+                : services.settings().queryWait();
+        awaitAgent(result.getAgent(), result.getAgentIncarnation(), wait, agent -> {
+            if (agent == null) {
                 onEarlierUnknown(result);
             } else {
-                query(link, peer, result.getAttempt(), step -> {
+                query(agent, result.getAttempt(), step -> {
                     switch (step) {
                         case NOT_RUN -> {
                             resolveNotRun(result.getAttempt());
                             replace(result.getAttempt());
                         }
-                        case ATTACH -> attach(link, peer);
-                        case ANSWER_EXPIRED -> refuse(answerExpired());
+                        case ATTACH -> attach(agent);
+                        case ANSWER_EXPIRED -> refuse(Refusals.answerExpired());
                         case UNKNOWN -> onEarlierUnknown(result);
                     }
                 });
@@ -379,16 +319,14 @@
             services.metrics().retried("earlier-attempt-lost");
             replace(result.getAttempt());
         } else {
-            refuse(unknownOutcome("the agent " + result.getAgent() + " cannot tell whether the request ran"));
+            refuse(Refusals.unknownOutcome("the agent " + result.getAgent() + " cannot tell whether the request ran"));
         }
     }
 
     // ---- dispatch ----
 
     private void dispatch(EndpointCandidate candidate) {
-        target = candidate;
-        version = candidate.version();
-        endpoint = candidate.name();
+        report.sentTo(candidate);
         Optional<AgentLink> link = services.agents().link(candidate.name());
         Optional<Peer> peer = link.flatMap(AgentLink::peer)
                 .filter(p -> p.hello().getIncarnation().equals(candidate.agentIncarnation()));
@@ -396,46 +334,25 @@
             onNotSent("the agent " + candidate.name() + " is not connected");
             return;
         }
-        attempts++;
+        report.attempted();
         sent = true;
         state = FlowState.SENT;
-        latency.sent(services.time().nanos());
+        report.latency().sent(services.time().nanos());
         buffer.resetGrant();
-        call = AgentCall.open(
-                link.get(), peer.get(), Frame.newBuilder().setDispatch(message(candidate)), mailbox, this);
-    }
-
-    private Dispatch message(EndpointCandidate candidate) {
-        Dispatch.Builder d = Dispatch.newBuilder()
-                .setBudget(request.budget())
-                .setRequestId(request.id())
+        Dispatch.Builder dispatch = FlowMessages.dispatch(
+                        request, services.settings().incarnation(), candidate)
                 .setAttempt(attempt)
-                .setIncarnation(services.settings().incarnation())
+                .setClaimed(claimed)
                 .setGrantId(reservation.grantId())
-                .setAgentIncarnation(candidate.agentIncarnation())
-                .setConfigNumber(request.configuration().number())
-                .setRoute(request.route().name())
-                .setVersion(candidate.version())
-                .setReserved(request.reserved())
-                .setMaxOutput(request.maxOutput())
                 .setDeadlineMs((int) Math.max(1, left().toMillis()))
-                .setPriority(request.route().priority())
-                .setRepeatable(request.route().repeatable())
-                .setClaimed(claimed)
-                .setStream(request.chat().map(ChatRequest::stream).orElse(false))
-                .setMethod(request.caller().method())
-                .setPath(request.caller().target())
-                .addAllHeaders(ForwardedHeaders.of(request.caller()))
-                .setBody(ByteString.copyFrom(request.caller().body()))
-                .setDigest(request.digest())
                 .setCredit(buffer.grant());
         if (intake.length() > 0) {
-            d.setResumeText(intake.text()).setResumeTokens(intake.outputTokens());
+            dispatch.setResumeText(intake.text()).setResumeTokens(intake.outputTokens());
         }
-        return d.build();
+        call = AgentCall.open(link.get(), peer.get(), Frame.newBuilder().setDispatch(dispatch), mailbox, this);
     }
 
-    private void attach(AgentLink link, Peer peer) {
+    private void attach(ConnectedAgent agent) {
         state = FlowState.SENT;
         buffer.resetGrant();
         Attach.Builder attach = Attach.newBuilder()
@@ -443,7 +360,7 @@
                 .setRequestId(request.id())
                 .setOffset(intake.length())
                 .setCredit(callerGone ? StreamBuffer.MAX_WINDOW : buffer.grant());
-        call = AgentCall.open(link, peer, Frame.newBuilder().setAttach(attach), mailbox, this);
+        call = AgentCall.open(agent.link(), agent.peer(), Frame.newBuilder().setAttach(attach), mailbox, this);
         if (!sent) {
             // The run belongs to an earlier attempt, which has its own reservation.
             reservation.release();
@@ -479,7 +396,7 @@
         }
         if (from.isDispatch() && cause.kind() == TransportException.Kind.NOT_SENT) {
             endCall();
-            onNotSent(message(cause));
+            onNotSent(Refusals.message(cause));
         } else {
             onUncertain(from, "connection-lost");
         }
@@ -487,7 +404,7 @@
 
     private void onChunk(AgentCall from, Chunk chunk) {
         lastProgressAt = services.time().nanos();
-        latency.part(lastProgressAt, chunk.getOutputTokens());
+        report.latency().part(lastProgressAt, chunk.getOutputTokens());
         answer.head(chunk);
         try {
             intake.accept(chunk);
@@ -501,7 +418,7 @@
             return;
         }
         if (buffer.isFull()) {
-            latency.heldUp();
+            report.latency().heldUp();
         }
         answer.advanced();
         // What waits for a reader is credited when it is read; the rest of the window is granted as it becomes free.
@@ -540,9 +457,9 @@
 
     private void onWhole(Finished finished) {
         Usage usage = finished.getUsage();
-        usedTokens = usage.getTokens();
+        report.used(usage.getTokens());
         if (sent) {
-            evidence(answer.status() < SERVER_ERROR);
+            report.evidence(answer.status() < SERVER_ERROR);
             settle(usage);
         }
         answer.finish(new AnswerEnd(usage.getPromptTokens(), usage.getOutputTokens(), finished.getTruncated()));
@@ -551,12 +468,12 @@
 
     private void onFailedRun(Finished finished) {
         RunOutcome run = RunOutcome.of(finished.getRun());
-        RefusalReason reason =
-                RefusalReason.ofCode(finished.getFailure()).orElse(RefusalReason.ENDPOINT_FAILED);
-        Refusal refusal = new Refusal(reason, run, "the endpoint ended early: " + finished.getFailure(), Optional.empty());
+        RefusalReason reason = RefusalReason.ofCode(finished.getFailure()).orElse(RefusalReason.ENDPOINT_FAILED);
+        Refusal refusal =
+                new Refusal(reason, run, "the endpoint ended early: " + finished.getFailure(), Optional.empty());
         boolean fatal = reason == RefusalReason.REQUEST_CRASHES_ENDPOINTS;
         if (sent && !fatal) {
-            evidence(false);
+            report.evidence(false);
         }
         if (answer.isOver()) {
             settle(finished.getUsage());
@@ -593,7 +510,7 @@
                 if (request.route().repeatable()) {
                     resume(reason.code(), refusal);
                 } else {
-                    fail(unknownOutcome(refused.getDetail()));
+                    fail(Refusals.unknownOutcome(refused.getDetail()));
                 }
             }
             case FINAL -> {
@@ -615,7 +532,7 @@
 
     /** Tries again after an attempt that certainly did not run. */
     private void retryOrRefuse(String reason, Refusal last) {
-        excluded.add(endpoint);
+        excluded.add(report.endpoint());
         if (answer.isOver()) {
             endDrained(RunOutcome.NOT_RUN);
             return;
@@ -651,28 +568,28 @@
         }
         reservation.markUncertain();
         if (request.route().repeatable()) {
-            awaitAgent(from, services.settings().reattachWait(), (link, peer) -> {
-                if (peer == null) {
+            awaitAgent(from, services.settings().reattachWait(), agent -> {
+                if (agent == null) {
                     resume(reason, Refusal.unknown(RefusalReason.ENDPOINT_FAILED, "the agent was lost: " + reason));
                 } else {
                     services.metrics().retried("reattach");
-                    attach(link, peer);
+                    attach(agent);
                 }
             });
         } else {
-            awaitAgent(from, services.settings().queryWait(), (link, peer) -> {
-                if (peer == null) {
-                    fail(unknownOutcome("the agent was lost: " + reason));
+            awaitAgent(from, services.settings().queryWait(), agent -> {
+                if (agent == null) {
+                    fail(Refusals.unknownOutcome("the agent was lost: " + reason));
                 } else {
-                    reconcile(link, peer);
+                    reconcile(agent);
                 }
             });
         }
     }
 
     /** Finds out whether a request that may run only once has run. */
-    private void reconcile(AgentLink link, Peer peer) {
-        query(link, peer, attempt, step -> {
+    private void reconcile(ConnectedAgent agent) {
+        query(agent, attempt, step -> {
             switch (step) {
                 case NOT_RUN ->
                     retryOrRefuse(
@@ -680,33 +597,34 @@
                             Refusal.notRun(RefusalReason.NO_ENDPOINT, "the agent never received it", RETRY_SOON));
                 case ATTACH -> {
                     services.metrics().retried("reattach");
-                    attach(link, peer);
+                    attach(agent);
                 }
-                case ANSWER_EXPIRED -> fail(answerExpired());
-                case UNKNOWN -> fail(unknownOutcome("the agent cannot tell whether the request ran"));
+                case ANSWER_EXPIRED -> fail(Refusals.answerExpired());
+                case UNKNOWN -> fail(Refusals.unknownOutcome("the agent cannot tell whether the request ran"));
             }
         });
     }
 
     private void reattach(AgentCall from) {
-        awaitAgent(from, services.settings().queryWait(), (link, peer) -> {
-            if (peer == null) {
-                fail(unknownOutcome("the agent was lost"));
+        awaitAgent(from, services.settings().queryWait(), agent -> {
+            if (agent == null) {
+                fail(Refusals.unknownOutcome("the agent was lost"));
             } else {
-                attach(link, peer);
+                attach(agent);
             }
         });
     }
 
     /** Continues a repeatable request on another endpoint from the text that has arrived. */
     private void resume(String reason, Refusal last) {
-        excluded.add(endpoint);
+        excluded.add(report.endpoint());
         reservation.markUncertain();
         if (!intake.canResume() || !reservation.isSet()) {
             fail(last);
             return;
         }
-        Optional<Duration> pause = services.retries().next(request.route().name(), Math.max(1, attempts), left());
+        Optional<Duration> pause =
+                services.retries().next(request.route().name(), Math.max(1, report.attempts()), left());
         if (pause.isEmpty()) {
             fail(last);
             return;
@@ -715,52 +633,18 @@
         backOff(pause.get());
     }
 
-    private void awaitAgent(AgentCall from, Duration wait, AgentReady then) {
+    private void awaitAgent(AgentCall from, Duration wait, AgentFinder.Found then) {
         awaitAgent(from.link().endpoint().name(), from.incarnation(), wait, then);
     }
 
-    /** Waits until an incarnation of an agent is connected. Hands over no peer if it is another one or none in time. */
-    private void awaitAgent(String agent, String incarnation, Duration wait, AgentReady then) {
+    private void awaitAgent(String agent, String incarnation, Duration wait, AgentFinder.Found then) {
         state = FlowState.RECOVERING;
-        long until = services.time().nanos() + Math.min(wait.toNanos(), Math.max(0, left().toNanos()));
-        pollAgent(agent, incarnation, until, then);
+        Duration bounded = wait.compareTo(left()) < 0 ? wait : left();
+        finder.await(agent, incarnation, bounded, then);
     }
 
-    private void pollAgent(String agent, String incarnation, long until, AgentReady then) {
-        if (state != FlowState.RECOVERING) {
-            return;
-        }
-        Optional<AgentLink> link = services.agents().link(agent);
-        Optional<Peer> peer = link.flatMap(AgentLink::peer);
-        if (link.isPresent() && peer.isPresent()) {
-            boolean same = peer.get().hello().getIncarnation().equals(incarnation);
-            then.accept(link.get(), same ? peer.get() : null);
-        } else if (link.isEmpty() || until - services.time().nanos() <= 0) {
-            then.accept(link.orElse(null), null);
-        } else {
-            later(Duration.ofMillis(POLL_MS), () -> pollAgent(agent, incarnation, until, then));
-        }
-    }
-
-    private void query(AgentLink link, Peer peer, int ofAttempt, java.util.function.Consumer<QueryStep> then) {
-        Frame.Builder query = Frame.newBuilder()
-                .setRequestQuery(RequestQuery.newBuilder()
-                        .setBudget(request.budget())
-                        .setRequestId(request.id())
-                        .setAttempt(ofAttempt)
-                        .setSetTombstone(true));
-        String incarnation = peer.hello().getIncarnation();
-        peer.call(query, services.settings().callTimeout())
-                .whenCompleteAsync(
-                        (reply, failure) -> {
-                            if (state == FlowState.RECOVERING) {
-                                RequestState s = reply == null
-                                        ? RequestState.getDefaultInstance()
-                                        : reply.getRequestState();
-                                then.accept(QueryRule.decide(s, incarnation));
-                            }
-                        },
-                        mailbox);
+    private void query(ConnectedAgent agent, int ofAttempt, Consumer<QueryStep> then) {
+        finder.query(agent, request.budget(), request.id(), ofAttempt, then);
     }
 
     // ---- ends ----
@@ -777,7 +661,7 @@
         }
         if (state == FlowState.SENT) {
             if (!answer.isStarted()) {
-                evidence(false);
+                report.evidence(false);
             }
             cancelUnlessKeyed("deadline");
             answer.fail(Refusal.unknown(RefusalReason.ENDPOINT_TIMEOUT, "the deadline of the route has passed"));
@@ -880,23 +764,7 @@
         if (timer != null) {
             timer.cancel(false);
         }
-        Refusal refusal = refusedWith;
-        Event event = Event.of(refusal == null ? "request-finished" : "request-refused")
-                .with("request", request.id())
-                .with("account", request.budget().getAccount())
-                .with("route", request.route().name())
-                .with("endpoint", endpoint)
-                .with("version", version)
-                .with("attempts", attempts)
-                .with("tokens", usedTokens)
-                .with("ms", TimeUnit.NANOSECONDS.toMillis(services.time().nanos() - startedAt));
-        if (refusal == null) {
-            event.with("status", answer.status()).info(LOG);
-        } else {
-            event.with("reason", refusal.reason().code())
-                    .with("run", refusal.run().text())
-                    .info(LOG);
-        }
+        report.log(refusedWith, answer.status());
         end();
     }
 
@@ -916,29 +784,8 @@
         }
     }
 
-    private void evidence(boolean good) {
-        EndpointCandidate t = target;
-        if (t == null) {
-            return;
-        }
-        EvidenceKey key = new EvidenceKey(
-                request.service().name(),
-                t.version(),
-                request.route().name(),
-                LoadBands.of(t.load(), t.slots(), t.inFlight() + 1));
-        if (good) {
-            latency.latency(services.time().nanos())
-                    .ifPresentOrElse(
-                            l -> services.evidence().succeeded(key, l),
-                            () -> services.evidence().succeeded(key));
-        } else {
-            services.evidence().failed(key);
-        }
-    }
-
-    @SuppressWarnings("ReferenceEquality")
     private boolean isCurrent(AgentCall from) {
-        return call == from;
+        return from.equals(call);
     }
 
     private Duration left() {
@@ -950,34 +797,4 @@
         return services.timer()
                 .schedule(() -> mailbox.execute(task), Math.max(0, wait.toMillis()), TimeUnit.MILLISECONDS);
     }
-
-    private static Refusal unknownOutcome(String detail) {
-        return Refusal.unknown(RefusalReason.OUTCOME_UNKNOWN, detail);
-    }
-
-    private static Refusal answerExpired() {
-        return Refusal.ran(RefusalReason.ANSWER_EXPIRED, "the agent no longer keeps the answer");
-    }
-
-    private static Refusal refusal(@Nullable Throwable failure) {
-        Throwable cause = failure instanceof CompletionException && failure.getCause() != null
-                ? failure.getCause()
-                : failure;
-        return cause instanceof RefusedException r
-                ? r.refusal()
-                : Refusal.notRun(RefusalReason.BUDGET_UNREACHABLE, message(cause), RETRY_SOON);
-    }
-
-    private static String message(@Nullable Throwable failure) {
-        Throwable cause = failure instanceof CompletionException && failure.getCause() != null
-                ? failure.getCause()
-                : failure;
-        return cause == null ? "no reply" : String.valueOf(cause.getMessage());
-    }
-
-    /** Receives the connection to an agent, or none. */
-    @FunctionalInterface
-    private interface AgentReady {
-        void accept(@Nullable AgentLink link, @Nullable Peer peer);
-    }
 }
--- /dev/null
+++ b/router/src/main/java/org/ragwortrun/router/internal/ledger/GrantClient.java
@@ -0,0 +1,356 @@
+package org.ragwortrun.router.internal.ledger;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Supplier;
+import java.util.stream.Collectors;
+import org.jspecify.annotations.Nullable;
+import org.ragwortrun.core.refusal.Refusal;
+import org.ragwortrun.core.refusal.RefusalReason;
+import org.ragwortrun.core.refusal.RefusedException;
+import org.ragwortrun.ledger.GrantPool;
+import org.ragwortrun.ledger.ReserveResult;
+import org.ragwortrun.proto.BudgetRef;
+import org.ragwortrun.proto.GrantResult;
+import org.ragwortrun.proto.GrantTotal;
+import org.ragwortrun.proto.ReduceGrants;
+import org.ragwortrun.proto.RequestGrant;
+import org.ragwortrun.proto.ShardCommand;
+
+/**
+ * Carries the messages of the grant pool to the shards and lets requests wait for more tokens.
+ *
+ * <p>All messages are idempotent, so each is repeated until its shard has answered. A request is refused as spent only
+ * on the owner's word; when the owner does not answer it is refused as unreachable.
+ */
+public final class GrantClient implements Grants {
+    private static final Duration CALL_TIMEOUT = Duration.ofMillis(900);
+    private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
+    private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(3);
+    private static final long RESEND_MS = 1_000;
+    private static final long PAUSE_MS = 30;
+    private static final int MAX_PAUSES = 10;
+
+    private final GrantPool pool;
+    private final Shards shards;
+    private final Sessions sessions;
+    private final ScheduledExecutorService timer;
+    private final Duration timeout;
+    private final Supplier<List<String>> agents;
+    private final Map<BudgetRef, Lane> lanes = new ConcurrentHashMap<>();
+    private final AtomicInteger held = new AtomicInteger();
+
+    /**
+     * Creates a client.
+     *
+     * @param timeout longest time that a request waits for tokens
+     * @param agents names of the agents that may have usage of this router
+     */
+    public GrantClient(
+            GrantPool pool,
+            Shards shards,
+            Sessions sessions,
+            ScheduledExecutorService timer,
+            Duration timeout,
+            Supplier<List<String>> agents) {
+        this.pool = pool;
+        this.shards = shards;
+        this.sessions = sessions;
+        this.timer = timer;
+        this.timeout = timeout;
+        this.agents = agents;
+        timer.scheduleWithFixedDelay(this::maintain, RESEND_MS, RESEND_MS, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public CompletableFuture<Reservation> reserve(BudgetRef budget, long tokens) {
+        ReserveResult result = pool.reserve(budget, tokens);
+        if (result instanceof ReserveResult.Reserved r) {
+            pool.refill(budget).ifPresent(this::ask);
+            return CompletableFuture.completedFuture(new Handle(r.reservation()));
+        }
+        Waiter waiter = new Waiter(budget, tokens);
+        Lane lane = lanes.compute(budget, (b, known) -> {
+            Lane l = known == null ? new Lane() : known;
+            l.add(waiter);
+            return l;
+        });
+        timer.schedule(waiter::expire, timeout.toMillis(), TimeUnit.MILLISECONDS);
+        if (result instanceof ReserveResult.NeedMore more) {
+            request(more);
+        }
+        // The answer to an earlier request may have come before the waiter stood in the lane.
+        lane.serve(null, null).forEach(this::request);
+        return waiter.result;
+    }
+
+    @Override
+    public void recall(BudgetRef budget) {
+        pool.recall(budget).ifPresent(this::reduce);
+    }
+
+    /** Returns the number of reservations whose bill is not known. */
+    public int heldReservations() {
+        return held.get();
+    }
+
+    /** Returns what is unused and ends the sessions; held reservations are left to the agents named. */
+    @Override
+    public void close() {
+        pool.returnAll().ifPresent(this::reduce);
+        sessions.close(held.get() == 0 ? List.of() : agents.get(), CLOSE_TIMEOUT);
+    }
+
+    /** Sends what is due, and again what has not been answered. */
+    private void maintain() {
+        pool.returnsDue();
+        pool.unacknowledgedReturns().ifPresent(this::reduce);
+        pool.unansweredRequests().forEach(this::ask);
+        for (BudgetRef budget : lanes.keySet()) {
+            lanes.computeIfPresent(budget, (b, lane) -> lane.isEmpty() ? null : lane);
+        }
+    }
+
+    private void request(ReserveResult.NeedMore more) {
+        CompletableFuture<?> returned =
+                more.giveBack().map(this::reduce).orElse(CompletableFuture.completedFuture(null));
+        more.ask().ifPresent(ask -> returned.whenComplete((r, f) -> ask(ask)));
+    }
+
+    private void ask(RequestGrant ask) {
+        int group = shards.of(ask.getBudget());
+        sessions.whenOpen(group)
+                .thenCompose(v -> shards.send(group, ShardCommand.newBuilder().setRequestGrant(ask), CALL_TIMEOUT))
+                .whenComplete((result, failure) -> {
+                    if (result != null && result.hasGrant()) {
+                        answered(ask, result.getGrant());
+                    }
+                });
+    }
+
+    private void answered(RequestGrant ask, GrantResult result) {
+        pool.granted(ask, result);
+        if (result.getOutcome() == GrantResult.Outcome.UNKNOWN_SESSION) {
+            sessions.markFenced();
+        }
+        Lane lane = lanes.get(ask.getBudget());
+        if (lane == null) {
+            return;
+        }
+        List<ReserveResult.NeedMore> more = lane.serve(ask, result);
+        boolean granted = result.getOutcome() == GrantResult.Outcome.GRANTED;
+        for (ReserveResult.NeedMore m : more) {
+            if (granted) {
+                request(m);
+            } else {
+                long pause = PAUSE_MS * Math.min(MAX_PAUSES, 1 + lane.heldAnswers());
+                timer.schedule(() -> request(m), pause, TimeUnit.MILLISECONDS);
+            }
+        }
+    }
+
+    private CompletableFuture<?> reduce(ReduceGrants message) {
+        Map<Integer, List<GrantTotal>> byShard =
+                message.getTotalsList().stream().collect(Collectors.groupingBy(t -> shards.of(t.getBudget())));
+        return CompletableFuture.allOf(byShard.entrySet().stream()
+                .map(e -> reduce(
+                        e.getKey(),
+                        ReduceGrants.newBuilder()
+                                .setIncarnation(message.getIncarnation())
+                                .addAllTotals(e.getValue())
+                                .build()))
+                .toArray(CompletableFuture<?>[]::new));
+    }
+
+    private CompletableFuture<?> reduce(int group, ReduceGrants part) {
+        return shards.send(group, ShardCommand.newBuilder().setReduceGrants(part), CALL_TIMEOUT)
+                .whenComplete((result, failure) -> {
+                    if (result != null && result.hasGrantsReduced()) {
+                        pool.reduced(part);
+                    }
+                });
+    }
+
+    /** Serves requests that wait, since tokens of their budget have become free. */
+    private void freed(BudgetRef budget) {
+        Lane lane = lanes.get(budget);
+        if (lane != null) {
+            lane.serve(null, null).forEach(this::request);
+        }
+        pool.returnsDue(budget).ifPresent(this::reduce);
+    }
+
+    private static Refusal spent(GrantResult result) {
+        return Refusal.notRun(
+                RefusalReason.BUDGET_SPENT,
+                result.getOutcome() == GrantResult.Outcome.HELD
+                        ? "the rest of the budget is held by other requests; available: " + result.getAvailable()
+                        : "the budget is spent; available: " + result.getAvailable());
+    }
+
+    /** A request that waits for tokens. */
+    private final class Waiter {
+        private final BudgetRef budget;
+        private final long tokens;
+        private final CompletableFuture<Reservation> result = new CompletableFuture<>();
+        private int heldAnswers;
+        private @Nullable GrantResult heldAnswer;
+
+        Waiter(BudgetRef budget, long tokens) {
+            this.budget = budget;
+            this.tokens = tokens;
+        }
+
+        boolean isOver() {
+            return result.isDone();
+        }
+
+        /** Gives up: the owner has said that the tokens are held, or has said nothing. */
+        void expire() {
+            GrantResult answer;
+            synchronized (this) {
+                answer = heldAnswer;
+            }
+            refuse(
+                    answer == null
+                            ? Refusal.notRun(
+                                    RefusalReason.BUDGET_UNREACHABLE,
+                                    "the owner of the budget did not answer in time",
+                                    RETRY_AFTER)
+                            : spent(answer));
+        }
+
+        synchronized int heldAnswers() {
+            return heldAnswers;
+        }
+
+        private synchronized void noteHeld(GrantResult answer) {
+            heldAnswers++;
+            heldAnswer = answer;
+        }
+
+        void refuse(Refusal refusal) {
+            result.completeExceptionally(new RefusedException(refusal));
+        }
+
+        /** Takes the owner's answer and returns whether it is final for this request. */
+        boolean isFinal(RequestGrant ask, GrantResult answer) {
+            if (ask.getMinimum() > tokens) {
+                return false;
+            }
+            if (answer.getOutcome() == GrantResult.Outcome.HELD) {
+                // A recall is under way and running requests return what they do not use, so it waits.
+                noteHeld(answer);
+            }
+            return answer.getOutcome() == GrantResult.Outcome.SPENT
+                    || answer.getOutcome() == GrantResult.Outcome.UNKNOWN_SESSION;
+        }
+
+        Refusal refusal(GrantResult answer) {
+            return answer.getOutcome() == GrantResult.Outcome.UNKNOWN_SESSION
+                    ? Refusal.notRun(
+                            RefusalReason.ROUTER_FENCED, "the session of this host has been closed", RETRY_AFTER)
+                    : spent(answer);
+        }
+
+        /** Reserves now if possible; returns what to ask for otherwise. */
+        Optional<ReserveResult.NeedMore> tryReserve() {
+            ReserveResult r = pool.reserveAgain(budget, tokens);
+            if (r instanceof ReserveResult.NeedMore more) {
+                return Optional.of(more);
+            }
+            if (r instanceof ReserveResult.Reserved reserved && !result.complete(new Handle(reserved.reservation()))) {
+                pool.release(reserved.reservation());
+            }
+            return Optional.empty();
+        }
+    }
+
+    /** The requests that wait for tokens of one budget, in the order of their arrival. */
+    private static final class Lane {
+        private final List<Waiter> waiters = new ArrayList<>();
+
+        synchronized void add(Waiter waiter) {
+            waiters.add(waiter);
+        }
+
+        synchronized boolean isEmpty() {
+            waiters.removeIf(Waiter::isOver);
+            return waiters.isEmpty();
+        }
+
+        /** Returns how often the request that waits longest has heard that the tokens are held. */
+        synchronized int heldAnswers() {
+            return waiters.isEmpty() ? 0 : waiters.get(0).heldAnswers();
+        }
+
+        /** Serves the requests after an answer of the owner, or after tokens became free. */
+        synchronized List<ReserveResult.NeedMore> serve(@Nullable RequestGrant ask, @Nullable GrantResult answer) {
+            List<ReserveResult.NeedMore> more = new ArrayList<>();
+            Iterator<Waiter> all = waiters.iterator();
+            while (all.hasNext()) {
+                Waiter w = all.next();
+                if (w.isOver()) {
+                    all.remove();
+                    continue;
+                }
+                Optional<ReserveResult.NeedMore> missing = w.tryReserve();
+                if (missing.isEmpty()) {
+                    all.remove();
+                } else if (ask != null && answer != null && w.isFinal(ask, answer)) {
+                    more.add(missing.get());
+                    w.refuse(w.refusal(answer));
+                    all.remove();
+                } else {
+                    more.add(missing.get());
+                }
+            }
+            return more;
+        }
+    }
+
+    /** A reservation that is ended once. */
+    private final class Handle implements Reservation {
+        private final org.ragwortrun.ledger.Reservation reservation;
+        private final AtomicBoolean ended = new AtomicBoolean();
+
+        Handle(org.ragwortrun.ledger.Reservation reservation) {
+            this.reservation = reservation;
+        }
+
+        @Override
+        public String grantId() {
+            return reservation.grantId();
+        }
+
+        @Override
+        public void settle(long tokens) {
+            if (ended.compareAndSet(false, true)) {
+                pool.settle(reservation, Math.min(tokens, reservation.tokens()));
+                freed(reservation.budget());
+            }
+        }
+
+        @Override
+        public void release() {
+            settle(0);
+        }
+
+        @Override
+        public void hold() {
+            if (ended.compareAndSet(false, true)) {
+                held.incrementAndGet();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/ragwortrun/router/internal/ledger/Sessions.java
@@ -0,0 +1,103 @@
+package org.ragwortrun.router.internal.ledger;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.ragwortrun.core.log.Event;
+import org.ragwortrun.proto.CloseSession;
+import org.ragwortrun.proto.OpenSession;
+import org.ragwortrun.proto.ShardCommand;
+
+/** The sessions of this router's incarnation at the shards. */
+public final class Sessions {
+    private static final Logger LOG = LogManager.getLogger(Sessions.class);
+    private static final Duration TIMEOUT = Duration.ofSeconds(1);
+    private static final long RETRY_MS = 200;
+
+    private final Shards shards;
+    private final ScheduledExecutorService timer;
+    private final String router;
+    private final String incarnation;
+    private final Map<Integer, CompletableFuture<Void>> opened = new ConcurrentHashMap<>();
+    private volatile boolean fenced;
+
+    public Sessions(Shards shards, ScheduledExecutorService timer, String router, String incarnation) {
+        this.shards = shards;
+        this.timer = timer;
+        this.router = router;
+        this.incarnation = incarnation;
+    }
+
+    /** Opens a session at each shard and tries until each has one. */
+    public void open() {
+        for (int group = 1; group <= shards.count(); group++) {
+            open(group);
+        }
+    }
+
+    /** Completes when the session at a shard is open. */
+    CompletableFuture<Void> whenOpen(int group) {
+        return opened.computeIfAbsent(group, g -> new CompletableFuture<>());
+    }
+
+    /** A shard does not know the session, although it was opened: the incarnation has been fenced. */
+    void markFenced() {
+        if (!fenced) {
+            fenced = true;
+            Event.of("router-fenced").with("incarnation", incarnation).warn(LOG);
+        }
+    }
+
+    /** Returns whether the incarnation has been fenced. Only a restart ends this. */
+    public boolean isFenced() {
+        return fenced;
+    }
+
+    /**
+     * Ends the sessions.
+     *
+     * @param awaited agents that may still have usage to report; empty if everything is settled
+     */
+    void close(List<String> awaited, Duration timeout) {
+        CloseSession close = CloseSession.newBuilder()
+                .setIncarnation(incarnation)
+                .setOrderly(awaited.isEmpty())
+                .addAllAwaitedAgents(awaited)
+                .build();
+        CompletableFuture<?>[] calls = opened.entrySet().stream()
+                .filter(e -> e.getValue().isDone())
+                .map(e -> shards.send(e.getKey(), ShardCommand.newBuilder().setCloseSession(close), timeout))
+                .toArray(CompletableFuture<?>[]::new);
+        try {
+            CompletableFuture.allOf(calls).get(timeout.toMillis(), TimeUnit.MILLISECONDS);
+        } catch (ExecutionException | TimeoutException e) {
+            // The shards fence the incarnation later, as after a crash.
+            Event.of("session-close-failed").with("incarnation", incarnation).warn(LOG, e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void open(int group) {
+        OpenSession open = OpenSession.newBuilder()
+                .setRouter(router)
+                .setIncarnation(incarnation)
+                .build();
+        shards.send(group, ShardCommand.newBuilder().setOpenSession(open), TIMEOUT)
+                .whenComplete((result, failure) -> {
+                    if (result != null && result.hasSessionOpened()) {
+                        whenOpen(group).complete(null);
+                    } else if (!timer.isShutdown()) {
+                        timer.schedule(() -> open(group), RETRY_MS, TimeUnit.MILLISECONDS);
+                    }
+                });
+    }
+}
--- a/router/src/main/java/org/ragwortrun/router/internal/ledger/SettlementQueue.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/ledger/SettlementQueue.java
@@ -6,23 +6,19 @@
 import java.util.Map;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.jspecify.annotations.Nullable;
-import org.ragwortrun.core.id.Digests;
 import org.ragwortrun.core.log.Event;
 import org.ragwortrun.core.time.Time;
-import org.ragwortrun.net.control.ControlClient;
-import org.ragwortrun.proto.Frame;
 import org.ragwortrun.proto.RejectedUsage;
 import org.ragwortrun.proto.SettleBatch;
 import org.ragwortrun.proto.ShardCommand;
-import org.ragwortrun.proto.ShardRequest;
 import org.ragwortrun.proto.ShardResult;
 import org.ragwortrun.proto.Usage;
 
@@ -39,8 +35,7 @@
     private static final long PERIOD_MS = 20;
     private static final Duration TIMEOUT = Duration.ofSeconds(2);
 
-    private final ControlClient control;
-    private final int shards;
+    private final Shards shards;
     private final String reporter;
     private final Duration closeTimeout;
     private final Time time;
@@ -54,13 +49,7 @@
      * @param closeTimeout longest time that close waits for acknowledgements
      */
     public SettlementQueue(
-            ControlClient control,
-            ScheduledExecutorService timer,
-            int shards,
-            String reporter,
-            Duration closeTimeout,
-            Time time) {
-        this.control = control;
+            Shards shards, ScheduledExecutorService timer, String reporter, Duration closeTimeout, Time time) {
         this.shards = shards;
         this.reporter = reporter;
         this.closeTimeout = closeTimeout;
@@ -70,7 +59,7 @@
 
     /** Queues the usage of one finished request. */
     public void add(Usage usage) {
-        int group = Digests.shard(usage.getBudget().getAccount(), shards);
+        int group = shards.of(usage.getBudget());
         Lane lane = lanes.computeIfAbsent(group, Lane::new);
         pending.incrementAndGet();
         if (!lane.waiting.offer(usage)) {
@@ -125,11 +114,7 @@
                     .setReporter(reporter)
                     .addAllUsages(sent)
                     .build();
-            Frame.Builder frame = Frame.newBuilder()
-                    .setShardRequest(ShardRequest.newBuilder()
-                            .setGroup(group)
-                            .setCommand(ShardCommand.newBuilder().setSettle(batch)));
-            call = control.call(group, frame, TIMEOUT).thenCompose(ShardReplies::result);
+            call = shards.send(group, ShardCommand.newBuilder().setSettle(batch), TIMEOUT);
             call.whenComplete((result, failure) -> {
                 if (result != null && result.hasSettled()) {
                     acknowledged(result.getSettled().getRejectedList());
--- /dev/null
+++ b/router/src/main/java/org/ragwortrun/router/internal/ledger/Shards.java
@@ -0,0 +1,60 @@
+package org.ragwortrun.router.internal.ledger;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import org.ragwortrun.core.id.Digests;
+import org.ragwortrun.net.TransportException;
+import org.ragwortrun.net.control.ControlClient;
+import org.ragwortrun.proto.BudgetRef;
+import org.ragwortrun.proto.ErrorReply;
+import org.ragwortrun.proto.Frame;
+import org.ragwortrun.proto.ShardCommand;
+import org.ragwortrun.proto.ShardRequest;
+import org.ragwortrun.proto.ShardResult;
+
+/** Sends commands to the shard groups. */
+public final class Shards {
+    private final ControlClient control;
+    private final int count;
+
+    public Shards(ControlClient control, int count) {
+        this.control = control;
+        this.count = count;
+    }
+
+    public int count() {
+        return count;
+    }
+
+    /** Returns the group that owns a budget. */
+    public int of(BudgetRef budget) {
+        return Digests.shard(budget.getAccount(), count);
+    }
+
+    /** Sends a command; fails with {@link TransportException} if there is no result. */
+    public CompletableFuture<ShardResult> send(int group, ShardCommand.Builder command, Duration timeout) {
+        Frame.Builder frame = Frame.newBuilder()
+                .setShardRequest(ShardRequest.newBuilder().setGroup(group).setCommand(command));
+        return control.call(group, frame, timeout).thenCompose(Shards::result);
+    }
+
+    /** Returns a failure for a result of another kind than the command's. */
+    static <T> CompletableFuture<T> unexpected(ShardResult result) {
+        return CompletableFuture.failedFuture(error(result.getError()));
+    }
+
+    private static CompletableFuture<ShardResult> result(Frame reply) {
+        if (reply.hasShardReply() && reply.getShardReply().hasCommand()) {
+            ShardResult result = reply.getShardReply().getCommand();
+            return result.hasError()
+                    ? CompletableFuture.failedFuture(error(result.getError()))
+                    : CompletableFuture.completedFuture(result);
+        }
+        return CompletableFuture.failedFuture(error(reply.getError()));
+    }
+
+    private static TransportException error(ErrorReply error) {
+        return new TransportException(
+                TransportException.Kind.PEER_ERROR, "control answered " + error.getType() + ": " + error.getDetail());
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/ragwortrun/router/internal/package-info.java
@@ -0,0 +1,5 @@
+/** Parts of the router daemon. */
+@NullMarked
+package org.ragwortrun.router.internal;
+
+import org.jspecify.annotations.NullMarked;
--- a/router/src/main/java/org/ragwortrun/router/internal/request/AccountRule.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/request/AccountRule.java
@@ -22,7 +22,7 @@
                 .filter(h -> h.toLowerCase(Locale.ROOT).startsWith(SCHEME))
                 .map(h -> h.substring(SCHEME.length()).trim())
                 .flatMap(key -> configuration.accountByKey(Digests.apiKey(key)))
-                .orElseThrow(() -> new RefusedException(
-                        Refusal.notRun(RefusalReason.UNKNOWN_KEY, "expected Authorization: Bearer KEY with a known key")));
+                .orElseThrow(() -> new RefusedException(Refusal.notRun(
+                        RefusalReason.UNKNOWN_KEY, "expected Authorization: Bearer KEY with a known key")));
     }
 }
--- a/router/src/main/java/org/ragwortrun/router/internal/request/Admission.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/request/Admission.java
@@ -37,7 +37,9 @@
         long maxOutput = routed.chat()
                 .map(c -> c.maxOutput() > 0 ? c.maxOutput() : routed.route().maxOutput())
                 .orElse(0L);
-        long reserved = routed.chat().map(c -> c.promptBound() + maxOutput).orElse(routed.route().price());
+        long reserved = routed.chat()
+                .map(c -> c.promptBound() + maxOutput)
+                .orElse(routed.route().price());
         return new AdmittedRequest(
                 request,
                 key.map(RequestKey::text).orElse(ownId),
--- a/router/src/main/java/org/ragwortrun/router/internal/request/CallerRequest.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/request/CallerRequest.java
@@ -27,4 +27,9 @@
                 .map(Header::getValue)
                 .findFirst();
     }
+
+    /** Returns the caller's id for this request, if there is one. */
+    public Optional<String> idempotencyKey() {
+        return header("Idempotency-Key").map(String::trim).filter(t -> !t.isEmpty());
+    }
 }
--- a/router/src/main/java/org/ragwortrun/router/internal/request/ChatReader.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/request/ChatReader.java
@@ -39,26 +39,26 @@
             bound += TOKENS_PER_MESSAGE + promptBytes(message);
         }
         // Tool definitions become part of the prompt in a form that only the engine knows; their JSON is longer.
-        bound += root.path("tools").isMissingNode() ? 0 : bytes(root.path("tools").toString());
+        bound += root.path("tools").isMissingNode()
+                ? 0
+                : bytes(root.path("tools").toString());
         byte[] first = messages.get(0).toString().getBytes(StandardCharsets.UTF_8);
         return new ChatRequest(
-                root.path("model").asText(),
-                stream(root),
-                bound,
-                maxOutput(root),
-                MurmurHash3.hash32x86(first));
+                root.path("model").asText(), stream(root), bound, maxOutput(root), MurmurHash3.hash32x86(first));
     }
 
     private JsonNode parse(byte[] body) throws RefusedException {
+        JsonNode root;
         try {
-            JsonNode root = json.readTree(body);
-            if (root != null && root.isObject()) {
-                return root;
-            }
+            root = json.readTree(body);
         } catch (IOException e) {
-            throw malformed("the body is not JSON");
+            // The parser's message may quote the caller's text, which stays out of logs and answers.
+            root = null;
+        }
+        if (root == null || !root.isObject()) {
+            throw malformed("the body is not a JSON object");
         }
-        throw malformed("the body is not a JSON object");
+        return root;
     }
 
     /** Refuses images and other parts, because their tokens are not bounded by their bytes. */
--- a/router/src/main/java/org/ragwortrun/router/internal/request/RequestKeys.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/request/RequestKeys.java
@@ -13,7 +13,6 @@
 
 /** Reads Idempotency-Keys and the time that some of them carry. */
 public final class RequestKeys {
-    private static final String HEADER = "Idempotency-Key";
     private static final Pattern UUID_FORM =
             Pattern.compile("[0-9a-fA-F]{8}-[0-9a-fA-F]{4}-7[0-9a-fA-F]{3}-[89abAB][0-9a-fA-F]{3}-[0-9a-fA-F]{12}");
     // Ten digits of unix seconds reach from 2001 to 2286, so that other numbers are not taken for a time.
@@ -34,7 +33,7 @@
      * @throws RefusedException if the route requires a key, or requires one with a time, or the key's time is ahead
      */
     public Optional<RequestKey> read(CallerRequest request, Route route) throws RefusedException {
-        Optional<String> text = request.header(HEADER).map(String::trim).filter(t -> !t.isEmpty());
+        Optional<String> text = request.idempotencyKey();
         if (text.isEmpty()) {
             if (!route.repeatable()) {
                 throw refused(RefusalReason.ID_MISSING, "route " + route.name() + " is not repeatable");
@@ -47,7 +46,8 @@
         }
         if (!route.repeatable() && key.timeMs().isEmpty()) {
             throw refused(
-                    RefusalReason.ID_WITHOUT_TIME, "expected a UUID version 7 or a key of the form <unix seconds>-<text>");
+                    RefusalReason.ID_WITHOUT_TIME,
+                    "expected a UUID version 7 or a key of the form <unix seconds>-<text>");
         }
         if (key.timeMs().isPresent() && key.timeMs().getAsLong() > time.wallMillis() + MAX_AHEAD_MS) {
             throw refused(RefusalReason.ID_IN_FUTURE, "the key's time is more than 5 minutes in the future");
--- a/router/src/main/java/org/ragwortrun/router/internal/request/RouteRule.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/request/RouteRule.java
@@ -56,9 +56,7 @@
     /** A prefix ends at a segment border, so that /orders does not match /orders-archive. */
     private static boolean isPrefix(String prefix, String path) {
         return path.startsWith(prefix)
-                && (path.length() == prefix.length()
-                        || prefix.endsWith("/")
-                        || path.charAt(prefix.length()) == '/');
+                && (path.length() == prefix.length() || prefix.endsWith("/") || path.charAt(prefix.length()) == '/');
     }
 
     private static Service.Kind kind(Configuration configuration, Route route) {
--- /dev/null
+++ b/router/src/test/java/org/ragwortrun/router/FakeControl.java
@@ -0,0 +1,111 @@
+package org.ragwortrun.router;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.ragwortrun.core.id.Digests;
+import org.ragwortrun.ledger.GrantPolicy;
+import org.ragwortrun.ledger.ShardState;
+import org.ragwortrun.net.FrameHandler;
+import org.ragwortrun.net.Peer;
+import org.ragwortrun.net.Replies;
+import org.ragwortrun.proto.ApplyTopUps;
+import org.ragwortrun.proto.BudgetRef;
+import org.ragwortrun.proto.ConfigUpdate;
+import org.ragwortrun.proto.EvidenceRow;
+import org.ragwortrun.proto.Frame;
+import org.ragwortrun.proto.Heartbeat;
+import org.ragwortrun.proto.Section;
+import org.ragwortrun.proto.ShardCommand;
+import org.ragwortrun.proto.ShardReply;
+import org.ragwortrun.proto.Statement;
+import org.ragwortrun.proto.StatementQuery;
+import org.ragwortrun.proto.TopUp;
+
+/** A control member without replication: the real shard state machines behind the real transport. */
+final class FakeControl implements FrameHandler {
+    static final int SHARDS = 4;
+    private static final int LEASE_MS = 3_000;
+
+    final List<EvidenceRow> evidence = new CopyOnWriteArrayList<>();
+    final List<ShardCommand> commands = new CopyOnWriteArrayList<>();
+    volatile boolean leased = true;
+    volatile boolean shardsSilent;
+    private final Map<Integer, ShardState> shards = new ConcurrentHashMap<>();
+    private final List<Section> sections = new ArrayList<>();
+    private volatile long number = 1;
+
+    synchronized void section(String kind, String name, Map<String, String> properties) {
+        sections.removeIf(s -> s.getKind().equals(kind) && s.getName().equals(name));
+        sections.add(Section.newBuilder()
+                .setKind(kind)
+                .setName(name)
+                .putAllProperties(properties)
+                .build());
+    }
+
+    synchronized void publish() {
+        number++;
+    }
+
+    void topUp(String account, String service, String id, long tokens) {
+        apply(
+                account,
+                ShardCommand.newBuilder()
+                        .setApplyTopUps(ApplyTopUps.newBuilder()
+                                .addTopUps(TopUp.newBuilder()
+                                        .setBudget(budget(account, service))
+                                        .setId(id)
+                                        .setTokens(tokens))));
+    }
+
+    Statement statement(String account) {
+        return shard(Digests.shard(account, SHARDS))
+                .statement(StatementQuery.newBuilder().setAccount(account).build());
+    }
+
+    void apply(String account, ShardCommand.Builder command) {
+        shard(Digests.shard(account, SHARDS))
+                .apply(command.setNowMs(System.currentTimeMillis()).build());
+    }
+
+    static BudgetRef budget(String account, String service) {
+        return BudgetRef.newBuilder().setAccount(account).setService(service).build();
+    }
+
+    @Override
+    public void onFrame(Peer peer, Frame f) {
+        Frame.Builder reply = Replies.to(f);
+        if (f.hasWatch()) {
+            peer.send(reply.setConfigUpdate(update()).build());
+        } else if (f.hasConfirm()) {
+            int lease = leased && f.getConfirm().getNumber() == number ? LEASE_MS : 0;
+            peer.send(
+                    reply.setHeartbeat(Heartbeat.newBuilder().setNumber(number).setLeaseMs(lease))
+                            .build());
+        } else if (f.hasEvidence()) {
+            evidence.addAll(f.getEvidence().getRowsList());
+        } else if (f.hasShardRequest() && !shardsSilent) {
+            ShardCommand command = f.getShardRequest().getCommand().toBuilder()
+                    .setNowMs(System.currentTimeMillis())
+                    .build();
+            commands.add(command);
+            peer.send(reply.setShardReply(ShardReply.newBuilder()
+                            .setCommand(shard(f.getShardRequest().getGroup()).apply(command)))
+                    .build());
+        }
+    }
+
+    private ShardState shard(int group) {
+        return shards.computeIfAbsent(group, g -> new ShardState(GrantPolicy.demand()));
+    }
+
+    private synchronized ConfigUpdate update() {
+        return ConfigUpdate.newBuilder()
+                .setNumber(number)
+                .addAllChanged(sections)
+                .build();
+    }
+}
--- /dev/null
+++ b/router/src/test/java/org/ragwortrun/router/RouterDaemonTest.java
@@ -0,0 +1,56 @@
+package org.ragwortrun.router;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.net.http.HttpResponse;
+import java.util.Map;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+final class RouterDaemonTest {
+    private RouterHarness harness;
+
+    @BeforeEach
+    void start() throws Exception {
+        harness = new RouterHarness(Map.of());
+    }
+
+    @AfterEach
+    void stop() {
+        harness.close();
+    }
+
+    /** Guards against an answer that loses text, its usage or its end on the way. */
+    @Test
+    void streamsAnAnswerWithUsageInTheLastEvent() throws Exception {
+        HttpResponse<String> r = harness.send(harness.chat(true, "how hot"));
+        assertThat(r.statusCode()).isEqualTo(200);
+        assertThat(r.headers().firstValue("Content-Type").orElse("")).startsWith("text/event-stream");
+        assertThat(r.headers().firstValue("X-Request-Id").orElse("")).isNotEmpty();
+        assertThat(RouterHarness.streamedText(r.body())).isEqualTo(harness.first.text);
+        assertThat(r.body()).contains("\"usage\":{\"prompt_tokens\":3,\"completion_tokens\":7,\"total_tokens\":10}");
+    }
+
+    /** Guards against an unstreamed answer that is not one JSON document. */
+    @Test
+    void answersUnstreamedWithOneDocument() throws Exception {
+        HttpResponse<String> r = harness.send(harness.chat(false, "how hot"));
+        assertThat(r.statusCode()).isEqualTo(200);
+        assertThat(r.body()).contains("\"content\":\"" + harness.first.text + "\"},\"finish_reason\":\"stop\"");
+        assertThat(r.body()).endsWith("}");
+    }
+
+    /** Guards against a plain route that changes the answer or picks a shorter prefix. */
+    @Test
+    void passesPlainRoutesThrough() throws Exception {
+        harness.orders.contentType = "application/json";
+        harness.orders.text = "{\"stock\":4}";
+        HttpResponse<String> r = harness.get("/orders/stock?kiln=2");
+        assertThat(r.statusCode()).isEqualTo(200);
+        assertThat(r.body()).isEqualTo("{\"stock\":4}");
+        assertThat(r.headers().firstValue("Content-Type").orElse("")).startsWith("application/json");
+        assertThat(harness.orders.dispatches.get(0).getPath()).isEqualTo("/orders/stock?kiln=2");
+        assertThat(harness.orders.dispatches.get(0).getRoute()).isEqualTo("read");
+    }
+}
--- a/routing/src/main/java/org/ragwortrun/routing/StreamBuffer.java
+++ b/routing/src/main/java/org/ragwortrun/routing/StreamBuffer.java
@@ -1,7 +1,6 @@
 package org.ragwortrun.routing;
 
 import java.util.Arrays;
-import org.jspecify.annotations.Nullable;
 
 /**
  * Holds the part of an answer that has arrived and that the caller has not read yet.
@@ -79,19 +78,15 @@
         buffered += data.length;
     }
 
-    /** Removes and returns the oldest bytes, or nothing if the buffer is empty. */
-    public synchronized byte @Nullable [] poll() {
-        if (buffered == 0) {
-            return null;
-        }
+    /** Removes and returns the oldest bytes, none if the buffer is empty. */
+    public synchronized byte[] poll() {
         int length = Math.min(MAX_PART, buffered);
         byte[] part = Arrays.copyOfRange(bytes, start, start + length);
-        start += length;
         buffered -= length;
-        if (buffered == 0) {
-            start = 0;
+        start = buffered == 0 ? 0 : start + length;
+        if (buffered == 0 && bytes.length > FIRST_WINDOW) {
             // A stream that waits for its next token holds no array of a former burst.
-            bytes = bytes.length > FIRST_WINDOW ? EMPTY : bytes;
+            bytes = EMPTY;
         }
         return part;
     }
--- a/routing/src/main/java/org/ragwortrun/routing/TwoChoicesChooser.java
+++ b/routing/src/main/java/org/ragwortrun/routing/TwoChoicesChooser.java
@@ -37,8 +37,7 @@
         int second = random.applyAsInt(from.size() - 1);
         EndpointCandidate a = from.get(first);
         EndpointCandidate b = from.get(second < first ? second : second + 1);
-        return Optional.of(
-                Comparator.comparingDouble(TwoChoicesChooser::load).compare(a, b) <= 0 ? a : b);
+        return Optional.of(Comparator.comparingDouble(TwoChoicesChooser::load).compare(a, b) <= 0 ? a : b);
     }
 
     private static double load(EndpointCandidate c) {
