--- a/ledger/src/main/java/org/ragwortrun/ledger/ShardState.java
+++ b/ledger/src/main/java/org/ragwortrun/ledger/ShardState.java
@@ -179,6 +179,9 @@
         for (Usage usage : batch.getUsagesList()) {
             if (register.isBilled(usage.getBudget(), usage.getRequestId())) {
                 result.setDuplicates(result.getDuplicates() + 1);
+                if (register.isNewSecondRun(usage)) {
+                    budgets.find(usage.getBudget()).ifPresent(b -> b.giveBack(usage));
+                }
                 continue;
             }
             Optional<String> rejected = budgets.find(usage.getBudget())
@@ -233,7 +236,7 @@
     private ShardResult forgetOld(ForgetOld forget) {
         int dropped = register.forget(forget.getBeforeMs(), nowMs, budgets.oldestGrantMs());
         budgets.all().forEach(b -> b.forgetAsks(nowMs - FORGET_ASKS_MS));
-        sessions.forgetClosed(forget.getBeforeMs());
+        sessions.forgetClosed();
         return ShardResult.newBuilder()
                 .setForgotten(Forgotten.newBuilder().setDropped(dropped))
                 .build();
