--- /dev/null
+++ b/control/src/main/java/org/ragwortrun/control/internal/Failures.java
@@ -0,0 +1,64 @@
+package org.ragwortrun.control.internal;
+
+import java.util.concurrent.CompletionException;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.ragwortrun.core.error.RagwortrunException;
+import org.ragwortrun.core.log.Event;
+import org.ragwortrun.net.Peer;
+import org.ragwortrun.net.Replies;
+import org.ragwortrun.proto.ErrorReply;
+import org.ragwortrun.proto.Frame;
+
+/** Builds the replies to requests that failed. */
+final class Failures {
+    private static final Logger LOG = LogManager.getLogger(Failures.class);
+    private static final String OVERLOADED = "overloaded";
+    private static final String NOT_LEADER = "not-leader";
+    private static final int RETRY_AFTER_MS = 200;
+
+    private Failures() {}
+
+    /** Answers that the daemon has no room for the request. */
+    static Frame overloaded(Frame request, String detail) {
+        return Replies.to(request)
+                .setError(ErrorReply.newBuilder()
+                        .setType(OVERLOADED)
+                        .setDetail(detail)
+                        .setRetryAfterMs(RETRY_AFTER_MS))
+                .build();
+    }
+
+    static Frame notLeader(Frame request, Group group) {
+        return Replies.to(request).setNotLeader(group.hint()).build();
+    }
+
+    /** Answers a request whose proposal failed. */
+    static Frame of(Frame request, Group group, Throwable failure) {
+        Throwable cause = unwrap(failure);
+        if (!(cause instanceof RagwortrunException typed)) {
+            return Replies.error(request, "internal", String.valueOf(cause.getMessage()));
+        }
+        return switch (typed.type()) {
+            case NOT_LEADER -> notLeader(request, group);
+            case OVERLOADED -> overloaded(request, String.valueOf(typed.getMessage()));
+            default -> Replies.error(request, typed.type(), String.valueOf(typed.getMessage()));
+        };
+    }
+
+    /** Runs a handler and answers the request with a typed error if the handler fails. */
+    @SuppressWarnings("PMD.AvoidCatchingGenericException")
+    static void guard(Peer peer, Frame request, Runnable handler) {
+        try {
+            handler.run();
+        } catch (RuntimeException e) {
+            Event.of("request-failed").with("body", request.getBodyCase()).error(LOG, e);
+            peer.send(Replies.error(request, "internal", String.valueOf(e.getMessage())));
+        }
+    }
+
+    static Throwable unwrap(Throwable failure) {
+        Throwable cause = failure.getCause();
+        return failure instanceof CompletionException && cause != null ? cause : failure;
+    }
+}
