Keep slow streams within bounds and silent engines alive

Cause: tests with a faulty network and with many slow readers showed that the requester asked for 100-continue before each body, gave each connection its connect timeout as idle timeout (a stream with a pause of 1 s broke), and read on past the capacity window while bytes arrived, so that one fast engine held the thread and health checks failed. Change: PausableSession stops reading and keeps the idle timeout; requests are sent without the expectation; reading goes on from the request duty after each window; answers that slow readers still receive count against a bound; chunks count the tokens of the text they carry, not of text to come. The stand-in's crash waits until its port refuses connections, because the kernel accepted a connection for a moment after the close.

--- a/agent/src/main/java/org/ragwortrun/agent/AgentDaemon.java
+++ b/agent/src/main/java/org/ragwortrun/agent/AgentDaemon.java
@@ -38,6 +38,11 @@
         return process.incarnation();
     }
 
+    /** Returns the bytes of running answers that wait for credit of their readers. */
+    public long unsentBytes() {
+        return process.unsentBytes();
+    }
+
     /** Leaves: refuses new work, finishes what runs, delivers all usage, then ends. */
     @Override
     public void close() {
--- a/agent/src/main/java/org/ragwortrun/agent/internal/AgentProcess.java
+++ b/agent/src/main/java/org/ragwortrun/agent/internal/AgentProcess.java
@@ -24,6 +24,7 @@
 import org.ragwortrun.net.FrameServer;
 import org.ragwortrun.net.Peer;
 import org.ragwortrun.net.Transport;
+import org.ragwortrun.net.TransportException;
 import org.ragwortrun.net.control.ConfigWatch;
 import org.ragwortrun.net.control.ControlClient;
 import org.ragwortrun.proto.CrashReport;
@@ -36,8 +37,8 @@
     private static final Logger LOG = LogManager.getLogger(AgentProcess.class);
     // Control and engine events use one entry for each request at most; the rest is for frames of routers.
     private static final int RING = 4_096;
-    private static final int TICK_MS = 20;
-    private static final int REPORT_TICKS = 5;
+    private static final int TICK_MS = 50;
+    private static final int REPORT_TICKS = 2;
     private static final int META_GROUP = 0;
     private static final Duration CONFIRM_INTERVAL = Duration.ofSeconds(1);
     private static final Duration CRASH_REPORT_TIMEOUT = Duration.ofSeconds(5);
@@ -104,12 +105,21 @@
         reporter = new LoadReporter(desk, time);
         orders = new LoadOrders(endpoint, duty::offer);
         health[0] = new HealthMonitor(endpoint, timer, this::isEngine, duty::offer, desk::onHealth, desk::onLoad);
-        server = closer.register(transport.listen(settings.listen(), new RouterFrames()));
+        server = listen();
         watch.start(CONFIRM_INTERVAL);
         health[0].start(timing.healthInterval().toMillis());
         timer.scheduleWithFixedDelay(this::queueTick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
     }
 
+    private FrameServer listen() throws TransportException {
+        try {
+            return closer.register(transport.listen(settings.listen(), new RouterFrames()));
+        } catch (TransportException e) {
+            closer.close();
+            throw e;
+        }
+    }
+
     /**
      * Starts all parts.
      *
@@ -130,6 +140,10 @@
         return server.port();
     }
 
+    public long unsentBytes() {
+        return desk.totalUnsent();
+    }
+
     public String incarnation() {
         return identity.incarnation();
     }
--- a/agent/src/main/java/org/ragwortrun/agent/internal/AnswerStore.java
+++ b/agent/src/main/java/org/ragwortrun/agent/internal/AnswerStore.java
@@ -58,10 +58,6 @@
         }
     }
 
-    Iterable<RunningRequest> requests() {
-        return entries.values().stream().map(Entry::request).toList();
-    }
-
     long bytes() {
         return bytes;
     }
--- a/agent/src/main/java/org/ragwortrun/agent/internal/ChatCompletionsClient.java
+++ b/agent/src/main/java/org/ragwortrun/agent/internal/ChatCompletionsClient.java
@@ -152,8 +152,9 @@
         }
 
         @Override
-        public boolean hasRoom() {
-            return listener.hasRoom();
+        public boolean readsOn() {
+            listener.onPaused();
+            return false;
         }
 
         private void onEvent(byte[] data) {
--- a/agent/src/main/java/org/ragwortrun/agent/internal/EndpointFeed.java
+++ b/agent/src/main/java/org/ragwortrun/agent/internal/EndpointFeed.java
@@ -46,7 +46,17 @@
     }
 
     @Override
-    public boolean hasRoom() {
+    public void onPaused() {
+        synchronized (this) {
+            if (!scheduled) {
+                // If the ring is full, the duty's next tick reads on.
+                scheduled = duty.offer(drain);
+            }
+        }
+    }
+
+    /** Returns whether more of the answer may be read. */
+    boolean hasRoom() {
         long own;
         synchronized (this) {
             own = pendingBytes + unsent;
--- a/agent/src/main/java/org/ragwortrun/agent/internal/EndpointListener.java
+++ b/agent/src/main/java/org/ragwortrun/agent/internal/EndpointListener.java
@@ -4,6 +4,6 @@
 interface EndpointListener {
     void onEvent(EndpointEvent event);
 
-    /** Returns whether there is room for more of the answer. If not, {@link EndpointCall#readMore} follows later. */
-    boolean hasRoom();
+    /** Reading has stopped after a window of the answer until {@link EndpointCall#readMore}. */
+    void onPaused();
 }
--- a/agent/src/main/java/org/ragwortrun/agent/internal/HealthMonitor.java
+++ b/agent/src/main/java/org/ragwortrun/agent/internal/HealthMonitor.java
@@ -15,6 +15,8 @@
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final byte[] NOTHING = new byte[0];
     private static final int FIRST_FAILURE = 500;
+    // An engine's load lags anyway.
+    private static final int LOAD_ROUNDS = 2;
     private static final long ANSWER_MS = 2_000;
 
     private final HttpEndpoint endpoint;
@@ -54,7 +56,7 @@
         endpoint.ask("GET", "/health", NOTHING).thenAccept(reply -> {
             decide(own, reply.status() > 0 && reply.status() < FIRST_FAILURE);
         });
-        if (isEngine.getAsBoolean()) {
+        if (own % LOAD_ROUNDS == 0 && isEngine.getAsBoolean()) {
             endpoint.ask("GET", "/v1/load", NOTHING).thenAccept(this::onLoad);
         }
     }
--- a/agent/src/main/java/org/ragwortrun/agent/internal/HttpEndpoint.java
+++ b/agent/src/main/java/org/ragwortrun/agent/internal/HttpEndpoint.java
@@ -16,6 +16,10 @@
 import org.apache.hc.core5.http.message.BasicHttpRequest;
 import org.apache.hc.core5.http.nio.AsyncClientEndpoint;
 import org.apache.hc.core5.http.protocol.HttpCoreContext;
+import org.apache.hc.core5.http.protocol.HttpProcessorBuilder;
+import org.apache.hc.core5.http.protocol.RequestConnControl;
+import org.apache.hc.core5.http.protocol.RequestContent;
+import org.apache.hc.core5.http.protocol.RequestTargetHost;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.IOReactorConfig;
 import org.apache.hc.core5.util.Timeout;
@@ -24,7 +28,8 @@
  * HTTP connections to the endpoint, served by one thread.
  *
  * <p>Each request has a connection of its own: a reused connection that the endpoint has just closed would leave it
- * open whether the request ran.
+ * open whether the request ran. No request asks the endpoint to confirm before the body is sent, which the requester
+ * would do by default and which costs a round trip.
  */
 final class HttpEndpoint implements AutoCloseable {
     /** Answer of a small request to the endpoint itself. */
@@ -46,9 +51,13 @@
                         .setTcpNoDelay(true)
                         .setSoTimeout(Timeout.of(idleTimeout))
                         .build())
+                .setIOSessionDecorator(session -> new PausableSession(session, Timeout.of(idleTimeout)))
                 .setHttp1Config(Http1Config.custom()
                         .setInitialWindowSize(HttpExchange.WINDOW)
                         .build())
+                .setHttpProcessor(HttpProcessorBuilder.create()
+                        .addAll(new RequestTargetHost(), new RequestContent(), new RequestConnControl())
+                        .build())
                 .setConnectionReuseStrategy((request, response, context) -> false)
                 .setDefaultMaxPerRoute(MAX_CONNECTIONS)
                 .setMaxTotal(MAX_CONNECTIONS)
@@ -140,7 +149,7 @@
         }
 
         @Override
-        public boolean hasRoom() {
+        public boolean readsOn() {
             return true;
         }
     }
--- a/agent/src/main/java/org/ragwortrun/agent/internal/HttpExchange.java
+++ b/agent/src/main/java/org/ragwortrun/agent/internal/HttpExchange.java
@@ -39,7 +39,8 @@
 
         void onFailed(String detail);
 
-        boolean hasRoom();
+        /** Asks after each window whether to read on at once. If not, {@link #readMore} follows. */
+        boolean readsOn();
     }
 
     private final HttpRequest request;
@@ -106,12 +107,12 @@
     @Override
     public void updateCapacity(CapacityChannel channel) throws IOException {
         synchronized (lock) {
-            if (!aborted && !receiver.hasRoom()) {
-                paused = channel;
-                return;
-            }
+            paused = channel;
+        }
+        // Reading on only later lets other connections of the same thread have their turn.
+        if (aborted || receiver.readsOn()) {
+            readMore();
         }
-        channel.update(WINDOW);
     }
 
     @Override
--- a/agent/src/main/java/org/ragwortrun/agent/internal/Outlet.java
+++ b/agent/src/main/java/org/ragwortrun/agent/internal/Outlet.java
@@ -92,7 +92,7 @@
         Chunk.Builder chunk = Chunk.newBuilder()
                 .setOffset(next)
                 .setData(request.answer().slice(next, count))
-                .setOutputTokens(request.meter().outputTokens());
+                .setOutputTokens(request.tokensBefore(next + count));
         if (!headSent) {
             chunk.setStatus(request.status()).addAllHeaders(request.headers());
             headSent = true;
--- a/agent/src/main/java/org/ragwortrun/agent/internal/PlainHttpClient.java
+++ b/agent/src/main/java/org/ragwortrun/agent/internal/PlainHttpClient.java
@@ -156,8 +156,9 @@
         }
 
         @Override
-        public boolean hasRoom() {
-            return listener.hasRoom();
+        public boolean readsOn() {
+            listener.onPaused();
+            return false;
         }
     }
 }
--- a/agent/src/main/java/org/ragwortrun/agent/internal/Readers.java
+++ b/agent/src/main/java/org/ragwortrun/agent/internal/Readers.java
@@ -2,8 +2,10 @@
 
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.ragwortrun.net.Peer;
 
@@ -40,7 +42,14 @@
         return List.copyOf(byPeer.getOrDefault(peer, Map.of()).values());
     }
 
-    int size() {
-        return byPeer.values().stream().mapToInt(Map::size).sum();
+    /** Returns the requests that have readers. */
+    Set<RunningRequest> requests() {
+        Set<RunningRequest> requests = new HashSet<>();
+        byPeer.values().forEach(calls -> calls.values().forEach(o -> requests.add(o.request())));
+        return requests;
+    }
+
+    boolean isEmpty() {
+        return byPeer.isEmpty();
     }
 }
--- a/agent/src/main/java/org/ragwortrun/agent/internal/RequestDesk.java
+++ b/agent/src/main/java/org/ragwortrun/agent/internal/RequestDesk.java
@@ -105,7 +105,8 @@
                 new HealthyRule(() -> healthy),
                 new BodySizeRule(limits.bodyBytes()),
                 new OutboxRule(outbox),
-                new MemoryRule(tombstones, seen));
+                new MemoryRule(tombstones, seen),
+                new AnswerMemoryRule(store, limits.storeBytes() + limits.totalUnsent()));
     }
 
     // ---- frames of routers ----
@@ -347,8 +348,9 @@
             }
         }
         feeds.values().forEach(EndpointFeed::schedule);
-        live.values().forEach(this::pumpQuietly);
-        store.requests().forEach(this::pumpQuietly);
+        // Connections whose buffer was full, and streams that stopped for the bound of all streams together.
+        readers.requests().forEach(this::pump);
+        List.copyOf(feeds.keySet()).forEach(this::pump);
         startWaiting();
         store.evict(now);
         renewIfIdle();
@@ -365,7 +367,7 @@
 
     /** Returns whether nothing runs, all usage is acknowledged and every connected reader has its answer. */
     boolean isIdle() {
-        return live.isEmpty() && outbox.isEmpty() && readers.size() == 0;
+        return live.isEmpty() && outbox.isEmpty() && readers.isEmpty();
     }
 
     /** Returns the load without sequence and rate. */
@@ -509,13 +511,6 @@
         }
     }
 
-    /** Pumps if a reader waits, for connections whose buffer was full. */
-    private void pumpQuietly(RunningRequest r) {
-        if (!r.outlets().isEmpty() || feeds.containsKey(r)) {
-            pump(r);
-        }
-    }
-
     private void attachToKnown(Peer peer, Frame frame, RunningRequest known, Dispatch d) {
         if (!known.dispatch().getDigest().equals(d.getDigest())) {
             refuse(peer, frame, Refusal.notRun(RefusalReason.ID_REUSED, "the id was used with other content"));
@@ -631,7 +626,7 @@
     /** Renews while nothing would be cut off, long before it would have to. */
     private void renewIfIdle() {
         boolean due = tombstones.isFilling() || seen.isFilling();
-        if (due && live.isEmpty() && readers.size() == 0) {
+        if (due && live.isEmpty() && readers.isEmpty()) {
             renewIncarnation("memory-filling");
         }
     }
--- a/agent/src/main/java/org/ragwortrun/agent/internal/RunningRequest.java
+++ b/agent/src/main/java/org/ragwortrun/agent/internal/RunningRequest.java
@@ -34,6 +34,7 @@
     private final long queuedUntilNanos;
     private final Meter meter;
     private final AnswerBuffer answer = new AnswerBuffer();
+    private final TokenMarks marks = new TokenMarks();
     private final List<Outlet> outlets = new ArrayList<>();
     private Dispatch dispatch;
     private State state = State.QUEUED;
@@ -102,6 +103,11 @@
         return meter;
     }
 
+    /** Returns the output tokens of the answer up to an offset. */
+    long tokensBefore(long offset) {
+        return offset >= answer.end() ? meter.outputTokens() : marks.before(offset, dispatch.getResumeTokens());
+    }
+
     int status() {
         return status;
     }
@@ -190,6 +196,9 @@
             }
         }
         answer.append(output.data());
+        if (text) {
+            marks.add(answer.end(), meter.outputTokens());
+        }
         return true;
     }
 
--- a/agent/src/test/java/org/ragwortrun/agent/ControlOrdersTest.java
+++ b/agent/src/test/java/org/ragwortrun/agent/ControlOrdersTest.java
@@ -133,7 +133,7 @@
             assertThat(state.getTombstone()).isTrue();
             assertThat(state.getAgentIncarnation()).isEqualTo(old);
         }
-        assertThat(fixture.agent().incarnation()).isNotEqualTo(old);
+        AgentFixture.await(() -> !fixture.agent().incarnation().equals(old));
         AgentFixture.await(() -> router.peer()
                 .filter(p -> p.hello().getIncarnation().equals(fixture.agent().incarnation()))
                 .isPresent());
--- a/agent/src/test/java/org/ragwortrun/agent/ModelEndpointTest.java
+++ b/agent/src/test/java/org/ragwortrun/agent/ModelEndpointTest.java
@@ -153,6 +153,15 @@
         assertThat(slow.text()).isEqualTo(ExpectedAnswer.to("slow [len=49000]").text());
     }
 
+    /** Guards against a long prefill, or a pause between tokens, that passes for a failure of the engine. */
+    @Test
+    void waitsForASilentEngineBeyondTheConnectTimeout() throws Exception {
+        engine.behave(Behaviour.slow(1_600, 1));
+        AnswerReader answer = fixture.send(router, fixture.chat("r1", "prefill [len=5]"));
+        assertThat(answer.finished().getFailure()).isEmpty();
+        assertThat(answer.text()).isEqualTo(ExpectedAnswer.to("prefill [len=5]").text());
+    }
+
     /** Guards against requests that wait longer than allowed, or are refused late. */
     @Test
     void queuesByPriorityAndRefusesEarly() throws Exception {
--- /dev/null
+++ b/agent/src/test/java/org/ragwortrun/agent/internal/AnswerBufferTest.java
@@ -0,0 +1,46 @@
+package org.ragwortrun.agent.internal;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.ByteArrayOutputStream;
+import java.util.Arrays;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+final class AnswerBufferTest {
+    /** Guards against a wrong byte after the start of an answer was dropped. */
+    @Test
+    void keepsOffsetsAcrossDrops() {
+        Random random = new Random(3);
+        AnswerBuffer buffer = new AnswerBuffer();
+        ByteArrayOutputStream whole = new ByteArrayOutputStream();
+        for (int i = 0; i < 400; i++) {
+            byte[] part = new byte[random.nextInt(300)];
+            random.nextBytes(part);
+            buffer.append(part);
+            whole.writeBytes(part);
+            if (random.nextInt(10) == 0) {
+                buffer.dropBefore(buffer.floor() + random.nextInt(buffer.kept() + 1));
+            }
+            assertThat(buffer.end()).isEqualTo(whole.size());
+            int from = (int) buffer.floor() + random.nextInt(buffer.kept() + 1);
+            byte[] expected = Arrays.copyOfRange(whole.toByteArray(), from, whole.size());
+            assertThat(buffer.slice(from, expected.length).toByteArray()).isEqualTo(expected);
+        }
+    }
+
+    /** Guards against a count of tokens that runs ahead of the text that a reader has. */
+    @Test
+    void marksNeverCountTokensAhead() {
+        TokenMarks marks = new TokenMarks();
+        for (int i = 1; i <= 1_000; i++) {
+            marks.add(i * 5L, i);
+        }
+        assertThat(marks.before(0, 7)).isEqualTo(7);
+        for (long offset = 5; offset <= 5_000; offset++) {
+            long tokens = marks.before(offset, 0);
+            assertThat(tokens).isAtMost(offset / 5);
+            assertThat(tokens).isAtLeast(offset / 5 - 8);
+        }
+    }
+}
--- a/standins/src/main/java/org/ragwortrun/standins/StandinServer.java
+++ b/standins/src/main/java/org/ragwortrun/standins/StandinServer.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.net.InetAddress;
+import java.net.Socket;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicReference;
 import org.apache.hc.core5.http.ClassicHttpRequest;
@@ -26,6 +27,7 @@
     static final ObjectMapper JSON = new ObjectMapper();
 
     private static final int SOCKET_TIMEOUT_MINUTES = 10;
+    private static final long REFUSAL_WAIT_NANOS = 500_000_000L;
 
     private final InetAddress address;
     private final HttpRequestHandler handler;
@@ -68,6 +70,19 @@
         HttpServer s = server.getAndSet(null);
         if (s != null) {
             s.close(CloseMode.IMMEDIATE);
+            awaitRefusal();
+        }
+    }
+
+    /** The kernel accepts connections until the accepting thread has left its system call. */
+    private void awaitRefusal() {
+        long end = System.nanoTime() + REFUSAL_WAIT_NANOS;
+        while (System.nanoTime() - end < 0) {
+            try {
+                new Socket(address, port).close();
+            } catch (IOException e) {
+                return;
+            }
         }
     }
 
