--- a/control/src/main/java/org/ragwortrun/control/MoveDriver.java
+++ b/control/src/main/java/org/ragwortrun/control/MoveDriver.java
@@ -10,7 +10,7 @@
     void reset();
 
     /**
-     * Returns the commands that are due: progress of moves, verdicts on versions, crashes.
+     * Returns the commands that are due: progress of moves and verdicts on versions.
      *
      * <p>Called about once a second. A command that fails is not repeated by the caller; the next call sees a
      * configuration without it and decides again.
--- a/control/src/main/java/org/ragwortrun/control/TimedMoveDriver.java
+++ b/control/src/main/java/org/ragwortrun/control/TimedMoveDriver.java
@@ -24,11 +24,9 @@
     private static final double TRIAL_PART = 0.25;
     private static final double RISE_PART = 0.5;
 
-    private final List<CrashReport> crashes = new ArrayList<>();
-
     @Override
     public void reset() {
-        crashes.clear();
+        // keeps no evidence
     }
 
     @Override
@@ -38,14 +36,12 @@
 
     @Override
     public void onCrash(Hello reporter, CrashReport report) {
-        crashes.add(report);
+        // time alone decides
     }
 
     @Override
     public List<MetaCommand.Builder> decide(Configuration configuration, long wallMillis) {
         List<MetaCommand.Builder> commands = new ArrayList<>();
-        crashes.forEach(c -> commands.add(MetaCommand.newBuilder().setCrash(c)));
-        crashes.clear();
         for (Move move : configuration.moves()) {
             next(configuration, move, wallMillis)
                     .ifPresent(p -> commands.add(MetaCommand.newBuilder().setMoveProgress(p)));
--- a/control/src/main/java/org/ragwortrun/control/internal/MetaService.java
+++ b/control/src/main/java/org/ragwortrun/control/internal/MetaService.java
@@ -99,11 +99,7 @@
                 moves.onEvidence(peer.hello(), request.getEvidence());
                 acknowledge(peer, request);
             }
-            case CRASH_REPORT -> {
-                moves.onCrash(peer.hello(), request.getCrashReport());
-                decide();
-                acknowledge(peer, request);
-            }
+            case CRASH_REPORT -> crash(peer, request);
             default -> peer.send(Replies.error(request, "unknown-message", "not a call to the meta group"));
         }
     }
@@ -185,6 +181,19 @@
         waiters.check();
     }
 
+    /** Records a crash and answers once it is durable. A repeated report of the same crash changes nothing. */
+    private void crash(Peer peer, Frame request) {
+        moves.onCrash(peer.hello(), request.getCrashReport());
+        group.propose(MetaCommand.newBuilder().setCrash(request.getCrashReport()))
+                .whenComplete((result, failure) -> {
+                    if (failure == null) {
+                        acknowledge(peer, request);
+                    } else {
+                        peer.send(Failures.of(request, group, failure));
+                    }
+                });
+    }
+
     /** Answers a report, if it was a call, by a heartbeat that renews no lease. */
     private void acknowledge(Peer peer, Frame request) {
         if (request.getCall() != 0) {
