--- a/cli/src/main/java/org/ragwortrun/cli/internal/CommonOptions.java
+++ b/cli/src/main/java/org/ragwortrun/cli/internal/CommonOptions.java
@@ -70,7 +70,7 @@
                     ExitCode.USAGE, "name the control members by --control or in " + CONTROL_VARIABLE);
         }
         Map<String, Address> members = new LinkedHashMap<>();
-        for (String item : text.split(",")) {
+        for (String item : text.split(",", -1)) {
             int equals = item.indexOf('=');
             String address = item.substring(equals + 1).trim();
             String name = equals < 0 ? address : item.substring(0, equals).trim();
--- a/cli/src/main/java/org/ragwortrun/cli/internal/Program.java
+++ b/cli/src/main/java/org/ragwortrun/cli/internal/Program.java
@@ -13,6 +13,7 @@
 import org.ragwortrun.control.ControlDaemon;
 import org.ragwortrun.core.error.RagwortrunException;
 import org.ragwortrun.core.time.Time;
+import org.ragwortrun.router.RouterDaemon;
 
 /** Chooses the subcommand, prints help and turns failures into exit codes. */
 public final class Program {
@@ -39,6 +40,7 @@
                         new MovesCommand(),
                         new StatementCommand(),
                         new ExplainCommand(),
+                        new DaemonCommand("router", "run a router on an entry host", RouterDaemon::start),
                         new DaemonCommand("agent", "run an agent beside an endpoint", AgentDaemon::start),
                         new DaemonCommand("control", "run a control member", ControlDaemon::start)),
                 new Console(out, err));
