Let the owner decide whether a budget exists

Routers looked for budget sections in their configuration, but daemons never receive budgets. Ruled out: a late publish; the routers had applied number 1. Change: the router sends the reservation to the owner and maps its UNKNOWN_BUDGET answer to the refusal. Conclusion: the owner is the only source of truth on budgets.

--- a/router/src/main/java/org/ragwortrun/router/internal/Router.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/Router.java
@@ -41,7 +41,6 @@
 import org.ragwortrun.router.internal.ledger.Shards;
 import org.ragwortrun.router.internal.request.AccountRule;
 import org.ragwortrun.router.internal.request.Admission;
-import org.ragwortrun.router.internal.request.BudgetRule;
 import org.ragwortrun.router.internal.request.ChatReader;
 import org.ragwortrun.router.internal.request.RequestKeys;
 import org.ragwortrun.router.internal.request.RouteRule;
@@ -190,11 +189,8 @@
         List<Duty> duties = IntStream.range(0, FLOW_DUTIES)
                 .mapToObj(i -> closer.register(new Duty("flow-" + i, ring)))
                 .toList();
-        Admission admission = new Admission(
-                new AccountRule(),
-                new RouteRule(new ChatReader(json)),
-                new BudgetRule(),
-                new RequestKeys(services.time()));
+        Admission admission =
+                new Admission(new AccountRule(), new RouteRule(new ChatReader(json)), new RequestKeys(services.time()));
         return new RequestFront(services, watch, admission, duties, settings.maxRequests(), () -> !sessions.isFenced());
     }
 
--- a/router/src/main/java/org/ragwortrun/router/internal/ledger/GrantClient.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/ledger/GrantClient.java
@@ -253,14 +253,22 @@
                 noteHeld(answer);
             }
             return answer.getOutcome() == GrantResult.Outcome.SPENT
+                    || answer.getOutcome() == GrantResult.Outcome.UNKNOWN_BUDGET
                     || answer.getOutcome() == GrantResult.Outcome.UNKNOWN_SESSION;
         }
 
         Refusal refusal(GrantResult answer) {
-            return answer.getOutcome() == GrantResult.Outcome.UNKNOWN_SESSION
-                    ? Refusal.notRun(
-                            RefusalReason.ROUTER_FENCED, "the session of this host has been closed", RETRY_AFTER)
-                    : spent(answer);
+            return switch (answer.getOutcome()) {
+                case UNKNOWN_SESSION ->
+                    Refusal.notRun(
+                            RefusalReason.ROUTER_FENCED, "the session of this host has been closed", RETRY_AFTER);
+                case UNKNOWN_BUDGET ->
+                    Refusal.notRun(
+                            RefusalReason.UNKNOWN_BUDGET,
+                            "client account " + budget.getAccount() + " has no budget for service "
+                                    + budget.getService());
+                default -> spent(answer);
+            };
         }
 
         /** Reserves now if possible; returns what to ask for otherwise. */
--- a/router/src/main/java/org/ragwortrun/router/internal/request/Admission.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/request/Admission.java
@@ -12,13 +12,11 @@
 public final class Admission {
     private final AccountRule accounts;
     private final RouteRule routes;
-    private final BudgetRule budgets;
     private final RequestKeys keys;
 
-    public Admission(AccountRule accounts, RouteRule routes, BudgetRule budgets, RequestKeys keys) {
+    public Admission(AccountRule accounts, RouteRule routes, RequestKeys keys) {
         this.accounts = accounts;
         this.routes = routes;
-        this.budgets = budgets;
         this.keys = keys;
     }
 
@@ -32,7 +30,11 @@
             throws RefusedException {
         Account account = accounts.check(request, configuration);
         RouteRule.Routed routed = routes.check(request, configuration);
-        BudgetRef budget = budgets.check(configuration, account, routed.service());
+        // Daemons do not receive budgets; the owner refuses a budget that it does not know.
+        BudgetRef budget = BudgetRef.newBuilder()
+                .setAccount(account.name())
+                .setService(routed.service().name())
+                .build();
         Optional<RequestKey> key = keys.read(request, routed.route());
         long maxOutput = routed.chat()
                 .map(c -> c.maxOutput() > 0 ? c.maxOutput() : routed.route().maxOutput())
--- /dev/null
+++ b/routing/src/main/java/org/ragwortrun/routing/version/FailureTest.java
@@ -0,0 +1,72 @@
+package org.ragwortrun.routing.version;
+
+import java.util.Arrays;
+import java.util.stream.IntStream;
+
+/**
+ * Tests whether the new version fails more often than the old one.
+ *
+ * <p>The likelihood ratio compares the old version's failure rate with failure odds that are several times as high. The
+ * reference rate is the larger of an upper bound on the old version's rate so far and its rates
+ * in the last minute and in the same interval, so an outage that hits
+ * both versions does not count against the new one.
+ */
+final class FailureTest implements SequentialTest {
+    private static final double[] ODDS = {2.5, 8, 30, 200};
+    // Keeps a baseline without any failure from turning one chance failure into an alarm.
+    private static final double PRIOR_FAILURES = 1;
+    private static final double PRIOR_REQUESTS = 100;
+    // The reference is an upper confidence bound: the error of the old version's rate repeats in every interval.
+    private static final double BOUND_DEVIATIONS = 2.5;
+    // Weight of the long-run rate, in requests, when the last minute holds few requests of the old version.
+    private static final double RECENT_PRIOR = 20;
+    // With intervals of 5 s the weights of recent requests add up to about one minute.
+    private static final double RECENT_DECAY = 11.0 / 12;
+
+    private final RestartingEvidence[] evidence = IntStream.range(0, ODDS.length)
+            .mapToObj(i -> new RestartingEvidence())
+            .toArray(RestartingEvidence[]::new);
+    private double failures = PRIOR_FAILURES;
+    private double requests = PRIOR_REQUESTS;
+    private double recentFailures;
+    private double recentRequests;
+
+    @Override
+    public void add(Sample newer, Sample older) {
+        failures += older.failures();
+        requests += older.requests();
+        recentFailures = recentFailures * RECENT_DECAY + older.failures();
+        recentRequests = recentRequests * RECENT_DECAY + older.requests();
+        if (newer.requests() == 0) {
+            return;
+        }
+        double rate = referenceRate(older);
+        for (int i = 0; i < ODDS.length; i++) {
+            evidence[i].add(logRatio(newer, rate, ODDS[i]));
+        }
+    }
+
+    @Override
+    public double logEvidence() {
+        double best = Arrays.stream(evidence)
+                .mapToDouble(RestartingEvidence::logValue)
+                .max()
+                .orElse(Double.NEGATIVE_INFINITY);
+        // The mean of the alternatives is a valid test; its largest term bounds it from below.
+        return best - Math.log(ODDS.length);
+    }
+
+    private double referenceRate(Sample older) {
+        double longRun = (failures + BOUND_DEVIATIONS * Math.sqrt(failures)) / requests;
+        double recent = (recentFailures + RECENT_PRIOR * longRun) / (recentRequests + RECENT_PRIOR);
+        // The last minute alone lags behind an outage that has just begun.
+        double now = (older.failures() + RECENT_PRIOR * longRun) / (older.requests() + RECENT_PRIOR);
+        return Math.max(longRun, Math.max(recent, now));
+    }
+
+    private static double logRatio(Sample newer, double rate, double odds) {
+        double raised = odds * rate / (odds * rate + 1 - rate);
+        long successes = newer.requests() - newer.failures();
+        return newer.failures() * Math.log(raised / rate) + successes * Math.log((1 - raised) / (1 - rate));
+    }
+}
