Decide version moves by sequential tests

Cause: a version move needs a decision that finds failures and slowness at once, late, under load or on one route, and still finishes good moves in time at night. Change: SequentialVersionMove compares old and new version per route and load band with restarting likelihood-ratio tests, raises exposure in steps and holds it while evidence is suspicious or the old version is in an outage. TimedVersionMove is the naive version. bin/measure versions runs both on 200 good and 210 bad generated versions. A common outage took back a good version until the outage detector counted the last interval as well as the last minute. When the old version has no traffic left, an outage of the whole service still looks like a fault of the new version.

--- a/measure/src/main/java/org/ragwortrun/measure/Measurements.java
+++ b/measure/src/main/java/org/ragwortrun/measure/Measurements.java
@@ -5,6 +5,7 @@
 import org.ragwortrun.measure.budgets.BudgetsMeasure;
 import org.ragwortrun.measure.process.FootprintMeasurement;
 import org.ragwortrun.measure.process.OverheadMeasurement;
+import org.ragwortrun.measure.version.VersionsMeasurement;
 
 /** The measurements by name. */
 final class Measurements {
@@ -12,11 +13,9 @@
 
     static Map<String, Measurement> all() {
         return new TreeMap<>(Map.of(
-                "budgets",
-                new BudgetsMeasure(),
-                "overhead",
-                new OverheadMeasurement(),
-                "footprint",
-                new FootprintMeasurement()));
+                "budgets", new BudgetsMeasure(),
+                "overhead", new OverheadMeasurement(),
+                "footprint", new FootprintMeasurement(),
+                "versions", new VersionsMeasurement()));
     }
 }
--- a/routing/src/main/java/org/ragwortrun/routing/version/OutageDetector.java
+++ b/routing/src/main/java/org/ragwortrun/routing/version/OutageDetector.java
@@ -10,7 +10,10 @@
     private static final double DECAY = 11.0 / 12;
     private static final double LEAST_RATE = 0.1;
     private static final double FACTOR = 3;
+    // Failures of one interval that show an outage before the last minute does.
+    private static final long BURST = 5;
 
+    private Sample last = Sample.EMPTY;
     private double failures;
     private double requests = 1;
     private double recentFailures;
@@ -18,14 +21,22 @@
 
     /** Adds one interval of the old version. */
     void add(Sample older) {
-        failures += older.failures();
-        requests += older.requests();
+        last = older;
         recentFailures = recentFailures * DECAY + older.failures();
         recentRequests = recentRequests * DECAY + older.requests();
+        // A long outage must not become the usual state.
+        if (!isOutage()) {
+            failures += older.failures();
+            requests += older.requests();
+        }
     }
 
     boolean isOutage() {
-        double recent = recentFailures / recentRequests;
-        return recent > LEAST_RATE && recent > FACTOR * failures / requests;
+        boolean burst = last.failures() >= BURST && isUnusual(last.failureRate());
+        return burst || isUnusual(recentFailures / recentRequests);
+    }
+
+    private boolean isUnusual(double rate) {
+        return rate > LEAST_RATE && rate > FACTOR * failures / requests;
     }
 }
