--- a/ledger/src/main/java/org/ragwortrun/ledger/GrantPool.java
+++ b/ledger/src/main/java/org/ragwortrun/ledger/GrantPool.java
@@ -61,7 +61,7 @@
 
     /** Ends a reservation with the tokens that were used. The rest can be reserved again at once. */
     public void settle(Reservation reservation, long used) {
-        of(reservation.budget()).settle(reservation, used);
+        of(reservation.budget()).settle(reservation, used, time.millis());
     }
 
     /**
--- a/ledger/src/main/java/org/ragwortrun/ledger/internal/BudgetPool.java
+++ b/ledger/src/main/java/org/ragwortrun/ledger/internal/BudgetPool.java
@@ -16,16 +16,26 @@
 import org.ragwortrun.proto.ReduceGrants;
 import org.ragwortrun.proto.RequestGrant;
 
-/** Grants that one router incarnation holds of one budget. Each method takes the lock of this budget only. */
+/**
+ * Grants that one router incarnation holds of one budget. Each method takes the lock of this budget only.
+ *
+ * <p>Demand is what requests use, not what they reserve, because the unused part of a reservation comes back. It is
+ * counted over five spans, since the use during one span varies too much when an account sends few requests. One mean
+ * reservation comes on top, so that a single request finds room.
+ */
 public final class BudgetPool {
+    private static final int USE_SPANS = 5;
+    private static final int MEAN_WEIGHT = 16;
+
     private final BudgetRef budget;
     private final String incarnation;
     private final PoolSettings settings;
     private final LongSupplier ids;
-    private final DemandMeter demand;
+    private final DemandMeter use;
     private final Map<String, PooledGrant> grants = new LinkedHashMap<>();
     private final Map<Long, Reservation> reservations = new LinkedHashMap<>();
     private @Nullable RequestGrant pending;
+    private double meanReservation;
     private long lastSpendMs;
     private long tightUntilMs = Long.MIN_VALUE;
 
@@ -34,14 +44,14 @@
         this.incarnation = incarnation;
         this.settings = settings;
         this.ids = ids;
-        this.demand = new DemandMeter(settings.demandMs());
+        this.use = new DemandMeter(settings.demandMs() * USE_SPANS);
     }
 
     /** Reserves from the oldest grant that suffices, or tells what to send to the owner. */
     public synchronized ReserveResult reserve(long tokens, boolean first, long nowMs) {
         lastSpendMs = nowMs;
         if (first) {
-            demand.add(tokens, nowMs);
+            meanReservation += (tokens - meanReservation) / MEAN_WEIGHT;
         }
         for (PooledGrant g : grants.values()) {
             if (g.free() >= tokens && isFresh(g, nowMs)) {
@@ -54,24 +64,28 @@
         if (pending != null) {
             return new ReserveResult.NeedMore(Optional.empty(), Optional.empty());
         }
-        Optional<ReduceGrants> giveBack = isTight(nowMs) ? giveBack() : Optional.empty();
-        return new ReserveResult.NeedMore(giveBack, Optional.of(ask(tokens, nowMs)));
+        // Every free part is too small for this request. Kept, such parts add up to more than the demand.
+        return new ReserveResult.NeedMore(giveBack(), Optional.of(ask(tokens, nowMs)));
     }
 
     /** Returns a request that renews the grants before they run out, if it is due. */
     public synchronized Optional<RequestGrant> refill(long nowMs) {
-        long wanted = demand.sum(nowMs);
+        long wanted = wanted(nowMs);
         boolean due = pending == null && !isTight(nowMs) && wanted > 0 && free(nowMs) < wanted;
         return due ? Optional.of(ask(0, nowMs)) : Optional.empty();
     }
 
+    private long wanted(long nowMs) {
+        return use.sum(nowMs) / USE_SPANS + (long) meanReservation;
+    }
+
     private RequestGrant ask(long minimum, long nowMs) {
         RequestGrant ask = RequestGrant.newBuilder()
                 .setBudget(budget)
                 .setIncarnation(incarnation)
                 .setGrantId(GrantIds.of(incarnation, ids.getAsLong()))
                 .setMinimum(minimum)
-                .setWanted(Math.max(minimum, demand.sum(nowMs)))
+                .setWanted(Math.max(minimum, wanted(nowMs)))
                 .build();
         pending = ask;
         return ask;
@@ -95,13 +109,15 @@
     }
 
     /** Ends a reservation; the unused part is free again. Ending it twice changes nothing. */
-    public synchronized void settle(Reservation reservation, long used) {
+    public synchronized void settle(Reservation reservation, long used, long nowMs) {
         Reservation open = reservations.remove(reservation.id());
         PooledGrant grant = grants.get(reservation.grantId());
         if (open == null || grant == null) {
             return;
         }
-        grant.settle(open.tokens(), Math.max(0, Math.min(used, open.tokens())));
+        long spent = Math.max(0, Math.min(used, open.tokens()));
+        use.add(spent, nowMs);
+        grant.settle(open.tokens(), spent);
         removeDone();
     }
 
