--- a/cli/src/main/java/org/ragwortrun/cli/internal/ControlSession.java
+++ b/cli/src/main/java/org/ragwortrun/cli/internal/ControlSession.java
@@ -150,7 +150,7 @@
             return call.get();
         } catch (ExecutionException e) {
             if (e.getCause() instanceof TransportException t) {
-                throw t;
+                throw new TransportException(t.kind(), String.valueOf(t.getMessage()), e);
             }
             throw new CommandException(ExitCode.UNREACHABLE, String.valueOf(e.getMessage()), e);
         } catch (InterruptedException e) {
