--- a/control/src/main/java/org/ragwortrun/control/ControlDaemon.java
+++ b/control/src/main/java/org/ragwortrun/control/ControlDaemon.java
@@ -50,6 +50,7 @@
             groups = closer.register(HostedGroups.open(settings, transport, time, metrics));
             node = closer.register(
                     new ControlNode(settings, time, groups.meta(), groups.shards(), new LeaderView(client), moves));
+            addGauges(metrics);
             server = closer.register(transport.listen(settings.listen(), new Handler(groups, node)));
             started = true;
         } finally {
@@ -73,6 +74,19 @@
         return new ControlDaemon(ControlSettings.read(settings), Time.system(), new TimedMoveDriver());
     }
 
+    private void addGauges(Metrics metrics) {
+        metrics.gauge("control_meta_leader", "1 if this member leads the meta group", () -> groups.meta()
+                        .leasedTerm()
+                        .isPresent()
+                ? 1
+                : 0);
+        metrics.gauge("control_shards_led", "Shards that this member leads", () -> groups.shards().stream()
+                .filter(s -> s.leasedTerm().isPresent())
+                .count());
+        metrics.gauge("control_config_number", "Configuration number that this member has applied", () -> groups.meta()
+                .number());
+    }
+
     /** Returns the port that is bound. */
     public int port() {
         return server.port();
--- a/control/src/main/java/org/ragwortrun/control/internal/CheckedRules.java
+++ b/control/src/main/java/org/ragwortrun/control/internal/CheckedRules.java
@@ -2,21 +2,36 @@
 
 import java.util.Collection;
 import java.util.List;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.ragwortrun.core.config.ConfigurationChecker;
 import org.ragwortrun.core.config.ConfigurationError;
+import org.ragwortrun.core.log.Event;
 import org.ragwortrun.ledger.ConfigurationRules;
 import org.ragwortrun.proto.ConfigError;
 import org.ragwortrun.proto.Section;
 
 /** Applies the configuration checker to publishes, at the time of their log entry. */
 final class CheckedRules implements ConfigurationRules {
+    private static final Logger LOG = LogManager.getLogger(CheckedRules.class);
+
     private final ConfigurationChecker checker = ConfigurationChecker.standard();
 
     @Override
+    @SuppressWarnings("PMD.AvoidCatchingGenericException")
     public List<ConfigError> check(Collection<Section> previous, Collection<Section> next, long nowMs) {
-        return checker.check(next, previous, nowMs).stream()
-                .map(CheckedRules::wire)
-                .toList();
+        try {
+            return checker.check(next, previous, nowMs).stream()
+                    .map(CheckedRules::wire)
+                    .toList();
+        } catch (RuntimeException e) {
+            // A failure here would stop the group on every member, again after each restart.
+            Event.of("configuration-check-failed").error(LOG, e);
+            return List.of(ConfigError.newBuilder()
+                    .setRule("checker-failed")
+                    .setExpected("files that the checker can read; please report this")
+                    .build());
+        }
     }
 
     private static ConfigError wire(ConfigurationError e) {
--- a/control/src/main/java/org/ragwortrun/control/internal/HostedGroups.java
+++ b/control/src/main/java/org/ragwortrun/control/internal/HostedGroups.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import org.ragwortrun.core.metrics.Metrics;
+import org.ragwortrun.core.settings.SettingsException;
 import org.ragwortrun.core.time.Time;
 import org.ragwortrun.ledger.GrantPolicy;
 import org.ragwortrun.ledger.MetaState;
@@ -40,9 +41,11 @@
      *
      * @throws CorruptLogException if stored state is damaged
      * @throws StorageException if the data folder cannot be used
+     * @throws SettingsException if the number of shards has changed
      */
     public static HostedGroups open(ControlSettings settings, Transport transport, Time time, Metrics metrics)
-            throws CorruptLogException, StorageException {
+            throws CorruptLogException, StorageException, SettingsException {
+        ShardCount.check(settings.folder(), settings.shards());
         Map<Integer, StateMachine> machines = new TreeMap<>();
         MetaState metaState = new MetaState(new CheckedRules());
         MetaMachine metaMachine = new MetaMachine(metaState);
--- a/control/src/test/java/org/ragwortrun/control/ControlDaemonTest.java
+++ b/control/src/test/java/org/ragwortrun/control/ControlDaemonTest.java
@@ -103,6 +103,18 @@
                         "control.config-leese is not a known key");
     }
 
+    /** Guards against accounts that move to another shard, where their top-ups would be applied again. */
+    @Test
+    void numberOfShardsStays() {
+        running.remove("c1").close();
+        Map<String, String> values = settings("c1");
+        values.put("cluster.shards", "3");
+        SettingsException e = assertThrows(SettingsException.class, () -> ControlDaemon.start(Settings.of(values)));
+        assertThat(e.problems())
+                .containsExactly("cluster.shards must stay 2, the number with which the data folder was first used,"
+                        + " not 3");
+    }
+
     private void startMember(String name) throws Exception {
         running.put(name, ControlDaemon.start(Settings.of(settings(name))));
     }
--- a/core/src/main/java/org/ragwortrun/core/config/SectionReader.java
+++ b/core/src/main/java/org/ragwortrun/core/config/SectionReader.java
@@ -202,8 +202,11 @@
             return fallback;
         }
         try {
-            return Instant.parse(value);
-        } catch (DateTimeException e) {
+            Instant time = Instant.parse(value);
+            // Far beyond any plan the time in milliseconds overflows, which readers of the configuration rely on.
+            time.toEpochMilli();
+            return time;
+        } catch (DateTimeException | ArithmeticException e) {
             fail(s, key, "time", "a UTC time such as 2026-12-04T18:00:00Z");
             return fallback;
         }
--- a/core/src/test/java/org/ragwortrun/core/config/ConfigurationCheckerTest.java
+++ b/core/src/test/java/org/ragwortrun/core/config/ConfigurationCheckerTest.java
@@ -115,6 +115,14 @@
                 .inOrder();
     }
 
+    /** Guards against a time whose milliseconds overflow in every daemon that reads it. */
+    @Test
+    void timeBeyondItsRange() throws IOException {
+        assertThat(checkMore(move("m", "12:30", "14:00")
+                        .replace("finish = 2026-12-04T14:00:00Z", "finish = +999999999-12-31T23:59:59Z")))
+                .containsExactly("f.ini:23: [move m] finish: time: expected a UTC time such as 2026-12-04T18:00:00Z");
+    }
+
     /** Guards against old moves that block every later publish. */
     @Test
     void moveOfThePastMayStayUnchanged() throws IOException {
