Test the router's failure paths and bound slow callers

Cause: the failure paths of the first router had no tests. Two threads could write one answer at the same time: the one that starts it and the IO thread. Change: writing is serialized for each exchange. The session at a shard is closed in order only when no reservation is open and all bills are delivered. A caller that is refused before its request is whole has its connection closed after a second.

--- a/router/src/main/java/org/ragwortrun/router/internal/Router.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/Router.java
@@ -105,15 +105,17 @@
         ConfigWatch watch = closer.register(new ConfigWatch(control, timer, time, agents::apply));
         Shards shards = new Shards(control, settings.shards());
         Sessions sessions = new Sessions(shards, timer, settings.name(), incarnation);
+        SettlementQueue settlements = new SettlementQueue(shards, timer, incarnation, SETTLE_TIMEOUT, time);
+        // Closed after the settlements, because the session may end in order only when all bills are delivered.
         GrantClient grants = closer.register(new GrantClient(
                 new GrantPool(incarnation, time, PoolSettings.usual()),
                 shards,
                 sessions,
                 timer,
                 settings.grantTimeout(),
-                () -> endpoints(watch)));
-        SettlementQueue settlements =
-                closer.register(new SettlementQueue(shards, timer, incarnation, SETTLE_TIMEOUT, time));
+                () -> endpoints(watch),
+                () -> settlements.pending() == 0));
+        closer.register(settlements);
         BufferBudget buffers = new BufferBudget(settings.bufferMemory(), settings.accountBufferMemory());
         EvidenceCollector evidence = new EvidenceCollector(control);
         FlowServices services = new FlowServices(
--- a/router/src/main/java/org/ragwortrun/router/internal/http/CallerExchange.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/http/CallerExchange.java
@@ -18,6 +18,7 @@
 import org.apache.hc.core5.http.nio.DataStreamChannel;
 import org.apache.hc.core5.http.nio.ResponseChannel;
 import org.apache.hc.core5.http.protocol.HttpContext;
+import org.apache.hc.core5.http.protocol.HttpCoreContext;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.jspecify.annotations.Nullable;
@@ -44,6 +45,7 @@
     private final int maxBody;
     private final RequestTimers timers;
     private final String ownId;
+    private final Object producing = new Object();
     private final ByteArrayOutputStream body = new ByteArrayOutputStream(0);
     private @Nullable HttpRequest request;
     private @Nullable HttpContext context;
@@ -153,6 +155,10 @@
         }
         closeAfter = true;
         front.refuse(this, ownId, refusal);
+        HttpContext c = context;
+        if (c != null && HttpCoreContext.cast(c).getEndpointDetails() != null) {
+            timers.closeSoon(HttpCoreContext.cast(c).getEndpointDetails().getRemoteAddress());
+        }
     }
 
     private Refusal tooLarge() {
@@ -218,8 +224,15 @@
         return a != null && a.isReady() ? 1 : 0;
     }
 
+    /** Writes what is there. It is called by the thread that starts the answer and by the IO thread. */
     @Override
     public void produce(DataStreamChannel channel) throws IOException {
+        synchronized (producing) {
+            write(channel);
+        }
+    }
+
+    private void write(DataStreamChannel channel) throws IOException {
         output = channel;
         AnswerBody a = answer;
         if (a == null) {
--- a/router/src/main/java/org/ragwortrun/router/internal/http/RequestTimers.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/http/RequestTimers.java
@@ -22,6 +22,9 @@
  * idle for long. A body that takes too long is refused. While a request runs there is no limit here.
  */
 final class RequestTimers implements IOSessionListener, Http1StreamListener, Runnable {
+    // Gives the caller time to read a refusal before the unread rest of its request resets the connection.
+    private static final long LINGER_NANOS = 1_000_000_000L;
+
     private final Time time;
     private final long headNanos;
     private final long bodyNanos;
@@ -44,6 +47,14 @@
         bodies.remove(exchange);
     }
 
+    /** Closes the connection of a caller that was refused before its request was whole. */
+    void closeSoon(@Nullable SocketAddress remote) {
+        Connection c = connection(remote);
+        if (c != null) {
+            c.closeSoon(time.nanos());
+        }
+    }
+
     /** Ends what is over its limit. To be called several times within the shortest limit. */
     @Override
     public void run() {
@@ -127,6 +138,7 @@
         private final IOSession session;
         private boolean readingHead;
         private boolean running;
+        private boolean closing;
         private long since;
 
         Connection(IOSession session, long now) {
@@ -152,9 +164,15 @@
             since = now;
         }
 
+        synchronized void closeSoon(long now) {
+            closing = true;
+            since = now;
+        }
+
         synchronized void check(long now) {
             long limit = readingHead ? headNanos : idleNanos;
-            if (!running && now - since > limit) {
+            boolean over = closing ? now - since > LINGER_NANOS : !running && now - since > limit;
+            if (over) {
                 session.close(CloseMode.IMMEDIATE);
             }
         }
--- a/router/src/main/java/org/ragwortrun/router/internal/ledger/GrantClient.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/ledger/GrantClient.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
@@ -48,13 +49,16 @@
     private final Duration timeout;
     private final Supplier<List<String>> agents;
     private final Map<BudgetRef, Lane> lanes = new ConcurrentHashMap<>();
+    private final BooleanSupplier settled;
     private final AtomicInteger held = new AtomicInteger();
+    private final AtomicInteger open = new AtomicInteger();
 
     /**
      * Creates a client.
      *
      * @param timeout longest time that a request waits for tokens
      * @param agents names of the agents that may have usage of this router
+     * @param settled whether the shards have all bills that this router reported
      */
     public GrantClient(
             GrantPool pool,
@@ -62,13 +66,15 @@
             Sessions sessions,
             ScheduledExecutorService timer,
             Duration timeout,
-            Supplier<List<String>> agents) {
+            Supplier<List<String>> agents,
+            BooleanSupplier settled) {
         this.pool = pool;
         this.shards = shards;
         this.sessions = sessions;
         this.timer = timer;
         this.timeout = timeout;
         this.agents = agents;
+        this.settled = settled;
         timer.scheduleWithFixedDelay(this::maintain, RESEND_MS, RESEND_MS, TimeUnit.MILLISECONDS);
     }
 
@@ -104,11 +110,12 @@
         return held.get();
     }
 
-    /** Returns what is unused and ends the sessions; held reservations are left to the agents named. */
+    /** Returns what is unused and ends the sessions. What may still be billed is left until the agents confirm. */
     @Override
     public void close() {
         pool.returnAll().ifPresent(this::reduce);
-        sessions.close(held.get() == 0 ? List.of() : agents.get(), CLOSE_TIMEOUT);
+        boolean orderly = open.get() == 0 && settled.getAsBoolean();
+        sessions.close(orderly ? List.of() : agents.get(), CLOSE_TIMEOUT);
     }
 
     /** Sends what is due, and again what has not been answered. */
@@ -269,8 +276,11 @@
             if (r instanceof ReserveResult.NeedMore more) {
                 return Optional.of(more);
             }
-            if (r instanceof ReserveResult.Reserved reserved && !result.complete(new Handle(reserved.reservation()))) {
-                pool.release(reserved.reservation());
+            if (r instanceof ReserveResult.Reserved reserved) {
+                Handle handle = new Handle(reserved.reservation());
+                if (!result.complete(handle)) {
+                    handle.release();
+                }
             }
             return Optional.empty();
         }
@@ -326,6 +336,7 @@
 
         Handle(org.ragwortrun.ledger.Reservation reservation) {
             this.reservation = reservation;
+            open.incrementAndGet();
         }
 
         @Override
@@ -336,6 +347,7 @@
         @Override
         public void settle(long tokens) {
             if (ended.compareAndSet(false, true)) {
+                open.decrementAndGet();
                 pool.settle(reservation, Math.min(tokens, reservation.tokens()));
                 freed(reservation.budget());
             }
--- /dev/null
+++ b/router/src/test/java/org/ragwortrun/router/FailureTest.java
@@ -0,0 +1,195 @@
+package org.ragwortrun.router;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.net.http.HttpResponse;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.ragwortrun.proto.BudgetStatement;
+import org.ragwortrun.proto.Dispatch;
+
+final class FailureTest {
+    private RouterHarness harness;
+
+    @BeforeEach
+    void start() throws Exception {
+        harness = new RouterHarness(Map.of());
+    }
+
+    @AfterEach
+    void stop() {
+        harness.close();
+    }
+
+    /** Guards against a second run when a caller retries a request that runs. */
+    @Test
+    void retryAttachesToTheRunningRequest() throws Exception {
+        hold(10);
+        String key = RouterHarness.key("a");
+        CompletableFuture<HttpResponse<String>> first =
+                harness.sendAsync(harness.chat(true, "x").header("Idempotency-Key", key));
+        RouterHarness.await(() -> Math.max(harness.first.maxSent, harness.second.maxSent) == 10);
+        CompletableFuture<HttpResponse<String>> retry =
+                harness.sendAsync(harness.chat(true, "x").header("Idempotency-Key", key));
+        FakeAgent.sleep(100);
+        release();
+        assertThat(RouterHarness.streamedText(first.get().body())).isEqualTo(harness.first.text);
+        assertThat(RouterHarness.streamedText(retry.get().body())).isEqualTo(harness.first.text);
+        assertThat(harness.first.dispatches.size() + harness.second.dispatches.size())
+                .isEqualTo(1);
+        HttpResponse<String> late = harness.send(harness.chat(true, "x").header("Idempotency-Key", key));
+        assertThat(RouterHarness.streamedText(late.body())).isEqualTo(harness.first.text);
+        RouterHarness.await(() -> assay().getBills() == 1);
+    }
+
+    /** Guards against an answer for other content under a known id. */
+    @Test
+    void idWithOtherContentIsRefused() throws Exception {
+        String key = RouterHarness.key("b");
+        assertThat(harness.send(harness.order(key, "one")).statusCode()).isEqualTo(200);
+        HttpResponse<String> r = harness.send(harness.order(key, "two"));
+        assertThat(r.statusCode()).isEqualTo(422);
+        assertThat(r.body()).contains("\"reason\":\"id-reused\"");
+        assertThat(harness.orders.dispatches).hasSize(1);
+    }
+
+    /** Guards against gaps, repeats and second bills when an agent dies in the middle of a stream. */
+    @Test
+    void streamGoesOnAtAnotherEndpointWhenItsAgentDies() throws Exception {
+        hold(15);
+        CompletableFuture<HttpResponse<String>> call = harness.sendAsync(harness.chat(true, "x"));
+        RouterHarness.await(() -> Math.max(harness.first.maxSent, harness.second.maxSent) == 15);
+        FakeAgent dead = harness.first.maxSent == 15 ? harness.first : harness.second;
+        FakeAgent other = harness.first.maxSent == 15 ? harness.second : harness.first;
+        other.holdAt = Long.MAX_VALUE;
+        dead.close();
+        HttpResponse<String> r = call.get();
+        assertThat(RouterHarness.streamedText(r.body())).isEqualTo(other.text);
+        Dispatch resumed = other.dispatches.get(0);
+        assertThat(resumed.getResumeText()).isEqualTo(other.text.substring(0, 15));
+        assertThat(resumed.getResumeTokens()).isEqualTo(3);
+        RouterHarness.await(() -> assay().getBills() == 1);
+    }
+
+    /** Guards against a needless second run when only a connection breaks. */
+    @Test
+    void streamGoesOnAtTheSameAgentWhenItsConnectionBreaks() throws Exception {
+        hold(15);
+        CompletableFuture<HttpResponse<String>> call = harness.sendAsync(harness.chat(false, "x"));
+        RouterHarness.await(() -> Math.max(harness.first.maxSent, harness.second.maxSent) == 15);
+        harness.first.disconnect();
+        harness.second.disconnect();
+        release();
+        assertThat(call.get().body()).contains("\"content\":\"" + harness.first.text + "\"");
+        assertThat(harness.first.dispatches.size() + harness.second.dispatches.size())
+                .isEqualTo(1);
+    }
+
+    /** Guards against a stream that ends early and looks whole. */
+    @Test
+    void streamThatCannotGoOnBreaks() throws Exception {
+        hold(15);
+        CompletableFuture<HttpResponse<String>> call = harness.sendAsync(harness.chat(true, "x"));
+        RouterHarness.await(() -> Math.max(harness.first.maxSent, harness.second.maxSent) == 15);
+        harness.first.close();
+        harness.second.close();
+        AtomicInteger whole = new AtomicInteger();
+        call.handle((r, e) -> e == null ? whole.incrementAndGet() : 0).get();
+        assertThat(whole.get()).isEqualTo(0);
+    }
+
+    /** Guards against a second run of an order whose agent was lost, and against answers that change. */
+    @Test
+    void orderWithALostAgentIsUnknownEachTime() throws Exception {
+        harness.orders.swallow = d -> true;
+        String key = RouterHarness.key("c");
+        CompletableFuture<HttpResponse<String>> call = harness.sendAsync(harness.order(key, "kiln 2"));
+        RouterHarness.await(() -> harness.orders.dispatches.size() == 1);
+        int port = harness.orders.port();
+        harness.orders.close();
+        harness.orders = new FakeAgent("o1", 2, port);
+        for (int i = 0; i < 3; i++) {
+            HttpResponse<String> r = i == 0 ? call.get() : harness.send(harness.order(key, "kiln 2"));
+            assertThat(r.body()).contains("\"reason\":\"outcome-unknown\"");
+            assertThat(r.body()).contains("\"run\":\"unknown\"");
+            assertThat(r.statusCode()).isEqualTo(502);
+        }
+        assertThat(harness.orders.dispatches).isEmpty();
+    }
+
+    /** Guards against a false refusal when the agent proves that an order never arrived. */
+    @Test
+    void orderThatNeverArrivedRunsInANewAttempt() throws Exception {
+        harness.orders.swallow = d -> d.getAttempt() == 1;
+        CompletableFuture<HttpResponse<String>> call =
+                harness.sendAsync(harness.order(RouterHarness.key("d"), "kiln 3"));
+        RouterHarness.await(() -> harness.orders.dispatches.size() == 1);
+        harness.orders.disconnect();
+        assertThat(call.get().statusCode()).isEqualTo(200);
+        assertThat(harness.orders.dispatches.stream().map(Dispatch::getAttempt)).containsExactly(1, 2);
+    }
+
+    /** Guards against orders that run without a register, and against model requests that stop for want of one. */
+    @Test
+    void withoutShardsOnlyRepeatableRequestsRun() throws Exception {
+        assertThat(harness.send(harness.chat(true, "x")).statusCode()).isEqualTo(200);
+        assertThat(harness.send(harness.order(RouterHarness.key("e"), "x")).statusCode())
+                .isEqualTo(200);
+        // The first requests teach the pool its demand, and a refill is under way.
+        FakeAgent.sleep(200);
+        harness.control.shardsSilent = true;
+        HttpResponse<String> chat = harness.send(harness.chat(true, "x").header("Idempotency-Key", "f"));
+        assertThat(chat.statusCode()).isAnyOf(200, 503);
+        HttpResponse<String> order = harness.send(harness.order(RouterHarness.key("g"), "x"));
+        assertThat(order.statusCode()).isEqualTo(503);
+        assertThat(order.body()).contains("\"run\":\"not run\"");
+        assertThat(order.headers().firstValue("Retry-After").isPresent()).isTrue();
+        harness.control.shardsSilent = false;
+    }
+
+    /** Guards against a host that serves an old configuration. */
+    @Test
+    void refusesWithoutALease() throws Exception {
+        harness.control.leased = false;
+        RouterHarness.await(() -> !harness.ready());
+        HttpResponse<String> r = harness.send(harness.chat(true, "x"));
+        assertThat(r.statusCode()).isEqualTo(503);
+        assertThat(r.body()).contains("\"reason\":\"configuration-lease-expired\"");
+    }
+
+    /** Guards against work for an endpoint that is leaving. */
+    @Test
+    void leavingEndpointGetsNoWork() throws Exception {
+        harness.first.report(org.ragwortrun.proto.LoadReport.newBuilder()
+                .setSequence(1)
+                .setHealthy(true)
+                .setLeaving(true));
+        FakeAgent.sleep(100);
+        for (int i = 0; i < 10; i++) {
+            assertThat(harness.send(harness.chat(true, "x")).statusCode()).isEqualTo(200);
+        }
+        assertThat(harness.first.dispatches).isEmpty();
+        assertThat(harness.second.dispatches).hasSize(10);
+    }
+
+    private BudgetStatement assay() {
+        return harness.control.statement(RouterHarness.ACCOUNT).getBudgetsList().stream()
+                .filter(b -> b.getBudget().getService().equals("assay"))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    private void hold(long at) {
+        harness.first.holdAt = at;
+        harness.second.holdAt = at;
+    }
+
+    private void release() {
+        harness.first.release();
+        harness.second.release();
+    }
+}
--- /dev/null
+++ b/router/src/test/java/org/ragwortrun/router/StopAndReadersTest.java
@@ -0,0 +1,105 @@
+package org.ragwortrun.router;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.ByteArrayOutputStream;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.ragwortrun.proto.BudgetStatement;
+import org.ragwortrun.proto.ShardCommand;
+
+final class StopAndReadersTest {
+    private static final int LONG_ANSWER = 2_000_000;
+
+    private RouterHarness harness;
+
+    @BeforeEach
+    void start() throws Exception {
+        harness = new RouterHarness(Map.of());
+    }
+
+    @AfterEach
+    void stop() {
+        harness.close();
+    }
+
+    /** Guards against a slow reader that fills memory or delays another reader. */
+    @Test
+    void slowReaderHoldsLittleAndDelaysNobody() throws Exception {
+        String text = "x".repeat(LONG_ANSWER);
+        harness.first.text = text;
+        harness.second.text = text;
+        try (Socket slow = new Socket()) {
+            slow.setReceiveBufferSize(8 << 10);
+            slow.connect(new InetSocketAddress("127.0.0.1", harness.router.port()));
+            String body = RouterHarness.chatBody(true, "x");
+            slow.getOutputStream()
+                    .write(("POST " + RouterHarness.CHAT + " HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+                                    + "Authorization: Bearer " + RouterHarness.KEY + "\r\nContent-Length: "
+                                    + body.length() + "\r\n\r\n" + body)
+                            .getBytes(StandardCharsets.US_ASCII));
+            FakeAgent.sleep(700);
+            long held = Math.max(harness.first.maxSent, harness.second.maxSent);
+            assertThat(held).isGreaterThan(0);
+            // 64 KiB in the router, and what the two socket buffers hold.
+            assertThat(held).isLessThan(512 << 10);
+            harness.first.text = "quick";
+            harness.second.text = "quick";
+            long before = System.nanoTime();
+            HttpResponse<String> fast = harness.send(harness.chat(true, "y"));
+            assertThat(RouterHarness.streamedText(fast.body())).isEqualTo("quick");
+            assertThat(Duration.ofNanos(System.nanoTime() - before)).isLessThan(Duration.ofSeconds(1));
+            String all = readAll(slow);
+            assertThat(all).contains("data: [DONE]");
+            assertThat(all.chars().filter(c -> c == 'x').count()).isAtLeast(LONG_ANSWER);
+        }
+    }
+
+    /** Guards against a planned stop that cuts off a stream, loses a bill or keeps a grant. */
+    @Test
+    void stopFinishesStreamsAndReturnsGrants() throws Exception {
+        harness.first.holdAt = 10;
+        harness.second.holdAt = 10;
+        CompletableFuture<HttpResponse<String>> call = harness.sendAsync(harness.chat(true, "x"));
+        RouterHarness.await(() -> Math.max(harness.first.maxSent, harness.second.maxSent) == 10);
+        CompletableFuture<Void> stop = CompletableFuture.runAsync(() -> harness.router.close());
+        RouterHarness.await(() -> !harness.ready());
+        HttpResponse<String> refused = harness.send(harness.chat(true, "y"));
+        assertThat(refused.statusCode()).isEqualTo(503);
+        assertThat(refused.body()).contains("\"reason\":\"stopping\"");
+        assertThat(refused.body()).contains("\"run\":\"not run\"");
+        harness.first.release();
+        harness.second.release();
+        assertThat(RouterHarness.streamedText(call.get().body())).isEqualTo(harness.first.text);
+        stop.get();
+        BudgetStatement assay = harness.control.statement(RouterHarness.ACCOUNT).getBudgetsList().stream()
+                .filter(b -> b.getBudget().getService().equals("assay"))
+                .findFirst()
+                .orElseThrow();
+        assertThat(assay.getSettled()).isEqualTo(10);
+        assertThat(assay.getBills()).isEqualTo(1);
+        assertThat(assay.getHeld()).isEqualTo(0);
+        assertThat(harness.control.commands.stream()
+                        .filter(ShardCommand::hasCloseSession)
+                        .filter(c -> c.getCloseSession().getOrderly())
+                        .count())
+                .isEqualTo(FakeControl.SHARDS);
+    }
+
+    private static String readAll(Socket socket) throws Exception {
+        socket.setSoTimeout(10_000);
+        ByteArrayOutputStream all = new ByteArrayOutputStream();
+        InputStream in = socket.getInputStream();
+        in.transferTo(all);
+        return all.toString(StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/router/src/test/java/org/ragwortrun/router/internal/request/ChatReaderTest.java
@@ -0,0 +1,54 @@
+package org.ragwortrun.router.internal.request;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.Test;
+import org.ragwortrun.core.refusal.RefusedException;
+
+final class ChatReaderTest {
+    private final ChatReader reader = new ChatReader(new ObjectMapper());
+
+    /** Guards against a prompt bound below the tokens that an engine may count. */
+    @Test
+    void boundsThePromptByItsBytes() throws Exception {
+        ChatRequest r = read("{\"model\":\"m\",\"messages\":[{\"role\":\"user\",\"content\":\"é\\u00e9!\"},"
+                + "{\"role\":\"user\",\"content\":[{\"type\":\"text\",\"text\":\"abc\"}]}]}");
+        assertThat(r.promptBound()).isAtLeast(2 * 8 + 5 + 3);
+        assertThat(r.maxOutput()).isEqualTo(0);
+        assertThat(r.stream()).isFalse();
+    }
+
+    /** Guards against the larger of two limits. */
+    @Test
+    void takesTheLowerLimit() throws Exception {
+        ChatRequest r = read("{\"model\":\"m\",\"stream\":true,\"max_tokens\":9,\"max_completion_tokens\":5,"
+                + "\"messages\":[{\"content\":\"a\"}]}");
+        assertThat(r.maxOutput()).isEqualTo(5);
+        assertThat(r.stream()).isTrue();
+    }
+
+    /** Guards against bodies whose cost cannot be bounded. */
+    @Test
+    void refusesWhatItCannotBound() {
+        for (String body : new String[] {
+            "",
+            "[]",
+            "{\"messages\":[{}]}",
+            "{\"model\":\"m\",\"messages\":[]}",
+            "{\"model\":\"m\",\"messages\":[{}],\"max_tokens\":0}",
+            "{\"model\":\"m\",\"messages\":[{}],\"max_tokens\":9999999999999999999}",
+            "{\"model\":\"m\",\"messages\":[{}],\"max_tokens\":1.5}",
+            "{\"model\":\"m\",\"messages\":[{}],\"stream\":\"yes\"}",
+            "{\"model\":\"m\",\"messages\":[{\"content\":[{\"type\":\"image_url\",\"image_url\":\"u\"}]}]}"
+        }) {
+            assertThrows(RefusedException.class, () -> read(body), body);
+        }
+    }
+
+    private ChatRequest read(String body) throws RefusedException {
+        return reader.read(body.getBytes(StandardCharsets.UTF_8));
+    }
+}
--- /dev/null
+++ b/routing/src/test/java/org/ragwortrun/routing/ChunkOrderTest.java
@@ -0,0 +1,26 @@
+package org.ragwortrun.routing;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import org.junit.jupiter.api.Test;
+
+final class ChunkOrderTest {
+    /** Guards against text that a caller gets twice after a re-attachment. */
+    @Test
+    void dropsWhatIsKnown() throws Exception {
+        ChunkOrder order = new ChunkOrder();
+        assertThat(order.accept(0, new byte[] {0, 1, 2})).hasLength(3);
+        assertThat(order.accept(0, new byte[] {0, 1})).hasLength(0);
+        assertThat(order.accept(1, new byte[] {1, 2, 3, 4})).isEqualTo(new byte[] {3, 4});
+        assertThat(order.next()).isEqualTo(5);
+    }
+
+    /** Guards against an answer with a hole. */
+    @Test
+    void refusesAGap() throws Exception {
+        ChunkOrder order = new ChunkOrder();
+        order.accept(0, new byte[] {0});
+        assertThrows(AnswerGapException.class, () -> order.accept(2, new byte[] {2}));
+    }
+}
--- /dev/null
+++ b/routing/src/test/java/org/ragwortrun/routing/RetryPolicyTest.java
@@ -0,0 +1,34 @@
+package org.ragwortrun.routing;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+final class RetryPolicyTest {
+    private static final Duration LONG = Duration.ofSeconds(60);
+
+    /** Guards against a storm of retries when every request of a route fails. */
+    @Test
+    void retriesStayAPartOfTheLoad() {
+        RetryPolicy policy = new RetryPolicy(() -> 0.5);
+        long retries = IntStream.range(0, 1_000)
+                .filter(i -> {
+                    policy.onRequest("r");
+                    return policy.next("r", 1, LONG).isPresent();
+                })
+                .count();
+        assertThat(retries).isAtMost(20 + 200);
+        assertThat(retries).isAtLeast(200);
+    }
+
+    /** Guards against a retry that starts when the caller has given up. */
+    @Test
+    void neverWaitsPastTheDeadline() {
+        RetryPolicy policy = new RetryPolicy(() -> 0.99);
+        assertThat(policy.next("r", 5, Duration.ofMillis(50)).isEmpty()).isTrue();
+        assertThat(policy.next("r", 5, LONG).orElseThrow()).isAtMost(Duration.ofMillis(160));
+        assertThat(policy.next("r", 6, LONG).isEmpty()).isTrue();
+    }
+}
