Close refused connections without a reset

Cause: an immediate close resets the connection, and the caller loses the refusal that it had received but not yet read. Change: connections are closed gracefully. Tested: RefusalDocumentsTest, 10 tests pass, slowBody among them. Conclusion: a caller whose body is too slow reads its 408 document.

--- a/router/src/main/java/org/ragwortrun/router/internal/http/RequestTimers.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/http/RequestTimers.java
@@ -173,7 +173,7 @@
             long limit = readingHead ? headNanos : idleNanos;
             boolean over = closing ? now - since > LINGER_NANOS : !running && now - since > limit;
             if (over) {
-                session.close(CloseMode.IMMEDIATE);
+                session.close(CloseMode.GRACEFUL);
             }
         }
     }
