--- /dev/null
+++ b/measure/src/main/java/org/ragwortrun/measure/demo/ChatAnswer.java
@@ -0,0 +1,51 @@
+package org.ragwortrun.measure.demo;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.ragwortrun.measure.fleet.Answer;
+import org.ragwortrun.measure.fleet.FleetException;
+
+/** Text and usage of a chat completion, streamed or not. */
+record ChatAnswer(String text, long totalTokens, boolean whole) {
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final String DATA = "data: ";
+    private static final String DONE = "[DONE]";
+
+    static ChatAnswer of(Answer answer, boolean stream) throws FleetException {
+        try {
+            return stream ? streamed(answer.body()) : unstreamed(JSON.readTree(answer.body()));
+        } catch (JsonProcessingException e) {
+            throw new FleetException("answer is not a chat completion: " + answer.body(), e);
+        }
+    }
+
+    private static ChatAnswer unstreamed(JsonNode root) {
+        JsonNode choice = root.path("choices").path(0);
+        return new ChatAnswer(
+                choice.path("message").path("content").asText(),
+                root.path("usage").path("total_tokens").asLong(),
+                !choice.path("finish_reason").asText("").isEmpty());
+    }
+
+    private static ChatAnswer streamed(String body) throws JsonProcessingException {
+        StringBuilder text = new StringBuilder();
+        long tokens = 0;
+        boolean done = false;
+        for (String line : body.split("\n")) {
+            if (!line.startsWith(DATA)) {
+                continue;
+            }
+            String data = line.substring(DATA.length()).trim();
+            if (DONE.equals(data)) {
+                done = true;
+                continue;
+            }
+            JsonNode event = JSON.readTree(data);
+            text.append(
+                    event.path("choices").path(0).path("delta").path("content").asText(""));
+            tokens = event.path("usage").path("total_tokens").asLong(tokens);
+        }
+        return new ChatAnswer(text.toString(), tokens, done);
+    }
+}
