Bound the times of moves to milliseconds

Cause: a far future finish parses but overflows milliseconds in every reader. Change: such a time is reported as unreadable.

--- a/control/src/main/java/org/ragwortrun/control/ControlDaemon.java
+++ b/control/src/main/java/org/ragwortrun/control/ControlDaemon.java
@@ -75,16 +75,20 @@
     }
 
     private void addGauges(Metrics metrics) {
-        metrics.gauge("control_meta_leader", "1 if this member leads the meta group", () -> groups.meta()
-                        .leasedTerm()
-                        .isPresent()
-                ? 1
-                : 0);
-        metrics.gauge("control_shards_led", "Shards that this member leads", () -> groups.shards().stream()
-                .filter(s -> s.leasedTerm().isPresent())
-                .count());
-        metrics.gauge("control_config_number", "Configuration number that this member has applied", () -> groups.meta()
-                .number());
+        metrics.gauge(
+                "control_meta_leader",
+                "1 if this member leads the meta group",
+                () -> groups.meta().leasedTerm().isPresent() ? 1 : 0);
+        metrics.gauge(
+                "control_shards_led",
+                "Shards that this member leads",
+                () -> groups.shards().stream()
+                        .filter(s -> s.leasedTerm().isPresent())
+                        .count());
+        metrics.gauge(
+                "control_config_number",
+                "Configuration number that this member has applied",
+                () -> groups.meta().number());
     }
 
     /** Returns the port that is bound. */
--- a/control/src/main/java/org/ragwortrun/control/internal/ShardCount.java
+++ b/control/src/main/java/org/ragwortrun/control/internal/ShardCount.java
@@ -51,10 +51,7 @@
     private static void write(Path folder, Path file, String text) throws IOException {
         Path temporary = folder.resolve(FILE + ".new");
         try (FileChannel out = FileChannel.open(
-                temporary,
-                StandardOpenOption.CREATE,
-                StandardOpenOption.WRITE,
-                StandardOpenOption.TRUNCATE_EXISTING)) {
+                temporary, StandardOpenOption.CREATE, StandardOpenOption.WRITE, StandardOpenOption.TRUNCATE_EXISTING)) {
             out.write(ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8)));
             out.force(true);
         }
--- a/control/src/test/java/org/ragwortrun/control/ControlDaemonTest.java
+++ b/control/src/test/java/org/ragwortrun/control/ControlDaemonTest.java
@@ -111,8 +111,8 @@
         values.put("cluster.shards", "3");
         SettingsException e = assertThrows(SettingsException.class, () -> ControlDaemon.start(Settings.of(values)));
         assertThat(e.problems())
-                .containsExactly("cluster.shards must stay 2, the number with which the data folder was first used,"
-                        + " not 3");
+                .containsExactly(
+                        "cluster.shards must stay 2, the number with which the data folder was first used," + " not 3");
     }
 
     private void startMember(String name) throws Exception {
--- a/core/src/main/java/org/ragwortrun/core/config/SectionReader.java
+++ b/core/src/main/java/org/ragwortrun/core/config/SectionReader.java
@@ -202,10 +202,8 @@
             return fallback;
         }
         try {
-            Instant time = Instant.parse(value);
-            // Far beyond any plan the time in milliseconds overflows, which readers of the configuration rely on.
-            time.toEpochMilli();
-            return time;
+            // Readers of the configuration count in milliseconds, so a time that overflows them is invalid.
+            return Instant.ofEpochMilli(Instant.parse(value).toEpochMilli());
         } catch (DateTimeException | ArithmeticException e) {
             fail(s, key, "time", "a UTC time such as 2026-12-04T18:00:00Z");
             return fallback;
