--- /dev/null
+++ b/ledger/src/test/java/org/ragwortrun/ledger/MetaStateTest.java
@@ -0,0 +1,190 @@
+package org.ragwortrun.ledger;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import com.google.protobuf.ByteString;
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.junit.jupiter.api.Test;
+import org.ragwortrun.proto.*;
+
+final class MetaStateTest {
+    private static final ConfigurationRules NO_BAD_SECTIONS = (previous, next, now) -> next.stream()
+            .filter(s -> s.getName().equals("bad"))
+            .map(s -> ConfigError.newBuilder().setSection("service bad").build())
+            .toList();
+
+    private MetaState meta = new MetaState(NO_BAD_SECTIONS);
+
+    /** Guards against one of two racing operators whose files silently replace the other's. */
+    @Test
+    void acceptsOneOfTwoPublicationsWithTheSameBase() {
+        assertThat(publish(0, "p1", section("service", "a", "1")).getNumber()).isEqualTo(1);
+        PublishReply second = publish(0, "p2", section("service", "b", "1"));
+        assertThat(second.getOutcome()).isEqualTo(PublishReply.Outcome.CONFLICT);
+        assertThat(second.getNumber()).isEqualTo(1);
+    }
+
+    /** Guards against a second configuration number, or a false conflict, for a publication whose answer was lost. */
+    @Test
+    void answersAResentPublicationAsAtFirst() {
+        publish(0, "p1", section("service", "a", "1"));
+        publish(1, "p2", section("service", "a", "2"));
+        PublishReply resent = publish(0, "p1", section("service", "a", "1"));
+        assertThat(resent.getOutcome()).isEqualTo(PublishReply.Outcome.ACCEPTED);
+        assertThat(resent.getNumber()).isEqualTo(1);
+        assertThat(resent.getResent()).isTrue();
+        assertThat(meta.number()).isEqualTo(2);
+    }
+
+    /** Guards against invalid files that change something. */
+    @Test
+    void changesNothingOnInvalidFiles() {
+        assertThat(publish(0, "p1", section("service", "bad", "1")).getOutcome())
+                .isEqualTo(PublishReply.Outcome.INVALID);
+        assertThat(meta.number()).isEqualTo(0);
+        assertThat(meta.configuration().getSectionsCount()).isEqualTo(0);
+    }
+
+    /** Guards against operators who get conflicts because a move made progress in the meantime. */
+    @Test
+    void moveProgressRaisesTheNumberWithoutConflict() {
+        publish(0, "p1", section("move", "m", "1"));
+        progress(100);
+        assertThat(progress(200).getNumber()).isEqualTo(3);
+        assertThat(progress(200).getNumber()).isEqualTo(3);
+        PublishReply next = publish(1, "p2", section("move", "m", "2"));
+        assertThat(next.getNumber()).isEqualTo(4);
+        assertThat(meta.moves()).isEmpty();
+    }
+
+    /** Guards against a crash that counts twice because it was reported twice, and against blame on neighbours. */
+    @Test
+    void refusesARequestAfterItsSecondCrash() {
+        ByteString digest = ByteString.copyFromUtf8("d");
+        ByteString neighbour = ByteString.copyFromUtf8("n");
+        CrashReport first = CrashReport.newBuilder()
+                .setDigest(digest)
+                .setRequestId("q1")
+                .setEndpoint("e1")
+                .addNeighbours(neighbour)
+                .build();
+        crash(first);
+        crash(first);
+        assertThat(meta.suspect(digest.toByteArray()).orElseThrow().getRefused())
+                .isFalse();
+        crash(first.toBuilder().setEndpoint("e2").build());
+        assertThat(meta.suspect(digest.toByteArray()).orElseThrow().getRefused())
+                .isTrue();
+        assertThat(meta.suspect(neighbour.toByteArray())).isEmpty();
+        assertThat(meta.number()).isEqualTo(2);
+    }
+
+    /** Guards against two load orders with the same fencing number. */
+    @Test
+    void fencingNumbersRise() throws IOException {
+        MetaCommand next = MetaCommand.newBuilder()
+                .setNextFencing(NextFencing.newBuilder().setEndpoint("e1"))
+                .build();
+        assertThat(meta.apply(next).getFencing()).isEqualTo(1);
+        restore();
+        assertThat(meta.apply(next).getFencing()).isEqualTo(2);
+    }
+
+    /** Guards against daemons that apply a change and end up with other sections than the full configuration has. */
+    @Test
+    void changesLeadToTheFullConfiguration() throws IOException {
+        for (long seed = 1; seed <= 100; seed++) {
+            UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
+            meta = new MetaState(NO_BAD_SECTIONS);
+            Map<Long, Map<String, String>> daemons = new TreeMap<>();
+            daemons.put(0L, new TreeMap<>());
+            for (int i = 0; i < 30; i++) {
+                List<Section> sections = new ArrayList<>();
+                for (String kind : List.of("service", "route", "budget", "account")) {
+                    for (int n = 0; n < 3; n++) {
+                        if (random.nextInt(3) > 0) {
+                            sections.add(section(kind, "x" + n, Integer.toString(random.nextInt(3))));
+                        }
+                    }
+                }
+                publish(meta.number(), "p" + i, sections.toArray(new Section[0]));
+                if (random.nextInt(5) == 0) {
+                    restore();
+                }
+                for (Map<String, String> daemon : List.copyOf(daemons.values())) {
+                    Map<String, String> expected = follow(new TreeMap<>(), meta.updateFrom(0));
+                    assertThat(expected.keySet().stream().noneMatch(k -> k.startsWith("budget")))
+                            .isTrue();
+                    long base = daemons.entrySet().stream()
+                            .filter(e -> e.getValue().equals(daemon))
+                            .mapToLong(Map.Entry::getKey)
+                            .max()
+                            .orElseThrow();
+                    Map<String, String> followed = follow(new TreeMap<>(daemon), meta.updateFrom(base));
+                    assertWithMessage("seed " + seed + " base " + base)
+                            .that(followed)
+                            .isEqualTo(expected);
+                    daemons.put(meta.number(), followed);
+                }
+            }
+        }
+    }
+
+    private static Map<String, String> follow(Map<String, String> held, ConfigUpdate update) {
+        if (update.getBase() == 0) {
+            held.clear();
+        }
+        update.getRemovedList().forEach(r -> held.remove(r.getKind() + r.getName()));
+        update.getChangedList()
+                .forEach(s ->
+                        held.put(s.getKind() + s.getName(), s.getPropertiesMap().get("v")));
+        return held;
+    }
+
+    private void restore() throws IOException {
+        ByteArrayOutputStream before = new ByteArrayOutputStream();
+        meta.writeSnapshot(before);
+        meta = new MetaState(NO_BAD_SECTIONS);
+        meta.readSnapshot(new ByteArrayInputStream(before.toByteArray()));
+        ByteArrayOutputStream after = new ByteArrayOutputStream();
+        meta.writeSnapshot(after);
+        assertThat(after.toByteArray()).isEqualTo(before.toByteArray());
+    }
+
+    private PublishReply publish(long basedOn, String id, Section... sections) {
+        return meta.apply(MetaCommand.newBuilder()
+                        .setPublish(Publish.newBuilder()
+                                .setBasedOn(basedOn)
+                                .setPublishId(id)
+                                .addAllSections(List.of(sections)))
+                        .build())
+                .getPublish();
+    }
+
+    private MetaResult progress(int share) {
+        return meta.apply(MetaCommand.newBuilder()
+                .setMoveProgress(MoveProgress.newBuilder().setMove("m").setSharePermille(share))
+                .build());
+    }
+
+    private void crash(CrashReport report) {
+        meta.apply(MetaCommand.newBuilder().setCrash(report).build());
+    }
+
+    private static Section section(String kind, String name, String value) {
+        return Section.newBuilder()
+                .setKind(kind)
+                .setName(name)
+                .putProperties("v", value)
+                .build();
+    }
+}
--- a/ledger/src/test/java/org/ragwortrun/ledger/ShardStateDifferentialTest.java
+++ b/ledger/src/test/java/org/ragwortrun/ledger/ShardStateDifferentialTest.java
@@ -48,7 +48,6 @@
     void agreesWithTheNaiveShard() throws IOException {
         long first = Long.getLong("ledger.seed", 1);
         long seeds = Long.getLong("ledger.seeds", 150);
-        System.out.println("seeds=" + first + ".." + (first + seeds - 1));
         int allBilled = 0;
         int allCopies = 0;
         for (long seed = first; seed < first + seeds; seed++) {
@@ -56,7 +55,7 @@
             allBilled += billed;
             allCopies += copies;
         }
-        System.out.println("billed=" + allBilled + " copies=" + allCopies);
+        SeedReport.print("ShardState", first, seeds, "billed=" + allBilled + " copies=" + allCopies);
         assertWithMessage("requests billed").that(allBilled).isGreaterThan((int) seeds);
         assertWithMessage("copies of reports").that(allCopies).isGreaterThan((int) seeds);
     }
