End requests consistently and hold what may still be billed

Change: one class ends each request (answer, reservation, register entry, bill). Held reservations are ended when the shard tells what was billed. Bills of requests that run once carry the answer for the register. Server errors of one endpoint are held back while another may do better. Attempts have rising numbers. The timers of core drop cancelled tasks, and the configuration finds a budget by its name. Tested: new tests for the register's answer, the hidden error and the end of held reservations.

--- a/core/src/main/java/org/ragwortrun/core/concurrent/Duty.java
+++ b/core/src/main/java/org/ragwortrun/core/concurrent/Duty.java
@@ -4,9 +4,9 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.Executor;
 import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
@@ -67,7 +67,10 @@
 
     /** Creates a timer thread for periodic work of a daemon. */
     public static ScheduledExecutorService timer(String name) {
-        return Executors.newSingleThreadScheduledExecutor(threadFactory(name));
+        ScheduledThreadPoolExecutor timer = new ScheduledThreadPoolExecutor(1, threadFactory(name));
+        // A cancelled time limit would otherwise hold its request until the limit.
+        timer.setRemoveOnCancelPolicy(true);
+        return timer;
     }
 
     /** Ends an executor after the tasks that wait, or after two seconds. */
--- a/core/src/main/java/org/ragwortrun/core/config/Configuration.java
+++ b/core/src/main/java/org/ragwortrun/core/config/Configuration.java
@@ -84,6 +84,10 @@
         return budgets.values();
     }
 
+    public Optional<Budget> budget(String account, String service) {
+        return Optional.ofNullable(budgets.get(budgetKey(account, service)));
+    }
+
     public Collection<Service> services() {
         return services.values();
     }
--- a/router/src/main/java/org/ragwortrun/router/internal/Router.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/Router.java
@@ -35,6 +35,7 @@
 import org.ragwortrun.router.internal.http.HttpFront;
 import org.ragwortrun.router.internal.http.ProblemWriter;
 import org.ragwortrun.router.internal.ledger.GrantClient;
+import org.ragwortrun.router.internal.ledger.HeldReservations;
 import org.ragwortrun.router.internal.ledger.Register;
 import org.ragwortrun.router.internal.ledger.Sessions;
 import org.ragwortrun.router.internal.ledger.SettlementQueue;
@@ -105,6 +106,7 @@
         ConfigWatch watch = closer.register(new ConfigWatch(control, timer, time, agents::apply));
         Shards shards = new Shards(control, settings.shards());
         Sessions sessions = new Sessions(shards, timer, settings.name(), incarnation);
+        HeldReservations held = new HeldReservations(control, shards);
         SettlementQueue settlements = new SettlementQueue(shards, timer, incarnation, SETTLE_TIMEOUT, time);
         // Closed after the settlements, because the session may end in order only when all bills are delivered.
         GrantClient grants = closer.register(new GrantClient(
@@ -114,7 +116,8 @@
                 timer,
                 settings.grantTimeout(),
                 () -> endpoints(watch),
-                () -> settlements.pending() == 0));
+                () -> settlements.pending() == 0,
+                held));
         closer.register(settlements);
         BufferBudget buffers = new BufferBudget(settings.bufferMemory(), settings.accountBufferMemory());
         EvidenceCollector evidence = new EvidenceCollector(control);
@@ -138,6 +141,7 @@
         watch.start(CONFIRM_INTERVAL);
         sessions.open();
         timer.scheduleWithFixedDelay(evidence, SECOND_MS, SECOND_MS, TimeUnit.MILLISECONDS);
+        timer.scheduleWithFixedDelay(held, SECOND_MS, SECOND_MS, TimeUnit.MILLISECONDS);
         timer.scheduleWithFixedDelay(agents::closeRetired, SECOND_MS, SECOND_MS, TimeUnit.MILLISECONDS);
         if (!settings.hostList().isEmpty()) {
             HostList hosts = new HostList(settings.hostList(), json, agents::markLeaving);
--- a/router/src/main/java/org/ragwortrun/router/internal/flow/Answer.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/flow/Answer.java
@@ -18,6 +18,10 @@
  */
 final class Answer {
     private static final int OK = 200;
+    private static final int NO_CONTENT = 204;
+    private static final int NOT_MODIFIED = 304;
+    private static final int SERVER_ERROR = 500;
+    private static final int CLIENT_CLOSED = 499;
     private static final long MILLIS_PER_SECOND = 1000;
     private static final Set<String> HOP_HEADERS = Set.of(
             "connection",
@@ -38,6 +42,8 @@
     private final StreamBuffer buffer;
     private final boolean model;
     private final boolean streamed;
+    private final boolean repeatable;
+    private final boolean bodiless;
     private final DeferredRenderer renderer;
     private int status = OK;
     private List<Header> headers = List.of();
@@ -50,6 +56,8 @@
         this.response = response;
         this.buffer = buffer;
         this.model = request.isModel();
+        this.repeatable = request.route().repeatable();
+        this.bodiless = "HEAD".equals(request.caller().method());
         this.streamed = request.chat().map(ChatRequest::stream).orElse(true);
         this.renderer = new DeferredRenderer(request.chat()
                 .map(c -> renderer(c, request.id(), wallMillis / MILLIS_PER_SECOND))
@@ -69,21 +77,28 @@
         headers = first.getHeadersList().stream()
                 .filter(h -> !HOP_HEADERS.contains(h.getName().toLowerCase(Locale.ROOT)))
                 .toList();
-        if (model && status != OK) {
-            // The engine's own error document is passed on.
-            renderer.replace(new PlainRenderer());
-        }
+        // The endpoint's own error document is passed on.
+        renderer.select(model && status != OK);
         if (!streamed) {
             buffer.widenFully();
         }
     }
 
+    /** Forgets status and headers, because another endpoint answers. */
+    void restart() {
+        headSeen = false;
+        status = OK;
+        headers = List.of();
+    }
+
     /** Bytes have arrived in the buffer. */
     void advanced() {
         if (over) {
             return;
         }
-        if (streamed || buffer.isFull()) {
+        // The error of an endpoint is held back while another endpoint may do better.
+        boolean held = hasNoBody() || repeatable && status >= SERVER_ERROR;
+        if (!held && streamed || buffer.isFull()) {
             start();
         }
         if (started) {
@@ -115,6 +130,23 @@
         }
     }
 
+    /** The caller has gone; nothing more is sent. */
+    void abandon() {
+        if (!over) {
+            over = true;
+            status = started ? status : CLIENT_CLOSED;
+        }
+    }
+
+    /** Closes the connection of a caller that does not read. */
+    void abort() {
+        response.abort();
+    }
+
+    private boolean hasNoBody() {
+        return bodiless || status == NO_CONTENT || status == NOT_MODIFIED;
+    }
+
     boolean isStarted() {
         return started;
     }
@@ -135,7 +167,7 @@
         List<Header> own = model && status == OK
                 ? List.of(header("Content-Type", streamed ? "text/event-stream" : "application/json"))
                 : headers;
-        response.start(requestId, status, own, body);
+        response.start(requestId, status, own, hasNoBody() ? null : body);
     }
 
     private static AnswerRenderer renderer(ChatRequest chat, String id, long createdSeconds) {
@@ -148,16 +180,19 @@
         return Header.newBuilder().setName(name).setValue(value).build();
     }
 
-    /** A renderer that can be replaced before the answer starts. */
+    /** A renderer that is selected before the answer starts. */
     private static final class DeferredRenderer implements AnswerRenderer {
+        private final AnswerRenderer usual;
+        private final AnswerRenderer plain = new PlainRenderer();
         private volatile AnswerRenderer target;
 
-        DeferredRenderer(AnswerRenderer target) {
-            this.target = target;
+        DeferredRenderer(AnswerRenderer usual) {
+            this.usual = usual;
+            target = usual;
         }
 
-        void replace(AnswerRenderer other) {
-            target = other;
+        void select(boolean asPlain) {
+            target = asPlain ? plain : usual;
         }
 
         @Override
--- a/router/src/main/java/org/ragwortrun/router/internal/flow/AnswerIntake.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/flow/AnswerIntake.java
@@ -15,8 +15,8 @@
  */
 final class AnswerIntake {
     private final StreamBuffer buffer;
-    private final int resumeBytes;
-    private final ChunkOrder order = new ChunkOrder();
+    private final int keptBytes;
+    private ChunkOrder order = new ChunkOrder();
     private final ByteArrayOutputStream text = new ByteArrayOutputStream();
     private boolean textKept;
     private long outputTokens;
@@ -25,13 +25,12 @@
     /**
      * Creates an intake.
      *
-     * @param keepText whether the text is kept, so that the answer can be resumed from it
-     * @param resumeBytes most bytes of text that are kept
+     * @param keptBytes most bytes of the answer that are kept, for a resume or for the register; 0 for none
      */
-    AnswerIntake(StreamBuffer buffer, boolean keepText, int resumeBytes) {
+    AnswerIntake(StreamBuffer buffer, int keptBytes) {
         this.buffer = buffer;
-        this.textKept = keepText;
-        this.resumeBytes = resumeBytes;
+        this.keptBytes = keptBytes;
+        textKept = keptBytes > 0;
     }
 
     /**
@@ -56,6 +55,15 @@
         buffer.close();
     }
 
+    /** Forgets what has arrived, because the caller has seen nothing of it and gets another answer. */
+    void restart() {
+        order = new ChunkOrder();
+        outputTokens = 0;
+        text.reset();
+        textKept = keptBytes > 0;
+        buffer.clear();
+    }
+
     /** Returns the number of bytes that have arrived in order. */
     long length() {
         return order.next();
@@ -70,6 +78,11 @@
         return length() == 0 || textKept;
     }
 
+    /** Returns whether all that has arrived is kept. */
+    boolean keepsText() {
+        return textKept;
+    }
+
     /** Returns the text that has arrived. */
     String text() {
         return text.toString(StandardCharsets.UTF_8);
@@ -79,7 +92,7 @@
         if (!textKept) {
             return;
         }
-        if (text.size() + fresh.length > resumeBytes) {
+        if (text.size() + fresh.length > keptBytes) {
             textKept = false;
             text.reset();
         } else {
--- a/router/src/main/java/org/ragwortrun/router/internal/flow/RequestFlow.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/flow/RequestFlow.java
@@ -48,6 +48,9 @@
     private static final Duration RETRY_SOON = Duration.ofSeconds(1);
     private static final int SERVER_ERROR = 500;
     private static final int MAX_CLAIMS = 8;
+    private static final int REGISTER_ANSWER_BYTES = 8 << 10;
+    // The agent ends a run at its deadline by itself; this covers its last messages.
+    private static final Duration DRAIN_GRACE = Duration.ofSeconds(10);
 
     private final FlowServices services;
     private final AdmittedRequest request;
@@ -57,7 +60,7 @@
     private final StreamBuffer buffer;
     private final AnswerIntake intake;
     private final Answer answer;
-    private final ReservationHolder reservation = new ReservationHolder();
+    private final RequestEnding ending;
     private final AgentFinder finder;
     private final EndpointSelection selection;
     private final RequestReport report;
@@ -65,11 +68,12 @@
     private FlowState state = FlowState.RESERVING;
     private @Nullable Future<?> deadline;
     private @Nullable AgentCall call;
-    private @Nullable Refusal refusedWith;
+    private @Nullable Refusal early;
     private int attempt = 1;
     private int replaces;
     private int claims;
-    private boolean claimed;
+    private int tries;
+    private boolean discarding;
     private boolean sent;
     private boolean callerGone;
     private boolean released;
@@ -92,14 +96,22 @@
         report = new RequestReport(services, request, startedAt);
         selection = new EndpointSelection(services, request);
         finder = new AgentFinder(services, mailbox, () -> state == FlowState.RECOVERING);
-        boolean resumable = request.isModel() && request.route().repeatable();
-        intake = new AnswerIntake(buffer, resumable, services.settings().resumeBytes());
+        intake = new AnswerIntake(buffer, keptBytes(services, request));
         answer = new Answer(
                 request,
                 response,
                 buffer,
                 () -> mailbox.execute(this::onRead),
                 services.time().wallMillis());
+        ending = new RequestEnding(services, request, answer);
+    }
+
+    /** Returns how much of the answer is kept: for a resume, or for the register of requests that run once. */
+    private static int keptBytes(FlowServices services, AdmittedRequest request) {
+        if (!request.route().repeatable()) {
+            return REGISTER_ANSWER_BYTES;
+        }
+        return request.isModel() ? services.settings().resumeBytes() : 0;
     }
 
     void start() {
@@ -109,27 +121,42 @@
             refuse(Refusal.notRun(RefusalReason.OVERLOADED, "no buffer is left for another answer", RETRY_SOON));
             return;
         }
-        services.grants().reserve(request.budget(), request.reserved()).whenCompleteAsync(this::onReserved, mailbox);
+        reserve();
     }
 
     /** The exchange with the caller has ended, well or not. */
     void onExchangeEnded() {
         callerGone = true;
+        boolean early = !answer.isOver();
+        answer.abandon();
         intake.discard();
-        if (state == FlowState.SENT) {
-            if (!answer.isOver()) {
-                // A keyed request goes on, since its caller may come back for the answer.
-                cancelUnlessKeyed("caller-gone");
+        switch (state) {
+            case SENT -> {
+                if (early) {
+                    // A keyed request goes on, since its caller may come back for the answer.
+                    cancelUnlessKeyed("caller-gone");
+                }
+                drain();
             }
-            drain();
-        } else if (state != FlowState.DRAINING) {
-            giveUp(Refusal.notRun(RefusalReason.STOPPING, "the caller has gone"));
+            case RESERVING, CLAIMING, BACKING_OFF -> {
+                ending.abandon();
+                done();
+            }
+            case RECOVERING -> {
+                ending.hold();
+                done();
+            }
+            case DRAINING, DONE -> end();
         }
-        end();
     }
 
     // ---- before the dispatch ----
 
+    private void reserve() {
+        state = FlowState.RESERVING;
+        services.grants().reserve(request.budget(), request.reserved()).whenCompleteAsync(this::onReserved, mailbox);
+    }
+
     private void onReserved(@Nullable Reservation granted, @Nullable Throwable failure) {
         if (state != FlowState.RESERVING) {
             if (granted != null) {
@@ -138,7 +165,7 @@
             return;
         }
         if (granted != null) {
-            reservation.set(granted);
+            ending.reserved(granted);
             choose();
         } else {
             refuseUnlessKnown(Refusals.ofFailure(failure));
@@ -147,8 +174,8 @@
 
     /** Refuses a request that has not run now. A keyed one may have run before, which the register tells. */
     private void refuseUnlessKnown(Refusal refusal) {
-        refusedWith = refusal;
-        if (request.keyed() && !claimed) {
+        if (request.keyed() && !ending.isClaimed() && early == null) {
+            early = refusal;
             claim(null);
         } else {
             giveUp(refusal);
@@ -156,6 +183,11 @@
     }
 
     private void choose() {
+        if (!ending.hasReservation()) {
+            // The first reservation was given back when the request was found to run already.
+            reserve();
+            return;
+        }
         // An answer that has started is continued by the version that started it.
         Optional<EndpointCandidate> chosen =
                 intake.length() > 0 ? selection.continuing(report.version(), excluded) : selection.first(excluded);
@@ -213,20 +245,20 @@
     }
 
     private void onClaimed(@Nullable EndpointCandidate candidate, ClaimResult result) {
-        claimed = true;
+        ending.claimed(result.getAttempt());
         attempt = result.getAttempt();
-        Refusal early = refusedWith;
-        if (candidate == null || early != null) {
-            giveUp(early == null ? Refusals.unknownOutcome("the claim names no endpoint") : early);
+        Refusal why = early;
+        if (candidate == null || why != null) {
+            giveUp(why == null ? Refusals.unknownOutcome("the claim names no endpoint") : why);
         } else {
             dispatch(candidate);
         }
     }
 
     private void onRegisterUnreachable(@Nullable EndpointCandidate candidate, @Nullable Throwable failure) {
-        Refusal early = refusedWith;
-        if (early != null) {
-            refuse(early);
+        Refusal why = early;
+        if (why != null) {
+            refuse(why);
         } else if (request.route().repeatable() && candidate != null) {
             // It may run twice, but it is billed once.
             dispatch(candidate);
@@ -240,9 +272,9 @@
 
     /** Starts a new attempt after the one named, which did not run or may be repeated. */
     private void replace(int earlier) {
-        Refusal early = refusedWith;
-        if (early != null) {
-            refuse(early);
+        Refusal why = early;
+        if (why != null) {
+            refuse(why);
         } else if (claims >= MAX_CLAIMS) {
             refuse(Refusal.notRun(
                     RefusalReason.REGISTER_UNREACHABLE, "other attempts of the request compete", RETRY_SOON));
@@ -253,16 +285,23 @@
     }
 
     private void answerFromRegister(ClaimResult result) {
-        reservation.release();
+        ending.release();
         answer.head(Chunk.newBuilder()
                 .setStatus(result.getStatus())
                 .addHeaders(Answer.header("Content-Type", "application/json"))
                 .build());
         buffer.widenFully();
+        buffer.grant();
         try {
             intake.accept(Chunk.newBuilder().setData(result.getAnswer()).build());
         } catch (AnswerGapException | BufferOverflowException e) {
-            buffer.resetGrant();
+            Event.of("kept-answer-not-buffered").with("request", request.id()).warn(LOG, e);
+            refuse(new Refusal(
+                    RefusalReason.OVERLOADED,
+                    RunOutcome.RAN,
+                    "no buffer is left for the answer",
+                    Optional.of(RETRY_SOON)));
+            return;
         }
         answer.advanced();
         answer.finish(new AnswerEnd(0, 0, false));
@@ -271,6 +310,7 @@
 
     /** Attaches to a request that ran earlier. */
     private void attachEarlier(ClaimResult result) {
+        replaces = result.getAttempt();
         awaitAgent(
                 result.getAgent(),
                 result.getAgentIncarnation(),
@@ -291,6 +331,7 @@
             fail(Refusal.unknown(RefusalReason.ENDPOINT_FAILED, "the answer is continued by another attempt"));
             return;
         }
+        replaces = result.getAttempt();
         boolean repeatable = request.route().repeatable();
         Duration wait = repeatable
                 ? services.settings().reattachWait()
@@ -316,6 +357,7 @@
 
     private void onEarlierUnknown(ClaimResult result) {
         if (request.route().repeatable()) {
+            ending.earlierAttemptUnknown();
             services.metrics().retried("earlier-attempt-lost");
             replace(result.getAttempt());
         } else {
@@ -335,6 +377,10 @@
             return;
         }
         report.attempted();
+        if (!ending.isClaimed()) {
+            // An agent that has refused an attempt takes only one with a higher number.
+            attempt = report.attempts();
+        }
         sent = true;
         state = FlowState.SENT;
         report.latency().sent(services.time().nanos());
@@ -342,8 +388,8 @@
         Dispatch.Builder dispatch = FlowMessages.dispatch(
                         request, services.settings().incarnation(), candidate)
                 .setAttempt(attempt)
-                .setClaimed(claimed)
-                .setGrantId(reservation.grantId())
+                .setClaimed(ending.isClaimed())
+                .setGrantId(ending.grantId())
                 .setDeadlineMs((int) Math.max(1, left().toMillis()))
                 .setCredit(buffer.grant());
         if (intake.length() > 0) {
@@ -359,11 +405,11 @@
                 .setBudget(request.budget())
                 .setRequestId(request.id())
                 .setOffset(intake.length())
-                .setCredit(callerGone ? StreamBuffer.MAX_WINDOW : buffer.grant());
+                .setCredit(discarding ? StreamBuffer.MAX_WINDOW : buffer.grant());
         call = AgentCall.open(agent.link(), agent.peer(), Frame.newBuilder().setAttach(attach), mailbox, this);
         if (!sent) {
             // The run belongs to an earlier attempt, which has its own reservation.
-            reservation.release();
+            ending.release();
         }
     }
 
@@ -413,7 +459,7 @@
             onUncertain(from, e.type());
             return;
         }
-        if (callerGone) {
+        if (discarding) {
             credit(chunk.getData().size());
             return;
         }
@@ -426,7 +472,7 @@
     }
 
     private void onRead() {
-        if (callerGone) {
+        if (discarding) {
             return;
         }
         lastProgressAt = services.time().nanos();
@@ -458,9 +504,12 @@
     private void onWhole(Finished finished) {
         Usage usage = finished.getUsage();
         report.used(usage.getTokens());
+        answer.head(Chunk.newBuilder().setStatus(finished.getStatus()).build());
         if (sent) {
-            report.evidence(answer.status() < SERVER_ERROR);
-            settle(usage);
+            if (state != FlowState.DRAINING) {
+                report.evidence(answer.status() < SERVER_ERROR);
+            }
+            ending.settle(usage, intake);
         }
         answer.finish(new AnswerEnd(usage.getPromptTokens(), usage.getOutputTokens(), finished.getTruncated()));
         done();
@@ -471,19 +520,24 @@
         RefusalReason reason = RefusalReason.ofCode(finished.getFailure()).orElse(RefusalReason.ENDPOINT_FAILED);
         Refusal refusal =
                 new Refusal(reason, run, "the endpoint ended early: " + finished.getFailure(), Optional.empty());
+        if (state == FlowState.DRAINING) {
+            ending.drained(run);
+            done();
+            return;
+        }
         boolean fatal = reason == RefusalReason.REQUEST_CRASHES_ENDPOINTS;
         if (sent && !fatal) {
             report.evidence(false);
         }
-        if (answer.isOver()) {
-            settle(finished.getUsage());
-            done();
-        } else if (run == RunOutcome.NOT_RUN && !fatal) {
+        if (!answer.isStarted() && answer.status() >= SERVER_ERROR) {
+            intake.restart();
+            answer.restart();
+        }
+        if (run == RunOutcome.NOT_RUN && !fatal) {
             retryOrRefuse(reason.code(), refusal);
         } else if (request.route().repeatable() && !fatal) {
             resume(reason.code(), refusal);
         } else {
-            settle(finished.getUsage());
             fail(refusal);
         }
     }
@@ -500,7 +554,8 @@
             from.link().markLeaving();
         }
         if (state == FlowState.DRAINING) {
-            endDrained(run);
+            ending.drained(run);
+            done();
             return;
         }
         switch (RefusedRule.decide(reason, run)) {
@@ -533,11 +588,7 @@
     /** Tries again after an attempt that certainly did not run. */
     private void retryOrRefuse(String reason, Refusal last) {
         excluded.add(report.endpoint());
-        if (answer.isOver()) {
-            endDrained(RunOutcome.NOT_RUN);
-            return;
-        }
-        Optional<Duration> pause = services.retries().next(request.route().name(), Math.max(1, ++claims), left());
+        Optional<Duration> pause = services.retries().next(request.route().name(), ++tries, left());
         if (pause.isEmpty()) {
             refuseUnlessKnown(last);
             return;
@@ -547,7 +598,7 @@
     }
 
     private void backOff(Duration pause) {
-        if (claimed) {
+        if (ending.isClaimed()) {
             replaces = attempt;
         }
         state = FlowState.BACKING_OFF;
@@ -562,11 +613,15 @@
     private void onUncertain(AgentCall from, String reason) {
         endCall();
         if (state == FlowState.DRAINING) {
-            reservation.hold();
+            ending.hold();
             done();
             return;
         }
-        reservation.markUncertain();
+        if (sent) {
+            ending.lostAttempt();
+        } else {
+            ending.earlierAttemptUnknown();
+        }
         if (request.route().repeatable()) {
             awaitAgent(from, services.settings().reattachWait(), agent -> {
                 if (agent == null) {
@@ -591,10 +646,12 @@
     private void reconcile(ConnectedAgent agent) {
         query(agent, attempt, step -> {
             switch (step) {
-                case NOT_RUN ->
+                case NOT_RUN -> {
+                    ending.provedNotRun();
                     retryOrRefuse(
                             "proven-not-run",
                             Refusal.notRun(RefusalReason.NO_ENDPOINT, "the agent never received it", RETRY_SOON));
+                }
                 case ATTACH -> {
                     services.metrics().retried("reattach");
                     attach(agent);
@@ -618,13 +675,12 @@
     /** Continues a repeatable request on another endpoint from the text that has arrived. */
     private void resume(String reason, Refusal last) {
         excluded.add(report.endpoint());
-        reservation.markUncertain();
-        if (!intake.canResume() || !reservation.isSet()) {
+        ending.lostAttempt();
+        if (!intake.canResume()) {
             fail(last);
             return;
         }
-        Optional<Duration> pause =
-                services.retries().next(request.route().name(), Math.max(1, report.attempts()), left());
+        Optional<Duration> pause = services.retries().next(request.route().name(), ++tries, left());
         if (pause.isEmpty()) {
             fail(last);
             return;
@@ -666,7 +722,7 @@
             cancelUnlessKeyed("deadline");
             answer.fail(Refusal.unknown(RefusalReason.ENDPOINT_TIMEOUT, "the deadline of the route has passed"));
             drain();
-        } else if (sent || state == FlowState.RECOVERING) {
+        } else if (state == FlowState.RECOVERING) {
             fail(Refusal.unknown(RefusalReason.ENDPOINT_TIMEOUT, "the deadline of the route has passed"));
         } else {
             giveUp(Refusal.notRun(RefusalReason.ENDPOINT_TIMEOUT, "the deadline passed before an endpoint was found"));
@@ -683,77 +739,42 @@
     /** Lets the agent finish, because its bill is needed and a keyed caller may come back. */
     private void drain() {
         state = FlowState.DRAINING;
+        discarding = true;
         intake.discard();
-        callerGone = true;
         credit(StreamBuffer.MAX_WINDOW);
+        Duration wait = left().isNegative() ? DRAIN_GRACE : left().plus(DRAIN_GRACE);
+        later(wait, () -> {
+            if (state == FlowState.DRAINING) {
+                ending.hold();
+                done();
+            }
+        });
     }
 
-    private void endDrained(RunOutcome run) {
-        if (run == RunOutcome.NOT_RUN) {
-            reservation.release();
-            resolveIfClaimed();
-        } else {
-            reservation.hold();
-        }
-        done();
-    }
-
-    /** Ends a request that certainly did not run. */
+    /** Ends a request of which no attempt of this router has run. */
     private void giveUp(Refusal refusal) {
-        if (state == FlowState.DONE) {
-            return;
-        }
-        if (sent && intake.length() > 0) {
+        if (intake.length() > 0) {
             fail(refusal);
-            return;
+        } else {
+            ending.notRun(refusal);
+            done();
         }
-        resolveIfClaimed();
-        reservation.release();
-        answer.fail(refusal);
-        refused(refusal);
-        done();
     }
 
-    /** Refuses without a change to the register. */
     private void refuse(Refusal refusal) {
-        reservation.release();
-        answer.fail(refusal);
-        refused(refusal);
+        ending.refuse(refusal);
         done();
     }
 
-    /** Ends a request that ran or may have run. */
     private void fail(Refusal refusal) {
-        reservation.hold();
-        answer.fail(refusal);
-        refused(refusal);
+        ending.fail(refusal);
         done();
     }
 
-    private void settle(Usage usage) {
-        if (usage.hasBudget()) {
-            services.settlements().add(usage);
-            reservation.settle(usage.getTokens());
-        } else {
-            reservation.hold();
-        }
-    }
-
-    private void resolveIfClaimed() {
-        if (claimed) {
-            resolveNotRun(attempt);
-        }
-    }
-
     private void resolveNotRun(int ofAttempt) {
         services.register().resolve(request.budget(), request.id(), ofAttempt, RunState.RUN_NOT_RUN);
     }
 
-    private void refused(Refusal refusal) {
-        services.metrics().refused(refusal.reason());
-        refusedWith = refusal;
-    }
-
     private void done() {
         if (state == FlowState.DONE) {
             return;
@@ -764,10 +785,27 @@
         if (timer != null) {
             timer.cancel(false);
         }
-        report.log(refusedWith, answer.status());
+        report.log(ending.refusal(), answer.status());
+        if (!callerGone) {
+            later(services.settings().stallTimeout(), this::onStall);
+        }
         end();
     }
 
+    /** Closes the connection of a caller that has stopped to read its finished answer. */
+    private void onStall() {
+        if (callerGone) {
+            return;
+        }
+        Duration idle = Duration.ofNanos(services.time().nanos() - lastProgressAt);
+        Duration rest = services.settings().stallTimeout().minus(idle);
+        if (rest.isNegative() || rest.isZero()) {
+            answer.abort();
+        } else {
+            later(rest, this::onStall);
+        }
+    }
+
     /** The request leaves the router when its run is settled and its exchange with the caller has ended. */
     private void end() {
         if (state == FlowState.DONE && callerGone && !released) {
--- a/router/src/main/java/org/ragwortrun/router/internal/http/CallerExchange.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/http/CallerExchange.java
@@ -155,10 +155,7 @@
         }
         closeAfter = true;
         front.refuse(this, ownId, refusal);
-        HttpContext c = context;
-        if (c != null && HttpCoreContext.cast(c).getEndpointDetails() != null) {
-            timers.closeSoon(HttpCoreContext.cast(c).getEndpointDetails().getRemoteAddress());
-        }
+        abort();
     }
 
     private Refusal tooLarge() {
@@ -168,7 +165,7 @@
     // ---- the answer ----
 
     @Override
-    public void start(String requestId, int status, List<Header> headers, AnswerBody newBody) {
+    public void start(String requestId, int status, List<Header> headers, @Nullable AnswerBody newBody) {
         BasicHttpResponse head = new BasicHttpResponse(status);
         String type = null;
         for (Header h : headers) {
@@ -180,7 +177,7 @@
         }
         head.setHeader(REQUEST_ID, requestId);
         answer = newBody;
-        send(head, new BasicEntityDetails(-1, ContentType.parseLenient(type)));
+        send(head, newBody == null ? null : new BasicEntityDetails(-1, ContentType.parseLenient(type)));
     }
 
     @Override
@@ -191,6 +188,14 @@
         }
     }
 
+    @Override
+    public void abort() {
+        HttpContext c = context;
+        if (c != null && HttpCoreContext.cast(c).getEndpointDetails() != null) {
+            timers.closeSoon(HttpCoreContext.cast(c).getEndpointDetails().getRemoteAddress());
+        }
+    }
+
     @Override
     public void refuse(String requestId, Refusal refusal) {
         byte[] document = problems.write(requestId, refusal);
@@ -205,7 +210,7 @@
         send(head, new BasicEntityDetails(document.length, ContentType.create(ProblemWriter.MEDIA_TYPE)));
     }
 
-    private void send(HttpResponse head, EntityDetails entity) {
+    private void send(HttpResponse head, @Nullable EntityDetails entity) {
         answered = true;
         ResponseChannel channel = responses;
         if (channel == null) {
--- a/router/src/main/java/org/ragwortrun/router/internal/ledger/GrantClient.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/ledger/GrantClient.java
@@ -50,7 +50,7 @@
     private final Supplier<List<String>> agents;
     private final Map<BudgetRef, Lane> lanes = new ConcurrentHashMap<>();
     private final BooleanSupplier settled;
-    private final AtomicInteger held = new AtomicInteger();
+    private final HeldReservations held;
     private final AtomicInteger open = new AtomicInteger();
 
     /**
@@ -59,6 +59,7 @@
      * @param timeout longest time that a request waits for tokens
      * @param agents names of the agents that may have usage of this router
      * @param settled whether the shards have all bills that this router reported
+     * @param held receives the reservations whose bill is not known
      */
     public GrantClient(
             GrantPool pool,
@@ -67,7 +68,8 @@
             ScheduledExecutorService timer,
             Duration timeout,
             Supplier<List<String>> agents,
-            BooleanSupplier settled) {
+            BooleanSupplier settled,
+            HeldReservations held) {
         this.pool = pool;
         this.shards = shards;
         this.sessions = sessions;
@@ -75,6 +77,7 @@
         this.timeout = timeout;
         this.agents = agents;
         this.settled = settled;
+        this.held = held;
         timer.scheduleWithFixedDelay(this::maintain, RESEND_MS, RESEND_MS, TimeUnit.MILLISECONDS);
     }
 
@@ -107,7 +110,7 @@
 
     /** Returns the number of reservations whose bill is not known. */
     public int heldReservations() {
-        return held.get();
+        return held.size();
     }
 
     /** Returns what is unused and ends the sessions. What may still be billed is left until the agents confirm. */
@@ -359,10 +362,8 @@
         }
 
         @Override
-        public void hold() {
-            if (ended.compareAndSet(false, true)) {
-                held.incrementAndGet();
-            }
+        public void hold(String requestId) {
+            held.add(reservation.budget(), requestId, this);
         }
     }
 }
--- a/router/src/main/java/org/ragwortrun/router/internal/ledger/Reservation.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/ledger/Reservation.java
@@ -11,8 +11,8 @@
     void release();
 
     /**
-     * Ends the reservation of a request whose bill is not known. Its tokens stay set aside until the session ends,
-     * because an agent may still settle them against the grant.
+     * Leaves the reservation open because the bill of its request is not known. Its tokens stay set aside until the
+     * shard tells what was billed, since an agent may still settle them against the grant.
      */
-    void hold();
+    void hold(String requestId);
 }
--- a/router/src/main/java/org/ragwortrun/router/internal/request/BudgetRule.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/request/BudgetRule.java
@@ -16,9 +16,7 @@
      * @throws RefusedException with {@code unknown-budget}
      */
     public BudgetRef check(Configuration configuration, Account account, Service service) throws RefusedException {
-        boolean known = configuration.budgets().stream()
-                .anyMatch(b -> b.account().equals(account.name()) && b.service().equals(service.name()));
-        if (!known) {
+        if (configuration.budget(account.name(), service.name()).isEmpty()) {
             throw new RefusedException(Refusal.notRun(
                     RefusalReason.UNKNOWN_BUDGET,
                     "client account " + account.name() + " has no budget for service " + service.name()));
--- a/router/src/test/java/org/ragwortrun/router/FailureTest.java
+++ b/router/src/test/java/org/ragwortrun/router/FailureTest.java
@@ -11,6 +11,8 @@
 import org.junit.jupiter.api.Test;
 import org.ragwortrun.proto.BudgetStatement;
 import org.ragwortrun.proto.Dispatch;
+import org.ragwortrun.proto.LoadReport;
+import org.ragwortrun.proto.ShardCommand;
 
 final class FailureTest {
     private RouterHarness harness;
@@ -133,6 +135,51 @@
         assertThat(harness.orders.dispatches.stream().map(Dispatch::getAttempt)).containsExactly(1, 2);
     }
 
+    /** Guards against a lost answer when the agent that ran an order has gone. */
+    @Test
+    void answerOfAnOrderComesFromTheRegister() throws Exception {
+        String key = RouterHarness.key("h");
+        HttpResponse<String> first = harness.send(harness.order(key, "kiln 4"));
+        RouterHarness.await(() -> harness.control.commands.stream().anyMatch(ShardCommand::hasSettle));
+        int port = harness.orders.port();
+        harness.orders.close();
+        harness.orders = new FakeAgent("o1", 2, port);
+        HttpResponse<String> again = harness.send(harness.order(key, "kiln 4"));
+        assertThat(again.statusCode()).isEqualTo(200);
+        assertThat(again.body()).isEqualTo(first.body());
+        assertThat(harness.orders.dispatches).isEmpty();
+    }
+
+    /** Guards against the error of one endpoint that reaches callers although another endpoint works. */
+    @Test
+    void errorOfOneEndpointIsHiddenByAnother() throws Exception {
+        harness.first.failing = true;
+        for (int i = 0; i < 12; i++) {
+            HttpResponse<String> r = harness.send(harness.chat(i % 2 == 0, "x"));
+            assertThat(r.statusCode()).isEqualTo(200);
+            String text = i % 2 == 0 ? RouterHarness.streamedText(r.body()) : r.body();
+            assertThat(text).contains(harness.second.text);
+            assertThat(text).doesNotContain("boom");
+        }
+        assertThat(harness.first.dispatches).isNotEmpty();
+        RouterHarness.await(() -> harness.control.evidence.stream().anyMatch(e -> e.getFailures() > 0));
+    }
+
+    /** Guards against tokens that stay set aside after the bill of a resumed request is known. */
+    @Test
+    void reservationOfAResumedRequestIsEnded() throws Exception {
+        hold(15);
+        CompletableFuture<HttpResponse<String>> call = harness.sendAsync(harness.chat(true, "x"));
+        RouterHarness.await(() -> Math.max(harness.first.maxSent, harness.second.maxSent) == 15);
+        (harness.first.maxSent == 15 ? harness.first : harness.second).close();
+        release();
+        assertThat(call.get().statusCode()).isEqualTo(200);
+        FakeAgent.sleep(2_500);
+        harness.router.close();
+        assertThat(assay().getHeld()).isEqualTo(0);
+        assertThat(assay().getSettled()).isEqualTo(10);
+    }
+
     /** Guards against orders that run without a register, and against model requests that stop for want of one. */
     @Test
     void withoutShardsOnlyRepeatableRequestsRun() throws Exception {
@@ -164,10 +211,8 @@
     /** Guards against work for an endpoint that is leaving. */
     @Test
     void leavingEndpointGetsNoWork() throws Exception {
-        harness.first.report(org.ragwortrun.proto.LoadReport.newBuilder()
-                .setSequence(1)
-                .setHealthy(true)
-                .setLeaving(true));
+        harness.first.report(
+                LoadReport.newBuilder().setSequence(1).setHealthy(true).setLeaving(true));
         FakeAgent.sleep(100);
         for (int i = 0; i < 10; i++) {
             assertThat(harness.send(harness.chat(true, "x")).statusCode()).isEqualTo(200);
--- a/router/src/test/java/org/ragwortrun/router/FakeAgent.java
+++ b/router/src/test/java/org/ragwortrun/router/FakeAgent.java
@@ -36,12 +36,14 @@
  * <p>A run can be held at an offset, refused, or lost with the agent.
  */
 final class FakeAgent implements FrameHandler, AutoCloseable {
-    private static final int PART = 5;
+    private static final int TOKEN = 5;
 
     final List<Dispatch> dispatches = new CopyOnWriteArrayList<>();
     final List<String> cancelled = new CopyOnWriteArrayList<>();
     volatile BiFunction<FakeAgent, Dispatch, Refused> refusal = (a, d) -> null;
     volatile Predicate<Dispatch> swallow = d -> false;
+    volatile int part = TOKEN;
+    volatile boolean failing;
     volatile String text = "the kiln is at nine hundred degrees";
     volatile String contentType = "";
     volatile int status = 200;
@@ -159,6 +161,21 @@
         peer.send(Replies.to(f)
                 .setAccepted(Accepted.newBuilder().setAgentIncarnation(incarnation))
                 .build());
+        if (failing) {
+            peer.send(Replies.to(f)
+                    .setChunk(Chunk.newBuilder()
+                            .setData(ByteString.copyFromUtf8("boom"))
+                            .setStatus(500))
+                    .build());
+            peer.send(Replies.to(f)
+                    .setFinished(Finished.newBuilder()
+                            .setStatus(500)
+                            .setLength(4)
+                            .setRun(RunState.RUN_RAN)
+                            .setFailure("endpoint-failed"))
+                    .build());
+            return;
+        }
         Run run = new Run(d, text.getBytes(StandardCharsets.UTF_8));
         runs.put(d.getRequestId(), run);
         Reader reader =
@@ -171,14 +188,14 @@
         while (!r.done) {
             int length = r.run.answer.length;
             int count =
-                    (int) Math.min(Math.min(PART, r.credit), Math.min(length - r.next, Math.max(0, holdAt - r.next)));
+                    (int) Math.min(Math.min(part, r.credit), Math.min(length - r.next, Math.max(0, holdAt - r.next)));
             if (count > 0) {
                 r.credit -= count;
                 Chunk.Builder chunk = Chunk.newBuilder()
                         .setOffset(r.next)
                         .setData(ByteString.copyFrom(r.run.answer, (int) r.next, count))
                         .setStatus(status)
-                        .setOutputTokens((r.next + count) / PART);
+                        .setOutputTokens((r.next + count) / TOKEN);
                 if (!contentType.isEmpty()) {
                     chunk.addHeaders(Header.newBuilder().setName("Content-Type").setValue(contentType));
                 }
@@ -196,7 +213,7 @@
 
     private Finished.Builder finished(Reader r) {
         Dispatch d = r.run.dispatch;
-        long output = r.run.answer.length / PART;
+        long output = r.run.answer.length / TOKEN;
         return Finished.newBuilder()
                 .setStatus(status)
                 .setLength(r.run.answer.length)
--- a/router/src/test/java/org/ragwortrun/router/FakeControl.java
+++ b/router/src/test/java/org/ragwortrun/router/FakeControl.java
@@ -87,6 +87,11 @@
                             .build());
         } else if (f.hasEvidence()) {
             evidence.addAll(f.getEvidence().getRowsList());
+        } else if (f.getShardRequest().hasExplain()) {
+            peer.send(reply.setShardReply(ShardReply.newBuilder()
+                            .setExplanation(shard(f.getShardRequest().getGroup())
+                                    .explain(f.getShardRequest().getExplain())))
+                    .build());
         } else if (f.hasShardRequest() && !shardsSilent) {
             ShardCommand command = f.getShardRequest().getCommand().toBuilder()
                     .setNowMs(System.currentTimeMillis())
--- a/router/src/test/java/org/ragwortrun/router/StopAndReadersTest.java
+++ b/router/src/test/java/org/ragwortrun/router/StopAndReadersTest.java
@@ -38,6 +38,8 @@
         String text = "x".repeat(LONG_ANSWER);
         harness.first.text = text;
         harness.second.text = text;
+        harness.first.part = 100;
+        harness.second.part = 100;
         try (Socket slow = new Socket()) {
             slow.setReceiveBufferSize(8 << 10);
             slow.connect(new InetSocketAddress("127.0.0.1", harness.router.port()));
--- a/routing/src/main/java/org/ragwortrun/routing/StreamBuffer.java
+++ b/routing/src/main/java/org/ragwortrun/routing/StreamBuffer.java
@@ -119,14 +119,19 @@
         return buffered;
     }
 
+    /** Drops what is buffered and keeps the window. */
+    public synchronized void clear() {
+        bytes = EMPTY;
+        start = 0;
+        buffered = 0;
+    }
+
     /** Drops what is buffered and gives the window back. */
     @Override
     public synchronized void close() {
         if (!closed) {
             closed = true;
-            bytes = EMPTY;
-            start = 0;
-            buffered = 0;
+            clear();
             budget.giveBack(account, window);
         }
     }
--- a/routing/src/test/java/org/ragwortrun/routing/VersionPickerTest.java
+++ b/routing/src/test/java/org/ragwortrun/routing/VersionPickerTest.java
@@ -42,7 +42,15 @@
 
     private static Configuration configuration(int share, boolean blocked) throws Exception {
         Section service = section("service", "s", Map.of("kind", "model", "model", "m", "version", "v1"));
-        Section move = section("move", "m", Map.of("service", "s", "from", "v1", "to", "v2"));
+        Section move = section(
+                "move",
+                "m",
+                Map.of(
+                        "service", "s",
+                        "from", "v1",
+                        "to", "v2",
+                        "start", "2026-12-04T18:00:00Z",
+                        "finish", "2026-12-04T20:00:00Z"));
         MoveProgress progress = MoveProgress.newBuilder()
                 .setMove("m")
                 .setSharePermille(share)
