--- a/core/src/main/java/org/ragwortrun/core/config/SectionReader.java
+++ b/core/src/main/java/org/ragwortrun/core/config/SectionReader.java
@@ -202,8 +202,9 @@
             return fallback;
         }
         try {
-            return Instant.parse(value);
-        } catch (DateTimeException e) {
+            // Far beyond any plan the time in milliseconds overflows, which readers of the configuration rely on.
+            return Instant.ofEpochMilli(Instant.parse(value).toEpochMilli());
+        } catch (DateTimeException | ArithmeticException e) {
             fail(s, key, "time", "a UTC time such as 2026-12-04T18:00:00Z");
             return fallback;
         }
