--- a/control/src/main/java/org/ragwortrun/control/internal/HostedGroup.java
+++ b/control/src/main/java/org/ragwortrun/control/internal/HostedGroup.java
@@ -59,8 +59,8 @@
                 .setCommitIndex(s.commitIndex())
                 .setSnapshotIndex(s.snapshotIndex())
                 .setLeased(s.leased())
-                .addAllVoters(s.voters().stream().map(MemberId::name).toList())
-                .addAllLearners(s.learners().stream().map(MemberId::name).toList())
+                .addAllVoters(s.voters().stream().map(MemberId::identity).toList())
+                .addAllLearners(s.learners().stream().map(MemberId::identity).toList())
                 .build();
     }
 
--- a/measure/src/main/java/org/ragwortrun/measure/fleet/Fleet.java
+++ b/measure/src/main/java/org/ragwortrun/measure/fleet/Fleet.java
@@ -116,6 +116,14 @@
         return "standin-" + endpoint;
     }
 
+    /** Deletes the data folder of a control member that does not run, as a lost disk. */
+    public void wipe(String control) throws FleetException {
+        if (process(control).isAlive()) {
+            throw new FleetException(control + " still runs");
+        }
+        delete(folder.resolve("data-" + control));
+    }
+
     public FleetProcess process(String name) throws FleetException {
         FleetProcess p = processes.get(name);
         if (p == null) {
@@ -271,13 +279,23 @@
         if (Boolean.getBoolean("ragwortrun.keep")) {
             return;
         }
-        try (Stream<Path> files = Files.walk(folder)) {
-            files.sorted(Comparator.reverseOrder()).map(Path::toFile).forEach(f -> f.delete());
-        } catch (IOException e) {
+        try {
+            delete(folder);
+        } catch (FleetException e) {
             throw new IllegalStateException("cannot delete " + folder, e);
         }
     }
 
+    private static void delete(Path tree) throws FleetException {
+        try (Stream<Path> files = Files.walk(tree)) {
+            for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+                Files.delete(file);
+            }
+        } catch (IOException e) {
+            throw new FleetException("cannot delete " + tree, e);
+        }
+    }
+
     /** Lets the processes run for a second without load. */
     public static void settle() throws FleetException {
         sleep(TimeUnit.SECONDS.toMillis(1));
--- a/standins/src/main/java/org/ragwortrun/standins/StandinService.java
+++ b/standins/src/main/java/org/ragwortrun/standins/StandinService.java
@@ -166,7 +166,9 @@
     }
 
     private Map<String, Object> run(ClassicHttpRequest request, byte[] body) {
-        String key = StandinServer.header(request, KEY_HEADER);
+        String named = StandinServer.header(request, KEY_HEADER);
+        // Agents name each request even where the service has no deduplication of its own.
+        String key = named.isEmpty() ? StandinServer.header(request, "X-Request-Id") : named;
         runs.computeIfAbsent(key, k -> new AtomicInteger()).incrementAndGet();
         return Map.of("order", orders.incrementAndGet(), "key", key, "bytes", body.length);
     }
