Drive moves by evidence

Cause: the sequential tests of versions have landed in routing, and the timed driver lets a failing version keep its traffic. ControlDaemon uses it with SequentialVersionMove; TimedMoveDriver stays as the naive form. Conclusion: moves no longer advance by time alone.

--- a/control/src/main/java/org/ragwortrun/control/ControlDaemon.java
+++ b/control/src/main/java/org/ragwortrun/control/ControlDaemon.java
@@ -22,6 +22,7 @@
 import org.ragwortrun.proto.Frame;
 import org.ragwortrun.proto.Hello;
 import org.ragwortrun.proto.Role;
+import org.ragwortrun.routing.version.SequentialVersionMove;
 
 /** A control member: the replicated groups with their files, and the duties of their leaders. */
 public final class ControlDaemon implements AutoCloseable {
@@ -71,7 +72,8 @@
      * @throws RagwortrunException if the settings, the files or the address cannot be used
      */
     public static ControlDaemon start(Settings settings) throws RagwortrunException {
-        return new ControlDaemon(ControlSettings.read(settings), Time.system(), new TimedMoveDriver());
+        return new ControlDaemon(
+                ControlSettings.read(settings), Time.system(), new EvidenceMoveDriver(SequentialVersionMove::new));
     }
 
     private void addGauges(Metrics metrics) {
