--- a/control/src/main/java/org/ragwortrun/control/EvidenceMoveDriver.java
+++ b/control/src/main/java/org/ragwortrun/control/EvidenceMoveDriver.java
@@ -4,8 +4,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
-import java.util.stream.Collectors;
 import org.ragwortrun.core.config.Configuration;
 import org.ragwortrun.core.config.Move;
 import org.ragwortrun.proto.CrashReport;
@@ -16,22 +14,18 @@
 import org.ragwortrun.proto.MoveState;
 import org.ragwortrun.proto.VersionDecision;
 import org.ragwortrun.routing.version.MoveDecision;
+import org.ragwortrun.routing.version.SequentialVersionMove;
 import org.ragwortrun.routing.version.VersionMove;
 
 /**
- * Drives each move by the evidence of the fleet.
+ * Drives moves by the evidence that daemons report, and blocks a version that is taken back.
  *
- * <p>A version that is taken back is blocked by a durable verdict. Moves are watched as long as they stand in the
- * configuration, also after they are done. Crashes of single requests are no evidence against a version.
+ * <p>Evidence lives in the leader's memory. A new leader continues each move at the share that is in force and gathers
+ * evidence anew.
  */
 public final class EvidenceMoveDriver implements MoveDriver {
-    private final Factory factory;
     private final Map<Move, VersionMove> moves = new HashMap<>();
 
-    public EvidenceMoveDriver(Factory factory) {
-        this.factory = factory;
-    }
-
     @Override
     public void reset() {
         moves.clear();
@@ -44,60 +38,57 @@
 
     @Override
     public void onCrash(Hello reporter, CrashReport report) {
-        // the meta group counts crashes by request
+        // A request that crashes endpoints is no evidence about a version.
     }
 
     @Override
     public List<MetaCommand.Builder> decide(Configuration configuration, long wallMillis) {
-        Set<Move> current = configuration.moves().stream().collect(Collectors.toSet());
-        moves.keySet().retainAll(current);
+        moves.keySet().retainAll(configuration.moves());
         List<MetaCommand.Builder> commands = new ArrayList<>();
-        for (Move move : current) {
-            decide(configuration, move, wallMillis, commands);
+        for (Move move : configuration.moves()) {
+            MoveProgress before = configuration.progress(move.name()).orElse(MoveProgress.getDefaultInstance());
+            if (before.getState() != MoveState.MOVE_TAKEN_BACK) {
+                commands.addAll(decide(configuration, move, before, wallMillis));
+            }
         }
         return commands;
     }
 
-    private void decide(Configuration configuration, Move move, long wallMillis, List<MetaCommand.Builder> commands) {
-        MoveProgress before = configuration.progress(move.name()).orElse(MoveProgress.getDefaultInstance());
-        if (before.getState() == MoveState.MOVE_TAKEN_BACK
-                || wallMillis < move.start().toEpochMilli()) {
-            return;
-        }
-        MoveDecision decision = configuration.isBlocked(move.service(), move.to())
-                ? new MoveDecision(MoveState.MOVE_TAKEN_BACK, 0, "the version is blocked")
-                : moves.computeIfAbsent(move, m -> factory.create(m, before.getSharePermille(), wallMillis))
-                        .decide(wallMillis);
-        if (decision.state() == before.getState() && decision.sharePermille() == before.getSharePermille()) {
-            return;
+    private List<MetaCommand.Builder> decide(
+            Configuration configuration, Move move, MoveProgress before, long wallMillis) {
+        if (configuration.isBlocked(move.service(), move.to())) {
+            MoveDecision blocked = new MoveDecision(MoveState.MOVE_TAKEN_BACK, 0, "version is blocked");
+            return List.of(progress(move, blocked, wallMillis));
         }
+        MoveDecision decision = moves.computeIfAbsent(
+                        move, m -> new SequentialVersionMove(m, before.getSharePermille(), wallMillis))
+                .decide(wallMillis);
         if (decision.state() == MoveState.MOVE_TAKEN_BACK) {
-            commands.add(MetaCommand.newBuilder()
-                    .setVersionDecision(VersionDecision.newBuilder()
-                            .setService(move.service())
-                            .setVersion(move.to())
-                            .setBlocked(true)
-                            .setReason(decision.reason())
-                            .setAtMs(wallMillis)));
+            return List.of(verdict(move, decision, wallMillis), progress(move, decision, wallMillis));
         }
-        commands.add(MetaCommand.newBuilder()
+        boolean news = decision.state() != before.getState() || decision.sharePermille() != before.getSharePermille();
+        // A move that waits for its start time has no progress yet.
+        boolean waiting = decision.sharePermille() == 0;
+        return news && !waiting ? List.of(progress(move, decision, wallMillis)) : List.of();
+    }
+
+    private static MetaCommand.Builder progress(Move move, MoveDecision decision, long wallMillis) {
+        return MetaCommand.newBuilder()
                 .setMoveProgress(MoveProgress.newBuilder()
                         .setMove(move.name())
                         .setSharePermille(decision.sharePermille())
                         .setState(decision.state())
                         .setReason(decision.reason())
-                        .setAtMs(wallMillis)));
+                        .setAtMs(wallMillis));
     }
 
-    /** Creates the decisions of one move. */
-    @FunctionalInterface
-    public interface Factory {
-        /**
-         * Creates or continues a move.
-         *
-         * @param sharePermille share that is in force, 0 if the move has not begun
-         * @param wallMillis wall-clock time
-         */
-        VersionMove create(Move move, int sharePermille, long wallMillis);
+    private static MetaCommand.Builder verdict(Move move, MoveDecision decision, long wallMillis) {
+        return MetaCommand.newBuilder()
+                .setVersionDecision(VersionDecision.newBuilder()
+                        .setService(move.service())
+                        .setVersion(move.to())
+                        .setBlocked(true)
+                        .setReason(decision.reason())
+                        .setAtMs(wallMillis));
     }
 }
