--- a/e2e/src/test/java/org/ragwortrun/e2e/ControlFaultsTest.java
+++ b/e2e/src/test/java/org/ragwortrun/e2e/ControlFaultsTest.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.api.Order;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.TestMethodOrder;
+import org.ragwortrun.measure.fleet.Answer;
 import org.ragwortrun.measure.fleet.CommandResult;
 import org.ragwortrun.measure.fleet.FleetException;
 import org.ragwortrun.measure.fleet.SmallFleet;
@@ -73,7 +74,15 @@
             fleet.fleet.await(
                     "another leader",
                     () -> !leader(0).equals(frozen) && !leader(0).isEmpty());
-            assertThat(fleet.order("r2", ProxiedFleet.id("frozen")).status()).isEqualTo(201);
+            fleet.fleet.await("an order through the new leaders", () -> {
+                Answer answer = fleet.order("r2", ProxiedFleet.id("frozen" + System.nanoTime()));
+                if (answer.status() != 201) {
+                    // A refusal before the new leaders are known must be one that truly did not run.
+                    assertThat(ProxiedFleet.json(answer.body()).path("run").asText()).isEqualTo("not run");
+                }
+                return answer.status() == 201;
+            });
+            assertThat(fleet.runs().size()).isEqualTo(1);
         } finally {
             fleet.fleet.process(frozen).freeze(false);
         }
--- a/e2e/src/test/java/org/ragwortrun/e2e/ProxiedFleet.java
+++ b/e2e/src/test/java/org/ragwortrun/e2e/ProxiedFleet.java
@@ -44,7 +44,7 @@
         List<String> options = List.of("--token-ms", Integer.toString(TOKEN_MILLIS));
         fleet.addEndpoint(new EndpointSpec("m1", "assistant", "v1", "engine", "dc1", options));
         fleet.addEndpoint(new EndpointSpec("m2", "assistant", "v1", "engine", "dc2", options));
-        fleet.addEndpoint(new EndpointSpec("s1", "orders", "v1", "service", "dc1", List.of("--delay-ms", "300")));
+        fleet.addEndpoint(new EndpointSpec("s1", "orders", "v1", "service", "dc1", List.of("--delay-ms", "2000")));
     }
 
     void start() throws FleetException {
--- a/e2e/src/test/java/org/ragwortrun/e2e/RequestFaultsTest.java
+++ b/e2e/src/test/java/org/ragwortrun/e2e/RequestFaultsTest.java
@@ -81,7 +81,7 @@
     void saysUnknownForAnOrderWhoseAgentDied() throws Exception {
         String id = ProxiedFleet.id("lost");
         CompletableFuture<Answer> first = CompletableFuture.supplyAsync(() -> order("r1", id));
-        fleet.fleet.await("the order to be at the service", () -> inFlight(id));
+        fleet.fleet.await("the order to be at the service", RequestFaultsTest::inFlight);
         fleet.fleet.process("s1").kill();
         Answer answer = first.get(30, TimeUnit.SECONDS);
         assertWithMessage(answer.body()).that(run(answer)).isEqualTo("unknown");
@@ -136,11 +136,10 @@
         return ProxiedFleet.json(answer.body()).path("run").asText();
     }
 
-    /** Returns whether the register knows the order as running. The service waits 300 ms before it runs an order. */
-    private static boolean inFlight(String id) throws FleetException {
-        JsonNode explained = ProxiedFleet.json(
-                fleet.command("explain", SmallFleet.DEALER, id, "--json").output());
-        return explained.path("known").asBoolean();
+    /** Returns whether a request is at the service, which waits two seconds before it runs an order. */
+    private static boolean inFlight() throws FleetException {
+        String url = fleet.fleet.endpointUrl("s1") + "/standin/in-flight";
+        return ProxiedFleet.json(fleet.dealer.get(url).body()).path("requests").asInt() > 0;
     }
 
     /** Returns how often engines began the prompt from its start. */
--- a/standins/src/main/java/org/ragwortrun/standins/StandinService.java
+++ b/standins/src/main/java/org/ragwortrun/standins/StandinService.java
@@ -42,14 +42,11 @@
     private StandinService(ServiceOptions options) throws IOException {
         this.options = options;
         server = new StandinServer(options.host(), options.port(), (request, response, context) -> {
-            inFlight.incrementAndGet();
             try {
                 handle(request, response);
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
                 throw new IOException("interrupted", e);
-            } finally {
-                inFlight.decrementAndGet();
             }
         });
     }
@@ -113,11 +110,18 @@
             StandinServer.answer(response, 200, Map.of("version", options.version()));
         } else if ("/standin/record".equals(path)) {
             StandinServer.answer(response, 200, record());
+        } else if ("/standin/in-flight".equals(path)) {
+            StandinServer.answer(response, 200, Map.of("requests", inFlight.get()));
         } else if ("/standin/behaviour".equals(path)) {
             behaviour = Behaviour.of(StandinServer.json(request));
             StandinServer.answer(response, 200, Map.of());
         } else {
-            serve(request, response, path);
+            inFlight.incrementAndGet();
+            try {
+                serve(request, response, path);
+            } finally {
+                inFlight.decrementAndGet();
+            }
         }
     }
 
