Bound the memory of kept answers

Cause: answers of requests that may not be repeated were bounded each but not together.

Change: beyond 64 MiB in a shard the answers of the oldest hours are dropped; the requests stay known as run. A lookup no longer unpacks entries.

--- a/ledger/src/main/java/org/ragwortrun/ledger/internal/RegisterBucket.java
+++ b/ledger/src/main/java/org/ragwortrun/ledger/internal/RegisterBucket.java
@@ -34,6 +34,7 @@
     private final SortedMap<IdHash, SortedSet<String>> secondRuns = new TreeMap<>();
     // Holds record number + 1; 0 marks a free slot.
     private int[] index = new int[MIN_INDEX];
+    private long answerBytes;
     private int records;
     private int live;
 
@@ -49,6 +50,10 @@
         return live;
     }
 
+    boolean contains(IdHash id) {
+        return find(id) >= 0;
+    }
+
     @Nullable
     RegisterEntry get(IdHash id) {
         int record = find(id);
@@ -69,7 +74,8 @@
         if (record >= 0) {
             chunk(record)[at(record, 7)] &= ~(long) LIVE;
             live--;
-            answers.remove(id);
+            byte[] answer = answers.remove(id);
+            answerBytes -= answer == null ? 0 : answer.length;
         }
     }
 
@@ -78,7 +84,18 @@
     }
 
     void keepAnswer(IdHash id, byte[] answer) {
-        answers.put(id, answer);
+        byte[] before = answers.put(id, answer);
+        answerBytes += answer.length - (before == null ? 0 : before.length);
+    }
+
+    long answerBytes() {
+        return answerBytes;
+    }
+
+    /** Drops all answers; the requests stay known as run. */
+    void dropAnswers() {
+        answers.clear();
+        answerBytes = 0;
     }
 
     /** Notes a grant under which a billed request ran once more, and tells whether that was not known yet. */
@@ -245,7 +262,7 @@
             int record = b.append(new IdHash(words[0], words[1]));
             System.arraycopy(words, 0, b.chunk(record), at(record, 0), WORDS);
         }
-        in.all(() -> b.answers.put(new IdHash(in.number(), in.number()), in.bytes()));
+        in.all(() -> b.keepAnswer(new IdHash(in.number(), in.number()), in.bytes()));
         in.all(() -> {
             IdHash id = new IdHash(in.number(), in.number());
             in.all(() -> b.noteSecondRun(id, in.text()));
--- a/ledger/src/main/java/org/ragwortrun/ledger/internal/RequestRegister.java
+++ b/ledger/src/main/java/org/ragwortrun/ledger/internal/RequestRegister.java
@@ -23,10 +23,21 @@
     /** Largest answer that is kept for a request that may not be repeated. */
     public static final int MAX_ANSWER = 8 * 1024;
 
+    private static final long MOST_ANSWER_BYTES = 64L << 20;
+
     private static final long BUCKET_MS = 3_600_000;
 
     private final TreeMap<Long, RegisterBucket> buckets = new TreeMap<>();
     private final Retention retention = new Retention();
+    private final long mostAnswerBytes;
+
+    public RequestRegister() {
+        this(MOST_ANSWER_BYTES);
+    }
+
+    RequestRegister(long mostAnswerBytes) {
+        this.mostAnswerBytes = mostAnswerBytes;
+    }
 
     /** Registers an attempt, or tells what is known about the request. */
     public ClaimResult claim(Claim claim, long nowMs) {
@@ -148,6 +159,19 @@
         int length = usage.getAnswer().size();
         if (!entry.repeatable() && !usage.getAnswerTruncated() && length > 0 && length <= MAX_ANSWER) {
             newest.keepAnswer(id, usage.getAnswer().toByteArray());
+            boundAnswers();
+        }
+    }
+
+    /** Drops the answers of the oldest hours while all answers take more than 64 MiB. */
+    private void boundAnswers() {
+        long sum =
+                buckets.values().stream().mapToLong(RegisterBucket::answerBytes).sum();
+        for (RegisterBucket b : buckets.values()) {
+            if (sum > mostAnswerBytes) {
+                sum -= b.answerBytes();
+                b.dropAnswers();
+            }
         }
     }
 
@@ -210,7 +234,7 @@
 
     private @Nullable RegisterBucket find(IdHash id) {
         for (RegisterBucket b : buckets.descendingMap().values()) {
-            if (b.get(id) != null) {
+            if (b.contains(id)) {
                 return b;
             }
         }
--- a/ledger/src/main/java/org/ragwortrun/ledger/internal/Retention.java
+++ b/ledger/src/main/java/org/ragwortrun/ledger/internal/Retention.java
@@ -9,7 +9,7 @@
  * which ids are remembered. A use of an id more than R after its bill is a new request. So a usage is no copy of a
  * forgotten bill if its grant was issued at least R after the time before which bills are forgotten. Bills therefore
  * stay until R after the issue of the oldest open grant, but not longer than 2 R. Usage under a grant that is still
- * older is rejected.
+ * older is rejected. So for ids that are to be gone after 24 hours, R is at most 12 hours.
  */
 final class Retention {
     private long forgottenBeforeMs;
