--- /dev/null
+++ b/control/src/main/java/org/ragwortrun/control/internal/MetaService.java
@@ -0,0 +1,262 @@
+package org.ragwortrun.control.internal;
+
+import java.time.Duration;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.jspecify.annotations.Nullable;
+import org.ragwortrun.control.MoveDriver;
+import org.ragwortrun.core.concurrent.Duty;
+import org.ragwortrun.core.log.Event;
+import org.ragwortrun.core.time.Time;
+import org.ragwortrun.net.Peer;
+import org.ragwortrun.net.Replies;
+import org.ragwortrun.proto.ConfigReply;
+import org.ragwortrun.proto.Frame;
+import org.ragwortrun.proto.Heartbeat;
+import org.ragwortrun.proto.MetaCommand;
+import org.ragwortrun.proto.MetaResult;
+import org.ragwortrun.proto.MovesReply;
+import org.ragwortrun.proto.PublishReply;
+import org.ragwortrun.proto.StatusReply;
+
+/**
+ * The duties of the meta group's leader: publishes, configuration leases, pushes and moves.
+ *
+ * <p>All state is used by one duty; the only methods that other threads call are {@link #offer} and {@link #tick}.
+ */
+public final class MetaService implements AutoCloseable {
+    private static final Logger LOG = LogManager.getLogger(MetaService.class);
+    private static final long MOVE_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+    private final Duty duty;
+    private final Time time;
+    private final MetaGroup group;
+    private final MoveDriver moves;
+    private final ConfigurationCache cache;
+    private final DaemonLeases leases;
+    private final InForceWaiters waiters;
+    private final Watchers watchers;
+    private OptionalLong term = OptionalLong.empty();
+    private long nextMoveNanos;
+
+    public MetaService(
+            Time time, MetaGroup group, MoveDriver moves, ConfigurationCache cache, ControlSettings settings) {
+        this.time = time;
+        this.group = group;
+        this.moves = moves;
+        this.cache = cache;
+        leases = new DaemonLeases(time, settings.configLease());
+        watchers = new Watchers(group);
+        waiters = new InForceWaiters(time, leases);
+        duty = new Duty("control-meta", settings.requestRing());
+        group.onChange(() -> duty.offer(this::advance));
+    }
+
+    /** Queues a request. Replies with a typed error if the ring is full. */
+    public void offer(Peer peer, Frame request) {
+        if (!duty.offer(() -> Failures.guard(peer, request, () -> handle(peer, request)))) {
+            peer.send(Failures.overloaded(request, "the meta group's ring is full"));
+        }
+    }
+
+    public void closed(Peer peer) {
+        duty.offer(() -> watchers.remove(peer));
+    }
+
+    /** Queues the periodic work. */
+    public void tick() {
+        duty.offer(this::advance);
+    }
+
+    /** Completes a status reply, which may name this member's groups already, and sends it. */
+    public void status(Peer peer, Frame request, StatusReply.Builder reply) {
+        if (!duty.offer(() -> sendStatus(peer, request, reply))) {
+            peer.send(Failures.overloaded(request, "the meta group's ring is full"));
+        }
+    }
+
+    @Override
+    public void close() {
+        duty.offer(waiters::release);
+        duty.close();
+    }
+
+    private void handle(Peer peer, Frame request) {
+        advance();
+        if (!leads()) {
+            peer.send(Failures.notLeader(request, group));
+            return;
+        }
+        switch (request.getBodyCase()) {
+            case PUBLISH -> publish(peer, request);
+            case WATCH -> watchers.add(peer, request);
+            case CONFIRM -> confirm(peer, request);
+            case MOVES_QUERY -> reply(peer, request, Replies.to(request).setMovesReply(moves(group.snapshot())));
+            case CONFIG_QUERY -> reply(peer, request, Replies.to(request).setConfigReply(config(group.snapshot())));
+            case EVIDENCE -> {
+                moves.onEvidence(peer.hello(), request.getEvidence());
+                acknowledge(peer, request);
+            }
+            case CRASH_REPORT -> crash(peer, request);
+            default -> peer.send(Replies.error(request, "unknown-message", "not a call to the meta group"));
+        }
+    }
+
+    /** Follows changes of leadership and state. */
+    private void advance() {
+        OptionalLong now = group.leasedTerm();
+        if (now.isPresent() && !now.equals(term)) {
+            begin(now);
+        }
+        if (now.isEmpty()) {
+            waiters.release();
+            return;
+        }
+        watchers.push();
+        waiters.check();
+        if (time.nanos() - nextMoveNanos >= 0) {
+            decide();
+        }
+    }
+
+    private void begin(OptionalLong newTerm) {
+        term = newTerm;
+        leases.begin();
+        waiters.release();
+        watchers.clear();
+        moves.reset();
+        nextMoveNanos = time.nanos();
+        Event.of("meta-leadership").with("term", newTerm.getAsLong()).info(LOG);
+    }
+
+    private boolean leads() {
+        OptionalLong now = group.leasedTerm();
+        return now.isPresent() && now.equals(term);
+    }
+
+    private void publish(Peer peer, Frame request) {
+        group.propose(MetaCommand.newBuilder().setPublish(request.getPublish())).whenComplete((result, failure) -> {
+            if (!duty.offer(() -> published(peer, request, result, failure))) {
+                peer.send(Failures.overloaded(request, "the meta group's ring is full"));
+            }
+        });
+    }
+
+    private void published(Peer peer, Frame request, @Nullable MetaResult result, @Nullable Throwable failure) {
+        if (result == null || failure != null) {
+            Throwable cause = failure == null ? new IllegalStateException("no result") : failure;
+            peer.send(Failures.of(request, group, cause));
+            return;
+        }
+        PublishReply reply = result.getPublish();
+        Event.of("publish")
+                .with("operator", request.getPublish().getOperator())
+                .with("publish-id", request.getPublish().getPublishId())
+                .with("based-on", request.getPublish().getBasedOn())
+                .with("outcome", reply.getOutcome())
+                .with("number", reply.getNumber())
+                .with("resent", reply.getResent())
+                .info(LOG);
+        advance();
+        if (reply.getOutcome() != PublishReply.Outcome.ACCEPTED) {
+            peer.send(Replies.to(request).setPublishReply(reply).build());
+        } else if (leads()) {
+            waiters.add(peer, request, reply);
+        } else {
+            peer.send(Replies.to(request).setPublishReply(reply).build());
+        }
+    }
+
+    private void confirm(Peer peer, Frame request) {
+        long number = request.getConfirm().getNumber();
+        long current = group.number();
+        // A daemon that is behind sends Watch when it hears the current number; pushing here would send it all twice.
+        if (number == current) {
+            watchers.addIfAbsent(peer, number);
+        }
+        Duration lease = leases.confirm(peer.hello(), number, current);
+        heartbeat(peer, request, current, lease);
+        waiters.check();
+    }
+
+    /** Records a crash and answers once it is durable. A repeated report of the same crash changes nothing. */
+    private void crash(Peer peer, Frame request) {
+        moves.onCrash(peer.hello(), request.getCrashReport());
+        group.propose(MetaCommand.newBuilder().setCrash(request.getCrashReport()))
+                .whenComplete((result, failure) -> {
+                    if (failure == null) {
+                        acknowledge(peer, request);
+                    } else {
+                        peer.send(Failures.of(request, group, failure));
+                    }
+                });
+    }
+
+    /** Answers a report, if it was a call, by a heartbeat that renews no lease. */
+    private void acknowledge(Peer peer, Frame request) {
+        if (request.getCall() != 0) {
+            heartbeat(peer, request, group.number(), Duration.ZERO);
+        }
+    }
+
+    private void heartbeat(Peer peer, Frame request, long number, Duration lease) {
+        reply(
+                peer,
+                request,
+                Replies.to(request)
+                        .setHeartbeat(Heartbeat.newBuilder()
+                                .setNumber(number)
+                                .setLeaseMs((int) lease.toMillis())
+                                .setEcho(request.getCall())));
+    }
+
+    /** Sends what was read if the lease still holds after the read; otherwise the read may be out of date. */
+    private void reply(Peer peer, Frame request, Frame.Builder reply) {
+        peer.send(leads() ? reply.build() : Failures.notLeader(request, group));
+    }
+
+    private void decide() {
+        nextMoveNanos = time.nanos() + MOVE_INTERVAL_NANOS;
+        cache.configuration(group.snapshot())
+                .ifPresent(c -> moves.decide(c, time.wallMillis()).forEach(this::proposeDecision));
+    }
+
+    private void proposeDecision(MetaCommand.Builder command) {
+        group.propose(command).whenComplete((r, e) -> {
+            if (e != null) {
+                Event.of("decision-not-proposed").warn(LOG, Failures.unwrap(e));
+            }
+        });
+    }
+
+    private void sendStatus(Peer peer, Frame request, StatusReply.Builder reply) {
+        advance();
+        long number = group.number();
+        reply.setConfigNumber(number);
+        if (leads()) {
+            reply.setConfigInForce(leases.inForce(number)).addAllDaemons(leases.states());
+            reply(peer, request, Replies.to(request).setStatusReply(reply));
+        } else if (group.hint().getLeaderName().isEmpty()) {
+            // Without a known leader this member's view is what an operator can get.
+            peer.send(Replies.to(request).setStatusReply(reply).build());
+        } else {
+            peer.send(Failures.notLeader(request, group));
+        }
+    }
+
+    private static MovesReply moves(MetaSnapshot s) {
+        return MovesReply.newBuilder()
+                .addAllMoves(s.moves())
+                .addAllDecisions(s.decisions())
+                .build();
+    }
+
+    private static ConfigReply config(MetaSnapshot s) {
+        return ConfigReply.newBuilder()
+                .setNumber(s.number())
+                .addAllSections(s.sections())
+                .build();
+    }
+}
