State what a late copy of a refused grant request gets

Change: the naive shard follows the shard's rule, which the doc comment now states. The check stays an exact comparison of outcome and amount.

Conclusion: no fault in the shard.

--- a/ledger/src/main/java/org/ragwortrun/ledger/internal/BudgetAccount.java
+++ b/ledger/src/main/java/org/ragwortrun/ledger/internal/BudgetAccount.java
@@ -76,7 +76,8 @@
     /**
      * Answers a request for tokens.
      *
-     * <p>A copy of an earlier request gets the first answer. A copy whose grant has been used up gets amount 0.
+     * <p>A copy of a request gets the first answer. A copy gets amount 0 if its grant has been used up, or if it was
+     * refused and its router has made a newer request since.
      *
      * @param counter counter in the grant id; it rises with each new request of an incarnation
      */
--- a/ledger/src/test/java/org/ragwortrun/ledger/NaiveShard.java
+++ b/ledger/src/test/java/org/ragwortrun/ledger/NaiveShard.java
@@ -134,14 +134,14 @@
                 return answer(GrantResult.Outcome.GRANTED, g.left() > 0 ? g.amount : 0);
             }
         }
-        if (refused.containsKey(ask.getGrantId())) {
-            return answer(refused.get(ask.getGrantId()), 0);
-        }
         long count = Long.parseLong(ask.getGrantId().substring(ask.getGrantId().lastIndexOf('-') + 1));
         if (newest.merge(key(account, ask.getIncarnation()), count, Math::max) > count) {
-            // A newer request of the same router overtook this one.
+            // A newer request of the same router overtook this one or followed it.
             return answer(GrantResult.Outcome.GRANTED, 0);
         }
+        if (refused.containsKey(ask.getGrantId())) {
+            return answer(refused.get(ask.getGrantId()), 0);
+        }
         long available = prepaid(account) - settled(account) - held(account);
         if (available < ask.getMinimum()) {
             GrantResult.Outcome o = held(account) > 0 ? GrantResult.Outcome.HELD : GrantResult.Outcome.SPENT;
