Split the request flow and bound connections

Change: the search for an earlier attempt, the watch for stalled readers and the intake's own rules stand in classes of their own. Setting http.max-connections. A host list that is no URL or file name is refused at the start.

--- a/router/src/main/java/org/ragwortrun/router/internal/RouterSettings.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/RouterSettings.java
@@ -1,5 +1,7 @@
 package org.ragwortrun.router.internal;
 
+import java.net.URI;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.util.Map;
 import org.ragwortrun.core.settings.Settings;
@@ -64,6 +66,7 @@
         String dataCenter = s.text("daemon.data-center");
         HttpSettings http = new HttpSettings(
                 (int) s.number("http.threads", 2, 1, 64),
+                (int) s.number("http.max-connections", 32_768, 1, 1_000_000),
                 (int) s.number("http.max-body", 4 * MIB, 1, MAX_BODY),
                 s.number("http.body-memory", 256 * MIB, 1, MAX_MEMORY),
                 s.duration("http.head-timeout", Duration.ofSeconds(10)),
@@ -93,7 +96,7 @@
                 s.duration("budgets.grant-timeout", Duration.ofMillis(1_500)),
                 s.duration("register.timeout", Duration.ofMillis(1_500)),
                 s.duration("daemon.stop-timeout", Duration.ofMinutes(10)),
-                s.text("platform.host-list", ""),
+                hostList(s),
                 flow);
         s.check();
         return settings;
@@ -112,6 +115,20 @@
                 flow.resumeBytes());
     }
 
+    private static String hostList(Settings s) {
+        String source = s.text("platform.host-list", "");
+        try {
+            if (source.startsWith("http://")) {
+                URI.create(source);
+            } else {
+                Path.of(source);
+            }
+        } catch (IllegalArgumentException e) {
+            s.reject("platform.host-list", "must be an http:// URL or a file name, not " + source);
+        }
+        return source;
+    }
+
     private static Address address(Settings s) {
         try {
             return Address.parse(s.text("http.address"));
--- a/router/src/main/java/org/ragwortrun/router/internal/flow/AgentFinder.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/flow/AgentFinder.java
@@ -13,6 +13,7 @@
 import org.ragwortrun.proto.RequestQuery;
 import org.ragwortrun.proto.RequestState;
 import org.ragwortrun.router.internal.agents.AgentLink;
+import org.ragwortrun.routing.EndpointCandidate;
 
 /** Finds the agent of an earlier attempt and asks it what became of the request. */
 final class AgentFinder {
@@ -39,6 +40,15 @@
         this.wanted = wanted;
     }
 
+    /** Returns the agent of a candidate if it is still connected and has the incarnation that was chosen. */
+    Optional<ConnectedAgent> connected(EndpointCandidate candidate) {
+        return services.agents()
+                .link(candidate.name())
+                .flatMap(l -> l.peer()
+                        .filter(p -> p.hello().getIncarnation().equals(candidate.agentIncarnation()))
+                        .map(p -> new ConnectedAgent(l, p)));
+    }
+
     /** Waits until an incarnation of an agent is connected. It is gone if another one is, or none in time. */
     void await(String agent, String incarnation, Duration wait, Found then) {
         poll(agent, incarnation, services.time().nanos() + wait.toNanos(), then);
--- a/router/src/main/java/org/ragwortrun/router/internal/flow/AnswerIntake.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/flow/AnswerIntake.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import org.ragwortrun.proto.Chunk;
+import org.ragwortrun.router.internal.request.AdmittedRequest;
 import org.ragwortrun.routing.AnswerGapException;
 import org.ragwortrun.routing.BufferOverflowException;
 import org.ragwortrun.routing.ChunkOrder;
@@ -14,6 +15,8 @@
  * <p>Used on the mailbox of the request only; the buffer is shared with the caller's side.
  */
 final class AnswerIntake {
+    private static final int REGISTER_ANSWER_BYTES = 8 << 10;
+
     private final StreamBuffer buffer;
     private final int keptBytes;
     private ChunkOrder order = new ChunkOrder();
@@ -33,6 +36,28 @@
         textKept = keptBytes > 0;
     }
 
+    /** Creates the intake of a request: text is kept for a resume, and for the register of requests that run once. */
+    static AnswerIntake of(AdmittedRequest request, StreamBuffer buffer, int resumeBytes) {
+        if (!request.route().repeatable()) {
+            return new AnswerIntake(buffer, REGISTER_ANSWER_BYTES);
+        }
+        return new AnswerIntake(buffer, request.isModel() ? resumeBytes : 0);
+    }
+
+    /** Takes an answer that the register kept. Returns false if the buffer has no room for it. */
+    boolean acceptKept(byte[] whole) {
+        buffer.widenFully();
+        if (buffer.grant() < whole.length) {
+            return false;
+        }
+        try {
+            buffer.add(order.accept(0, whole), whole.length);
+            return true;
+        } catch (AnswerGapException | BufferOverflowException e) {
+            return false;
+        }
+    }
+
     /**
      * Takes a chunk.
      *
--- a/router/src/main/java/org/ragwortrun/router/internal/flow/Refusals.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/flow/Refusals.java
@@ -1,11 +1,14 @@
 package org.ragwortrun.router.internal.flow;
 
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.CompletionException;
 import org.jspecify.annotations.Nullable;
 import org.ragwortrun.core.refusal.Refusal;
 import org.ragwortrun.core.refusal.RefusalReason;
 import org.ragwortrun.core.refusal.RefusedException;
+import org.ragwortrun.core.refusal.RunOutcome;
+import org.ragwortrun.proto.Refused;
 
 /** Builds the refusals that several steps of a request share. */
 final class Refusals {
@@ -21,6 +24,15 @@
         return Refusal.ran(RefusalReason.ANSWER_EXPIRED, "the agent no longer keeps the answer");
     }
 
+    /** Returns the refusal that an agent sent. */
+    static Refusal of(Refused refused) {
+        RefusalReason reason = RefusalReason.ofCode(refused.getReason()).orElse(RefusalReason.ENDPOINT_FAILED);
+        Optional<Duration> after = refused.getRetryAfterMs() == 0
+                ? Optional.empty()
+                : Optional.of(Duration.ofMillis(refused.getRetryAfterMs()));
+        return new Refusal(reason, RunOutcome.of(refused.getRun()), refused.getDetail(), after);
+    }
+
     /** Returns the refusal that a failed reservation carries. */
     static Refusal ofFailure(@Nullable Throwable failure) {
         return cause(failure) instanceof RefusedException r
--- a/router/src/main/java/org/ragwortrun/router/internal/flow/RequestFlow.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/flow/RequestFlow.java
@@ -15,7 +15,6 @@
 import org.ragwortrun.core.refusal.Refusal;
 import org.ragwortrun.core.refusal.RefusalReason;
 import org.ragwortrun.core.refusal.RunOutcome;
-import org.ragwortrun.net.Peer;
 import org.ragwortrun.net.TransportException;
 import org.ragwortrun.proto.Attach;
 import org.ragwortrun.proto.Cancel;
@@ -29,7 +28,6 @@
 import org.ragwortrun.proto.Refused;
 import org.ragwortrun.proto.RunState;
 import org.ragwortrun.proto.Usage;
-import org.ragwortrun.router.internal.agents.AgentLink;
 import org.ragwortrun.router.internal.ledger.Reservation;
 import org.ragwortrun.router.internal.request.AdmittedRequest;
 import org.ragwortrun.routing.AnswerGapException;
@@ -43,12 +41,11 @@
  * <p>All methods run on the mailbox of the request. The caller gets exactly one final answer; the reservation is ended
  * exactly once, and only as "not run" if no agent can have run the request.
  */
-final class RequestFlow implements AgentCall.Events {
+final class RequestFlow implements AgentCall.Events, EarlierAttempt.Steps {
     private static final Logger LOG = LogManager.getLogger(RequestFlow.class);
     private static final Duration RETRY_SOON = Duration.ofSeconds(1);
     private static final int SERVER_ERROR = 500;
     private static final int MAX_CLAIMS = 8;
-    private static final int REGISTER_ANSWER_BYTES = 8 << 10;
     // The agent ends a run at its deadline by itself; this covers its last messages.
     private static final Duration DRAIN_GRACE = Duration.ofSeconds(10);
 
@@ -64,6 +61,7 @@
     private final AgentFinder finder;
     private final EndpointSelection selection;
     private final RequestReport report;
+    private final StallWatch stalls;
     private final Set<String> excluded = new HashSet<>();
     private FlowState state = FlowState.RESERVING;
     private @Nullable Future<?> deadline;
@@ -77,7 +75,6 @@
     private boolean sent;
     private boolean callerGone;
     private boolean released;
-    private long lastProgressAt;
 
     RequestFlow(
             FlowServices services,
@@ -91,12 +88,11 @@
         this.mailbox = mailbox;
         this.startedAt = startedAt;
         this.onDone = onDone;
-        lastProgressAt = startedAt;
         buffer = new StreamBuffer(services.buffers(), request.budget().getAccount());
         report = new RequestReport(services, request, startedAt);
         selection = new EndpointSelection(services, request);
         finder = new AgentFinder(services, mailbox, () -> state == FlowState.RECOVERING);
-        intake = new AnswerIntake(buffer, keptBytes(services, request));
+        intake = AnswerIntake.of(request, buffer, services.settings().resumeBytes());
         answer = new Answer(
                 request,
                 response,
@@ -104,14 +100,7 @@
                 () -> mailbox.execute(this::onRead),
                 services.time().wallMillis());
         ending = new RequestEnding(services, request, answer);
-    }
-
-    /** Returns how much of the answer is kept: for a resume, or for the register of requests that run once. */
-    private static int keptBytes(FlowServices services, AdmittedRequest request) {
-        if (!request.route().repeatable()) {
-            return REGISTER_ANSWER_BYTES;
-        }
-        return request.isModel() ? services.settings().resumeBytes() : 0;
+        stalls = new StallWatch(services, mailbox, answer, () -> callerGone);
     }
 
     void start() {
@@ -232,9 +221,8 @@
         switch (ClaimRule.decide(result, request.route().repeatable())) {
             case DISPATCH -> onClaimed(candidate, result);
             case REPLACE -> replace(result.getAttempt());
-            case ASK_AGENT -> askEarlier(result);
+            case ASK_AGENT, ATTACH -> askEarlier(result);
             case ANSWER_KEPT -> answerFromRegister(result);
-            case ATTACH -> attachEarlier(result);
             case REFUSE_REUSED ->
                 refuse(Refusal.notRun(RefusalReason.ID_REUSED, "the id belongs to a request with other content"));
             case REFUSE_EXPIRED ->
@@ -290,12 +278,7 @@
                 .setStatus(result.getStatus())
                 .addHeaders(Answer.header("Content-Type", "application/json"))
                 .build());
-        buffer.widenFully();
-        buffer.grant();
-        try {
-            intake.accept(Chunk.newBuilder().setData(result.getAnswer()).build());
-        } catch (AnswerGapException | BufferOverflowException e) {
-            Event.of("kept-answer-not-buffered").with("request", request.id()).warn(LOG, e);
+        if (!intake.acceptKept(result.getAnswer().toByteArray())) {
             refuse(new Refusal(
                     RefusalReason.OVERLOADED,
                     RunOutcome.RAN,
@@ -308,23 +291,7 @@
         done();
     }
 
-    /** Attaches to a request that ran earlier. */
-    private void attachEarlier(ClaimResult result) {
-        replaces = result.getAttempt();
-        awaitAgent(
-                result.getAgent(),
-                result.getAgentIncarnation(),
-                services.settings().queryWait(),
-                agent -> {
-                    if (agent == null) {
-                        refuse(Refusal.ran(RefusalReason.ANSWER_EXPIRED, "the agent that kept the answer is gone"));
-                    } else {
-                        attach(agent);
-                    }
-                });
-    }
-
-    /** Asks the agent of an earlier attempt what became of it. */
+    /** Finds out at the agent what became of an earlier attempt. */
     private void askEarlier(ClaimResult result) {
         if (intake.length() > 0) {
             // Another router has started the request anew; its answer need not have the same beginning.
@@ -332,47 +299,34 @@
             return;
         }
         replaces = result.getAttempt();
-        boolean repeatable = request.route().repeatable();
-        Duration wait = repeatable
-                ? services.settings().reattachWait()
-                : services.settings().queryWait();
-        awaitAgent(result.getAgent(), result.getAgentIncarnation(), wait, agent -> {
-            if (agent == null) {
-                onEarlierUnknown(result);
-            } else {
-                query(agent, result.getAttempt(), step -> {
-                    switch (step) {
-                        case NOT_RUN -> {
-                            resolveNotRun(result.getAttempt());
-                            replace(result.getAttempt());
-                        }
-                        case ATTACH -> attach(agent);
-                        case ANSWER_EXPIRED -> refuse(Refusals.answerExpired());
-                        case UNKNOWN -> onEarlierUnknown(result);
-                    }
-                });
-            }
-        });
-    }
-
-    private void onEarlierUnknown(ClaimResult result) {
-        if (request.route().repeatable()) {
-            ending.earlierAttemptUnknown();
-            services.metrics().retried("earlier-attempt-lost");
-            replace(result.getAttempt());
+        state = FlowState.RECOVERING;
+        EarlierAttempt earlier = new EarlierAttempt(finder, services.settings(), request, this);
+        if (result.getOutcome() == ClaimResult.Outcome.RAN) {
+            earlier.attach(result);
         } else {
-            refuse(Refusals.unknownOutcome("the agent " + result.getAgent() + " cannot tell whether the request ran"));
+            earlier.ask(result);
         }
     }
 
+    @Override
+    public void onEarlierNotRun(int number) {
+        resolveNotRun(number);
+        replace(number);
+    }
+
+    @Override
+    public void onEarlierLost(int number) {
+        ending.earlierAttemptUnknown();
+        services.metrics().retried("earlier-attempt-lost");
+        replace(number);
+    }
+
     // ---- dispatch ----
 
     private void dispatch(EndpointCandidate candidate) {
         report.sentTo(candidate);
-        Optional<AgentLink> link = services.agents().link(candidate.name());
-        Optional<Peer> peer = link.flatMap(AgentLink::peer)
-                .filter(p -> p.hello().getIncarnation().equals(candidate.agentIncarnation()));
-        if (link.isEmpty() || peer.isEmpty()) {
+        Optional<ConnectedAgent> agent = finder.connected(candidate);
+        if (agent.isEmpty()) {
             onNotSent("the agent " + candidate.name() + " is not connected");
             return;
         }
@@ -395,10 +349,12 @@
         if (intake.length() > 0) {
             dispatch.setResumeText(intake.text()).setResumeTokens(intake.outputTokens());
         }
-        call = AgentCall.open(link.get(), peer.get(), Frame.newBuilder().setDispatch(dispatch), mailbox, this);
+        call = AgentCall.open(
+                agent.get().link(), agent.get().peer(), Frame.newBuilder().setDispatch(dispatch), mailbox, this);
     }
 
-    private void attach(ConnectedAgent agent) {
+    @Override
+    public void attach(ConnectedAgent agent) {
         state = FlowState.SENT;
         buffer.resetGrant();
         Attach.Builder attach = Attach.newBuilder()
@@ -449,8 +405,8 @@
     }
 
     private void onChunk(AgentCall from, Chunk chunk) {
-        lastProgressAt = services.time().nanos();
-        report.latency().part(lastProgressAt, chunk.getOutputTokens());
+        stalls.progress();
+        report.latency().part(services.time().nanos(), chunk.getOutputTokens());
         answer.head(chunk);
         try {
             intake.accept(chunk);
@@ -475,7 +431,7 @@
         if (discarding) {
             return;
         }
-        lastProgressAt = services.time().nanos();
+        stalls.progress();
         buffer.widen();
         credit(buffer.grant());
     }
@@ -544,12 +500,9 @@
 
     private void onRefused(AgentCall from, Refused refused) {
         endCall();
-        RefusalReason reason = RefusalReason.ofCode(refused.getReason()).orElse(RefusalReason.ENDPOINT_FAILED);
-        RunOutcome run = RunOutcome.of(refused.getRun());
-        Optional<Duration> after = refused.getRetryAfterMs() == 0
-                ? Optional.empty()
-                : Optional.of(Duration.ofMillis(refused.getRetryAfterMs()));
-        Refusal refusal = new Refusal(reason, run, refused.getDetail(), after);
+        Refusal refusal = Refusals.of(refused);
+        RefusalReason reason = refusal.reason();
+        RunOutcome run = refusal.run();
         if (reason == RefusalReason.LEAVING) {
             from.link().markLeaving();
         }
@@ -709,9 +662,7 @@
         if (answer.isOver()) {
             return;
         }
-        Duration stall = services.settings().stallTimeout();
-        boolean reading = buffer.buffered() > 0 && services.time().nanos() - lastProgressAt < stall.toNanos();
-        if (answer.isStarted() && reading) {
+        if (answer.isStarted() && buffer.buffered() > 0 && !stalls.isStalled()) {
             deadline = later(RETRY_SOON, this::onDeadline);
             return;
         }
@@ -761,7 +712,9 @@
         }
     }
 
-    private void refuse(Refusal refusal) {
+    /** Refuses without a change to the register. */
+    @Override
+    public void refuse(Refusal refusal) {
         ending.refuse(refusal);
         done();
     }
@@ -786,26 +739,10 @@
             timer.cancel(false);
         }
         report.log(ending.refusal(), answer.status());
-        if (!callerGone) {
-            later(services.settings().stallTimeout(), this::onStall);
-        }
+        stalls.start();
         end();
     }
 
-    /** Closes the connection of a caller that has stopped to read its finished answer. */
-    private void onStall() {
-        if (callerGone) {
-            return;
-        }
-        Duration idle = Duration.ofNanos(services.time().nanos() - lastProgressAt);
-        Duration rest = services.settings().stallTimeout().minus(idle);
-        if (rest.isNegative() || rest.isZero()) {
-            answer.abort();
-        } else {
-            later(rest, this::onStall);
-        }
-    }
-
     /** The request leaves the router when its run is settled and its exchange with the caller has ended. */
     private void end() {
         if (state == FlowState.DONE && callerGone && !released) {
--- a/router/src/main/java/org/ragwortrun/router/internal/http/HttpFront.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/http/HttpFront.java
@@ -52,8 +52,12 @@
             ScheduledExecutorService timer,
             Time time)
             throws TransportException {
-        RequestTimers timers =
-                new RequestTimers(time, settings.headTimeout(), settings.bodyTimeout(), settings.idleTimeout());
+        RequestTimers timers = new RequestTimers(
+                time,
+                settings.maxConnections(),
+                settings.headTimeout(),
+                settings.bodyTimeout(),
+                settings.idleTimeout());
         BufferBudget bodies = new BufferBudget(settings.bodyMemory(), settings.bodyMemory());
         HttpAsyncServer server = AsyncServerBootstrap.bootstrap()
                 .setIOReactorConfig(IOReactorConfig.custom()
--- a/router/src/main/java/org/ragwortrun/router/internal/http/HttpSettings.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/http/HttpSettings.java
@@ -6,6 +6,7 @@
  * Limits of the HTTP front.
  *
  * @param threads IO threads
+ * @param maxConnections most open connections; one more is closed at once
  * @param maxBody largest request body in bytes
  * @param bodyMemory most bytes of request bodies at a time
  * @param headTimeout time in which a request head must arrive
@@ -13,4 +14,10 @@
  * @param idleTimeout time after which an idle connection is closed
  */
 public record HttpSettings(
-        int threads, int maxBody, long bodyMemory, Duration headTimeout, Duration bodyTimeout, Duration idleTimeout) {}
+        int threads,
+        int maxConnections,
+        int maxBody,
+        long bodyMemory,
+        Duration headTimeout,
+        Duration bodyTimeout,
+        Duration idleTimeout) {}
--- a/router/src/main/java/org/ragwortrun/router/internal/http/RequestTimers.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/http/RequestTimers.java
@@ -26,14 +26,16 @@
     private static final long LINGER_NANOS = 1_000_000_000L;
 
     private final Time time;
+    private final int maxConnections;
     private final long headNanos;
     private final long bodyNanos;
     private final long idleNanos;
     private final Map<SocketAddress, Connection> connections = new ConcurrentHashMap<>();
     private final Map<CallerExchange, Long> bodies = new ConcurrentHashMap<>();
 
-    RequestTimers(Time time, Duration head, Duration bodyLimit, Duration idle) {
+    RequestTimers(Time time, int maxConnections, Duration head, Duration bodyLimit, Duration idle) {
         this.time = time;
+        this.maxConnections = maxConnections;
         headNanos = head.toNanos();
         bodyNanos = bodyLimit.toNanos();
         idleNanos = idle.toNanos();
@@ -70,14 +72,12 @@
         });
     }
 
-    int connections() {
-        return connections.size();
-    }
-
     @Override
     public void connected(IOSession session) {
         SocketAddress remote = session.getRemoteAddress();
-        if (remote != null) {
+        if (connections.size() >= maxConnections) {
+            session.close(CloseMode.IMMEDIATE);
+        } else if (remote != null) {
             connections.put(remote, new Connection(session, time.nanos()));
         }
     }
