--- a/core/src/main/java/org/ragwortrun/core/config/SectionReader.java
+++ b/core/src/main/java/org/ragwortrun/core/config/SectionReader.java
@@ -202,7 +202,7 @@
             return fallback;
         }
         try {
-            // Far beyond any plan the time in milliseconds overflows, which readers of the configuration rely on.
+            // Readers of the configuration count in milliseconds, so a time that overflows them is invalid.
             return Instant.ofEpochMilli(Instant.parse(value).toEpochMilli());
         } catch (DateTimeException | ArithmeticException e) {
             fail(s, key, "time", "a UTC time such as 2026-12-04T18:00:00Z");
