Use the parsed host list address

Change: the setting is returned in its parsed form. Conclusion: no change of behaviour for valid addresses.

--- a/e2e/src/test/java/org/ragwortrun/e2e/ControlFaultsTest.java
+++ b/e2e/src/test/java/org/ragwortrun/e2e/ControlFaultsTest.java
@@ -78,7 +78,8 @@
                 Answer answer = fleet.order("r2", ProxiedFleet.id("frozen" + System.nanoTime()));
                 if (answer.status() != 201) {
                     // A refusal before the new leaders are known must be one that truly did not run.
-                    assertThat(ProxiedFleet.json(answer.body()).path("run").asText()).isEqualTo("not run");
+                    assertThat(ProxiedFleet.json(answer.body()).path("run").asText())
+                            .isEqualTo("not run");
                 }
                 return answer.status() == 201;
             });
--- a/router/src/main/java/org/ragwortrun/router/internal/RouterSettings.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/RouterSettings.java
@@ -118,15 +118,12 @@
     private static String hostList(Settings s) {
         String source = s.text("platform.host-list", "");
         try {
-            if (source.startsWith("http://")) {
-                URI.create(source);
-            } else {
-                Path.of(source);
-            }
+            Object target = source.startsWith("http://") ? URI.create(source) : Path.of(source);
+            return target.toString();
         } catch (IllegalArgumentException e) {
             s.reject("platform.host-list", "must be an http:// URL or a file name, not " + source);
+            return "";
         }
-        return source;
     }
 
     private static Address address(Settings s) {
