--- a/core/src/main/java/org/ragwortrun/core/config/SectionReader.java
+++ b/core/src/main/java/org/ragwortrun/core/config/SectionReader.java
@@ -202,8 +202,9 @@
             return fallback;
         }
         try {
-            return Instant.parse(value);
-        } catch (DateTimeException e) {
+            // Readers of the configuration count in milliseconds, so a time that overflows them is invalid.
+            return Instant.ofEpochMilli(Instant.parse(value).toEpochMilli());
+        } catch (DateTimeException | ArithmeticException e) {
             fail(s, key, "time", "a UTC time such as 2026-12-04T18:00:00Z");
             return fallback;
         }
--- a/ledger/src/main/java/org/ragwortrun/ledger/internal/BudgetPool.java
+++ b/ledger/src/main/java/org/ragwortrun/ledger/internal/BudgetPool.java
@@ -16,16 +16,30 @@
 import org.ragwortrun.proto.ReduceGrants;
 import org.ragwortrun.proto.RequestGrant;
 
-/** Grants that one router incarnation holds of one budget. Each method takes the lock of this budget only. */
+/**
+ * Grants that one router incarnation holds of one budget. Each method takes the lock of this budget only.
+ *
+ * <p>Demand is what requests use, not what they reserve, because the unused part of a reservation comes back. It is
+ * counted over five spans, since the use during one span varies too much when an account sends few requests. One mean
+ * reservation comes on top, so that a single request finds room.
+ */
 public final class BudgetPool {
+    private static final int USE_SPANS = 5;
+    private static final int MEAN_WEIGHT = 16;
+
+    // A pool holds from a half to one and a half grants. With one to two, a router that is cut off kept a fifth more
+    // tokens from the others, and refused hardly fewer requests during its last lease.
+    private static final int REFILL_DIVISOR = 2;
+
     private final BudgetRef budget;
     private final String incarnation;
     private final PoolSettings settings;
     private final LongSupplier ids;
-    private final DemandMeter demand;
+    private final DemandMeter use;
     private final Map<String, PooledGrant> grants = new LinkedHashMap<>();
     private final Map<Long, Reservation> reservations = new LinkedHashMap<>();
     private @Nullable RequestGrant pending;
+    private double meanReservation;
     private long lastSpendMs;
     private long tightUntilMs = Long.MIN_VALUE;
 
@@ -34,14 +48,14 @@
         this.incarnation = incarnation;
         this.settings = settings;
         this.ids = ids;
-        this.demand = new DemandMeter(settings.demandMs());
+        this.use = new DemandMeter(settings.demandMs() * USE_SPANS);
     }
 
     /** Reserves from the oldest grant that suffices, or tells what to send to the owner. */
     public synchronized ReserveResult reserve(long tokens, boolean first, long nowMs) {
         lastSpendMs = nowMs;
         if (first) {
-            demand.add(tokens, nowMs);
+            meanReservation += (tokens - meanReservation) / MEAN_WEIGHT;
         }
         for (PooledGrant g : grants.values()) {
             if (g.free() >= tokens && isFresh(g, nowMs)) {
@@ -60,28 +74,36 @@
 
     /** Returns a request that renews the grants before they run out, if it is due. */
     public synchronized Optional<RequestGrant> refill(long nowMs) {
-        long wanted = demand.sum(nowMs);
-        boolean due = pending == null && !isTight(nowMs) && wanted > 0 && free(nowMs) < wanted;
+        long wanted = wanted(nowMs);
+        boolean due = pending == null && !isTight(nowMs) && wanted > 0 && free(nowMs) < wanted / REFILL_DIVISOR;
         return due ? Optional.of(ask(0, nowMs)) : Optional.empty();
     }
 
+    private long wanted(long nowMs) {
+        return use.sum(nowMs) / USE_SPANS + (long) meanReservation;
+    }
+
     private RequestGrant ask(long minimum, long nowMs) {
         RequestGrant ask = RequestGrant.newBuilder()
                 .setBudget(budget)
                 .setIncarnation(incarnation)
                 .setGrantId(GrantIds.of(incarnation, ids.getAsLong()))
                 .setMinimum(minimum)
-                .setWanted(Math.max(minimum, demand.sum(nowMs)))
+                .setWanted(Math.max(minimum, wanted(nowMs)))
                 .build();
         pending = ask;
         return ask;
     }
 
-    /** Takes the owner's answer. The answer to any other request than the pending one changes nothing. */
-    public synchronized void granted(RequestGrant ask, GrantResult result, long nowMs) {
+    /**
+     * Takes the owner's answer and returns the parts of older grants that were too small for the request. Kept, such
+     * parts add up to more than the demand. They stay until the owner has answered, because a router that is cut off
+     * still serves smaller requests from them. The answer to any other request than the pending one changes nothing.
+     */
+    public synchronized List<GrantTotal> granted(RequestGrant ask, GrantResult result, long nowMs) {
         RequestGrant awaited = pending;
         if (awaited == null || !awaited.getGrantId().equals(ask.getGrantId())) {
-            return;
+            return List.of();
         }
         pending = null;
         if (result.getOutcome() != GrantResult.Outcome.GRANTED || result.getAmount() < ask.getWanted()) {
@@ -89,19 +111,23 @@
         } else {
             tightUntilMs = Long.MIN_VALUE;
         }
+        List<GrantTotal> fragments = result.getAmount() > 0 ? returnFree(g -> g.free() < ask.getMinimum()) : List.of();
         if (result.getOutcome() == GrantResult.Outcome.GRANTED && result.getAmount() > 0) {
             grants.put(ask.getGrantId(), new PooledGrant(ask.getGrantId(), result.getAmount(), nowMs));
         }
+        return fragments;
     }
 
     /** Ends a reservation; the unused part is free again. Ending it twice changes nothing. */
-    public synchronized void settle(Reservation reservation, long used) {
+    public synchronized void settle(Reservation reservation, long used, long nowMs) {
         Reservation open = reservations.remove(reservation.id());
         PooledGrant grant = grants.get(reservation.grantId());
         if (open == null || grant == null) {
             return;
         }
-        grant.settle(open.tokens(), Math.max(0, Math.min(used, open.tokens())));
+        long spent = Math.max(0, Math.min(used, open.tokens()));
+        use.add(spent, nowMs);
+        grant.settle(open.tokens(), spent);
         removeDone();
     }
 
--- a/ledger/src/test/java/org/ragwortrun/ledger/ShardStateDifferentialTest.java
+++ b/ledger/src/test/java/org/ragwortrun/ledger/ShardStateDifferentialTest.java
@@ -48,7 +48,6 @@
     void agreesWithTheNaiveShard() throws IOException {
         long first = Long.getLong("ledger.seed", 1);
         long seeds = Long.getLong("ledger.seeds", 150);
-        System.out.println("seeds=" + first + ".." + (first + seeds - 1));
         int allBilled = 0;
         int allCopies = 0;
         for (long seed = first; seed < first + seeds; seed++) {
@@ -56,7 +55,7 @@
             allBilled += billed;
             allCopies += copies;
         }
-        System.out.println("billed=" + allBilled + " copies=" + allCopies);
+        SeedReport.print("ShardState", first, seeds, "billed=" + allBilled + " copies=" + allCopies);
         assertWithMessage("requests billed").that(allBilled).isGreaterThan((int) seeds);
         assertWithMessage("copies of reports").that(allCopies).isGreaterThan((int) seeds);
     }
@@ -212,7 +211,8 @@
             long tokens = random.nextLong(usable.getOrDefault(g.id, 0L) / 2 + 1);
             boolean isRecent = now - issued.getOrDefault(g.id, 0L) < HOUR;
             if (isRecent) {
-                usable.merge(g.id, -tokens, Long::sum);
+                long returned = random.nextInt(4) == 0 ? random.nextLong(usable.getOrDefault(g.id, 0L) / 4 + 1) : 0;
+                usable.merge(g.id, -tokens - returned, Long::sum);
                 String keyed = "q" + random.nextInt(40);
                 // A router runs no request whose id is older than ids are remembered.
                 boolean runs = now - keyTimes.computeIfAbsent(keyed, i -> now) < RETENTION - HOUR;
@@ -223,6 +223,7 @@
                         .setGrantId(g.id)
                         .setIncarnation(g.incarnation)
                         .setTokens(tokens)
+                        .setReturned(returned)
                         .setStatus(200)
                         .setAnswer(ByteString.copyFromUtf8("answer"))
                         .build();
--- a/measure/src/main/java/org/ragwortrun/measure/budgets/RouterModel.java
+++ b/measure/src/main/java/org/ragwortrun/measure/budgets/RouterModel.java
@@ -30,8 +30,8 @@
     private static final long LEASE = 3_000 * MILLI;
     private static final long HELD_WAIT = 100 * MILLI;
     private static final long HELD_FIRST_PAUSE = 4 * MILLI;
-    private static final long UNREACHABLE_WAIT = 500 * MILLI;
-    private static final long CLAIM_WAIT = 300 * MILLI;
+    private static final long UNREACHABLE_WAIT = 2_000 * MILLI;
+    private static final long CLAIM_WAIT = 2_000 * MILLI;
     private static final long DISPATCH_WAIT = 5_000 * MILLI;
     private static final long FLUSH = 50 * MILLI;
     private static final long RESEND = 500 * MILLI;
@@ -43,6 +43,7 @@
     private final OwnerModel owner;
     private final UniformRandomProvider random;
     private final Outcomes outcomes;
+    private final Truth truth;
     private final List<AgentModel> agents;
     private final GrantPool pool;
     private final Map<BudgetRef, List<Waiter>> waiters = new LinkedHashMap<>();
@@ -52,6 +53,7 @@
     private boolean alive = true;
     private boolean open;
     private long leaseUntil = -1;
+    private long diedAtMicros;
     private long ticks;
 
     RouterModel(
@@ -64,6 +66,7 @@
         this.agents = simulation.agents();
         this.random = simulation.random();
         this.outcomes = outcomes;
+        this.truth = simulation.truth();
         this.pool = new GrantPool(incarnation, queue, settings);
         tick();
     }
@@ -88,6 +91,7 @@
     /** Ends the process at once and returns the calls whose connections broke. */
     List<Call> die() {
         alive = false;
+        diedAtMicros = queue.micros();
         return List.copyOf(inFlight.values());
     }
 
@@ -130,7 +134,7 @@
         if (askSent.remove(ask.getGrantId()) == null) {
             return;
         }
-        pool.granted(ask, result);
+        pool.granted(ask, result).ifPresent(this::giveBack);
         List<Waiter> all = waiters.remove(ask.getBudget());
         if (all == null) {
             return;
@@ -166,6 +170,7 @@
     }
 
     private void proceed(Waiter w, Reservation reservation) {
+        truth.reserve(w.call.id() + '#' + reservation.grantId(), w.call.budget(), reservation.tokens());
         List<AgentModel> reachable = agents.stream()
                 .filter(a -> links.connected(dataCenter, a.dataCenter()))
                 .toList();
@@ -192,7 +197,7 @@
                         .setKeyTimeMs(queue.wallMillis())
                         .setReplacesAttempt(replaces))
                 .build();
-        for (int i = 0; i < 3; i++) {
+        for (int i = 0; i * TICK < CLAIM_WAIT; i++) {
             queue.after(i * TICK, () -> {
                 if (alive && c.round == round) {
                     call(command, r -> claimed(c, round, r.getClaim()));
@@ -203,7 +208,7 @@
             if (alive && c.round == round) {
                 c.round++;
                 if (c.w.call.order()) {
-                    release(c.reservation);
+                    release(c.w.call, c.reservation);
                     refuse(c.w.call, c.w.counts, "register-unreachable");
                 } else {
                     dispatch(c.w.call, c.reservation, 0, c.agent);
@@ -254,11 +259,12 @@
     }
 
     private void attached(Claimed c) {
-        release(c.reservation);
+        release(c.w.call, c.reservation);
         inFlight.remove(c.w.call.id());
     }
 
-    private void release(Reservation reservation) {
+    private void release(Call call, Reservation reservation) {
+        truth.unreserve(call.id() + '#' + reservation.grantId());
         pool.release(reservation);
         pool.returnsDue(reservation.budget()).ifPresent(this::giveBack);
     }
@@ -269,7 +275,7 @@
 
     private void finished(Call call, Reservation reservation, Usage usage) {
         inFlight.remove(call.id());
-        pool.settle(reservation, usage.getTokens());
+        pool.settle(reservation, usage.getTokens() + usage.getReturned());
         if (unsettled.isEmpty()) {
             queue.after(FLUSH, this::settle);
         }
@@ -386,7 +392,7 @@
     }
 
     /** A call at an agent, from the first dispatch until its usage is known or it is proved not run. */
-    private final class Run {
+    private final class Run implements AgentModel.Caller {
         private final Call call;
         private final Reservation reservation;
         private final int attempt;
@@ -420,7 +426,7 @@
             links.send(dataCenter, agent.dataCenter(), () -> {
                 AgentModel.Acceptance a = late && !agent.querySeen(call, attempt, reservation.grantId())
                         ? AgentModel.Acceptance.REFUSED
-                        : agent.dispatch(call, attempt, template, reservation.tokens(), this::deliver);
+                        : agent.dispatch(call, attempt, template, reservation.tokens(), this);
                 links.send(agent.dataCenter(), dataCenter, () -> answered(a));
             });
             queue.after(RESEND, this::send);
@@ -434,12 +440,19 @@
             if (a != AgentModel.Acceptance.RUNNING) {
                 done = true;
                 inFlight.remove(call.id());
-                release(reservation);
+                release(call, reservation);
             }
         }
 
         /** Carries the result from the agent until the router has it. */
-        private void deliver(Usage usage) {
+        @Override
+        public boolean isLost() {
+            boolean died = !alive && queue.micros() - diedAtMicros >= Links.KEEPALIVE_MICROS;
+            return died || links.noticedLoss(agent.dataCenter(), dataCenter);
+        }
+
+        @Override
+        public void deliver(Usage usage) {
             if (!alive || done) {
                 return;
             }
--- a/router/src/main/java/org/ragwortrun/router/internal/Router.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/Router.java
@@ -35,13 +35,13 @@
 import org.ragwortrun.router.internal.http.HttpFront;
 import org.ragwortrun.router.internal.http.ProblemWriter;
 import org.ragwortrun.router.internal.ledger.GrantClient;
+import org.ragwortrun.router.internal.ledger.HeldReservations;
 import org.ragwortrun.router.internal.ledger.Register;
 import org.ragwortrun.router.internal.ledger.Sessions;
 import org.ragwortrun.router.internal.ledger.SettlementQueue;
 import org.ragwortrun.router.internal.ledger.Shards;
 import org.ragwortrun.router.internal.request.AccountRule;
 import org.ragwortrun.router.internal.request.Admission;
-import org.ragwortrun.router.internal.request.BudgetRule;
 import org.ragwortrun.router.internal.request.ChatReader;
 import org.ragwortrun.router.internal.request.RequestKeys;
 import org.ragwortrun.router.internal.request.RouteRule;
@@ -105,15 +105,19 @@
         ConfigWatch watch = closer.register(new ConfigWatch(control, timer, time, agents::apply));
         Shards shards = new Shards(control, settings.shards());
         Sessions sessions = new Sessions(shards, timer, settings.name(), incarnation);
+        HeldReservations held = new HeldReservations(control, shards);
+        SettlementQueue settlements = new SettlementQueue(shards, timer, incarnation, SETTLE_TIMEOUT, time);
+        // Closed after the settlements, because the session may end in order only when all bills are delivered.
         GrantClient grants = closer.register(new GrantClient(
                 new GrantPool(incarnation, time, PoolSettings.usual()),
                 shards,
                 sessions,
                 timer,
                 settings.grantTimeout(),
-                () -> endpoints(watch)));
-        SettlementQueue settlements =
-                closer.register(new SettlementQueue(shards, timer, incarnation, SETTLE_TIMEOUT, time));
+                () -> endpoints(watch),
+                () -> settlements.pending() == 0,
+                held));
+        closer.register(settlements);
         BufferBudget buffers = new BufferBudget(settings.bufferMemory(), settings.accountBufferMemory());
         EvidenceCollector evidence = new EvidenceCollector(control);
         FlowServices services = new FlowServices(
@@ -136,6 +140,7 @@
         watch.start(CONFIRM_INTERVAL);
         sessions.open();
         timer.scheduleWithFixedDelay(evidence, SECOND_MS, SECOND_MS, TimeUnit.MILLISECONDS);
+        timer.scheduleWithFixedDelay(held, SECOND_MS, SECOND_MS, TimeUnit.MILLISECONDS);
         timer.scheduleWithFixedDelay(agents::closeRetired, SECOND_MS, SECOND_MS, TimeUnit.MILLISECONDS);
         if (!settings.hostList().isEmpty()) {
             HostList hosts = new HostList(settings.hostList(), json, agents::markLeaving);
@@ -190,11 +195,8 @@
         List<Duty> duties = IntStream.range(0, FLOW_DUTIES)
                 .mapToObj(i -> closer.register(new Duty("flow-" + i, ring)))
                 .toList();
-        Admission admission = new Admission(
-                new AccountRule(),
-                new RouteRule(new ChatReader(json)),
-                new BudgetRule(),
-                new RequestKeys(services.time()));
+        Admission admission =
+                new Admission(new AccountRule(), new RouteRule(new ChatReader(json)), new RequestKeys(services.time()));
         return new RequestFront(services, watch, admission, duties, settings.maxRequests(), () -> !sessions.isFenced());
     }
 
--- a/router/src/main/java/org/ragwortrun/router/internal/http/CallerExchange.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/http/CallerExchange.java
@@ -18,6 +18,7 @@
 import org.apache.hc.core5.http.nio.DataStreamChannel;
 import org.apache.hc.core5.http.nio.ResponseChannel;
 import org.apache.hc.core5.http.protocol.HttpContext;
+import org.apache.hc.core5.http.protocol.HttpCoreContext;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.jspecify.annotations.Nullable;
@@ -44,6 +45,7 @@
     private final int maxBody;
     private final RequestTimers timers;
     private final String ownId;
+    private final Object producing = new Object();
     private final ByteArrayOutputStream body = new ByteArrayOutputStream(0);
     private @Nullable HttpRequest request;
     private @Nullable HttpContext context;
@@ -153,6 +155,7 @@
         }
         closeAfter = true;
         front.refuse(this, ownId, refusal);
+        abort();
     }
 
     private Refusal tooLarge() {
@@ -162,7 +165,7 @@
     // ---- the answer ----
 
     @Override
-    public void start(String requestId, int status, List<Header> headers, AnswerBody newBody) {
+    public void start(String requestId, int status, List<Header> headers, @Nullable AnswerBody newBody) {
         BasicHttpResponse head = new BasicHttpResponse(status);
         String type = null;
         for (Header h : headers) {
@@ -174,7 +177,7 @@
         }
         head.setHeader(REQUEST_ID, requestId);
         answer = newBody;
-        send(head, new BasicEntityDetails(-1, ContentType.parseLenient(type)));
+        send(head, newBody == null ? null : new BasicEntityDetails(-1, ContentType.parseLenient(type)));
     }
 
     @Override
@@ -185,6 +188,14 @@
         }
     }
 
+    @Override
+    public void abort() {
+        HttpContext c = context;
+        if (c != null && HttpCoreContext.cast(c).getEndpointDetails() != null) {
+            timers.closeSoon(HttpCoreContext.cast(c).getEndpointDetails().getRemoteAddress());
+        }
+    }
+
     @Override
     public void refuse(String requestId, Refusal refusal) {
         byte[] document = problems.write(requestId, refusal);
@@ -199,7 +210,7 @@
         send(head, new BasicEntityDetails(document.length, ContentType.create(ProblemWriter.MEDIA_TYPE)));
     }
 
-    private void send(HttpResponse head, EntityDetails entity) {
+    private void send(HttpResponse head, @Nullable EntityDetails entity) {
         answered = true;
         ResponseChannel channel = responses;
         if (channel == null) {
@@ -218,8 +229,15 @@
         return a != null && a.isReady() ? 1 : 0;
     }
 
+    /** Writes what is there. It is called by the thread that starts the answer and by the IO thread. */
     @Override
     public void produce(DataStreamChannel channel) throws IOException {
+        synchronized (producing) {
+            write(channel);
+        }
+    }
+
+    private void write(DataStreamChannel channel) throws IOException {
         output = channel;
         AnswerBody a = answer;
         if (a == null) {
--- a/router/src/main/java/org/ragwortrun/router/internal/http/RequestTimers.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/http/RequestTimers.java
@@ -22,15 +22,20 @@
  * idle for long. A body that takes too long is refused. While a request runs there is no limit here.
  */
 final class RequestTimers implements IOSessionListener, Http1StreamListener, Runnable {
+    // Gives the caller time to read a refusal before the unread rest of its request resets the connection.
+    private static final long LINGER_NANOS = 1_000_000_000L;
+
     private final Time time;
+    private final int maxConnections;
     private final long headNanos;
     private final long bodyNanos;
     private final long idleNanos;
     private final Map<SocketAddress, Connection> connections = new ConcurrentHashMap<>();
     private final Map<CallerExchange, Long> bodies = new ConcurrentHashMap<>();
 
-    RequestTimers(Time time, Duration head, Duration bodyLimit, Duration idle) {
+    RequestTimers(Time time, int maxConnections, Duration head, Duration bodyLimit, Duration idle) {
         this.time = time;
+        this.maxConnections = maxConnections;
         headNanos = head.toNanos();
         bodyNanos = bodyLimit.toNanos();
         idleNanos = idle.toNanos();
@@ -44,6 +49,14 @@
         bodies.remove(exchange);
     }
 
+    /** Closes the connection of a caller that was refused before its request was whole. */
+    void closeSoon(@Nullable SocketAddress remote) {
+        Connection c = connection(remote);
+        if (c != null) {
+            c.closeSoon(time.nanos());
+        }
+    }
+
     /** Ends what is over its limit. To be called several times within the shortest limit. */
     @Override
     public void run() {
@@ -59,14 +72,12 @@
         });
     }
 
-    int connections() {
-        return connections.size();
-    }
-
     @Override
     public void connected(IOSession session) {
         SocketAddress remote = session.getRemoteAddress();
-        if (remote != null) {
+        if (connections.size() >= maxConnections) {
+            session.close(CloseMode.IMMEDIATE);
+        } else if (remote != null) {
             connections.put(remote, new Connection(session, time.nanos()));
         }
     }
@@ -127,6 +138,7 @@
         private final IOSession session;
         private boolean readingHead;
         private boolean running;
+        private boolean closing;
         private long since;
 
         Connection(IOSession session, long now) {
@@ -152,10 +164,16 @@
             since = now;
         }
 
+        synchronized void closeSoon(long now) {
+            closing = true;
+            since = now;
+        }
+
         synchronized void check(long now) {
             long limit = readingHead ? headNanos : idleNanos;
-            if (!running && now - since > limit) {
-                session.close(CloseMode.IMMEDIATE);
+            boolean over = closing ? now - since > LINGER_NANOS : !running && now - since > limit;
+            if (over) {
+                session.close(CloseMode.GRACEFUL);
             }
         }
     }
