--- a/replication/src/main/java/org/ragwortrun/replication/GroupHost.java
+++ b/replication/src/main/java/org/ragwortrun/replication/GroupHost.java
@@ -9,8 +9,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
@@ -56,6 +58,9 @@
     private final Closer closer = new Closer();
     private final Map<Integer, GroupRunner> groups = new TreeMap<>();
     private final Map<String, FrameClient> others = new TreeMap<>();
+    /** Connections that other members opened, by member name. */
+    private final Map<String, Peer> incoming = new ConcurrentHashMap<>();
+
     private final HostContext context;
 
     private GroupHost(HostSettings settings, Time time, Metrics metrics) {
@@ -104,6 +109,10 @@
     /** Takes a frame with a {@code GroupMessage}; others are ignored. Does not block. */
     public void onFrame(Peer peer, Frame frame) {
         if (frame.hasGroupMessage()) {
+            String from = frame.getGroupMessage().getFrom();
+            if (!peer.equals(incoming.get(from))) {
+                incoming.put(from, peer);
+            }
             GroupRunner runner = groups.get(frame.getGroupMessage().getGroup());
             if (runner != null) {
                 runner.receive(frame.getGroupMessage());
@@ -188,7 +197,9 @@
     private void send(String to, GroupMessage message) {
         FrameClient client = others.get(to);
         if (client != null) {
+            // The own connection may still wait to reconnect to a member that has restarted and already calls.
             client.peer()
+                    .or(() -> Optional.ofNullable(incoming.get(to)))
                     .filter(Peer::isWritable)
                     .ifPresent(p ->
                             p.send(Frame.newBuilder().setGroupMessage(message).build()));
--- a/replication/src/main/java/org/ragwortrun/replication/internal/GroupRunner.java
+++ b/replication/src/main/java/org/ragwortrun/replication/internal/GroupRunner.java
@@ -63,6 +63,7 @@
     private final MemberId self;
     private volatile View view;
     private volatile long persisted;
+    private volatile long restored;
     private volatile long nextTick;
     private volatile boolean snapshotting;
     private volatile boolean stopped;
@@ -188,6 +189,7 @@
         if (meta != null) {
             core.snapshotStored(now, meta);
         }
+        core.snapshotRestored(restored);
         core.persisted(now, persisted);
         int taken = 0;
         while (taken < STEP_MESSAGES && writes.remainingCapacity() > WRITES_ROOM) {
@@ -334,6 +336,7 @@
             } else if (next instanceof Delivery.Snapshot s) {
                 storage.restore(s.meta().index(), applier.machine());
                 applier.restored(s.meta());
+                restored = s.meta().index();
             }
             snapshotIfDue();
             next = deliveries.poll();
--- a/replication/src/main/java/org/ragwortrun/replication/internal/RaftCore.java
+++ b/replication/src/main/java/org/ragwortrun/replication/internal/RaftCore.java
@@ -45,6 +45,9 @@
     private long commit;
     private long durable;
     private long handed;
+    /** Received snapshot that the state machine has not read yet, 0 for none. */
+    private long restoring;
+
     private long lastHeartbeat;
     private long electionDeadline;
     private long sequence;
@@ -150,6 +153,13 @@
         log.compact(Math.max(log.base(), keep));
     }
 
+    /** The state machine has read the received snapshot of an index. */
+    public void snapshotRestored(long index) {
+        if (index >= restoring) {
+            restoring = 0;
+        }
+    }
+
     /**
      * Returns what is to be done since the last call.
      *
@@ -269,6 +279,10 @@
         return Members.isVoter(log.members(), identity());
     }
 
+    boolean isRestoring() {
+        return restoring != 0;
+    }
+
     boolean heardOfLeader(long now) {
         return now - lastHeartbeat < settings.electionTimeout();
     }
@@ -329,6 +343,7 @@
         durable = Math.max(durable, received.index());
         commit = received.index();
         handed = received.index();
+        restoring = received.index();
         out.deliveries().add(new Delivery.Snapshot(received));
         if (!state.getStarted()) {
             save(state.toBuilder().setStarted(true));
--- a/replication/src/main/java/org/ragwortrun/replication/internal/SnapshotReceiver.java
+++ b/replication/src/main/java/org/ragwortrun/replication/internal/SnapshotReceiver.java
@@ -33,7 +33,8 @@
             reply(from, c, reply.setInstalled(true));
             return;
         }
-        if (installing) {
+        if (installing || core.isRestoring()) {
+            // A newer snapshot would remove the file that the state machine is about to read.
             return;
         }
         if (c.getOffset() == 0) {
--- /dev/null
+++ b/replication/src/test/java/org/ragwortrun/replication/internal/ElectionTest.java
@@ -0,0 +1,73 @@
+package org.ragwortrun.replication.internal;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.ragwortrun.proto.GroupMessage;
+import org.ragwortrun.replication.GroupStatus.Role;
+
+final class ElectionTest {
+    private static final long LATE = 10 * CoreFixture.TIMEOUT;
+
+    private final CoreFixture fixture = new CoreFixture();
+
+    /** Guards against a vote by a member whose answer before its restart still supports another leader's lease. */
+    @Test
+    void givesNoVoteWithinOneTimeoutAfterRestart() {
+        fixture.receiveVoteRequest(CoreFixture.TIMEOUT - 1, "c2", 3, 9, 2);
+        assertThat(fixture.sync(CoreFixture.TIMEOUT - 1)).isEmpty();
+        assertThat(fixture.core.term()).isEqualTo(2);
+        fixture.receiveVoteRequest(CoreFixture.TIMEOUT, "c2", 3, 9, 2);
+        assertThat(grants(fixture.sync(CoreFixture.TIMEOUT))).containsExactly(true);
+    }
+
+    /** Guards against a vote that a crash makes the member forget, so that it votes twice in a term. */
+    @Test
+    void sendsNoVoteBeforeItIsSynced() {
+        fixture.receiveVoteRequest(LATE, "c2", 3, 9, 2);
+        assertThat(fixture.messages()).isEmpty();
+        assertThat(grants(fixture.sync(LATE))).containsExactly(true);
+    }
+
+    /** Guards against two leaders in one term. */
+    @Test
+    void votesOnceInATerm() {
+        fixture.receiveVoteRequest(LATE, "c2", 3, 9, 2);
+        fixture.sync(LATE);
+        fixture.receiveVoteRequest(LATE, "c3", 3, 9, 2);
+        assertThat(grants(fixture.sync(LATE))).containsExactly(false);
+    }
+
+    /** Guards against a leader without the committed entries. */
+    @Test
+    void givesNoVoteToShorterOrOlderLog() {
+        fixture.receiveVoteRequest(LATE, "c2", 3, 1, 2);
+        fixture.receiveVoteRequest(LATE, "c2", 4, 9, 1);
+        assertThat(grants(fixture.sync(LATE))).containsExactly(false, false);
+    }
+
+    /** Guards against a leader that was elected by votes of identities that are no voters, such as a wiped member's. */
+    @Test
+    void countsNoVoteOfUnknownIdentity() {
+        while (fixture.core.role() != Role.CANDIDATE) {
+            fixture.core.tick(fixture.core.nextTick());
+        }
+        fixture.receiveVote(LATE, "c2#2", 3, true);
+        fixture.sync(LATE);
+        assertThat(fixture.core.term()).isEqualTo(2);
+        fixture.receiveVote(LATE, "c2#1", 3, true);
+        fixture.sync(LATE);
+        fixture.receiveVote(LATE, "c2#2", 3, false);
+        assertThat(fixture.core.role()).isEqualTo(Role.CANDIDATE);
+        fixture.receiveVote(LATE, "c2#1", 3, false);
+        assertThat(fixture.core.role()).isEqualTo(Role.LEADER);
+    }
+
+    private static List<Boolean> grants(List<GroupMessage> messages) {
+        return messages.stream()
+                .filter(GroupMessage::hasVoteReply)
+                .map(m -> m.getVoteReply().getGranted())
+                .toList();
+    }
+}
--- a/replication/src/test/java/org/ragwortrun/replication/internal/Schedule.java
+++ b/replication/src/test/java/org/ragwortrun/replication/internal/Schedule.java
@@ -52,6 +52,7 @@
     private long acknowledged;
     private int proposals;
     private boolean calm;
+    private boolean quiet;
     final Map<String, Integer> counts = new TreeMap<>();
 
     private record Action(long at, long order, Runnable body) {}
@@ -222,9 +223,16 @@
 
         private void deliver(Delivery delivery) {
             if (delivery instanceof Delivery.Snapshot s) {
+                // The state machine may take its time to read the snapshot.
+                int ofLife = life;
                 machine = parse(incomingState(s.meta()));
                 applied = s.meta().index();
                 sinceSnapshot = 0;
+                at((long) (random.nextDouble() * 30 * MS), () -> {
+                    if (life == ofLife) {
+                        core.snapshotRestored(s.meta().index());
+                    }
+                });
                 return;
             }
             boolean leads = core.role() == Role.LEADER;
@@ -401,7 +409,11 @@
 
     private void proposeLater() {
         at((long) (random.nextDouble() * 10 * MS), () -> {
-            boxes.values().forEach(Box::propose);
+            // While nothing is proposed, a member that hears no leader has a complete log and can win an election.
+            quiet = random.nextInt(30) == 0 ? !quiet : quiet;
+            if (!quiet || calm) {
+                boxes.values().forEach(Box::propose);
+            }
             proposeLater();
         });
     }
