Test member changes and leadership transfer rule by rule

Change: MemberChangesTest and TransferTest check these rules directly, and ElectionTest that a member that hears a leader gives no vote.

--- a/replication/src/test/java/org/ragwortrun/replication/internal/ElectionTest.java
+++ b/replication/src/test/java/org/ragwortrun/replication/internal/ElectionTest.java
@@ -4,6 +4,7 @@
 
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.ragwortrun.proto.AppendRequest;
 import org.ragwortrun.proto.GroupMessage;
 import org.ragwortrun.replication.GroupStatus.Role;
 
@@ -22,6 +23,27 @@
         assertThat(grants(fixture.sync(CoreFixture.TIMEOUT))).containsExactly(true);
     }
 
+    /** Guards against two leaders that hold a lease because a member votes while its answer supports the first. */
+    @Test
+    void givesNoVoteWhileItHearsALeader() {
+        long heard = LATE;
+        fixture.core.receive(
+                heard,
+                GroupMessage.newBuilder()
+                        .setFrom("c3")
+                        .setAppendRequest(AppendRequest.newBuilder()
+                                .setTerm(2)
+                                .setPreviousIndex(2)
+                                .setPreviousTerm(2)
+                                .setIdentity("c3#1"))
+                        .build());
+        fixture.sync(heard);
+        fixture.receiveVoteRequest(heard + CoreFixture.TIMEOUT - 1, "c2", 3, 9, 2);
+        assertThat(fixture.sync(heard + CoreFixture.TIMEOUT - 1)).isEmpty();
+        fixture.receiveVoteRequest(heard + CoreFixture.TIMEOUT, "c2", 3, 9, 2);
+        assertThat(grants(fixture.sync(heard + CoreFixture.TIMEOUT))).containsExactly(true);
+    }
+
     /** Guards against a vote that a crash makes the member forget, so that it votes twice in a term. */
     @Test
     void sendsNoVoteBeforeItIsSynced() {
--- /dev/null
+++ b/replication/src/test/java/org/ragwortrun/replication/internal/MemberChangesTest.java
@@ -0,0 +1,100 @@
+package org.ragwortrun.replication.internal;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.ragwortrun.proto.GroupMessage;
+import org.ragwortrun.proto.JoinRequest;
+import org.ragwortrun.proto.Member;
+
+final class MemberChangesTest {
+    private final CoreFixture fixture = new CoreFixture();
+    private final RaftCore core = fixture.core;
+    private long now;
+
+    /** Guards against two member changes at once, and against a member that votes before it has every entry. */
+    @Test
+    void replacesIdentityOneChangeAtATime() {
+        now = fixture.lead();
+        fixture.sync(now);
+        advance("c2#1", 3);
+        advance("c2#1", 3);
+        join("c3#2");
+        assertThat(members()).containsExactly("c1#1", "c2#1", "c3#1");
+        advance("c2#1", 3);
+        assertThat(members()).containsExactly("c1#1", "c2#1", "c3#1", "c3#2?");
+        ack("c3#2", 2);
+        assertThat(members()).contains("c3#1");
+        advance("c2#1", 4);
+        assertThat(core.commitIndex()).isEqualTo(4);
+        ack("c3#2", 2);
+        assertThat(members()).contains("c3#1");
+        ack("c3#2", 4);
+        assertThat(members()).containsExactly("c1#1", "c2#1", "c3#2?");
+        ack("c3#2", 5);
+        assertThat(members()).containsExactly("c1#1", "c2#1", "c3#2?");
+        advance("c2#1", 5);
+        advance("c3#2", 5);
+        assertThat(members()).containsExactly("c1#1", "c2#1", "c3#2");
+    }
+
+    /** Guards against a removal after which the remaining voters could commit nothing. */
+    @Test
+    void waitsUntilResultingQuorumIsActive() {
+        now = fixture.lead();
+        fixture.sync(now);
+        advance("c3#1", 3);
+        advance("c3#1", 3);
+        join("c2#2");
+        advance("c3#1", 3);
+        advance("c3#1", 4);
+        // Without c3, the removal of c2#1 would leave c1 alone in a set of two.
+        now += CoreFixture.TIMEOUT;
+        ack("c2#2", 4);
+        assertThat(members()).containsExactly("c1#1", "c2#1", "c3#1", "c2#2?");
+    }
+
+    /** Guards against a second process with the name of a member that works. */
+    @Test
+    void refusesNameOfActiveMember() {
+        now = fixture.lead();
+        fixture.sync(now);
+        advance("c2#1", 3);
+        join("c2#2");
+        advance("c2#1", 3);
+        assertThat(members()).containsExactly("c1#1", "c2#1", "c3#1");
+    }
+
+    private void join(String identity) {
+        Member member = Member.newBuilder()
+                .setName(identity.substring(0, 2))
+                .setIdentity(identity)
+                .build();
+        core.receive(
+                now,
+                GroupMessage.newBuilder()
+                        .setJoinRequest(JoinRequest.newBuilder().setMember(member))
+                        .build());
+    }
+
+    private void ack(String identity, long match) {
+        fixture.receiveAck(now, identity, match, now);
+        fixture.sync(now);
+    }
+
+    /** Lets half a timeout pass, in which one member acknowledges and a heartbeat is due. */
+    private void advance(String identity, long match) {
+        now += CoreFixture.TIMEOUT / 2;
+        ack(identity, match);
+        core.tick(now);
+        fixture.sync(now);
+    }
+
+    /** Returns the identities in the newest member set, with a question mark after learners. */
+    private List<String> members() {
+        return core.members().getMembersList().stream()
+                .map(m -> m.getIdentity() + (m.getVoter() ? "" : "?"))
+                .toList();
+    }
+}
--- /dev/null
+++ b/replication/src/test/java/org/ragwortrun/replication/internal/TransferTest.java
@@ -0,0 +1,31 @@
+package org.ragwortrun.replication.internal;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import org.junit.jupiter.api.Test;
+import org.ragwortrun.proto.GroupMessage;
+import org.ragwortrun.replication.GroupStatus.Role;
+
+final class TransferTest {
+    /** Guards against two holders of the lease while a leadership is handed over. */
+    @Test
+    void givesUpLeaseBeforeItAsksTheOther() {
+        CoreFixture fixture = new CoreFixture("c2");
+        long now = fixture.lead();
+        boolean asked = false;
+        for (int i = 0; i < 30 && !asked; i++) {
+            fixture.receiveAck(now, "c2#1", 3, now);
+            assertThat(fixture.core.leaseUntil(now)).isEqualTo(now + 800);
+            now += CoreFixture.TIMEOUT / 2;
+            fixture.core.tick(now);
+            asked = fixture.sync(now).stream().anyMatch(GroupMessage::hasTakeOver);
+        }
+        assertThat(asked).isTrue();
+        assertThat(fixture.core.role()).isEqualTo(Role.LEADER);
+        fixture.receiveAck(now, "c2#1", 3, now);
+        assertThat(fixture.core.leaseUntil(now)).isEqualTo(Progress.NEVER);
+        assertThat(fixture.core.proposalRoom()).isEqualTo(0);
+        fixture.core.tick(now + CoreFixture.TIMEOUT);
+        assertThat(fixture.core.role()).isEqualTo(Role.FOLLOWER);
+    }
+}
