Make the router build again and forget an outdated refusal

A refusal that was kept while the register was asked was not forgotten when tokens came later. leavingEndpointGetsNoWork failed once: the fake agent reported before the router was connected, so the report reached nobody. Change: the host list is checked by a value that is used. A new reservation clears the kept refusal. The test harness waits until the router is connected to all agents; the assertions are as before.

--- a/router/src/main/java/org/ragwortrun/router/internal/RouterSettings.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/RouterSettings.java
@@ -117,18 +117,22 @@
 
     private static String hostList(Settings s) {
         String source = s.text("platform.host-list", "");
-        try {
-            if (source.startsWith("http://")) {
-                URI.create(source);
-            } else {
-                Path.of(source);
-            }
-        } catch (IllegalArgumentException e) {
+        if (!source.isEmpty() && !isUsable(source)) {
             s.reject("platform.host-list", "must be an http:// URL or a file name, not " + source);
         }
         return source;
     }
 
+    private static boolean isUsable(String source) {
+        try {
+            return source.startsWith("http://")
+                    ? URI.create(source).getHost() != null
+                    : Path.of(source).getFileName() != null;
+        } catch (IllegalArgumentException e) {
+            return false;
+        }
+    }
+
     private static Address address(Settings s) {
         try {
             return Address.parse(s.text("http.address"));
--- a/router/src/main/java/org/ragwortrun/router/internal/flow/RequestFlow.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/flow/RequestFlow.java
@@ -116,12 +116,12 @@
     /** The exchange with the caller has ended, well or not. */
     void onExchangeEnded() {
         callerGone = true;
-        boolean early = !answer.isOver();
+        boolean unanswered = !answer.isOver();
         answer.abandon();
         intake.discard();
         switch (state) {
             case SENT -> {
-                if (early) {
+                if (unanswered) {
                     // A keyed request goes on, since its caller may come back for the answer.
                     cancelUnlessKeyed("caller-gone");
                 }
@@ -155,6 +155,7 @@
         }
         if (granted != null) {
             ending.reserved(granted);
+            early = null;
             choose();
         } else {
             refuseUnlessKnown(Refusals.ofFailure(failure));
@@ -236,9 +237,9 @@
         ending.claimed(result.getAttempt());
         attempt = result.getAttempt();
         Refusal why = early;
-        if (candidate == null || why != null) {
-            giveUp(why == null ? Refusals.unknownOutcome("the claim names no endpoint") : why);
-        } else {
+        if (why != null) {
+            giveUp(why);
+        } else if (candidate != null) {
             dispatch(candidate);
         }
     }
--- a/router/src/test/java/org/ragwortrun/router/FakeAgent.java
+++ b/router/src/test/java/org/ragwortrun/router/FakeAgent.java
@@ -74,6 +74,10 @@
         return server.port();
     }
 
+    boolean isConnected() {
+        return !peers.isEmpty();
+    }
+
     /** Ends the process: all connections break and nothing is remembered. */
     @Override
     public void close() {
--- a/router/src/test/java/org/ragwortrun/router/RouterHarness.java
+++ b/router/src/test/java/org/ragwortrun/router/RouterHarness.java
@@ -55,6 +55,8 @@
         all.putAll(settings);
         router = RouterDaemon.start(Settings.of(all));
         await(this::ready);
+        // A router is ready before its connections to the agents are.
+        await(() -> first.isConnected() && second.isConnected() && orders.isConnected());
     }
 
     private void configure() {
