--- a/ledger/src/main/java/org/ragwortrun/ledger/internal/BudgetAccount.java
+++ b/ledger/src/main/java/org/ragwortrun/ledger/internal/BudgetAccount.java
@@ -76,7 +76,8 @@
     /**
      * Answers a request for tokens.
      *
-     * <p>A copy of an earlier request gets the first answer. A copy whose grant has been used up gets amount 0.
+     * <p>A copy of a request gets the first answer. A copy gets amount 0 if its grant has been used up, or if it was
+     * refused and its router has made a newer request since.
      *
      * @param counter counter in the grant id; it rises with each new request of an incarnation
      */
@@ -159,11 +160,12 @@
             return rejected;
         }
         long total = Math.addExact(settled, usage.getTokens());
-        BudgetInvariant.check(prepaid, total, outstanding - usage.getTokens());
+        long taken = usage.getTokens() + usage.getReturned();
+        BudgetInvariant.check(prepaid, total, outstanding - taken);
         settled = total;
-        outstanding -= usage.getTokens();
+        outstanding -= taken;
         bills++;
-        store(grant.withSettled(usage.getTokens()));
+        store(grant.withSettled(taken));
         return Optional.empty();
     }
 
@@ -173,14 +175,13 @@
      */
     public boolean giveBack(Usage usage) {
         Grant grant = grants.get(usage.getGrantId());
-        if (grant == null
-                || !grant.incarnation().equals(usage.getIncarnation())
-                || usage.getTokens() < 0
-                || usage.getTokens() > grant.outstanding()) {
+        if (grant == null || !grant.incarnation().equals(usage.getIncarnation()) || !SettleRule.fits(usage, grant)) {
             return false;
         }
-        outstanding -= usage.getTokens();
-        store(grant.withSettled(usage.getTokens()));
+        long taken = usage.getTokens() + usage.getReturned();
+        BudgetInvariant.check(prepaid, settled, outstanding - taken);
+        outstanding -= taken;
+        store(grant.withSettled(taken));
         return true;
     }
 
--- a/ledger/src/test/java/org/ragwortrun/ledger/NaiveShard.java
+++ b/ledger/src/test/java/org/ragwortrun/ledger/NaiveShard.java
@@ -134,14 +134,14 @@
                 return answer(GrantResult.Outcome.GRANTED, g.left() > 0 ? g.amount : 0);
             }
         }
-        if (refused.containsKey(ask.getGrantId())) {
-            return answer(refused.get(ask.getGrantId()), 0);
-        }
         long count = Long.parseLong(ask.getGrantId().substring(ask.getGrantId().lastIndexOf('-') + 1));
         if (newest.merge(key(account, ask.getIncarnation()), count, Math::max) > count) {
-            // A newer request of the same router overtook this one.
+            // A newer request of the same router overtook this one or followed it.
             return answer(GrantResult.Outcome.GRANTED, 0);
         }
+        if (refused.containsKey(ask.getGrantId())) {
+            return answer(refused.get(ask.getGrantId()), 0);
+        }
         long available = prepaid(account) - settled(account) - held(account);
         if (available < ask.getMinimum()) {
             GrantResult.Outcome o = held(account) > 0 ? GrantResult.Outcome.HELD : GrantResult.Outcome.SPENT;
@@ -178,14 +178,14 @@
             String run = key(u.getBudget().getAccount(), u.getRequestId()) + u.getGrantId();
             if (isSecondRun && secondRuns.add(run)) {
                 grants.stream()
-                        .filter(g -> g.id.equals(u.getGrantId()) && g.left() >= u.getTokens())
-                        .forEach(g -> g.settled += u.getTokens());
+                        .filter(g -> g.id.equals(u.getGrantId()) && g.left() >= u.getTokens() + u.getReturned())
+                        .forEach(g -> g.settled += u.getTokens() + u.getReturned());
             }
             return "duplicate";
         }
         for (NaiveGrant g : grants) {
-            if (g.id.equals(u.getGrantId()) && g.left() > 0 && g.left() >= u.getTokens()) {
-                g.settled += u.getTokens();
+            if (g.id.equals(u.getGrantId()) && g.left() > 0 && g.left() >= u.getTokens() + u.getReturned()) {
+                g.settled += u.getTokens() + u.getReturned();
                 bills.put(key(u.getBudget().getAccount(), u.getRequestId()), u);
                 NaiveRequest r = requests.get(key(u.getBudget().getAccount(), u.getRequestId()));
                 if (r != null) {
