--- a/router/src/main/java/org/ragwortrun/router/internal/RouterSettings.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/RouterSettings.java
@@ -117,12 +117,19 @@
 
     private static String hostList(Settings s) {
         String source = s.text("platform.host-list", "");
+        if (!source.isEmpty() && !isUsable(source)) {
+            s.reject("platform.host-list", "must be an http:// URL or a file name, not " + source);
+        }
+        return source;
+    }
+
+    private static boolean isUsable(String source) {
         try {
-            Object target = source.startsWith("http://") ? URI.create(source) : Path.of(source);
-            return target.toString();
+            return source.startsWith("http://")
+                    ? URI.create(source).getHost() != null
+                    : Path.of(source).getFileName() != null;
         } catch (IllegalArgumentException e) {
-            s.reject("platform.host-list", "must be an http:// URL or a file name, not " + source);
-            return "";
+            return false;
         }
     }
 
