Count a router's silence from the end of its connection

Cause: an idle router that lost its connection counted as silent since its last request, so it could be fenced at once. Change: the end of a connection counts as a sign of life. Conclusion: fencing waits for the configured silence.

--- a/control/src/main/java/org/ragwortrun/control/internal/Peers.java
+++ b/control/src/main/java/org/ragwortrun/control/internal/Peers.java
@@ -39,8 +39,11 @@
         }
     }
 
+    /** Notes the end of a connection. Its daemon counts as heard until now, even if it had nothing to ask. */
     public void closed(Peer peer) {
-        open.remove(peer.hello().getIncarnation(), peer);
+        if (open.remove(peer.hello().getIncarnation(), peer)) {
+            heard(peer);
+        }
         if (lastSeenNanos.size() > MAX_ABSENT) {
             lastSeenNanos.keySet().retainAll(open.keySet());
         }
--- a/control/src/test/java/org/ragwortrun/control/internal/ControlNodeTest.java
+++ b/control/src/test/java/org/ragwortrun/control/internal/ControlNodeTest.java
@@ -228,7 +228,10 @@
         openSession(router, "r1@1");
         FakePeer agent = peer("e1", Role.AGENT);
         node.onConnected(agent);
+        // An idle router that is connected is not silent; its silence begins when the connection ends.
+        time.advance(FENCE_AFTER);
         router.open = false;
+        node.onClosed(router);
         time.advance(FENCE_AFTER.minusSeconds(1));
         assertThat(agent.staysWithout(Frame::hasFenceRouter)).isTrue();
         node.onFrame(
