--- a/standins/src/main/java/org/ragwortrun/standins/StandinService.java
+++ b/standins/src/main/java/org/ragwortrun/standins/StandinService.java
@@ -42,14 +42,11 @@
     private StandinService(ServiceOptions options) throws IOException {
         this.options = options;
         server = new StandinServer(options.host(), options.port(), (request, response, context) -> {
-            inFlight.incrementAndGet();
             try {
                 handle(request, response);
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
                 throw new IOException("interrupted", e);
-            } finally {
-                inFlight.decrementAndGet();
             }
         });
     }
@@ -113,11 +110,18 @@
             StandinServer.answer(response, 200, Map.of("version", options.version()));
         } else if ("/standin/record".equals(path)) {
             StandinServer.answer(response, 200, record());
+        } else if ("/standin/in-flight".equals(path)) {
+            StandinServer.answer(response, 200, Map.of("requests", inFlight.get()));
         } else if ("/standin/behaviour".equals(path)) {
             behaviour = Behaviour.of(StandinServer.json(request));
             StandinServer.answer(response, 200, Map.of());
         } else {
-            serve(request, response, path);
+            inFlight.incrementAndGet();
+            try {
+                serve(request, response, path);
+            } finally {
+                inFlight.decrementAndGet();
+            }
         }
     }
 
@@ -166,7 +170,9 @@
     }
 
     private Map<String, Object> run(ClassicHttpRequest request, byte[] body) {
-        String key = StandinServer.header(request, KEY_HEADER);
+        String named = StandinServer.header(request, KEY_HEADER);
+        // Agents name each request even where the service has no deduplication of its own.
+        String key = named.isEmpty() ? StandinServer.header(request, "X-Request-Id") : named;
         runs.computeIfAbsent(key, k -> new AtomicInteger()).incrementAndGet();
         return Map.of("order", orders.incrementAndGet(), "key", key, "bytes", body.length);
     }
