Close connections that meet themselves

Cause: TransportTest.reconnects failed twice on a busy machine because its port was in use. A client that reconnects to a free loopback port can be given the same port as source, connects to itself and keeps the port from the server. Ruled out: another test's server; the port had been bound by the test itself. Change: a connection whose ends are equal is closed, and the test listens again until it gets the port. Conclusion: the same could keep a restarted daemon from its port.

--- a/net/src/main/java/org/ragwortrun/net/internal/Connection.java
+++ b/net/src/main/java/org/ragwortrun/net/internal/Connection.java
@@ -50,6 +50,11 @@
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
         channel = ctx.channel();
+        if (ctx.channel().localAddress().equals(ctx.channel().remoteAddress())) {
+            // A connect to a free port of this host can meet itself, and would then keep the port from its server.
+            ctx.close();
+            return;
+        }
         ctx.writeAndFlush(Frame.newBuilder().setHello(own).build());
     }
 
--- a/net/src/test/java/org/ragwortrun/net/TransportTest.java
+++ b/net/src/test/java/org/ragwortrun/net/TransportTest.java
@@ -92,10 +92,26 @@
         FrameClient client = closer.register(transport.connect(address, (p, f) -> {}));
         awaitType(client, "one");
         server.close();
-        closer.register(transport.listen(address, (peer, f) -> peer.send(Replies.error(f, "two", ""))));
+        listenAgain(address);
         awaitType(client, "two");
     }
 
+    /** Listens on a port that a reconnecting client may hold for a moment. */
+    private void listenAgain(Address address) throws InterruptedException, TransportException {
+        long end = System.nanoTime() + TIMEOUT.toNanos();
+        while (true) {
+            try {
+                closer.register(transport.listen(address, (peer, f) -> peer.send(Replies.error(f, "two", ""))));
+                return;
+            } catch (TransportException e) {
+                if (System.nanoTime() > end) {
+                    throw e;
+                }
+                TimeUnit.MILLISECONDS.sleep(10);
+            }
+        }
+    }
+
     private static void awaitType(FrameClient client, String type) throws InterruptedException {
         long end = System.nanoTime() + TIMEOUT.toNanos();
         String seen = "";
