Watch a run under faults from outside, as callers, service and operator

Cause: no check looked at the promises from outside over a whole run. Change: bin/measure soak sends keyed questions and orders from four callers that repeat until the answer is final, applies faults after numbers of ended requests, reads statements all the time and compares with the service's own record. ConfigWatch tries a silent member again after 400 ms instead of 900 ms; a reused id is final at the router.

--- a/measure/src/main/java/org/ragwortrun/measure/Measurements.java
+++ b/measure/src/main/java/org/ragwortrun/measure/Measurements.java
@@ -5,6 +5,7 @@
 import org.ragwortrun.measure.budgets.BudgetsMeasure;
 import org.ragwortrun.measure.process.FootprintMeasurement;
 import org.ragwortrun.measure.process.OverheadMeasurement;
+import org.ragwortrun.measure.process.SoakMeasurement;
 import org.ragwortrun.measure.version.VersionsMeasurement;
 
 /** The measurements by name. */
@@ -16,6 +17,7 @@
                 "budgets", new BudgetsMeasure(),
                 "overhead", new OverheadMeasurement(),
                 "footprint", new FootprintMeasurement(),
+                "soak", new SoakMeasurement(),
                 "versions", new VersionsMeasurement()));
     }
 }
--- a/measure/src/main/java/org/ragwortrun/measure/demo/Demo.java
+++ b/measure/src/main/java/org/ragwortrun/measure/demo/Demo.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import org.ragwortrun.measure.fleet.Answer;
 import org.ragwortrun.measure.fleet.Caller;
+import org.ragwortrun.measure.fleet.ChatAnswer;
 import org.ragwortrun.measure.fleet.CommandResult;
 import org.ragwortrun.measure.fleet.Fleet;
 import org.ragwortrun.measure.fleet.FleetException;
--- a/measure/src/main/java/org/ragwortrun/measure/demo/ChatAnswer.java
+++ b/measure/src/main/java/org/ragwortrun/measure/fleet/ChatAnswer.java
@@ -1,18 +1,17 @@
-package org.ragwortrun.measure.demo;
+package org.ragwortrun.measure.fleet;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import org.ragwortrun.measure.fleet.Answer;
-import org.ragwortrun.measure.fleet.FleetException;
 
 /** Text and usage of a chat completion, streamed or not. */
-record ChatAnswer(String text, long totalTokens, boolean whole) {
+public record ChatAnswer(String text, long totalTokens, boolean whole) {
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final String DATA = "data: ";
     private static final String DONE = "[DONE]";
 
-    static ChatAnswer of(Answer answer, boolean stream) throws FleetException {
+    /** Reads an answer. */
+    public static ChatAnswer of(Answer answer, boolean stream) throws FleetException {
         try {
             return stream ? streamed(answer.body()) : unstreamed(JSON.readTree(answer.body()));
         } catch (JsonProcessingException e) {
--- a/net/src/main/java/org/ragwortrun/net/control/ConfigWatch.java
+++ b/net/src/main/java/org/ragwortrun/net/control/ConfigWatch.java
@@ -41,7 +41,9 @@
 public final class ConfigWatch implements AutoCloseable {
     private static final Logger LOG = LogManager.getLogger(ConfigWatch.class);
     private static final int META_GROUP = 0;
-    private static final Duration CALL_TIMEOUT = Duration.ofMillis(900);
+    // With a silently isolated leader a lease of 3 s leaves time for several tries at other members.
+    private static final Duration CALL_TIMEOUT = Duration.ofMillis(400);
+    private static final long RETRY_MS = 100;
     private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
 
     private final ControlClient control;
@@ -55,6 +57,9 @@
     private volatile @Nullable Configuration current;
     private volatile long leaseUntil;
     private volatile boolean leased;
+    private volatile boolean closed;
+    // Set while failed confirmations repeat themselves, so that they do not add up.
+    private volatile boolean retrying;
 
     /**
      * Creates a watch that is started by {@link #start}.
@@ -71,7 +76,7 @@
 
     /** Starts to confirm at a fixed interval. */
     public void start(Duration interval) {
-        timer.scheduleWithFixedDelay(this::confirm, 0, interval.toMillis(), TimeUnit.MILLISECONDS);
+        timer.scheduleWithFixedDelay(this::confirmUnlessRetrying, 0, interval.toMillis(), TimeUnit.MILLISECONDS);
     }
 
     /** Applies a frame that a control member pushed. Other frames are ignored. */
@@ -113,9 +118,16 @@
 
     @Override
     public void close() {
+        closed = true;
         leased = false;
     }
 
+    private void confirmUnlessRetrying() {
+        if (!retrying) {
+            confirm();
+        }
+    }
+
     private void confirm() {
         Configuration c = current;
         long number = c == null ? 0 : c.number();
@@ -126,7 +138,11 @@
                         CALL_TIMEOUT)
                 .whenComplete((reply, failure) -> {
                     if (reply != null && reply.hasHeartbeat()) {
+                        retrying = false;
                         onHeartbeat(reply.getHeartbeat(), number, sentAt);
+                    } else if (!closed) {
+                        retrying = true;
+                        timer.schedule(this::confirm, RETRY_MS, TimeUnit.MILLISECONDS);
                     }
                 });
     }
--- a/router/src/main/java/org/ragwortrun/router/internal/flow/RefusedRule.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/flow/RefusedRule.java
@@ -10,8 +10,10 @@
     static RefusedStep decide(RefusalReason reason, RunOutcome run) {
         return switch (reason) {
             case DUPLICATE_DISPATCH -> RefusedStep.ATTACH;
-            // No agent takes work of a fenced incarnation, and a request that crashes endpoints must not meet another.
-            case ROUTER_FENCED, REQUEST_CRASHES_ENDPOINTS, MALFORMED_REQUEST, REQUEST_TOO_LARGE -> RefusedStep.FINAL;
+            // No agent takes work of a fenced incarnation, a request that crashes endpoints must not meet another, and
+            // a reused id does not become a new one elsewhere.
+            case ROUTER_FENCED, REQUEST_CRASHES_ENDPOINTS, MALFORMED_REQUEST, REQUEST_TOO_LARGE, ID_REUSED ->
+                RefusedStep.FINAL;
             default ->
                 switch (run) {
                     case NOT_RUN -> RefusedStep.TRY_ANOTHER;
--- a/router/src/main/java/org/ragwortrun/router/internal/ledger/GrantClient.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/ledger/GrantClient.java
@@ -149,7 +149,7 @@
     }
 
     private void answered(RequestGrant ask, GrantResult result) {
-        pool.granted(ask, result);
+        pool.granted(ask, result).ifPresent(this::reduce);
         if (result.getOutcome() == GrantResult.Outcome.UNKNOWN_SESSION) {
             sessions.markFenced();
         }
