Test callers who leave and deadlines, and avoid a lock inversion

Cause: the early refusal of a request held the exchange's lock while it took the session's lock; HttpCore may take them in the other order. Two paths had no test. Change: the refusal is sent outside the lock. Tests for a caller who leaves and for the deadline of a route. The test now lets the endpoint go on, one token at a time. Conclusion: a caller who leaves while the endpoint is silent is noticed at the next token or at the deadline; this remains open.

--- a/router/src/main/java/org/ragwortrun/router/internal/http/CallerExchange.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/http/CallerExchange.java
@@ -149,11 +149,15 @@
     }
 
     /** Refuses before the request is whole. The connection is closed after the answer, as its input is not read. */
-    private synchronized void refuseEarly(Refusal refusal) {
-        if (answered) {
-            return;
+    private void refuseEarly(Refusal refusal) {
+        synchronized (this) {
+            if (answered) {
+                return;
+            }
+            answered = true;
+            closeAfter = true;
         }
-        closeAfter = true;
+        // Not under the lock: HttpCore may hold the session's lock while it releases this exchange.
         front.refuse(this, ownId, refusal);
         abort();
     }
--- a/router/src/test/java/org/ragwortrun/router/FakeAgent.java
+++ b/router/src/test/java/org/ragwortrun/router/FakeAgent.java
@@ -91,6 +91,12 @@
         readers.clear();
     }
 
+    /** Lets held runs go on by one token. */
+    void advance() {
+        holdAt += TOKEN;
+        readers.values().forEach(this::pump);
+    }
+
     /** Lets held runs go on. */
     void release() {
         holdAt = Long.MAX_VALUE;
--- a/router/src/test/java/org/ragwortrun/router/RouterHarness.java
+++ b/router/src/test/java/org/ragwortrun/router/RouterHarness.java
@@ -24,6 +24,7 @@
     static final String KEY = "key-1";
     static final String ACCOUNT = "dealer";
     static final String CHAT = "/v1/chat/completions";
+    static final String QUICK = "/v1/quick/chat/completions";
     static final String ORDERS = "/orders/place";
 
     final FakeControl control = new FakeControl();
@@ -65,6 +66,7 @@
         control.section("service", "assay", Map.of("kind", "model", "model", "gas", "version", "v1"));
         control.section("service", "orders", Map.of("kind", "plain", "version", "v1"));
         control.section("route", "chat", Map.of("service", "assay", "path", CHAT, "deadline", "20s"));
+        control.section("route", "quick", Map.of("service", "assay", "path", QUICK, "deadline", "500ms"));
         control.section(
                 "route",
                 "place",
--- a/router/src/test/java/org/ragwortrun/router/StopAndReadersTest.java
+++ b/router/src/test/java/org/ragwortrun/router/StopAndReadersTest.java
@@ -6,6 +6,7 @@
 import java.io.InputStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -66,6 +67,47 @@
         }
     }
 
+    /** Guards against an engine that goes on for a caller who has left. */
+    @Test
+    void callerWhoLeavesEndsItsRequest() throws Exception {
+        harness.first.text = "x".repeat(20_000);
+        harness.second.text = harness.first.text;
+        harness.first.holdAt = 10;
+        harness.second.holdAt = 10;
+        try (Socket caller = new Socket("127.0.0.1", harness.router.port())) {
+            String body = RouterHarness.chatBody(true, "x");
+            caller.getOutputStream()
+                    .write(("POST " + RouterHarness.CHAT + " HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "
+                                    + RouterHarness.KEY + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body)
+                            .getBytes(StandardCharsets.US_ASCII));
+            RouterHarness.await(() -> Math.max(harness.first.maxSent, harness.second.maxSent) == 10);
+        }
+        // The router notices a closed connection when it writes to it.
+        RouterHarness.await(() -> {
+            harness.first.advance();
+            harness.second.advance();
+            return harness.first.cancelled.size() + harness.second.cancelled.size() == 1;
+        });
+        harness.first.release();
+        harness.second.release();
+    }
+
+    /** Guards against a caller who waits past the deadline of the route. */
+    @Test
+    void deadlineEndsARequest() throws Exception {
+        harness.first.holdAt = 0;
+        harness.second.holdAt = 0;
+        HttpResponse<String> r = harness.send(harness.request(RouterHarness.QUICK)
+                .POST(HttpRequest.BodyPublishers.ofString(RouterHarness.chatBody(true, "x"))));
+        assertThat(r.statusCode()).isEqualTo(504);
+        assertThat(r.body()).contains("\"reason\":\"endpoint-timeout\"");
+        assertThat(r.body()).contains("\"run\":\"unknown\"");
+        assertThat(harness.first.cancelled.size() + harness.second.cancelled.size())
+                .isEqualTo(1);
+        harness.first.release();
+        harness.second.release();
+    }
+
     /** Guards against a planned stop that cuts off a stream, loses a bill or keeps a grant. */
     @Test
     void stopFinishesStreamsAndReturnsGrants() throws Exception {
