--- a/measure/src/main/java/org/ragwortrun/measure/Measurements.java
+++ b/measure/src/main/java/org/ragwortrun/measure/Measurements.java
@@ -6,6 +6,7 @@
 import org.ragwortrun.measure.process.FootprintMeasurement;
 import org.ragwortrun.measure.process.OverheadMeasurement;
 import org.ragwortrun.measure.process.SoakMeasurement;
+import org.ragwortrun.measure.replication.ReplicationMeasurement;
 import org.ragwortrun.measure.version.VersionsMeasurement;
 
 /** The measurements by name. */
@@ -17,6 +18,7 @@
                 "budgets", new BudgetsMeasure(),
                 "overhead", new OverheadMeasurement(),
                 "footprint", new FootprintMeasurement(),
+                "replication", new ReplicationMeasurement(),
                 "soak", new SoakMeasurement(),
                 "versions", new VersionsMeasurement()));
     }
--- /dev/null
+++ b/measure/src/main/java/org/ragwortrun/measure/replication/ReplicationMeasurement.java
@@ -0,0 +1,125 @@
+package org.ragwortrun.measure.replication;
+
+import com.sun.management.OperatingSystemMXBean;
+import java.io.IOException;
+import java.lang.management.ManagementFactory;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+import org.ragwortrun.core.error.RagwortrunException;
+import org.ragwortrun.measure.Bound;
+import org.ragwortrun.measure.FigureReport;
+import org.ragwortrun.measure.Measurement;
+import org.ragwortrun.measure.MeasurementException;
+
+/**
+ * Measures commits of 200-byte commands and the cost of idle groups with three members in one process on loopback.
+ *
+ * <p>Option {@code seconds} sets the length of each figure.
+ */
+public final class ReplicationMeasurement implements Measurement {
+    private static final int COMMAND_BYTES = 200;
+    private static final int BUSY_OUTSTANDING = 64;
+    private static final int MEMBERS = 3;
+    private static final List<Integer> IDLE_GROUPS = List.of(8, 32, 64);
+
+    @Override
+    public void run(long seed, Map<String, String> options, FigureReport report) throws MeasurementException {
+        long seconds = Long.parseLong(options.getOrDefault("seconds", "3"));
+        try {
+            Run run = new Run(seed, seconds, report);
+            for (int groups : List.of(1, 4, 16)) {
+                inFolder(folder -> run.commit(folder, groups));
+            }
+            for (int groups : IDLE_GROUPS) {
+                inFolder(folder -> run.idle(folder, groups));
+            }
+            report.covered("commits", run.commits);
+        } catch (IOException | RagwortrunException e) {
+            throw new MeasurementException(String.valueOf(e.getMessage()), e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new MeasurementException("interrupted", e);
+        }
+    }
+
+    /** One run with its length and its report. */
+    private static final class Run {
+        private final long seed;
+        private final long seconds;
+        private final FigureReport report;
+        private long commits;
+
+        Run(long seed, long seconds, FigureReport report) {
+            this.seed = seed;
+            this.seconds = seconds;
+            this.report = report;
+        }
+
+        void commit(Path folder, int groups) throws IOException, RagwortrunException, InterruptedException {
+            try (Trio trio = Trio.start(folder, groups)) {
+                // Not measured: lets the compiler and the file system settle.
+                load(trio, groups, BUSY_OUTSTANDING);
+                report("groups-" + groups + "-busy", load(trio, groups, BUSY_OUTSTANDING));
+                report("groups-" + groups + "-single", load(trio, groups, 1));
+            }
+        }
+
+        private Load load(Trio trio, int groups, int outstanding) throws InterruptedException {
+            Load load = new Load();
+            load.run(trio, groups, outstanding, COMMAND_BYTES, seconds, seed);
+            return load;
+        }
+
+        void idle(Path folder, int groups) throws IOException, RagwortrunException, InterruptedException {
+            try (Trio trio = Trio.start(folder, groups)) {
+                TimeUnit.SECONDS.sleep(seconds);
+                OperatingSystemMXBean system = (OperatingSystemMXBean) ManagementFactory.getOperatingSystemMXBean();
+                long cpu = system.getProcessCpuTime();
+                long bytes = trio.receivedBytes();
+                long start = System.nanoTime();
+                TimeUnit.SECONDS.sleep(2 * seconds);
+                double elapsed = (System.nanoTime() - start) / 1e9;
+                double cpuMicros = (system.getProcessCpuTime() - cpu) / 1e3 / elapsed;
+                line("idle-" + groups + "-groups-cpu-per-member", cpuMicros / MEMBERS, "us/s");
+                line(
+                        "idle-" + groups + "-groups-wire-all-members",
+                        (trio.receivedBytes() - bytes) / elapsed,
+                        "bytes/s");
+            }
+        }
+
+        private void report(String name, Load load) {
+            commits += load.commits();
+            line(name + "-commits", load.commitsPerSecond(), "1/s");
+            line(name + "-latency-p50", load.millisAt(50), "ms");
+            line(name + "-latency-p99", load.millisAt(99), "ms");
+        }
+
+        private void line(String name, double value, String unit) {
+            report.figure("replication-" + name, value, unit, Bound.none());
+        }
+    }
+
+    /** A part of the measurement that needs a folder of its own. */
+    private interface Part {
+        void run(Path folder) throws IOException, RagwortrunException, InterruptedException;
+    }
+
+    private static void inFolder(Part part) throws IOException, RagwortrunException, InterruptedException {
+        Path folder = Files.createTempDirectory("replication");
+        try {
+            part.run(folder);
+        } finally {
+            try (Stream<Path> files = Files.walk(folder)) {
+                for (Path f : files.sorted(Comparator.reverseOrder()).toList()) {
+                    Files.delete(f);
+                }
+            }
+        }
+    }
+}
--- a/measure/src/main/java/org/ragwortrun/measure/version/MoveRun.java
+++ b/measure/src/main/java/org/ragwortrun/measure/version/MoveRun.java
@@ -44,9 +44,17 @@
     }
 
     MoveOutcome run(VersionMove decisions) {
+        return run(decisions, (second, share, faults) -> {});
+    }
+
+    /** Runs the move and tells the observer each second of it. */
+    MoveOutcome run(VersionMove decisions, Observer observer) {
         boolean done = false;
         for (long second = -HISTORY_S; second < durationSeconds + watchSeconds; second++) {
             MoveDecision decision = decisions.decide(move.start().toEpochMilli() + second * MILLIS);
+            if (second >= 0) {
+                observer.second(second, decision.sharePermille(), shown);
+            }
             if (decision.state() == MoveState.MOVE_TAKEN_BACK) {
                 double delay = firstShown < 0 ? 0 : second - firstShown;
                 return new MoveOutcome(done, true, shown, received, total, delay, decision.reason());
@@ -102,4 +110,10 @@
                 .setLogLatencySum(row.getLogLatencySum() + log)
                 .setLogLatencySquareSum(row.getLogLatencySquareSum() + log * log);
     }
+
+    /** Hears the share and the requests that have met the fault so far. */
+    @FunctionalInterface
+    interface Observer {
+        void second(long second, int sharePermille, long shown);
+    }
 }
--- a/measure/src/main/java/org/ragwortrun/measure/version/VersionsMeasurement.java
+++ b/measure/src/main/java/org/ragwortrun/measure/version/VersionsMeasurement.java
@@ -1,5 +1,6 @@
 package org.ragwortrun.measure.version;
 
+import java.nio.file.Path;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
@@ -12,6 +13,7 @@
 import org.ragwortrun.measure.Bound;
 import org.ragwortrun.measure.FigureReport;
 import org.ragwortrun.measure.Measurement;
+import org.ragwortrun.measure.MeasurementException;
 import org.ragwortrun.routing.version.SequentialVersionMove;
 import org.ragwortrun.routing.version.TimedVersionMove;
 import org.ragwortrun.routing.version.VersionMove;
@@ -31,7 +33,12 @@
     private static final double TARGET = 0.99;
 
     @Override
-    public void run(long seed, Map<String, String> options, FigureReport report) {
+    public void run(long seed, Map<String, String> options, FigureReport report) throws MeasurementException {
+        String plot = options.getOrDefault("plot", "");
+        if (!plot.isEmpty()) {
+            plot(seed, Path.of(plot));
+            report.note("plot written");
+        }
         Tally sequential = tally(seed, SequentialVersionMove::new, report, "sequential");
         Tally naive = tally(seed, TimedVersionMove::new, report, "naive");
         report.covered("good_moves", sequential.good);
@@ -45,6 +52,18 @@
                 Bound.atMost(TRIAL_PERMILLE / 1000.0));
     }
 
+    /** Draws one move to a version whose fault begins late. */
+    private static void plot(long seed, Path file) throws MeasurementException {
+        UniformRandomProvider rng = RandomSource.SPLIT_MIX_64.create(seed);
+        long duration = DURATIONS_S[0];
+        Move move = new Move("move", "service", "old", "new", 1000, TRIAL_PERMILLE, START, START.plusSeconds(duration));
+        GeneratedVersion version = new GeneratedVersion(FaultKind.FAILS_LATE, 0.3, 1, 0.25, 0);
+        MovePlot plot = new MovePlot();
+        MoveOutcome outcome = new MoveRun(move, version, new Traffic(rng, 20), rng, duration, WATCH_S)
+                .run(new SequentialVersionMove(move), plot::add);
+        plot.write(file, "A version that begins to fail 30 % of requests after 7.5 min: " + outcome.reason());
+    }
+
     private static void figures(FigureReport report, String prefix, Tally tally, Bound target) {
         report.figure(prefix + "good_in_time", tally.goodShare(), "1", target);
         report.figure(prefix + "bad_taken_back", tally.badShare(), "1", target);
