Measure the slopes for the planned size

Cause: the capacity page needs slopes that are measured, not assumed. Change: bin/measure capacity fits the heap of a shard per budget and per request id, the heap of a daemon per client account, and the processor time of control per watching daemon, each over three sizes.

--- a/measure/src/main/java/org/ragwortrun/measure/Measurements.java
+++ b/measure/src/main/java/org/ragwortrun/measure/Measurements.java
@@ -3,6 +3,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import org.ragwortrun.measure.budgets.BudgetsMeasure;
+import org.ragwortrun.measure.capacity.CapacityMeasurement;
 import org.ragwortrun.measure.process.FootprintMeasurement;
 import org.ragwortrun.measure.process.OverheadMeasurement;
 import org.ragwortrun.measure.process.SoakMeasurement;
@@ -17,6 +18,7 @@
         return new TreeMap<>(Map.of(
                 "budgets", new BudgetsMeasure(),
                 "overhead", new OverheadMeasurement(),
+                "capacity", new CapacityMeasurement(),
                 "footprint", new FootprintMeasurement(),
                 "replication", new ReplicationMeasurement(),
                 "soak", new SoakMeasurement(),
--- a/measure/src/main/java/org/ragwortrun/measure/budgets/BudgetsMeasure.java
+++ b/measure/src/main/java/org/ragwortrun/measure/budgets/BudgetsMeasure.java
@@ -145,12 +145,12 @@
                     "differs-from-separate-ledger-without-faults",
                     share(calm, calmAdmitted, without, c -> true),
                     "percent",
-                    Bound.none());
+                    WITHOUT_FAULTS);
             figure(
                     "differs-from-separate-ledger-through-partition",
                     share(faulty, faultyAdmitted, through, c -> faulty.faults().duringPartition(c.atMicros())),
                     "percent",
-                    Bound.none());
+                    THROUGH_PARTITION);
             double requests = calm.calls().size() + faulty.calls().size();
             double messages =
                     without.links().controlMessages() + through.links().controlMessages();
