Refuse dispatches of content that crashes endpoints

Cause: routers received the fleet's crash suspects but never looked at them, so a request that crashes each endpoint was sent on to the next one. Change: SuspectRule is checked before each dispatch, first attempts and retries alike. ConfigWatch.isRefused looks one digest up without a copy of the list. Conclusion: a refused digest gets request-crashes-endpoints, 422, without a dispatch.

--- a/net/src/main/java/org/ragwortrun/net/control/ConfigWatch.java
+++ b/net/src/main/java/org/ragwortrun/net/control/ConfigWatch.java
@@ -111,6 +111,12 @@
         return new ArrayList<>(suspects.values());
     }
 
+    /** Returns whether requests with this content digest are refused because they crash endpoints. */
+    public synchronized boolean isRefused(ByteString digest) {
+        CrashReport suspect = suspects.get(digest);
+        return suspect != null && suspect.getRefused();
+    }
+
     @Override
     public void close() {
         leased = false;
--- a/router/src/main/java/org/ragwortrun/router/internal/Router.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/Router.java
@@ -32,6 +32,7 @@
 import org.ragwortrun.router.internal.evidence.EvidenceCollector;
 import org.ragwortrun.router.internal.flow.FlowServices;
 import org.ragwortrun.router.internal.flow.RequestFront;
+import org.ragwortrun.router.internal.flow.SuspectRule;
 import org.ragwortrun.router.internal.http.HttpFront;
 import org.ragwortrun.router.internal.http.ProblemWriter;
 import org.ragwortrun.router.internal.ledger.GrantClient;
@@ -128,6 +129,7 @@
                 settlements,
                 agents,
                 new TwoChoicesChooser(n -> random().nextInt(n)),
+                new SuspectRule(watch::isRefused),
                 new VersionPicker(),
                 new RetryPolicy(() -> random().nextDouble()),
                 buffers,
--- a/router/src/main/java/org/ragwortrun/router/internal/flow/EndpointSelection.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/flow/EndpointSelection.java
@@ -19,8 +19,13 @@
         this.request = request;
     }
 
+    /** Selects for an attempt. An answer that has started is continued by the version that started it. */
+    Optional<EndpointCandidate> select(boolean started, String version, Set<String> excluded) {
+        return started ? continuing(version, excluded) : first(excluded);
+    }
+
     /** Selects for a request whose answer has not started. Falls back to the main version if its own has no endpoint. */
-    Optional<EndpointCandidate> first(Set<String> excluded) {
+    private Optional<EndpointCandidate> first(Set<String> excluded) {
         Configuration configuration = configuration();
         return services.versions()
                 .pick(configuration, request.service(), request.id())
@@ -31,7 +36,7 @@
     }
 
     /** Selects for an answer that a version has started. */
-    Optional<EndpointCandidate> continuing(String version, Set<String> excluded) {
+    private Optional<EndpointCandidate> continuing(String version, Set<String> excluded) {
         Configuration configuration = configuration();
         return configuration.isBlocked(request.service().name(), version)
                 ? Optional.empty()
--- a/router/src/main/java/org/ragwortrun/router/internal/flow/FlowServices.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/flow/FlowServices.java
@@ -25,6 +25,7 @@
         SettlementQueue settlements,
         AgentPool agents,
         EndpointChooser chooser,
+        SuspectRule suspects,
         VersionPicker versions,
         RetryPolicy retries,
         BufferBudget buffers,
--- a/router/src/main/java/org/ragwortrun/router/internal/flow/RequestFlow.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/flow/RequestFlow.java
@@ -177,9 +177,12 @@
             reserve();
             return;
         }
-        // An answer that has started is continued by the version that started it.
-        Optional<EndpointCandidate> chosen =
-                intake.length() > 0 ? selection.continuing(report.version(), excluded) : selection.first(excluded);
+        Optional<Refusal> suspect = services.suspects().check(request.digest());
+        if (suspect.isPresent()) {
+            refuseUnlessKnown(suspect.get());
+            return;
+        }
+        Optional<EndpointCandidate> chosen = selection.select(intake.length() > 0, report.version(), excluded);
         if (chosen.isEmpty()) {
             retryOrRefuse(
                     "no-endpoint",
--- a/router/src/test/java/org/ragwortrun/router/FakeControl.java
+++ b/router/src/test/java/org/ragwortrun/router/FakeControl.java
@@ -1,5 +1,6 @@
 package org.ragwortrun.router;
 
+import com.google.protobuf.ByteString;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -14,6 +15,7 @@
 import org.ragwortrun.proto.ApplyTopUps;
 import org.ragwortrun.proto.BudgetRef;
 import org.ragwortrun.proto.ConfigUpdate;
+import org.ragwortrun.proto.CrashReport;
 import org.ragwortrun.proto.EvidenceRow;
 import org.ragwortrun.proto.Frame;
 import org.ragwortrun.proto.Heartbeat;
@@ -35,6 +37,7 @@
     volatile boolean shardsSilent;
     private final Map<Integer, ShardState> shards = new ConcurrentHashMap<>();
     private final List<Section> sections = new ArrayList<>();
+    private final List<CrashReport> suspects = new ArrayList<>();
     private volatile long number = 1;
 
     synchronized void section(String kind, String name, Map<String, String> properties) {
@@ -46,6 +49,14 @@
                 .build());
     }
 
+    synchronized void refuse(byte[] digest) {
+        suspects.add(CrashReport.newBuilder()
+                .setDigest(ByteString.copyFrom(digest))
+                .setRefused(true)
+                .build());
+        number++;
+    }
+
     synchronized void publish() {
         number++;
     }
@@ -111,6 +122,7 @@
         return ConfigUpdate.newBuilder()
                 .setNumber(number)
                 .addAllChanged(sections)
+                .addAllSuspects(suspects)
                 .build();
     }
 }
--- a/router/src/test/java/org/ragwortrun/router/RefusalDocumentsTest.java
+++ b/router/src/test/java/org/ragwortrun/router/RefusalDocumentsTest.java
@@ -11,9 +11,11 @@
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
+import org.ragwortrun.core.id.Digests;
 import org.ragwortrun.proto.Refused;
 import org.ragwortrun.proto.RunState;
 
@@ -102,6 +104,26 @@
         assertThat(again.statusCode()).isEqualTo(200);
     }
 
+    /** Guards against a request that goes on crashing endpoints after the fleet refuses its content. */
+    @Test
+    void contentThatCrashesEndpoints() throws Exception {
+        byte[] body = RouterHarness.chatBody(true, "deadly").getBytes(StandardCharsets.UTF_8);
+        harness.control.refuse(Digests.content("POST", RouterHarness.CHAT, body));
+        HttpResponse<String> r = harness.send(harness.chat(true, "deadly"));
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(4);
+        while (r.statusCode() != 422 && System.nanoTime() - end < 0) {
+            r = harness.send(harness.chat(true, "deadly"));
+        }
+        refused(r, 422, "request-crashes-endpoints", "not run");
+        int dispatches = harness.first.dispatches.size() + harness.second.dispatches.size();
+        refused(harness.send(harness.chat(true, "deadly")), 422, "request-crashes-endpoints", "not run");
+        HttpRequest.Builder keyed = harness.chat(true, "deadly").header("Idempotency-Key", RouterHarness.key("deadly"));
+        refused(harness.send(keyed), 422, "request-crashes-endpoints", "not run");
+        assertThat(harness.first.dispatches.size() + harness.second.dispatches.size())
+                .isEqualTo(dispatches);
+        assertThat(harness.send(harness.chat(true, "harmless")).statusCode()).isEqualTo(200);
+    }
+
     /** Guards against callers that hold a connection by sending their body byte by byte. */
     @Test
     void slowBody() throws Exception {
