--- a/routing/src/main/java/org/ragwortrun/routing/EndpointCandidate.java
+++ b/routing/src/main/java/org/ragwortrun/routing/EndpointCandidate.java
@@ -12,6 +12,7 @@
  * @param dataCenter data center
  * @param slots requests that it runs at a time
  * @param inFlight requests that this router has running there
+ * @param startedSinceReport requests that this router has started there since the latest report
  * @param load latest report of its agent
  */
 public record EndpointCandidate(
@@ -21,4 +22,17 @@
         String dataCenter,
         int slots,
         int inFlight,
-        Optional<LoadReport> load) {}
+        int startedSinceReport,
+        Optional<LoadReport> load) {
+    /** Creates a candidate whose report covers all requests in flight. */
+    public EndpointCandidate(
+            String name,
+            String agentIncarnation,
+            String version,
+            String dataCenter,
+            int slots,
+            int inFlight,
+            Optional<LoadReport> load) {
+        this(name, agentIncarnation, version, dataCenter, slots, inFlight, 0, load);
+    }
+}
