Eject endpoints that do worse than their peers

Cause: an endpoint that fails or is slow on a route went on getting its share of work. Ejections double from 10 s; more outliers than half mean a common cause and eject nobody; half or more of the candidates always stay. Conclusion: the decision is ready; the router does not use it yet.

--- /dev/null
+++ b/routing/src/test/java/org/ragwortrun/routing/OutlierEjectorTest.java
@@ -0,0 +1,88 @@
+package org.ragwortrun.routing;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.ragwortrun.core.time.Time;
+
+final class OutlierEjectorTest {
+    private static final long SECOND = 1_000_000_000L;
+    private static final long LATENCY = 50_000_000L;
+
+    private long now;
+    private final Time time = new Time() {
+        @Override
+        public long nanos() {
+            return now;
+        }
+
+        @Override
+        public long wallMillis() {
+            return now / 1_000_000;
+        }
+    };
+    private final OutlierEjector ejector = new PeerOutlierEjector(time);
+
+    /** Guards against work for an endpoint that fails or is slow while its peers are well. */
+    @Test
+    void ejectsTheOneThatFailsOrIsSlow() {
+        results(ejector, 6, Set.of(1), Set.of(4));
+        assertThat(admitted(ejector, 6)).containsExactly("e0", "e2", "e3", "e5").inOrder();
+    }
+
+    /** Guards against an outage of the router's own making when a dependency of all endpoints fails. */
+    @Test
+    void commonCauseEjectsNobody() {
+        OutlierEjector naive = new NaiveOutlierEjector(time);
+        for (OutlierEjector e : List.of(ejector, naive)) {
+            results(e, 4, Set.of(0, 1, 2, 3), Set.of());
+            results(e, 4, Set.of(0, 1, 2), Set.of());
+        }
+        assertThat(admitted(ejector, 4)).hasSize(4);
+        assertThat(admitted(naive, 4)).isEmpty();
+    }
+
+    /** Guards against ejections on several routes that together leave too few endpoints. */
+    @Test
+    void neverEjectsMoreThanHalf() {
+        results(ejector, 6, Set.of(0, 1), Set.of());
+        results(ejector, 6, Set.of(2, 3), Set.of());
+        assertThat(admitted(ejector, 6)).hasSize(3);
+        assertThat(admitted(ejector, 1)).containsExactly("e0");
+    }
+
+    /** Guards against an endpoint that returns at once after each of many ejections. */
+    @Test
+    void ejectionsGrow() {
+        for (int seconds : new int[] {10, 20, 40}) {
+            results(ejector, 3, Set.of(2), Set.of());
+            assertThat(admitted(ejector, 3)).hasSize(2);
+            now += seconds * SECOND - 1;
+            assertThat(admitted(ejector, 3)).hasSize(2);
+            now += 1;
+            assertThat(admitted(ejector, 3)).hasSize(3);
+        }
+    }
+
+    /** Sends results for one window and ends it. */
+    private void results(OutlierEjector ejector, int endpoints, Set<Integer> failing, Set<Integer> slow) {
+        for (int n = 0; n < 30 * endpoints; n++) {
+            int e = n % endpoints;
+            long latency = slow.contains(e) ? 5 * LATENCY : LATENCY;
+            ejector.onResult("assay", "chat", "e" + e, !failing.contains(e), latency);
+        }
+        now += 6 * SECOND;
+        admitted(ejector, endpoints);
+    }
+
+    private static List<String> admitted(OutlierEjector ejector, int endpoints) {
+        List<EndpointCandidate> all = IntStream.range(0, endpoints)
+                .mapToObj(i -> new EndpointCandidate("e" + i, "i", "v1", "a", 16, 0, Optional.empty()))
+                .toList();
+        return ejector.admissible(all).stream().map(EndpointCandidate::name).toList();
+    }
+}
