Use the load-aware chooser in the router

Cause: the router chose by its own work in flight alone. Change: the router builds LoadAwareChooser, tells it the output of each whole answer, and counts the requests started since the latest load report of an agent. Tested: mvn verify for router and what it depends on passes (88 s). Conclusion: other routers' load now counts; its effect on waiting time has not been measured.

--- a/router/src/main/java/org/ragwortrun/router/internal/Router.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/Router.java
@@ -47,8 +47,9 @@
 import org.ragwortrun.router.internal.request.RequestKeys;
 import org.ragwortrun.router.internal.request.RouteRule;
 import org.ragwortrun.routing.BufferBudget;
+import org.ragwortrun.routing.LoadAwareChooser;
+import org.ragwortrun.routing.OutputForecast;
 import org.ragwortrun.routing.RetryPolicy;
-import org.ragwortrun.routing.TwoChoicesChooser;
 import org.ragwortrun.routing.VersionPicker;
 
 /** Builds the parts of a router from its settings and ends them in order. */
@@ -128,7 +129,7 @@
                 new Register(shards, settings.registerTimeout()),
                 settlements,
                 agents,
-                new TwoChoicesChooser(n -> random().nextInt(n)),
+                new LoadAwareChooser(n -> random().nextInt(n), time, new OutputForecast()),
                 new SuspectRule(watch::isRefused),
                 new VersionPicker(),
                 new RetryPolicy(() -> random().nextDouble()),
--- a/router/src/main/java/org/ragwortrun/router/internal/agents/AgentLink.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/agents/AgentLink.java
@@ -22,6 +22,7 @@
 public final class AgentLink implements AutoCloseable {
     private final FrameClient client;
     private final AtomicInteger inFlight = new AtomicInteger();
+    private final AtomicInteger startedSinceReport = new AtomicInteger();
     private volatile Endpoint endpoint;
     private volatile @Nullable LoadReport load;
     private volatile @Nullable String lastIncarnation;
@@ -70,6 +71,7 @@
     /** Notes that a request was sent to the endpoint. */
     public void started() {
         inFlight.incrementAndGet();
+        startedSinceReport.incrementAndGet();
     }
 
     public void ended() {
@@ -92,6 +94,7 @@
                         e.dataCenter(),
                         e.slots(),
                         inFlight.get(),
+                        startedSinceReport.get(),
                         Optional.ofNullable(report)));
     }
 
@@ -132,6 +135,7 @@
                 return;
             }
             load = report;
+            startedSinceReport.set(0);
             if (report.getLeaving()) {
                 leavingIncarnation = incarnation;
             }
--- a/router/src/main/java/org/ragwortrun/router/internal/flow/RequestFlow.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/flow/RequestFlow.java
@@ -463,6 +463,7 @@
     private void onWhole(Finished finished) {
         Usage usage = finished.getUsage();
         report.used(usage.getTokens());
+        services.chooser().onOutput(request.route().name(), request.budget().getAccount(), usage.getOutputTokens());
         answer.head(Chunk.newBuilder().setStatus(finished.getStatus()).build());
         if (sent) {
             if (state != FlowState.DRAINING) {
