--- /dev/null
+++ b/measure/src/main/java/org/ragwortrun/measure/jmh/package-info.java
@@ -0,0 +1,5 @@
+/** JMH benchmarks. */
+@NullMarked
+package org.ragwortrun.measure.jmh;
+
+import org.jspecify.annotations.NullMarked;
