--- a/router/src/main/java/org/ragwortrun/router/internal/Router.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/Router.java
@@ -32,6 +32,7 @@
 import org.ragwortrun.router.internal.evidence.EvidenceCollector;
 import org.ragwortrun.router.internal.flow.FlowServices;
 import org.ragwortrun.router.internal.flow.RequestFront;
+import org.ragwortrun.router.internal.flow.SuspectRule;
 import org.ragwortrun.router.internal.http.HttpFront;
 import org.ragwortrun.router.internal.http.ProblemWriter;
 import org.ragwortrun.router.internal.ledger.GrantClient;
@@ -46,8 +47,9 @@
 import org.ragwortrun.router.internal.request.RequestKeys;
 import org.ragwortrun.router.internal.request.RouteRule;
 import org.ragwortrun.routing.BufferBudget;
+import org.ragwortrun.routing.LoadAwareChooser;
+import org.ragwortrun.routing.OutputForecast;
 import org.ragwortrun.routing.RetryPolicy;
-import org.ragwortrun.routing.TwoChoicesChooser;
 import org.ragwortrun.routing.VersionPicker;
 
 /** Builds the parts of a router from its settings and ends them in order. */
@@ -127,7 +129,8 @@
                 new Register(shards, settings.registerTimeout()),
                 settlements,
                 agents,
-                new TwoChoicesChooser(n -> random().nextInt(n)),
+                new LoadAwareChooser(n -> random().nextInt(n), time, new OutputForecast()),
+                new SuspectRule(watch::isRefused),
                 new VersionPicker(),
                 new RetryPolicy(() -> random().nextDouble()),
                 buffers,
