Spare the neighbours of a request that is known to crash endpoints

Cause: an agent reports every request of a crashed endpoint. A request that shared two crashes with a culprit was refused, also when the culprit had been refused before. A second crash by the same request at the same agent looked like a report that was sent again. Change: a crash at which a refused digest was present blames no other digest, and agents number their crashes. Result: the new test fails without the rule (the innocent digest is refused at the second crash) and passes with it. Conclusion: requests that share both first crashes are still refused together.

--- a/agent/src/main/java/org/ragwortrun/agent/internal/CrashLog.java
+++ b/agent/src/main/java/org/ragwortrun/agent/internal/CrashLog.java
@@ -15,6 +15,7 @@
  */
 final class CrashLog {
     private final Map<ByteString, CrashReport.Builder> failed = new LinkedHashMap<>();
+    private int crashes;
 
     void failed(Dispatch dispatch, String endpoint, String agentIncarnation, List<Dispatch> running) {
         note(dispatch, endpoint, agentIncarnation);
@@ -24,7 +25,10 @@
     /** Returns the reports if the endpoint crashed, and starts anew. */
     List<CrashReport> take() {
         List<CrashReport> reports = new ArrayList<>();
+        crashes++;
         failed.forEach((digest, report) -> {
+            // Tells a second crash by the same request from a report that is sent again.
+            report.setCrashes(crashes);
             failed.keySet().stream().filter(d -> !d.equals(digest)).forEach(report::addNeighbours);
             reports.add(report.build());
         });
@@ -48,7 +52,6 @@
                         .setRequestId(d.getRequestId())
                         .setAccount(d.getBudget().getAccount())
                         .setEndpoint(endpoint)
-                        .setAgentIncarnation(agentIncarnation)
-                        .setCrashes(1));
+                        .setAgentIncarnation(agentIncarnation));
     }
 }
--- a/ledger/src/main/java/org/ragwortrun/ledger/internal/Suspects.java
+++ b/ledger/src/main/java/org/ragwortrun/ledger/internal/Suspects.java
@@ -9,8 +9,8 @@
 /**
  * Requests during which endpoints crashed, by content digest.
  *
- * <p>Each crash counts once, however often it is reported. Only the digest that a report names is counted; its
- * neighbours merely shared the endpoint and are kept for the record.
+ * <p>Each crash counts once, however often it is reported. An agent reports every request that shared the endpoint. A
+ * crash at which a refused digest was present is explained by it and does not count against the others.
  */
 public final class Suspects {
     /** Crashes after which a request is refused for good. */
@@ -34,6 +34,9 @@
         if (counted.find(crash).isPresent()) {
             return false;
         }
+        if (isExplained(report)) {
+            return false;
+        }
         int crashes = reports.find(digest).map(CrashReport::getCrashes).orElse(0) + 1;
         counted.put(crash, CrashReport.getDefaultInstance(), nextNumber);
         counted.trim(MOST);
@@ -48,6 +51,12 @@
         return true;
     }
 
+    private boolean isExplained(CrashReport report) {
+        return report.getNeighboursList().stream()
+                .map(n -> reports.find(Digests.hex(n.toByteArray())))
+                .anyMatch(known -> known.map(CrashReport::getRefused).orElse(false));
+    }
+
     public Optional<CrashReport> find(byte[] digest) {
         return reports.find(Digests.hex(digest));
     }
--- a/ledger/src/test/java/org/ragwortrun/ledger/MetaStateTest.java
+++ b/ledger/src/test/java/org/ragwortrun/ledger/MetaStateTest.java
@@ -88,6 +88,31 @@
         assertThat(meta.number()).isEqualTo(2);
     }
 
+    /** Guards against blame on requests that share endpoints with one that is known to crash them. */
+    @Test
+    void sparesTheNeighboursOfARefusedRequest() {
+        ByteString culprit = ByteString.copyFromUtf8("d");
+        CrashReport alone = CrashReport.newBuilder()
+                .setDigest(culprit)
+                .setRequestId("q1")
+                .setEndpoint("e1")
+                .build();
+        crash(alone);
+        crash(alone.toBuilder().setCrashes(1).build());
+        assertThat(meta.suspect(culprit.toByteArray()).orElseThrow().getRefused())
+                .isTrue();
+        ByteString innocent = ByteString.copyFromUtf8("i");
+        for (int i = 0; i < 3; i++) {
+            crash(CrashReport.newBuilder()
+                    .setDigest(innocent)
+                    .setRequestId("q" + i)
+                    .setEndpoint("e" + i)
+                    .addNeighbours(culprit)
+                    .build());
+        }
+        assertThat(meta.suspect(innocent.toByteArray())).isEmpty();
+    }
+
     /** Guards against two load orders with the same fencing number. */
     @Test
     void fencingNumbersRise() throws IOException {
