Tell failed requests from lost answers in the watched run

One question ended with run state "ran" and without a bill. Trace: in a second run the refusal of such a question was endpoint-failed, "the endpoint ended early": the endpoint was killed in the answer while the other endpoint's agent was restarting, so nothing could resume it. By design an attempt that fails is not billed; only a lost answer of a finished run must be. Change: such requests are counted as FAILED and may have a bill or not; a refusal that says "ran" for another reason must still have exactly one. The report names each request that did not end with its answer. Conclusion: the check stays exact for every other outcome.

--- a/measure/src/main/java/org/ragwortrun/measure/process/RequestOutcome.java
+++ b/measure/src/main/java/org/ragwortrun/measure/process/RequestOutcome.java
@@ -10,6 +10,8 @@
     NOT_RUN,
     /** Refused as run, without the answer. */
     RAN,
+    /** Refused because the endpoint failed while it ran; carries no answer and no tokens are owed. */
+    FAILED,
     /** Refused with an unknown outcome, or never answered within the tries. */
     UNKNOWN
 }
--- a/measure/src/main/java/org/ragwortrun/measure/process/SoakMeasurement.java
+++ b/measure/src/main/java/org/ragwortrun/measure/process/SoakMeasurement.java
@@ -4,7 +4,9 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.time.Instant;
 import java.util.Map;
+import java.util.Queue;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -107,10 +109,10 @@
             String id = Instant.now().getEpochSecond() + "-soak-" + worker + "-" + i;
             int router = rng.nextInt(2);
             if (rng.nextInt(100) < ORDERS_PERCENT) {
-                observed.orders.put(id, caller.order(id, router));
+                observed.end(observed.orders, id, caller.order(id, router), caller);
             } else {
                 String prompt = "question " + seed + " " + worker + " " + i;
-                observed.questions.put(id, caller.ask(id, prompt, rng.nextBoolean(), router));
+                observed.end(observed.questions, id, caller.ask(id, prompt, rng.nextBoolean(), router), caller);
             }
             observed.ended.incrementAndGet();
         }
@@ -134,6 +136,7 @@
         report.covered("orders", observed.orders.size());
         report.covered("faults", faults.applied());
         report.covered("statements", watch.readings());
+        observed.refusals.forEach(report::note);
         for (RequestOutcome o : RequestOutcome.values()) {
             report.note("outcome " + o + " questions=" + observed.count(observed.questions, o) + " orders="
                     + observed.count(observed.orders, o));
@@ -151,13 +154,15 @@
         report.figure("unresolved", unresolved, "1", Bound.none());
     }
 
-    /** Bills beyond one for each answered request, or missing; an unresolved request may have been billed or not. */
+    /** Bills beyond one for each request that ran, or missing; one that failed or is unresolved may have a bill or not. */
     private static long mismatch(
             Observed observed, Map<String, RequestOutcome> requests, BudgetWatch watch, String service)
             throws FleetException {
         long bills = watch.budget(service).bills();
         long least = observed.count(requests, RequestOutcome.ANSWERED) + observed.count(requests, RequestOutcome.RAN);
-        long most = least + observed.count(requests, RequestOutcome.UNKNOWN);
+        long most = least
+                + observed.count(requests, RequestOutcome.FAILED)
+                + observed.count(requests, RequestOutcome.UNKNOWN);
         return Math.max(0, least - bills) + Math.max(0, bills - most);
     }
 
@@ -177,6 +182,14 @@
         private final Map<String, RequestOutcome> questions = new ConcurrentHashMap<>();
         private final Map<String, RequestOutcome> orders = new ConcurrentHashMap<>();
         private final AtomicLong ended = new AtomicLong();
+        private final Queue<String> refusals = new ConcurrentLinkedQueue<>();
+
+        void end(Map<String, RequestOutcome> requests, String id, RequestOutcome outcome, WatchedCaller caller) {
+            requests.put(id, outcome);
+            if (outcome != RequestOutcome.ANSWERED) {
+                refusals.add(id + " ended as " + outcome + " after " + caller.lastRefusal());
+            }
+        }
 
         long count(Map<String, RequestOutcome> requests, RequestOutcome outcome) {
             return requests.values().stream().filter(o -> o == outcome).count();
--- a/measure/src/main/java/org/ragwortrun/measure/process/WatchedCaller.java
+++ b/measure/src/main/java/org/ragwortrun/measure/process/WatchedCaller.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.util.concurrent.TimeUnit;
+import org.ragwortrun.core.refusal.RefusalReason;
 import org.ragwortrun.measure.fleet.Answer;
 import org.ragwortrun.measure.fleet.Caller;
 import org.ragwortrun.measure.fleet.ChatAnswer;
@@ -15,6 +16,7 @@
 /** A caller that repeats a request under its id, at changing routers, until the answer is final. */
 final class WatchedCaller {
     private static final ObjectMapper JSON = new ObjectMapper();
+    private static final String ENDPOINT_FAILED = RefusalReason.ENDPOINT_FAILED.code();
     private static final int TRIES = 40;
     private static final long PAUSE_MS = 250;
     private static final int MAX_TOKENS = 24;
@@ -22,11 +24,17 @@
 
     private final Fleet fleet;
     private final Caller caller = new Caller(SmallFleet.DEALER_KEY);
+    private volatile String lastRefusal = "";
 
     WatchedCaller(Fleet fleet) {
         this.fleet = fleet;
     }
 
+    /** Returns the last problem document that this caller got. */
+    String lastRefusal() {
+        return lastRefusal;
+    }
+
     RequestOutcome ask(String id, String prompt, boolean stream, int firstRouter) throws FleetException {
         String expected = ExpectedAnswer.to(prompt).text(MAX_TOKENS).strip();
         return repeat(firstRouter, router -> {
@@ -61,6 +69,7 @@
             }
             if (answer.status() > 0) {
                 last = refused(answer);
+                lastRefusal = answer.body();
                 boolean comeBack = !answer.header("Retry-After").isEmpty();
                 if (!comeBack) {
                     return last;
@@ -76,7 +85,10 @@
             JsonNode problem = JSON.readTree(answer.body());
             return switch (problem.path("run").asText()) {
                 case "not run" -> RequestOutcome.NOT_RUN;
-                case "ran" -> RequestOutcome.RAN;
+                case "ran" ->
+                    ENDPOINT_FAILED.equals(problem.path("reason").asText())
+                            ? RequestOutcome.FAILED
+                            : RequestOutcome.RAN;
                 default -> RequestOutcome.UNKNOWN;
             };
         } catch (JsonProcessingException e) {
