Return the refusal with the outcome of a watched request

Change: a call returns its outcome together with its last refusal. Conclusion: no change of what is checked.

--- a/measure/src/main/java/org/ragwortrun/measure/process/SoakMeasurement.java
+++ b/measure/src/main/java/org/ragwortrun/measure/process/SoakMeasurement.java
@@ -109,10 +109,10 @@
             String id = Instant.now().getEpochSecond() + "-soak-" + worker + "-" + i;
             int router = rng.nextInt(2);
             if (rng.nextInt(100) < ORDERS_PERCENT) {
-                observed.end(observed.orders, id, caller.order(id, router), caller);
+                observed.end(observed.orders, id, caller.order(id, router));
             } else {
                 String prompt = "question " + seed + " " + worker + " " + i;
-                observed.end(observed.questions, id, caller.ask(id, prompt, rng.nextBoolean(), router), caller);
+                observed.end(observed.questions, id, caller.ask(id, prompt, rng.nextBoolean(), router));
             }
             observed.ended.incrementAndGet();
         }
@@ -184,10 +184,10 @@
         private final AtomicLong ended = new AtomicLong();
         private final Queue<String> refusals = new ConcurrentLinkedQueue<>();
 
-        void end(Map<String, RequestOutcome> requests, String id, RequestOutcome outcome, WatchedCaller caller) {
-            requests.put(id, outcome);
-            if (outcome != RequestOutcome.ANSWERED) {
-                refusals.add(id + " ended as " + outcome + " after " + caller.lastRefusal());
+        void end(Map<String, RequestOutcome> requests, String id, EndedRequest request) {
+            requests.put(id, request.outcome());
+            if (request.outcome() != RequestOutcome.ANSWERED) {
+                refusals.add(id + " ended as " + request.outcome() + " after " + request.refusal());
             }
         }
 
--- a/measure/src/main/java/org/ragwortrun/measure/process/WatchedCaller.java
+++ b/measure/src/main/java/org/ragwortrun/measure/process/WatchedCaller.java
@@ -24,18 +24,12 @@
 
     private final Fleet fleet;
     private final Caller caller = new Caller(SmallFleet.DEALER_KEY);
-    private volatile String lastRefusal = "";
 
     WatchedCaller(Fleet fleet) {
         this.fleet = fleet;
     }
 
-    /** Returns the last problem document that this caller got. */
-    String lastRefusal() {
-        return lastRefusal;
-    }
-
-    RequestOutcome ask(String id, String prompt, boolean stream, int firstRouter) throws FleetException {
+    EndedRequest ask(String id, String prompt, boolean stream, int firstRouter) throws FleetException {
         String expected = ExpectedAnswer.to(prompt).text(MAX_TOKENS).strip();
         return repeat(firstRouter, router -> {
             Answer answer = caller.chat(fleet.url(router), SmallFleet.MODEL, prompt, MAX_TOKENS, stream, id);
@@ -52,24 +46,23 @@
         });
     }
 
-    RequestOutcome order(String id, int firstRouter) throws FleetException {
+    EndedRequest order(String id, int firstRouter) throws FleetException {
         String body = "{\"order\":\"" + id + "\"}";
         return repeat(firstRouter, router -> caller.post(fleet.url(router) + "/orders/place", body, id));
     }
 
-    private RequestOutcome repeat(int firstRouter, Attempt attempt) throws FleetException {
-        RequestOutcome last = RequestOutcome.UNKNOWN;
+    private EndedRequest repeat(int firstRouter, Attempt attempt) throws FleetException {
+        EndedRequest last = new EndedRequest(RequestOutcome.UNKNOWN, "");
         for (int i = 0; i < TRIES; i++) {
             Answer answer = attempt.at(ROUTERS[(firstRouter + i) % ROUTERS.length]);
             if (answer.status() == 200 || answer.status() == 201) {
-                return RequestOutcome.ANSWERED;
+                return new EndedRequest(RequestOutcome.ANSWERED, "");
             }
             if (answer.status() < 0) {
-                return RequestOutcome.WRONG;
+                return new EndedRequest(RequestOutcome.WRONG, answer.body());
             }
             if (answer.status() > 0) {
-                last = refused(answer);
-                lastRefusal = answer.body();
+                last = new EndedRequest(refused(answer), answer.body());
                 boolean comeBack = !answer.header("Retry-After").isEmpty();
                 if (!comeBack) {
                     return last;
