Name classes by the usual terms

Cause: a read-through found names that need explaining: RequestDesk, Outlet, Lane, World, Truth, Design. Change: RequestDispatcher, AnswerSubscriber, WaitQueue, GroupDuties, SimulatedSite, GroundTruth, GrantScheme, with their variables. Conclusion: no change of behaviour.

--- a/agent/src/main/java/org/ragwortrun/agent/internal/AgentProcess.java
+++ b/agent/src/main/java/org/ragwortrun/agent/internal/AgentProcess.java
@@ -52,7 +52,7 @@
     private final Transport transport;
     private final ControlClient control;
     private final ConfigWatch watch;
-    private final RequestDesk desk;
+    private final RequestDispatcher dispatcher;
     private final LoadReporter reporter;
     private final LoadOrders orders;
     private final FrameServer server;
@@ -87,7 +87,7 @@
                                         timing.dedupeRepeats(),
                                         timing.dedupePause().toMillis())));
         HealthMonitor[] health = new HealthMonitor[1];
-        desk = new RequestDesk(
+        dispatcher = new RequestDispatcher(
                 settings,
                 identity,
                 time,
@@ -95,16 +95,17 @@
                 watch::inForce,
                 watch::latest,
                 gate,
-                new RequestDesk.Ports(
+                new RequestDispatcher.Ports(
                         dialects,
                         control::call,
                         duty::offer,
                         () -> health[0].ask(),
                         report -> reportCrash(report, CRASH_REPORT_ATTEMPTS),
                         this::introduceAnew));
-        reporter = new LoadReporter(desk, time);
+        reporter = new LoadReporter(dispatcher, time);
         orders = new LoadOrders(endpoint, duty::offer);
-        health[0] = new HealthMonitor(endpoint, timer, this::isEngine, duty::offer, desk::onHealth, desk::onLoad);
+        health[0] = new HealthMonitor(
+                endpoint, timer, this::isEngine, duty::offer, dispatcher::onHealth, dispatcher::onLoad);
         server = listen();
         watch.start(CONFIRM_INTERVAL);
         health[0].start(timing.healthInterval().toMillis());
@@ -141,7 +142,7 @@
     }
 
     public long unsentBytes() {
-        return desk.totalUnsent();
+        return dispatcher.totalUnsent();
     }
 
     public String incarnation() {
@@ -154,7 +155,7 @@
             return;
         }
         Event.of("agent-leaving").with("name", settings.name()).info(LOG);
-        onDuty(desk::leave);
+        onDuty(dispatcher::leave);
         onDuty(reporter::tick);
         awaitIdle(settings.timing().stop().plus(SETTLE_GRACE));
         closer.close();
@@ -166,7 +167,7 @@
         try {
             while (System.nanoTime() - end < 0) {
                 CompletableFuture<Boolean> idle = new CompletableFuture<>();
-                onDuty(() -> idle.complete(desk.isIdle()));
+                onDuty(() -> idle.complete(dispatcher.isIdle()));
                 if (idle.completeOnTimeout(false, 1, TimeUnit.SECONDS).join()) {
                     return;
                 }
@@ -180,7 +181,7 @@
 
     private void queueTick() {
         onDuty(() -> {
-            desk.tick();
+            dispatcher.tick();
             if (++ticks % REPORT_TICKS == 0) {
                 reporter.tick();
             }
@@ -237,7 +238,7 @@
         public void onFrame(Peer peer, Frame frame) {
             switch (frame.getBodyCase()) {
                 case DISPATCH -> {
-                    if (!duty.offer(() -> desk.onDispatch(peer, frame))) {
+                    if (!duty.offer(() -> dispatcher.onDispatch(peer, frame))) {
                         Refusal refusal = Refusal.notRun(
                                 RefusalReason.OVERLOADED, "the agent's ring is full", Duration.ofSeconds(1));
                         peer.send(Frame.newBuilder()
@@ -246,18 +247,18 @@
                                 .build());
                     }
                 }
-                case ATTACH -> mustQueue(peer, () -> desk.onAttach(peer, frame));
+                case ATTACH -> mustQueue(peer, () -> dispatcher.onAttach(peer, frame));
                 case CREDIT ->
                     mustQueue(
                             peer,
-                            () -> desk.onCredit(
+                            () -> dispatcher.onCredit(
                                     peer, frame.getCall(), frame.getCredit().getBytes()));
                 case CANCEL ->
                     mustQueue(
                             peer,
-                            () -> desk.onCancel(
+                            () -> dispatcher.onCancel(
                                     peer, frame.getCall(), frame.getCancel().getReason()));
-                case REQUEST_QUERY -> mustQueue(peer, () -> desk.onQuery(peer, frame));
+                case REQUEST_QUERY -> mustQueue(peer, () -> dispatcher.onQuery(peer, frame));
                 default ->
                     Event.of("unexpected-frame")
                             .with("peer", peer.hello().getName())
@@ -270,7 +271,7 @@
         public void onClosed(Peer peer) {
             mustQueue(peer, () -> {
                 reporter.onClosed(peer);
-                desk.onClosed(peer);
+                dispatcher.onClosed(peer);
             });
         }
 
@@ -298,7 +299,7 @@
         public void onFrame(Peer peer, Frame frame) {
             switch (frame.getBodyCase()) {
                 case CONFIG_UPDATE -> watch.onPush(frame);
-                case FENCE_ROUTER -> duty.offer(() -> desk.onFence(peer, frame));
+                case FENCE_ROUTER -> duty.offer(() -> dispatcher.onFence(peer, frame));
                 case LOAD_ORDER -> duty.offer(() -> orders.onOrder(peer, frame));
                 default -> {
                     // Late replies of calls that have ended.
--- a/agent/src/main/java/org/ragwortrun/agent/internal/AnswerStore.java
+++ b/agent/src/main/java/org/ragwortrun/agent/internal/AnswerStore.java
@@ -50,8 +50,8 @@
             if (!expired && bytes <= maxBytes) {
                 return;
             }
-            e.request().outlets().removeIf(Outlet::isClosed);
-            if (e.request().outlets().isEmpty()) {
+            e.request().answerReaders().removeIf(AnswerSubscriber::isClosed);
+            if (e.request().answerReaders().isEmpty()) {
                 it.remove();
                 bytes -= e.bytes();
             }
--- a/agent/src/main/java/org/ragwortrun/agent/internal/Outlet.java
+++ b/agent/src/main/java/org/ragwortrun/agent/internal/AnswerSubscriber.java
@@ -5,7 +5,7 @@
 import org.ragwortrun.proto.Frame;
 
 /** One reader of an answer: a call of a router, with its credit and position. */
-final class Outlet {
+final class AnswerSubscriber {
     private static final int MAX_CHUNK = 16 << 10;
 
     private final Peer peer;
@@ -16,7 +16,7 @@
     private boolean headSent;
     private boolean closed;
 
-    Outlet(Peer peer, long call, RunningRequest request, long offset, long credit) {
+    AnswerSubscriber(Peer peer, long call, RunningRequest request, long offset, long credit) {
         this.peer = peer;
         this.call = call;
         this.request = request;
--- a/agent/src/main/java/org/ragwortrun/agent/internal/Ending.java
+++ b/agent/src/main/java/org/ragwortrun/agent/internal/Ending.java
@@ -37,7 +37,10 @@
             RunState run = produced ? RunState.RUN_RAN : RunState.RUN_UNKNOWN;
             // A connected router repeats or resumes the request, and the attempt that completes it carries the bill.
             return new Ending(
-                    failure, run, r.meter().billed(), produced && r.outlets().isEmpty());
+                    failure,
+                    run,
+                    r.meter().billed(),
+                    produced && r.answerReaders().isEmpty());
         }
         return plainFailure(r, failure);
     }
--- a/agent/src/main/java/org/ragwortrun/agent/internal/LoadReporter.java
+++ b/agent/src/main/java/org/ragwortrun/agent/internal/LoadReporter.java
@@ -13,7 +13,7 @@
     private static final long MAX_AGE_NANOS = 1_000_000_000L;
     private static final double NANOS_PER_SECOND = 1e9;
 
-    private final RequestDesk desk;
+    private final RequestDispatcher dispatcher;
     private final Time time;
     private final Set<Peer> routers = new LinkedHashSet<>();
     private @Nullable LoadReport last;
@@ -22,15 +22,15 @@
     private long tokensBefore;
     private double rate;
 
-    LoadReporter(RequestDesk desk, Time time) {
-        this.desk = desk;
+    LoadReporter(RequestDispatcher dispatcher, Time time) {
+        this.dispatcher = dispatcher;
         this.time = time;
         lastAt = time.nanos();
     }
 
     void onConnected(Peer peer) {
         routers.add(peer);
-        peer.send(frame(desk.load()));
+        peer.send(frame(dispatcher.load()));
     }
 
     void onClosed(Peer peer) {
@@ -39,11 +39,11 @@
 
     void tick() {
         long now = time.nanos();
-        LoadReport load = desk.load().build();
+        LoadReport load = dispatcher.load().build();
         if (load.equals(last) && now - lastAt < MAX_AGE_NANOS) {
             return;
         }
-        long tokens = desk.outputTokens();
+        long tokens = dispatcher.outputTokens();
         if (now > lastAt) {
             rate = (tokens - tokensBefore) * NANOS_PER_SECOND / (now - lastAt);
         }
--- a/agent/src/main/java/org/ragwortrun/agent/internal/Readers.java
+++ b/agent/src/main/java/org/ragwortrun/agent/internal/Readers.java
@@ -11,34 +11,34 @@
 
 /** Outlets of all answers by connection and call. */
 final class Readers {
-    private final Map<Peer, Map<Long, Outlet>> byPeer = new HashMap<>();
+    private final Map<Peer, Map<Long, AnswerSubscriber>> byPeer = new HashMap<>();
 
-    Outlet open(Peer peer, long call, RunningRequest r, long offset, long credit) {
-        Outlet outlet = new Outlet(peer, call, r, offset, credit);
-        byPeer.computeIfAbsent(peer, p -> new HashMap<>()).put(call, outlet);
-        r.outlets().add(outlet);
-        return outlet;
+    AnswerSubscriber open(Peer peer, long call, RunningRequest r, long offset, long credit) {
+        AnswerSubscriber reader = new AnswerSubscriber(peer, call, r, offset, credit);
+        byPeer.computeIfAbsent(peer, p -> new HashMap<>()).put(call, reader);
+        r.answerReaders().add(reader);
+        return reader;
     }
 
     @Nullable
-    Outlet find(Peer peer, long call) {
+    AnswerSubscriber find(Peer peer, long call) {
         return byPeer.getOrDefault(peer, Map.of()).get(call);
     }
 
-    void close(Outlet outlet) {
-        outlet.close();
-        outlet.request().outlets().remove(outlet);
-        Map<Long, Outlet> calls = byPeer.get(outlet.peer());
+    void close(AnswerSubscriber reader) {
+        reader.close();
+        reader.request().answerReaders().remove(reader);
+        Map<Long, AnswerSubscriber> calls = byPeer.get(reader.peer());
         if (calls != null) {
-            calls.remove(outlet.call());
+            calls.remove(reader.call());
             if (calls.isEmpty()) {
-                byPeer.remove(outlet.peer());
+                byPeer.remove(reader.peer());
             }
         }
     }
 
-    /** Returns the outlets of a connection. */
-    Collection<Outlet> of(Peer peer) {
+    /** Returns the answerReaders of a connection. */
+    Collection<AnswerSubscriber> of(Peer peer) {
         return List.copyOf(byPeer.getOrDefault(peer, Map.of()).values());
     }
 
--- a/agent/src/main/java/org/ragwortrun/agent/internal/RequestDesk.java
+++ b/agent/src/main/java/org/ragwortrun/agent/internal/RequestDispatcher.java
@@ -34,7 +34,7 @@
 import org.ragwortrun.proto.Usage;
 
 /** Owns the state of all requests of the agent. Every method runs on the request duty. */
-public final class RequestDesk {
+public final class RequestDispatcher {
     /** Ways out of the duty. */
     record Ports(
             EndpointPort endpoint,
@@ -44,7 +44,7 @@
             Consumer<CrashReport> crashes,
             Runnable renewed) {}
 
-    private static final Logger LOG = LogManager.getLogger(RequestDesk.class);
+    private static final Logger LOG = LogManager.getLogger(RequestDispatcher.class);
 
     private final AgentSettings settings;
     private final AgentIdentity identity;
@@ -74,7 +74,7 @@
     private long answeredAt;
     private AdmissionGate.@Nullable EndpointLoad engineLoad;
 
-    RequestDesk(
+    RequestDispatcher(
             AgentSettings settings,
             AgentIdentity identity,
             Time time,
@@ -153,31 +153,31 @@
     }
 
     void onCredit(Peer peer, long call, long bytes) {
-        Outlet outlet = readers.find(peer, call);
-        if (outlet != null) {
-            outlet.addCredit(bytes);
-            pump(outlet.request());
+        AnswerSubscriber reader = readers.find(peer, call);
+        if (reader != null) {
+            reader.addCredit(bytes);
+            pump(reader.request());
         }
     }
 
     void onCancel(Peer peer, long call, String reason) {
-        Outlet outlet = readers.find(peer, call);
-        if (outlet == null) {
+        AnswerSubscriber reader = readers.find(peer, call);
+        if (reader == null) {
             return;
         }
-        RunningRequest r = outlet.request();
-        boolean last = r.outlets().size() == 1;
+        RunningRequest r = reader.request();
+        boolean last = r.answerReaders().size() == 1;
         if (!last || r.isOver()) {
-            readers.close(outlet);
+            readers.close(reader);
             pump(r);
         } else if (r.state() == RunningRequest.State.QUEUED) {
             queue.remove(r);
             refuseAccepted(r, Refusal.notRun(RefusalReason.TOMBSTONE, "cancelled before it ran"));
         } else if (!r.isText() && !r.dispatch().getRepeatable()) {
             // It cannot be taken back, and its outcome must become known.
-            readers.close(outlet);
+            readers.close(reader);
         } else {
-            outlet.addCredit(Integer.MAX_VALUE);
+            reader.addCredit(Integer.MAX_VALUE);
             r.cancelCall();
             end(r, Ending.cancelled(r, reason));
         }
@@ -221,9 +221,9 @@
     }
 
     void onClosed(Peer peer) {
-        for (Outlet outlet : readers.of(peer)) {
-            readers.close(outlet);
-            pump(outlet.request());
+        for (AnswerSubscriber reader : readers.of(peer)) {
+            readers.close(reader);
+            pump(reader.request());
         }
     }
 
@@ -492,10 +492,10 @@
 
     /** Sends what the readers may receive, and reads on from the endpoint where there is room again. */
     private void pump(RunningRequest r) {
-        for (Outlet outlet : List.copyOf(r.outlets())) {
-            outlet.pump();
-            if (outlet.isClosed()) {
-                readers.close(outlet);
+        for (AnswerSubscriber reader : List.copyOf(r.answerReaders())) {
+            reader.pump();
+            if (reader.isClosed()) {
+                readers.close(reader);
             }
         }
         int limit = settings.limits().answerBytes();
@@ -573,7 +573,7 @@
     private void refuseAccepted(RunningRequest r, Refusal refusal) {
         metrics.refused(refusal.reason());
         r.refuse(refusal);
-        List.copyOf(r.outlets()).forEach(readers::close);
+        List.copyOf(r.answerReaders()).forEach(readers::close);
         retire(r);
     }
 
--- a/agent/src/main/java/org/ragwortrun/agent/internal/RunningRequest.java
+++ b/agent/src/main/java/org/ragwortrun/agent/internal/RunningRequest.java
@@ -35,7 +35,7 @@
     private final Meter meter;
     private final AnswerBuffer answer = new AnswerBuffer();
     private final TokenMarks marks = new TokenMarks();
-    private final List<Outlet> outlets = new ArrayList<>();
+    private final List<AnswerSubscriber> answerReaders = new ArrayList<>();
     private Dispatch dispatch;
     private State state = State.QUEUED;
     private AdmissionGate.@Nullable Place place;
@@ -116,8 +116,8 @@
         return headers;
     }
 
-    List<Outlet> outlets() {
-        return outlets;
+    List<AnswerSubscriber> answerReaders() {
+        return answerReaders;
     }
 
     Finished finished() {
@@ -139,7 +139,7 @@
     /** Returns the answer's bytes that the slowest reader has not received; 0 without readers. */
     long unsent() {
         long max = 0;
-        for (Outlet o : outlets) {
+        for (AnswerSubscriber o : answerReaders) {
             max = Math.max(max, answer.end() - o.next());
         }
         return max;
@@ -148,7 +148,7 @@
     /** Returns the offset up to which every reader has the answer. */
     long delivered() {
         long min = answer.end();
-        for (Outlet o : outlets) {
+        for (AnswerSubscriber o : answerReaders) {
             min = Math.min(min, o.next());
         }
         return min;
@@ -238,12 +238,12 @@
         }
         leave(State.REFUSED);
         refused = Refusals.toWire(refusal);
-        outlets.forEach(o -> o.send(Frame.newBuilder().setRefused(refused)));
-        outlets.forEach(Outlet::close);
+        answerReaders.forEach(o -> o.send(Frame.newBuilder().setRefused(refused)));
+        answerReaders.forEach(AnswerSubscriber::close);
     }
 
-    void finishOutlet(Outlet outlet) {
-        outlet.send(Frame.newBuilder().setFinished(finished));
+    void finishOutlet(AnswerSubscriber reader) {
+        reader.send(Frame.newBuilder().setFinished(finished));
     }
 
     /** Returns the start of the answer for the request register, if the request may not be repeated. */
--- a/measure/src/main/java/org/ragwortrun/measure/budgets/AgentModel.java
+++ b/measure/src/main/java/org/ragwortrun/measure/budgets/AgentModel.java
@@ -21,7 +21,7 @@
     private final EventQueue queue;
     private final Links links;
     private final OwnerModel owner;
-    private final Truth truth;
+    private final GroundTruth truth;
     private final Map<String, String> seen = new HashMap<>();
     private final Set<String> tombstones = new HashSet<>();
     private final Set<String> fenced = new HashSet<>();
@@ -29,7 +29,7 @@
     private final Map<String, Usage> unacknowledged = new LinkedHashMap<>();
     private final Set<String> toConfirm = new HashSet<>();
 
-    AgentModel(String name, int dataCenter, EventQueue queue, Links links, OwnerModel owner, Truth truth) {
+    AgentModel(String name, int dataCenter, EventQueue queue, Links links, OwnerModel owner, GroundTruth truth) {
         this.name = name;
         this.dataCenter = dataCenter;
         this.queue = queue;
--- a/measure/src/main/java/org/ragwortrun/measure/budgets/BudgetsMeasure.java
+++ b/measure/src/main/java/org/ragwortrun/measure/budgets/BudgetsMeasure.java
@@ -45,13 +45,13 @@
                 "partition-seconds",
                 (faulty.faults().healMicros() - faulty.faults().cutMicros()) / Scenario.SECOND);
         report.covered("requests-a-perfect-ledger-refuses", refusedByPerfect(calm, calmAdmitted));
-        for (Design design : List.of(Design.central(), Design.equalSplit(), Design.grants())) {
+        for (GrantScheme design : List.of(GrantScheme.central(), GrantScheme.equalSplit(), GrantScheme.grants())) {
             boolean isProduct = design.name().equals("grants");
-            World without = new World(calm, design).run();
-            World through = new World(faulty, design).run();
+            SimulatedSite without = new SimulatedSite(calm, design).run();
+            SimulatedSite through = new SimulatedSite(faulty, design).run();
             describe(report, design, without, through);
             if (isProduct) {
-                addBothAtOnce(report, both, new World(both, design).run());
+                addBothAtOnce(report, both, new SimulatedSite(both, design).run());
             }
             new Figures(report, isProduct ? "" : design.name() + "-", isProduct)
                     .add(without, through, calm, faulty, calmAdmitted, faultyAdmitted);
@@ -59,8 +59,8 @@
     }
 
     /** Adds figures of a run in which a router dies while the partition lasts, so that it cannot be fenced at once. */
-    private static void addBothAtOnce(FigureReport report, Scenario scenario, World world) {
-        Truth t = world.truth();
+    private static void addBothAtOnce(FigureReport report, Scenario scenario, SimulatedSite world) {
+        GroundTruth t = world.truth();
         report.note("partition and crash at once: false refusals " + t.falseRefusals());
         report.figure("both-at-once-overspend", t.overspend(), "tokens", ZERO);
         report.figure("both-at-once-double-bills", t.doubleBills(world.owner().shard()), "bills", ZERO);
@@ -78,7 +78,8 @@
         return scenario.calls().size() - admitted.size();
     }
 
-    private static void describe(FigureReport report, Design design, World without, World through) {
+    private static void describe(
+            FigureReport report, GrantScheme design, SimulatedSite without, SimulatedSite through) {
         report.note(
                 design.name() + " refusals without faults " + without.truth().refusals() + ", with faults "
                         + through.truth().refusals());
@@ -104,14 +105,14 @@
     /** Adds the figures of one design; only the product's design has bounds. */
     private record Figures(FigureReport report, String prefix, boolean bounded) {
         void add(
-                World without,
-                World through,
+                SimulatedSite without,
+                SimulatedSite through,
                 Scenario calm,
                 Scenario faulty,
                 Set<String> calmAdmitted,
                 Set<String> faultyAdmitted) {
-            Truth a = without.truth();
-            Truth b = through.truth();
+            GroundTruth a = without.truth();
+            GroundTruth b = through.truth();
             figure("overspend", Math.max(a.overspend(), b.overspend()), "tokens", ZERO);
             figure(
                     "double-bills",
@@ -167,7 +168,7 @@
             report.figure(prefix + name, value, unit, bounded ? bound : Bound.none());
         }
 
-        private static double share(Scenario s, Set<String> admitted, World world, Predicate<Call> window) {
+        private static double share(Scenario s, Set<String> admitted, SimulatedSite world, Predicate<Call> window) {
             List<Call> due = s.calls().stream()
                     .filter(window)
                     .filter(c -> admitted.contains(c.id()))
--- a/measure/src/main/java/org/ragwortrun/measure/budgets/Design.java
+++ b/measure/src/main/java/org/ragwortrun/measure/budgets/GrantScheme.java
@@ -8,23 +8,23 @@
  *
  * @param recalls whether the owner recalls grants before it refuses
  */
-record Design(String name, GrantPolicy policy, PoolSettings settings, boolean recalls) {
+record GrantScheme(String name, GrantPolicy policy, PoolSettings settings, boolean recalls) {
     private static final long NEVER = Long.MAX_VALUE / 2;
 
     /** Returns the product's design: grants by demand, with recall. */
-    static Design grants() {
-        return new Design("grants", GrantPolicy.demand(), PoolSettings.usual(), true);
+    static GrantScheme grants() {
+        return new GrantScheme("grants", GrantPolicy.demand(), PoolSettings.usual(), true);
     }
 
     /** Returns the baseline in which each request asks the owner. */
-    static Design central() {
+    static GrantScheme central() {
         PoolSettings atOnce = new PoolSettings(2_000, 10_000, NEVER, NEVER);
-        return new Design("central", GrantPolicy.exact(), atOnce, false);
+        return new GrantScheme("central", GrantPolicy.exact(), atOnce, false);
     }
 
     /** Returns the baseline in which each router has an equal part that never moves. */
-    static Design equalSplit() {
+    static GrantScheme equalSplit() {
         PoolSettings keep = new PoolSettings(2_000, NEVER, 0, NEVER);
-        return new Design("split", GrantPolicy.equalSplit(Scenario.DATA_CENTERS), keep, false);
+        return new GrantScheme("split", GrantPolicy.equalSplit(Scenario.DATA_CENTERS), keep, false);
     }
 }
--- a/measure/src/main/java/org/ragwortrun/measure/budgets/Truth.java
+++ b/measure/src/main/java/org/ragwortrun/measure/budgets/GroundTruth.java
@@ -14,7 +14,7 @@
 import org.ragwortrun.proto.StatementQuery;
 
 /** What really happened, seen from outside all processes. */
-final class Truth {
+final class GroundTruth {
     private final Map<BudgetRef, Long> prepaid = new HashMap<>();
     private final Map<BudgetRef, Long> spent = new HashMap<>();
     private final Map<String, BudgetRef> ran = new HashMap<>();
@@ -31,7 +31,7 @@
     private int ordersRunTwice;
     private int secondRuns;
 
-    Truth(EventQueue queue) {
+    GroundTruth(EventQueue queue) {
         this.queue = queue;
     }
 
--- a/measure/src/main/java/org/ragwortrun/measure/budgets/OwnerModel.java
+++ b/measure/src/main/java/org/ragwortrun/measure/budgets/OwnerModel.java
@@ -30,7 +30,7 @@
     private final Links links;
     private final GrantPolicy policy;
     private final boolean recalls;
-    private final Truth truth;
+    private final GroundTruth truth;
     private final Map<BudgetRef, Long> recalled = new HashMap<>();
     private final Set<String> fencing = new TreeSet<>();
     private ShardState shard;
@@ -40,7 +40,7 @@
     private long index;
     private boolean leading = true;
 
-    OwnerModel(EventQueue queue, Links links, GrantPolicy policy, boolean recalls, Truth truth, int dataCenter) {
+    OwnerModel(EventQueue queue, Links links, GrantPolicy policy, boolean recalls, GroundTruth truth, int dataCenter) {
         this.queue = queue;
         this.links = links;
         this.policy = policy;
--- a/measure/src/main/java/org/ragwortrun/measure/budgets/RouterModel.java
+++ b/measure/src/main/java/org/ragwortrun/measure/budgets/RouterModel.java
@@ -43,7 +43,7 @@
     private final OwnerModel owner;
     private final UniformRandomProvider random;
     private final Outcomes outcomes;
-    private final Truth truth;
+    private final GroundTruth truth;
     private final List<AgentModel> agents;
     private final GrantPool pool;
     private final Map<BudgetRef, List<Waiter>> waiters = new LinkedHashMap<>();
--- a/measure/src/main/java/org/ragwortrun/measure/budgets/World.java
+++ b/measure/src/main/java/org/ragwortrun/measure/budgets/SimulatedSite.java
@@ -9,7 +9,7 @@
 import org.ragwortrun.proto.BudgetRef;
 
 /** Routers, agents, owner, callers and balancer of one run. */
-final class World implements Fleet, Outcomes {
+final class SimulatedSite implements Fleet, Outcomes {
     private static final long SECOND = Scenario.SECOND;
     private static final long NOTICE = 2 * SECOND;
     private static final long RESTART = 2 * SECOND;
@@ -20,9 +20,9 @@
     private static final int AGENTS = 6;
 
     private final Scenario scenario;
-    private final Design design;
+    private final GrantScheme design;
     private final EventQueue queue = new EventQueue();
-    private final Truth truth = new Truth(queue);
+    private final GroundTruth truth = new GroundTruth(queue);
     private final UniformRandomProvider random;
     private final Links links;
     private final OwnerModel owner;
@@ -36,7 +36,7 @@
     private int callerRetries;
     private int brokenCalls;
 
-    World(Scenario scenario, Design design) {
+    SimulatedSite(Scenario scenario, GrantScheme design) {
         this.scenario = scenario;
         this.design = design;
         this.random = RandomSource.XO_RO_SHI_RO_128_PP.create(scenario.seed() + 7_919);
@@ -45,7 +45,7 @@
                 queue, links, design.policy(), design.recalls(), truth, random.nextInt(Scenario.DATA_CENTERS));
     }
 
-    World run() {
+    SimulatedSite run() {
         for (int i = 0; i < AGENTS; i++) {
             agents.add(new AgentModel("agent-" + i, i % Scenario.DATA_CENTERS, queue, links, owner, truth));
         }
@@ -173,7 +173,7 @@
         return falselyRefused;
     }
 
-    Truth truth() {
+    GroundTruth truth() {
         return truth;
     }
 
--- a/measure/src/main/java/org/ragwortrun/measure/budgets/Simulation.java
+++ b/measure/src/main/java/org/ragwortrun/measure/budgets/Simulation.java
@@ -10,4 +10,4 @@
         OwnerModel owner,
         List<AgentModel> agents,
         UniformRandomProvider random,
-        Truth truth) {}
+        GroundTruth truth) {}
--- a/replication/src/main/java/org/ragwortrun/replication/GroupHost.java
+++ b/replication/src/main/java/org/ragwortrun/replication/GroupHost.java
@@ -33,10 +33,10 @@
 import org.ragwortrun.proto.Frame;
 import org.ragwortrun.proto.GroupMessage;
 import org.ragwortrun.replication.internal.CoreSettings;
+import org.ragwortrun.replication.internal.GroupDuties;
 import org.ragwortrun.replication.internal.GroupRunner;
 import org.ragwortrun.replication.internal.GroupStorage;
 import org.ragwortrun.replication.internal.HostContext;
-import org.ragwortrun.replication.internal.Lane;
 import org.ragwortrun.replication.internal.RaftCore;
 import org.ragwortrun.replication.internal.Restored;
 
@@ -133,13 +133,13 @@
         Files.createDirectories(settings.folder());
         closer.register(lock(settings.folder()));
         closer.register(this::closeStorage);
-        List<Lane> lanes = new ArrayList<>();
-        for (int i = 0; i < Math.min(settings.lanes(), machines.size()); i++) {
-            lanes.add(Lane.start(i, machines.size(), closer));
+        List<GroupDuties> duties = new ArrayList<>();
+        for (int i = 0; i < Math.min(settings.duties(), machines.size()); i++) {
+            duties.add(GroupDuties.start(i, machines.size(), closer));
         }
         for (Map.Entry<Integer, StateMachine> e : new TreeMap<>(machines).entrySet()) {
-            Lane lane = lanes.get(groups.size() % lanes.size());
-            groups.put(e.getKey(), restore(e.getKey(), e.getValue(), time, lane));
+            GroupDuties own = duties.get(groups.size() % duties.size());
+            groups.put(e.getKey(), restore(e.getKey(), e.getValue(), time, own));
         }
         settings.members().forEach((name, address) -> {
             if (!name.equals(settings.name())) {
@@ -152,7 +152,7 @@
         timer.scheduleAtFixedRate(this::tick, 0, period, TimeUnit.MILLISECONDS);
     }
 
-    private GroupRunner restore(int group, StateMachine machine, Time time, Lane lane)
+    private GroupRunner restore(int group, StateMachine machine, Time time, GroupDuties duties)
             throws IOException, CorruptLogException {
         HostSettings settings = context.settings();
         LongSupplier clock = context.clock();
@@ -182,7 +182,7 @@
                 .with("cut_bytes", opened.cutBytes())
                 .with("ms", (clock.getAsLong() - start) / 1_000_000)
                 .info(LOG);
-        return new GroupRunner(group, context, raft, opened.storage(), machine, raft.lastIndex(), lane);
+        return new GroupRunner(group, context, raft, opened.storage(), machine, raft.lastIndex(), duties);
     }
 
     private FrameClient connect(Transport transport, Address address) {
--- a/replication/src/main/java/org/ragwortrun/replication/HostSettings.java
+++ b/replication/src/main/java/org/ragwortrun/replication/HostSettings.java
@@ -14,7 +14,7 @@
  * @param members addresses of all members by name, this one included
  * @param bootstrap names of the initial members; the first one creates the groups, see {@link GroupHost}
  * @param electionTimeout time without heartbeats after which followers may elect; the lease is 0.8 times as long
- * @param lanes number of duties of each kind (core, sync, apply) that share the groups
+ * @param duties number of duties of each kind (core, sync, apply) that share the groups
  * @param proposalRing commands that may wait in each group
  * @param snapshotEntries entries after which a snapshot is taken
  * @param snapshotBytes bytes of log after which a snapshot is taken
@@ -25,7 +25,7 @@
         Map<String, Address> members,
         List<String> bootstrap,
         Duration electionTimeout,
-        int lanes,
+        int duties,
         int proposalRing,
         long snapshotEntries,
         long snapshotBytes) {
@@ -62,20 +62,21 @@
 
     public HostSettings withElectionTimeout(Duration timeout) {
         return new HostSettings(
-                name, folder, members, bootstrap, timeout, lanes, proposalRing, snapshotEntries, snapshotBytes);
+                name, folder, members, bootstrap, timeout, duties, proposalRing, snapshotEntries, snapshotBytes);
     }
 
     public HostSettings withSnapshotLimits(long entries, long bytes) {
-        return new HostSettings(name, folder, members, bootstrap, electionTimeout, lanes, proposalRing, entries, bytes);
+        return new HostSettings(
+                name, folder, members, bootstrap, electionTimeout, duties, proposalRing, entries, bytes);
     }
 
     public HostSettings withProposalRing(int size) {
         return new HostSettings(
-                name, folder, members, bootstrap, electionTimeout, lanes, size, snapshotEntries, snapshotBytes);
+                name, folder, members, bootstrap, electionTimeout, duties, size, snapshotEntries, snapshotBytes);
     }
 
     public HostSettings withBootstrap(List<String> names) {
         return new HostSettings(
-                name, folder, members, names, electionTimeout, lanes, proposalRing, snapshotEntries, snapshotBytes);
+                name, folder, members, names, electionTimeout, duties, proposalRing, snapshotEntries, snapshotBytes);
     }
 }
--- a/replication/src/main/java/org/ragwortrun/replication/internal/GroupRunner.java
+++ b/replication/src/main/java/org/ragwortrun/replication/internal/GroupRunner.java
@@ -25,7 +25,7 @@
 import org.ragwortrun.replication.ReplicatedGroup;
 import org.ragwortrun.replication.StateMachine;
 
-/** Runs the core, the storage and the state machine of one group on the duties of a lane. */
+/** Runs the core, the storage and the state machine of one group on its duties. */
 public final class GroupRunner implements ReplicatedGroup {
     private static final Logger LOG = LogManager.getLogger(GroupRunner.class);
     /** Largest command in bytes, so that it fits into a frame with its envelope. */
@@ -83,7 +83,7 @@
             GroupStorage storage,
             StateMachine machine,
             long replayTo,
-            Lane lane) {
+            GroupDuties duties) {
         this.group = group;
         this.host = host;
         this.core = core;
@@ -97,9 +97,9 @@
         applier = new Applier(group, machine, core.snapshot(), waiting, host, replayTo);
         view = View.of(core, host.clock().getAsLong());
         nextTick = core.nextTick();
-        coreTask = new Task(lane.core(), () -> guard("core", this::step));
-        syncTask = new Task(lane.sync(), () -> guard("sync", this::sync));
-        applyTask = new Task(lane.apply(), () -> guard("apply", this::apply));
+        coreTask = new Task(duties.core(), () -> guard("core", this::step));
+        syncTask = new Task(duties.sync(), () -> guard("sync", this::sync));
+        applyTask = new Task(duties.apply(), () -> guard("apply", this::apply));
     }
 
     @Override
--- a/router/src/main/java/org/ragwortrun/router/internal/ledger/GrantClient.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/ledger/GrantClient.java
@@ -48,7 +48,7 @@
     private final ScheduledExecutorService timer;
     private final Duration timeout;
     private final Supplier<List<String>> agents;
-    private final Map<BudgetRef, Lane> lanes = new ConcurrentHashMap<>();
+    private final Map<BudgetRef, WaitQueue> queues = new ConcurrentHashMap<>();
     private final BooleanSupplier settled;
     private final HeldReservations held;
     private final AtomicInteger open = new AtomicInteger();
@@ -89,8 +89,8 @@
             return CompletableFuture.completedFuture(new Handle(r.reservation()));
         }
         Waiter waiter = new Waiter(budget, tokens);
-        Lane lane = lanes.compute(budget, (b, known) -> {
-            Lane l = known == null ? new Lane() : known;
+        WaitQueue queue = queues.compute(budget, (b, known) -> {
+            WaitQueue l = known == null ? new WaitQueue() : known;
             l.add(waiter);
             return l;
         });
@@ -98,8 +98,8 @@
         if (result instanceof ReserveResult.NeedMore more) {
             request(more);
         }
-        // The answer to an earlier request may have come before the waiter stood in the lane.
-        lane.serve(null, null).forEach(this::request);
+        // The answer to an earlier request may have come before the waiter stood in the queue.
+        queue.serve(null, null).forEach(this::request);
         return waiter.result;
     }
 
@@ -126,8 +126,8 @@
         pool.returnsDue();
         pool.unacknowledgedReturns().ifPresent(this::reduce);
         pool.unansweredRequests().forEach(this::ask);
-        for (BudgetRef budget : lanes.keySet()) {
-            lanes.computeIfPresent(budget, (b, lane) -> lane.isEmpty() ? null : lane);
+        for (BudgetRef budget : queues.keySet()) {
+            queues.computeIfPresent(budget, (b, queue) -> queue.isEmpty() ? null : queue);
         }
     }
 
@@ -153,17 +153,17 @@
         if (result.getOutcome() == GrantResult.Outcome.UNKNOWN_SESSION) {
             sessions.markFenced();
         }
-        Lane lane = lanes.get(ask.getBudget());
-        if (lane == null) {
+        WaitQueue queue = queues.get(ask.getBudget());
+        if (queue == null) {
             return;
         }
-        List<ReserveResult.NeedMore> more = lane.serve(ask, result);
+        List<ReserveResult.NeedMore> more = queue.serve(ask, result);
         boolean granted = result.getOutcome() == GrantResult.Outcome.GRANTED;
         for (ReserveResult.NeedMore m : more) {
             if (granted) {
                 request(m);
             } else {
-                long pause = PAUSE_MS * Math.min(MAX_PAUSES, 1 + lane.heldAnswers());
+                long pause = PAUSE_MS * Math.min(MAX_PAUSES, 1 + queue.heldAnswers());
                 timer.schedule(() -> request(m), pause, TimeUnit.MILLISECONDS);
             }
         }
@@ -193,9 +193,9 @@
 
     /** Serves requests that wait, since tokens of their budget have become free. */
     private void freed(BudgetRef budget) {
-        Lane lane = lanes.get(budget);
-        if (lane != null) {
-            lane.serve(null, null).forEach(this::request);
+        WaitQueue queue = queues.get(budget);
+        if (queue != null) {
+            queue.serve(null, null).forEach(this::request);
         }
         pool.returnsDue(budget).ifPresent(this::reduce);
     }
@@ -298,7 +298,7 @@
     }
 
     /** The requests that wait for tokens of one budget, in the order of their arrival. */
-    private static final class Lane {
+    private static final class WaitQueue {
         private final List<Waiter> waiters = new ArrayList<>();
 
         synchronized void add(Waiter waiter) {
--- a/router/src/main/java/org/ragwortrun/router/internal/ledger/SettlementQueue.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/ledger/SettlementQueue.java
@@ -39,7 +39,7 @@
     private final String reporter;
     private final Duration closeTimeout;
     private final Time time;
-    private final Map<Integer, Lane> lanes = new ConcurrentHashMap<>();
+    private final Map<Integer, WaitQueue> queues = new ConcurrentHashMap<>();
     private final AtomicInteger pending = new AtomicInteger();
 
     /**
@@ -60,9 +60,9 @@
     /** Queues the usage of one finished request. */
     public void add(Usage usage) {
         int group = shards.of(usage.getBudget());
-        Lane lane = lanes.computeIfAbsent(group, Lane::new);
+        WaitQueue queue = queues.computeIfAbsent(group, WaitQueue::new);
         pending.incrementAndGet();
-        if (!lane.waiting.offer(usage)) {
+        if (!queue.waiting.offer(usage)) {
             pending.decrementAndGet();
             Event.of("settlement-dropped").with("request", usage.getRequestId()).warn(LOG);
         }
@@ -86,17 +86,17 @@
     }
 
     private void sendAll() {
-        lanes.values().forEach(Lane::send);
+        queues.values().forEach(WaitQueue::send);
     }
 
     /** Reports for one shard; one batch is under way at a time. */
-    private final class Lane {
+    private final class WaitQueue {
         private final int group;
         private final BlockingQueue<Usage> waiting = new ArrayBlockingQueue<>(RING);
         private final List<Usage> sent = new ArrayList<>();
         private @Nullable CompletableFuture<ShardResult> call;
 
-        Lane(int group) {
+        WaitQueue(int group) {
             this.group = group;
         }
 
