Share the evidence over alternatives between the two tests

Cause: FailureTest and LatencyTest each kept an array of detectors, fed it in a loop and took the largest value less the price of the alternatives. Change: MixtureEvidence holds that logic once; both tests pass their likelihood ratio. Conclusion: no change of behaviour.

--- a/routing/src/main/java/org/ragwortrun/routing/version/FailureTest.java
+++ b/routing/src/main/java/org/ragwortrun/routing/version/FailureTest.java
@@ -1,8 +1,5 @@
 package org.ragwortrun.routing.version;
 
-import java.util.Arrays;
-import java.util.stream.IntStream;
-
 /**
  * Tests whether the new version fails more often than the old one.
  *
@@ -23,9 +20,7 @@
     // With intervals of 5 s the weights of recent requests add up to about one minute.
     private static final double RECENT_DECAY = 11.0 / 12;
 
-    private final RestartingEvidence[] evidence = IntStream.range(0, ODDS.length)
-            .mapToObj(i -> new RestartingEvidence())
-            .toArray(RestartingEvidence[]::new);
+    private final MixtureEvidence evidence = new MixtureEvidence(ODDS);
     private double failures = PRIOR_FAILURES;
     private double requests = PRIOR_REQUESTS;
     private double recentFailures;
@@ -41,19 +36,12 @@
             return;
         }
         double rate = referenceRate(older);
-        for (int i = 0; i < ODDS.length; i++) {
-            evidence[i].add(logRatio(newer, rate, ODDS[i]));
-        }
+        evidence.add(odds -> logRatio(newer, rate, odds));
     }
 
     @Override
     public double logEvidence() {
-        double best = Arrays.stream(evidence)
-                .mapToDouble(RestartingEvidence::logValue)
-                .max()
-                .orElse(Double.NEGATIVE_INFINITY);
-        // The mean of the alternatives is a valid test; its largest term bounds it from below.
-        return best - Math.log(ODDS.length);
+        return evidence.logValue();
     }
 
     private double referenceRate(Sample older) {
--- a/routing/src/main/java/org/ragwortrun/routing/version/LatencyTest.java
+++ b/routing/src/main/java/org/ragwortrun/routing/version/LatencyTest.java
@@ -1,8 +1,5 @@
 package org.ragwortrun.routing.version;
 
-import java.util.Arrays;
-import java.util.stream.IntStream;
-
 /**
  * Tests whether the new version is slower than the old one by more than a tolerance.
  *
@@ -24,9 +21,7 @@
     private static final double HISTORY_VARIANCE = 0.01;
 
     private final boolean oneLoadBand;
-    private final RestartingEvidence[] evidence = IntStream.range(0, SHIFTS.length)
-            .mapToObj(i -> new RestartingEvidence())
-            .toArray(RestartingEvidence[]::new);
+    private final MixtureEvidence evidence = new MixtureEvidence(SHIFTS);
     private Sample history = Sample.EMPTY;
     private Sample newerTotal = Sample.EMPTY;
 
@@ -50,11 +45,7 @@
 
     @Override
     public double logEvidence() {
-        double best = Arrays.stream(evidence)
-                .mapToDouble(RestartingEvidence::logValue)
-                .max()
-                .orElse(Double.NEGATIVE_INFINITY);
-        return best - Math.log(SHIFTS.length);
+        return evidence.logValue();
     }
 
     private void addNewer(Sample newer, Sample older) {
@@ -72,8 +63,6 @@
     }
 
     private void add(double excess, double variance) {
-        for (int i = 0; i < SHIFTS.length; i++) {
-            evidence[i].add(SHIFTS[i] * (excess - SHIFTS[i] / 2) / variance);
-        }
+        evidence.add(shift -> shift * (excess - shift / 2) / variance);
     }
 }
