--- a/cli/src/main/java/org/ragwortrun/cli/internal/DaemonCommand.java
+++ b/cli/src/main/java/org/ragwortrun/cli/internal/DaemonCommand.java
@@ -2,12 +2,11 @@
 
 import java.nio.file.Path;
 import java.util.List;
-import java.util.concurrent.CountDownLatch;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.Options;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.ragwortrun.core.concurrent.Closer;
+import org.ragwortrun.core.concurrent.StopSignal;
 import org.ragwortrun.core.error.RagwortrunException;
 import org.ragwortrun.core.log.Event;
 import org.ragwortrun.core.settings.Settings;
@@ -73,30 +72,10 @@
             Event.of("start-failed").with("daemon", name).with("type", e.type()).error(LOG, e);
             return ExitCode.REFUSED;
         }
-        runUntilStopped(daemon);
+        StopSignal.runUntilStopped(daemon, ExitCode.DONE.number());
         return ExitCode.DONE;
     }
 
-    private static void runUntilStopped(AutoCloseable daemon) {
-        CountDownLatch stopped = new CountDownLatch(1);
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(daemon, stopped), "stop"));
-        try {
-            stopped.await();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
-
-    private static void stop(AutoCloseable daemon, CountDownLatch stopped) {
-        Closer closer = new Closer();
-        closer.register(daemon);
-        closer.close();
-        stopped.countDown();
-        LogManager.shutdown();
-        // A stop by SIGTERM is not a failure; without this the process would exit with 143.
-        Runtime.getRuntime().halt(ExitCode.DONE.number());
-    }
-
     /** Starts a daemon from its settings. */
     @FunctionalInterface
     interface Starter {
--- a/control/src/main/java/org/ragwortrun/control/ControlDaemon.java
+++ b/control/src/main/java/org/ragwortrun/control/ControlDaemon.java
@@ -1,10 +1,12 @@
 package org.ragwortrun.control;
 
 import java.time.Duration;
+import java.util.Optional;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.ragwortrun.control.internal.ControlNode;
 import org.ragwortrun.control.internal.ControlSettings;
+import org.ragwortrun.control.internal.EndpointDirectory;
 import org.ragwortrun.control.internal.HostedGroups;
 import org.ragwortrun.control.internal.LeaderView;
 import org.ragwortrun.core.concurrent.Closer;
@@ -19,6 +21,7 @@
 import org.ragwortrun.net.Peer;
 import org.ragwortrun.net.Transport;
 import org.ragwortrun.net.control.ControlClient;
+import org.ragwortrun.net.control.EndpointSource;
 import org.ragwortrun.proto.Frame;
 import org.ragwortrun.proto.Hello;
 import org.ragwortrun.proto.Role;
@@ -27,6 +30,8 @@
 public final class ControlDaemon implements AutoCloseable {
     private static final Logger LOG = LogManager.getLogger(ControlDaemon.class);
     private static final int NETWORK_THREADS = 2;
+    // Three reads fit into the 2 s that are left of a drain bound of 3 s after the list's own lag.
+    private static final Duration ENDPOINT_INTERVAL = Duration.ofMillis(600);
     private static final Duration LONGEST_STOP = Duration.ofSeconds(2);
 
     private final Closer closer = new Closer();
@@ -34,7 +39,8 @@
     private final ControlNode node;
     private final FrameServer server;
 
-    private ControlDaemon(ControlSettings settings, Time time, MoveDriver moves) throws RagwortrunException {
+    private ControlDaemon(ControlSettings settings, Time time, MoveDriver moves, Optional<EndpointSource> endpoints)
+            throws RagwortrunException {
         boolean started = false;
         try {
             Hello own = Hello.newBuilder()
@@ -51,6 +57,8 @@
             node = closer.register(
                     new ControlNode(settings, time, groups.meta(), groups.shards(), new LeaderView(client), moves));
             addGauges(metrics);
+            endpoints.ifPresent(source -> closer.register(
+                    EndpointDirectory.start(time, source, groups.meta(), node.peers(), ENDPOINT_INTERVAL)));
             server = closer.register(transport.listen(settings.listen(), new Handler(groups, node)));
             started = true;
         } finally {
@@ -71,7 +79,18 @@
      * @throws RagwortrunException if the settings, the files or the address cannot be used
      */
     public static ControlDaemon start(Settings settings) throws RagwortrunException {
-        return new ControlDaemon(ControlSettings.read(settings), Time.system(), new EvidenceMoveDriver());
+        return new ControlDaemon(
+                ControlSettings.read(settings), Time.system(), new EvidenceMoveDriver(), Optional.empty());
+    }
+
+    /**
+     * Starts a member that reads a list of endpoints for the routers while it leads.
+     *
+     * @throws RagwortrunException if the settings, the files or the address cannot be used
+     */
+    public static ControlDaemon start(Settings settings, EndpointSource endpoints) throws RagwortrunException {
+        return new ControlDaemon(
+                ControlSettings.read(settings), Time.system(), new EvidenceMoveDriver(), Optional.of(endpoints));
     }
 
     private void addGauges(Metrics metrics) {
--- a/control/src/main/java/org/ragwortrun/control/internal/ConfigurationCache.java
+++ b/control/src/main/java/org/ragwortrun/control/internal/ConfigurationCache.java
@@ -49,7 +49,7 @@
 
     private Parsed parse(MetaSnapshot s) {
         try {
-            Configuration c = Configuration.of(s.number(), s.sections(), s.moves(), s.decisions());
+            Configuration c = Configuration.of(s.number(), s.sections(), s.moves(), s.decisions(), s.orderedMoves());
             return new Parsed(s, c, topUps(c));
         } catch (ConfigurationException e) {
             Event.of("configuration-unreadable").with("number", s.number()).error(LOG, e);
@@ -65,6 +65,12 @@
                     .setAccount(b.account())
                     .setService(b.service())
                     .build();
+            b.total()
+                    .ifPresent(tokens -> list.add(TopUp.newBuilder()
+                            .setBudget(ref)
+                            .setTokens(tokens)
+                            .setTotal(true)
+                            .build()));
             b.topUps()
                     .forEach((id, tokens) -> list.add(TopUp.newBuilder()
                             .setBudget(ref)
--- a/control/src/main/java/org/ragwortrun/control/internal/ControlNode.java
+++ b/control/src/main/java/org/ragwortrun/control/internal/ControlNode.java
@@ -59,6 +59,11 @@
         peers.connected(peer);
     }
 
+    /** Returns the daemons that are connected to this member. */
+    public Peers peers() {
+        return peers;
+    }
+
     /** Refuses further requests as if this member were a follower, so that callers go to the others. */
     public void drain() {
         draining = true;
@@ -75,7 +80,7 @@
         }
         switch (frame.getBodyCase()) {
             case SHARD_REQUEST, FENCE_CONFIRMED -> shardService.offer(peer, frame);
-            case PUBLISH, WATCH, CONFIRM, MOVES_QUERY, CONFIG_QUERY, EVIDENCE, CRASH_REPORT ->
+            case PUBLISH, WATCH, CONFIRM, MOVES_QUERY, CONFIG_QUERY, START_MOVE, EVIDENCE, CRASH_REPORT ->
                 metaService.offer(peer, frame);
             case STATUS_QUERY -> metaService.status(peer, frame, status());
             default ->
--- a/control/src/main/java/org/ragwortrun/control/internal/ControlSettings.java
+++ b/control/src/main/java/org/ragwortrun/control/internal/ControlSettings.java
@@ -21,7 +21,7 @@
  * @param listen address on which this member listens
  * @param folder data folder
  * @param shards number of shard groups
- * @param bootstrap names of the initial members
+ * @param bootstrap names of the initial members, empty for a member that joins groups that exist
  * @param configLease configuration lease of a daemon
  * @param routerFenceAfter silence after which a router's incarnation is fenced
  * @param idRetention time for which request ids are remembered
@@ -59,7 +59,7 @@
                 address(s, "control.listen"),
                 Path.of(s.text("storage.folder")),
                 (int) s.number("cluster.shards", 4, 1, MAX_SHARDS),
-                s.list("cluster.bootstrap"),
+                s.optionalList("cluster.bootstrap"),
                 duration(s, "control.config-lease", "3s", "500ms", "60s"),
                 duration(s, "control.router-fence-after", "600s", "1s", "7d"),
                 duration(s, "control.id-retention", "24h", "1m", "24h"),
--- a/control/src/main/java/org/ragwortrun/control/internal/HostedMetaGroup.java
+++ b/control/src/main/java/org/ragwortrun/control/internal/HostedMetaGroup.java
@@ -3,6 +3,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.ragwortrun.core.time.Time;
 import org.ragwortrun.ledger.MetaState;
+import org.ragwortrun.proto.ConfigReply;
 import org.ragwortrun.proto.ConfigUpdate;
 import org.ragwortrun.proto.MetaCommand;
 import org.ragwortrun.proto.MetaResult;
@@ -39,6 +40,11 @@
         return snapshots.current();
     }
 
+    @Override
+    public ConfigReply configuration() {
+        return state.configuration();
+    }
+
     @Override
     public ConfigUpdate updateFrom(long number) {
         return state.updateFrom(number);
--- a/control/src/main/java/org/ragwortrun/control/internal/MetaGroup.java
+++ b/control/src/main/java/org/ragwortrun/control/internal/MetaGroup.java
@@ -1,6 +1,7 @@
 package org.ragwortrun.control.internal;
 
 import java.util.concurrent.CompletableFuture;
+import org.ragwortrun.proto.ConfigReply;
 import org.ragwortrun.proto.ConfigUpdate;
 import org.ragwortrun.proto.MetaCommand;
 import org.ragwortrun.proto.MetaResult;
@@ -15,6 +16,9 @@
 
     MetaSnapshot snapshot();
 
+    /** Returns the configuration that this member has applied, with the document that it was published as. */
+    ConfigReply configuration();
+
     /** Returns the change that brings a daemon from a number, 0 for none, to the state that this member has applied. */
     ConfigUpdate updateFrom(long number);
 
--- a/control/src/main/java/org/ragwortrun/control/internal/MetaService.java
+++ b/control/src/main/java/org/ragwortrun/control/internal/MetaService.java
@@ -12,13 +12,14 @@
 import org.ragwortrun.core.time.Time;
 import org.ragwortrun.net.Peer;
 import org.ragwortrun.net.Replies;
-import org.ragwortrun.proto.ConfigReply;
 import org.ragwortrun.proto.Frame;
 import org.ragwortrun.proto.Heartbeat;
 import org.ragwortrun.proto.MetaCommand;
 import org.ragwortrun.proto.MetaResult;
 import org.ragwortrun.proto.MovesReply;
 import org.ragwortrun.proto.PublishReply;
+import org.ragwortrun.proto.ReadBarrier;
+import org.ragwortrun.proto.StartMove;
 import org.ragwortrun.proto.StatusReply;
 
 /**
@@ -94,7 +95,8 @@
             case WATCH -> watchers.add(peer, request);
             case CONFIRM -> confirm(peer, request);
             case MOVES_QUERY -> reply(peer, request, Replies.to(request).setMovesReply(moves(group.snapshot())));
-            case CONFIG_QUERY -> reply(peer, request, Replies.to(request).setConfigReply(config(group.snapshot())));
+            case CONFIG_QUERY -> afterBarrier(peer, request);
+            case START_MOVE -> startMove(peer, request);
             case EVIDENCE -> {
                 moves.onEvidence(peer.hello(), request.getEvidence());
                 acknowledge(peer, request);
@@ -169,6 +171,43 @@
         }
     }
 
+    /**
+     * Answers a read of the configuration once an entry proposed after it is committed. A lease alone would let a host
+     * that was suspended, whose clock stood still meanwhile, answer with an old configuration.
+     */
+    private void afterBarrier(Peer peer, Frame request) {
+        group.propose(MetaCommand.newBuilder().setReadBarrier(ReadBarrier.getDefaultInstance()))
+                .whenComplete((result, failure) -> {
+                    if (failure == null) {
+                        peer.send(Replies.to(request)
+                                .setConfigReply(group.configuration())
+                                .build());
+                    } else {
+                        peer.send(Failures.of(request, group, failure));
+                    }
+                });
+    }
+
+    private void startMove(Peer peer, Frame request) {
+        StartMove order = request.getStartMove();
+        group.propose(MetaCommand.newBuilder().setStartMove(order)).whenComplete((result, failure) -> {
+            if (result == null || failure != null) {
+                Throwable cause = failure == null ? new IllegalStateException("no result") : failure;
+                peer.send(Failures.of(request, group, cause));
+                return;
+            }
+            Event.of("move-ordered")
+                    .with("service", order.getService())
+                    .with("target", order.getTarget())
+                    .with("duration-ms", order.getDurationMs())
+                    .with("outcome", result.getStartMove().getOutcome())
+                    .info(LOG);
+            peer.send(
+                    Replies.to(request).setStartMoveReply(result.getStartMove()).build());
+            duty.offer(this::advance);
+        });
+    }
+
     private void confirm(Peer peer, Frame request) {
         long number = request.getConfirm().getNumber();
         long current = group.number();
@@ -252,11 +291,4 @@
                 .addAllDecisions(s.decisions())
                 .build();
     }
-
-    private static ConfigReply config(MetaSnapshot s) {
-        return ConfigReply.newBuilder()
-                .setNumber(s.number())
-                .addAllSections(s.sections())
-                .build();
-    }
 }
--- a/control/src/main/java/org/ragwortrun/control/internal/MetaSnapshots.java
+++ b/control/src/main/java/org/ragwortrun/control/internal/MetaSnapshots.java
@@ -15,8 +15,12 @@
     synchronized MetaSnapshot current() {
         long number = state.number();
         while (last.number() != number) {
-            MetaSnapshot read =
-                    new MetaSnapshot(number, state.configuration().getSectionsList(), state.moves(), state.decisions());
+            MetaSnapshot read = new MetaSnapshot(
+                    number,
+                    state.configuration().getSectionsList(),
+                    state.moves(),
+                    state.decisions(),
+                    state.orderedMoves());
             // The parts belong together only if no entry was applied between the reads.
             number = state.number();
             if (read.number() == number) {
--- a/control/src/main/java/org/ragwortrun/control/internal/TopUps.java
+++ b/control/src/main/java/org/ragwortrun/control/internal/TopUps.java
@@ -1,7 +1,9 @@
 package org.ragwortrun.control.internal;
 
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.Executor;
 import org.apache.logging.log4j.LogManager;
@@ -9,6 +11,7 @@
 import org.jspecify.annotations.Nullable;
 import org.ragwortrun.core.log.Event;
 import org.ragwortrun.proto.ApplyTopUps;
+import org.ragwortrun.proto.BudgetRef;
 import org.ragwortrun.proto.ShardCommand;
 import org.ragwortrun.proto.ShardResult;
 import org.ragwortrun.proto.TopUp;
@@ -30,6 +33,7 @@
     private final ConfigurationCache cache;
     private final Executor thread;
     private final Set<TopUp> applied = new HashSet<>();
+    private final Map<BudgetRef, Long> totals = new HashMap<>();
     private long appliedNumber = -1;
     private boolean running;
 
@@ -48,6 +52,7 @@
     /** Begins a leadership. What an earlier leader applied is not known here. */
     void begin() {
         applied.clear();
+        totals.clear();
         appliedNumber = -1;
         running = false;
     }
@@ -59,7 +64,7 @@
             return;
         }
         List<TopUp> batch = cache.topUps(snapshot, shard.id()).stream()
-                .filter(t -> !applied.contains(t))
+                .filter(t -> !isApplied(t))
                 .limit(BATCH)
                 .toList();
         if (batch.isEmpty()) {
@@ -74,13 +79,25 @@
                 .whenComplete((result, failure) -> thread.execute(() -> completed(batch, result, failure)));
     }
 
+    private boolean isApplied(TopUp t) {
+        return t.getTotal() ? totals.getOrDefault(t.getBudget(), -1L) == t.getTokens() : applied.contains(t);
+    }
+
+    private void markApplied(TopUp t) {
+        if (t.getTotal()) {
+            totals.put(t.getBudget(), t.getTokens());
+        } else {
+            applied.add(t);
+        }
+    }
+
     private void completed(List<TopUp> batch, @Nullable ShardResult result, @Nullable Throwable failure) {
         running = false;
         if (failure != null) {
             // The next run repeats the batch.
             Event.of("top-ups-not-applied").with("group", shard.id()).warn(LOG, Failures.unwrap(failure));
         } else if (result != null && result.hasTopUps()) {
-            applied.addAll(batch);
+            batch.forEach(this::markApplied);
             Event.of("top-ups-applied")
                     .with("group", shard.id())
                     .with("applied", result.getTopUps().getApplied())
--- a/control/src/test/java/org/ragwortrun/control/internal/FakeMetaGroup.java
+++ b/control/src/test/java/org/ragwortrun/control/internal/FakeMetaGroup.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.ragwortrun.core.time.Time;
 import org.ragwortrun.ledger.MetaState;
+import org.ragwortrun.proto.ConfigReply;
 import org.ragwortrun.proto.ConfigUpdate;
 import org.ragwortrun.proto.GroupState;
 import org.ragwortrun.proto.MetaCommand;
@@ -61,6 +62,11 @@
         return snapshots.current();
     }
 
+    @Override
+    public ConfigReply configuration() {
+        return state.configuration();
+    }
+
     @Override
     public ConfigUpdate updateFrom(long number) {
         return state.updateFrom(number);
--- /dev/null
+++ b/core/src/main/java/org/ragwortrun/core/concurrent/StopSignal.java
@@ -0,0 +1,30 @@
+package org.ragwortrun.core.concurrent;
+
+import java.util.concurrent.CountDownLatch;
+import org.apache.logging.log4j.LogManager;
+
+/** Runs a daemon until its process is told to stop. */
+public final class StopSignal {
+    private StopSignal() {}
+
+    /** Waits for SIGTERM, closes the daemon, and ends the process with a code. */
+    public static void runUntilStopped(AutoCloseable daemon, int exitCode) {
+        CountDownLatch stopped = new CountDownLatch(1);
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(daemon, stopped, exitCode), "stop"));
+        try {
+            stopped.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static void stop(AutoCloseable daemon, CountDownLatch stopped, int exitCode) {
+        Closer closer = new Closer();
+        closer.register(daemon);
+        closer.close();
+        stopped.countDown();
+        LogManager.shutdown();
+        // A stop by SIGTERM is not a failure; without this the process would exit with 143.
+        Runtime.getRuntime().halt(exitCode);
+    }
+}
--- a/core/src/main/java/org/ragwortrun/core/config/Account.java
+++ b/core/src/main/java/org/ragwortrun/core/config/Account.java
@@ -1,5 +1,6 @@
 package org.ragwortrun.core.config;
 
+import java.util.OptionalInt;
 import java.util.Set;
 
 /**
@@ -7,5 +8,10 @@
  *
  * @param name unique name
  * @param keyDigests SHA-256 digests of its API keys in lower-case hex
+ * @param priority rank of its requests, which goes before the rank of their route; lower numbers go first
  */
-public record Account(String name, Set<String> keyDigests) {}
+public record Account(String name, Set<String> keyDigests, OptionalInt priority) {
+    public Account(String name, Set<String> keyDigests) {
+        this(name, keyDigests, OptionalInt.empty());
+    }
+}
--- a/core/src/main/java/org/ragwortrun/core/config/Configuration.java
+++ b/core/src/main/java/org/ragwortrun/core/config/Configuration.java
@@ -1,5 +1,6 @@
 package org.ragwortrun.core.config;
 
+import java.time.Instant;
 import java.util.Collection;
 import java.util.Collections;
 import java.util.LinkedHashMap;
@@ -8,14 +9,18 @@
 import java.util.Optional;
 import java.util.function.Function;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.ragwortrun.proto.MoveProgress;
 import org.ragwortrun.proto.MoveState;
+import org.ragwortrun.proto.OrderedMove;
 import org.ragwortrun.proto.Section;
 import org.ragwortrun.proto.VersionDecision;
 
 /** An accepted configuration with the state of its moves. Immutable. */
 public final class Configuration {
     private static final int WHOLE_PERMILLE = 1000;
+    // Half of a tenth, the exposure that an operator's order allows a bad version.
+    private static final int TRIAL_PERMILLE = 50;
 
     private final long number;
     private final Map<String, Account> accounts;
@@ -28,12 +33,18 @@
     private final Map<String, Move> moves;
     private final Map<String, MoveProgress> progress;
     private final Map<String, VersionDecision> decisions;
+    private final Map<String, Origin> origins;
+    private final ForwardTable forwards;
+    private final Map<String, Budget> sharedBudgets;
+    private final CallerLimits limits;
+    private final Map<String, List<OrderedMove>> orderedMoves;
 
     private Configuration(
             long number,
             Collection<Section> sections,
             Collection<MoveProgress> moveProgress,
-            Collection<VersionDecision> versionDecisions)
+            Collection<VersionDecision> versionDecisions,
+            Collection<OrderedMove> ordered)
             throws ConfigurationException {
         this.number = number;
         SectionReader reader = new SectionReader();
@@ -48,9 +59,19 @@
                 .collect(Collectors.toUnmodifiableMap(Service::model, Function.identity(), (a, b) -> a));
         routes = index(reader.routes(sections), Route::name);
         endpoints = index(reader.endpoints(sections), Endpoint::name);
-        moves = index(reader.moves(sections), Move::name);
+        moves = index(
+                Stream.concat(reader.moves(sections).stream(), ordered.stream().flatMap(Configuration::move))
+                        .toList(),
+                Move::name);
         progress = index(moveProgress, MoveProgress::getMove);
         decisions = index(versionDecisions, d -> versionKey(d.getService(), d.getVersion()));
+        origins = index(reader.origins(sections), Origin::name);
+        forwards = new ForwardTable(reader.forwards(sections));
+        sharedBudgets = budgets.values().stream()
+                .filter(b -> b.service().equals(Budget.ALL_ORIGINS))
+                .collect(Collectors.toUnmodifiableMap(Budget::account, Function.identity(), (a, b) -> a));
+        limits = reader.limits(sections).orElse(CallerLimits.USUAL);
+        orderedMoves = ordered.stream().collect(Collectors.groupingBy(OrderedMove::getService));
         reader.throwIfErrors();
     }
 
@@ -65,7 +86,54 @@
             Collection<MoveProgress> moves,
             Collection<VersionDecision> decisions)
             throws ConfigurationException {
-        return new Configuration(number, sections, moves, decisions);
+        return new Configuration(number, sections, moves, decisions, List.of());
+    }
+
+    /**
+     * Builds a configuration with the moves that operators have ordered.
+     *
+     * @throws ConfigurationException if a value cannot be read; names every such value
+     */
+    public static Configuration of(
+            long number,
+            Collection<Section> sections,
+            Collection<MoveProgress> moves,
+            Collection<VersionDecision> decisions,
+            Collection<OrderedMove> ordered)
+            throws ConfigurationException {
+        return new Configuration(number, sections, moves, decisions, ordered);
+    }
+
+    public Optional<Origin> origin(String name) {
+        return Optional.ofNullable(origins.get(name));
+    }
+
+    public Collection<Origin> origins() {
+        return origins.values();
+    }
+
+    /** Returns the routes to origins by host and path. */
+    public ForwardTable forwards() {
+        return forwards;
+    }
+
+    /** Returns the budget that an account has for all origins together. */
+    public Optional<Budget> sharedBudget(String account) {
+        return Optional.ofNullable(sharedBudgets.get(account));
+    }
+
+    /** Tells whether callers of forwards must name a client account. */
+    public boolean hasAccounts() {
+        return !accounts.isEmpty();
+    }
+
+    public CallerLimits limits() {
+        return limits;
+    }
+
+    /** Returns the moves that operators have ordered for an origin, oldest first. */
+    public List<OrderedMove> orderedMoves(String origin) {
+        return orderedMoves.getOrDefault(origin, List.of());
     }
 
     public long number() {
@@ -160,6 +228,46 @@
         return shares;
     }
 
+    /**
+     * Returns the versions of an origin that may get requests, with the share of each in thousandths. Empty if no
+     * version is known, so that all endpoints may be used.
+     */
+    public Map<String, Integer> originShares(String origin) {
+        List<OrderedMove> own = orderedMoves.getOrDefault(origin, List.of());
+        Map<String, Integer> shares = new LinkedHashMap<>();
+        own.stream()
+                .filter(m -> m.getTarget().isEmpty())
+                .findFirst()
+                .ifPresent(b -> shares.put(b.getFrom(), WHOLE_PERMILLE));
+        for (Move m : moves.values()) {
+            MoveProgress p = progress.getOrDefault(m.name(), MoveProgress.getDefaultInstance());
+            boolean running = p.getState() != MoveState.MOVE_TAKEN_BACK && p.getSharePermille() > 0;
+            if (m.service().equals(origin) && running && !isBlocked(origin, m.to())) {
+                int share = p.getSharePermille();
+                shares.replaceAll((version, whole) -> whole * (WHOLE_PERMILLE - share) / WHOLE_PERMILLE);
+                shares.merge(m.to(), share, Integer::sum);
+            }
+        }
+        return shares;
+    }
+
+    /** Returns an ordered move in the form of a configured one. */
+    private static Stream<Move> move(OrderedMove m) {
+        if (m.getTarget().isEmpty()) {
+            return Stream.empty();
+        }
+        Instant start = Instant.ofEpochMilli(m.getStartedMs());
+        return Stream.of(new Move(
+                '@' + m.getService() + '/' + m.getTarget(),
+                m.getService(),
+                m.getFrom(),
+                m.getTarget(),
+                WHOLE_PERMILLE,
+                TRIAL_PERMILLE,
+                start,
+                start.plusMillis(m.getDurationMs())));
+    }
+
     public static String budgetKey(String account, String service) {
         return account + "/" + service;
     }
--- a/core/src/main/java/org/ragwortrun/core/config/ConfigurationChecker.java
+++ b/core/src/main/java/org/ragwortrun/core/config/ConfigurationChecker.java
@@ -11,6 +11,7 @@
 import org.ragwortrun.core.config.rule.ApiKeyFormRule;
 import org.ragwortrun.core.config.rule.DuplicateAgentRule;
 import org.ragwortrun.core.config.rule.DuplicateApiKeyRule;
+import org.ragwortrun.core.config.rule.DuplicateForwardRule;
 import org.ragwortrun.core.config.rule.DuplicateKeyRule;
 import org.ragwortrun.core.config.rule.DuplicateModelRule;
 import org.ragwortrun.core.config.rule.DuplicateNameRule;
@@ -58,6 +59,7 @@
                 new DuplicateModelRule(),
                 new PathFormRule(),
                 new DuplicatePathRule(),
+                new DuplicateForwardRule(),
                 new ApiKeyFormRule(),
                 new DuplicateApiKeyRule(),
                 new AddressFormRule(),
--- a/core/src/main/java/org/ragwortrun/core/config/SectionKind.java
+++ b/core/src/main/java/org/ragwortrun/core/config/SectionKind.java
@@ -10,7 +10,10 @@
     SERVICE("service"),
     ROUTE("route"),
     ENDPOINT("endpoint"),
-    MOVE("move");
+    MOVE("move"),
+    ORIGIN("origin"),
+    FORWARD("forward"),
+    LIMITS("limits");
 
     private final String text;
 
--- a/core/src/main/java/org/ragwortrun/core/config/SectionReader.java
+++ b/core/src/main/java/org/ragwortrun/core/config/SectionReader.java
@@ -10,6 +10,9 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Function;
 import java.util.stream.Collectors;
@@ -22,24 +25,108 @@
     private static final int DEFAULT_PRIORITY = 5;
     private static final long DEFAULT_MAX_OUTPUT = 1024;
     private static final int DEFAULT_SLOTS = 16;
+    private static final int DEFAULT_CONNECTIONS = 256;
+    private static final String TOTAL = "prepaid";
 
     private final List<ConfigurationError> errors = new ArrayList<>();
 
     List<Account> accounts(Collection<Section> sections) {
-        return read(sections, SectionKind.ACCOUNT, s -> new Account(s.getName(), list(s, "keys")));
+        return read(sections, SectionKind.ACCOUNT, s -> new Account(s.getName(), list(s, "keys"), priority(s)));
     }
 
     List<Budget> budgets(Collection<Section> sections) {
         return read(sections, SectionKind.BUDGET, s -> {
             String[] parts = s.getName().split("/", 2);
-            if (parts.length < 2) {
-                fail(s, "", "budget-name", "a name of the form ACCOUNT/SERVICE");
-                return new Budget(s.getName(), "", Map.of());
+            OptionalLong total =
+                    s.containsProperties(TOTAL) ? OptionalLong.of(number(s, TOTAL, 0)) : OptionalLong.empty();
+            if (parts.length < 2 && total.isEmpty()) {
+                fail(s, "", "budget-name", "a name of the form ACCOUNT/SERVICE, or the key " + TOTAL);
             }
-            return new Budget(parts[0], parts[1], topUps(s));
+            return new Budget(parts[0], parts.length < 2 ? Budget.ALL_ORIGINS : parts[1], topUps(s), total);
         });
     }
 
+    List<Origin> origins(Collection<Section> sections) {
+        return read(
+                sections,
+                SectionKind.ORIGIN,
+                s -> new Origin(
+                        s.getName(),
+                        yes(s, "model", false),
+                        text(s, "health", "/"),
+                        (int) number(s, "max-connections", DEFAULT_CONNECTIONS, Integer.MAX_VALUE),
+                        (int) number(s, "slots", 0, Integer.MAX_VALUE),
+                        number(s, "kv-capacity", 0),
+                        (int) number(s, "tokens-per-event", 1, Integer.MAX_VALUE)));
+    }
+
+    List<Forward> forwards(Collection<Section> sections) {
+        return read(
+                sections,
+                SectionKind.FORWARD,
+                s -> new Forward(
+                        s.getName(),
+                        required(s, "host"),
+                        required(s, "path"),
+                        choice(s, "kind", Forward.Kind.class),
+                        yes(s, "resumable", false),
+                        positive(s, "timeout", Duration.ofSeconds(60)),
+                        duration(s, "goal", Duration.ofSeconds(1)),
+                        duration(s, "gap", Duration.ofSeconds(1)),
+                        (int) number(s, "priority", DEFAULT_PRIORITY, Integer.MAX_VALUE),
+                        shares(s),
+                        (int) number(s, "attempts", 1, Integer.MAX_VALUE),
+                        yes(s, "open", false),
+                        yes(s, "sticky", false)));
+    }
+
+    Optional<CallerLimits> limits(Collection<Section> sections) {
+        CallerLimits usual = CallerLimits.USUAL;
+        return read(
+                        sections,
+                        SectionKind.LIMITS,
+                        s -> new CallerLimits(
+                                (int) number(s, "header-bytes", usual.headerBytes(), Integer.MAX_VALUE),
+                                (int) number(s, "body-bytes", usual.bodyBytes(), Integer.MAX_VALUE),
+                                positive(s, "header-timeout", usual.headerTimeout()),
+                                positive(s, "idle-timeout", usual.idleTimeout())))
+                .stream()
+                .findFirst();
+    }
+
+    /** Reads {@code to = origin-a:90, origin-b:10}; one origin without a weight gets all requests. */
+    private Map<String, Integer> shares(Section s) {
+        Map<String, Integer> shares = new LinkedHashMap<>();
+        for (String item : required(s, "to").split(",")) {
+            String[] parts = item.trim().split(":", 2);
+            try {
+                shares.merge(parts[0], parts.length < 2 ? 1 : Integer.parseInt(parts[1].trim()), Math::addExact);
+            } catch (NumberFormatException | ArithmeticException e) {
+                fail(s, "to", "share", "ORIGIN:WEIGHT with a whole number as weight");
+            }
+        }
+        boolean usable = shares.values().stream().allMatch(w -> w >= 0)
+                && shares.values().stream().mapToLong(Integer::longValue).sum() > 0;
+        if (!usable) {
+            fail(s, "to", "weights", "weights that are not negative and do not add up to 0");
+        }
+        return shares;
+    }
+
+    private OptionalInt priority(Section s) {
+        return s.containsProperties("priority")
+                ? OptionalInt.of((int) number(s, "priority", DEFAULT_PRIORITY, Integer.MAX_VALUE))
+                : OptionalInt.empty();
+    }
+
+    private Duration positive(Section s, String key, Duration fallback) {
+        Duration value = duration(s, key, fallback);
+        if (value.isZero()) {
+            fail(s, key, "positive-duration", "a duration above 0");
+        }
+        return value;
+    }
+
     List<Service> services(Collection<Section> sections) {
         return read(
                 sections,
--- a/core/src/main/java/org/ragwortrun/core/config/rule/NameFormRule.java
+++ b/core/src/main/java/org/ragwortrun/core/config/rule/NameFormRule.java
@@ -12,7 +12,7 @@
 public final class NameFormRule implements ConfigurationRule {
     private static final String PART = "[A-Za-z0-9][A-Za-z0-9._-]{0,99}";
     private static final Pattern NAME = Pattern.compile(PART);
-    private static final Pattern BUDGET = Pattern.compile(PART + "/" + PART);
+    private static final Pattern BUDGET = Pattern.compile(PART + "(/" + PART + ")?");
 
     @Override
     public Stream<ConfigurationError> check(Draft draft) {
@@ -26,7 +26,7 @@
 
     private static String expected(Section s) {
         String part = "at most 100 letters, digits, dots, hyphens and underscores";
-        return isBudget(s) ? "a name of the form ACCOUNT/SERVICE, each of " + part : "a name of " + part;
+        return isBudget(s) ? "a name of the form ACCOUNT/SERVICE or ACCOUNT, each of " + part : "a name of " + part;
     }
 
     private static boolean isBudget(Section s) {
--- a/core/src/main/java/org/ragwortrun/core/config/rule/UnknownKeyRule.java
+++ b/core/src/main/java/org/ragwortrun/core/config/rule/UnknownKeyRule.java
@@ -14,8 +14,8 @@
 public final class UnknownKeyRule implements ConfigurationRule {
     private static final String TOP_UP = "topup.";
     private static final Map<SectionKind, List<String>> KEYS = Map.of(
-            SectionKind.ACCOUNT, List.of("keys"),
-            SectionKind.BUDGET, List.of(),
+            SectionKind.ACCOUNT, List.of("keys", "priority"),
+            SectionKind.BUDGET, List.of("prepaid"),
             SectionKind.SERVICE, List.of("kind", "model", "version"),
             SectionKind.ROUTE, List.of("service", "path", "repeatable", "price", "max-output", "priority", "deadline"),
             SectionKind.ENDPOINT,
@@ -29,7 +29,24 @@
                             "kv-capacity",
                             "checks-fencing",
                             "dedupe-header"),
-            SectionKind.MOVE, List.of("service", "from", "to", "share", "trial-share", "start", "finish"));
+            SectionKind.MOVE, List.of("service", "from", "to", "share", "trial-share", "start", "finish"),
+            SectionKind.ORIGIN,
+                    List.of("model", "health", "max-connections", "slots", "kv-capacity", "tokens-per-event"),
+            SectionKind.FORWARD,
+                    List.of(
+                            "host",
+                            "path",
+                            "kind",
+                            "resumable",
+                            "timeout",
+                            "goal",
+                            "gap",
+                            "priority",
+                            "to",
+                            "attempts",
+                            "open",
+                            "sticky"),
+            SectionKind.LIMITS, List.of("header-bytes", "body-bytes", "header-timeout", "idle-timeout"));
 
     @Override
     public Stream<ConfigurationError> check(Draft draft) {
@@ -53,7 +70,7 @@
 
     private static String expected(SectionKind kind) {
         return kind == SectionKind.BUDGET
-                ? "topup.ID"
+                ? "topup.ID or prepaid"
                 : "one of the keys " + String.join(", ", KEYS.getOrDefault(kind, List.of()));
     }
 }
--- a/core/src/main/java/org/ragwortrun/core/settings/Settings.java
+++ b/core/src/main/java/org/ragwortrun/core/settings/Settings.java
@@ -66,6 +66,16 @@
         return new Settings("settings", new TreeMap<>(values));
     }
 
+    /** Returns settings in which a key has another value. What has been asked and rejected so far is kept. */
+    public Settings with(String key, String value) {
+        Map<String, String> next = new TreeMap<>(values);
+        next.put(key, value);
+        Settings settings = new Settings(file, next);
+        settings.asked.addAll(asked);
+        settings.problems.addAll(problems);
+        return settings;
+    }
+
     /** Returns a required text. */
     public String text(String key) {
         asked.add(key);
@@ -115,9 +125,18 @@
         }
     }
 
-    /** Returns a list of texts separated by commas. */
+    /** Returns a required list of texts separated by commas. */
     public List<String> list(String key) {
-        return Arrays.stream(text(key).split(","))
+        return split(text(key));
+    }
+
+    /** Returns a list of texts separated by commas, which may be empty. */
+    public List<String> optionalList(String key) {
+        return split(text(key, ""));
+    }
+
+    private static List<String> split(String text) {
+        return Arrays.stream(text.split(","))
                 .map(String::trim)
                 .filter(v -> !v.isEmpty())
                 .toList();
--- a/ledger/src/main/java/org/ragwortrun/ledger/MetaState.java
+++ b/ledger/src/main/java/org/ragwortrun/ledger/MetaState.java
@@ -1,5 +1,6 @@
 package org.ragwortrun.ledger;
 
+import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.io.IOException;
 import java.io.InputStream;
@@ -10,6 +11,7 @@
 import java.util.SortedMap;
 import java.util.TreeMap;
 import org.ragwortrun.core.config.SectionKind;
+import org.ragwortrun.ledger.internal.OrderedMoves;
 import org.ragwortrun.ledger.internal.PublishAnswers;
 import org.ragwortrun.ledger.internal.SectionStore;
 import org.ragwortrun.ledger.internal.SnapshotReader;
@@ -24,9 +26,14 @@
 import org.ragwortrun.proto.MetaCommand;
 import org.ragwortrun.proto.MetaResult;
 import org.ragwortrun.proto.MoveProgress;
+import org.ragwortrun.proto.MoveState;
+import org.ragwortrun.proto.OrderedMove;
 import org.ragwortrun.proto.Publish;
 import org.ragwortrun.proto.PublishReply;
 import org.ragwortrun.proto.Section;
+import org.ragwortrun.proto.SetBaseline;
+import org.ragwortrun.proto.StartMove;
+import org.ragwortrun.proto.StartMoveReply;
 import org.ragwortrun.proto.VersionDecision;
 
 /**
@@ -37,7 +44,7 @@
  * the number on which it is based; verdicts and move progress in between do not make it conflict.
  */
 public final class MetaState {
-    private static final long FORMAT = 1;
+    private static final long FORMAT = 2;
 
     private final ConfigurationRules rules;
     private SectionStore sections = new SectionStore();
@@ -49,6 +56,9 @@
     private long number;
     private long publishedNumber;
     private long appliedIndex;
+    private long generation;
+    private ByteString document = ByteString.EMPTY;
+    private OrderedMoves ordered = new OrderedMoves();
 
     public MetaState(ConfigurationRules rules) {
         this.rules = rules;
@@ -77,11 +87,17 @@
                 MetaResult.newBuilder()
                         .setFencing(fencing.merge(command.getNextFencing().getEndpoint(), 1L, Long::sum))
                         .build();
+            case START_MOVE -> startMove(command.getStartMove(), command.getNowMs());
+            case SET_BASELINE -> baseline(command.getSetBaseline());
+            case READ_BARRIER -> numbered();
             case OP_NOT_SET -> error("malformed-command", "command has no operation");
         };
     }
 
     private PublishReply publish(Publish publish, long nowMs) {
+        if (publish.getGeneration() > 0) {
+            return publishGeneration(publish, nowMs);
+        }
         if (publish.getPublishId().isEmpty()) {
             return invalid(List.of(ConfigError.newBuilder()
                     .setRule("publish-id-missing")
@@ -97,6 +113,25 @@
         return answer;
     }
 
+    /** An invalid configuration is refused whatever its generation; an overtaken one is accepted without effect. */
+    private PublishReply publishGeneration(Publish publish, long nowMs) {
+        List<ConfigError> errors = rules.check(sections.all(), publish.getSectionsList(), nowMs);
+        if (!errors.isEmpty()) {
+            return invalid(errors);
+        }
+        boolean superseded = publish.getGeneration() <= generation;
+        if (!superseded) {
+            generation = publish.getGeneration();
+            document = publish.getDocument();
+            replaceSections(publish.getSectionsList());
+        }
+        return PublishReply.newBuilder()
+                .setOutcome(PublishReply.Outcome.ACCEPTED)
+                .setNumber(number)
+                .setSuperseded(superseded)
+                .build();
+    }
+
     private PublishReply decide(Publish publish, long nowMs) {
         if (publish.getBasedOn() < publishedNumber || publish.getBasedOn() > number) {
             return PublishReply.newBuilder()
@@ -108,18 +143,49 @@
         if (!errors.isEmpty()) {
             return invalid(errors);
         }
+        replaceSections(publish.getSectionsList());
+        return PublishReply.newBuilder()
+                .setOutcome(PublishReply.Outcome.ACCEPTED)
+                .setNumber(number)
+                .build();
+    }
+
+    private void replaceSections(List<Section> next) {
         List<Section> before = sections.all();
         number = Math.addExact(number, 1);
         publishedNumber = number;
-        sections.replace(publish.getSectionsList(), number);
+        sections.replace(next, number);
         // The progress of a move that was removed or changed says nothing about the move that is in force now.
         moves.removeIf(p -> !moveSection(before, p.getMove()).equals(moveSection(sections.all(), p.getMove())));
-        return PublishReply.newBuilder()
-                .setOutcome(PublishReply.Outcome.ACCEPTED)
-                .setNumber(number)
+    }
+
+    private MetaResult startMove(StartMove order, long nowMs) {
+        boolean known = sections.all().stream()
+                .anyMatch(s -> s.getKind().equals(SectionKind.ORIGIN.text())
+                        && s.getName().equals(order.getService()));
+        StartMoveReply.Outcome outcome =
+                known ? ordered.start(order, nowMs, this::isMoveOver) : StartMoveReply.Outcome.UNKNOWN_SERVICE;
+        if (outcome == StartMoveReply.Outcome.STARTED) {
+            number = Math.addExact(number, 1);
+        }
+        return MetaResult.newBuilder()
+                .setStartMove(StartMoveReply.newBuilder().setOutcome(outcome))
                 .build();
     }
 
+    private boolean isMoveOver(String move) {
+        return moves.find(move)
+                .filter(p -> p.getState() == MoveState.MOVE_DONE || p.getState() == MoveState.MOVE_TAKEN_BACK)
+                .isPresent();
+    }
+
+    private MetaResult baseline(SetBaseline baseline) {
+        if (ordered.setBaseline(baseline.getService(), baseline.getVersion())) {
+            number = Math.addExact(number, 1);
+        }
+        return numbered();
+    }
+
     private static Optional<Map<String, String>> moveSection(List<Section> all, String move) {
         return all.stream()
                 .filter(s -> s.getKind().equals(SectionKind.MOVE.text())
@@ -146,12 +212,15 @@
     }
 
     private MetaResult progress(MoveProgress progress) {
-        if (moveSection(sections.all(), progress.getMove()).isEmpty()) {
+        if (moveSection(sections.all(), progress.getMove()).isEmpty() && !ordered.has(progress.getMove())) {
             return error("unknown-move", progress.getMove());
         }
         if (moves.find(progress.getMove()).filter(progress::equals).isEmpty()) {
             number = Math.addExact(number, 1);
             moves.put(progress.getMove(), progress, number);
+            if (progress.getState() == MoveState.MOVE_DONE) {
+                ordered.completed(progress.getMove());
+            }
         }
         return numbered();
     }
@@ -183,9 +252,27 @@
         return ConfigReply.newBuilder()
                 .setNumber(number)
                 .addAllSections(sections.all())
+                .setGeneration(generation)
+                .setDocument(document)
+                .addAllOrderedMoves(orderedMoves())
                 .build();
     }
 
+    /** Returns the moves that were ordered, with what became of each. */
+    public synchronized List<OrderedMove> orderedMoves() {
+        return ordered.all().stream().map(this::withProgress).toList();
+    }
+
+    private OrderedMove withProgress(OrderedMove move) {
+        return moves.find(OrderedMoves.name(move.getService(), move.getTarget()))
+                .map(p -> move.toBuilder()
+                        .setState(p.getState())
+                        .setSharePermille(p.getSharePermille())
+                        .setReason(p.getReason())
+                        .build())
+                .orElse(move);
+    }
+
     /**
      * Returns the change from a number to the current one, for daemons. The update is the full configuration with base
      * 0 if the base is 0 or unknown. A daemon drops the progress of a move whose section the update changes or removes,
@@ -200,6 +287,7 @@
                 .addAllChanged(sections.changedAfter(from))
                 .addAllMoves(moves.changedAfter(from))
                 .addAllDecisions(decisions.changedAfter(from))
+                .addAllOrderedMoves(ordered.all())
                 .addAllSuspects(suspects.changedAfter(from));
         if (known) {
             update.addAllRemoved(sections.removedAfter(from));
@@ -240,6 +328,9 @@
             out.text(e.getKey());
             out.number(e.getValue());
         });
+        out.number(generation);
+        out.bytes(document.toByteArray());
+        ordered.write(out);
         out.flush();
     }
 
@@ -257,6 +348,9 @@
         PublishAnswers readAnswers = PublishAnswers.read(in);
         SortedMap<String, Long> readFencing = new TreeMap<>();
         in.all(() -> readFencing.put(in.text(), in.number()));
+        long readGeneration = in.number();
+        ByteString readDocument = ByteString.copyFrom(in.bytes());
+        OrderedMoves readOrdered = OrderedMoves.read(in);
         number = readNumber;
         publishedNumber = readPublished;
         appliedIndex = readIndex;
@@ -266,5 +360,8 @@
         suspects = readSuspects;
         answers = readAnswers;
         fencing = readFencing;
+        generation = readGeneration;
+        document = readDocument;
+        ordered = readOrdered;
     }
 }
--- a/ledger/src/main/java/org/ragwortrun/ledger/PoolSettings.java
+++ b/ledger/src/main/java/org/ragwortrun/ledger/PoolSettings.java
@@ -7,8 +7,20 @@
  * @param idleMs time without spending after which unused tokens are returned
  * @param tightMs time after a recall or a short grant during which unused tokens are returned at once
  * @param grantAgeMs age at which a grant is used for no further request
+ * @param holdMs span of demand that a router holds, so that it outlasts a cut from the owner
  */
-public record PoolSettings(long demandMs, long idleMs, long tightMs, long grantAgeMs) {
+public record PoolSettings(long demandMs, long idleMs, long tightMs, long grantAgeMs, long holdMs) {
+    public PoolSettings(long demandMs, long idleMs, long tightMs, long grantAgeMs) {
+        this(demandMs, idleMs, tightMs, grantAgeMs, demandMs);
+    }
+
+    /** Returns the usual times, with grants that last for a span without the owner. */
+    public static PoolSettings outlasting(long holdMs) {
+        PoolSettings usual = usual();
+        return new PoolSettings(
+                usual.demandMs, Math.max(usual.idleMs, holdMs), usual.tightMs, usual.grantAgeMs, holdMs);
+    }
+
     /**
      * Returns the usual times. Grants are renewed each hour, so that the register can forget bills: it keeps a bill as
      * long as an older grant is open.
--- a/ledger/src/main/java/org/ragwortrun/ledger/ShardState.java
+++ b/ledger/src/main/java/org/ragwortrun/ledger/ShardState.java
@@ -56,7 +56,7 @@
  * synchronized, so that queries may come from other threads than commands.
  */
 public final class ShardState {
-    private static final long FORMAT = 1;
+    private static final long FORMAT = 2;
 
     /** A copy of a grant request that is older than this is no longer in the network. */
     private static final long FORGET_ASKS_MS = 600_000;
@@ -103,7 +103,7 @@
     }
 
     private ShardResult openSession(OpenSession open) {
-        Optional<List<String>> older = sessions.open(open.getRouter(), open.getIncarnation(), nowMs);
+        Optional<List<String>> older = sessions.open(open.getRouter(), open.getIncarnation(), open.getDirect(), nowMs);
         if (older.isEmpty()) {
             return ShardErrors.SESSION_CLOSED.reply(open.getIncarnation() + " has been superseded or closed");
         }
@@ -115,7 +115,11 @@
     private ShardResult closeSession(CloseSession close) {
         boolean closed =
                 sessions.close(close.getIncarnation(), close.getOrderly(), close.getAwaitedAgentsList(), nowMs);
-        long released = closed ? budgets.release(close.getIncarnation()) : 0;
+        boolean lost = closed && !close.getOrderly() && sessions.isDirect(close.getIncarnation());
+        if (lost) {
+            budgets.writeOff(close.getIncarnation());
+        }
+        long released = closed && !lost ? budgets.release(close.getIncarnation()) : 0;
         return ShardResult.newBuilder()
                 .setSessionClosed(SessionClosed.newBuilder().setReleased(released))
                 .build();
@@ -226,8 +230,9 @@
         if (!budgets.fits(apply.getTopUpsList())) {
             return ShardErrors.AMOUNT_OVERFLOW.reply("top-up of configuration " + apply.getConfigNumber());
         }
-        int applied =
-                (int) apply.getTopUpsList().stream().filter(budgets::topUp).count();
+        int applied = (int) apply.getTopUpsList().stream()
+                .filter(t -> budgets.topUp(t, apply.getConfigNumber()))
+                .count();
         return ShardResult.newBuilder()
                 .setTopUps(TopUpsApplied.newBuilder().setApplied(applied).setKnown(apply.getTopUpsCount() - applied))
                 .build();
--- a/ledger/src/main/java/org/ragwortrun/ledger/internal/BudgetAccount.java
+++ b/ledger/src/main/java/org/ragwortrun/ledger/internal/BudgetAccount.java
@@ -16,11 +16,16 @@
 
 /** The budget of a client account for one service. Settled and outstanding tokens never exceed the prepaid tokens. */
 public final class BudgetAccount {
+    private static final long NO_LIMIT = -1;
+
     private final BudgetRef ref;
     private final SortedMap<String, Long> topUps = new TreeMap<>();
     private final SortedMap<String, Grant> grants = new TreeMap<>();
     private final SortedMap<String, LastAsk> asks = new TreeMap<>();
     private long prepaid;
+    // Amount that a configuration set as the whole, below what is settled and outstanding if it was lowered late.
+    private long limit = NO_LIMIT;
+    private long limitNumber;
     private long settled;
     private long outstanding;
     private long bills;
@@ -73,6 +78,40 @@
         return true;
     }
 
+    /**
+     * Sets the whole prepaid amount as of a configuration number and tells whether it changed. Tokens that are settled
+     * or outstanding beyond a lower amount cannot be taken back at once; nothing more is granted until they are.
+     */
+    public boolean setTotal(long tokens, long number) {
+        if (number <= limitNumber) {
+            return false;
+        }
+        limitNumber = number;
+        boolean changed = tokens != limit;
+        limit = tokens;
+        applyLimit();
+        return changed;
+    }
+
+    private void applyLimit() {
+        if (limit != NO_LIMIT) {
+            prepaid = Math.max(limit, settled + outstanding);
+        }
+    }
+
+    /** Counts what an incarnation holds as spent, because nobody can prove that it was not. */
+    public long writeOff(String incarnation) {
+        long lost = grants.values().stream()
+                .filter(g -> g.incarnation().equals(incarnation))
+                .mapToLong(Grant::outstanding)
+                .sum();
+        grants.values().removeIf(g -> g.incarnation().equals(incarnation));
+        asks.remove(incarnation);
+        outstanding -= lost;
+        settled = Math.addExact(settled, lost);
+        return lost;
+    }
+
     /**
      * Answers a request for tokens.
      *
@@ -149,6 +188,7 @@
         outstanding -= more;
         store(grant.withReturned(total.getReturnedTotal()));
         asks.computeIfPresent(grant.incarnation(), (i, a) -> a.withReturned(more));
+        applyLimit();
         return more;
     }
 
@@ -195,6 +235,7 @@
         grants.values().removeIf(g -> g.incarnation().equals(incarnation));
         asks.remove(incarnation);
         outstanding -= released;
+        applyLimit();
         return released;
     }
 
@@ -229,6 +270,8 @@
         out.number(prepaid);
         out.number(settled);
         out.number(bills);
+        out.number(limit + 1);
+        out.number(limitNumber);
         out.all(topUps.entrySet(), e -> {
             out.text(e.getKey());
             out.number(e.getValue());
@@ -246,6 +289,8 @@
         b.prepaid = in.number();
         b.settled = in.number();
         b.bills = in.number();
+        b.limit = in.number() - 1;
+        b.limitNumber = in.number();
         in.all(() -> b.topUps.put(in.text(), in.number()));
         in.all(() -> b.addRead(Grant.read(in)));
         in.all(() -> b.asks.put(in.text(), LastAsk.read(in)));
--- a/ledger/src/main/java/org/ragwortrun/ledger/internal/BudgetPool.java
+++ b/ledger/src/main/java/org/ragwortrun/ledger/internal/BudgetPool.java
@@ -80,7 +80,8 @@
     }
 
     private long wanted(long nowMs) {
-        return use.sum(nowMs) / USE_SPANS + (long) meanReservation;
+        double held = (double) settings.holdMs() / settings.demandMs();
+        return (long) (use.sum(nowMs) / USE_SPANS * held) + (long) meanReservation;
     }
 
     private RequestGrant ask(long minimum, long nowMs) {
--- a/ledger/src/main/java/org/ragwortrun/ledger/internal/Budgets.java
+++ b/ledger/src/main/java/org/ragwortrun/ledger/internal/Budgets.java
@@ -37,7 +37,7 @@
                 String key = t.getBudget().getAccount() + '\n' + t.getBudget().getService();
                 boolean known =
                         find(t.getBudget()).map(b -> b.knowsTopUp(t.getId())).orElse(false);
-                if (!known && counted.put(key + '\n' + t.getId(), t.getTokens()) == null) {
+                if (!t.getTotal() && !known && counted.put(key + '\n' + t.getId(), t.getTokens()) == null) {
                     long before = sums.containsKey(key)
                             ? sums.getOrDefault(key, 0L)
                             : find(t.getBudget()).map(BudgetAccount::prepaid).orElse(0L);
@@ -50,11 +50,18 @@
         }
     }
 
-    /** Counts a top-up once and tells whether it was new. */
-    public boolean topUp(TopUp topUp) {
-        return accounts.computeIfAbsent(topUp.getBudget().getAccount(), a -> new TreeMap<>())
-                .computeIfAbsent(topUp.getBudget().getService(), s -> new BudgetAccount(topUp.getBudget()))
-                .topUp(topUp.getId(), topUp.getTokens());
+    /** Counts a top-up once, or sets a total as of a configuration number, and tells whether it was new. */
+    public boolean topUp(TopUp topUp, long number) {
+        BudgetAccount budget = accounts.computeIfAbsent(topUp.getBudget().getAccount(), a -> new TreeMap<>())
+                .computeIfAbsent(topUp.getBudget().getService(), s -> new BudgetAccount(topUp.getBudget()));
+        return topUp.getTotal()
+                ? budget.setTotal(topUp.getTokens(), number)
+                : budget.topUp(topUp.getId(), topUp.getTokens());
+    }
+
+    /** Counts what an incarnation holds as spent and returns the tokens that are lost. */
+    public long writeOff(String incarnation) {
+        return all().mapToLong(b -> b.writeOff(incarnation)).sum();
     }
 
     /** Closes all grants of an incarnation and returns the tokens that became available. */
--- /dev/null
+++ b/ledger/src/main/java/org/ragwortrun/ledger/internal/OrderedMoves.java
@@ -0,0 +1,89 @@
+package org.ragwortrun.ledger.internal;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+import org.ragwortrun.proto.OrderedMove;
+import org.ragwortrun.proto.StartMove;
+import org.ragwortrun.proto.StartMoveReply;
+
+/** Moves that operators have ordered for origins, and the version that each origin ran before its first move. */
+public final class OrderedMoves {
+    private final SortedMap<String, String> baselines = new TreeMap<>();
+    private final List<OrderedMove> moves = new ArrayList<>();
+
+    /** Returns the name of a move, which no section can have. */
+    public static String name(String service, String target) {
+        return '@' + service + '/' + target;
+    }
+
+    /**
+     * Records an order.
+     *
+     * @param over tells whether the move of this name has been completed or taken back
+     */
+    public StartMoveReply.Outcome start(StartMove order, long nowMs, Predicate<String> over) {
+        if (has(name(order.getService(), order.getTarget()))) {
+            return StartMoveReply.Outcome.KNOWN;
+        }
+        Optional<OrderedMove> running = moves.stream()
+                .filter(m -> m.getService().equals(order.getService()))
+                .filter(m -> !over.test(name(m.getService(), m.getTarget())))
+                .findFirst();
+        if (running.isPresent()) {
+            return StartMoveReply.Outcome.BUSY;
+        }
+        moves.add(OrderedMove.newBuilder()
+                .setService(order.getService())
+                .setFrom(baselines.getOrDefault(order.getService(), ""))
+                .setTarget(order.getTarget())
+                .setStartedMs(nowMs)
+                .setDurationMs(order.getDurationMs())
+                .build());
+        return StartMoveReply.Outcome.STARTED;
+    }
+
+    /** Notes the version that an origin runs unless one is known, and tells whether it was new. */
+    public boolean setBaseline(String service, String version) {
+        return !version.isEmpty() && baselines.putIfAbsent(service, version) == null;
+    }
+
+    /** Makes the target of a completed move the version from which the next one starts. */
+    public void completed(String move) {
+        moves.stream()
+                .filter(m -> name(m.getService(), m.getTarget()).equals(move))
+                .forEach(m -> baselines.put(m.getService(), m.getTarget()));
+    }
+
+    public boolean has(String move) {
+        return moves.stream().anyMatch(m -> name(m.getService(), m.getTarget()).equals(move));
+    }
+
+    /** Returns the orders, oldest first, after one entry without a target for each known baseline. */
+    public List<OrderedMove> all() {
+        List<OrderedMove> all = new ArrayList<>();
+        baselines.forEach((service, version) -> all.add(
+                OrderedMove.newBuilder().setService(service).setFrom(version).build()));
+        all.addAll(moves);
+        return all;
+    }
+
+    public void write(SnapshotWriter out) throws IOException {
+        out.all(baselines.entrySet(), e -> {
+            out.text(e.getKey());
+            out.text(e.getValue());
+        });
+        out.all(moves, out::message);
+    }
+
+    public static OrderedMoves read(SnapshotReader in) throws IOException {
+        OrderedMoves all = new OrderedMoves();
+        in.all(() -> all.baselines.put(in.text(), in.text()));
+        in.all(() -> all.moves.add(in.message(OrderedMove.parser())));
+        return all;
+    }
+}
--- a/ledger/src/main/java/org/ragwortrun/ledger/internal/RouterSession.java
+++ b/ledger/src/main/java/org/ragwortrun/ledger/internal/RouterSession.java
@@ -10,12 +10,14 @@
 public final class RouterSession {
     private final String router;
     private final String incarnation;
+    private final boolean direct;
     private final SortedSet<String> awaited = new TreeSet<>();
     private final SortedSet<String> confirmed = new TreeSet<>();
     private Phase phase = Phase.OPEN;
     private long changedMs;
 
-    RouterSession(String router, String incarnation, long nowMs) {
+    RouterSession(String router, String incarnation, boolean direct, long nowMs) {
+        this.direct = direct;
         this.router = router;
         this.incarnation = incarnation;
         this.changedMs = nowMs;
@@ -29,6 +31,11 @@
         return incarnation;
     }
 
+    /** Tells whether the router calls endpoints without agents, so that nobody else knows what it spent. */
+    public boolean isDirect() {
+        return direct;
+    }
+
     public Phase phase() {
         return phase;
     }
@@ -73,6 +80,7 @@
     void write(SnapshotWriter out) throws IOException {
         out.text(router);
         out.text(incarnation);
+        out.flag(direct);
         out.number(phase.ordinal());
         out.number(changedMs);
         out.all(awaited, out::text);
@@ -80,7 +88,7 @@
     }
 
     static RouterSession read(SnapshotReader in) throws IOException {
-        RouterSession s = new RouterSession(in.text(), in.text(), 0);
+        RouterSession s = new RouterSession(in.text(), in.text(), in.flag(), 0);
         int phase = (int) in.number();
         if (phase < 0 || phase >= Phase.values().length) {
             throw new IOException("snapshot has a session of phase " + phase);
--- a/ledger/src/main/java/org/ragwortrun/ledger/internal/RouterSessions.java
+++ b/ledger/src/main/java/org/ragwortrun/ledger/internal/RouterSessions.java
@@ -29,17 +29,23 @@
         return s != null && s.phase() == RouterSession.Phase.OPEN;
     }
 
+    /** Tells whether an incarnation calls endpoints without agents. */
+    public boolean isDirect(String incarnation) {
+        RouterSession s = sessions.get(incarnation);
+        return s != null && s.isDirect();
+    }
+
     /**
      * Opens a session and returns the older incarnations of the same router that must be fenced. An incarnation that
      * has been superseded or closed is not opened again.
      */
-    public Optional<List<String>> open(String router, String incarnation, long nowMs) {
+    public Optional<List<String>> open(String router, String incarnation, boolean direct, long nowMs) {
         RouterSession known = sessions.get(incarnation);
         if (known != null && known.phase() != RouterSession.Phase.OPEN) {
             return Optional.empty();
         }
         if (known == null) {
-            sessions.put(incarnation, new RouterSession(router, incarnation, nowMs));
+            sessions.put(incarnation, new RouterSession(router, incarnation, direct, nowMs));
         }
         List<RouterSession> older = sessions.values().stream()
                 .filter(s -> s.router().equals(router) && !s.incarnation().equals(incarnation))
@@ -51,7 +57,7 @@
 
     /** Starts to close a session and tells whether no agent is awaited, so that its grants may return now. */
     public boolean close(String incarnation, boolean orderly, Collection<String> agents, long nowMs) {
-        RouterSession s = sessions.computeIfAbsent(incarnation, i -> new RouterSession("", i, nowMs));
+        RouterSession s = sessions.computeIfAbsent(incarnation, i -> new RouterSession("", i, false, nowMs));
         if (s.phase() == RouterSession.Phase.CLOSED) {
             return false;
         }
--- a/net/src/main/java/org/ragwortrun/net/control/ConfigWatch.java
+++ b/net/src/main/java/org/ragwortrun/net/control/ConfigWatch.java
@@ -188,7 +188,12 @@
         synchronized (this) {
             merge(update);
             try {
-                next = Configuration.of(update.getNumber(), sections.values(), moves.values(), decisions.values());
+                next = Configuration.of(
+                        update.getNumber(),
+                        sections.values(),
+                        moves.values(),
+                        decisions.values(),
+                        update.getOrderedMovesList());
             } catch (ConfigurationException e) {
                 // Control checks before it accepts, so this is a version mismatch: keep refusing rather than guess.
                 Event.of("configuration-unreadable")
--- a/proto/src/main/java/org/ragwortrun/proto/ConfigReply.java
+++ b/proto/src/main/java/org/ragwortrun/proto/ConfigReply.java
@@ -16,6 +16,8 @@
     ConfigReplyOrBuilder {
   private ConfigReply() {
     sections_ = emptyProtobufList();
+    document_ = com.google.protobuf.ByteString.EMPTY;
+    orderedMoves_ = emptyProtobufList();
   }
   public static final int NUMBER_FIELD_NUMBER = 1;
   private long number_;
@@ -137,6 +139,153 @@
     sections_.remove(index);
   }
 
+  public static final int GENERATION_FIELD_NUMBER = 3;
+  private long generation_;
+  /**
+   * <code>uint64 generation = 3;</code>
+   * @return The generation.
+   */
+  @java.lang.Override
+  public long getGeneration() {
+    return generation_;
+  }
+  /**
+   * <code>uint64 generation = 3;</code>
+   * @param value The generation to set.
+   */
+  private void setGeneration(long value) {
+    
+    generation_ = value;
+  }
+  /**
+   * <code>uint64 generation = 3;</code>
+   */
+  private void clearGeneration() {
+
+    generation_ = 0L;
+  }
+
+  public static final int DOCUMENT_FIELD_NUMBER = 4;
+  private com.google.protobuf.ByteString document_;
+  /**
+   * <code>bytes document = 4;</code>
+   * @return The document.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString getDocument() {
+    return document_;
+  }
+  /**
+   * <code>bytes document = 4;</code>
+   * @param value The document to set.
+   */
+  private void setDocument(com.google.protobuf.ByteString value) {
+    java.util.Objects.requireNonNull(value);
+  
+    document_ = value;
+  }
+  /**
+   * <code>bytes document = 4;</code>
+   */
+  private void clearDocument() {
+
+    document_ = getDefaultInstance().getDocument();
+  }
+
+  public static final int ORDERED_MOVES_FIELD_NUMBER = 5;
+  private com.google.protobuf.Internal.ProtobufList<org.ragwortrun.proto.OrderedMove> orderedMoves_;
+  /**
+   * <code>repeated .org.ragwortrun.proto.OrderedMove ordered_moves = 5;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.ragwortrun.proto.OrderedMove> getOrderedMovesList() {
+    return orderedMoves_;
+  }
+  /**
+   * <code>repeated .org.ragwortrun.proto.OrderedMove ordered_moves = 5;</code>
+   */
+  public java.util.List<? extends org.ragwortrun.proto.OrderedMoveOrBuilder> 
+      getOrderedMovesOrBuilderList() {
+    return orderedMoves_;
+  }
+  /**
+   * <code>repeated .org.ragwortrun.proto.OrderedMove ordered_moves = 5;</code>
+   */
+  @java.lang.Override
+  public int getOrderedMovesCount() {
+    return orderedMoves_.size();
+  }
+  /**
+   * <code>repeated .org.ragwortrun.proto.OrderedMove ordered_moves = 5;</code>
+   */
+  @java.lang.Override
+  public org.ragwortrun.proto.OrderedMove getOrderedMoves(int index) {
+    return orderedMoves_.get(index);
+  }
+  /**
+   * <code>repeated .org.ragwortrun.proto.OrderedMove ordered_moves = 5;</code>
+   */
+  public org.ragwortrun.proto.OrderedMoveOrBuilder getOrderedMovesOrBuilder(
+      int index) {
+    return orderedMoves_.get(index);
+  }
+  private void ensureOrderedMovesIsMutable() {
+    com.google.protobuf.Internal.ProtobufList<org.ragwortrun.proto.OrderedMove> tmp = orderedMoves_;
+    if (!tmp.isModifiable()) {
+      orderedMoves_ =
+          com.google.protobuf.GeneratedMessageLite.mutableCopy(tmp);
+     }
+  }
+
+  /**
+   * <code>repeated .org.ragwortrun.proto.OrderedMove ordered_moves = 5;</code>
+   */
+  private void setOrderedMoves(
+      int index, org.ragwortrun.proto.OrderedMove value) {
+    java.util.Objects.requireNonNull(value);
+    ensureOrderedMovesIsMutable();
+    orderedMoves_.set(index, value);
+  }
+  /**
+   * <code>repeated .org.ragwortrun.proto.OrderedMove ordered_moves = 5;</code>
+   */
+  private void addOrderedMoves(org.ragwortrun.proto.OrderedMove value) {
+    java.util.Objects.requireNonNull(value);
+    ensureOrderedMovesIsMutable();
+    orderedMoves_.add(value);
+  }
+  /**
+   * <code>repeated .org.ragwortrun.proto.OrderedMove ordered_moves = 5;</code>
+   */
+  private void addOrderedMoves(
+      int index, org.ragwortrun.proto.OrderedMove value) {
+    java.util.Objects.requireNonNull(value);
+    ensureOrderedMovesIsMutable();
+    orderedMoves_.add(index, value);
+  }
+  /**
+   * <code>repeated .org.ragwortrun.proto.OrderedMove ordered_moves = 5;</code>
+   */
+  private void addAllOrderedMoves(
+      java.lang.Iterable<? extends org.ragwortrun.proto.OrderedMove> values) {
+    ensureOrderedMovesIsMutable();
+    com.google.protobuf.AbstractMessageLite.addAll(
+        values, orderedMoves_);
+  }
+  /**
+   * <code>repeated .org.ragwortrun.proto.OrderedMove ordered_moves = 5;</code>
+   */
+  private void clearOrderedMoves() {
+    orderedMoves_ = emptyProtobufList();
+  }
+  /**
+   * <code>repeated .org.ragwortrun.proto.OrderedMove ordered_moves = 5;</code>
+   */
+  private void removeOrderedMoves(int index) {
+    ensureOrderedMovesIsMutable();
+    orderedMoves_.remove(index);
+  }
+
   public static org.ragwortrun.proto.ConfigReply parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -364,6 +513,164 @@
       return this;
     }
 
+    /**
+     * <code>uint64 generation = 3;</code>
+     * @return The generation.
+     */
+    @java.lang.Override
+    public long getGeneration() {
+      return instance.getGeneration();
+    }
+    /**
+     * <code>uint64 generation = 3;</code>
+     * @param value The generation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setGeneration(long value) {
+      copyOnWrite();
+      instance.setGeneration(value);
+      return this;
+    }
+    /**
+     * <code>uint64 generation = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearGeneration() {
+      copyOnWrite();
+      instance.clearGeneration();
+      return this;
+    }
+
+    /**
+     * <code>bytes document = 4;</code>
+     * @return The document.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString getDocument() {
+      return instance.getDocument();
+    }
+    /**
+     * <code>bytes document = 4;</code>
+     * @param value The document to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDocument(com.google.protobuf.ByteString value) {
+      copyOnWrite();
+      instance.setDocument(value);
+      return this;
+    }
+    /**
+     * <code>bytes document = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearDocument() {
+      copyOnWrite();
+      instance.clearDocument();
+      return this;
+    }
+
+    /**
+     * <code>repeated .org.ragwortrun.proto.OrderedMove ordered_moves = 5;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.ragwortrun.proto.OrderedMove> getOrderedMovesList() {
+      return java.util.Collections.unmodifiableList(
+          instance.getOrderedMovesList());
+    }
+    /**
+     * <code>repeated .org.ragwortrun.proto.OrderedMove ordered_moves = 5;</code>
+     */
+    @java.lang.Override
+    public int getOrderedMovesCount() {
+      return instance.getOrderedMovesCount();
+    }/**
+     * <code>repeated .org.ragwortrun.proto.OrderedMove ordered_moves = 5;</code>
+     */
+    @java.lang.Override
+    public org.ragwortrun.proto.OrderedMove getOrderedMoves(int index) {
+      return instance.getOrderedMoves(index);
+    }
+    /**
+     * <code>repeated .org.ragwortrun.proto.OrderedMove ordered_moves = 5;</code>
+     */
+    public Builder setOrderedMoves(
+        int index, org.ragwortrun.proto.OrderedMove value) {
+      copyOnWrite();
+      instance.setOrderedMoves(index, value);
+      return this;
+    }
+    /**
+     * <code>repeated .org.ragwortrun.proto.OrderedMove ordered_moves = 5;</code>
+     */
+    public Builder setOrderedMoves(
+        int index, org.ragwortrun.proto.OrderedMove.Builder builderForValue) {
+      copyOnWrite();
+      instance.setOrderedMoves(index,
+          builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>repeated .org.ragwortrun.proto.OrderedMove ordered_moves = 5;</code>
+     */
+    public Builder addOrderedMoves(org.ragwortrun.proto.OrderedMove value) {
+      copyOnWrite();
+      instance.addOrderedMoves(value);
+      return this;
+    }
+    /**
+     * <code>repeated .org.ragwortrun.proto.OrderedMove ordered_moves = 5;</code>
+     */
+    public Builder addOrderedMoves(
+        int index, org.ragwortrun.proto.OrderedMove value) {
+      copyOnWrite();
+      instance.addOrderedMoves(index, value);
+      return this;
+    }
+    /**
+     * <code>repeated .org.ragwortrun.proto.OrderedMove ordered_moves = 5;</code>
+     */
+    public Builder addOrderedMoves(
+        org.ragwortrun.proto.OrderedMove.Builder builderForValue) {
+      copyOnWrite();
+      instance.addOrderedMoves(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>repeated .org.ragwortrun.proto.OrderedMove ordered_moves = 5;</code>
+     */
+    public Builder addOrderedMoves(
+        int index, org.ragwortrun.proto.OrderedMove.Builder builderForValue) {
+      copyOnWrite();
+      instance.addOrderedMoves(index,
+          builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>repeated .org.ragwortrun.proto.OrderedMove ordered_moves = 5;</code>
+     */
+    public Builder addAllOrderedMoves(
+        java.lang.Iterable<? extends org.ragwortrun.proto.OrderedMove> values) {
+      copyOnWrite();
+      instance.addAllOrderedMoves(values);
+      return this;
+    }
+    /**
+     * <code>repeated .org.ragwortrun.proto.OrderedMove ordered_moves = 5;</code>
+     */
+    public Builder clearOrderedMoves() {
+      copyOnWrite();
+      instance.clearOrderedMoves();
+      return this;
+    }
+    /**
+     * <code>repeated .org.ragwortrun.proto.OrderedMove ordered_moves = 5;</code>
+     */
+    public Builder removeOrderedMoves(int index) {
+      copyOnWrite();
+      instance.removeOrderedMoves(index);
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.ragwortrun.proto.ConfigReply)
   }
   @java.lang.Override
@@ -383,10 +690,14 @@
             "number_",
             "sections_",
             org.ragwortrun.proto.Section.class,
+            "generation_",
+            "document_",
+            "orderedMoves_",
+            org.ragwortrun.proto.OrderedMove.class,
           };
           java.lang.String info =
-              "\u0000\u0002\u0000\u0000\u0001\u0002\u0002\u0000\u0001\u0000\u0001\u0003\u0002\u001b" +
-              "";
+              "\u0000\u0005\u0000\u0000\u0001\u0005\u0005\u0000\u0002\u0000\u0001\u0003\u0002\u001b" +
+              "\u0003\u0003\u0004\n\u0005\u001b";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/proto/src/main/java/org/ragwortrun/proto/ConfigReplyOrBuilder.java
+++ b/proto/src/main/java/org/ragwortrun/proto/ConfigReplyOrBuilder.java
@@ -29,4 +29,30 @@
    * <code>repeated .org.ragwortrun.proto.Section sections = 2;</code>
    */
   int getSectionsCount();
+
+  /**
+   * <code>uint64 generation = 3;</code>
+   * @return The generation.
+   */
+  long getGeneration();
+
+  /**
+   * <code>bytes document = 4;</code>
+   * @return The document.
+   */
+  com.google.protobuf.ByteString getDocument();
+
+  /**
+   * <code>repeated .org.ragwortrun.proto.OrderedMove ordered_moves = 5;</code>
+   */
+  java.util.List<org.ragwortrun.proto.OrderedMove> 
+      getOrderedMovesList();
+  /**
+   * <code>repeated .org.ragwortrun.proto.OrderedMove ordered_moves = 5;</code>
+   */
+  org.ragwortrun.proto.OrderedMove getOrderedMoves(int index);
+  /**
+   * <code>repeated .org.ragwortrun.proto.OrderedMove ordered_moves = 5;</code>
+   */
+  int getOrderedMovesCount();
 }
--- a/proto/src/main/java/org/ragwortrun/proto/ConfigUpdate.java
+++ b/proto/src/main/java/org/ragwortrun/proto/ConfigUpdate.java
@@ -24,6 +24,7 @@
     moves_ = emptyProtobufList();
     decisions_ = emptyProtobufList();
     suspects_ = emptyProtobufList();
+    orderedMoves_ = emptyProtobufList();
   }
   public static final int NUMBER_FIELD_NUMBER = 1;
   private long number_;
@@ -547,6 +548,100 @@
     suspects_.remove(index);
   }
 
+  public static final int ORDERED_MOVES_FIELD_NUMBER = 20;
+  private com.google.protobuf.Internal.ProtobufList<org.ragwortrun.proto.OrderedMove> orderedMoves_;
+  /**
+   * <code>repeated .org.ragwortrun.proto.OrderedMove ordered_moves = 20;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.ragwortrun.proto.OrderedMove> getOrderedMovesList() {
+    return orderedMoves_;
+  }
+  /**
+   * <code>repeated .org.ragwortrun.proto.OrderedMove ordered_moves = 20;</code>
+   */
+  public java.util.List<? extends org.ragwortrun.proto.OrderedMoveOrBuilder> 
+      getOrderedMovesOrBuilderList() {
+    return orderedMoves_;
+  }
+  /**
+   * <code>repeated .org.ragwortrun.proto.OrderedMove ordered_moves = 20;</code>
+   */
+  @java.lang.Override
+  public int getOrderedMovesCount() {
+    return orderedMoves_.size();
+  }
+  /**
+   * <code>repeated .org.ragwortrun.proto.OrderedMove ordered_moves = 20;</code>
+   */
+  @java.lang.Override
+  public org.ragwortrun.proto.OrderedMove getOrderedMoves(int index) {
+    return orderedMoves_.get(index);
+  }
+  /**
+   * <code>repeated .org.ragwortrun.proto.OrderedMove ordered_moves = 20;</code>
+   */
+  public org.ragwortrun.proto.OrderedMoveOrBuilder getOrderedMovesOrBuilder(
+      int index) {
+    return orderedMoves_.get(index);
+  }
+  private void ensureOrderedMovesIsMutable() {
+    com.google.protobuf.Internal.ProtobufList<org.ragwortrun.proto.OrderedMove> tmp = orderedMoves_;
+    if (!tmp.isModifiable()) {
+      orderedMoves_ =
+          com.google.protobuf.GeneratedMessageLite.mutableCopy(tmp);
+     }
+  }
+
+  /**
+   * <code>repeated .org.ragwortrun.proto.OrderedMove ordered_moves = 20;</code>
+   */
+  private void setOrderedMoves(
+      int index, org.ragwortrun.proto.OrderedMove value) {
+    java.util.Objects.requireNonNull(value);
+    ensureOrderedMovesIsMutable();
+    orderedMoves_.set(index, value);
+  }
+  /**
+   * <code>repeated .org.ragwortrun.proto.OrderedMove ordered_moves = 20;</code>
+   */
+  private void addOrderedMoves(org.ragwortrun.proto.OrderedMove value) {
+    java.util.Objects.requireNonNull(value);
+    ensureOrderedMovesIsMutable();
+    orderedMoves_.add(value);
+  }
+  /**
+   * <code>repeated .org.ragwortrun.proto.OrderedMove ordered_moves = 20;</code>
+   */
+  private void addOrderedMoves(
+      int index, org.ragwortrun.proto.OrderedMove value) {
+    java.util.Objects.requireNonNull(value);
+    ensureOrderedMovesIsMutable();
+    orderedMoves_.add(index, value);
+  }
+  /**
+   * <code>repeated .org.ragwortrun.proto.OrderedMove ordered_moves = 20;</code>
+   */
+  private void addAllOrderedMoves(
+      java.lang.Iterable<? extends org.ragwortrun.proto.OrderedMove> values) {
+    ensureOrderedMovesIsMutable();
+    com.google.protobuf.AbstractMessageLite.addAll(
+        values, orderedMoves_);
+  }
+  /**
+   * <code>repeated .org.ragwortrun.proto.OrderedMove ordered_moves = 20;</code>
+   */
+  private void clearOrderedMoves() {
+    orderedMoves_ = emptyProtobufList();
+  }
+  /**
+   * <code>repeated .org.ragwortrun.proto.OrderedMove ordered_moves = 20;</code>
+   */
+  private void removeOrderedMoves(int index) {
+    ensureOrderedMovesIsMutable();
+    orderedMoves_.remove(index);
+  }
+
   public static org.ragwortrun.proto.ConfigUpdate parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -1214,6 +1309,108 @@
       return this;
     }
 
+    /**
+     * <code>repeated .org.ragwortrun.proto.OrderedMove ordered_moves = 20;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.ragwortrun.proto.OrderedMove> getOrderedMovesList() {
+      return java.util.Collections.unmodifiableList(
+          instance.getOrderedMovesList());
+    }
+    /**
+     * <code>repeated .org.ragwortrun.proto.OrderedMove ordered_moves = 20;</code>
+     */
+    @java.lang.Override
+    public int getOrderedMovesCount() {
+      return instance.getOrderedMovesCount();
+    }/**
+     * <code>repeated .org.ragwortrun.proto.OrderedMove ordered_moves = 20;</code>
+     */
+    @java.lang.Override
+    public org.ragwortrun.proto.OrderedMove getOrderedMoves(int index) {
+      return instance.getOrderedMoves(index);
+    }
+    /**
+     * <code>repeated .org.ragwortrun.proto.OrderedMove ordered_moves = 20;</code>
+     */
+    public Builder setOrderedMoves(
+        int index, org.ragwortrun.proto.OrderedMove value) {
+      copyOnWrite();
+      instance.setOrderedMoves(index, value);
+      return this;
+    }
+    /**
+     * <code>repeated .org.ragwortrun.proto.OrderedMove ordered_moves = 20;</code>
+     */
+    public Builder setOrderedMoves(
+        int index, org.ragwortrun.proto.OrderedMove.Builder builderForValue) {
+      copyOnWrite();
+      instance.setOrderedMoves(index,
+          builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>repeated .org.ragwortrun.proto.OrderedMove ordered_moves = 20;</code>
+     */
+    public Builder addOrderedMoves(org.ragwortrun.proto.OrderedMove value) {
+      copyOnWrite();
+      instance.addOrderedMoves(value);
+      return this;
+    }
+    /**
+     * <code>repeated .org.ragwortrun.proto.OrderedMove ordered_moves = 20;</code>
+     */
+    public Builder addOrderedMoves(
+        int index, org.ragwortrun.proto.OrderedMove value) {
+      copyOnWrite();
+      instance.addOrderedMoves(index, value);
+      return this;
+    }
+    /**
+     * <code>repeated .org.ragwortrun.proto.OrderedMove ordered_moves = 20;</code>
+     */
+    public Builder addOrderedMoves(
+        org.ragwortrun.proto.OrderedMove.Builder builderForValue) {
+      copyOnWrite();
+      instance.addOrderedMoves(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>repeated .org.ragwortrun.proto.OrderedMove ordered_moves = 20;</code>
+     */
+    public Builder addOrderedMoves(
+        int index, org.ragwortrun.proto.OrderedMove.Builder builderForValue) {
+      copyOnWrite();
+      instance.addOrderedMoves(index,
+          builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>repeated .org.ragwortrun.proto.OrderedMove ordered_moves = 20;</code>
+     */
+    public Builder addAllOrderedMoves(
+        java.lang.Iterable<? extends org.ragwortrun.proto.OrderedMove> values) {
+      copyOnWrite();
+      instance.addAllOrderedMoves(values);
+      return this;
+    }
+    /**
+     * <code>repeated .org.ragwortrun.proto.OrderedMove ordered_moves = 20;</code>
+     */
+    public Builder clearOrderedMoves() {
+      copyOnWrite();
+      instance.clearOrderedMoves();
+      return this;
+    }
+    /**
+     * <code>repeated .org.ragwortrun.proto.OrderedMove ordered_moves = 20;</code>
+     */
+    public Builder removeOrderedMoves(int index) {
+      copyOnWrite();
+      instance.removeOrderedMoves(index);
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.ragwortrun.proto.ConfigUpdate)
   }
   @java.lang.Override
@@ -1242,10 +1439,12 @@
             org.ragwortrun.proto.VersionDecision.class,
             "suspects_",
             org.ragwortrun.proto.CrashReport.class,
+            "orderedMoves_",
+            org.ragwortrun.proto.OrderedMove.class,
           };
           java.lang.String info =
-              "\u0000\u0007\u0000\u0000\u0001\u0007\u0007\u0000\u0005\u0000\u0001\u0003\u0002\u0003" +
-              "\u0003\u001b\u0004\u001b\u0005\u001b\u0006\u001b\u0007\u001b";
+              "\u0000\b\u0000\u0000\u0001\u0014\b\u0000\u0006\u0000\u0001\u0003\u0002\u0003\u0003" +
+              "\u001b\u0004\u001b\u0005\u001b\u0006\u001b\u0007\u001b\u0014\u001b";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/proto/src/main/java/org/ragwortrun/proto/ConfigUpdateOrBuilder.java
+++ b/proto/src/main/java/org/ragwortrun/proto/ConfigUpdateOrBuilder.java
@@ -91,4 +91,18 @@
    * <code>repeated .org.ragwortrun.proto.CrashReport suspects = 7;</code>
    */
   int getSuspectsCount();
+
+  /**
+   * <code>repeated .org.ragwortrun.proto.OrderedMove ordered_moves = 20;</code>
+   */
+  java.util.List<org.ragwortrun.proto.OrderedMove> 
+      getOrderedMovesList();
+  /**
+   * <code>repeated .org.ragwortrun.proto.OrderedMove ordered_moves = 20;</code>
+   */
+  org.ragwortrun.proto.OrderedMove getOrderedMoves(int index);
+  /**
+   * <code>repeated .org.ragwortrun.proto.OrderedMove ordered_moves = 20;</code>
+   */
+  int getOrderedMovesCount();
 }
--- a/proto/src/main/java/org/ragwortrun/proto/Frame.java
+++ b/proto/src/main/java/org/ragwortrun/proto/Frame.java
@@ -60,6 +60,9 @@
     CONFIG_QUERY(35),
     CONFIG_REPLY(36),
     CRASH_REPORT(37),
+    ENDPOINT_LIST(38),
+    START_MOVE(39),
+    START_MOVE_REPLY(40),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -111,6 +114,9 @@
         case 35: return CONFIG_QUERY;
         case 36: return CONFIG_REPLY;
         case 37: return CRASH_REPORT;
+        case 38: return ENDPOINT_LIST;
+        case 39: return START_MOVE;
+        case 40: return START_MOVE_REPLY;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -1958,6 +1964,156 @@
     }
   }
 
+  public static final int ENDPOINT_LIST_FIELD_NUMBER = 38;
+  /**
+   * <code>.org.ragwortrun.proto.EndpointList endpoint_list = 38;</code>
+   */
+  @java.lang.Override
+  public boolean hasEndpointList() {
+    return bodyCase_ == 38;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.EndpointList endpoint_list = 38;</code>
+   */
+  @java.lang.Override
+  public org.ragwortrun.proto.EndpointList getEndpointList() {
+    if (bodyCase_ == 38) {
+       return (org.ragwortrun.proto.EndpointList) body_;
+    }
+    return org.ragwortrun.proto.EndpointList.getDefaultInstance();
+  }
+  /**
+   * <code>.org.ragwortrun.proto.EndpointList endpoint_list = 38;</code>
+   */
+  private void setEndpointList(org.ragwortrun.proto.EndpointList value) {
+    java.util.Objects.requireNonNull(value);
+    body_ = value;
+    bodyCase_ = 38;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.EndpointList endpoint_list = 38;</code>
+   */
+  private void mergeEndpointList(org.ragwortrun.proto.EndpointList value) {
+    java.util.Objects.requireNonNull(value);
+    if (bodyCase_ == 38 &&
+        body_ != org.ragwortrun.proto.EndpointList.getDefaultInstance()) {
+      body_ = org.ragwortrun.proto.EndpointList.newBuilder((org.ragwortrun.proto.EndpointList) body_)
+          .mergeFrom(value).buildPartial();
+    } else {
+      body_ = value;
+    }
+    bodyCase_ = 38;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.EndpointList endpoint_list = 38;</code>
+   */
+  private void clearEndpointList() {
+    if (bodyCase_ == 38) {
+      bodyCase_ = 0;
+      body_ = null;
+    }
+  }
+
+  public static final int START_MOVE_FIELD_NUMBER = 39;
+  /**
+   * <code>.org.ragwortrun.proto.StartMove start_move = 39;</code>
+   */
+  @java.lang.Override
+  public boolean hasStartMove() {
+    return bodyCase_ == 39;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.StartMove start_move = 39;</code>
+   */
+  @java.lang.Override
+  public org.ragwortrun.proto.StartMove getStartMove() {
+    if (bodyCase_ == 39) {
+       return (org.ragwortrun.proto.StartMove) body_;
+    }
+    return org.ragwortrun.proto.StartMove.getDefaultInstance();
+  }
+  /**
+   * <code>.org.ragwortrun.proto.StartMove start_move = 39;</code>
+   */
+  private void setStartMove(org.ragwortrun.proto.StartMove value) {
+    java.util.Objects.requireNonNull(value);
+    body_ = value;
+    bodyCase_ = 39;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.StartMove start_move = 39;</code>
+   */
+  private void mergeStartMove(org.ragwortrun.proto.StartMove value) {
+    java.util.Objects.requireNonNull(value);
+    if (bodyCase_ == 39 &&
+        body_ != org.ragwortrun.proto.StartMove.getDefaultInstance()) {
+      body_ = org.ragwortrun.proto.StartMove.newBuilder((org.ragwortrun.proto.StartMove) body_)
+          .mergeFrom(value).buildPartial();
+    } else {
+      body_ = value;
+    }
+    bodyCase_ = 39;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.StartMove start_move = 39;</code>
+   */
+  private void clearStartMove() {
+    if (bodyCase_ == 39) {
+      bodyCase_ = 0;
+      body_ = null;
+    }
+  }
+
+  public static final int START_MOVE_REPLY_FIELD_NUMBER = 40;
+  /**
+   * <code>.org.ragwortrun.proto.StartMoveReply start_move_reply = 40;</code>
+   */
+  @java.lang.Override
+  public boolean hasStartMoveReply() {
+    return bodyCase_ == 40;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.StartMoveReply start_move_reply = 40;</code>
+   */
+  @java.lang.Override
+  public org.ragwortrun.proto.StartMoveReply getStartMoveReply() {
+    if (bodyCase_ == 40) {
+       return (org.ragwortrun.proto.StartMoveReply) body_;
+    }
+    return org.ragwortrun.proto.StartMoveReply.getDefaultInstance();
+  }
+  /**
+   * <code>.org.ragwortrun.proto.StartMoveReply start_move_reply = 40;</code>
+   */
+  private void setStartMoveReply(org.ragwortrun.proto.StartMoveReply value) {
+    java.util.Objects.requireNonNull(value);
+    body_ = value;
+    bodyCase_ = 40;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.StartMoveReply start_move_reply = 40;</code>
+   */
+  private void mergeStartMoveReply(org.ragwortrun.proto.StartMoveReply value) {
+    java.util.Objects.requireNonNull(value);
+    if (bodyCase_ == 40 &&
+        body_ != org.ragwortrun.proto.StartMoveReply.getDefaultInstance()) {
+      body_ = org.ragwortrun.proto.StartMoveReply.newBuilder((org.ragwortrun.proto.StartMoveReply) body_)
+          .mergeFrom(value).buildPartial();
+    } else {
+      body_ = value;
+    }
+    bodyCase_ = 40;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.StartMoveReply start_move_reply = 40;</code>
+   */
+  private void clearStartMoveReply() {
+    if (bodyCase_ == 40) {
+      bodyCase_ = 0;
+      body_ = null;
+    }
+  }
+
   public static org.ragwortrun.proto.Frame parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -3827,6 +3983,150 @@
       return this;
     }
 
+    /**
+     * <code>.org.ragwortrun.proto.EndpointList endpoint_list = 38;</code>
+     */
+    @java.lang.Override
+    public boolean hasEndpointList() {
+      return instance.hasEndpointList();
+    }
+    /**
+     * <code>.org.ragwortrun.proto.EndpointList endpoint_list = 38;</code>
+     */
+    @java.lang.Override
+    public org.ragwortrun.proto.EndpointList getEndpointList() {
+      return instance.getEndpointList();
+    }
+    /**
+     * <code>.org.ragwortrun.proto.EndpointList endpoint_list = 38;</code>
+     */
+    public Builder setEndpointList(org.ragwortrun.proto.EndpointList value) {
+      copyOnWrite();
+      instance.setEndpointList(value);
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.EndpointList endpoint_list = 38;</code>
+     */
+    public Builder setEndpointList(
+        org.ragwortrun.proto.EndpointList.Builder builderForValue) {
+      copyOnWrite();
+      instance.setEndpointList(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.EndpointList endpoint_list = 38;</code>
+     */
+    public Builder mergeEndpointList(org.ragwortrun.proto.EndpointList value) {
+      copyOnWrite();
+      instance.mergeEndpointList(value);
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.EndpointList endpoint_list = 38;</code>
+     */
+    public Builder clearEndpointList() {
+      copyOnWrite();
+      instance.clearEndpointList();
+      return this;
+    }
+
+    /**
+     * <code>.org.ragwortrun.proto.StartMove start_move = 39;</code>
+     */
+    @java.lang.Override
+    public boolean hasStartMove() {
+      return instance.hasStartMove();
+    }
+    /**
+     * <code>.org.ragwortrun.proto.StartMove start_move = 39;</code>
+     */
+    @java.lang.Override
+    public org.ragwortrun.proto.StartMove getStartMove() {
+      return instance.getStartMove();
+    }
+    /**
+     * <code>.org.ragwortrun.proto.StartMove start_move = 39;</code>
+     */
+    public Builder setStartMove(org.ragwortrun.proto.StartMove value) {
+      copyOnWrite();
+      instance.setStartMove(value);
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.StartMove start_move = 39;</code>
+     */
+    public Builder setStartMove(
+        org.ragwortrun.proto.StartMove.Builder builderForValue) {
+      copyOnWrite();
+      instance.setStartMove(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.StartMove start_move = 39;</code>
+     */
+    public Builder mergeStartMove(org.ragwortrun.proto.StartMove value) {
+      copyOnWrite();
+      instance.mergeStartMove(value);
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.StartMove start_move = 39;</code>
+     */
+    public Builder clearStartMove() {
+      copyOnWrite();
+      instance.clearStartMove();
+      return this;
+    }
+
+    /**
+     * <code>.org.ragwortrun.proto.StartMoveReply start_move_reply = 40;</code>
+     */
+    @java.lang.Override
+    public boolean hasStartMoveReply() {
+      return instance.hasStartMoveReply();
+    }
+    /**
+     * <code>.org.ragwortrun.proto.StartMoveReply start_move_reply = 40;</code>
+     */
+    @java.lang.Override
+    public org.ragwortrun.proto.StartMoveReply getStartMoveReply() {
+      return instance.getStartMoveReply();
+    }
+    /**
+     * <code>.org.ragwortrun.proto.StartMoveReply start_move_reply = 40;</code>
+     */
+    public Builder setStartMoveReply(org.ragwortrun.proto.StartMoveReply value) {
+      copyOnWrite();
+      instance.setStartMoveReply(value);
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.StartMoveReply start_move_reply = 40;</code>
+     */
+    public Builder setStartMoveReply(
+        org.ragwortrun.proto.StartMoveReply.Builder builderForValue) {
+      copyOnWrite();
+      instance.setStartMoveReply(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.StartMoveReply start_move_reply = 40;</code>
+     */
+    public Builder mergeStartMoveReply(org.ragwortrun.proto.StartMoveReply value) {
+      copyOnWrite();
+      instance.mergeStartMoveReply(value);
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.StartMoveReply start_move_reply = 40;</code>
+     */
+    public Builder clearStartMoveReply() {
+      copyOnWrite();
+      instance.clearStartMoveReply();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.ragwortrun.proto.Frame)
   }
   @java.lang.Override
@@ -3882,14 +4182,18 @@
             org.ragwortrun.proto.ConfigQuery.class,
             org.ragwortrun.proto.ConfigReply.class,
             org.ragwortrun.proto.CrashReport.class,
+            org.ragwortrun.proto.EndpointList.class,
+            org.ragwortrun.proto.StartMove.class,
+            org.ragwortrun.proto.StartMoveReply.class,
           };
           java.lang.String info =
-              "\u0000%\u0001\u0000\u0001%%\u0000\u0000\u0000\u0001\u0003\u0002<\u0000\u0003<\u0000" +
+              "\u0000(\u0001\u0000\u0001((\u0000\u0000\u0000\u0001\u0003\u0002<\u0000\u0003<\u0000" +
               "\u0004<\u0000\u0005<\u0000\u0006<\u0000\u0007<\u0000\b<\u0000\t<\u0000\n<\u0000\u000b" +
               "<\u0000\f<\u0000\r<\u0000\u000e<\u0000\u000f<\u0000\u0010<\u0000\u0011<\u0000\u0012" +
               "<\u0000\u0013<\u0000\u0014<\u0000\u0015<\u0000\u0016<\u0000\u0017<\u0000\u0018<\u0000" +
               "\u0019<\u0000\u001a<\u0000\u001b<\u0000\u001c<\u0000\u001d<\u0000\u001e<\u0000\u001f" +
-              "<\u0000 <\u0000!<\u0000\"<\u0000#<\u0000$<\u0000%<\u0000";
+              "<\u0000 <\u0000!<\u0000\"<\u0000#<\u0000$<\u0000%<\u0000&<\u0000\'<\u0000(<\u0000" +
+              "";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/proto/src/main/java/org/ragwortrun/proto/FrameOrBuilder.java
+++ b/proto/src/main/java/org/ragwortrun/proto/FrameOrBuilder.java
@@ -412,5 +412,38 @@
    */
   org.ragwortrun.proto.CrashReport getCrashReport();
 
+  /**
+   * <code>.org.ragwortrun.proto.EndpointList endpoint_list = 38;</code>
+   * @return Whether the endpointList field is set.
+   */
+  boolean hasEndpointList();
+  /**
+   * <code>.org.ragwortrun.proto.EndpointList endpoint_list = 38;</code>
+   * @return The endpointList.
+   */
+  org.ragwortrun.proto.EndpointList getEndpointList();
+
+  /**
+   * <code>.org.ragwortrun.proto.StartMove start_move = 39;</code>
+   * @return Whether the startMove field is set.
+   */
+  boolean hasStartMove();
+  /**
+   * <code>.org.ragwortrun.proto.StartMove start_move = 39;</code>
+   * @return The startMove.
+   */
+  org.ragwortrun.proto.StartMove getStartMove();
+
+  /**
+   * <code>.org.ragwortrun.proto.StartMoveReply start_move_reply = 40;</code>
+   * @return Whether the startMoveReply field is set.
+   */
+  boolean hasStartMoveReply();
+  /**
+   * <code>.org.ragwortrun.proto.StartMoveReply start_move_reply = 40;</code>
+   * @return The startMoveReply.
+   */
+  org.ragwortrun.proto.StartMoveReply getStartMoveReply();
+
   public org.ragwortrun.proto.Frame.BodyCase getBodyCase();
 }
--- a/proto/src/main/java/org/ragwortrun/proto/MetaCommand.java
+++ b/proto/src/main/java/org/ragwortrun/proto/MetaCommand.java
@@ -29,6 +29,9 @@
     CRASH(4),
     MOVE_PROGRESS(5),
     NEXT_FENCING(6),
+    START_MOVE(7),
+    READ_BARRIER(8),
+    SET_BASELINE(9),
     OP_NOT_SET(0);
     private final int value;
     private OpCase(int value) {
@@ -49,6 +52,9 @@
         case 4: return CRASH;
         case 5: return MOVE_PROGRESS;
         case 6: return NEXT_FENCING;
+        case 7: return START_MOVE;
+        case 8: return READ_BARRIER;
+        case 9: return SET_BASELINE;
         case 0: return OP_NOT_SET;
         default: return null;
       }
@@ -346,6 +352,156 @@
     }
   }
 
+  public static final int START_MOVE_FIELD_NUMBER = 7;
+  /**
+   * <code>.org.ragwortrun.proto.StartMove start_move = 7;</code>
+   */
+  @java.lang.Override
+  public boolean hasStartMove() {
+    return opCase_ == 7;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.StartMove start_move = 7;</code>
+   */
+  @java.lang.Override
+  public org.ragwortrun.proto.StartMove getStartMove() {
+    if (opCase_ == 7) {
+       return (org.ragwortrun.proto.StartMove) op_;
+    }
+    return org.ragwortrun.proto.StartMove.getDefaultInstance();
+  }
+  /**
+   * <code>.org.ragwortrun.proto.StartMove start_move = 7;</code>
+   */
+  private void setStartMove(org.ragwortrun.proto.StartMove value) {
+    java.util.Objects.requireNonNull(value);
+    op_ = value;
+    opCase_ = 7;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.StartMove start_move = 7;</code>
+   */
+  private void mergeStartMove(org.ragwortrun.proto.StartMove value) {
+    java.util.Objects.requireNonNull(value);
+    if (opCase_ == 7 &&
+        op_ != org.ragwortrun.proto.StartMove.getDefaultInstance()) {
+      op_ = org.ragwortrun.proto.StartMove.newBuilder((org.ragwortrun.proto.StartMove) op_)
+          .mergeFrom(value).buildPartial();
+    } else {
+      op_ = value;
+    }
+    opCase_ = 7;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.StartMove start_move = 7;</code>
+   */
+  private void clearStartMove() {
+    if (opCase_ == 7) {
+      opCase_ = 0;
+      op_ = null;
+    }
+  }
+
+  public static final int READ_BARRIER_FIELD_NUMBER = 8;
+  /**
+   * <code>.org.ragwortrun.proto.ReadBarrier read_barrier = 8;</code>
+   */
+  @java.lang.Override
+  public boolean hasReadBarrier() {
+    return opCase_ == 8;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.ReadBarrier read_barrier = 8;</code>
+   */
+  @java.lang.Override
+  public org.ragwortrun.proto.ReadBarrier getReadBarrier() {
+    if (opCase_ == 8) {
+       return (org.ragwortrun.proto.ReadBarrier) op_;
+    }
+    return org.ragwortrun.proto.ReadBarrier.getDefaultInstance();
+  }
+  /**
+   * <code>.org.ragwortrun.proto.ReadBarrier read_barrier = 8;</code>
+   */
+  private void setReadBarrier(org.ragwortrun.proto.ReadBarrier value) {
+    java.util.Objects.requireNonNull(value);
+    op_ = value;
+    opCase_ = 8;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.ReadBarrier read_barrier = 8;</code>
+   */
+  private void mergeReadBarrier(org.ragwortrun.proto.ReadBarrier value) {
+    java.util.Objects.requireNonNull(value);
+    if (opCase_ == 8 &&
+        op_ != org.ragwortrun.proto.ReadBarrier.getDefaultInstance()) {
+      op_ = org.ragwortrun.proto.ReadBarrier.newBuilder((org.ragwortrun.proto.ReadBarrier) op_)
+          .mergeFrom(value).buildPartial();
+    } else {
+      op_ = value;
+    }
+    opCase_ = 8;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.ReadBarrier read_barrier = 8;</code>
+   */
+  private void clearReadBarrier() {
+    if (opCase_ == 8) {
+      opCase_ = 0;
+      op_ = null;
+    }
+  }
+
+  public static final int SET_BASELINE_FIELD_NUMBER = 9;
+  /**
+   * <code>.org.ragwortrun.proto.SetBaseline set_baseline = 9;</code>
+   */
+  @java.lang.Override
+  public boolean hasSetBaseline() {
+    return opCase_ == 9;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.SetBaseline set_baseline = 9;</code>
+   */
+  @java.lang.Override
+  public org.ragwortrun.proto.SetBaseline getSetBaseline() {
+    if (opCase_ == 9) {
+       return (org.ragwortrun.proto.SetBaseline) op_;
+    }
+    return org.ragwortrun.proto.SetBaseline.getDefaultInstance();
+  }
+  /**
+   * <code>.org.ragwortrun.proto.SetBaseline set_baseline = 9;</code>
+   */
+  private void setSetBaseline(org.ragwortrun.proto.SetBaseline value) {
+    java.util.Objects.requireNonNull(value);
+    op_ = value;
+    opCase_ = 9;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.SetBaseline set_baseline = 9;</code>
+   */
+  private void mergeSetBaseline(org.ragwortrun.proto.SetBaseline value) {
+    java.util.Objects.requireNonNull(value);
+    if (opCase_ == 9 &&
+        op_ != org.ragwortrun.proto.SetBaseline.getDefaultInstance()) {
+      op_ = org.ragwortrun.proto.SetBaseline.newBuilder((org.ragwortrun.proto.SetBaseline) op_)
+          .mergeFrom(value).buildPartial();
+    } else {
+      op_ = value;
+    }
+    opCase_ = 9;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.SetBaseline set_baseline = 9;</code>
+   */
+  private void clearSetBaseline() {
+    if (opCase_ == 9) {
+      opCase_ = 0;
+      op_ = null;
+    }
+  }
+
   public static org.ragwortrun.proto.MetaCommand parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -727,6 +883,150 @@
       return this;
     }
 
+    /**
+     * <code>.org.ragwortrun.proto.StartMove start_move = 7;</code>
+     */
+    @java.lang.Override
+    public boolean hasStartMove() {
+      return instance.hasStartMove();
+    }
+    /**
+     * <code>.org.ragwortrun.proto.StartMove start_move = 7;</code>
+     */
+    @java.lang.Override
+    public org.ragwortrun.proto.StartMove getStartMove() {
+      return instance.getStartMove();
+    }
+    /**
+     * <code>.org.ragwortrun.proto.StartMove start_move = 7;</code>
+     */
+    public Builder setStartMove(org.ragwortrun.proto.StartMove value) {
+      copyOnWrite();
+      instance.setStartMove(value);
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.StartMove start_move = 7;</code>
+     */
+    public Builder setStartMove(
+        org.ragwortrun.proto.StartMove.Builder builderForValue) {
+      copyOnWrite();
+      instance.setStartMove(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.StartMove start_move = 7;</code>
+     */
+    public Builder mergeStartMove(org.ragwortrun.proto.StartMove value) {
+      copyOnWrite();
+      instance.mergeStartMove(value);
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.StartMove start_move = 7;</code>
+     */
+    public Builder clearStartMove() {
+      copyOnWrite();
+      instance.clearStartMove();
+      return this;
+    }
+
+    /**
+     * <code>.org.ragwortrun.proto.ReadBarrier read_barrier = 8;</code>
+     */
+    @java.lang.Override
+    public boolean hasReadBarrier() {
+      return instance.hasReadBarrier();
+    }
+    /**
+     * <code>.org.ragwortrun.proto.ReadBarrier read_barrier = 8;</code>
+     */
+    @java.lang.Override
+    public org.ragwortrun.proto.ReadBarrier getReadBarrier() {
+      return instance.getReadBarrier();
+    }
+    /**
+     * <code>.org.ragwortrun.proto.ReadBarrier read_barrier = 8;</code>
+     */
+    public Builder setReadBarrier(org.ragwortrun.proto.ReadBarrier value) {
+      copyOnWrite();
+      instance.setReadBarrier(value);
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.ReadBarrier read_barrier = 8;</code>
+     */
+    public Builder setReadBarrier(
+        org.ragwortrun.proto.ReadBarrier.Builder builderForValue) {
+      copyOnWrite();
+      instance.setReadBarrier(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.ReadBarrier read_barrier = 8;</code>
+     */
+    public Builder mergeReadBarrier(org.ragwortrun.proto.ReadBarrier value) {
+      copyOnWrite();
+      instance.mergeReadBarrier(value);
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.ReadBarrier read_barrier = 8;</code>
+     */
+    public Builder clearReadBarrier() {
+      copyOnWrite();
+      instance.clearReadBarrier();
+      return this;
+    }
+
+    /**
+     * <code>.org.ragwortrun.proto.SetBaseline set_baseline = 9;</code>
+     */
+    @java.lang.Override
+    public boolean hasSetBaseline() {
+      return instance.hasSetBaseline();
+    }
+    /**
+     * <code>.org.ragwortrun.proto.SetBaseline set_baseline = 9;</code>
+     */
+    @java.lang.Override
+    public org.ragwortrun.proto.SetBaseline getSetBaseline() {
+      return instance.getSetBaseline();
+    }
+    /**
+     * <code>.org.ragwortrun.proto.SetBaseline set_baseline = 9;</code>
+     */
+    public Builder setSetBaseline(org.ragwortrun.proto.SetBaseline value) {
+      copyOnWrite();
+      instance.setSetBaseline(value);
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.SetBaseline set_baseline = 9;</code>
+     */
+    public Builder setSetBaseline(
+        org.ragwortrun.proto.SetBaseline.Builder builderForValue) {
+      copyOnWrite();
+      instance.setSetBaseline(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.SetBaseline set_baseline = 9;</code>
+     */
+    public Builder mergeSetBaseline(org.ragwortrun.proto.SetBaseline value) {
+      copyOnWrite();
+      instance.mergeSetBaseline(value);
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.SetBaseline set_baseline = 9;</code>
+     */
+    public Builder clearSetBaseline() {
+      copyOnWrite();
+      instance.clearSetBaseline();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.ragwortrun.proto.MetaCommand)
   }
   @java.lang.Override
@@ -751,10 +1051,13 @@
             org.ragwortrun.proto.CrashReport.class,
             org.ragwortrun.proto.MoveProgress.class,
             org.ragwortrun.proto.NextFencing.class,
+            org.ragwortrun.proto.StartMove.class,
+            org.ragwortrun.proto.ReadBarrier.class,
+            org.ragwortrun.proto.SetBaseline.class,
           };
           java.lang.String info =
-              "\u0000\u0006\u0001\u0000\u0001\u0006\u0006\u0000\u0000\u0000\u0001\u0002\u0002<\u0000" +
-              "\u0003<\u0000\u0004<\u0000\u0005<\u0000\u0006<\u0000";
+              "\u0000\t\u0001\u0000\u0001\t\t\u0000\u0000\u0000\u0001\u0002\u0002<\u0000\u0003<" +
+              "\u0000\u0004<\u0000\u0005<\u0000\u0006<\u0000\u0007<\u0000\b<\u0000\t<\u0000";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/proto/src/main/java/org/ragwortrun/proto/MetaCommandOrBuilder.java
+++ b/proto/src/main/java/org/ragwortrun/proto/MetaCommandOrBuilder.java
@@ -71,5 +71,38 @@
    */
   org.ragwortrun.proto.NextFencing getNextFencing();
 
+  /**
+   * <code>.org.ragwortrun.proto.StartMove start_move = 7;</code>
+   * @return Whether the startMove field is set.
+   */
+  boolean hasStartMove();
+  /**
+   * <code>.org.ragwortrun.proto.StartMove start_move = 7;</code>
+   * @return The startMove.
+   */
+  org.ragwortrun.proto.StartMove getStartMove();
+
+  /**
+   * <code>.org.ragwortrun.proto.ReadBarrier read_barrier = 8;</code>
+   * @return Whether the readBarrier field is set.
+   */
+  boolean hasReadBarrier();
+  /**
+   * <code>.org.ragwortrun.proto.ReadBarrier read_barrier = 8;</code>
+   * @return The readBarrier.
+   */
+  org.ragwortrun.proto.ReadBarrier getReadBarrier();
+
+  /**
+   * <code>.org.ragwortrun.proto.SetBaseline set_baseline = 9;</code>
+   * @return Whether the setBaseline field is set.
+   */
+  boolean hasSetBaseline();
+  /**
+   * <code>.org.ragwortrun.proto.SetBaseline set_baseline = 9;</code>
+   * @return The setBaseline.
+   */
+  org.ragwortrun.proto.SetBaseline getSetBaseline();
+
   public org.ragwortrun.proto.MetaCommand.OpCase getOpCase();
 }
--- a/proto/src/main/java/org/ragwortrun/proto/MetaResult.java
+++ b/proto/src/main/java/org/ragwortrun/proto/MetaResult.java
@@ -24,6 +24,7 @@
     NUMBER(2),
     FENCING(3),
     ERROR(4),
+    START_MOVE(5),
     RESULT_NOT_SET(0);
     private final int value;
     private ResultCase(int value) {
@@ -43,6 +44,7 @@
         case 2: return NUMBER;
         case 3: return FENCING;
         case 4: return ERROR;
+        case 5: return START_MOVE;
         case 0: return RESULT_NOT_SET;
         default: return null;
       }
@@ -256,6 +258,56 @@
     }
   }
 
+  public static final int START_MOVE_FIELD_NUMBER = 5;
+  /**
+   * <code>.org.ragwortrun.proto.StartMoveReply start_move = 5;</code>
+   */
+  @java.lang.Override
+  public boolean hasStartMove() {
+    return resultCase_ == 5;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.StartMoveReply start_move = 5;</code>
+   */
+  @java.lang.Override
+  public org.ragwortrun.proto.StartMoveReply getStartMove() {
+    if (resultCase_ == 5) {
+       return (org.ragwortrun.proto.StartMoveReply) result_;
+    }
+    return org.ragwortrun.proto.StartMoveReply.getDefaultInstance();
+  }
+  /**
+   * <code>.org.ragwortrun.proto.StartMoveReply start_move = 5;</code>
+   */
+  private void setStartMove(org.ragwortrun.proto.StartMoveReply value) {
+    java.util.Objects.requireNonNull(value);
+    result_ = value;
+    resultCase_ = 5;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.StartMoveReply start_move = 5;</code>
+   */
+  private void mergeStartMove(org.ragwortrun.proto.StartMoveReply value) {
+    java.util.Objects.requireNonNull(value);
+    if (resultCase_ == 5 &&
+        result_ != org.ragwortrun.proto.StartMoveReply.getDefaultInstance()) {
+      result_ = org.ragwortrun.proto.StartMoveReply.newBuilder((org.ragwortrun.proto.StartMoveReply) result_)
+          .mergeFrom(value).buildPartial();
+    } else {
+      result_ = value;
+    }
+    resultCase_ = 5;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.StartMoveReply start_move = 5;</code>
+   */
+  private void clearStartMove() {
+    if (resultCase_ == 5) {
+      resultCase_ = 0;
+      result_ = null;
+    }
+  }
+
   public static org.ragwortrun.proto.MetaResult parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -549,6 +601,54 @@
       return this;
     }
 
+    /**
+     * <code>.org.ragwortrun.proto.StartMoveReply start_move = 5;</code>
+     */
+    @java.lang.Override
+    public boolean hasStartMove() {
+      return instance.hasStartMove();
+    }
+    /**
+     * <code>.org.ragwortrun.proto.StartMoveReply start_move = 5;</code>
+     */
+    @java.lang.Override
+    public org.ragwortrun.proto.StartMoveReply getStartMove() {
+      return instance.getStartMove();
+    }
+    /**
+     * <code>.org.ragwortrun.proto.StartMoveReply start_move = 5;</code>
+     */
+    public Builder setStartMove(org.ragwortrun.proto.StartMoveReply value) {
+      copyOnWrite();
+      instance.setStartMove(value);
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.StartMoveReply start_move = 5;</code>
+     */
+    public Builder setStartMove(
+        org.ragwortrun.proto.StartMoveReply.Builder builderForValue) {
+      copyOnWrite();
+      instance.setStartMove(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.StartMoveReply start_move = 5;</code>
+     */
+    public Builder mergeStartMove(org.ragwortrun.proto.StartMoveReply value) {
+      copyOnWrite();
+      instance.mergeStartMove(value);
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.StartMoveReply start_move = 5;</code>
+     */
+    public Builder clearStartMove() {
+      copyOnWrite();
+      instance.clearStartMove();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.ragwortrun.proto.MetaResult)
   }
   @java.lang.Override
@@ -569,10 +669,11 @@
             "resultCase_",
             org.ragwortrun.proto.PublishReply.class,
             org.ragwortrun.proto.ErrorReply.class,
+            org.ragwortrun.proto.StartMoveReply.class,
           };
           java.lang.String info =
-              "\u0000\u0004\u0001\u0000\u0001\u0004\u0004\u0000\u0000\u0000\u0001<\u0000\u00026" +
-              "\u0000\u00036\u0000\u0004<\u0000";
+              "\u0000\u0005\u0001\u0000\u0001\u0005\u0005\u0000\u0000\u0000\u0001<\u0000\u00026" +
+              "\u0000\u00036\u0000\u0004<\u0000\u0005<\u0000";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/proto/src/main/java/org/ragwortrun/proto/MetaResultOrBuilder.java
+++ b/proto/src/main/java/org/ragwortrun/proto/MetaResultOrBuilder.java
@@ -62,5 +62,16 @@
    */
   org.ragwortrun.proto.ErrorReply getError();
 
+  /**
+   * <code>.org.ragwortrun.proto.StartMoveReply start_move = 5;</code>
+   * @return Whether the startMove field is set.
+   */
+  boolean hasStartMove();
+  /**
+   * <code>.org.ragwortrun.proto.StartMoveReply start_move = 5;</code>
+   * @return The startMove.
+   */
+  org.ragwortrun.proto.StartMoveReply getStartMove();
+
   public org.ragwortrun.proto.MetaResult.ResultCase getResultCase();
 }
--- a/proto/src/main/java/org/ragwortrun/proto/OpenSession.java
+++ b/proto/src/main/java/org/ragwortrun/proto/OpenSession.java
@@ -116,6 +116,47 @@
 
   }
 
+  public static final int DIRECT_FIELD_NUMBER = 3;
+  private boolean direct_;
+  /**
+   * <pre>
+   * The router calls endpoints without agents. No one else can prove what it spent, so what is outstanding when its
+   * session is closed without an orderly stop counts as spent.
+   * </pre>
+   *
+   * <code>bool direct = 3;</code>
+   * @return The direct.
+   */
+  @java.lang.Override
+  public boolean getDirect() {
+    return direct_;
+  }
+  /**
+   * <pre>
+   * The router calls endpoints without agents. No one else can prove what it spent, so what is outstanding when its
+   * session is closed without an orderly stop counts as spent.
+   * </pre>
+   *
+   * <code>bool direct = 3;</code>
+   * @param value The direct to set.
+   */
+  private void setDirect(boolean value) {
+    
+    direct_ = value;
+  }
+  /**
+   * <pre>
+   * The router calls endpoints without agents. No one else can prove what it spent, so what is outstanding when its
+   * session is closed without an orderly stop counts as spent.
+   * </pre>
+   *
+   * <code>bool direct = 3;</code>
+   */
+  private void clearDirect() {
+
+    direct_ = false;
+  }
+
   public static org.ragwortrun.proto.OpenSession parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -315,6 +356,49 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * The router calls endpoints without agents. No one else can prove what it spent, so what is outstanding when its
+     * session is closed without an orderly stop counts as spent.
+     * </pre>
+     *
+     * <code>bool direct = 3;</code>
+     * @return The direct.
+     */
+    @java.lang.Override
+    public boolean getDirect() {
+      return instance.getDirect();
+    }
+    /**
+     * <pre>
+     * The router calls endpoints without agents. No one else can prove what it spent, so what is outstanding when its
+     * session is closed without an orderly stop counts as spent.
+     * </pre>
+     *
+     * <code>bool direct = 3;</code>
+     * @param value The direct to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDirect(boolean value) {
+      copyOnWrite();
+      instance.setDirect(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * The router calls endpoints without agents. No one else can prove what it spent, so what is outstanding when its
+     * session is closed without an orderly stop counts as spent.
+     * </pre>
+     *
+     * <code>bool direct = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearDirect() {
+      copyOnWrite();
+      instance.clearDirect();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.ragwortrun.proto.OpenSession)
   }
   @java.lang.Override
@@ -333,10 +417,11 @@
           java.lang.Object[] objects = new java.lang.Object[] {
             "router_",
             "incarnation_",
+            "direct_",
           };
           java.lang.String info =
-              "\u0000\u0002\u0000\u0000\u0001\u0002\u0002\u0000\u0000\u0000\u0001\u0208\u0002\u0208" +
-              "";
+              "\u0000\u0003\u0000\u0000\u0001\u0003\u0003\u0000\u0000\u0000\u0001\u0208\u0002\u0208" +
+              "\u0003\u0007";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/proto/src/main/java/org/ragwortrun/proto/OpenSessionOrBuilder.java
+++ b/proto/src/main/java/org/ragwortrun/proto/OpenSessionOrBuilder.java
@@ -33,4 +33,15 @@
    */
   com.google.protobuf.ByteString
       getIncarnationBytes();
+
+  /**
+   * <pre>
+   * The router calls endpoints without agents. No one else can prove what it spent, so what is outstanding when its
+   * session is closed without an orderly stop counts as spent.
+   * </pre>
+   *
+   * <code>bool direct = 3;</code>
+   * @return The direct.
+   */
+  boolean getDirect();
 }
--- a/proto/src/main/java/org/ragwortrun/proto/Publish.java
+++ b/proto/src/main/java/org/ragwortrun/proto/Publish.java
@@ -18,6 +18,7 @@
     publishId_ = "";
     operator_ = "";
     sections_ = emptyProtobufList();
+    document_ = com.google.protobuf.ByteString.EMPTY;
   }
   public static final int BASED_ON_FIELD_NUMBER = 1;
   private long basedOn_;
@@ -271,6 +272,86 @@
     waitMs_ = 0;
   }
 
+  public static final int GENERATION_FIELD_NUMBER = 6;
+  private long generation_;
+  /**
+   * <pre>
+   * Version number that the source of the configuration gives it, 0 if it gives none. With a generation, based_on and
+   * publish_id are not used: the publish takes effect if its generation is the highest, and changes nothing otherwise.
+   * </pre>
+   *
+   * <code>uint64 generation = 6;</code>
+   * @return The generation.
+   */
+  @java.lang.Override
+  public long getGeneration() {
+    return generation_;
+  }
+  /**
+   * <pre>
+   * Version number that the source of the configuration gives it, 0 if it gives none. With a generation, based_on and
+   * publish_id are not used: the publish takes effect if its generation is the highest, and changes nothing otherwise.
+   * </pre>
+   *
+   * <code>uint64 generation = 6;</code>
+   * @param value The generation to set.
+   */
+  private void setGeneration(long value) {
+    
+    generation_ = value;
+  }
+  /**
+   * <pre>
+   * Version number that the source of the configuration gives it, 0 if it gives none. With a generation, based_on and
+   * publish_id are not used: the publish takes effect if its generation is the highest, and changes nothing otherwise.
+   * </pre>
+   *
+   * <code>uint64 generation = 6;</code>
+   */
+  private void clearGeneration() {
+
+    generation_ = 0L;
+  }
+
+  public static final int DOCUMENT_FIELD_NUMBER = 7;
+  private com.google.protobuf.ByteString document_;
+  /**
+   * <pre>
+   * The configuration as its source wrote it, kept to be read back.
+   * </pre>
+   *
+   * <code>bytes document = 7;</code>
+   * @return The document.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString getDocument() {
+    return document_;
+  }
+  /**
+   * <pre>
+   * The configuration as its source wrote it, kept to be read back.
+   * </pre>
+   *
+   * <code>bytes document = 7;</code>
+   * @param value The document to set.
+   */
+  private void setDocument(com.google.protobuf.ByteString value) {
+    java.util.Objects.requireNonNull(value);
+  
+    document_ = value;
+  }
+  /**
+   * <pre>
+   * The configuration as its source wrote it, kept to be read back.
+   * </pre>
+   *
+   * <code>bytes document = 7;</code>
+   */
+  private void clearDocument() {
+
+    document_ = getDefaultInstance().getDocument();
+  }
+
   public static org.ragwortrun.proto.Publish parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -636,6 +717,89 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Version number that the source of the configuration gives it, 0 if it gives none. With a generation, based_on and
+     * publish_id are not used: the publish takes effect if its generation is the highest, and changes nothing otherwise.
+     * </pre>
+     *
+     * <code>uint64 generation = 6;</code>
+     * @return The generation.
+     */
+    @java.lang.Override
+    public long getGeneration() {
+      return instance.getGeneration();
+    }
+    /**
+     * <pre>
+     * Version number that the source of the configuration gives it, 0 if it gives none. With a generation, based_on and
+     * publish_id are not used: the publish takes effect if its generation is the highest, and changes nothing otherwise.
+     * </pre>
+     *
+     * <code>uint64 generation = 6;</code>
+     * @param value The generation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setGeneration(long value) {
+      copyOnWrite();
+      instance.setGeneration(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Version number that the source of the configuration gives it, 0 if it gives none. With a generation, based_on and
+     * publish_id are not used: the publish takes effect if its generation is the highest, and changes nothing otherwise.
+     * </pre>
+     *
+     * <code>uint64 generation = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearGeneration() {
+      copyOnWrite();
+      instance.clearGeneration();
+      return this;
+    }
+
+    /**
+     * <pre>
+     * The configuration as its source wrote it, kept to be read back.
+     * </pre>
+     *
+     * <code>bytes document = 7;</code>
+     * @return The document.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString getDocument() {
+      return instance.getDocument();
+    }
+    /**
+     * <pre>
+     * The configuration as its source wrote it, kept to be read back.
+     * </pre>
+     *
+     * <code>bytes document = 7;</code>
+     * @param value The document to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDocument(com.google.protobuf.ByteString value) {
+      copyOnWrite();
+      instance.setDocument(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * The configuration as its source wrote it, kept to be read back.
+     * </pre>
+     *
+     * <code>bytes document = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearDocument() {
+      copyOnWrite();
+      instance.clearDocument();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.ragwortrun.proto.Publish)
   }
   @java.lang.Override
@@ -658,10 +822,12 @@
             "sections_",
             org.ragwortrun.proto.Section.class,
             "waitMs_",
+            "generation_",
+            "document_",
           };
           java.lang.String info =
-              "\u0000\u0005\u0000\u0000\u0001\u0005\u0005\u0000\u0001\u0000\u0001\u0003\u0002\u0208" +
-              "\u0003\u0208\u0004\u001b\u0005\u000b";
+              "\u0000\u0007\u0000\u0000\u0001\u0007\u0007\u0000\u0001\u0000\u0001\u0003\u0002\u0208" +
+              "\u0003\u0208\u0004\u001b\u0005\u000b\u0006\u0003\u0007\n";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/proto/src/main/java/org/ragwortrun/proto/PublishOrBuilder.java
+++ b/proto/src/main/java/org/ragwortrun/proto/PublishOrBuilder.java
@@ -63,4 +63,25 @@
    * @return The waitMs.
    */
   int getWaitMs();
+
+  /**
+   * <pre>
+   * Version number that the source of the configuration gives it, 0 if it gives none. With a generation, based_on and
+   * publish_id are not used: the publish takes effect if its generation is the highest, and changes nothing otherwise.
+   * </pre>
+   *
+   * <code>uint64 generation = 6;</code>
+   * @return The generation.
+   */
+  long getGeneration();
+
+  /**
+   * <pre>
+   * The configuration as its source wrote it, kept to be read back.
+   * </pre>
+   *
+   * <code>bytes document = 7;</code>
+   * @return The document.
+   */
+  com.google.protobuf.ByteString getDocument();
 }
--- a/proto/src/main/java/org/ragwortrun/proto/PublishReply.java
+++ b/proto/src/main/java/org/ragwortrun/proto/PublishReply.java
@@ -433,6 +433,44 @@
     resent_ = false;
   }
 
+  public static final int SUPERSEDED_FIELD_NUMBER = 7;
+  private boolean superseded_;
+  /**
+   * <pre>
+   * A configuration of this or a higher generation is held, so the publish changed nothing.
+   * </pre>
+   *
+   * <code>bool superseded = 7;</code>
+   * @return The superseded.
+   */
+  @java.lang.Override
+  public boolean getSuperseded() {
+    return superseded_;
+  }
+  /**
+   * <pre>
+   * A configuration of this or a higher generation is held, so the publish changed nothing.
+   * </pre>
+   *
+   * <code>bool superseded = 7;</code>
+   * @param value The superseded to set.
+   */
+  private void setSuperseded(boolean value) {
+    
+    superseded_ = value;
+  }
+  /**
+   * <pre>
+   * A configuration of this or a higher generation is held, so the publish changed nothing.
+   * </pre>
+   *
+   * <code>bool superseded = 7;</code>
+   */
+  private void clearSuperseded() {
+
+    superseded_ = false;
+  }
+
   public static org.ragwortrun.proto.PublishReply parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -855,6 +893,46 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * A configuration of this or a higher generation is held, so the publish changed nothing.
+     * </pre>
+     *
+     * <code>bool superseded = 7;</code>
+     * @return The superseded.
+     */
+    @java.lang.Override
+    public boolean getSuperseded() {
+      return instance.getSuperseded();
+    }
+    /**
+     * <pre>
+     * A configuration of this or a higher generation is held, so the publish changed nothing.
+     * </pre>
+     *
+     * <code>bool superseded = 7;</code>
+     * @param value The superseded to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSuperseded(boolean value) {
+      copyOnWrite();
+      instance.setSuperseded(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * A configuration of this or a higher generation is held, so the publish changed nothing.
+     * </pre>
+     *
+     * <code>bool superseded = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSuperseded() {
+      copyOnWrite();
+      instance.clearSuperseded();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.ragwortrun.proto.PublishReply)
   }
   @java.lang.Override
@@ -878,10 +956,11 @@
             "errors_",
             org.ragwortrun.proto.ConfigError.class,
             "resent_",
+            "superseded_",
           };
           java.lang.String info =
-              "\u0000\u0006\u0000\u0000\u0001\u0006\u0006\u0000\u0002\u0000\u0001\f\u0002\u0003" +
-              "\u0003\u0007\u0004\u021a\u0005\u001b\u0006\u0007";
+              "\u0000\u0007\u0000\u0000\u0001\u0007\u0007\u0000\u0002\u0000\u0001\f\u0002\u0003" +
+              "\u0003\u0007\u0004\u021a\u0005\u001b\u0006\u0007\u0007\u0007";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/proto/src/main/java/org/ragwortrun/proto/PublishReplyOrBuilder.java
+++ b/proto/src/main/java/org/ragwortrun/proto/PublishReplyOrBuilder.java
@@ -77,4 +77,14 @@
    * @return The resent.
    */
   boolean getResent();
+
+  /**
+   * <pre>
+   * A configuration of this or a higher generation is held, so the publish changed nothing.
+   * </pre>
+   *
+   * <code>bool superseded = 7;</code>
+   * @return The superseded.
+   */
+  boolean getSuperseded();
 }
--- a/proto/src/main/java/org/ragwortrun/proto/TopUp.java
+++ b/proto/src/main/java/org/ragwortrun/proto/TopUp.java
@@ -138,6 +138,47 @@
     tokens_ = 0L;
   }
 
+  public static final int TOTAL_FIELD_NUMBER = 4;
+  private boolean total_;
+  /**
+   * <pre>
+   * The tokens are the whole prepaid amount as of the configuration number of the entry, not an addition. The id is
+   * empty then.
+   * </pre>
+   *
+   * <code>bool total = 4;</code>
+   * @return The total.
+   */
+  @java.lang.Override
+  public boolean getTotal() {
+    return total_;
+  }
+  /**
+   * <pre>
+   * The tokens are the whole prepaid amount as of the configuration number of the entry, not an addition. The id is
+   * empty then.
+   * </pre>
+   *
+   * <code>bool total = 4;</code>
+   * @param value The total to set.
+   */
+  private void setTotal(boolean value) {
+    
+    total_ = value;
+  }
+  /**
+   * <pre>
+   * The tokens are the whole prepaid amount as of the configuration number of the entry, not an addition. The id is
+   * empty then.
+   * </pre>
+   *
+   * <code>bool total = 4;</code>
+   */
+  private void clearTotal() {
+
+    total_ = false;
+  }
+
   public static org.ragwortrun.proto.TopUp parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -359,6 +400,49 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * The tokens are the whole prepaid amount as of the configuration number of the entry, not an addition. The id is
+     * empty then.
+     * </pre>
+     *
+     * <code>bool total = 4;</code>
+     * @return The total.
+     */
+    @java.lang.Override
+    public boolean getTotal() {
+      return instance.getTotal();
+    }
+    /**
+     * <pre>
+     * The tokens are the whole prepaid amount as of the configuration number of the entry, not an addition. The id is
+     * empty then.
+     * </pre>
+     *
+     * <code>bool total = 4;</code>
+     * @param value The total to set.
+     * @return This builder for chaining.
+     */
+    public Builder setTotal(boolean value) {
+      copyOnWrite();
+      instance.setTotal(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * The tokens are the whole prepaid amount as of the configuration number of the entry, not an addition. The id is
+     * empty then.
+     * </pre>
+     *
+     * <code>bool total = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearTotal() {
+      copyOnWrite();
+      instance.clearTotal();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.ragwortrun.proto.TopUp)
   }
   @java.lang.Override
@@ -379,10 +463,11 @@
             "budget_",
             "id_",
             "tokens_",
+            "total_",
           };
           java.lang.String info =
-              "\u0000\u0003\u0000\u0001\u0001\u0003\u0003\u0000\u0000\u0000\u0001\u1009\u0000\u0002" +
-              "\u0208\u0003\u0002";
+              "\u0000\u0004\u0000\u0001\u0001\u0004\u0004\u0000\u0000\u0000\u0001\u1009\u0000\u0002" +
+              "\u0208\u0003\u0002\u0004\u0007";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/proto/src/main/java/org/ragwortrun/proto/TopUpOrBuilder.java
+++ b/proto/src/main/java/org/ragwortrun/proto/TopUpOrBuilder.java
@@ -38,4 +38,15 @@
    * @return The tokens.
    */
   long getTokens();
+
+  /**
+   * <pre>
+   * The tokens are the whole prepaid amount as of the configuration number of the entry, not an addition. The id is
+   * empty then.
+   * </pre>
+   *
+   * <code>bool total = 4;</code>
+   * @return The total.
+   */
+  boolean getTotal();
 }
--- /dev/null
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/CallerConnection.java
@@ -0,0 +1,334 @@
+package org.ragwortrun.router.internal.forward;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Locale;
+import java.util.function.Supplier;
+import org.jspecify.annotations.Nullable;
+import org.ragwortrun.core.config.CallerLimits;
+import org.ragwortrun.core.refusal.Refusal;
+import org.ragwortrun.core.refusal.RefusalReason;
+import org.ragwortrun.core.time.Time;
+import org.ragwortrun.router.internal.http.ProblemWriter;
+
+/**
+ * One connection of a caller. Its requests are served one after the other, in the order in which they arrived.
+ *
+ * <p>Reading goes on while a request is served, so that the router notices at once when the caller leaves.
+ */
+final class CallerConnection extends SimpleChannelInboundHandler<HttpObject> implements CallerAnswer {
+    // A caller that sends ahead of its answers is read no further than this.
+    private static final int MOST_AHEAD = 16;
+
+    private final ForwardFront front;
+    private final Supplier<CallerLimits> limits;
+    private final ProblemWriter problems;
+    private final Time time;
+    private final Deque<Whole> waiting = new ArrayDeque<>();
+    private @Nullable ChannelHandlerContext context;
+    private @Nullable HttpRequest head;
+    private @Nullable ByteBuf body;
+    private @Nullable Whole served;
+    private @Nullable Exchange exchange;
+    private boolean answerBegun;
+    private boolean chunked;
+    private boolean closing;
+    private long quietSinceNanos;
+    private long headSinceNanos;
+
+    CallerConnection(ForwardFront front, Supplier<CallerLimits> limits, ProblemWriter problems, Time time) {
+        super(HttpObject.class);
+        this.front = front;
+        this.limits = limits;
+        this.problems = problems;
+        this.time = time;
+    }
+
+    /** A request with its whole body. */
+    private record Whole(HttpRequest head, ByteBuf body) {}
+
+    @Override
+    public void channelActive(ChannelHandlerContext ctx) {
+        context = ctx;
+        quietSinceNanos = time.nanos();
+        front.opened(this);
+    }
+
+    /** Closes the connection if its caller has been idle for longer than the limits allow. */
+    void closeIfIdle(long now) {
+        ChannelHandlerContext ctx = context;
+        boolean idle = served == null && waiting.isEmpty();
+        Duration most = head == null ? limits.get().idleTimeout() : limits.get().headerTimeout();
+        long since = head == null ? quietSinceNanos : headSinceNanos;
+        if (ctx != null && idle && now - since > most.toNanos()) {
+            if (head == null) {
+                ctx.close();
+            } else {
+                reject(ctx, Refusal.notRun(RefusalReason.REQUEST_TOO_SLOW, "the request did not arrive in time"));
+            }
+        }
+    }
+
+    /** Closes the connection if no request is being served, and after the one that is served otherwise. */
+    void closeWhenIdle() {
+        closing = true;
+        ChannelHandlerContext ctx = context;
+        if (ctx != null && served == null && head == null && waiting.isEmpty()) {
+            ctx.close();
+        }
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, HttpObject part) {
+        if (part.decoderResult().isFailure()) {
+            onMalformed(ctx, part);
+            return;
+        }
+        if (part instanceof HttpRequest request) {
+            onHead(ctx, request);
+        }
+        if (part instanceof HttpContent content) {
+            onContent(ctx, content);
+        }
+    }
+
+    private void onMalformed(ChannelHandlerContext ctx, HttpObject part) {
+        Throwable cause = part.decoderResult().cause();
+        boolean tooLarge = String.valueOf(cause).contains("TooLong");
+        reject(
+                ctx,
+                Refusal.notRun(
+                        tooLarge ? RefusalReason.REQUEST_TOO_LARGE : RefusalReason.MALFORMED_REQUEST,
+                        "the request cannot be read: " + (cause == null ? "" : cause.getMessage())));
+    }
+
+    private void onHead(ChannelHandlerContext ctx, HttpRequest request) {
+        if (request.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING).stream()
+                .anyMatch(v -> !v.trim().toLowerCase(Locale.ROOT).equals("chunked"))) {
+            reject(ctx, Refusal.notRun(RefusalReason.MALFORMED_REQUEST, "the transfer encoding is not chunked"));
+            return;
+        }
+        long length = HttpUtil.getContentLength(request, 0L);
+        if (length > limits.get().bodyBytes()) {
+            reject(ctx, Refusal.notRun(RefusalReason.REQUEST_TOO_LARGE, "the body is larger than allowed"));
+            return;
+        }
+        head = request;
+        headSinceNanos = time.nanos();
+        body = Unpooled.buffer((int) Math.min(length, limits.get().bodyBytes()));
+        if (HttpUtil.is100ContinueExpected(request) && served == null) {
+            ctx.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+        }
+    }
+
+    private void onContent(ChannelHandlerContext ctx, HttpContent content) {
+        HttpRequest h = head;
+        ByteBuf b = body;
+        if (h == null || b == null) {
+            return;
+        }
+        if (b.readableBytes() + content.content().readableBytes() > limits.get().bodyBytes()) {
+            reject(ctx, Refusal.notRun(RefusalReason.REQUEST_TOO_LARGE, "the body is larger than allowed"));
+            return;
+        }
+        b.writeBytes(content.content());
+        if (content instanceof LastHttpContent) {
+            head = null;
+            body = null;
+            waiting.add(new Whole(h, b));
+            if (waiting.size() >= MOST_AHEAD) {
+                ctx.channel().config().setAutoRead(false);
+            }
+            next();
+        }
+    }
+
+    private void next() {
+        Whole w = served == null ? waiting.poll() : null;
+        ChannelHandlerContext ctx = context;
+        if (w == null || ctx == null) {
+            return;
+        }
+        ctx.channel().config().setAutoRead(true);
+        served = w;
+        answerBegun = false;
+        exchange = null;
+        Exchange started = front.handle(w.head(), w.body(), this);
+        // An exchange that was refused at once has already ended.
+        if (served == w) {
+            exchange = started;
+        }
+    }
+
+    @Override
+    public void head(HttpResponse from) {
+        ChannelHandlerContext ctx = context;
+        Whole w = served;
+        if (ctx == null || w == null) {
+            return;
+        }
+        HttpResponse out = new DefaultHttpResponse(HttpVersion.HTTP_1_1, from.status());
+        front.heads().answer(from.headers(), out.headers());
+        String length = from.headers().get(HttpHeaderNames.CONTENT_LENGTH);
+        chunked = length == null || isEventStream(from);
+        if (!chunked) {
+            out.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
+        } else if (w.head().protocolVersion().isKeepAliveDefault()) {
+            out.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+        } else {
+            closing = true;
+        }
+        keepAlive(w, out);
+        answerBegun = true;
+        ctx.write(out, ctx.voidPromise());
+    }
+
+    private static boolean isEventStream(HttpResponse from) {
+        return from.headers().get(HttpHeaderNames.CONTENT_TYPE, "").startsWith("text/event-stream");
+    }
+
+    private void keepAlive(Whole w, HttpResponse out) {
+        boolean keep = HttpUtil.isKeepAlive(w.head()) && !closing && !front.isStopping();
+        if (!keep) {
+            closing = true;
+            out.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        }
+    }
+
+    @Override
+    public boolean part(ByteBuf part) {
+        ChannelHandlerContext ctx = context;
+        if (ctx == null) {
+            part.release();
+            return true;
+        }
+        ctx.writeAndFlush(new DefaultHttpContent(part), ctx.voidPromise());
+        return ctx.channel().isWritable();
+    }
+
+    @Override
+    public void end() {
+        ChannelHandlerContext ctx = context;
+        if (ctx != null) {
+            write(ctx, LastHttpContent.EMPTY_LAST_CONTENT);
+        }
+    }
+
+    private void write(ChannelHandlerContext ctx, Object last) {
+        var written = ctx.writeAndFlush(last);
+        served = null;
+        exchange = null;
+        quietSinceNanos = time.nanos();
+        if (closing) {
+            written.addListener(ChannelFutureListener.CLOSE);
+        } else {
+            // The exchange has not yet noted its end when it calls this.
+            ctx.executor().execute(this::next);
+        }
+    }
+
+    @Override
+    public void breakOff() {
+        served = null;
+        exchange = null;
+        closing = true;
+        ChannelHandlerContext ctx = context;
+        if (ctx != null) {
+            ctx.close();
+        }
+    }
+
+    @Override
+    public void refuse(Refusal refusal) {
+        ChannelHandlerContext ctx = context;
+        Whole w = served;
+        if (ctx == null || w == null) {
+            return;
+        }
+        if (answerBegun) {
+            breakOff();
+            return;
+        }
+        String id = w.head().headers().get(front.heads().idHeader(), "");
+        DefaultFullHttpResponse out = response(refusal, id);
+        keepAlive(w, out);
+        write(ctx, out);
+    }
+
+    private DefaultFullHttpResponse response(Refusal refusal, String id) {
+        byte[] text = problems.write(id, refusal);
+        DefaultFullHttpResponse out = new DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1,
+                HttpResponseStatus.valueOf(refusal.reason().status()),
+                Unpooled.wrappedBuffer(text));
+        out.headers()
+                .set(HttpHeaderNames.CONTENT_TYPE, ProblemWriter.MEDIA_TYPE)
+                .set(HttpHeaderNames.CONTENT_LENGTH, text.length);
+        if (!id.isEmpty()) {
+            out.headers().set(front.heads().idHeader(), id);
+        }
+        refusal.retryAfter()
+                .ifPresent(d -> out.headers()
+                        .set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", d.toMillis() / 1_000.0)));
+        return out;
+    }
+
+    /** Refuses what cannot be read as a request and closes the connection, since what follows cannot be told apart. */
+    private void reject(ChannelHandlerContext ctx, Refusal refusal) {
+        head = null;
+        body = null;
+        ctx.channel().config().setAutoRead(false);
+        if (served == null && !closing) {
+            DefaultFullHttpResponse out = response(refusal, "");
+            out.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+            ctx.writeAndFlush(out).addListener(ChannelFutureListener.CLOSE);
+        }
+        closing = true;
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+        Exchange e = exchange;
+        if (ctx.channel().isWritable() && e != null) {
+            e.resumeReading();
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+        front.closed(this);
+        Exchange e = exchange;
+        served = null;
+        exchange = null;
+        context = null;
+        waiting.clear();
+        if (e != null) {
+            e.cancel();
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        front.failed(cause);
+        ctx.close();
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointTable.java
@@ -0,0 +1,131 @@
+package org.ragwortrun.router.internal.forward;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.ragwortrun.core.log.Event;
+import org.ragwortrun.core.time.Time;
+import org.ragwortrun.proto.EndpointList;
+import org.ragwortrun.proto.ListedEndpoint;
+
+/**
+ * The endpoints of all origins, from the newest list.
+ *
+ * <p>A list of an earlier leader never replaces one of a later leader. A list that this router read itself, because no
+ * leader was heard, counts until a leader is heard again. Used on the event loop only.
+ */
+final class EndpointTable {
+    private static final Logger LOG = LogManager.getLogger(EndpointTable.class);
+
+    private final Time time;
+    private final Function<ListedEndpoint, EndpointConnections> connector;
+    private final Map<String, EndpointState> states = new HashMap<>();
+    private long term;
+    private long sequence;
+    private long heardNanos;
+    private long readNanos;
+    private boolean known;
+
+    EndpointTable(Time time, Function<ListedEndpoint, EndpointConnections> connector) {
+        this.time = time;
+        this.connector = connector;
+        heardNanos = time.nanos();
+    }
+
+    /** Applies a list that a leader sent. */
+    void apply(EndpointList list) {
+        boolean older = list.getTerm() < term || (list.getTerm() == term && list.getSequence() < sequence);
+        if (older) {
+            return;
+        }
+        boolean same = known && list.getTerm() == term && list.getSequence() == sequence;
+        term = list.getTerm();
+        sequence = list.getSequence();
+        heardNanos = time.nanos();
+        readNanos = heardNanos - list.getAgeMs() * 1_000_000L;
+        if (!same) {
+            replace(list.getEndpointsList(), "leader");
+        }
+    }
+
+    /** Applies a list that this router read itself. */
+    void applyOwn(List<ListedEndpoint> list) {
+        readNanos = time.nanos();
+        // The next list of a leader is applied even if its sequence is known.
+        sequence = 0;
+        replace(list, "own-read");
+    }
+
+    private void replace(List<ListedEndpoint> list, String source) {
+        long now = time.nanos();
+        Set<String> present = new HashSet<>();
+        for (ListedEndpoint e : list) {
+            present.add(e.getId());
+            EndpointState state = states.get(e.getId());
+            boolean moved = state != null && !state.listed().getAddress().equals(e.getAddress());
+            if (state == null || moved) {
+                states.put(e.getId(), new EndpointState(e, connector.apply(e), now));
+                log("endpoint-added", e, source);
+            } else {
+                if (!state.listed().getDraining() && e.getDraining()) {
+                    log("endpoint-draining", e, source);
+                }
+                state.update(e, now);
+            }
+        }
+        states.values().stream()
+                .filter(s -> !present.contains(s.id()) && s.isListed())
+                .forEach(s -> {
+                    s.remove();
+                    log("endpoint-removed", s.listed(), source);
+                });
+        states.values().removeIf(s -> !s.isListed() && s.inFlight() == 0);
+        known = true;
+    }
+
+    private static void log(String event, ListedEndpoint e, String source) {
+        Event.of(event)
+                .with("endpoint", e.getId())
+                .with("service", e.getService())
+                .with("address", e.getAddress())
+                .with("version", e.getVersion())
+                .with("source", source)
+                .info(LOG);
+    }
+
+    /** Returns the endpoints of an origin that new requests may go to, apart from their health. */
+    List<EndpointState> open(String origin) {
+        return states.values().stream()
+                .filter(s -> s.listed().getService().equals(origin) && s.isOpen())
+                .toList();
+    }
+
+    Optional<EndpointState> find(String id) {
+        return Optional.ofNullable(states.get(id));
+    }
+
+    /** Returns how long ago a leader was heard, in nanoseconds. */
+    long silenceNanos() {
+        return time.nanos() - heardNanos;
+    }
+
+    /** Returns the age of the list in milliseconds. */
+    long ageMs() {
+        return (time.nanos() - readNanos) / 1_000_000;
+    }
+
+    boolean isKnown() {
+        return known;
+    }
+
+    /** Closes what idle connections have outlived their time. */
+    void closeExpired() {
+        states.values().forEach(s -> s.connections().closeExpired());
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardFront.java
@@ -0,0 +1,176 @@
+package org.ragwortrun.router.internal.forward;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpRequest;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.jspecify.annotations.Nullable;
+import org.ragwortrun.core.config.Account;
+import org.ragwortrun.core.config.CallerLimits;
+import org.ragwortrun.core.config.Configuration;
+import org.ragwortrun.core.config.Forward;
+import org.ragwortrun.core.config.Origin;
+import org.ragwortrun.core.id.Digests;
+import org.ragwortrun.core.log.Event;
+import org.ragwortrun.core.refusal.Refusal;
+import org.ragwortrun.core.refusal.RefusalReason;
+import org.ragwortrun.core.refusal.RefusedException;
+
+/** Admits requests: finds their route, client account and origin, and starts an exchange. Used on the event loop. */
+final class ForwardFront {
+    private static final Logger LOG = LogManager.getLogger(ForwardFront.class);
+    private static final Duration RETRY_AFTER = Duration.ofMillis(500);
+    private static final int MOST_DIGESTS = 4_096;
+
+    private final ForwardServices services;
+    private final OriginPicker picker;
+    private final Set<CallerConnection> connections = new HashSet<>();
+    private final Map<String, String> digests = new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, String> eldest) {
+            return size() > MOST_DIGESTS;
+        }
+    };
+    private volatile boolean stopping;
+    private volatile int active;
+
+    ForwardFront(ForwardServices services) {
+        this.services = services;
+        picker = new OriginPicker(services.random());
+    }
+
+    RequestHeads heads() {
+        return services.heads();
+    }
+
+    CallerLimits limits() {
+        return services.configuration().get().map(Configuration::limits).orElse(CallerLimits.USUAL);
+    }
+
+    boolean isStopping() {
+        return stopping;
+    }
+
+    /** Tells callers from now on to use other connections. */
+    void stop() {
+        stopping = true;
+    }
+
+    /** Returns the number of requests that are being served. */
+    int active() {
+        return active;
+    }
+
+    /** Tells whether requests can be served. */
+    boolean isReady() {
+        return !stopping
+                && services.configuration().get().isPresent()
+                && services.endpoints().isKnown();
+    }
+
+    void opened(CallerConnection connection) {
+        connections.add(connection);
+    }
+
+    void closed(CallerConnection connection) {
+        connections.remove(connection);
+    }
+
+    void failed(Throwable cause) {
+        services.metrics().count("caller_connection_failures", 1);
+        Event.of("caller-connection-failed")
+                .with("failure", cause.getClass().getSimpleName())
+                .debug(LOG);
+    }
+
+    /** Closes the connections of callers that have been idle for too long. */
+    void closeIdle() {
+        long now = services.time().nanos();
+        List.copyOf(connections).forEach(c -> c.closeIfIdle(now));
+    }
+
+    /** Closes connections without a request, the others after their request. */
+    void closeConnections() {
+        List.copyOf(connections).forEach(CallerConnection::closeWhenIdle);
+    }
+
+    /** Starts an exchange. Returns nothing if the request was refused at once. */
+    @Nullable
+    Exchange handle(HttpRequest head, ByteBuf body, CallerAnswer answer) {
+        try {
+            Exchange exchange = admit(head, body, answer);
+            active++;
+            exchange.start();
+            return exchange;
+        } catch (RefusedException e) {
+            body.release();
+            Refusal refusal = e.refusal();
+            services.metrics().refused(refusal.reason());
+            Event.of("request")
+                    .with("id", head.headers().get(services.heads().idHeader(), ""))
+                    .with("outcome", "refused-not-run")
+                    .with("status", refusal.reason().status())
+                    .with("cause", refusal.reason().code())
+                    .with("host", head.headers().get("Host", ""))
+                    .with("target", head.uri())
+                    .with(
+                            "config",
+                            services.configuration()
+                                    .get()
+                                    .map(Configuration::number)
+                                    .orElse(0L))
+                    .info(LOG);
+            answer.refuse(refusal);
+            return null;
+        }
+    }
+
+    private Exchange admit(HttpRequest head, ByteBuf body, CallerAnswer answer) throws RefusedException {
+        CallerRequest request;
+        try {
+            request = services.heads().read(head);
+        } catch (MalformedRequestException e) {
+            throw refused(RefusalReason.MALFORMED_REQUEST, String.valueOf(e.getMessage()));
+        }
+        Configuration configuration = services.configuration()
+                .get()
+                .orElseThrow(() -> later(
+                        RefusalReason.CONFIGURATION_LEASE_EXPIRED, "this host has not yet learned its configuration"));
+        Forward route = configuration
+                .forwards()
+                .find(request.host(), request.path())
+                .orElseThrow(() -> refused(RefusalReason.UNKNOWN_ROUTE, "no route has this host and path"));
+        Optional<Account> account = account(configuration, route, request);
+        Origin origin = picker.draw(route.shares())
+                .flatMap(configuration::origin)
+                .orElseThrow(() -> later(RefusalReason.NO_ENDPOINT, "the route leads to no origin"));
+        return new Exchange(services, request, head, body, route, origin, account, answer, () -> active--);
+    }
+
+    private Optional<Account> account(Configuration configuration, Forward route, CallerRequest request)
+            throws RefusedException {
+        Optional<Account> account =
+                request.key().flatMap(k -> configuration.accountByKey(digests.computeIfAbsent(k, Digests::apiKey)));
+        if (account.isEmpty() && configuration.hasAccounts() && !route.open()) {
+            throw refused(RefusalReason.UNKNOWN_KEY, "the request carries no key of a client account");
+        }
+        return account;
+    }
+
+    private static RefusedException refused(RefusalReason reason, String detail) {
+        return new RefusedException(Refusal.notRun(reason, detail));
+    }
+
+    private static RefusedException later(RefusalReason reason, String detail) {
+        return new RefusedException(Refusal.notRun(reason, detail, RETRY_AFTER));
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
@@ -0,0 +1,277 @@
+package org.ragwortrun.router.internal.forward;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.ragwortrun.core.concurrent.Closer;
+import org.ragwortrun.core.concurrent.Duty;
+import org.ragwortrun.core.error.RagwortrunException;
+import org.ragwortrun.core.id.Incarnations;
+import org.ragwortrun.core.log.Event;
+import org.ragwortrun.core.metrics.Metrics;
+import org.ragwortrun.core.time.Time;
+import org.ragwortrun.ledger.GrantPool;
+import org.ragwortrun.ledger.PoolSettings;
+import org.ragwortrun.net.Address;
+import org.ragwortrun.net.AddressException;
+import org.ragwortrun.net.Transport;
+import org.ragwortrun.net.TransportException;
+import org.ragwortrun.net.control.ConfigWatch;
+import org.ragwortrun.net.control.ControlClient;
+import org.ragwortrun.net.control.EndpointSource;
+import org.ragwortrun.net.control.EndpointSourceException;
+import org.ragwortrun.proto.Hello;
+import org.ragwortrun.proto.ListedEndpoint;
+import org.ragwortrun.proto.Role;
+import org.ragwortrun.router.internal.evidence.EvidenceCollector;
+import org.ragwortrun.router.internal.http.ProblemWriter;
+import org.ragwortrun.router.internal.ledger.GrantClient;
+import org.ragwortrun.router.internal.ledger.HeldReservations;
+import org.ragwortrun.router.internal.ledger.Sessions;
+import org.ragwortrun.router.internal.ledger.SettlementQueue;
+import org.ragwortrun.router.internal.ledger.Shards;
+
+/** Builds the parts of a router that forwards to origins, and ends them in order. */
+public final class ForwardRouter implements AutoCloseable {
+    private static final Logger LOG = LogManager.getLogger(ForwardRouter.class);
+    private static final Duration CONFIRM_INTERVAL = Duration.ofSeconds(1);
+    private static final Duration SETTLE_TIMEOUT = Duration.ofMillis(500);
+    private static final long SECOND_MS = 1_000;
+    private static final long STOP_POLL_MS = 20;
+    private static final int BACKLOG = 512;
+    // Two beats of the leader that reads the list for all, and some slack.
+    private static final long SILENCE_NANOS = 2_500_000_000L;
+
+    private final ForwardSettings settings;
+    private final Time time;
+    private final ForwardFront front;
+    private final EventLoop loop;
+    private final Closer listeners;
+    private final Closer closer;
+
+    private ForwardRouter(
+            ForwardSettings settings, Time time, ForwardFront front, EventLoop loop, Closer listeners, Closer closer) {
+        this.settings = settings;
+        this.time = time;
+        this.front = front;
+        this.loop = loop;
+        this.listeners = listeners;
+        this.closer = closer;
+    }
+
+    /**
+     * Starts a router. What was started before a failure is ended again.
+     *
+     * @param names headers by which callers and endpoints are spoken to
+     * @param source list of endpoints, read by this router only while no control member sends it
+     * @throws RagwortrunException if an address cannot be bound
+     */
+    public static ForwardRouter start(ForwardSettings settings, HeaderNames names, EndpointSource source)
+            throws RagwortrunException {
+        Closer closer = new Closer();
+        try {
+            return start(settings, names, source, closer);
+        } catch (RagwortrunException e) {
+            closer.close();
+            throw e;
+        }
+    }
+
+    private static ForwardRouter start(
+            ForwardSettings settings, HeaderNames names, EndpointSource source, Closer closer)
+            throws RagwortrunException {
+        Time time = Time.system();
+        String incarnation = Incarnations.create(settings.name(), time.wallMillis());
+        Metrics metrics = closer.register(Metrics.exporting(settings.metricsHost(), settings.metricsPort()));
+        ScheduledExecutorService timer = Duty.timer("router-timer");
+        closer.register(() -> Duty.stop(timer));
+        EventLoopGroup group = new MultiThreadIoEventLoopGroup(
+                1, new DefaultThreadFactory("forward", true), NioIoHandler.newFactory());
+        closer.register(() ->
+                group.shutdownGracefully(0, SECOND_MS, TimeUnit.MILLISECONDS).awaitUninterruptibly(SECOND_MS));
+        EventLoop loop = (EventLoop) group.next();
+        Transport transport = closer.register(new Transport(hello(settings, incarnation), 1));
+        RequestHeads heads = new RequestHeads(names);
+        EndpointTable endpoints = new EndpointTable(time, e -> connections(loop, e, time, heads));
+        Pushes pushes = new Pushes(loop, endpoints);
+        ControlClient control = closer.register(new ControlClient(transport, settings.members(), pushes));
+        ConfigWatch watch = closer.register(new ConfigWatch(control, timer, time, c -> {}));
+        Shards shards = new Shards(control, settings.shards());
+        Sessions sessions = new Sessions(shards, timer, settings.name(), incarnation, true);
+        SettlementQueue settlements = new SettlementQueue(shards, timer, incarnation, SETTLE_TIMEOUT, time);
+        GrantClient grants = closer.register(new GrantClient(
+                new GrantPool(
+                        incarnation,
+                        time,
+                        PoolSettings.outlasting(settings.hold().toMillis())),
+                shards,
+                sessions,
+                timer,
+                settings.grantTimeout(),
+                List::of,
+                () -> settlements.pending() == 0,
+                new HeldReservations(control, shards)));
+        closer.register(settlements);
+        EvidenceCollector evidence = new EvidenceCollector(control);
+        UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create();
+        ForwardServices services = new ForwardServices(
+                settings.name(),
+                incarnation,
+                settings.dataCenter(),
+                watch::latest,
+                endpoints,
+                new RetryAllowance(
+                        settings.retryRatio(),
+                        settings.retrySlack(),
+                        settings.retryWindow().toNanos()),
+                grants,
+                settlements,
+                evidence,
+                heads,
+                metrics,
+                time,
+                loop,
+                random::nextDouble);
+        ForwardFront front = new ForwardFront(services);
+        pushes.connect(watch, grants);
+        watch.start(CONFIRM_INTERVAL);
+        sessions.open();
+        timer.scheduleWithFixedDelay(evidence, SECOND_MS, SECOND_MS, TimeUnit.MILLISECONDS);
+        loop.scheduleWithFixedDelay(front::closeIdle, SECOND_MS, SECOND_MS, TimeUnit.MILLISECONDS);
+        loop.scheduleWithFixedDelay(endpoints::closeExpired, SECOND_MS, SECOND_MS, TimeUnit.MILLISECONDS);
+        readOwnList(source, endpoints, loop, closer);
+        metrics.gauge("running_requests", "Requests that have not ended", front::active);
+        metrics.gauge("pending_settlements", "Bills that no shard has acknowledged", settlements::pending);
+        ProblemWriter problems = new ProblemWriter(new ObjectMapper());
+        Closer listeners = closer.register(new Closer());
+        listen(
+                listeners,
+                group,
+                settings.callers(),
+                front.limits().headerBytes(),
+                () -> new CallerConnection(front, front::limits, problems, time));
+        listen(closer, group, settings.readiness(), front.limits().headerBytes(), () -> new Readiness(front::isReady));
+        Event.of("router-started")
+                .with("name", settings.name())
+                .with("incarnation", incarnation)
+                .with("callers", settings.callers())
+                .with("control", settings.members().values())
+                .info(LOG);
+        return new ForwardRouter(settings, time, front, loop, listeners, closer);
+    }
+
+    private static void readOwnList(EndpointSource source, EndpointTable endpoints, EventLoop loop, Closer closer) {
+        ScheduledExecutorService reader = Duty.timer("router-endpoints");
+        closer.register(() -> Duty.stop(reader));
+        reader.scheduleWithFixedDelay(
+                () -> {
+                    if (endpoints.silenceNanos() < SILENCE_NANOS) {
+                        return;
+                    }
+                    try {
+                        List<ListedEndpoint> list = source.read();
+                        loop.execute(() -> endpoints.applyOwn(list));
+                    } catch (EndpointSourceException e) {
+                        Event.of("endpoint-list-lost").warn(LOG, e);
+                    }
+                },
+                SECOND_MS,
+                SECOND_MS,
+                TimeUnit.MILLISECONDS);
+    }
+
+    private static EndpointConnections connections(
+            EventLoop loop, ListedEndpoint endpoint, Time time, RequestHeads heads) {
+        try {
+            return new EndpointConnections(loop, Address.parse(endpoint.getAddress()), time, heads);
+        } catch (AddressException e) {
+            // The source leaves out entries without an address, so this names no endpoint that could answer.
+            Event.of("endpoint-address-unreadable")
+                    .with("endpoint", endpoint.getId())
+                    .warn(LOG, e);
+            return new EndpointConnections(loop, new Address("127.0.0.1", 0), time, heads);
+        }
+    }
+
+    private static void listen(
+            Closer closer, EventLoopGroup group, Address address, int headerBytes, Supplier<ChannelHandler> handler)
+            throws TransportException {
+        var bound = new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel ch) {
+                        ch.pipeline()
+                                .addLast(new StrictRequestDecoder(headerBytes), new HttpResponseEncoder())
+                                .addLast(handler.get());
+                    }
+                })
+                .bind(address.host(), address.port())
+                .awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            throw new TransportException(
+                    TransportException.Kind.NOT_SENT, "cannot listen on " + address, bound.cause());
+        }
+        closer.register(() -> bound.channel().close().awaitUninterruptibly());
+    }
+
+    /**
+     * Stops in order: the balancer is told, new connections are served until it has turned away, running requests
+     * finish, bills are delivered and grants are returned.
+     */
+    @Override
+    public void close() {
+        front.stop();
+        Event.of("router-stopping").with("running", front.active()).info(LOG);
+        long begin = time.nanos();
+        try {
+            sleepUntil(begin + settings.stopLinger().toNanos(), false);
+            listeners.close();
+            loop.execute(front::closeConnections);
+            sleepUntil(begin + settings.stopTimeout().toNanos(), true);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        int left = front.active();
+        closer.close();
+        Event.of("router-stopped").with("cut-off", left).info(LOG);
+    }
+
+    private void sleepUntil(long end, boolean untilIdle) throws InterruptedException {
+        while (end - time.nanos() > 0 && !(untilIdle && front.active() == 0)) {
+            TimeUnit.MILLISECONDS.sleep(STOP_POLL_MS);
+        }
+    }
+
+    private static Hello hello(ForwardSettings settings, String incarnation) {
+        return Hello.newBuilder()
+                .setName(settings.name())
+                .setIncarnation(incarnation)
+                .setRole(Role.ROUTER)
+                .setDataCenter(settings.dataCenter())
+                .build();
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardServices.java
@@ -0,0 +1,46 @@
+package org.ragwortrun.router.internal.forward;
+
+import io.netty.channel.EventLoop;
+import java.util.Optional;
+import java.util.function.DoubleSupplier;
+import java.util.function.Supplier;
+import org.ragwortrun.core.config.Configuration;
+import org.ragwortrun.core.metrics.Metrics;
+import org.ragwortrun.core.time.Time;
+import org.ragwortrun.router.internal.evidence.EvidenceCollector;
+import org.ragwortrun.router.internal.ledger.Grants;
+import org.ragwortrun.router.internal.ledger.SettlementQueue;
+
+/**
+ * What exchanges of one router share.
+ *
+ * @param name name of this router
+ * @param incarnation incarnation of this process
+ * @param dataCenter data center of this router
+ * @param configuration newest configuration, if one is known
+ * @param endpoints endpoints of all origins
+ * @param retries allowance for second endpoints
+ * @param grants tokens of client accounts
+ * @param settlements bills on their way to the ledger
+ * @param evidence outcomes by version
+ * @param heads reader and writer of heads
+ * @param metrics counters
+ * @param time clock
+ * @param loop the thread of all exchanges
+ * @param random numbers from 0 to below 1
+ */
+record ForwardServices(
+        String name,
+        String incarnation,
+        String dataCenter,
+        Supplier<Optional<Configuration>> configuration,
+        EndpointTable endpoints,
+        RetryAllowance retries,
+        Grants grants,
+        SettlementQueue settlements,
+        EvidenceCollector evidence,
+        RequestHeads heads,
+        Metrics metrics,
+        Time time,
+        EventLoop loop,
+        DoubleSupplier random) {}
--- /dev/null
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardSettings.java
@@ -0,0 +1,84 @@
+package org.ragwortrun.router.internal.forward;
+
+import java.time.Duration;
+import java.util.Map;
+import org.ragwortrun.core.settings.Settings;
+import org.ragwortrun.core.settings.SettingsException;
+import org.ragwortrun.net.Address;
+import org.ragwortrun.net.AddressException;
+import org.ragwortrun.net.control.ControlMembers;
+
+/**
+ * Settings of a router that forwards to origins.
+ *
+ * @param name name of this router
+ * @param dataCenter data center of this router
+ * @param metricsHost address of the metrics
+ * @param metricsPort port of the metrics, 0 for none
+ * @param members control members by name
+ * @param shards number of shard groups
+ * @param callers address for callers
+ * @param readiness address at which a balancer asks whether this router is ready
+ * @param grantTimeout longest wait for tokens
+ * @param hold span of demand for which a router holds tokens, so that it outlasts a cut from control
+ * @param retryRatio repeats for each request to an origin
+ * @param retrySlack repeats within the window without any request, for this router
+ * @param retryWindow window of the two
+ * @param stopLinger time after the begin of a stop for which new connections are still served
+ * @param stopTimeout longest time that a stop waits for running requests
+ */
+public record ForwardSettings(
+        String name,
+        String dataCenter,
+        String metricsHost,
+        int metricsPort,
+        Map<String, Address> members,
+        int shards,
+        Address callers,
+        Address readiness,
+        Duration grantTimeout,
+        Duration hold,
+        double retryRatio,
+        double retrySlack,
+        Duration retryWindow,
+        Duration stopLinger,
+        Duration stopTimeout) {
+    private static final int MAX_PORT = 65_535;
+    private static final int MAX_SHARDS = 4_096;
+    private static final int PERMILLE = 1_000;
+
+    /**
+     * Reads and checks the settings.
+     *
+     * @throws SettingsException with all values that cannot be used
+     */
+    public static ForwardSettings read(Settings s) throws SettingsException {
+        ForwardSettings read = new ForwardSettings(
+                s.text("daemon.name"),
+                s.text("daemon.data-center"),
+                s.text("daemon.metrics-host", "127.0.0.1"),
+                (int) s.number("daemon.metrics-port", 0, 0, MAX_PORT),
+                ControlMembers.read(s),
+                (int) s.number("cluster.shards", 1, 1, MAX_SHARDS),
+                address(s, "http.address"),
+                address(s, "http.readiness"),
+                s.duration("budgets.grant-timeout", Duration.ofMillis(400)),
+                s.duration("budgets.hold", Duration.ofSeconds(16)),
+                (double) s.number("retries.ratio-permille", 100, 0, PERMILLE) / PERMILLE,
+                s.number("retries.slack", 5, 0, PERMILLE),
+                s.duration("retries.window", Duration.ofSeconds(10)),
+                s.duration("daemon.stop-linger", Duration.ofMillis(2_500)),
+                s.duration("daemon.stop-timeout", Duration.ofSeconds(7)));
+        s.check();
+        return read;
+    }
+
+    private static Address address(Settings s, String key) {
+        try {
+            return Address.parse(s.text(key));
+        } catch (AddressException e) {
+            s.reject(key, String.valueOf(e.getMessage()));
+            return new Address("127.0.0.1", 0);
+        }
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/package-info.java
@@ -0,0 +1,5 @@
+/** Forwarding of requests to origins whose endpoints the router calls without agents. */
+@NullMarked
+package org.ragwortrun.router.internal.forward;
+
+import org.jspecify.annotations.NullMarked;
--- a/router/src/main/java/org/ragwortrun/router/internal/ledger/GrantClient.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/ledger/GrantClient.java
@@ -118,7 +118,9 @@
     public void close() {
         pool.returnAll().ifPresent(this::reduce);
         boolean orderly = open.get() == 0 && settled.getAsBoolean();
-        sessions.close(orderly ? List.of() : agents.get(), CLOSE_TIMEOUT);
+        if (orderly || !sessions.isDirect()) {
+            sessions.close(orderly ? List.of() : agents.get(), CLOSE_TIMEOUT);
+        }
     }
 
     /** Sends what is due, and again what has not been answered. */
--- a/router/src/main/java/org/ragwortrun/router/internal/ledger/Sessions.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/ledger/Sessions.java
@@ -26,14 +26,25 @@
     private final ScheduledExecutorService timer;
     private final String router;
     private final String incarnation;
+    private final boolean direct;
     private final Map<Integer, CompletableFuture<Void>> opened = new ConcurrentHashMap<>();
     private volatile boolean fenced;
 
     public Sessions(Shards shards, ScheduledExecutorService timer, String router, String incarnation) {
+        this(shards, timer, router, incarnation, false);
+    }
+
+    /**
+     * Creates the sessions.
+     *
+     * @param direct whether this router calls endpoints without agents, so that nobody else can prove what it spent
+     */
+    public Sessions(Shards shards, ScheduledExecutorService timer, String router, String incarnation, boolean direct) {
         this.shards = shards;
         this.timer = timer;
         this.router = router;
         this.incarnation = incarnation;
+        this.direct = direct;
     }
 
     /** Opens a session at each shard and tries until each has one. */
@@ -56,6 +67,11 @@
         }
     }
 
+    /** Tells whether this router calls endpoints without agents. */
+    boolean isDirect() {
+        return direct;
+    }
+
     /** Returns whether the incarnation has been fenced. Only a restart ends this. */
     public boolean isFenced() {
         return fenced;
@@ -90,6 +106,7 @@
         OpenSession open = OpenSession.newBuilder()
                 .setRouter(router)
                 .setIncarnation(incarnation)
+                .setDirect(direct)
                 .build();
         shards.send(group, ShardCommand.newBuilder().setOpenSession(open), TIMEOUT)
                 .whenComplete((result, failure) -> {
