Hold grants by demand so that a router outlasts a cut, and end silent connections

Budgets were not charged at all, as routers do not get budget sections. Change: a router asks for a target of 12 s of its demand and the owner shares out what is available in proportion to the targets; a recall returns half; frames keep quiet connections in use and end one after 1.5 s of silence; accounts say whether they are metered.

--- a/core/src/main/java/org/ragwortrun/core/config/Configuration.java
+++ b/core/src/main/java/org/ragwortrun/core/config/Configuration.java
@@ -35,7 +35,6 @@
     private final Map<String, VersionDecision> decisions;
     private final Map<String, Origin> origins;
     private final ForwardTable forwards;
-    private final Map<String, Budget> sharedBudgets;
     private final CallerLimits limits;
     private final Map<String, List<OrderedMove>> orderedMoves;
 
@@ -67,9 +66,6 @@
         decisions = index(versionDecisions, d -> versionKey(d.getService(), d.getVersion()));
         origins = index(reader.origins(sections), Origin::name);
         forwards = new ForwardTable(reader.forwards(sections));
-        sharedBudgets = budgets.values().stream()
-                .filter(b -> b.service().equals(Budget.ALL_ORIGINS))
-                .collect(Collectors.toUnmodifiableMap(Budget::account, Function.identity(), (a, b) -> a));
         limits = reader.limits(sections).orElse(CallerLimits.USUAL);
         orderedMoves = ordered.stream().collect(Collectors.groupingBy(OrderedMove::getService));
         reader.throwIfErrors();
@@ -117,11 +113,6 @@
         return forwards;
     }
 
-    /** Returns the budget that an account has for all origins together. */
-    public Optional<Budget> sharedBudget(String account) {
-        return Optional.ofNullable(sharedBudgets.get(account));
-    }
-
     /** Tells whether callers of forwards must name a client account. */
     public boolean hasAccounts() {
         return !accounts.isEmpty();
--- a/core/src/main/java/org/ragwortrun/core/config/SectionReader.java
+++ b/core/src/main/java/org/ragwortrun/core/config/SectionReader.java
@@ -31,7 +31,10 @@
     private final List<ConfigurationError> errors = new ArrayList<>();
 
     List<Account> accounts(Collection<Section> sections) {
-        return read(sections, SectionKind.ACCOUNT, s -> new Account(s.getName(), list(s, "keys"), priority(s)));
+        return read(
+                sections,
+                SectionKind.ACCOUNT,
+                s -> new Account(s.getName(), list(s, "keys"), priority(s), yes(s, "metered", false)));
     }
 
     List<Budget> budgets(Collection<Section> sections) {
--- a/core/src/main/java/org/ragwortrun/core/config/rule/TopUpHistoryRule.java
+++ b/core/src/main/java/org/ragwortrun/core/config/rule/TopUpHistoryRule.java
@@ -21,15 +21,20 @@
 
     private static Stream<ConfigurationError> check(Section before, @Nullable Section now) {
         if (now == null) {
-            return before.getPropertiesCount() == 0
+            return topUps(before).findAny().isEmpty()
                     ? Stream.empty()
                     : Stream.of(Draft.error(before, "", "top-up-removed", "the section, whose top-ups were accepted"));
         }
-        return before.getPropertiesMap().entrySet().stream()
+        return topUps(before)
                 .filter(e -> !amount(e.getValue()).equals(amount(now.getPropertiesOrDefault(e.getKey(), ""))))
                 .map(e -> error(now, e.getKey(), e.getValue()));
     }
 
+    /** A total is no top-up: its section says what it replaces. */
+    private static Stream<Map.Entry<String, String>> topUps(Section s) {
+        return s.getPropertiesMap().entrySet().stream().filter(e -> e.getKey().startsWith("topup."));
+    }
+
     private static ConfigurationError error(Section now, String key, String amount) {
         String rule = now.containsProperties(key) ? "top-up-changed" : "top-up-removed";
         return Draft.error(now, key, rule, "the accepted amount " + amount + "; add another top-up instead");
--- a/core/src/main/java/org/ragwortrun/core/config/rule/UnknownKeyRule.java
+++ b/core/src/main/java/org/ragwortrun/core/config/rule/UnknownKeyRule.java
@@ -14,7 +14,7 @@
 public final class UnknownKeyRule implements ConfigurationRule {
     private static final String TOP_UP = "topup.";
     private static final Map<SectionKind, List<String>> KEYS = Map.of(
-            SectionKind.ACCOUNT, List.of("keys", "priority"),
+            SectionKind.ACCOUNT, List.of("keys", "priority", "metered"),
             SectionKind.BUDGET, List.of("prepaid"),
             SectionKind.SERVICE, List.of("kind", "model", "version"),
             SectionKind.ROUTE, List.of("service", "path", "repeatable", "price", "max-output", "priority", "deadline"),
--- a/ledger/src/main/java/org/ragwortrun/ledger/GrantPolicy.java
+++ b/ledger/src/main/java/org/ragwortrun/ledger/GrantPolicy.java
@@ -12,10 +12,21 @@
      */
     long size(Ask ask);
 
-    /** Grants what demand asks for, at most a quarter of what is left divided by the routers that hold grants. */
+    /** Part of what is available that routers with a target may hold together; the rest is left for new holders. */
+    double HELD_PART = 0.75;
+
+    /**
+     * Grants what demand asks for, at most a quarter of what is left divided by the routers that hold grants. Routers
+     * that want to outlast a cut share most of what is left in proportion to their targets, so that each holds as much
+     * time of its demand as the others.
+     */
     static GrantPolicy demand() {
-        return a ->
-                Math.max(a.minimum(), Math.min(a.wanted(), a.available() / ((long) REMAINING_DIVISOR * a.holders())));
+        return a -> {
+            long equal = a.available() / ((long) REMAINING_DIVISOR * a.holders());
+            double part = HELD_PART * a.target() / Math.max(1, a.target() + a.otherTargets());
+            long most = a.target() > 0 ? (long) (a.available() * part) : equal;
+            return Math.max(a.minimum(), Math.min(a.wanted(), most));
+        };
     }
 
     /** Grants exactly what the request needs, so that each request asks the owner. */
@@ -42,6 +53,17 @@
      * @param holders routers that hold grants, with the one that asks
      * @param minimum least amount that is useful
      * @param wanted amount that the router's demand asks for
+     * @param target tokens that the router wants to hold to outlast a cut, 0 for none
+     * @param otherTargets sum of the targets of the other routers
      */
-    record Ask(long prepaid, long settled, long available, long taken, int holders, long minimum, long wanted) {}
+    record Ask(
+            long prepaid,
+            long settled,
+            long available,
+            long taken,
+            int holders,
+            long minimum,
+            long wanted,
+            long target,
+            long otherTargets) {}
 }
--- a/ledger/src/main/java/org/ragwortrun/ledger/PoolSettings.java
+++ b/ledger/src/main/java/org/ragwortrun/ledger/PoolSettings.java
@@ -10,6 +10,11 @@
  * @param holdMs span of demand that a router holds, so that it outlasts a cut from the owner
  */
 public record PoolSettings(long demandMs, long idleMs, long tightMs, long grantAgeMs, long holdMs) {
+    // Holdings beyond the demand return when they are recalled, so they need not return when they are idle.
+    private static final long LONG_IDLE_MS = 600_000;
+    // Long enough for the owner's next answer; a longer one would leave a router without holdings when a cut begins.
+    private static final long BRIEF_TIGHT_MS = 100;
+
     public PoolSettings(long demandMs, long idleMs, long tightMs, long grantAgeMs) {
         this(demandMs, idleMs, tightMs, grantAgeMs, demandMs);
     }
@@ -17,8 +22,12 @@
     /** Returns the usual times, with grants that last for a span without the owner. */
     public static PoolSettings outlasting(long holdMs) {
         PoolSettings usual = usual();
-        return new PoolSettings(
-                usual.demandMs, Math.max(usual.idleMs, holdMs), usual.tightMs, usual.grantAgeMs, holdMs);
+        return new PoolSettings(usual.demandMs, LONG_IDLE_MS, BRIEF_TIGHT_MS, usual.grantAgeMs, holdMs);
+    }
+
+    /** Tells whether a router holds more than its demand until the next answer of the owner. */
+    public boolean isOutlasting() {
+        return holdMs > demandMs;
     }
 
     /**
--- a/ledger/src/main/java/org/ragwortrun/ledger/internal/BudgetAccount.java
+++ b/ledger/src/main/java/org/ragwortrun/ledger/internal/BudgetAccount.java
@@ -17,6 +17,8 @@
 /** The budget of a client account for one service. Settled and outstanding tokens never exceed the prepaid tokens. */
 public final class BudgetAccount {
     private static final long NO_LIMIT = -1;
+    // A router that has not asked for longer than a cut lasts has no demand to speak of.
+    private static final long TARGET_MS = 30_000;
 
     private final BudgetRef ref;
     private final SortedMap<String, Long> topUps = new TreeMap<>();
@@ -131,7 +133,7 @@
             return refused ? last.answer() : granted(0);
         }
         long taken = last == null ? 0 : last.taken();
-        GrantResult answer = decide(ask, policy, taken);
+        GrantResult answer = decide(ask, policy, taken, nowMs);
         if (answer.getAmount() > 0) {
             long held = Math.addExact(outstanding, answer.getAmount());
             BudgetInvariant.check(prepaid, settled, held);
@@ -141,15 +143,25 @@
                     new Grant(ask.getGrantId(), ask.getIncarnation(), answer.getAmount(), 0, 0, nowMs));
         }
         GrantResult complete = answer.toBuilder().setAvailable(available()).build();
-        asks.put(ask.getIncarnation(), new LastAsk(counter, complete, taken + answer.getAmount(), nowMs));
+        asks.put(
+                ask.getIncarnation(),
+                new LastAsk(counter, complete, taken + answer.getAmount(), Math.max(0, ask.getTarget()), nowMs));
         return complete;
     }
 
-    private GrantResult decide(RequestGrant ask, GrantPolicy policy, long taken) {
+    private GrantResult decide(RequestGrant ask, GrantPolicy policy, long taken, long nowMs) {
         SortedMap<String, Long> holdings = holdings();
         int holders = holdings.size() + (holdings.containsKey(ask.getIncarnation()) ? 0 : 1);
-        GrantPolicy.Ask view =
-                new GrantPolicy.Ask(prepaid, settled, available(), taken, holders, ask.getMinimum(), ask.getWanted());
+        GrantPolicy.Ask view = new GrantPolicy.Ask(
+                prepaid,
+                settled,
+                available(),
+                taken,
+                holders,
+                ask.getMinimum(),
+                ask.getWanted(),
+                Math.max(0, ask.getTarget()),
+                otherTargets(ask.getIncarnation(), nowMs));
         long size = ask.getMinimum() > available() ? -1 : Math.min(policy.size(view), available());
         if (size >= ask.getMinimum()) {
             return granted(size);
@@ -160,6 +172,14 @@
         return refused.build();
     }
 
+    private long otherTargets(String incarnation, long nowMs) {
+        return asks.entrySet().stream()
+                .filter(e ->
+                        !e.getKey().equals(incarnation) && nowMs - e.getValue().atMs() < TARGET_MS)
+                .mapToLong(e -> Math.min(e.getValue().target(), Long.MAX_VALUE / 1_000_000))
+                .sum();
+    }
+
     private GrantResult granted(long amount) {
         return GrantResult.newBuilder()
                 .setOutcome(GrantResult.Outcome.GRANTED)
--- a/ledger/src/main/java/org/ragwortrun/ledger/internal/BudgetPool.java
+++ b/ledger/src/main/java/org/ragwortrun/ledger/internal/BudgetPool.java
@@ -31,6 +31,9 @@
     // tokens from the others, and refused hardly fewer requests during its last lease.
     private static final int REFILL_DIVISOR = 2;
 
+    // A pool that must outlast a cut is renewed early, because the cut may come at any moment.
+    private static final double REFILL_PART = 0.85;
+
     private final BudgetRef budget;
     private final String incarnation;
     private final PoolSettings settings;
@@ -41,6 +44,7 @@
     private @Nullable RequestGrant pending;
     private double meanReservation;
     private long lastSpendMs;
+    private long firstSpendMs = Long.MIN_VALUE;
     private long tightUntilMs = Long.MIN_VALUE;
 
     public BudgetPool(BudgetRef budget, String incarnation, PoolSettings settings, LongSupplier ids) {
@@ -54,6 +58,12 @@
     /** Reserves from the oldest grant that suffices, or tells what to send to the owner. */
     public synchronized ReserveResult reserve(long tokens, boolean first, long nowMs) {
         lastSpendMs = nowMs;
+        if (firstSpendMs == Long.MIN_VALUE) {
+            firstSpendMs = nowMs;
+        }
+        if (first && settings.isOutlasting()) {
+            use.add(tokens, nowMs);
+        }
         if (first) {
             meanReservation += (tokens - meanReservation) / MEAN_WEIGHT;
         }
@@ -74,23 +84,32 @@
 
     /** Returns a request that renews the grants before they run out, if it is due. */
     public synchronized Optional<RequestGrant> refill(long nowMs) {
-        long wanted = wanted(nowMs);
-        boolean due = pending == null && !isTight(nowMs) && wanted > 0 && free(nowMs) < wanted / REFILL_DIVISOR;
+        long target = target(nowMs);
+        double least = settings.isOutlasting() ? REFILL_PART : 1.0 / REFILL_DIVISOR;
+        boolean due = pending == null && !isTight(nowMs) && target > 0 && free(nowMs) < target * least;
         return due ? Optional.of(ask(0, nowMs)) : Optional.empty();
     }
 
-    private long wanted(long nowMs) {
-        double held = (double) settings.holdMs() / settings.demandMs();
-        return (long) (use.sum(nowMs) / USE_SPANS * held) + (long) meanReservation;
+    /** Returns the tokens that the pool should hold: those of its demand over a span, and one request's. */
+    private long target(long nowMs) {
+        if (!settings.isOutlasting()) {
+            return use.sum(nowMs) / USE_SPANS + (long) meanReservation;
+        }
+        long spanMs = settings.demandMs() * USE_SPANS;
+        long seenMs = Math.max(settings.demandMs(), Math.min(spanMs, nowMs - firstSpendMs));
+        return (long) (use.sum(nowMs) * ((double) settings.holdMs() / seenMs)) + (long) meanReservation;
     }
 
     private RequestGrant ask(long minimum, long nowMs) {
+        long target = target(nowMs);
+        boolean outlasting = settings.isOutlasting();
         RequestGrant ask = RequestGrant.newBuilder()
                 .setBudget(budget)
                 .setIncarnation(incarnation)
                 .setGrantId(GrantIds.of(incarnation, ids.getAsLong()))
                 .setMinimum(minimum)
-                .setWanted(Math.max(minimum, wanted(nowMs)))
+                .setWanted(Math.max(minimum, outlasting ? target - free(nowMs) : target))
+                .setTarget(outlasting ? Math.max(1, target) : 0)
                 .build();
         pending = ask;
         return ask;
@@ -107,7 +126,8 @@
             return List.of();
         }
         pending = null;
-        if (result.getOutcome() != GrantResult.Outcome.GRANTED || result.getAmount() < ask.getWanted()) {
+        boolean less = result.getAmount() < ask.getWanted() && !settings.isOutlasting();
+        if (result.getOutcome() != GrantResult.Outcome.GRANTED || less) {
             tightUntilMs = nowMs + settings.tightMs();
         } else {
             tightUntilMs = Long.MIN_VALUE;
@@ -127,7 +147,9 @@
             return;
         }
         long spent = Math.max(0, Math.min(used, open.tokens()));
-        use.add(spent, nowMs);
+        if (!settings.isOutlasting()) {
+            use.add(spent, nowMs);
+        }
         grant.settle(open.tokens(), spent);
         removeDone();
     }
@@ -135,9 +157,20 @@
     /** Returns all that is free, because the owner needs it. */
     public synchronized List<GrantTotal> recall(long nowMs) {
         tightUntilMs = nowMs + settings.tightMs();
+        if (settings.isOutlasting() && free(nowMs) > 2 * meanReservation) {
+            return returnHalf();
+        }
         return returnFree(g -> true);
     }
 
+    /** Returns about half of what is free, so that a recall does not leave this router without for the next cut. */
+    private List<GrantTotal> returnHalf() {
+        return grants.values().stream()
+                .filter(g -> g.returnPart(g.free() / 2))
+                .map(this::total)
+                .toList();
+    }
+
     /**
      * Returns what is due: all that is free if the budget is idle, what is free in old grants, and while the budget is
      * tight what requests have left over. A new grant waits for the request that asked for it.
--- a/ledger/src/main/java/org/ragwortrun/ledger/internal/PooledGrant.java
+++ b/ledger/src/main/java/org/ragwortrun/ledger/internal/PooledGrant.java
@@ -55,9 +55,13 @@
 
     /** Marks all free tokens as returned and tells whether there were any. */
     boolean returnFree() {
-        long free = free();
-        returned += free;
-        return free > 0;
+        return returnPart(free());
+    }
+
+    /** Marks a part of the free tokens as returned and tells whether it is more than nothing. */
+    boolean returnPart(long tokens) {
+        returned += tokens;
+        return tokens > 0;
     }
 
     void acknowledge(long total) {
--- a/net/src/main/java/org/ragwortrun/net/FrameClient.java
+++ b/net/src/main/java/org/ragwortrun/net/FrameClient.java
@@ -23,9 +23,9 @@
 /** Keeps one connection to another process open and reconnects when it ends. */
 public final class FrameClient implements AutoCloseable {
     private static final long FIRST_BACKOFF_MS = 50;
-    // Below the configuration lease of 3 s, so that a healed partition does not cost a second lease.
-    private static final long MAX_BACKOFF_MS = 1_000;
-    private static final int CONNECT_TIMEOUT_MS = 1_000;
+    // Together below a second, so that a healed partition costs neither a second lease nor a late configuration.
+    private static final long MAX_BACKOFF_MS = 400;
+    private static final int CONNECT_TIMEOUT_MS = 600;
 
     private final EventLoopGroup loops;
     private final Supplier<Hello> own;
--- a/net/src/main/java/org/ragwortrun/net/internal/Connection.java
+++ b/net/src/main/java/org/ragwortrun/net/internal/Connection.java
@@ -3,6 +3,8 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.timeout.IdleState;
+import io.netty.handler.timeout.IdleStateEvent;
 import java.time.Duration;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -58,8 +60,26 @@
         ctx.writeAndFlush(Frame.newBuilder().setHello(own).build());
     }
 
+    /** Keeps a quiet connection in use, and ends one whose peer has fallen silent without closing it. */
+    @Override
+    public void userEventTriggered(ChannelHandlerContext ctx, Object event) throws Exception {
+        if (event instanceof IdleStateEvent idle) {
+            if (idle.state() == IdleState.READER_IDLE) {
+                Event.of("connection-silent").with("peer", hello.getName()).info(LOG);
+                ctx.close();
+            } else {
+                ctx.writeAndFlush(Frame.getDefaultInstance(), ctx.voidPromise());
+            }
+            return;
+        }
+        super.userEventTriggered(ctx, event);
+    }
+
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, Frame frame) {
+        if (introduced && frame.getCall() == 0 && frame.getBodyCase() == Frame.BodyCase.BODY_NOT_SET) {
+            return;
+        }
         if (!introduced) {
             if (!frame.hasHello()) {
                 ctx.close();
--- a/net/src/main/java/org/ragwortrun/net/internal/FramePipeline.java
+++ b/net/src/main/java/org/ragwortrun/net/internal/FramePipeline.java
@@ -9,8 +9,10 @@
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.MessageToByteEncoder;
 import io.netty.handler.codec.MessageToMessageDecoder;
+import io.netty.handler.timeout.IdleStateHandler;
 import java.io.IOException;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.ragwortrun.proto.Frame;
 
 /** Sets up the codec of a connection: four bytes of length, then the frame. */
@@ -19,6 +21,10 @@
     public static final int MAX_FRAME_BYTES = 16 << 20;
 
     private static final int LENGTH_BYTES = 4;
+    // A connection that a cut has silenced must be replaced well within the 3 s after which a host counts as in touch.
+    private static final long SILENCE_MS = 1_500;
+    // Three beats fit into the silence, so that one or two late ones do not end the connection.
+    private static final long BEAT_MS = 450;
 
     private FramePipeline() {}
 
@@ -26,6 +32,7 @@
         pipeline.addLast(new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES));
         pipeline.addLast(new Decoder());
         pipeline.addLast(new Encoder());
+        pipeline.addLast(new IdleStateHandler(SILENCE_MS, BEAT_MS, 0, TimeUnit.MILLISECONDS));
     }
 
     private static final class Decoder extends MessageToMessageDecoder<ByteBuf> {
--- a/proto/src/main/java/org/ragwortrun/proto/RequestGrant.java
+++ b/proto/src/main/java/org/ragwortrun/proto/RequestGrant.java
@@ -240,6 +240,47 @@
     wanted_ = 0L;
   }
 
+  public static final int TARGET_FIELD_NUMBER = 6;
+  private long target_;
+  /**
+   * <pre>
+   * Tokens that the router wants to hold to outlast a cut, 0 for none. The owner shares out what is available in
+   * proportion.
+   * </pre>
+   *
+   * <code>int64 target = 6;</code>
+   * @return The target.
+   */
+  @java.lang.Override
+  public long getTarget() {
+    return target_;
+  }
+  /**
+   * <pre>
+   * Tokens that the router wants to hold to outlast a cut, 0 for none. The owner shares out what is available in
+   * proportion.
+   * </pre>
+   *
+   * <code>int64 target = 6;</code>
+   * @param value The target to set.
+   */
+  private void setTarget(long value) {
+    
+    target_ = value;
+  }
+  /**
+   * <pre>
+   * Tokens that the router wants to hold to outlast a cut, 0 for none. The owner shares out what is available in
+   * proportion.
+   * </pre>
+   *
+   * <code>int64 target = 6;</code>
+   */
+  private void clearTarget() {
+
+    target_ = 0L;
+  }
+
   public static org.ragwortrun.proto.RequestGrant parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -566,6 +607,49 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Tokens that the router wants to hold to outlast a cut, 0 for none. The owner shares out what is available in
+     * proportion.
+     * </pre>
+     *
+     * <code>int64 target = 6;</code>
+     * @return The target.
+     */
+    @java.lang.Override
+    public long getTarget() {
+      return instance.getTarget();
+    }
+    /**
+     * <pre>
+     * Tokens that the router wants to hold to outlast a cut, 0 for none. The owner shares out what is available in
+     * proportion.
+     * </pre>
+     *
+     * <code>int64 target = 6;</code>
+     * @param value The target to set.
+     * @return This builder for chaining.
+     */
+    public Builder setTarget(long value) {
+      copyOnWrite();
+      instance.setTarget(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Tokens that the router wants to hold to outlast a cut, 0 for none. The owner shares out what is available in
+     * proportion.
+     * </pre>
+     *
+     * <code>int64 target = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearTarget() {
+      copyOnWrite();
+      instance.clearTarget();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.ragwortrun.proto.RequestGrant)
   }
   @java.lang.Override
@@ -588,10 +672,11 @@
             "grantId_",
             "minimum_",
             "wanted_",
+            "target_",
           };
           java.lang.String info =
-              "\u0000\u0005\u0000\u0001\u0001\u0005\u0005\u0000\u0000\u0000\u0001\u1009\u0000\u0002" +
-              "\u0208\u0003\u0208\u0004\u0002\u0005\u0002";
+              "\u0000\u0006\u0000\u0001\u0001\u0006\u0006\u0000\u0000\u0000\u0001\u1009\u0000\u0002" +
+              "\u0208\u0003\u0208\u0004\u0002\u0005\u0002\u0006\u0002";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/proto/src/main/java/org/ragwortrun/proto/RequestGrantOrBuilder.java
+++ b/proto/src/main/java/org/ragwortrun/proto/RequestGrantOrBuilder.java
@@ -64,4 +64,15 @@
    * @return The wanted.
    */
   long getWanted();
+
+  /**
+   * <pre>
+   * Tokens that the router wants to hold to outlast a cut, 0 for none. The owner shares out what is available in
+   * proportion.
+   * </pre>
+   *
+   * <code>int64 target = 6;</code>
+   * @return The target.
+   */
+  long getTarget();
 }
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointConnection.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointConnection.java
@@ -50,8 +50,9 @@
         this.owner = owner;
     }
 
+    /** Notes the channel. Whoever waits for the connection hears of it before the channel tells that it is active. */
     @Override
-    public void channelActive(ChannelHandlerContext ctx) {
+    public void handlerAdded(ChannelHandlerContext ctx) {
         channel = ctx.channel();
         usableUntil = time.nanos() + DEFAULT_IDLE_NANOS;
     }
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
@@ -131,13 +131,13 @@
     }
 
     private Optional<BudgetRef> budget() {
-        Optional<Budget> shared = request.usage()
+        return request.usage()
                 .flatMap(u -> account)
-                .flatMap(a -> services.configuration().get().flatMap(c -> c.sharedBudget(a.name())));
-        return shared.map(b -> BudgetRef.newBuilder()
-                .setAccount(b.account())
-                .setService(b.service())
-                .build());
+                .filter(Account::metered)
+                .map(a -> BudgetRef.newBuilder()
+                        .setAccount(a.name())
+                        .setService(Budget.ALL_ORIGINS)
+                        .build());
     }
 
     private void reserved(@Nullable Reservation r, @Nullable Throwable failure) {
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardSettings.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardSettings.java
@@ -63,7 +63,7 @@
                 address(s, "http.address"),
                 address(s, "http.readiness"),
                 s.duration("budgets.grant-timeout", Duration.ofMillis(400)),
-                s.duration("budgets.hold", Duration.ofSeconds(16)),
+                s.duration("budgets.hold", Duration.ofSeconds(12)),
                 (double) s.number("retries.ratio-permille", 100, 0, PERMILLE) / PERMILLE,
                 s.number("retries.slack", 5, 0, PERMILLE),
                 s.duration("retries.window", Duration.ofSeconds(10)),
--- a/router/src/main/java/org/ragwortrun/router/internal/ledger/GrantClient.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/ledger/GrantClient.java
@@ -15,7 +15,10 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.jspecify.annotations.Nullable;
+import org.ragwortrun.core.log.Event;
 import org.ragwortrun.core.refusal.Refusal;
 import org.ragwortrun.core.refusal.RefusalReason;
 import org.ragwortrun.core.refusal.RefusedException;
@@ -35,6 +38,7 @@
  * on the owner's word; when the owner does not answer it is refused as unreachable.
  */
 public final class GrantClient implements Grants {
+    private static final Logger LOG = LogManager.getLogger(GrantClient.class);
     private static final Duration CALL_TIMEOUT = Duration.ofMillis(900);
     private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
     private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(3);
@@ -151,6 +155,14 @@
     }
 
     private void answered(RequestGrant ask, GrantResult result) {
+        Event.of("grant-answered")
+                .with("account", ask.getBudget().getAccount())
+                .with("minimum", ask.getMinimum())
+                .with("wanted", ask.getWanted())
+                .with("outcome", result.getOutcome())
+                .with("amount", result.getAmount())
+                .with("available", result.getAvailable())
+                .info(LOG);
         pool.granted(ask, result).ifPresent(this::reduce);
         if (result.getOutcome() == GrantResult.Outcome.UNKNOWN_SESSION) {
             sessions.markFenced();
