--- a/control/src/main/java/org/ragwortrun/control/ControlDaemon.java
+++ b/control/src/main/java/org/ragwortrun/control/ControlDaemon.java
@@ -80,7 +80,7 @@
      */
     public static ControlDaemon start(Settings settings) throws RagwortrunException {
         return new ControlDaemon(
-                ControlSettings.read(settings), Time.system(), new EvidenceMoveDriver(), Optional.empty());
+                ControlSettings.read(settings), Time.steady(), new EvidenceMoveDriver(), Optional.empty());
     }
 
     /**
@@ -90,7 +90,7 @@
      */
     public static ControlDaemon start(Settings settings, EndpointSource endpoints) throws RagwortrunException {
         return new ControlDaemon(
-                ControlSettings.read(settings), Time.system(), new EvidenceMoveDriver(), Optional.of(endpoints));
+                ControlSettings.read(settings), Time.steady(), new EvidenceMoveDriver(), Optional.of(endpoints));
     }
 
     private void addGauges(Metrics metrics) {
--- a/control/src/main/java/org/ragwortrun/control/internal/ShardService.java
+++ b/control/src/main/java/org/ragwortrun/control/internal/ShardService.java
@@ -3,7 +3,10 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.ragwortrun.core.concurrent.Duty;
+import org.ragwortrun.core.log.Event;
 import org.ragwortrun.core.time.Time;
 import org.ragwortrun.net.Peer;
 import org.ragwortrun.net.Replies;
@@ -15,6 +18,8 @@
 
 /** Answers requests to the shard groups that this member leads. One duty does all work of all shards. */
 public final class ShardService implements AutoCloseable {
+    private static final Logger LOG = LogManager.getLogger(ShardService.class);
+
     private final Duty duty;
     private final Peers peers;
     private final Map<Integer, ShardDuties> shards = new LinkedHashMap<>();
@@ -98,10 +103,22 @@
             peer.send(Replies.to(request)
                     .setShardReply(ShardReply.newBuilder().setCommand(result))
                     .build());
+            logLosses(command, result);
             follow(command, result, duties);
         });
     }
 
+    private static void logLosses(ShardCommand command, ShardResult result) {
+        result.getSessionOpened()
+                .getWrittenOffList()
+                .forEach(w -> Event.of("grants-written-off")
+                        .with("router", command.getOpenSession().getRouter())
+                        .with("account", w.getBudget().getAccount())
+                        .with("held", w.getHeld())
+                        .with("counted-as-spent", w.getLost())
+                        .info(LOG));
+    }
+
     /** Starts what the answer entails. */
     private void follow(ShardCommand command, ShardResult result, ShardDuties duties) {
         if (result.hasGrant()) {
--- a/control/src/main/java/org/ragwortrun/control/internal/TopUps.java
+++ b/control/src/main/java/org/ragwortrun/control/internal/TopUps.java
@@ -85,6 +85,10 @@
 
     private void markApplied(TopUp t) {
         if (t.getTotal()) {
+            Event.of("budget-total")
+                    .with("account", t.getBudget().getAccount())
+                    .with("tokens", t.getTokens())
+                    .info(LOG);
             totals.put(t.getBudget(), t.getTokens());
         } else {
             applied.add(t);
--- a/core/src/main/java/org/ragwortrun/core/concurrent/StopSignal.java
+++ b/core/src/main/java/org/ragwortrun/core/concurrent/StopSignal.java
@@ -2,14 +2,21 @@
 
 import java.util.concurrent.CountDownLatch;
 import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.ragwortrun.core.log.Event;
+import sun.misc.Signal;
 
 /** Runs a daemon until its process is told to stop. */
 public final class StopSignal {
+    private static final Logger LOG = LogManager.getLogger(StopSignal.class);
+
     private StopSignal() {}
 
     /** Waits for SIGTERM, closes the daemon, and ends the process with a code. */
     public static void runUntilStopped(AutoCloseable daemon, int exitCode) {
         CountDownLatch stopped = new CountDownLatch(1);
+        // The virtual machine ends at SIGHUP unless it is handled.
+        Signal.handle(new Signal("HUP"), s -> Event.of("reload-signal").info(LOG));
         Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(daemon, stopped, exitCode), "stop"));
         try {
             stopped.await();
--- a/core/src/main/java/org/ragwortrun/core/refusal/RefusalReason.java
+++ b/core/src/main/java/org/ragwortrun/core/refusal/RefusalReason.java
@@ -19,6 +19,7 @@
     ANSWER_EXPIRED("answer-expired", 410, "The request ran but its answer is no longer kept"),
     OUTCOME_UNKNOWN("outcome-unknown", 502, "It is not known whether the request ran"),
     BUDGET_SPENT("budget-spent", 402, "The prepaid budget is spent or held"),
+    BUDGET_HELD("budget-held", 503, "The rest of the prepaid budget is held elsewhere for now"),
     BUDGET_UNREACHABLE("budget-unreachable", 503, "The owner of the budget cannot be reached"),
     REGISTER_UNREACHABLE("register-unreachable", 503, "The register of request ids cannot be reached"),
     CONFIGURATION_LEASE_EXPIRED("configuration-lease-expired", 503, "This host has no current configuration"),
--- a/core/src/main/java/org/ragwortrun/core/time/Time.java
+++ b/core/src/main/java/org/ragwortrun/core/time/Time.java
@@ -13,6 +13,27 @@
         return nanos() / 1_000_000;
     }
 
+    /**
+     * Returns the time of the operating system, whose wall clock is read once and then follows the monotonic clock. Steps
+     * of the wall clock do not reach the owner.
+     */
+    static Time steady() {
+        Time system = system();
+        long startNanos = system.nanos();
+        long startMillis = system.wallMillis();
+        return new Time() {
+            @Override
+            public long nanos() {
+                return system.nanos();
+            }
+
+            @Override
+            public long wallMillis() {
+                return startMillis + (system.nanos() - startNanos) / 1_000_000;
+            }
+        };
+    }
+
     /** Returns the time of the operating system. */
     static Time system() {
         return new Time() {
--- a/core/src/test/java/org/ragwortrun/core/config/ConfigurationCheckerTest.java
+++ b/core/src/test/java/org/ragwortrun/core/config/ConfigurationCheckerTest.java
@@ -49,13 +49,13 @@
     void unknownKind() throws IOException {
         assertThat(checkMore("[servise x]\n"))
                 .containsExactly("f.ini:18: [servise x]: unknown-kind: expected one of the kinds "
-                        + "account, budget, service, route, endpoint, move");
+                        + "account, budget, service, route, endpoint, move, origin, forward, limits");
     }
 
     @Test
     void unknownKey() throws IOException {
         assertThat(checkMore("[budget a/s]\ntopup = 5\n"))
-                .containsExactly("f.ini:19: [budget a/s] topup: unknown-key: expected topup.ID");
+                .containsExactly("f.ini:19: [budget a/s] topup: unknown-key: expected topup.ID or prepaid");
     }
 
     @Test
--- a/ledger/src/main/java/org/ragwortrun/ledger/GrantPool.java
+++ b/ledger/src/main/java/org/ragwortrun/ledger/GrantPool.java
@@ -14,6 +14,7 @@
 import org.ragwortrun.proto.GrantTotal;
 import org.ragwortrun.proto.ReduceGrants;
 import org.ragwortrun.proto.RequestGrant;
+import org.ragwortrun.proto.SpendMark;
 
 /**
  * Grants that one router incarnation holds. A request spends only from here.
@@ -54,6 +55,30 @@
         return of(budget).refill(time.millis());
     }
 
+    /** Returns what is reserved of a budget, to be declared to the owner before requests are sent. */
+    public SpendMark mark(BudgetRef budget) {
+        return of(budget).mark();
+    }
+
+    /** Returns the marks of all budgets of which grants are held. */
+    public List<SpendMark> marks() {
+        return budgets.values().stream()
+                .map(BudgetPool::mark)
+                .filter(m -> m.getTotal() > 0)
+                .toList();
+    }
+
+    /** Notes that the owner has acknowledged marks. */
+    public void marked(List<SpendMark> marks) {
+        long now = time.millis();
+        marks.forEach(m -> of(m.getBudget()).marked(now));
+    }
+
+    /** Tells whether a reservation may be spent although the owner has not acknowledged it. */
+    public boolean spendUnacknowledged(Reservation reservation) {
+        return of(reservation.budget()).spendUnacknowledged(reservation.tokens(), time.millis());
+    }
+
     /** Takes the owner's answer to a request and returns what is now due to the owner. Copies change nothing. */
     public Optional<ReduceGrants> granted(RequestGrant ask, GrantResult result) {
         return reduce(of(ask.getBudget()).granted(ask, result, time.millis()));
--- a/ledger/src/main/java/org/ragwortrun/ledger/ShardState.java
+++ b/ledger/src/main/java/org/ragwortrun/ledger/ShardState.java
@@ -58,6 +58,9 @@
 public final class ShardState {
     private static final long FORMAT = 2;
 
+    // A declaration and its acknowledgement take up to 0.9 s, and clocks of two leaders differ a little.
+    private static final long CLOCK_MARGIN_MS = 1_000;
+
     /** A copy of a grant request that is older than this is no longer in the network. */
     private static final long FORGET_ASKS_MS = 600_000;
 
@@ -107,9 +110,16 @@
         if (older.isEmpty()) {
             return ShardErrors.SESSION_CLOSED.reply(open.getIncarnation() + " has been superseded or closed");
         }
-        return ShardResult.newBuilder()
-                .setSessionOpened(SessionOpened.newBuilder().addAllToFence(older.get()))
-                .build();
+        SessionOpened.Builder opened = SessionOpened.newBuilder().addAllToFence(older.get());
+        if (open.getDirect()) {
+            // The new process began after the old one had ended, on the same host.
+            long endMs = nowMs - open.getUptimeMs() + CLOCK_MARGIN_MS;
+            older.get().stream()
+                    .filter(sessions::isDirect)
+                    .filter(i -> sessions.close(i, true, List.of(), nowMs))
+                    .forEach(i -> opened.addAllWrittenOff(budgets.writeOff(i, endMs)));
+        }
+        return ShardResult.newBuilder().setSessionOpened(opened).build();
     }
 
     private ShardResult closeSession(CloseSession close) {
@@ -117,7 +127,7 @@
                 sessions.close(close.getIncarnation(), close.getOrderly(), close.getAwaitedAgentsList(), nowMs);
         boolean lost = closed && !close.getOrderly() && sessions.isDirect(close.getIncarnation());
         if (lost) {
-            budgets.writeOff(close.getIncarnation());
+            budgets.writeOff(close.getIncarnation(), Long.MAX_VALUE);
         }
         long released = closed && !lost ? budgets.release(close.getIncarnation()) : 0;
         return ShardResult.newBuilder()
@@ -179,6 +189,8 @@
     }
 
     private ShardResult settle(SettleBatch batch) {
+        batch.getMarksList()
+                .forEach(m -> budgets.find(m.getBudget()).ifPresent(b -> b.mark(batch.getReporter(), m, nowMs)));
         Settled.Builder result = Settled.newBuilder();
         for (Usage usage : batch.getUsagesList()) {
             if (register.isBilled(usage.getBudget(), usage.getRequestId())) {
--- a/ledger/src/main/java/org/ragwortrun/ledger/internal/BudgetAccount.java
+++ b/ledger/src/main/java/org/ragwortrun/ledger/internal/BudgetAccount.java
@@ -12,7 +12,9 @@
 import org.ragwortrun.proto.GrantResult;
 import org.ragwortrun.proto.GrantTotal;
 import org.ragwortrun.proto.RequestGrant;
+import org.ragwortrun.proto.SpendMark;
 import org.ragwortrun.proto.Usage;
+import org.ragwortrun.proto.WrittenOff;
 
 /** The budget of a client account for one service. Settled and outstanding tokens never exceed the prepaid tokens. */
 public final class BudgetAccount {
@@ -101,17 +103,32 @@
         }
     }
 
-    /** Counts what an incarnation holds as spent, because nobody can prove that it was not. */
-    public long writeOff(String incarnation) {
-        long lost = grants.values().stream()
+    /** Notes what a direct incarnation has reserved. */
+    public void mark(String incarnation, SpendMark mark, long nowMs) {
+        asks.computeIfPresent(incarnation, (i, a) -> a.withTerms(a.terms().marked(mark, nowMs)));
+    }
+
+    /**
+     * Closes the grants of an incarnation that ended at a time without saying what it had spent. The most that it can
+     * have spent counts as spent, the rest becomes available. Returns both.
+     */
+    public WrittenOff writeOff(String incarnation, long endMs) {
+        long held = grants.values().stream()
                 .filter(g -> g.incarnation().equals(incarnation))
                 .mapToLong(Grant::outstanding)
                 .sum();
+        LastAsk last = asks.get(incarnation);
+        long lost = last == null ? held : Math.min(held, last.terms().most(endMs));
         grants.values().removeIf(g -> g.incarnation().equals(incarnation));
         asks.remove(incarnation);
-        outstanding -= lost;
+        outstanding -= held;
         settled = Math.addExact(settled, lost);
-        return lost;
+        applyLimit();
+        return WrittenOff.newBuilder()
+                .setBudget(ref)
+                .setHeld(held)
+                .setLost(lost)
+                .build();
     }
 
     /**
@@ -133,6 +150,7 @@
             return refused ? last.answer() : granted(0);
         }
         long taken = last == null ? 0 : last.taken();
+        SpendTerms terms = last == null ? SpendTerms.NONE : last.terms();
         GrantResult answer = decide(ask, policy, taken, nowMs);
         if (answer.getAmount() > 0) {
             long held = Math.addExact(outstanding, answer.getAmount());
@@ -145,7 +163,7 @@
         GrantResult complete = answer.toBuilder().setAvailable(available()).build();
         asks.put(
                 ask.getIncarnation(),
-                new LastAsk(counter, complete, taken + answer.getAmount(), Math.max(0, ask.getTarget()), nowMs));
+                new LastAsk(counter, complete, taken + answer.getAmount(), terms.asked(ask, nowMs), nowMs));
         return complete;
     }
 
@@ -176,7 +194,7 @@
         return asks.entrySet().stream()
                 .filter(e ->
                         !e.getKey().equals(incarnation) && nowMs - e.getValue().atMs() < TARGET_MS)
-                .mapToLong(e -> Math.min(e.getValue().target(), Long.MAX_VALUE / 1_000_000))
+                .mapToLong(e -> Math.min(e.getValue().terms().target(), Long.MAX_VALUE / 1_000_000))
                 .sum();
     }
 
--- a/ledger/src/main/java/org/ragwortrun/ledger/internal/BudgetPool.java
+++ b/ledger/src/main/java/org/ragwortrun/ledger/internal/BudgetPool.java
@@ -15,6 +15,7 @@
 import org.ragwortrun.proto.GrantTotal;
 import org.ragwortrun.proto.ReduceGrants;
 import org.ragwortrun.proto.RequestGrant;
+import org.ragwortrun.proto.SpendMark;
 
 /**
  * Grants that one router incarnation holds of one budget. Each method takes the lock of this budget only.
@@ -34,6 +35,9 @@
     // A pool that must outlast a cut is renewed early, because the cut may come at any moment.
     private static final double REFILL_PART = 0.85;
 
+    // Demand of single routers is bursty. A higher rate costs more tokens when a router is lost.
+    private static final double UNACKNOWLEDGED_RATE = 1.5;
+
     private final BudgetRef budget;
     private final String incarnation;
     private final PoolSettings settings;
@@ -46,6 +50,13 @@
     private long lastSpendMs;
     private long firstSpendMs = Long.MIN_VALUE;
     private long tightUntilMs = Long.MIN_VALUE;
+    private long largest;
+    private long reservedTotal;
+    // Spending without an acknowledgement: tokens per millisecond, and a bucket that the owner knows the size of.
+    private double rate;
+    private long burst;
+    private double bucket;
+    private long bucketMs;
 
     public BudgetPool(BudgetRef budget, String incarnation, PoolSettings settings, LongSupplier ids) {
         this.budget = budget;
@@ -64,6 +75,7 @@
         if (first && settings.isOutlasting()) {
             use.add(tokens, nowMs);
         }
+        largest = Math.max(largest, tokens);
         if (first) {
             meanReservation += (tokens - meanReservation) / MEAN_WEIGHT;
         }
@@ -72,6 +84,7 @@
                 g.reserve(tokens);
                 Reservation r = new Reservation(ids.getAsLong(), budget, g.id(), tokens);
                 reservations.put(r.id(), r);
+                reservedTotal += tokens;
                 return new ReserveResult.Reserved(r);
             }
         }
@@ -90,6 +103,37 @@
         return due ? Optional.of(ask(0, nowMs)) : Optional.empty();
     }
 
+    /** Returns what is reserved, to be declared to the owner before requests are sent. */
+    public synchronized SpendMark mark() {
+        return SpendMark.newBuilder()
+                .setBudget(budget)
+                .setReserved(reservations.values().stream()
+                        .mapToLong(Reservation::tokens)
+                        .sum())
+                .setTotal(reservedTotal)
+                .build();
+    }
+
+    /** Notes that the owner has acknowledged a mark, so that it knows of all reservations up to then. */
+    public synchronized void marked(long nowMs) {
+        bucket = burst;
+        bucketMs = nowMs;
+    }
+
+    /**
+     * Tells whether a reservation may be spent although the owner has not acknowledged it. The owner counts on no more
+     * than the burst and the rate of the last request that it answered.
+     */
+    public synchronized boolean spendUnacknowledged(long tokens, long nowMs) {
+        bucket = Math.min(burst, bucket + rate * (nowMs - bucketMs));
+        bucketMs = nowMs;
+        if (bucket < tokens) {
+            return false;
+        }
+        bucket -= tokens;
+        return true;
+    }
+
     /** Returns the tokens that the pool should hold: those of its demand over a span, and one request's. */
     private long target(long nowMs) {
         if (!settings.isOutlasting()) {
@@ -110,6 +154,8 @@
                 .setMinimum(minimum)
                 .setWanted(Math.max(minimum, outlasting ? target - free(nowMs) : target))
                 .setTarget(outlasting ? Math.max(1, target) : 0)
+                .setTargetMs(outlasting ? (int) (settings.holdMs() / UNACKNOWLEDGED_RATE) : 0)
+                .setBurst(outlasting ? largest : 0)
                 .build();
         pending = ask;
         return ask;
@@ -126,6 +172,8 @@
             return List.of();
         }
         pending = null;
+        rate = ask.getTargetMs() == 0 ? 0 : (double) ask.getTarget() / ask.getTargetMs();
+        burst = Math.max(burst, ask.getBurst());
         boolean less = result.getAmount() < ask.getWanted() && !settings.isOutlasting();
         if (result.getOutcome() != GrantResult.Outcome.GRANTED || less) {
             tightUntilMs = nowMs + settings.tightMs();
--- a/ledger/src/main/java/org/ragwortrun/ledger/internal/Budgets.java
+++ b/ledger/src/main/java/org/ragwortrun/ledger/internal/Budgets.java
@@ -10,6 +10,7 @@
 import java.util.stream.Stream;
 import org.ragwortrun.proto.BudgetRef;
 import org.ragwortrun.proto.TopUp;
+import org.ragwortrun.proto.WrittenOff;
 
 /** All budgets of a shard, by client account and service. */
 public final class Budgets {
@@ -59,9 +60,11 @@
                 : budget.topUp(topUp.getId(), topUp.getTokens());
     }
 
-    /** Counts what an incarnation holds as spent and returns the tokens that are lost. */
-    public long writeOff(String incarnation) {
-        return all().mapToLong(b -> b.writeOff(incarnation)).sum();
+    /** Closes the grants of an incarnation that ended at a time, and returns what it may have spent of each. */
+    public List<WrittenOff> writeOff(String incarnation, long endMs) {
+        return all().map(b -> b.writeOff(incarnation, endMs))
+                .filter(w -> w.getHeld() > 0)
+                .toList();
     }
 
     /** Closes all grants of an incarnation and returns the tokens that became available. */
--- a/ledger/src/main/java/org/ragwortrun/ledger/internal/LastAsk.java
+++ b/ledger/src/main/java/org/ragwortrun/ledger/internal/LastAsk.java
@@ -9,23 +9,28 @@
  * @param counter counter in the grant id
  * @param answer the answer that was given
  * @param taken tokens granted to the incarnation so far, without what it has returned
- * @param target tokens that the incarnation wants to hold to outlast a cut
+ * @param terms what bounds the spending of the incarnation
  * @param atMs time of the log entry
  */
-record LastAsk(long counter, GrantResult answer, long taken, long target, long atMs) {
+record LastAsk(long counter, GrantResult answer, long taken, SpendTerms terms, long atMs) {
     LastAsk withReturned(long tokens) {
-        return new LastAsk(counter, answer, taken - tokens, target, atMs);
+        return new LastAsk(counter, answer, taken - tokens, terms, atMs);
+    }
+
+    LastAsk withTerms(SpendTerms next) {
+        return new LastAsk(counter, answer, taken, next, atMs);
     }
 
     void write(SnapshotWriter out) throws IOException {
         out.number(counter);
         out.message(answer);
         out.number(taken);
-        out.number(target);
+        terms.write(out);
         out.number(atMs);
     }
 
     static LastAsk read(SnapshotReader in) throws IOException {
-        return new LastAsk(in.number(), in.message(GrantResult.parser()), in.number(), in.number(), in.number());
+        return new LastAsk(
+                in.number(), in.message(GrantResult.parser()), in.number(), SpendTerms.read(in), in.number());
     }
 }
--- a/net/src/main/java/org/ragwortrun/net/control/ControlClient.java
+++ b/net/src/main/java/org/ragwortrun/net/control/ControlClient.java
@@ -9,8 +9,12 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.ragwortrun.core.concurrent.Closer;
+import org.ragwortrun.core.log.Event;
 import org.ragwortrun.net.Address;
+import org.ragwortrun.net.AddressException;
 import org.ragwortrun.net.FrameClient;
 import org.ragwortrun.net.FrameHandler;
 import org.ragwortrun.net.Transport;
@@ -28,6 +32,10 @@
 public final class ControlClient implements AutoCloseable {
     private static final long RETRY_PAUSE_MS = 50;
 
+    private static final Logger LOG = LogManager.getLogger(ControlClient.class);
+
+    private final Transport transport;
+    private final FrameHandler pushes;
     private final List<String> names;
     private final Map<String, FrameClient> clients = new ConcurrentHashMap<>();
     private final Map<Integer, String> leaders = new ConcurrentHashMap<>();
@@ -41,6 +49,8 @@
      * @param pushes receiver of frames that members send unasked
      */
     public ControlClient(Transport transport, Map<String, Address> members, FrameHandler pushes) {
+        this.transport = transport;
+        this.pushes = pushes;
         names = List.copyOf(members.keySet());
         members.forEach((name, address) -> clients.put(name, closer.register(transport.connect(address, pushes))));
     }
@@ -114,6 +124,7 @@
 
     private void onNotLeader(int group, String target, NotLeader hint) {
         String leader = hint.getLeaderName();
+        learn(leader, hint.getLeaderAddress());
         if (leader.isEmpty() || leader.equals(target)) {
             leaders.remove(group, target);
         } else {
@@ -121,6 +132,19 @@
         }
     }
 
+    /** Connects to a leader that has become a member after this client was made. */
+    private void learn(String name, String address) {
+        if (name.isEmpty() || clients.containsKey(name)) {
+            return;
+        }
+        try {
+            Address parsed = Address.parse(address);
+            clients.computeIfAbsent(name, n -> closer.register(transport.connect(parsed, pushes)));
+        } catch (AddressException e) {
+            Event.of("leader-address-unreadable").with("leader", name).warn(LOG, e);
+        }
+    }
+
     private void retryLater(int group, Frame request, long deadline, CompletableFuture<Frame> result) {
         CompletableFuture.delayedExecutor(RETRY_PAUSE_MS, TimeUnit.MILLISECONDS)
                 .execute(() -> attempt(group, request, deadline, result));
--- a/proto/src/main/java/org/ragwortrun/proto/OpenSession.java
+++ b/proto/src/main/java/org/ragwortrun/proto/OpenSession.java
@@ -157,6 +157,44 @@
     direct_ = false;
   }
 
+  public static final int UPTIME_MS_FIELD_NUMBER = 4;
+  private int uptimeMs_;
+  /**
+   * <pre>
+   * Time since the start of the process, which began after the older incarnations had ended.
+   * </pre>
+   *
+   * <code>uint32 uptime_ms = 4;</code>
+   * @return The uptimeMs.
+   */
+  @java.lang.Override
+  public int getUptimeMs() {
+    return uptimeMs_;
+  }
+  /**
+   * <pre>
+   * Time since the start of the process, which began after the older incarnations had ended.
+   * </pre>
+   *
+   * <code>uint32 uptime_ms = 4;</code>
+   * @param value The uptimeMs to set.
+   */
+  private void setUptimeMs(int value) {
+    
+    uptimeMs_ = value;
+  }
+  /**
+   * <pre>
+   * Time since the start of the process, which began after the older incarnations had ended.
+   * </pre>
+   *
+   * <code>uint32 uptime_ms = 4;</code>
+   */
+  private void clearUptimeMs() {
+
+    uptimeMs_ = 0;
+  }
+
   public static org.ragwortrun.proto.OpenSession parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -399,6 +437,46 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Time since the start of the process, which began after the older incarnations had ended.
+     * </pre>
+     *
+     * <code>uint32 uptime_ms = 4;</code>
+     * @return The uptimeMs.
+     */
+    @java.lang.Override
+    public int getUptimeMs() {
+      return instance.getUptimeMs();
+    }
+    /**
+     * <pre>
+     * Time since the start of the process, which began after the older incarnations had ended.
+     * </pre>
+     *
+     * <code>uint32 uptime_ms = 4;</code>
+     * @param value The uptimeMs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setUptimeMs(int value) {
+      copyOnWrite();
+      instance.setUptimeMs(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Time since the start of the process, which began after the older incarnations had ended.
+     * </pre>
+     *
+     * <code>uint32 uptime_ms = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearUptimeMs() {
+      copyOnWrite();
+      instance.clearUptimeMs();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.ragwortrun.proto.OpenSession)
   }
   @java.lang.Override
@@ -418,10 +496,11 @@
             "router_",
             "incarnation_",
             "direct_",
+            "uptimeMs_",
           };
           java.lang.String info =
-              "\u0000\u0003\u0000\u0000\u0001\u0003\u0003\u0000\u0000\u0000\u0001\u0208\u0002\u0208" +
-              "\u0003\u0007";
+              "\u0000\u0004\u0000\u0000\u0001\u0004\u0004\u0000\u0000\u0000\u0001\u0208\u0002\u0208" +
+              "\u0003\u0007\u0004\u000b";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/proto/src/main/java/org/ragwortrun/proto/OpenSessionOrBuilder.java
+++ b/proto/src/main/java/org/ragwortrun/proto/OpenSessionOrBuilder.java
@@ -44,4 +44,14 @@
    * @return The direct.
    */
   boolean getDirect();
+
+  /**
+   * <pre>
+   * Time since the start of the process, which began after the older incarnations had ended.
+   * </pre>
+   *
+   * <code>uint32 uptime_ms = 4;</code>
+   * @return The uptimeMs.
+   */
+  int getUptimeMs();
 }
--- a/proto/src/main/java/org/ragwortrun/proto/RequestGrant.java
+++ b/proto/src/main/java/org/ragwortrun/proto/RequestGrant.java
@@ -281,6 +281,82 @@
     target_ = 0L;
   }
 
+  public static final int TARGET_MS_FIELD_NUMBER = 7;
+  private int targetMs_;
+  /**
+   * <pre>
+   * Span for which the target lasts. Without an acknowledgement the router spends no faster than target over span.
+   * </pre>
+   *
+   * <code>uint32 target_ms = 7;</code>
+   * @return The targetMs.
+   */
+  @java.lang.Override
+  public int getTargetMs() {
+    return targetMs_;
+  }
+  /**
+   * <pre>
+   * Span for which the target lasts. Without an acknowledgement the router spends no faster than target over span.
+   * </pre>
+   *
+   * <code>uint32 target_ms = 7;</code>
+   * @param value The targetMs to set.
+   */
+  private void setTargetMs(int value) {
+    
+    targetMs_ = value;
+  }
+  /**
+   * <pre>
+   * Span for which the target lasts. Without an acknowledgement the router spends no faster than target over span.
+   * </pre>
+   *
+   * <code>uint32 target_ms = 7;</code>
+   */
+  private void clearTargetMs() {
+
+    targetMs_ = 0;
+  }
+
+  public static final int BURST_FIELD_NUMBER = 8;
+  private long burst_;
+  /**
+   * <pre>
+   * Tokens that it may spend at once, beyond that rate, without an acknowledgement.
+   * </pre>
+   *
+   * <code>int64 burst = 8;</code>
+   * @return The burst.
+   */
+  @java.lang.Override
+  public long getBurst() {
+    return burst_;
+  }
+  /**
+   * <pre>
+   * Tokens that it may spend at once, beyond that rate, without an acknowledgement.
+   * </pre>
+   *
+   * <code>int64 burst = 8;</code>
+   * @param value The burst to set.
+   */
+  private void setBurst(long value) {
+    
+    burst_ = value;
+  }
+  /**
+   * <pre>
+   * Tokens that it may spend at once, beyond that rate, without an acknowledgement.
+   * </pre>
+   *
+   * <code>int64 burst = 8;</code>
+   */
+  private void clearBurst() {
+
+    burst_ = 0L;
+  }
+
   public static org.ragwortrun.proto.RequestGrant parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -650,6 +726,86 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Span for which the target lasts. Without an acknowledgement the router spends no faster than target over span.
+     * </pre>
+     *
+     * <code>uint32 target_ms = 7;</code>
+     * @return The targetMs.
+     */
+    @java.lang.Override
+    public int getTargetMs() {
+      return instance.getTargetMs();
+    }
+    /**
+     * <pre>
+     * Span for which the target lasts. Without an acknowledgement the router spends no faster than target over span.
+     * </pre>
+     *
+     * <code>uint32 target_ms = 7;</code>
+     * @param value The targetMs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setTargetMs(int value) {
+      copyOnWrite();
+      instance.setTargetMs(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Span for which the target lasts. Without an acknowledgement the router spends no faster than target over span.
+     * </pre>
+     *
+     * <code>uint32 target_ms = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearTargetMs() {
+      copyOnWrite();
+      instance.clearTargetMs();
+      return this;
+    }
+
+    /**
+     * <pre>
+     * Tokens that it may spend at once, beyond that rate, without an acknowledgement.
+     * </pre>
+     *
+     * <code>int64 burst = 8;</code>
+     * @return The burst.
+     */
+    @java.lang.Override
+    public long getBurst() {
+      return instance.getBurst();
+    }
+    /**
+     * <pre>
+     * Tokens that it may spend at once, beyond that rate, without an acknowledgement.
+     * </pre>
+     *
+     * <code>int64 burst = 8;</code>
+     * @param value The burst to set.
+     * @return This builder for chaining.
+     */
+    public Builder setBurst(long value) {
+      copyOnWrite();
+      instance.setBurst(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Tokens that it may spend at once, beyond that rate, without an acknowledgement.
+     * </pre>
+     *
+     * <code>int64 burst = 8;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearBurst() {
+      copyOnWrite();
+      instance.clearBurst();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.ragwortrun.proto.RequestGrant)
   }
   @java.lang.Override
@@ -673,10 +829,12 @@
             "minimum_",
             "wanted_",
             "target_",
+            "targetMs_",
+            "burst_",
           };
           java.lang.String info =
-              "\u0000\u0006\u0000\u0001\u0001\u0006\u0006\u0000\u0000\u0000\u0001\u1009\u0000\u0002" +
-              "\u0208\u0003\u0208\u0004\u0002\u0005\u0002\u0006\u0002";
+              "\u0000\b\u0000\u0001\u0001\b\b\u0000\u0000\u0000\u0001\u1009\u0000\u0002\u0208\u0003" +
+              "\u0208\u0004\u0002\u0005\u0002\u0006\u0002\u0007\u000b\b\u0002";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/proto/src/main/java/org/ragwortrun/proto/RequestGrantOrBuilder.java
+++ b/proto/src/main/java/org/ragwortrun/proto/RequestGrantOrBuilder.java
@@ -75,4 +75,24 @@
    * @return The target.
    */
   long getTarget();
+
+  /**
+   * <pre>
+   * Span for which the target lasts. Without an acknowledgement the router spends no faster than target over span.
+   * </pre>
+   *
+   * <code>uint32 target_ms = 7;</code>
+   * @return The targetMs.
+   */
+  int getTargetMs();
+
+  /**
+   * <pre>
+   * Tokens that it may spend at once, beyond that rate, without an acknowledgement.
+   * </pre>
+   *
+   * <code>int64 burst = 8;</code>
+   * @return The burst.
+   */
+  long getBurst();
 }
--- a/proto/src/main/java/org/ragwortrun/proto/SessionOpened.java
+++ b/proto/src/main/java/org/ragwortrun/proto/SessionOpened.java
@@ -16,6 +16,7 @@
     SessionOpenedOrBuilder {
   private SessionOpened() {
     toFence_ = emptyProtobufList();
+    writtenOff_ = emptyProtobufList();
   }
   public static final int TO_FENCE_FIELD_NUMBER = 1;
   private com.google.protobuf.Internal.ProtobufList<java.lang.String> toFence_;
@@ -146,6 +147,144 @@
     toFence_.add(value.toStringUtf8());
   }
 
+  public static final int WRITTEN_OFF_FIELD_NUMBER = 2;
+  private com.google.protobuf.Internal.ProtobufList<org.ragwortrun.proto.WrittenOff> writtenOff_;
+  /**
+   * <pre>
+   * Tokens that older direct incarnations held and that now count as spent, by client account.
+   * </pre>
+   *
+   * <code>repeated .org.ragwortrun.proto.WrittenOff written_off = 2;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.ragwortrun.proto.WrittenOff> getWrittenOffList() {
+    return writtenOff_;
+  }
+  /**
+   * <pre>
+   * Tokens that older direct incarnations held and that now count as spent, by client account.
+   * </pre>
+   *
+   * <code>repeated .org.ragwortrun.proto.WrittenOff written_off = 2;</code>
+   */
+  public java.util.List<? extends org.ragwortrun.proto.WrittenOffOrBuilder> 
+      getWrittenOffOrBuilderList() {
+    return writtenOff_;
+  }
+  /**
+   * <pre>
+   * Tokens that older direct incarnations held and that now count as spent, by client account.
+   * </pre>
+   *
+   * <code>repeated .org.ragwortrun.proto.WrittenOff written_off = 2;</code>
+   */
+  @java.lang.Override
+  public int getWrittenOffCount() {
+    return writtenOff_.size();
+  }
+  /**
+   * <pre>
+   * Tokens that older direct incarnations held and that now count as spent, by client account.
+   * </pre>
+   *
+   * <code>repeated .org.ragwortrun.proto.WrittenOff written_off = 2;</code>
+   */
+  @java.lang.Override
+  public org.ragwortrun.proto.WrittenOff getWrittenOff(int index) {
+    return writtenOff_.get(index);
+  }
+  /**
+   * <pre>
+   * Tokens that older direct incarnations held and that now count as spent, by client account.
+   * </pre>
+   *
+   * <code>repeated .org.ragwortrun.proto.WrittenOff written_off = 2;</code>
+   */
+  public org.ragwortrun.proto.WrittenOffOrBuilder getWrittenOffOrBuilder(
+      int index) {
+    return writtenOff_.get(index);
+  }
+  private void ensureWrittenOffIsMutable() {
+    com.google.protobuf.Internal.ProtobufList<org.ragwortrun.proto.WrittenOff> tmp = writtenOff_;
+    if (!tmp.isModifiable()) {
+      writtenOff_ =
+          com.google.protobuf.GeneratedMessageLite.mutableCopy(tmp);
+     }
+  }
+
+  /**
+   * <pre>
+   * Tokens that older direct incarnations held and that now count as spent, by client account.
+   * </pre>
+   *
+   * <code>repeated .org.ragwortrun.proto.WrittenOff written_off = 2;</code>
+   */
+  private void setWrittenOff(
+      int index, org.ragwortrun.proto.WrittenOff value) {
+    java.util.Objects.requireNonNull(value);
+    ensureWrittenOffIsMutable();
+    writtenOff_.set(index, value);
+  }
+  /**
+   * <pre>
+   * Tokens that older direct incarnations held and that now count as spent, by client account.
+   * </pre>
+   *
+   * <code>repeated .org.ragwortrun.proto.WrittenOff written_off = 2;</code>
+   */
+  private void addWrittenOff(org.ragwortrun.proto.WrittenOff value) {
+    java.util.Objects.requireNonNull(value);
+    ensureWrittenOffIsMutable();
+    writtenOff_.add(value);
+  }
+  /**
+   * <pre>
+   * Tokens that older direct incarnations held and that now count as spent, by client account.
+   * </pre>
+   *
+   * <code>repeated .org.ragwortrun.proto.WrittenOff written_off = 2;</code>
+   */
+  private void addWrittenOff(
+      int index, org.ragwortrun.proto.WrittenOff value) {
+    java.util.Objects.requireNonNull(value);
+    ensureWrittenOffIsMutable();
+    writtenOff_.add(index, value);
+  }
+  /**
+   * <pre>
+   * Tokens that older direct incarnations held and that now count as spent, by client account.
+   * </pre>
+   *
+   * <code>repeated .org.ragwortrun.proto.WrittenOff written_off = 2;</code>
+   */
+  private void addAllWrittenOff(
+      java.lang.Iterable<? extends org.ragwortrun.proto.WrittenOff> values) {
+    ensureWrittenOffIsMutable();
+    com.google.protobuf.AbstractMessageLite.addAll(
+        values, writtenOff_);
+  }
+  /**
+   * <pre>
+   * Tokens that older direct incarnations held and that now count as spent, by client account.
+   * </pre>
+   *
+   * <code>repeated .org.ragwortrun.proto.WrittenOff written_off = 2;</code>
+   */
+  private void clearWrittenOff() {
+    writtenOff_ = emptyProtobufList();
+  }
+  /**
+   * <pre>
+   * Tokens that older direct incarnations held and that now count as spent, by client account.
+   * </pre>
+   *
+   * <code>repeated .org.ragwortrun.proto.WrittenOff written_off = 2;</code>
+   */
+  private void removeWrittenOff(int index) {
+    ensureWrittenOffIsMutable();
+    writtenOff_.remove(index);
+  }
+
   public static org.ragwortrun.proto.SessionOpened parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -371,6 +510,156 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Tokens that older direct incarnations held and that now count as spent, by client account.
+     * </pre>
+     *
+     * <code>repeated .org.ragwortrun.proto.WrittenOff written_off = 2;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.ragwortrun.proto.WrittenOff> getWrittenOffList() {
+      return java.util.Collections.unmodifiableList(
+          instance.getWrittenOffList());
+    }
+    /**
+     * <pre>
+     * Tokens that older direct incarnations held and that now count as spent, by client account.
+     * </pre>
+     *
+     * <code>repeated .org.ragwortrun.proto.WrittenOff written_off = 2;</code>
+     */
+    @java.lang.Override
+    public int getWrittenOffCount() {
+      return instance.getWrittenOffCount();
+    }/**
+     * <pre>
+     * Tokens that older direct incarnations held and that now count as spent, by client account.
+     * </pre>
+     *
+     * <code>repeated .org.ragwortrun.proto.WrittenOff written_off = 2;</code>
+     */
+    @java.lang.Override
+    public org.ragwortrun.proto.WrittenOff getWrittenOff(int index) {
+      return instance.getWrittenOff(index);
+    }
+    /**
+     * <pre>
+     * Tokens that older direct incarnations held and that now count as spent, by client account.
+     * </pre>
+     *
+     * <code>repeated .org.ragwortrun.proto.WrittenOff written_off = 2;</code>
+     */
+    public Builder setWrittenOff(
+        int index, org.ragwortrun.proto.WrittenOff value) {
+      copyOnWrite();
+      instance.setWrittenOff(index, value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Tokens that older direct incarnations held and that now count as spent, by client account.
+     * </pre>
+     *
+     * <code>repeated .org.ragwortrun.proto.WrittenOff written_off = 2;</code>
+     */
+    public Builder setWrittenOff(
+        int index, org.ragwortrun.proto.WrittenOff.Builder builderForValue) {
+      copyOnWrite();
+      instance.setWrittenOff(index,
+          builderForValue.build());
+      return this;
+    }
+    /**
+     * <pre>
+     * Tokens that older direct incarnations held and that now count as spent, by client account.
+     * </pre>
+     *
+     * <code>repeated .org.ragwortrun.proto.WrittenOff written_off = 2;</code>
+     */
+    public Builder addWrittenOff(org.ragwortrun.proto.WrittenOff value) {
+      copyOnWrite();
+      instance.addWrittenOff(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Tokens that older direct incarnations held and that now count as spent, by client account.
+     * </pre>
+     *
+     * <code>repeated .org.ragwortrun.proto.WrittenOff written_off = 2;</code>
+     */
+    public Builder addWrittenOff(
+        int index, org.ragwortrun.proto.WrittenOff value) {
+      copyOnWrite();
+      instance.addWrittenOff(index, value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Tokens that older direct incarnations held and that now count as spent, by client account.
+     * </pre>
+     *
+     * <code>repeated .org.ragwortrun.proto.WrittenOff written_off = 2;</code>
+     */
+    public Builder addWrittenOff(
+        org.ragwortrun.proto.WrittenOff.Builder builderForValue) {
+      copyOnWrite();
+      instance.addWrittenOff(builderForValue.build());
+      return this;
+    }
+    /**
+     * <pre>
+     * Tokens that older direct incarnations held and that now count as spent, by client account.
+     * </pre>
+     *
+     * <code>repeated .org.ragwortrun.proto.WrittenOff written_off = 2;</code>
+     */
+    public Builder addWrittenOff(
+        int index, org.ragwortrun.proto.WrittenOff.Builder builderForValue) {
+      copyOnWrite();
+      instance.addWrittenOff(index,
+          builderForValue.build());
+      return this;
+    }
+    /**
+     * <pre>
+     * Tokens that older direct incarnations held and that now count as spent, by client account.
+     * </pre>
+     *
+     * <code>repeated .org.ragwortrun.proto.WrittenOff written_off = 2;</code>
+     */
+    public Builder addAllWrittenOff(
+        java.lang.Iterable<? extends org.ragwortrun.proto.WrittenOff> values) {
+      copyOnWrite();
+      instance.addAllWrittenOff(values);
+      return this;
+    }
+    /**
+     * <pre>
+     * Tokens that older direct incarnations held and that now count as spent, by client account.
+     * </pre>
+     *
+     * <code>repeated .org.ragwortrun.proto.WrittenOff written_off = 2;</code>
+     */
+    public Builder clearWrittenOff() {
+      copyOnWrite();
+      instance.clearWrittenOff();
+      return this;
+    }
+    /**
+     * <pre>
+     * Tokens that older direct incarnations held and that now count as spent, by client account.
+     * </pre>
+     *
+     * <code>repeated .org.ragwortrun.proto.WrittenOff written_off = 2;</code>
+     */
+    public Builder removeWrittenOff(int index) {
+      copyOnWrite();
+      instance.removeWrittenOff(index);
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.ragwortrun.proto.SessionOpened)
   }
   @java.lang.Override
@@ -388,9 +677,12 @@
       case BUILD_MESSAGE_INFO: {
           java.lang.Object[] objects = new java.lang.Object[] {
             "toFence_",
+            "writtenOff_",
+            org.ragwortrun.proto.WrittenOff.class,
           };
           java.lang.String info =
-              "\u0000\u0001\u0000\u0000\u0001\u0001\u0001\u0000\u0001\u0000\u0001\u021a";
+              "\u0000\u0002\u0000\u0000\u0001\u0002\u0002\u0000\u0002\u0000\u0001\u021a\u0002\u001b" +
+              "";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/proto/src/main/java/org/ragwortrun/proto/SessionOpenedOrBuilder.java
+++ b/proto/src/main/java/org/ragwortrun/proto/SessionOpenedOrBuilder.java
@@ -50,4 +50,30 @@
    */
   com.google.protobuf.ByteString
       getToFenceBytes(int index);
+
+  /**
+   * <pre>
+   * Tokens that older direct incarnations held and that now count as spent, by client account.
+   * </pre>
+   *
+   * <code>repeated .org.ragwortrun.proto.WrittenOff written_off = 2;</code>
+   */
+  java.util.List<org.ragwortrun.proto.WrittenOff> 
+      getWrittenOffList();
+  /**
+   * <pre>
+   * Tokens that older direct incarnations held and that now count as spent, by client account.
+   * </pre>
+   *
+   * <code>repeated .org.ragwortrun.proto.WrittenOff written_off = 2;</code>
+   */
+  org.ragwortrun.proto.WrittenOff getWrittenOff(int index);
+  /**
+   * <pre>
+   * Tokens that older direct incarnations held and that now count as spent, by client account.
+   * </pre>
+   *
+   * <code>repeated .org.ragwortrun.proto.WrittenOff written_off = 2;</code>
+   */
+  int getWrittenOffCount();
 }
--- a/proto/src/main/java/org/ragwortrun/proto/SettleBatch.java
+++ b/proto/src/main/java/org/ragwortrun/proto/SettleBatch.java
@@ -17,6 +17,7 @@
   private SettleBatch() {
     reporter_ = "";
     usages_ = emptyProtobufList();
+    marks_ = emptyProtobufList();
   }
   public static final int REPORTER_FIELD_NUMBER = 1;
   private java.lang.String reporter_;
@@ -159,6 +160,100 @@
     usages_.remove(index);
   }
 
+  public static final int MARKS_FIELD_NUMBER = 3;
+  private com.google.protobuf.Internal.ProtobufList<org.ragwortrun.proto.SpendMark> marks_;
+  /**
+   * <code>repeated .org.ragwortrun.proto.SpendMark marks = 3;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.ragwortrun.proto.SpendMark> getMarksList() {
+    return marks_;
+  }
+  /**
+   * <code>repeated .org.ragwortrun.proto.SpendMark marks = 3;</code>
+   */
+  public java.util.List<? extends org.ragwortrun.proto.SpendMarkOrBuilder> 
+      getMarksOrBuilderList() {
+    return marks_;
+  }
+  /**
+   * <code>repeated .org.ragwortrun.proto.SpendMark marks = 3;</code>
+   */
+  @java.lang.Override
+  public int getMarksCount() {
+    return marks_.size();
+  }
+  /**
+   * <code>repeated .org.ragwortrun.proto.SpendMark marks = 3;</code>
+   */
+  @java.lang.Override
+  public org.ragwortrun.proto.SpendMark getMarks(int index) {
+    return marks_.get(index);
+  }
+  /**
+   * <code>repeated .org.ragwortrun.proto.SpendMark marks = 3;</code>
+   */
+  public org.ragwortrun.proto.SpendMarkOrBuilder getMarksOrBuilder(
+      int index) {
+    return marks_.get(index);
+  }
+  private void ensureMarksIsMutable() {
+    com.google.protobuf.Internal.ProtobufList<org.ragwortrun.proto.SpendMark> tmp = marks_;
+    if (!tmp.isModifiable()) {
+      marks_ =
+          com.google.protobuf.GeneratedMessageLite.mutableCopy(tmp);
+     }
+  }
+
+  /**
+   * <code>repeated .org.ragwortrun.proto.SpendMark marks = 3;</code>
+   */
+  private void setMarks(
+      int index, org.ragwortrun.proto.SpendMark value) {
+    java.util.Objects.requireNonNull(value);
+    ensureMarksIsMutable();
+    marks_.set(index, value);
+  }
+  /**
+   * <code>repeated .org.ragwortrun.proto.SpendMark marks = 3;</code>
+   */
+  private void addMarks(org.ragwortrun.proto.SpendMark value) {
+    java.util.Objects.requireNonNull(value);
+    ensureMarksIsMutable();
+    marks_.add(value);
+  }
+  /**
+   * <code>repeated .org.ragwortrun.proto.SpendMark marks = 3;</code>
+   */
+  private void addMarks(
+      int index, org.ragwortrun.proto.SpendMark value) {
+    java.util.Objects.requireNonNull(value);
+    ensureMarksIsMutable();
+    marks_.add(index, value);
+  }
+  /**
+   * <code>repeated .org.ragwortrun.proto.SpendMark marks = 3;</code>
+   */
+  private void addAllMarks(
+      java.lang.Iterable<? extends org.ragwortrun.proto.SpendMark> values) {
+    ensureMarksIsMutable();
+    com.google.protobuf.AbstractMessageLite.addAll(
+        values, marks_);
+  }
+  /**
+   * <code>repeated .org.ragwortrun.proto.SpendMark marks = 3;</code>
+   */
+  private void clearMarks() {
+    marks_ = emptyProtobufList();
+  }
+  /**
+   * <code>repeated .org.ragwortrun.proto.SpendMark marks = 3;</code>
+   */
+  private void removeMarks(int index) {
+    ensureMarksIsMutable();
+    marks_.remove(index);
+  }
+
   public static org.ragwortrun.proto.SettleBatch parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -407,6 +502,108 @@
       return this;
     }
 
+    /**
+     * <code>repeated .org.ragwortrun.proto.SpendMark marks = 3;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.ragwortrun.proto.SpendMark> getMarksList() {
+      return java.util.Collections.unmodifiableList(
+          instance.getMarksList());
+    }
+    /**
+     * <code>repeated .org.ragwortrun.proto.SpendMark marks = 3;</code>
+     */
+    @java.lang.Override
+    public int getMarksCount() {
+      return instance.getMarksCount();
+    }/**
+     * <code>repeated .org.ragwortrun.proto.SpendMark marks = 3;</code>
+     */
+    @java.lang.Override
+    public org.ragwortrun.proto.SpendMark getMarks(int index) {
+      return instance.getMarks(index);
+    }
+    /**
+     * <code>repeated .org.ragwortrun.proto.SpendMark marks = 3;</code>
+     */
+    public Builder setMarks(
+        int index, org.ragwortrun.proto.SpendMark value) {
+      copyOnWrite();
+      instance.setMarks(index, value);
+      return this;
+    }
+    /**
+     * <code>repeated .org.ragwortrun.proto.SpendMark marks = 3;</code>
+     */
+    public Builder setMarks(
+        int index, org.ragwortrun.proto.SpendMark.Builder builderForValue) {
+      copyOnWrite();
+      instance.setMarks(index,
+          builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>repeated .org.ragwortrun.proto.SpendMark marks = 3;</code>
+     */
+    public Builder addMarks(org.ragwortrun.proto.SpendMark value) {
+      copyOnWrite();
+      instance.addMarks(value);
+      return this;
+    }
+    /**
+     * <code>repeated .org.ragwortrun.proto.SpendMark marks = 3;</code>
+     */
+    public Builder addMarks(
+        int index, org.ragwortrun.proto.SpendMark value) {
+      copyOnWrite();
+      instance.addMarks(index, value);
+      return this;
+    }
+    /**
+     * <code>repeated .org.ragwortrun.proto.SpendMark marks = 3;</code>
+     */
+    public Builder addMarks(
+        org.ragwortrun.proto.SpendMark.Builder builderForValue) {
+      copyOnWrite();
+      instance.addMarks(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>repeated .org.ragwortrun.proto.SpendMark marks = 3;</code>
+     */
+    public Builder addMarks(
+        int index, org.ragwortrun.proto.SpendMark.Builder builderForValue) {
+      copyOnWrite();
+      instance.addMarks(index,
+          builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>repeated .org.ragwortrun.proto.SpendMark marks = 3;</code>
+     */
+    public Builder addAllMarks(
+        java.lang.Iterable<? extends org.ragwortrun.proto.SpendMark> values) {
+      copyOnWrite();
+      instance.addAllMarks(values);
+      return this;
+    }
+    /**
+     * <code>repeated .org.ragwortrun.proto.SpendMark marks = 3;</code>
+     */
+    public Builder clearMarks() {
+      copyOnWrite();
+      instance.clearMarks();
+      return this;
+    }
+    /**
+     * <code>repeated .org.ragwortrun.proto.SpendMark marks = 3;</code>
+     */
+    public Builder removeMarks(int index) {
+      copyOnWrite();
+      instance.removeMarks(index);
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.ragwortrun.proto.SettleBatch)
   }
   @java.lang.Override
@@ -426,10 +623,12 @@
             "reporter_",
             "usages_",
             org.ragwortrun.proto.Usage.class,
+            "marks_",
+            org.ragwortrun.proto.SpendMark.class,
           };
           java.lang.String info =
-              "\u0000\u0002\u0000\u0000\u0001\u0002\u0002\u0000\u0001\u0000\u0001\u0208\u0002\u001b" +
-              "";
+              "\u0000\u0003\u0000\u0000\u0001\u0003\u0003\u0000\u0002\u0000\u0001\u0208\u0002\u001b" +
+              "\u0003\u001b";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/proto/src/main/java/org/ragwortrun/proto/SettleBatchOrBuilder.java
+++ b/proto/src/main/java/org/ragwortrun/proto/SettleBatchOrBuilder.java
@@ -35,4 +35,18 @@
    * <code>repeated .org.ragwortrun.proto.Usage usages = 2;</code>
    */
   int getUsagesCount();
+
+  /**
+   * <code>repeated .org.ragwortrun.proto.SpendMark marks = 3;</code>
+   */
+  java.util.List<org.ragwortrun.proto.SpendMark> 
+      getMarksList();
+  /**
+   * <code>repeated .org.ragwortrun.proto.SpendMark marks = 3;</code>
+   */
+  org.ragwortrun.proto.SpendMark getMarks(int index);
+  /**
+   * <code>repeated .org.ragwortrun.proto.SpendMark marks = 3;</code>
+   */
+  int getMarksCount();
 }
--- a/replication/src/main/java/org/ragwortrun/replication/internal/MemberChanges.java
+++ b/replication/src/main/java/org/ragwortrun/replication/internal/MemberChanges.java
@@ -1,5 +1,6 @@
 package org.ragwortrun.replication.internal;
 
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
@@ -17,7 +18,12 @@
 final class MemberChanges {
     private final RaftCore core;
     private final Leadership leadership;
+    private static final int LEAST_VOTERS = 3;
+    // A restarted host is back after a few election timeouts, one that is still away then has been replaced.
+    private static final int AWAY_TIMEOUTS = 5;
+
     private final Map<String, Member> asking = new TreeMap<>();
+    private long awaySince = Long.MIN_VALUE;
 
     MemberChanges(RaftCore core, Leadership leadership) {
         this.core = core;
@@ -32,8 +38,30 @@
         MemberSet set = core.members();
         boolean settled =
                 core.log().membersIndex() <= core.commitIndex() && core.commitIndex() >= leadership.firstIndex();
-        if (settled && !finishLearner(now, set)) {
-            addLearner(now, set);
+        if (settled && !finishLearner(now, set) && !addLearner(now, set)) {
+            removeReplaced(now, set);
+        }
+    }
+
+    /**
+     * Removes a voter that is away while another member has taken its place. A lost host whose successor has another
+     * name would otherwise count in each quorum for good. An odd number of voters has no member in another's place.
+     */
+    private void removeReplaced(long now, MemberSet set) {
+        List<Member> voters = Members.voters(set).toList();
+        List<Member> away = voters.stream()
+                .filter(m -> !leadership.isActive(now, m.getIdentity()))
+                .toList();
+        if (voters.size() % 2 == 1 || voters.size() <= LEAST_VOTERS || away.size() != 1) {
+            awaySince = Long.MIN_VALUE;
+            return;
+        }
+        if (awaySince == Long.MIN_VALUE) {
+            awaySince = now;
+        }
+        if (now - awaySince >= AWAY_TIMEOUTS * core.settings().electionTimeout()) {
+            Member lost = away.get(0);
+            change(now, Members.without(set, lost.getIdentity()), "remove-replaced", lost);
         }
     }
 
@@ -61,7 +89,7 @@
         return p != null && leadership.isActive(now, learner.getIdentity()) && p.match >= p.target;
     }
 
-    private void addLearner(long now, MemberSet set) {
+    private boolean addLearner(long now, MemberSet set) {
         asking.values().removeIf(m -> Members.find(set, m.getIdentity()).isPresent());
         for (Member m : asking.values()) {
             Optional<Member> active = set.getMembersList().stream()
@@ -74,7 +102,7 @@
                         .with("identity", m.getIdentity())
                         .with("reason", "name-in-use"));
                 asking.remove(m.getName());
-                return;
+                return true;
             }
             MemberSet.Builder next = MemberSet.newBuilder();
             set.getMembersList().stream()
@@ -83,9 +111,10 @@
             Member learner = m.toBuilder().setVoter(false).build();
             if (change(now, next.addMembers(learner).build(), "add-learner", learner)) {
                 asking.remove(m.getName());
-                return;
+                return true;
             }
         }
+        return false;
     }
 
     private boolean change(long now, MemberSet next, String change, Member member) {
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/CallerConnection.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/CallerConnection.java
@@ -97,6 +97,15 @@
         }
     }
 
+    /** Closes the connection with what runs on it. */
+    void cutOff() {
+        Exchange e = exchange;
+        if (e != null) {
+            e.cancel();
+        }
+        breakOff();
+    }
+
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, HttpObject part) {
         if (part.decoderResult().isFailure()) {
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardFront.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardFront.java
@@ -103,6 +103,11 @@
         List.copyOf(connections).forEach(CallerConnection::closeWhenIdle);
     }
 
+    /** Closes all connections with what runs on them. */
+    void cutOff() {
+        List.copyOf(connections).forEach(CallerConnection::cutOff);
+    }
+
     /** Starts an exchange. Returns nothing if the request was refused at once. */
     @Nullable
     Exchange handle(HttpRequest head, ByteBuf body, CallerAnswer answer) {
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
@@ -248,14 +248,17 @@
         Event.of("router-stopping").with("running", front.active()).info(LOG);
         long begin = time.nanos();
         try {
+            // A balancer needs some checks to turn away, and connections that it still opens must be served.
             sleepUntil(begin + settings.stopLinger().toNanos(), false);
-            listeners.close();
             loop.execute(front::closeConnections);
             sleepUntil(begin + settings.stopTimeout().toNanos(), true);
+            listeners.close();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
         int left = front.active();
+        // Cutting off bills what has run, so that the session can end in order and no token is lost.
+        loop.submit(front::cutOff).awaitUninterruptibly(SECOND_MS);
         closer.close();
         Event.of("router-stopped").with("cut-off", left).info(LOG);
     }
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardSettings.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardSettings.java
@@ -67,8 +67,8 @@
                 (double) s.number("retries.ratio-permille", 100, 0, PERMILLE) / PERMILLE,
                 s.number("retries.slack", 5, 0, PERMILLE),
                 s.duration("retries.window", Duration.ofSeconds(10)),
-                s.duration("daemon.stop-linger", Duration.ofMillis(2_500)),
-                s.duration("daemon.stop-timeout", Duration.ofSeconds(7)));
+                s.duration("daemon.stop-linger", Duration.ofMillis(3_200)),
+                s.duration("daemon.stop-timeout", Duration.ofMillis(6_500)));
         s.check();
         return read;
     }
--- a/router/src/main/java/org/ragwortrun/router/internal/ledger/GrantClient.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/ledger/GrantClient.java
@@ -8,8 +8,10 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
@@ -56,6 +58,7 @@
     private final BooleanSupplier settled;
     private final HeldReservations held;
     private final AtomicInteger open = new AtomicInteger();
+    private final @Nullable Declarations declarations;
 
     /**
      * Creates a client.
@@ -82,6 +85,7 @@
         this.agents = agents;
         this.settled = settled;
         this.held = held;
+        declarations = sessions.isDirect() ? new Declarations(pool, shards, timer, sessions.incarnation()) : null;
         timer.scheduleWithFixedDelay(this::maintain, RESEND_MS, RESEND_MS, TimeUnit.MILLISECONDS);
     }
 
@@ -90,7 +94,7 @@
         ReserveResult result = pool.reserve(budget, tokens);
         if (result instanceof ReserveResult.Reserved r) {
             pool.refill(budget).ifPresent(this::ask);
-            return CompletableFuture.completedFuture(new Handle(r.reservation()));
+            return declared(r.reservation());
         }
         Waiter waiter = new Waiter(budget, tokens);
         WaitQueue queue = queues.compute(budget, (b, known) -> {
@@ -107,6 +111,28 @@
         return waiter.result;
     }
 
+    /** Hands a reservation over, for a direct router once it is declared. */
+    private CompletableFuture<Reservation> declared(org.ragwortrun.ledger.Reservation reservation) {
+        Handle handle = new Handle(reservation);
+        Declarations d = declarations;
+        if (d == null) {
+            return CompletableFuture.completedFuture(handle);
+        }
+        CompletableFuture<Reservation> result = new CompletableFuture<>();
+        d.declare(reservation, timeout, allowed -> {
+            if (allowed) {
+                result.complete(handle);
+            } else {
+                handle.release();
+                result.completeExceptionally(new RefusedException(Refusal.notRun(
+                        RefusalReason.BUDGET_UNREACHABLE,
+                        "the owner of the budget is away, and no more may be spent without it now",
+                        RETRY_AFTER)));
+            }
+        });
+        return result;
+    }
+
     @Override
     public void recall(BudgetRef budget) {
         pool.recall(budget).ifPresent(this::reduce);
@@ -120,13 +146,24 @@
     /** Returns what is unused and ends the sessions. What may still be billed is left until the agents confirm. */
     @Override
     public void close() {
-        pool.returnAll().ifPresent(this::reduce);
+        pool.returnAll().ifPresent(message -> await(reduce(message)));
         boolean orderly = open.get() == 0 && settled.getAsBoolean();
         if (orderly || !sessions.isDirect()) {
             sessions.close(orderly ? List.of() : agents.get(), CLOSE_TIMEOUT);
         }
     }
 
+    /** Waits for an answer, so that the connections outlast it. */
+    private static void await(CompletableFuture<?> answer) {
+        try {
+            answer.get(CLOSE_TIMEOUT.toMillis() / 2, TimeUnit.MILLISECONDS);
+        } catch (ExecutionException | TimeoutException e) {
+            Event.of("grants-not-returned").warn(LOG, e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /** Sends what is due, and again what has not been answered. */
     private void maintain() {
         pool.returnsDue();
@@ -214,12 +251,19 @@
         pool.returnsDue(budget).ifPresent(this::reduce);
     }
 
-    private static Refusal spent(GrantResult result) {
-        return Refusal.notRun(
-                RefusalReason.BUDGET_SPENT,
-                result.getOutcome() == GrantResult.Outcome.HELD
-                        ? "the rest of the budget is held by other requests; available: " + result.getAvailable()
-                        : "the budget is spent; available: " + result.getAvailable());
+    /** What other routers hold of a budget may come back, so only a spent budget is refused for good. */
+    private Refusal spent(GrantResult result) {
+        return result.getOutcome() == GrantResult.Outcome.HELD && sessions.isDirect()
+                ? Refusal.notRun(
+                        RefusalReason.BUDGET_HELD,
+                        "the rest of the budget is held by other routers; available: " + result.getAvailable(),
+                        RETRY_AFTER)
+                : Refusal.notRun(
+                        RefusalReason.BUDGET_SPENT,
+                        result.getOutcome() == GrantResult.Outcome.HELD
+                                ? "the rest of the budget is held by other requests; available: "
+                                        + result.getAvailable()
+                                : "the budget is spent; available: " + result.getAvailable());
     }
 
     /** A request that waits for tokens. */
@@ -302,10 +346,13 @@
                 return Optional.of(more);
             }
             if (r instanceof ReserveResult.Reserved reserved) {
-                Handle handle = new Handle(reserved.reservation());
-                if (!result.complete(handle)) {
-                    handle.release();
-                }
+                declared(reserved.reservation()).whenComplete((handle, failure) -> {
+                    if (handle == null) {
+                        result.completeExceptionally(failure);
+                    } else if (!result.complete(handle)) {
+                        handle.release();
+                    }
+                });
             }
             return Optional.empty();
         }
--- a/router/src/main/java/org/ragwortrun/router/internal/ledger/Sessions.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/ledger/Sessions.java
@@ -28,6 +28,7 @@
     private final String incarnation;
     private final boolean direct;
     private final Map<Integer, CompletableFuture<Void>> opened = new ConcurrentHashMap<>();
+    private final long createdNanos = System.nanoTime();
     private volatile boolean fenced;
 
     public Sessions(Shards shards, ScheduledExecutorService timer, String router, String incarnation) {
@@ -67,6 +68,10 @@
         }
     }
 
+    String incarnation() {
+        return incarnation;
+    }
+
     /** Tells whether this router calls endpoints without agents. */
     boolean isDirect() {
         return direct;
@@ -107,6 +112,7 @@
                 .setRouter(router)
                 .setIncarnation(incarnation)
                 .setDirect(direct)
+                .setUptimeMs((int) TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - createdNanos))
                 .build();
         shards.send(group, ShardCommand.newBuilder().setOpenSession(open), TIMEOUT)
                 .whenComplete((result, failure) -> {
