--- a/core/src/main/java/org/ragwortrun/core/metrics/Metrics.java
+++ b/core/src/main/java/org/ragwortrun/core/metrics/Metrics.java
@@ -3,6 +3,7 @@
 import io.opentelemetry.api.common.AttributeKey;
 import io.opentelemetry.api.common.Attributes;
 import io.opentelemetry.api.metrics.LongCounter;
+import io.opentelemetry.api.metrics.LongHistogram;
 import io.opentelemetry.api.metrics.Meter;
 import io.opentelemetry.exporter.prometheus.PrometheusHttpServer;
 import io.opentelemetry.sdk.metrics.SdkMeterProvider;
@@ -13,6 +14,7 @@
 
 /** Counters and gauges of one process. */
 public final class Metrics implements AutoCloseable {
+    private static final AttributeKey<String> OUTCOME = AttributeKey.stringKey("outcome");
     private static final AttributeKey<String> REASON = AttributeKey.stringKey("reason");
 
     private final SdkMeterProvider provider;
@@ -20,6 +22,7 @@
     private final LongCounter refusals;
     private final LongCounter retries;
     private final Map<String, LongCounter> counters = new ConcurrentHashMap<>();
+    private final Map<String, LongHistogram> histograms = new ConcurrentHashMap<>();
 
     private Metrics(SdkMeterProvider provider) {
         this.provider = provider;
@@ -64,6 +67,18 @@
                 .add(amount);
     }
 
+    /** Adds a duration in milliseconds to a histogram that is created on first use, by outcome. */
+    public void took(String name, String outcome, long millis) {
+        histograms
+                .computeIfAbsent(
+                        name,
+                        n -> meter.histogramBuilder("ragwortrun_" + n)
+                                .ofLongs()
+                                .setUnit("ms")
+                                .build())
+                .record(millis, Attributes.of(OUTCOME, outcome));
+    }
+
     /** Registers a gauge that is read at each scrape. */
     public void gauge(String name, String description, LongSupplier value) {
         meter.gaugeBuilder("ragwortrun_" + name)
--- a/core/src/main/java/org/ragwortrun/core/refusal/RefusedException.java
+++ b/core/src/main/java/org/ragwortrun/core/refusal/RefusedException.java
@@ -1,5 +1,6 @@
 package org.ragwortrun.core.refusal;
 
+import org.jspecify.annotations.Nullable;
 import org.ragwortrun.core.error.RagwortrunException;
 
 /** Thrown when a request is refused. */
@@ -9,7 +10,12 @@
     private final transient Refusal refusal;
 
     public RefusedException(Refusal refusal) {
-        super(refusal.reason().code() + ": " + refusal.detail());
+        this(refusal, null);
+    }
+
+    /** Creates a refusal that another failure has caused. */
+    public RefusedException(Refusal refusal, @Nullable Throwable cause) {
+        super(refusal.reason().code() + ": " + refusal.detail(), cause);
         this.refusal = refusal;
     }
 
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/CallerConnection.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/CallerConnection.java
@@ -183,9 +183,7 @@
         exchange = null;
         Exchange started = front.handle(w.head(), w.body(), this);
         // An exchange that was refused at once has already ended.
-        if (served == w) {
-            exchange = started;
-        }
+        exchange = served == null ? null : started;
     }
 
     @Override
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
@@ -275,6 +275,8 @@
             limit.cancel(false);
         }
         long tokens = bill(last, status);
+        services.metrics()
+                .took("request_ms", outcome.split(":", 2)[0], (services.time().nanos() - startNanos) / 1_000_000);
         log(outcome, status, last, tokens);
         body.release();
         events.close();
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardFront.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardFront.java
@@ -144,7 +144,8 @@
         try {
             request = services.heads().read(head);
         } catch (MalformedRequestException e) {
-            throw refused(RefusalReason.MALFORMED_REQUEST, String.valueOf(e.getMessage()));
+            throw new RefusedException(
+                    Refusal.notRun(RefusalReason.MALFORMED_REQUEST, String.valueOf(e.getMessage())), e);
         }
         Configuration configuration = services.configuration()
                 .get()
