Wait for the cancellation that a deadline sends to the agent

Cause: beside a load of 20 on 8 cores, StopAndReadersTest.deadlineEndsARequest read 0 cancellations once. The router sends the refusal to the caller and the cancellation to the agent over two connections; the test read the second as soon as it had the first. The check was wrong to expect an order that no promise names. Change: the test waits for the cancellation, bounded as all waits of the harness, and still expects exactly one.

--- a/router/src/test/java/org/ragwortrun/router/StopAndReadersTest.java
+++ b/router/src/test/java/org/ragwortrun/router/StopAndReadersTest.java
@@ -102,6 +102,8 @@
         assertThat(r.statusCode()).isEqualTo(504);
         assertThat(r.body()).contains("\"reason\":\"endpoint-timeout\"");
         assertThat(r.body()).contains("\"run\":\"unknown\"");
+        // The caller's answer and the agent's cancellation go over two connections, in no order.
+        RouterHarness.await(() -> harness.first.cancelled.size() + harness.second.cancelled.size() > 0);
         assertThat(harness.first.cancelled.size() + harness.second.cancelled.size())
                 .isEqualTo(1);
         harness.first.release();
