--- /dev/null
+++ b/core/src/test/java/org/ragwortrun/core/time/TimeTest.java
@@ -0,0 +1,19 @@
+package org.ragwortrun.core.time;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.Range;
+import org.junit.jupiter.api.Test;
+
+final class TimeTest {
+    /** Guards against a wall clock that a leader reads anew: only its monotonic clock may move the ledger's time. */
+    @Test
+    void steadyTimeFollowsTheMonotonicClock() throws Exception {
+        Time time = Time.steady();
+        long difference = time.wallMillis() - time.millis();
+        for (int i = 0; i < 20; i++) {
+            Thread.sleep(5);
+            assertThat(time.wallMillis() - time.millis()).isIn(Range.closed(difference - 1, difference + 1));
+        }
+    }
+}
--- /dev/null
+++ b/net/src/test/java/org/ragwortrun/net/control/ControlClientTest.java
@@ -0,0 +1,85 @@
+package org.ragwortrun.net.control;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.ragwortrun.core.concurrent.Closer;
+import org.ragwortrun.net.Address;
+import org.ragwortrun.net.FrameHandler;
+import org.ragwortrun.net.FrameServer;
+import org.ragwortrun.net.Transport;
+import org.ragwortrun.proto.ConfigQuery;
+import org.ragwortrun.proto.ConfigReply;
+import org.ragwortrun.proto.Frame;
+import org.ragwortrun.proto.Hello;
+import org.ragwortrun.proto.NotLeader;
+
+final class ControlClientTest {
+    private static final Duration PATIENCE = Duration.ofSeconds(10);
+    private static final int POLLS = 400;
+    private static final long POLL_MS = 10;
+
+    private final Closer closer = new Closer();
+
+    @AfterEach
+    void stop() {
+        closer.close();
+    }
+
+    /** Guards against a client that finds no leader once all members that it was told of have been replaced. */
+    @Test
+    void learnsALeaderThatItWasNotToldOf() throws Exception {
+        FrameServer leader = listen(
+                "c9",
+                (peer, frame) -> peer.send(Frame.newBuilder()
+                        .setCall(frame.getCall())
+                        .setConfigReply(ConfigReply.getDefaultInstance())
+                        .build()));
+        FrameServer member = listen(
+                "c1",
+                (peer, frame) -> peer.send(Frame.newBuilder()
+                        .setCall(frame.getCall())
+                        .setNotLeader(NotLeader.newBuilder()
+                                .setLeaderName("c9")
+                                .setLeaderAddress("127.0.0.1:" + leader.port()))
+                        .build()));
+        ControlClient client = client(member.port());
+        Frame reply = client.call(0, Frame.newBuilder().setConfigQuery(ConfigQuery.getDefaultInstance()), PATIENCE)
+                .get(PATIENCE.toMillis(), TimeUnit.MILLISECONDS);
+        assertThat(reply.hasConfigReply()).isTrue();
+        assertThat(client.leader(0)).hasValue("c9");
+    }
+
+    /** Guards against callers that wait at a host that cannot reach any member. */
+    @Test
+    void tellsWhetherItIsCutOff() throws Exception {
+        FrameServer member = listen("c1", (peer, frame) -> {});
+        ControlClient client = client(member.port());
+        for (int i = 0; i < POLLS && client.isCutOff(); i++) {
+            Thread.sleep(POLL_MS);
+        }
+        assertThat(client.isCutOff()).isFalse();
+        member.close();
+        for (int i = 0; i < POLLS && !client.isCutOff(); i++) {
+            Thread.sleep(POLL_MS);
+        }
+        assertThat(client.isCutOff()).isTrue();
+    }
+
+    private ControlClient client(int port) {
+        return closer.register(
+                new ControlClient(transport("r1"), Map.of("c1", new Address("127.0.0.1", port)), (peer, frame) -> {}));
+    }
+
+    private FrameServer listen(String name, FrameHandler handler) throws Exception {
+        return closer.register(transport(name).listen(new Address("127.0.0.1", 0), handler));
+    }
+
+    private Transport transport(String name) {
+        return closer.register(new Transport(Hello.newBuilder().setName(name).build(), 1));
+    }
+}
--- a/replication/src/test/java/org/ragwortrun/replication/internal/MemberChangesTest.java
+++ b/replication/src/test/java/org/ragwortrun/replication/internal/MemberChangesTest.java
@@ -66,6 +66,43 @@
         assertThat(members()).containsExactly("c1#1", "c2#1", "c3#1");
     }
 
+    /** Guards against a lost host that counts in each quorum for good although another host has taken its place. */
+    @Test
+    void removesAVoterThatIsAwayOnceAnotherHasItsPlace() {
+        now = fixture.lead();
+        fixture.sync(now);
+        advance("c2#1", 3);
+        advance("c2#1", 3);
+        join("c4#1");
+        for (int i = 0; i < 6; i++) {
+            advanceBoth("c2#1", "c4#1");
+        }
+        assertThat(members()).containsExactly("c1#1", "c2#1", "c3#1", "c4#1");
+        for (int i = 0; i < 12; i++) {
+            advanceBoth("c2#1", "c4#1");
+        }
+        assertThat(members()).containsExactly("c1#1", "c2#1", "c4#1");
+    }
+
+    /** Guards against a cut that shrinks the group: with an odd number of voters nobody has taken the place. */
+    @Test
+    void keepsAVoterThatIsAwayWhileNobodyHasItsPlace() {
+        now = fixture.lead();
+        fixture.sync(now);
+        for (int i = 0; i < 30; i++) {
+            advance("c2#1", core.lastIndex());
+        }
+        assertThat(members()).containsExactly("c1#1", "c2#1", "c3#1");
+    }
+
+    private void advanceBoth(String first, String second) {
+        now += CoreFixture.TIMEOUT / 2;
+        ack(first, core.lastIndex());
+        ack(second, core.lastIndex());
+        core.tick(now);
+        fixture.sync(now);
+    }
+
     private void join(String identity) {
         Member member = Member.newBuilder()
                 .setName(identity.substring(0, 2))
