--- a/ledger/src/test/java/org/ragwortrun/ledger/GrantPoolTest.java
+++ b/ledger/src/test/java/org/ragwortrun/ledger/GrantPoolTest.java
@@ -11,25 +11,13 @@
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import org.junit.jupiter.api.Test;
-import org.ragwortrun.core.time.Time;
 import org.ragwortrun.proto.*;
 
 final class GrantPoolTest {
     private static final BudgetRef BUDGET =
             BudgetRef.newBuilder().setAccount("c").setService("s").build();
 
-    private long nowMs = 1_000_000;
-    private final Time time = new Time() {
-        @Override
-        public long nanos() {
-            return nowMs * 1_000_000;
-        }
-
-        @Override
-        public long wallMillis() {
-            return nowMs;
-        }
-    };
+    private final ManualTime time = new ManualTime(1_000_000);
     private final GrantPool pool = new GrantPool("r@1", time, PoolSettings.usual());
 
     /** Guards against tokens spent twice: a copy of an answer must not add a grant again. */
@@ -75,7 +63,7 @@
     void returnsIdleGrants() {
         pool.granted(more(100).ask().orElseThrow(), granted(100));
         assertThat(pool.returnsDue()).isEmpty();
-        nowMs += 10_000;
+        time.advanceMillis(10_000);
         assertThat(pool.returnsDue().orElseThrow().getTotals(0).getReturnedTotal())
                 .isEqualTo(100);
         assertThat(pool.free(BUDGET)).isEqualTo(0);
@@ -85,7 +73,7 @@
     @Test
     void doesNotReserveFromAnOldGrant() {
         pool.granted(more(100).ask().orElseThrow(), granted(500));
-        nowMs += 3_600_000;
+        time.advanceMillis(3_600_000);
         more(100);
         assertThat(pool.returnsDue().orElseThrow().getTotals(0).getReturnedTotal())
                 .isEqualTo(500);
@@ -156,7 +144,7 @@
                                         .setIncarnation("r" + i + "@1")));
             }
             for (int step = 0; step < 300; step++) {
-                nowMs += random.nextInt(50);
+                time.advanceMillis(random.nextInt(50));
                 GrantPool p = pools.get(random.nextInt(3));
                 ReserveResult result = p.reserve(BUDGET, 1 + random.nextInt(300));
                 if (result instanceof ReserveResult.Reserved r) {
@@ -227,7 +215,7 @@
     }
 
     private ShardResult apply(ShardState shard, ShardCommand.Builder command) {
-        return shard.apply(command.setNowMs(nowMs).build());
+        return shard.apply(command.setNowMs(time.millis()).build());
     }
 
     private ReserveResult.NeedMore more(long tokens) {
--- a/ledger/src/test/java/org/ragwortrun/ledger/OutlastingPoolTest.java
+++ b/ledger/src/test/java/org/ragwortrun/ledger/OutlastingPoolTest.java
@@ -5,7 +5,6 @@
 import com.google.common.collect.Range;
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import org.ragwortrun.core.time.Time;
 import org.ragwortrun.proto.BudgetRef;
 import org.ragwortrun.proto.GrantResult;
 import org.ragwortrun.proto.RequestGrant;
@@ -17,18 +16,7 @@
     private static final int HOLD_MS = 12_000;
     private static final int SILENT_MS = 2_500;
 
-    private long nowMs = 1_000_000;
-    private final Time time = new Time() {
-        @Override
-        public long nanos() {
-            return nowMs * 1_000_000;
-        }
-
-        @Override
-        public long wallMillis() {
-            return nowMs;
-        }
-    };
+    private final ManualTime time = new ManualTime(1_000_000);
     private long burst;
     private final GrantPool pool = new GrantPool("r@1", time, PoolSettings.outlasting(HOLD_MS));
 
@@ -43,9 +31,9 @@
     void aLargeRequestWaitsForTheRate() {
         RequestGrant ask = steadyDemand();
         Reservation large = reserved((long) (burst + rate(ask) * 3_000));
-        nowMs += SILENT_MS + 2_000;
+        time.advanceMillis(SILENT_MS + 2_000);
         assertThat(pool.spendUnacknowledged(large)).isFalse();
-        nowMs += 1_100;
+        time.advanceMillis(1_100);
         assertThat(pool.spendUnacknowledged(large)).isTrue();
         assertThat(pool.spendUnacknowledged(large)).isFalse();
     }
@@ -57,9 +45,9 @@
         Reservation one = reserved(1);
         Reservation whole = reserved(burst);
         assertThat(pool.spendUnacknowledged(whole)).isTrue();
-        nowMs += SILENT_MS;
+        time.advanceMillis(SILENT_MS);
         assertThat(pool.spendUnacknowledged(one)).isFalse();
-        nowMs += 10;
+        time.advanceMillis(10);
         assertThat(pool.spendUnacknowledged(one)).isTrue();
     }
 
@@ -77,7 +65,7 @@
     @Test
     void aDeclarationTellsTheAgeOfTheLastAcknowledgement() {
         steadyDemand();
-        nowMs += 1_234;
+        time.advanceMillis(1_234);
         assertThat(pool.mark(BUDGET).getAgeMs()).isEqualTo(1_234);
     }
 
@@ -86,12 +74,12 @@
     void aLowerRateCountsOnceItIsAskedFor() {
         RequestGrant high = steadyDemand();
         Reservation some = reserved((long) (burst + rate(high) * 500));
-        nowMs += 60_000;
+        time.advanceMillis(60_000);
         RequestGrant low =
                 ((ReserveResult.NeedMore) pool.reserve(BUDGET, 1)).ask().orElseThrow();
         assertThat(rate(low)).isLessThan(rate(high) / 2);
         pool.marked(List.of(pool.mark(BUDGET)));
-        nowMs += SILENT_MS + 1_000;
+        time.advanceMillis(SILENT_MS + 1_000);
         assertThat(pool.spendUnacknowledged(some)).isFalse();
     }
 
@@ -102,7 +90,7 @@
     private RequestGrant steadyDemand() {
         RequestGrant last = ask(1_000);
         for (int i = 0; i < 20; i++) {
-            nowMs += 500;
+            time.advanceMillis(500);
             last = ask(1_000);
         }
         pool.marked(List.of(pool.mark(BUDGET)));
--- a/routing/src/test/java/org/ragwortrun/routing/KvAdmissionTest.java
+++ b/routing/src/test/java/org/ragwortrun/routing/KvAdmissionTest.java
@@ -4,7 +4,6 @@
 
 import java.time.Duration;
 import org.junit.jupiter.api.Test;
-import org.ragwortrun.core.time.Time;
 import org.ragwortrun.routing.KvAdmission.Capacity;
 import org.ragwortrun.routing.KvAdmission.Demand;
 import org.ragwortrun.routing.KvAdmission.Outcome;
@@ -12,18 +11,7 @@
 final class KvAdmissionTest {
     private static final Capacity CAPACITY = new Capacity(100, 10_000);
 
-    private long now;
-    private final Time time = new Time() {
-        @Override
-        public long nanos() {
-            return now;
-        }
-
-        @Override
-        public long wallMillis() {
-            return now / 1_000_000;
-        }
-    };
+    private final ManualTime time = new ManualTime();
     private final ForecastKvAdmission admission =
             new ForecastKvAdmission(time, new OutputForecast(), 3, Duration.ofSeconds(2));
 
@@ -74,7 +62,7 @@
         assertThat(admission.poll(one)).isEmpty();
         admission.ended("running");
         assertThat(admission.poll(one)).containsExactly(new Outcome.Admitted(demand("live", 1)));
-        now += Duration.ofSeconds(2).toNanos();
+        time.advanceNanos(Duration.ofSeconds(2).toNanos());
         assertThat(admission.poll(one).get(0)).isInstanceOf(Outcome.Full.class);
         assertThat(admission.poll(one)).isEmpty();
     }
@@ -84,7 +72,7 @@
     void refusesEarlyWhatWouldWaitTooLong() {
         Capacity one = new Capacity(1, 10_000);
         admission.offer(demand("slow", 5), one);
-        now += Duration.ofSeconds(5).toNanos();
+        time.advanceNanos(Duration.ofSeconds(5).toNanos());
         admission.ended("slow");
         admission.offer(demand("running", 5), one);
         Outcome refused = admission.offer(demand("next", 5), one);
--- a/routing/src/test/java/org/ragwortrun/routing/LoadAwareChooserTest.java
+++ b/routing/src/test/java/org/ragwortrun/routing/LoadAwareChooserTest.java
@@ -8,7 +8,6 @@
 import java.util.Random;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
-import org.ragwortrun.core.time.Time;
 import org.ragwortrun.proto.LoadReport;
 
 final class LoadAwareChooserTest {
@@ -16,18 +15,7 @@
     private static final int SLOTS = 16;
 
     private final Random random = new Random(7);
-    private long now;
-    private final Time time = new Time() {
-        @Override
-        public long nanos() {
-            return now;
-        }
-
-        @Override
-        public long wallMillis() {
-            return now / 1_000_000;
-        }
-    };
+    private final ManualTime time = new ManualTime();
     private final EndpointChooser chooser = new LoadAwareChooser(random::nextInt, time, new OutputForecast());
 
     /** Guards against a choice by own requests alone, which overloads an endpoint that other routers fill. */
@@ -73,10 +61,10 @@
     void freshEndpointGetsItsShareSlowly() {
         List<EndpointCandidate> old = List.of(endpoint("e1", "a", 4, 4), endpoint("e2", "a", 4, 4));
         pick(old, 0);
-        now += 60 * SECOND;
+        time.advanceNanos(60 * SECOND);
         List<EndpointCandidate> restarted = List.of(old.get(0), candidate("e2", "e2@2", "a", 2, 2, 0));
         assertThat(pick(restarted, 0)).isEqualTo("e1");
-        now += 31 * SECOND;
+        time.advanceNanos(31 * SECOND);
         assertThat(pick(restarted, 0)).isEqualTo("e2");
     }
 
--- a/routing/src/test/java/org/ragwortrun/routing/OutlierEjectorTest.java
+++ b/routing/src/test/java/org/ragwortrun/routing/OutlierEjectorTest.java
@@ -7,24 +7,12 @@
 import java.util.Set;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
-import org.ragwortrun.core.time.Time;
 
 final class OutlierEjectorTest {
     private static final long SECOND = 1_000_000_000L;
     private static final long LATENCY = 50_000_000L;
 
-    private long now;
-    private final Time time = new Time() {
-        @Override
-        public long nanos() {
-            return now;
-        }
-
-        @Override
-        public long wallMillis() {
-            return now / 1_000_000;
-        }
-    };
+    private final ManualTime time = new ManualTime();
     private final OutlierEjector ejector = new PeerOutlierEjector(time);
 
     /** Guards against work for an endpoint that fails or is slow while its peers are well. */
@@ -61,9 +49,9 @@
         for (int seconds : new int[] {10, 20, 40}) {
             results(ejector, 3, Set.of(2), Set.of());
             assertThat(admitted(ejector, 3)).hasSize(2);
-            now += seconds * SECOND - 1;
+            time.advanceNanos(seconds * SECOND - 1);
             assertThat(admitted(ejector, 3)).hasSize(2);
-            now += 1;
+            time.advanceNanos(1);
             assertThat(admitted(ejector, 3)).hasSize(3);
         }
     }
@@ -75,7 +63,7 @@
             long latency = slow.contains(e) ? 5 * LATENCY : LATENCY;
             ejector.onResult("assay", "chat", "e" + e, !failing.contains(e), latency);
         }
-        now += 6 * SECOND;
+        time.advanceNanos(6 * SECOND);
         admitted(ejector, endpoints);
     }
 
