--- a/core/src/main/java/org/ragwortrun/core/log/Event.java
+++ b/core/src/main/java/org/ragwortrun/core/log/Event.java
@@ -16,6 +16,11 @@
         return new Event(name);
     }
 
+    /** Returns a single pair as it stands in a line. */
+    static String pair(String key, Object value) {
+        return new Event("").with(key, value).toString().substring("event= ".length());
+    }
+
     /** Adds a pair. A value with white space, quotes or an equals sign is quoted. */
     public Event with(String key, Object value) {
         line.append(' ').append(key).append('=');
@@ -56,9 +61,7 @@
     }
 
     private void appendValue(String value) {
-        boolean plain = !value.isEmpty()
-                && value.chars().noneMatch(c -> c <= ' ' || c == '"' || c == '=' || c == '\\' || c == 0x7f);
-        if (plain) {
+        if (isPlain(value)) {
             line.append(value);
             return;
         }
@@ -67,6 +70,17 @@
         line.append('"');
     }
 
+    // A loop instead of a stream: this runs for each value of each request's line.
+    private static boolean isPlain(String value) {
+        for (int i = 0; i < value.length(); i++) {
+            char c = value.charAt(i);
+            if (c <= ' ' || c == '"' || c == '=' || c == '\\' || c == 0x7f) {
+                return false;
+            }
+        }
+        return !value.isEmpty();
+    }
+
     private void appendEscaped(int c) {
         switch (c) {
             case '"', '\\' -> line.append('\\').append((char) c);
--- a/core/src/main/java/org/ragwortrun/core/metrics/Metrics.java
+++ b/core/src/main/java/org/ragwortrun/core/metrics/Metrics.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.LongSupplier;
+import org.ragwortrun.core.log.LogDrops;
 import org.ragwortrun.core.refusal.RefusalReason;
 
 /** Counters and gauges of one process. */
@@ -42,8 +43,10 @@
         }
         PrometheusHttpServer reader =
                 PrometheusHttpServer.builder().setHost(host).setPort(port).build();
-        return new Metrics(
+        Metrics metrics = new Metrics(
                 SdkMeterProvider.builder().registerMetricReader(reader).build());
+        metrics.gauge("log_lines_dropped", "Log lines dropped for want of room", LogDrops::lines);
+        return metrics;
     }
 
     /** Creates metrics that are not exported. */
