--- a/agent/src/main/java/org/ragwortrun/agent/internal/AgentProcess.java
+++ b/agent/src/main/java/org/ragwortrun/agent/internal/AgentProcess.java
@@ -109,7 +109,7 @@
         server = listen();
         watch.start(CONFIRM_INTERVAL);
         health[0].start(timing.healthInterval().toMillis());
-        timer.scheduleWithFixedDelay(this::queueTick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+        Duty.repeat(timer, this::queueTick, TICK_MS, TICK_MS);
     }
 
     private FrameServer listen() throws TransportException {
--- a/agent/src/main/java/org/ragwortrun/agent/internal/HealthMonitor.java
+++ b/agent/src/main/java/org/ragwortrun/agent/internal/HealthMonitor.java
@@ -9,6 +9,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.ragwortrun.agent.AdmissionGate.EndpointLoad;
+import org.ragwortrun.core.concurrent.Duty;
 
 /** Asks the endpoint for its health, and an engine for its load. */
 final class HealthMonitor {
@@ -46,7 +47,7 @@
     }
 
     void start(long intervalMs) {
-        timer.scheduleWithFixedDelay(this::ask, 0, intervalMs, TimeUnit.MILLISECONDS);
+        Duty.repeat(timer, this::ask, 0, intervalMs);
     }
 
     /** Checks now. */
--- a/core/src/main/java/org/ragwortrun/core/concurrent/Duty.java
+++ b/core/src/main/java/org/ragwortrun/core/concurrent/Duty.java
@@ -10,9 +10,13 @@
 import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.ragwortrun.core.log.Event;
 
 /** One thread with one job, fed through a bounded ring of tasks. */
 public final class Duty implements Executor, AutoCloseable {
+    private static final Logger LOG = LogManager.getLogger(Duty.class);
     private static final long CLOSE_TIMEOUT_MS = 2_000;
 
     private final String name;
@@ -73,6 +77,32 @@
         return timer;
     }
 
+    /**
+     * Runs a task again and again, with a pause after each run.
+     *
+     * <p>A run that fails unexpectedly is logged, and the next one follows. Without this the executor would drop the
+     * task for good, and the daemon would go on without, say, its view of the endpoints.
+     *
+     * @param firstMs pause before the first run, in milliseconds
+     * @param pauseMs pause after each run, in milliseconds
+     */
+    public static void repeat(ScheduledExecutorService timer, Runnable task, long firstMs, long pauseMs) {
+        timer.scheduleWithFixedDelay(guarded(task), firstMs, pauseMs, TimeUnit.MILLISECONDS);
+    }
+
+    @SuppressWarnings("PMD.AvoidCatchingGenericException")
+    private static Runnable guarded(Runnable task) {
+        return () -> {
+            try {
+                task.run();
+            } catch (RuntimeException e) {
+                Event.of("periodic-task-failed")
+                        .with("thread", Thread.currentThread().getName())
+                        .error(LOG, e);
+            }
+        };
+    }
+
     /** Ends an executor after the tasks that wait, or after two seconds. */
     public static void stop(ExecutorService executor) {
         executor.shutdown();
--- /dev/null
+++ b/core/src/test/java/org/ragwortrun/core/concurrent/DutyTest.java
@@ -0,0 +1,27 @@
+package org.ragwortrun.core.concurrent;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+final class DutyTest {
+    /** Guards against a daemon whose periodic work ends for good, unnoticed, after one unexpected failure. */
+    @Test
+    void repeatsATaskThatHasFailed() throws Exception {
+        ScheduledExecutorService timer = Duty.timer("test");
+        CountDownLatch runs = new CountDownLatch(3);
+        Duty.repeat(
+                timer,
+                () -> {
+                    runs.countDown();
+                    throw new IllegalStateException("unexpected");
+                },
+                0,
+                1);
+        assertThat(runs.await(10, TimeUnit.SECONDS)).isTrue();
+        Duty.stop(timer);
+    }
+}
--- a/net/src/main/java/org/ragwortrun/net/control/ConfigWatch.java
+++ b/net/src/main/java/org/ragwortrun/net/control/ConfigWatch.java
@@ -13,6 +13,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.jspecify.annotations.Nullable;
+import org.ragwortrun.core.concurrent.Duty;
 import org.ragwortrun.core.config.Configuration;
 import org.ragwortrun.core.config.ConfigurationException;
 import org.ragwortrun.core.config.SectionKind;
@@ -76,7 +77,7 @@
 
     /** Starts to confirm at a fixed interval. */
     public void start(Duration interval) {
-        timer.scheduleWithFixedDelay(this::confirmUnlessRetrying, 0, interval.toMillis(), TimeUnit.MILLISECONDS);
+        Duty.repeat(timer, this::confirmUnlessRetrying, 0, interval.toMillis());
     }
 
     /** Applies a frame that a control member pushed. Other frames are ignored. */
--- a/router/src/main/java/org/ragwortrun/router/internal/Router.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/Router.java
@@ -142,12 +142,12 @@
         pushes.connect(watch, grants);
         watch.start(CONFIRM_INTERVAL);
         sessions.open();
-        timer.scheduleWithFixedDelay(evidence, SECOND_MS, SECOND_MS, TimeUnit.MILLISECONDS);
-        timer.scheduleWithFixedDelay(held, SECOND_MS, SECOND_MS, TimeUnit.MILLISECONDS);
-        timer.scheduleWithFixedDelay(agents::closeRetired, SECOND_MS, SECOND_MS, TimeUnit.MILLISECONDS);
+        Duty.repeat(timer, evidence, SECOND_MS, SECOND_MS);
+        Duty.repeat(timer, held, SECOND_MS, SECOND_MS);
+        Duty.repeat(timer, agents::closeRetired, SECOND_MS, SECOND_MS);
         if (!settings.hostList().isEmpty()) {
             HostList hosts = new HostList(settings.hostList(), json, agents::markLeaving);
-            slowTimer.scheduleWithFixedDelay(hosts, 0, SECOND_MS, TimeUnit.MILLISECONDS);
+            Duty.repeat(slowTimer, hosts, 0, SECOND_MS);
         }
         gauges(metrics, front, buffers, settlements, grants);
         HttpFront http = closer.register(
--- a/router/src/main/java/org/ragwortrun/router/internal/http/HttpFront.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/http/HttpFront.java
@@ -15,6 +15,7 @@
 import org.apache.hc.core5.util.Timeout;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.ragwortrun.core.concurrent.Duty;
 import org.ragwortrun.core.log.Event;
 import org.ragwortrun.core.time.Time;
 import org.ragwortrun.net.Address;
@@ -85,7 +86,7 @@
                 .create();
         server.start();
         int port = bind(server, address);
-        timer.scheduleWithFixedDelay(timers, TIMER_PERIOD_MS, TIMER_PERIOD_MS, TimeUnit.MILLISECONDS);
+        Duty.repeat(timer, timers, TIMER_PERIOD_MS, TIMER_PERIOD_MS);
         return new HttpFront(server, port);
     }
 
