--- a/control/src/main/java/org/ragwortrun/control/ControlDaemon.java
+++ b/control/src/main/java/org/ragwortrun/control/ControlDaemon.java
@@ -2,13 +2,17 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicLong;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.ragwortrun.control.internal.ControlNode;
+import org.ragwortrun.control.internal.ControlRelay;
 import org.ragwortrun.control.internal.ControlSettings;
 import org.ragwortrun.control.internal.EndpointDirectory;
 import org.ragwortrun.control.internal.HostedGroups;
 import org.ragwortrun.control.internal.LeaderView;
+import org.ragwortrun.control.internal.RelaySettings;
+import org.ragwortrun.control.internal.Reopening;
 import org.ragwortrun.core.concurrent.Closer;
 import org.ragwortrun.core.error.RagwortrunException;
 import org.ragwortrun.core.id.Incarnations;
@@ -39,7 +43,8 @@
     private final ControlNode node;
     private final FrameServer server;
 
-    private ControlDaemon(ControlSettings settings, Time time, MoveDriver moves, Optional<EndpointSource> endpoints)
+    private ControlDaemon(
+            ControlSettings settings, Time time, long beganNanos, MoveDriver moves, Optional<EndpointSource> endpoints)
             throws RagwortrunException {
         boolean started = false;
         try {
@@ -53,7 +58,7 @@
                     closer.register(Metrics.exporting(settings.listen().host(), settings.metricsPort()));
             Transport transport = closer.register(new Transport(own, NETWORK_THREADS));
             ControlClient client = closer.register(new ControlClient(transport, settings.members(), (p, f) -> {}));
-            groups = closer.register(HostedGroups.open(settings, transport, time, metrics));
+            groups = closer.register(HostedGroups.open(settings, transport, time, beganNanos, metrics));
             node = closer.register(
                     new ControlNode(settings, time, groups.meta(), groups.shards(), new LeaderView(client), moves));
             addGauges(metrics);
@@ -79,18 +84,34 @@
      * @throws RagwortrunException if the settings, the files or the address cannot be used
      */
     public static ControlDaemon start(Settings settings) throws RagwortrunException {
+        Time time = Time.steady();
         return new ControlDaemon(
-                ControlSettings.read(settings), Time.steady(), new EvidenceMoveDriver(), Optional.empty());
+                ControlSettings.read(settings), time, time.nanos(), new EvidenceMoveDriver(), Optional.empty());
     }
 
     /**
-     * Starts a member that reads a list of endpoints for the routers while it leads.
+     * Starts what a host can be with its storage, and reads a list of endpoints for the routers while it leads. A host
+     * with a folder is a member, and one again after its disk has failed for a while. A host without is a relay.
      *
+     * @param beganNanos monotonic time at which this process began, after any earlier one on the folder had ended
      * @throws RagwortrunException if the settings, the files or the address cannot be used
      */
-    public static ControlDaemon start(Settings settings, EndpointSource endpoints) throws RagwortrunException {
-        return new ControlDaemon(
-                ControlSettings.read(settings), Time.steady(), new EvidenceMoveDriver(), Optional.of(endpoints));
+    public static AutoCloseable start(Settings settings, EndpointSource endpoints, long beganNanos)
+            throws RagwortrunException {
+        if (settings.text("storage.folder", "").isBlank()) {
+            return ControlRelay.start(RelaySettings.read(settings), Time.steady());
+        }
+        ControlSettings read = ControlSettings.read(settings);
+        AtomicLong began = new AtomicLong(beganNanos);
+        return Reopening.start(failed -> {
+            Time time = Time.steady();
+            // What a member did before its files failed ended just now.
+            long since = began.getAndUpdate(b -> time.nanos());
+            ControlDaemon daemon =
+                    new ControlDaemon(read, time, since, new EvidenceMoveDriver(), Optional.of(endpoints));
+            daemon.onFailure(failed);
+            return daemon;
+        });
     }
 
     private void addGauges(Metrics metrics) {
@@ -110,6 +131,11 @@
                 () -> groups.meta().number());
     }
 
+    /** Sets who hears, once, that the files of this member have failed, so that it takes part no longer. */
+    void onFailure(Runnable listener) {
+        groups.onFailure(listener);
+    }
+
     /** Returns the port that is bound. */
     public int port() {
         return server.port();
--- a/control/src/main/java/org/ragwortrun/control/internal/ControlNode.java
+++ b/control/src/main/java/org/ragwortrun/control/internal/ControlNode.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 import org.ragwortrun.control.MoveDriver;
 import org.ragwortrun.core.concurrent.Closer;
 import org.ragwortrun.core.concurrent.Duty;
@@ -51,7 +50,7 @@
         shardService = closer.register(new ShardService(time, shards, meta, leader, peers, cache, settings));
         ScheduledExecutorService timer = Duty.timer("control-tick");
         closer.register(() -> Duty.stop(timer));
-        timer.scheduleWithFixedDelay(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+        Duty.repeat(timer, this::tick, TICK_MS, TICK_MS);
     }
 
     @Override
@@ -80,7 +79,7 @@
         }
         switch (frame.getBodyCase()) {
             case SHARD_REQUEST, FENCE_CONFIRMED -> shardService.offer(peer, frame);
-            case PUBLISH, WATCH, CONFIRM, MOVES_QUERY, CONFIG_QUERY, START_MOVE, EVIDENCE, CRASH_REPORT ->
+            case PUBLISH, WATCH, CONFIRM, HEARTBEAT, MOVES_QUERY, CONFIG_QUERY, START_MOVE, EVIDENCE, CRASH_REPORT ->
                 metaService.offer(peer, frame);
             case STATUS_QUERY -> metaService.status(peer, frame, status());
             default ->
--- a/control/src/main/java/org/ragwortrun/control/internal/ControlSettings.java
+++ b/control/src/main/java/org/ragwortrun/control/internal/ControlSettings.java
@@ -10,6 +10,7 @@
 import org.ragwortrun.net.Address;
 import org.ragwortrun.net.AddressException;
 import org.ragwortrun.net.control.ControlMembers;
+import org.ragwortrun.replication.HostSettings;
 
 /**
  * Settings of a control member.
@@ -27,6 +28,8 @@
  * @param idRetention time for which request ids are remembered
  * @param requestRing requests that may wait for each of the two request duties
  * @param electionTimeout silence of a leader after which an election starts
+ * @param snapshotEntries entries of a log after which a snapshot replaces them
+ * @param snapshotBytes bytes of a log after which a snapshot replaces them
  */
 public record ControlSettings(
         String name,
@@ -41,7 +44,9 @@
         Duration routerFenceAfter,
         Duration idRetention,
         int requestRing,
-        Duration electionTimeout) {
+        Duration electionTimeout,
+        long snapshotEntries,
+        long snapshotBytes) {
     private static final int MAX_SHARDS = 1_024;
     private static final int MAX_PORT = 65_535;
 
@@ -64,7 +69,9 @@
                 duration(s, "control.router-fence-after", "600s", "1s", "7d"),
                 duration(s, "control.id-retention", "24h", "1m", "24h"),
                 (int) s.number("control.request-ring", 8_192, 16, 1_000_000),
-                duration(s, "cluster.election-timeout", "1s", "100ms", "30s"));
+                duration(s, "cluster.election-timeout", "1s", "100ms", "30s"),
+                s.number("cluster.snapshot-entries", HostSettings.SNAPSHOT_ENTRIES, 100, 10_000_000),
+                s.number("cluster.snapshot-bytes", HostSettings.SNAPSHOT_BYTES, 1 << 10, 1 << 30));
         read.checkNames(s);
         s.check();
         return read;
--- a/control/src/main/java/org/ragwortrun/control/internal/Group.java
+++ b/control/src/main/java/org/ragwortrun/control/internal/Group.java
@@ -1,7 +1,9 @@
 package org.ragwortrun.control.internal;
 
+import java.util.List;
 import java.util.OptionalLong;
 import org.ragwortrun.proto.GroupState;
+import org.ragwortrun.proto.Member;
 import org.ragwortrun.proto.NotLeader;
 
 /** A replicated group as the daemon's handlers see it. */
@@ -15,4 +17,7 @@
     NotLeader hint();
 
     GroupState state();
+
+    /** Returns the members that this member knows of, voters and others. */
+    List<Member> members();
 }
--- a/control/src/main/java/org/ragwortrun/control/internal/HostedGroup.java
+++ b/control/src/main/java/org/ragwortrun/control/internal/HostedGroup.java
@@ -1,8 +1,11 @@
 package org.ragwortrun.control.internal;
 
+import java.util.List;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
+import java.util.stream.Stream;
 import org.ragwortrun.proto.GroupState;
+import org.ragwortrun.proto.Member;
 import org.ragwortrun.proto.NotLeader;
 import org.ragwortrun.replication.GroupStatus;
 import org.ragwortrun.replication.MemberId;
@@ -64,6 +67,24 @@
                 .build();
     }
 
+    @Override
+    public final List<Member> members() {
+        GroupStatus s = group.status();
+        return Stream.concat(
+                        s.voters().stream().map(m -> member(m, true)),
+                        s.learners().stream().map(m -> member(m, false)))
+                .toList();
+    }
+
+    private static Member member(MemberId m, boolean voter) {
+        return Member.newBuilder()
+                .setName(m.name())
+                .setIdentity(m.identity())
+                .setAddress(m.address())
+                .setVoter(voter)
+                .build();
+    }
+
     final CompletableFuture<byte[]> propose(byte[] command) {
         return inFlight.track(group.propose(command));
     }
--- a/control/src/main/java/org/ragwortrun/control/internal/HostedGroups.java
+++ b/control/src/main/java/org/ragwortrun/control/internal/HostedGroups.java
@@ -39,11 +39,13 @@
     /**
      * Restores and starts the groups.
      *
+     * @param beganNanos time after which no earlier process has used the folder, by the clock
      * @throws CorruptLogException if stored state is damaged
      * @throws StorageException if the data folder cannot be used
      * @throws SettingsException if the number of shards has changed
      */
-    public static HostedGroups open(ControlSettings settings, Transport transport, Time time, Metrics metrics)
+    public static HostedGroups open(
+            ControlSettings settings, Transport transport, Time time, long beganNanos, Metrics metrics)
             throws CorruptLogException, StorageException, SettingsException {
         ShardCount.check(settings.folder(), settings.shards());
         Map<Integer, StateMachine> machines = new TreeMap<>();
@@ -58,8 +60,9 @@
         }
         HostSettings hostSettings = HostSettings.of(
                         settings.name(), settings.folder(), settings.members(), settings.bootstrap())
-                .withElectionTimeout(settings.electionTimeout());
-        GroupHost host = GroupHost.open(hostSettings, machines, transport, time, metrics);
+                .withElectionTimeout(settings.electionTimeout())
+                .withSnapshotLimits(settings.snapshotEntries(), settings.snapshotBytes());
+        GroupHost host = GroupHost.open(hostSettings, machines, transport, time, beganNanos, metrics);
         return new HostedGroups(host, time, metaState, metaMachine, states);
     }
 
@@ -76,6 +79,11 @@
         host.onFrame(peer, frame);
     }
 
+    /** Sets who hears, once, that the files of a group have failed. */
+    public void onFailure(Runnable listener) {
+        host.onFailure(listener);
+    }
+
     /** Waits until no proposal is under way, or until the time is over. */
     public void awaitProposals(Duration longest) throws InterruptedException {
         inFlight.await(longest);
--- a/control/src/main/java/org/ragwortrun/control/internal/MetaService.java
+++ b/control/src/main/java/org/ragwortrun/control/internal/MetaService.java
@@ -94,6 +94,7 @@
             case PUBLISH -> publish(peer, request);
             case WATCH -> watchers.add(peer, request);
             case CONFIRM -> confirm(peer, request);
+            case HEARTBEAT -> heartbeat(peer, request, group.number(), Duration.ZERO);
             case MOVES_QUERY -> reply(peer, request, Replies.to(request).setMovesReply(moves(group.snapshot())));
             case CONFIG_QUERY -> afterBarrier(peer, request);
             case START_MOVE -> startMove(peer, request);
@@ -248,7 +249,8 @@
                         .setHeartbeat(Heartbeat.newBuilder()
                                 .setNumber(number)
                                 .setLeaseMs((int) lease.toMillis())
-                                .setEcho(request.getCall())));
+                                .setEcho(request.getCall())
+                                .addAllMembers(group.members())));
     }
 
     /** Sends what was read if the lease still holds after the read; otherwise the read may be out of date. */
--- /dev/null
+++ b/control/src/test/java/org/ragwortrun/control/ControlRelayTest.java
@@ -0,0 +1,117 @@
+package org.ragwortrun.control;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.ragwortrun.core.concurrent.Closer;
+import org.ragwortrun.core.settings.Settings;
+import org.ragwortrun.net.Address;
+import org.ragwortrun.net.Transport;
+import org.ragwortrun.net.control.ControlClient;
+import org.ragwortrun.proto.Frame;
+import org.ragwortrun.proto.Heartbeat;
+import org.ragwortrun.proto.Hello;
+import org.ragwortrun.proto.Role;
+
+final class ControlRelayTest {
+    private static final Duration PATIENCE = Duration.ofSeconds(20);
+
+    @TempDir
+    private Path folder;
+
+    private final Closer closer = new Closer();
+    private final Map<String, Address> addresses = new TreeMap<>();
+
+    @AfterEach
+    void stop() {
+        closer.close();
+    }
+
+    /** Guards against a system that never begins because its settings name hosts without a disk only. */
+    @Test
+    void hostsWithStorageMeetThroughHostsWithout() throws Exception {
+        List<String> told = List.of("r1", "r2");
+        reserve("r1", "r2", "m1", "m2", "m3");
+        for (String name : addresses.keySet()) {
+            start(name, told);
+        }
+        assertThat(members(told)).containsExactly("m1", "m2", "m3");
+    }
+
+    /** Guards against a founder that waits for a listed host which has no disk and will never report. */
+    @Test
+    void aListedHostWithoutStorageIsNotAwaited() throws Exception {
+        List<String> told = List.of("r1", "m1", "m2");
+        reserve("r1", "m1", "m2");
+        for (String name : addresses.keySet()) {
+            start(name, told);
+        }
+        assertThat(members(List.of("r1"))).containsExactly("m1", "m2");
+    }
+
+    /** Asks the leader, whom the relays name, for the members. */
+    private List<String> members(List<String> told) throws Exception {
+        Transport transport = closer.register(new Transport(
+                Hello.newBuilder().setName("test").setRole(Role.OPERATOR).build(), 1));
+        ControlClient client = closer.register(new ControlClient(transport, of(told), (p, f) -> {}));
+        Frame reply = client.call(0, Frame.newBuilder().setHeartbeat(Heartbeat.getDefaultInstance()), PATIENCE)
+                .get(PATIENCE.toMillis(), TimeUnit.MILLISECONDS);
+        return reply.getHeartbeat().getMembersList().stream()
+                .map(m -> m.getName())
+                .toList();
+    }
+
+    private void start(String name, List<String> told) throws Exception {
+        Map<String, Address> known = of(told);
+        known.put(name, addresses.get(name));
+        Map<String, String> values = new HashMap<>(Map.of(
+                "daemon.name",
+                name,
+                "daemon.data-center",
+                "a",
+                "control.listen",
+                addresses.get(name).toString(),
+                "cluster.shards",
+                "1",
+                "cluster.bootstrap",
+                String.join(",", told),
+                "cluster.election-timeout",
+                "300ms",
+                "storage.folder",
+                name.startsWith("m") ? folder.resolve(name).toString() : ""));
+        values.put(
+                "control.members",
+                String.join(
+                        ",",
+                        known.entrySet().stream()
+                                .map(e -> e.getKey() + "=" + e.getValue())
+                                .toList()));
+        closer.register(ControlDaemon.start(Settings.of(values), List::of, System.nanoTime()));
+    }
+
+    private Map<String, Address> of(List<String> names) {
+        Map<String, Address> some = new TreeMap<>();
+        names.forEach(n -> some.put(n, addresses.get(n)));
+        return some;
+    }
+
+    private void reserve(String... names) throws IOException {
+        for (String name : names) {
+            try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+                addresses.put(name, new Address("127.0.0.1", s.getLocalPort()));
+            }
+        }
+    }
+}
--- a/control/src/test/java/org/ragwortrun/control/internal/ControlNodeTest.java
+++ b/control/src/test/java/org/ragwortrun/control/internal/ControlNodeTest.java
@@ -66,7 +66,9 @@
                 FENCE_AFTER,
                 Duration.ofHours(24),
                 1_024,
-                Duration.ofSeconds(1));
+                Duration.ofSeconds(1),
+                50_000,
+                8 << 20);
         node = new ControlNode(settings, time, meta, List.of(shard), this::status, new TimedMoveDriver());
         node.onConnected(router);
         // The leadership begins before tests move the time.
--- a/control/src/test/java/org/ragwortrun/control/internal/FakeMetaGroup.java
+++ b/control/src/test/java/org/ragwortrun/control/internal/FakeMetaGroup.java
@@ -9,6 +9,7 @@
 import org.ragwortrun.proto.ConfigReply;
 import org.ragwortrun.proto.ConfigUpdate;
 import org.ragwortrun.proto.GroupState;
+import org.ragwortrun.proto.Member;
 import org.ragwortrun.proto.MetaCommand;
 import org.ragwortrun.proto.MetaResult;
 import org.ragwortrun.proto.NotLeader;
@@ -40,6 +41,11 @@
         return NotLeader.newBuilder().setLeaderName("c2").build();
     }
 
+    @Override
+    public List<Member> members() {
+        return List.of();
+    }
+
     @Override
     public GroupState state() {
         return GroupState.getDefaultInstance();
--- a/control/src/test/java/org/ragwortrun/control/internal/FakeShardGroup.java
+++ b/control/src/test/java/org/ragwortrun/control/internal/FakeShardGroup.java
@@ -8,6 +8,7 @@
 import org.ragwortrun.ledger.SessionState;
 import org.ragwortrun.ledger.ShardState;
 import org.ragwortrun.proto.GroupState;
+import org.ragwortrun.proto.Member;
 import org.ragwortrun.proto.NotLeader;
 import org.ragwortrun.proto.ShardCommand;
 import org.ragwortrun.proto.ShardReply;
@@ -39,6 +40,11 @@
         return NotLeader.newBuilder().setGroup(1).setLeaderName("c2").build();
     }
 
+    @Override
+    public List<Member> members() {
+        return List.of();
+    }
+
     @Override
     public GroupState state() {
         return GroupState.newBuilder().setGroup(1).build();
--- a/net/src/main/java/org/ragwortrun/net/control/ControlClient.java
+++ b/net/src/main/java/org/ragwortrun/net/control/ControlClient.java
@@ -4,11 +4,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.ragwortrun.core.concurrent.Closer;
@@ -17,10 +20,13 @@
 import org.ragwortrun.net.AddressException;
 import org.ragwortrun.net.FrameClient;
 import org.ragwortrun.net.FrameHandler;
+import org.ragwortrun.net.Peer;
 import org.ragwortrun.net.Transport;
 import org.ragwortrun.net.TransportException;
 import org.ragwortrun.proto.Frame;
+import org.ragwortrun.proto.Member;
 import org.ragwortrun.proto.NotLeader;
+import org.ragwortrun.proto.Role;
 
 /**
  * Calls the leaders of the replicated groups.
@@ -31,6 +37,9 @@
  */
 public final class ControlClient implements AutoCloseable {
     private static final long RETRY_PAUSE_MS = 50;
+    private static final long ALONE_PAUSE_MS = 150;
+    // Connections cost both sides their beats; the leader is always connected to, as answers name it.
+    private static final int ENOUGH_MEMBERS = 3;
     // Members send a beat every 450 ms; half a beat more allows for one that is late.
     private static final long CUT_OFF_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
 
@@ -71,6 +80,27 @@
         return result;
     }
 
+    /** Returns where the leader of a group is thought to be. */
+    public NotLeader hint(int group) {
+        NotLeader.Builder hint = NotLeader.newBuilder().setGroup(group);
+        String name = leaders.get(group);
+        FrameClient client = name == null ? null : clients.get(name);
+        if (name != null && client != null) {
+            hint.setLeaderName(name).setLeaderAddress(client.address().toString());
+        }
+        return hint.build();
+    }
+
+    /** Returns the names among the settings' members whose process has no storage and only leads to members. */
+    public Set<String> relays() {
+        return names.stream()
+                .filter(n -> Optional.ofNullable(clients.get(n))
+                        .flatMap(FrameClient::peer)
+                        .filter(p -> !isMember(p))
+                        .isPresent())
+                .collect(Collectors.toSet());
+    }
+
     /** Returns the member that is thought to lead a group. */
     public Optional<String> leader(int group) {
         return Optional.ofNullable(leaders.get(group));
@@ -82,8 +112,15 @@
      */
     public boolean isCutOff() {
         return clients.values().stream()
-                .noneMatch(
-                        c -> c.peer().map(p -> p.silentNanos() < CUT_OFF_NANOS).orElse(false));
+                .noneMatch(c -> c.peer()
+                        .filter(ControlClient::isMember)
+                        .map(p -> p.silentNanos() < CUT_OFF_NANOS)
+                        .orElse(false));
+    }
+
+    /** Tells a member from a relay, which only leads to members. */
+    private static boolean isMember(Peer peer) {
+        return peer.hello().getRole() != Role.RELAY;
     }
 
     @Override
@@ -113,6 +150,9 @@
                 retryLater(group, request, deadline, result);
             } else {
                 leaders.put(group, target);
+                if (reply.hasHeartbeat() && reply.getHeartbeat().getMembersCount() > 0) {
+                    learn(reply.getHeartbeat().getMembersList());
+                }
                 result.complete(reply);
             }
         });
@@ -144,8 +184,25 @@
         }
     }
 
-    /** Connects to a leader that has become a member after this client was made. */
-    private void learn(String name, String address) {
+    /** Connects to the members that the leader names, and leaves those that are members no longer. */
+    private void learn(List<Member> members) {
+        members.stream()
+                .filter(m -> open(ControlClient::isMember).size() < ENOUGH_MEMBERS)
+                .forEach(m -> learn(m.getName(), m.getAddress()));
+        clients.keySet().stream()
+                .filter(n -> !names.contains(n) && !leaders.containsValue(n))
+                .filter(n -> members.stream().noneMatch(m -> m.getName().equals(n)))
+                .toList()
+                .forEach(n -> {
+                    FrameClient client = clients.remove(n);
+                    if (client != null) {
+                        client.close();
+                    }
+                });
+    }
+
+    /** Connects to a member that has become one after this client was made, or that has made itself known. */
+    public void learn(String name, String address) {
         if (name.isEmpty() || clients.containsKey(name)) {
             return;
         }
@@ -158,7 +215,9 @@
     }
 
     private void retryLater(int group, Frame request, long deadline, CompletableFuture<Frame> result) {
-        CompletableFuture.delayedExecutor(RETRY_PAUSE_MS, TimeUnit.MILLISECONDS)
+        // Without any connection there is nobody to ask, and asking often costs a host that is cut off its processor.
+        long pauseMs = open(p -> true).isEmpty() ? ALONE_PAUSE_MS : RETRY_PAUSE_MS;
+        CompletableFuture.delayedExecutor(pauseMs, TimeUnit.MILLISECONDS)
                 .execute(() -> attempt(group, request, deadline, result));
     }
 
@@ -167,13 +226,18 @@
         if (known != null) {
             return known;
         }
-        List<String> open = clients.entrySet().stream()
-                .filter(e -> e.getValue().peer().isPresent())
+        List<String> members = open(ControlClient::isMember);
+        List<String> open = members.isEmpty() ? open(p -> true) : members;
+        List<String> from = open.isEmpty() ? names : open;
+        return from.get(Math.floorMod(next.getAndIncrement(), from.size()));
+    }
+
+    private List<String> open(Predicate<Peer> condition) {
+        return clients.entrySet().stream()
+                .filter(e -> e.getValue().peer().filter(condition).isPresent())
                 .map(Map.Entry::getKey)
                 .sorted()
                 .toList();
-        List<String> from = open.isEmpty() ? names : open;
-        return from.get(Math.floorMod(next.getAndIncrement(), from.size()));
     }
 
     private static Throwable unwrap(Throwable failure) {
--- a/net/src/test/java/org/ragwortrun/net/control/ControlClientTest.java
+++ b/net/src/test/java/org/ragwortrun/net/control/ControlClientTest.java
@@ -4,6 +4,7 @@
 
 import java.time.Duration;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -15,8 +16,11 @@
 import org.ragwortrun.proto.ConfigQuery;
 import org.ragwortrun.proto.ConfigReply;
 import org.ragwortrun.proto.Frame;
+import org.ragwortrun.proto.Heartbeat;
 import org.ragwortrun.proto.Hello;
+import org.ragwortrun.proto.Member;
 import org.ragwortrun.proto.NotLeader;
+import org.ragwortrun.proto.Role;
 
 final class ControlClientTest {
     private static final Duration PATIENCE = Duration.ofSeconds(10);
@@ -54,6 +58,43 @@
         assertThat(client.leader(0)).hasValue("c9");
     }
 
+    /** Guards against a client that is lost once all members that its settings name are gone. */
+    @Test
+    void outlastsAllMembersThatItWasToldOf() throws Exception {
+        FrameHandler[] answers = new FrameHandler[1];
+        FrameServer other = listen("c9", (peer, frame) -> answers[0].onFrame(peer, frame));
+        answers[0] = (peer, frame) -> peer.send(Frame.newBuilder()
+                .setCall(frame.getCall())
+                .setHeartbeat(Heartbeat.newBuilder()
+                        .addMembers(Member.newBuilder().setName("c9").setAddress("127.0.0.1:" + other.port())))
+                .build());
+        FrameServer told = listen("c1", (peer, frame) -> answers[0].onFrame(peer, frame));
+        ControlClient client = client(told.port());
+        Frame.Builder ask = Frame.newBuilder().setHeartbeat(Heartbeat.getDefaultInstance());
+        client.call(0, ask, PATIENCE).get(PATIENCE.toMillis(), TimeUnit.MILLISECONDS);
+        told.close();
+        for (int i = 0; i < POLLS && !client.leader(0).equals(Optional.of("c9")); i++) {
+            // A call under way when the connection ends fails, since its effect is unknown.
+            client.call(0, ask, PATIENCE).handle((reply, failure) -> reply).join();
+            Thread.sleep(POLL_MS);
+        }
+        assertThat(client.leader(0)).hasValue("c9");
+    }
+
+    /** Guards against a host that takes a relay, which cannot serve, for a sign of life of the members. */
+    @Test
+    void aRelayIsNoMember() throws Exception {
+        Transport transport = closer.register(new Transport(
+                Hello.newBuilder().setName("c1").setRole(Role.RELAY).build(), 1));
+        FrameServer relay = closer.register(transport.listen(new Address("127.0.0.1", 0), (peer, frame) -> {}));
+        ControlClient client = client(relay.port());
+        for (int i = 0; i < POLLS && client.relays().isEmpty(); i++) {
+            Thread.sleep(POLL_MS);
+        }
+        assertThat(client.relays()).containsExactly("c1");
+        assertThat(client.isCutOff()).isTrue();
+    }
+
     /** Guards against callers that wait at a host that cannot reach any member. */
     @Test
     void tellsWhetherItIsCutOff() throws Exception {
--- a/proto/src/main/java/org/ragwortrun/proto/EndpointList.java
+++ b/proto/src/main/java/org/ragwortrun/proto/EndpointList.java
@@ -20,6 +20,7 @@
     EndpointListOrBuilder {
   private EndpointList() {
     endpoints_ = emptyProtobufList();
+    peers_ = emptyProtobufList();
   }
   public static final int SEQUENCE_FIELD_NUMBER = 1;
   private long sequence_;
@@ -217,6 +218,220 @@
     endpoints_.remove(index);
   }
 
+  public static final int ROUTERS_FIELD_NUMBER = 5;
+  private int routers_;
+  /**
+   * <pre>
+   * Routers that the sender is connected to, among which shared allowances are divided.
+   * </pre>
+   *
+   * <code>uint32 routers = 5;</code>
+   * @return The routers.
+   */
+  @java.lang.Override
+  public int getRouters() {
+    return routers_;
+  }
+  /**
+   * <pre>
+   * Routers that the sender is connected to, among which shared allowances are divided.
+   * </pre>
+   *
+   * <code>uint32 routers = 5;</code>
+   * @param value The routers to set.
+   */
+  private void setRouters(int value) {
+    
+    routers_ = value;
+  }
+  /**
+   * <pre>
+   * Routers that the sender is connected to, among which shared allowances are divided.
+   * </pre>
+   *
+   * <code>uint32 routers = 5;</code>
+   */
+  private void clearRouters() {
+
+    routers_ = 0;
+  }
+
+  public static final int PEERS_FIELD_NUMBER = 6;
+  private com.google.protobuf.Internal.ProtobufList<org.ragwortrun.proto.RouterAddress> peers_;
+  /**
+   * <pre>
+   * Routers that take reservations of their peers.
+   * </pre>
+   *
+   * <code>repeated .org.ragwortrun.proto.RouterAddress peers = 6;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.ragwortrun.proto.RouterAddress> getPeersList() {
+    return peers_;
+  }
+  /**
+   * <pre>
+   * Routers that take reservations of their peers.
+   * </pre>
+   *
+   * <code>repeated .org.ragwortrun.proto.RouterAddress peers = 6;</code>
+   */
+  public java.util.List<? extends org.ragwortrun.proto.RouterAddressOrBuilder> 
+      getPeersOrBuilderList() {
+    return peers_;
+  }
+  /**
+   * <pre>
+   * Routers that take reservations of their peers.
+   * </pre>
+   *
+   * <code>repeated .org.ragwortrun.proto.RouterAddress peers = 6;</code>
+   */
+  @java.lang.Override
+  public int getPeersCount() {
+    return peers_.size();
+  }
+  /**
+   * <pre>
+   * Routers that take reservations of their peers.
+   * </pre>
+   *
+   * <code>repeated .org.ragwortrun.proto.RouterAddress peers = 6;</code>
+   */
+  @java.lang.Override
+  public org.ragwortrun.proto.RouterAddress getPeers(int index) {
+    return peers_.get(index);
+  }
+  /**
+   * <pre>
+   * Routers that take reservations of their peers.
+   * </pre>
+   *
+   * <code>repeated .org.ragwortrun.proto.RouterAddress peers = 6;</code>
+   */
+  public org.ragwortrun.proto.RouterAddressOrBuilder getPeersOrBuilder(
+      int index) {
+    return peers_.get(index);
+  }
+  private void ensurePeersIsMutable() {
+    com.google.protobuf.Internal.ProtobufList<org.ragwortrun.proto.RouterAddress> tmp = peers_;
+    if (!tmp.isModifiable()) {
+      peers_ =
+          com.google.protobuf.GeneratedMessageLite.mutableCopy(tmp);
+     }
+  }
+
+  /**
+   * <pre>
+   * Routers that take reservations of their peers.
+   * </pre>
+   *
+   * <code>repeated .org.ragwortrun.proto.RouterAddress peers = 6;</code>
+   */
+  private void setPeers(
+      int index, org.ragwortrun.proto.RouterAddress value) {
+    java.util.Objects.requireNonNull(value);
+    ensurePeersIsMutable();
+    peers_.set(index, value);
+  }
+  /**
+   * <pre>
+   * Routers that take reservations of their peers.
+   * </pre>
+   *
+   * <code>repeated .org.ragwortrun.proto.RouterAddress peers = 6;</code>
+   */
+  private void addPeers(org.ragwortrun.proto.RouterAddress value) {
+    java.util.Objects.requireNonNull(value);
+    ensurePeersIsMutable();
+    peers_.add(value);
+  }
+  /**
+   * <pre>
+   * Routers that take reservations of their peers.
+   * </pre>
+   *
+   * <code>repeated .org.ragwortrun.proto.RouterAddress peers = 6;</code>
+   */
+  private void addPeers(
+      int index, org.ragwortrun.proto.RouterAddress value) {
+    java.util.Objects.requireNonNull(value);
+    ensurePeersIsMutable();
+    peers_.add(index, value);
+  }
+  /**
+   * <pre>
+   * Routers that take reservations of their peers.
+   * </pre>
+   *
+   * <code>repeated .org.ragwortrun.proto.RouterAddress peers = 6;</code>
+   */
+  private void addAllPeers(
+      java.lang.Iterable<? extends org.ragwortrun.proto.RouterAddress> values) {
+    ensurePeersIsMutable();
+    com.google.protobuf.AbstractMessageLite.addAll(
+        values, peers_);
+  }
+  /**
+   * <pre>
+   * Routers that take reservations of their peers.
+   * </pre>
+   *
+   * <code>repeated .org.ragwortrun.proto.RouterAddress peers = 6;</code>
+   */
+  private void clearPeers() {
+    peers_ = emptyProtobufList();
+  }
+  /**
+   * <pre>
+   * Routers that take reservations of their peers.
+   * </pre>
+   *
+   * <code>repeated .org.ragwortrun.proto.RouterAddress peers = 6;</code>
+   */
+  private void removePeers(int index) {
+    ensurePeersIsMutable();
+    peers_.remove(index);
+  }
+
+  public static final int UNCHANGED_FIELD_NUMBER = 7;
+  private boolean unchanged_;
+  /**
+   * <pre>
+   * The endpoints and peers are those of the list with this sequence that was sent before on this connection.
+   * </pre>
+   *
+   * <code>bool unchanged = 7;</code>
+   * @return The unchanged.
+   */
+  @java.lang.Override
+  public boolean getUnchanged() {
+    return unchanged_;
+  }
+  /**
+   * <pre>
+   * The endpoints and peers are those of the list with this sequence that was sent before on this connection.
+   * </pre>
+   *
+   * <code>bool unchanged = 7;</code>
+   * @param value The unchanged to set.
+   */
+  private void setUnchanged(boolean value) {
+    
+    unchanged_ = value;
+  }
+  /**
+   * <pre>
+   * The endpoints and peers are those of the list with this sequence that was sent before on this connection.
+   * </pre>
+   *
+   * <code>bool unchanged = 7;</code>
+   */
+  private void clearUnchanged() {
+
+    unchanged_ = false;
+  }
+
   public static org.ragwortrun.proto.EndpointList parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -528,6 +743,236 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Routers that the sender is connected to, among which shared allowances are divided.
+     * </pre>
+     *
+     * <code>uint32 routers = 5;</code>
+     * @return The routers.
+     */
+    @java.lang.Override
+    public int getRouters() {
+      return instance.getRouters();
+    }
+    /**
+     * <pre>
+     * Routers that the sender is connected to, among which shared allowances are divided.
+     * </pre>
+     *
+     * <code>uint32 routers = 5;</code>
+     * @param value The routers to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRouters(int value) {
+      copyOnWrite();
+      instance.setRouters(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Routers that the sender is connected to, among which shared allowances are divided.
+     * </pre>
+     *
+     * <code>uint32 routers = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRouters() {
+      copyOnWrite();
+      instance.clearRouters();
+      return this;
+    }
+
+    /**
+     * <pre>
+     * Routers that take reservations of their peers.
+     * </pre>
+     *
+     * <code>repeated .org.ragwortrun.proto.RouterAddress peers = 6;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.ragwortrun.proto.RouterAddress> getPeersList() {
+      return java.util.Collections.unmodifiableList(
+          instance.getPeersList());
+    }
+    /**
+     * <pre>
+     * Routers that take reservations of their peers.
+     * </pre>
+     *
+     * <code>repeated .org.ragwortrun.proto.RouterAddress peers = 6;</code>
+     */
+    @java.lang.Override
+    public int getPeersCount() {
+      return instance.getPeersCount();
+    }/**
+     * <pre>
+     * Routers that take reservations of their peers.
+     * </pre>
+     *
+     * <code>repeated .org.ragwortrun.proto.RouterAddress peers = 6;</code>
+     */
+    @java.lang.Override
+    public org.ragwortrun.proto.RouterAddress getPeers(int index) {
+      return instance.getPeers(index);
+    }
+    /**
+     * <pre>
+     * Routers that take reservations of their peers.
+     * </pre>
+     *
+     * <code>repeated .org.ragwortrun.proto.RouterAddress peers = 6;</code>
+     */
+    public Builder setPeers(
+        int index, org.ragwortrun.proto.RouterAddress value) {
+      copyOnWrite();
+      instance.setPeers(index, value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Routers that take reservations of their peers.
+     * </pre>
+     *
+     * <code>repeated .org.ragwortrun.proto.RouterAddress peers = 6;</code>
+     */
+    public Builder setPeers(
+        int index, org.ragwortrun.proto.RouterAddress.Builder builderForValue) {
+      copyOnWrite();
+      instance.setPeers(index,
+          builderForValue.build());
+      return this;
+    }
+    /**
+     * <pre>
+     * Routers that take reservations of their peers.
+     * </pre>
+     *
+     * <code>repeated .org.ragwortrun.proto.RouterAddress peers = 6;</code>
+     */
+    public Builder addPeers(org.ragwortrun.proto.RouterAddress value) {
+      copyOnWrite();
+      instance.addPeers(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Routers that take reservations of their peers.
+     * </pre>
+     *
+     * <code>repeated .org.ragwortrun.proto.RouterAddress peers = 6;</code>
+     */
+    public Builder addPeers(
+        int index, org.ragwortrun.proto.RouterAddress value) {
+      copyOnWrite();
+      instance.addPeers(index, value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Routers that take reservations of their peers.
+     * </pre>
+     *
+     * <code>repeated .org.ragwortrun.proto.RouterAddress peers = 6;</code>
+     */
+    public Builder addPeers(
+        org.ragwortrun.proto.RouterAddress.Builder builderForValue) {
+      copyOnWrite();
+      instance.addPeers(builderForValue.build());
+      return this;
+    }
+    /**
+     * <pre>
+     * Routers that take reservations of their peers.
+     * </pre>
+     *
+     * <code>repeated .org.ragwortrun.proto.RouterAddress peers = 6;</code>
+     */
+    public Builder addPeers(
+        int index, org.ragwortrun.proto.RouterAddress.Builder builderForValue) {
+      copyOnWrite();
+      instance.addPeers(index,
+          builderForValue.build());
+      return this;
+    }
+    /**
+     * <pre>
+     * Routers that take reservations of their peers.
+     * </pre>
+     *
+     * <code>repeated .org.ragwortrun.proto.RouterAddress peers = 6;</code>
+     */
+    public Builder addAllPeers(
+        java.lang.Iterable<? extends org.ragwortrun.proto.RouterAddress> values) {
+      copyOnWrite();
+      instance.addAllPeers(values);
+      return this;
+    }
+    /**
+     * <pre>
+     * Routers that take reservations of their peers.
+     * </pre>
+     *
+     * <code>repeated .org.ragwortrun.proto.RouterAddress peers = 6;</code>
+     */
+    public Builder clearPeers() {
+      copyOnWrite();
+      instance.clearPeers();
+      return this;
+    }
+    /**
+     * <pre>
+     * Routers that take reservations of their peers.
+     * </pre>
+     *
+     * <code>repeated .org.ragwortrun.proto.RouterAddress peers = 6;</code>
+     */
+    public Builder removePeers(int index) {
+      copyOnWrite();
+      instance.removePeers(index);
+      return this;
+    }
+
+    /**
+     * <pre>
+     * The endpoints and peers are those of the list with this sequence that was sent before on this connection.
+     * </pre>
+     *
+     * <code>bool unchanged = 7;</code>
+     * @return The unchanged.
+     */
+    @java.lang.Override
+    public boolean getUnchanged() {
+      return instance.getUnchanged();
+    }
+    /**
+     * <pre>
+     * The endpoints and peers are those of the list with this sequence that was sent before on this connection.
+     * </pre>
+     *
+     * <code>bool unchanged = 7;</code>
+     * @param value The unchanged to set.
+     * @return This builder for chaining.
+     */
+    public Builder setUnchanged(boolean value) {
+      copyOnWrite();
+      instance.setUnchanged(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * The endpoints and peers are those of the list with this sequence that was sent before on this connection.
+     * </pre>
+     *
+     * <code>bool unchanged = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearUnchanged() {
+      copyOnWrite();
+      instance.clearUnchanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.ragwortrun.proto.EndpointList)
   }
   @java.lang.Override
@@ -549,10 +994,14 @@
             "ageMs_",
             "endpoints_",
             org.ragwortrun.proto.ListedEndpoint.class,
+            "routers_",
+            "peers_",
+            org.ragwortrun.proto.RouterAddress.class,
+            "unchanged_",
           };
           java.lang.String info =
-              "\u0000\u0004\u0000\u0000\u0001\u0004\u0004\u0000\u0001\u0000\u0001\u0003\u0002\u0003" +
-              "\u0003\u000b\u0004\u001b";
+              "\u0000\u0007\u0000\u0000\u0001\u0007\u0007\u0000\u0002\u0000\u0001\u0003\u0002\u0003" +
+              "\u0003\u000b\u0004\u001b\u0005\u000b\u0006\u001b\u0007\u0007";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/proto/src/main/java/org/ragwortrun/proto/EndpointListOrBuilder.java
+++ b/proto/src/main/java/org/ragwortrun/proto/EndpointListOrBuilder.java
@@ -49,4 +49,50 @@
    * <code>repeated .org.ragwortrun.proto.ListedEndpoint endpoints = 4;</code>
    */
   int getEndpointsCount();
+
+  /**
+   * <pre>
+   * Routers that the sender is connected to, among which shared allowances are divided.
+   * </pre>
+   *
+   * <code>uint32 routers = 5;</code>
+   * @return The routers.
+   */
+  int getRouters();
+
+  /**
+   * <pre>
+   * Routers that take reservations of their peers.
+   * </pre>
+   *
+   * <code>repeated .org.ragwortrun.proto.RouterAddress peers = 6;</code>
+   */
+  java.util.List<org.ragwortrun.proto.RouterAddress> 
+      getPeersList();
+  /**
+   * <pre>
+   * Routers that take reservations of their peers.
+   * </pre>
+   *
+   * <code>repeated .org.ragwortrun.proto.RouterAddress peers = 6;</code>
+   */
+  org.ragwortrun.proto.RouterAddress getPeers(int index);
+  /**
+   * <pre>
+   * Routers that take reservations of their peers.
+   * </pre>
+   *
+   * <code>repeated .org.ragwortrun.proto.RouterAddress peers = 6;</code>
+   */
+  int getPeersCount();
+
+  /**
+   * <pre>
+   * The endpoints and peers are those of the list with this sequence that was sent before on this connection.
+   * </pre>
+   *
+   * <code>bool unchanged = 7;</code>
+   * @return The unchanged.
+   */
+  boolean getUnchanged();
 }
--- a/proto/src/main/java/org/ragwortrun/proto/Frame.java
+++ b/proto/src/main/java/org/ragwortrun/proto/Frame.java
@@ -63,6 +63,10 @@
     ENDPOINT_LIST(38),
     START_MOVE(39),
     START_MOVE_REPLY(40),
+    PEER_RESERVE(41),
+    PEER_RESERVED(42),
+    PEER_SETTLE(43),
+    PEER_SETTLED(44),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -117,6 +121,10 @@
         case 38: return ENDPOINT_LIST;
         case 39: return START_MOVE;
         case 40: return START_MOVE_REPLY;
+        case 41: return PEER_RESERVE;
+        case 42: return PEER_RESERVED;
+        case 43: return PEER_SETTLE;
+        case 44: return PEER_SETTLED;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -2114,6 +2122,206 @@
     }
   }
 
+  public static final int PEER_RESERVE_FIELD_NUMBER = 41;
+  /**
+   * <code>.org.ragwortrun.proto.PeerReserve peer_reserve = 41;</code>
+   */
+  @java.lang.Override
+  public boolean hasPeerReserve() {
+    return bodyCase_ == 41;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.PeerReserve peer_reserve = 41;</code>
+   */
+  @java.lang.Override
+  public org.ragwortrun.proto.PeerReserve getPeerReserve() {
+    if (bodyCase_ == 41) {
+       return (org.ragwortrun.proto.PeerReserve) body_;
+    }
+    return org.ragwortrun.proto.PeerReserve.getDefaultInstance();
+  }
+  /**
+   * <code>.org.ragwortrun.proto.PeerReserve peer_reserve = 41;</code>
+   */
+  private void setPeerReserve(org.ragwortrun.proto.PeerReserve value) {
+    java.util.Objects.requireNonNull(value);
+    body_ = value;
+    bodyCase_ = 41;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.PeerReserve peer_reserve = 41;</code>
+   */
+  private void mergePeerReserve(org.ragwortrun.proto.PeerReserve value) {
+    java.util.Objects.requireNonNull(value);
+    if (bodyCase_ == 41 &&
+        body_ != org.ragwortrun.proto.PeerReserve.getDefaultInstance()) {
+      body_ = org.ragwortrun.proto.PeerReserve.newBuilder((org.ragwortrun.proto.PeerReserve) body_)
+          .mergeFrom(value).buildPartial();
+    } else {
+      body_ = value;
+    }
+    bodyCase_ = 41;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.PeerReserve peer_reserve = 41;</code>
+   */
+  private void clearPeerReserve() {
+    if (bodyCase_ == 41) {
+      bodyCase_ = 0;
+      body_ = null;
+    }
+  }
+
+  public static final int PEER_RESERVED_FIELD_NUMBER = 42;
+  /**
+   * <code>.org.ragwortrun.proto.PeerReserved peer_reserved = 42;</code>
+   */
+  @java.lang.Override
+  public boolean hasPeerReserved() {
+    return bodyCase_ == 42;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.PeerReserved peer_reserved = 42;</code>
+   */
+  @java.lang.Override
+  public org.ragwortrun.proto.PeerReserved getPeerReserved() {
+    if (bodyCase_ == 42) {
+       return (org.ragwortrun.proto.PeerReserved) body_;
+    }
+    return org.ragwortrun.proto.PeerReserved.getDefaultInstance();
+  }
+  /**
+   * <code>.org.ragwortrun.proto.PeerReserved peer_reserved = 42;</code>
+   */
+  private void setPeerReserved(org.ragwortrun.proto.PeerReserved value) {
+    java.util.Objects.requireNonNull(value);
+    body_ = value;
+    bodyCase_ = 42;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.PeerReserved peer_reserved = 42;</code>
+   */
+  private void mergePeerReserved(org.ragwortrun.proto.PeerReserved value) {
+    java.util.Objects.requireNonNull(value);
+    if (bodyCase_ == 42 &&
+        body_ != org.ragwortrun.proto.PeerReserved.getDefaultInstance()) {
+      body_ = org.ragwortrun.proto.PeerReserved.newBuilder((org.ragwortrun.proto.PeerReserved) body_)
+          .mergeFrom(value).buildPartial();
+    } else {
+      body_ = value;
+    }
+    bodyCase_ = 42;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.PeerReserved peer_reserved = 42;</code>
+   */
+  private void clearPeerReserved() {
+    if (bodyCase_ == 42) {
+      bodyCase_ = 0;
+      body_ = null;
+    }
+  }
+
+  public static final int PEER_SETTLE_FIELD_NUMBER = 43;
+  /**
+   * <code>.org.ragwortrun.proto.PeerSettle peer_settle = 43;</code>
+   */
+  @java.lang.Override
+  public boolean hasPeerSettle() {
+    return bodyCase_ == 43;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.PeerSettle peer_settle = 43;</code>
+   */
+  @java.lang.Override
+  public org.ragwortrun.proto.PeerSettle getPeerSettle() {
+    if (bodyCase_ == 43) {
+       return (org.ragwortrun.proto.PeerSettle) body_;
+    }
+    return org.ragwortrun.proto.PeerSettle.getDefaultInstance();
+  }
+  /**
+   * <code>.org.ragwortrun.proto.PeerSettle peer_settle = 43;</code>
+   */
+  private void setPeerSettle(org.ragwortrun.proto.PeerSettle value) {
+    java.util.Objects.requireNonNull(value);
+    body_ = value;
+    bodyCase_ = 43;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.PeerSettle peer_settle = 43;</code>
+   */
+  private void mergePeerSettle(org.ragwortrun.proto.PeerSettle value) {
+    java.util.Objects.requireNonNull(value);
+    if (bodyCase_ == 43 &&
+        body_ != org.ragwortrun.proto.PeerSettle.getDefaultInstance()) {
+      body_ = org.ragwortrun.proto.PeerSettle.newBuilder((org.ragwortrun.proto.PeerSettle) body_)
+          .mergeFrom(value).buildPartial();
+    } else {
+      body_ = value;
+    }
+    bodyCase_ = 43;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.PeerSettle peer_settle = 43;</code>
+   */
+  private void clearPeerSettle() {
+    if (bodyCase_ == 43) {
+      bodyCase_ = 0;
+      body_ = null;
+    }
+  }
+
+  public static final int PEER_SETTLED_FIELD_NUMBER = 44;
+  /**
+   * <code>.org.ragwortrun.proto.PeerSettled peer_settled = 44;</code>
+   */
+  @java.lang.Override
+  public boolean hasPeerSettled() {
+    return bodyCase_ == 44;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.PeerSettled peer_settled = 44;</code>
+   */
+  @java.lang.Override
+  public org.ragwortrun.proto.PeerSettled getPeerSettled() {
+    if (bodyCase_ == 44) {
+       return (org.ragwortrun.proto.PeerSettled) body_;
+    }
+    return org.ragwortrun.proto.PeerSettled.getDefaultInstance();
+  }
+  /**
+   * <code>.org.ragwortrun.proto.PeerSettled peer_settled = 44;</code>
+   */
+  private void setPeerSettled(org.ragwortrun.proto.PeerSettled value) {
+    java.util.Objects.requireNonNull(value);
+    body_ = value;
+    bodyCase_ = 44;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.PeerSettled peer_settled = 44;</code>
+   */
+  private void mergePeerSettled(org.ragwortrun.proto.PeerSettled value) {
+    java.util.Objects.requireNonNull(value);
+    if (bodyCase_ == 44 &&
+        body_ != org.ragwortrun.proto.PeerSettled.getDefaultInstance()) {
+      body_ = org.ragwortrun.proto.PeerSettled.newBuilder((org.ragwortrun.proto.PeerSettled) body_)
+          .mergeFrom(value).buildPartial();
+    } else {
+      body_ = value;
+    }
+    bodyCase_ = 44;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.PeerSettled peer_settled = 44;</code>
+   */
+  private void clearPeerSettled() {
+    if (bodyCase_ == 44) {
+      bodyCase_ = 0;
+      body_ = null;
+    }
+  }
+
   public static org.ragwortrun.proto.Frame parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -4127,6 +4335,198 @@
       return this;
     }
 
+    /**
+     * <code>.org.ragwortrun.proto.PeerReserve peer_reserve = 41;</code>
+     */
+    @java.lang.Override
+    public boolean hasPeerReserve() {
+      return instance.hasPeerReserve();
+    }
+    /**
+     * <code>.org.ragwortrun.proto.PeerReserve peer_reserve = 41;</code>
+     */
+    @java.lang.Override
+    public org.ragwortrun.proto.PeerReserve getPeerReserve() {
+      return instance.getPeerReserve();
+    }
+    /**
+     * <code>.org.ragwortrun.proto.PeerReserve peer_reserve = 41;</code>
+     */
+    public Builder setPeerReserve(org.ragwortrun.proto.PeerReserve value) {
+      copyOnWrite();
+      instance.setPeerReserve(value);
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.PeerReserve peer_reserve = 41;</code>
+     */
+    public Builder setPeerReserve(
+        org.ragwortrun.proto.PeerReserve.Builder builderForValue) {
+      copyOnWrite();
+      instance.setPeerReserve(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.PeerReserve peer_reserve = 41;</code>
+     */
+    public Builder mergePeerReserve(org.ragwortrun.proto.PeerReserve value) {
+      copyOnWrite();
+      instance.mergePeerReserve(value);
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.PeerReserve peer_reserve = 41;</code>
+     */
+    public Builder clearPeerReserve() {
+      copyOnWrite();
+      instance.clearPeerReserve();
+      return this;
+    }
+
+    /**
+     * <code>.org.ragwortrun.proto.PeerReserved peer_reserved = 42;</code>
+     */
+    @java.lang.Override
+    public boolean hasPeerReserved() {
+      return instance.hasPeerReserved();
+    }
+    /**
+     * <code>.org.ragwortrun.proto.PeerReserved peer_reserved = 42;</code>
+     */
+    @java.lang.Override
+    public org.ragwortrun.proto.PeerReserved getPeerReserved() {
+      return instance.getPeerReserved();
+    }
+    /**
+     * <code>.org.ragwortrun.proto.PeerReserved peer_reserved = 42;</code>
+     */
+    public Builder setPeerReserved(org.ragwortrun.proto.PeerReserved value) {
+      copyOnWrite();
+      instance.setPeerReserved(value);
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.PeerReserved peer_reserved = 42;</code>
+     */
+    public Builder setPeerReserved(
+        org.ragwortrun.proto.PeerReserved.Builder builderForValue) {
+      copyOnWrite();
+      instance.setPeerReserved(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.PeerReserved peer_reserved = 42;</code>
+     */
+    public Builder mergePeerReserved(org.ragwortrun.proto.PeerReserved value) {
+      copyOnWrite();
+      instance.mergePeerReserved(value);
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.PeerReserved peer_reserved = 42;</code>
+     */
+    public Builder clearPeerReserved() {
+      copyOnWrite();
+      instance.clearPeerReserved();
+      return this;
+    }
+
+    /**
+     * <code>.org.ragwortrun.proto.PeerSettle peer_settle = 43;</code>
+     */
+    @java.lang.Override
+    public boolean hasPeerSettle() {
+      return instance.hasPeerSettle();
+    }
+    /**
+     * <code>.org.ragwortrun.proto.PeerSettle peer_settle = 43;</code>
+     */
+    @java.lang.Override
+    public org.ragwortrun.proto.PeerSettle getPeerSettle() {
+      return instance.getPeerSettle();
+    }
+    /**
+     * <code>.org.ragwortrun.proto.PeerSettle peer_settle = 43;</code>
+     */
+    public Builder setPeerSettle(org.ragwortrun.proto.PeerSettle value) {
+      copyOnWrite();
+      instance.setPeerSettle(value);
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.PeerSettle peer_settle = 43;</code>
+     */
+    public Builder setPeerSettle(
+        org.ragwortrun.proto.PeerSettle.Builder builderForValue) {
+      copyOnWrite();
+      instance.setPeerSettle(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.PeerSettle peer_settle = 43;</code>
+     */
+    public Builder mergePeerSettle(org.ragwortrun.proto.PeerSettle value) {
+      copyOnWrite();
+      instance.mergePeerSettle(value);
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.PeerSettle peer_settle = 43;</code>
+     */
+    public Builder clearPeerSettle() {
+      copyOnWrite();
+      instance.clearPeerSettle();
+      return this;
+    }
+
+    /**
+     * <code>.org.ragwortrun.proto.PeerSettled peer_settled = 44;</code>
+     */
+    @java.lang.Override
+    public boolean hasPeerSettled() {
+      return instance.hasPeerSettled();
+    }
+    /**
+     * <code>.org.ragwortrun.proto.PeerSettled peer_settled = 44;</code>
+     */
+    @java.lang.Override
+    public org.ragwortrun.proto.PeerSettled getPeerSettled() {
+      return instance.getPeerSettled();
+    }
+    /**
+     * <code>.org.ragwortrun.proto.PeerSettled peer_settled = 44;</code>
+     */
+    public Builder setPeerSettled(org.ragwortrun.proto.PeerSettled value) {
+      copyOnWrite();
+      instance.setPeerSettled(value);
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.PeerSettled peer_settled = 44;</code>
+     */
+    public Builder setPeerSettled(
+        org.ragwortrun.proto.PeerSettled.Builder builderForValue) {
+      copyOnWrite();
+      instance.setPeerSettled(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.PeerSettled peer_settled = 44;</code>
+     */
+    public Builder mergePeerSettled(org.ragwortrun.proto.PeerSettled value) {
+      copyOnWrite();
+      instance.mergePeerSettled(value);
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.PeerSettled peer_settled = 44;</code>
+     */
+    public Builder clearPeerSettled() {
+      copyOnWrite();
+      instance.clearPeerSettled();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.ragwortrun.proto.Frame)
   }
   @java.lang.Override
@@ -4185,15 +4585,19 @@
             org.ragwortrun.proto.EndpointList.class,
             org.ragwortrun.proto.StartMove.class,
             org.ragwortrun.proto.StartMoveReply.class,
+            org.ragwortrun.proto.PeerReserve.class,
+            org.ragwortrun.proto.PeerReserved.class,
+            org.ragwortrun.proto.PeerSettle.class,
+            org.ragwortrun.proto.PeerSettled.class,
           };
           java.lang.String info =
-              "\u0000(\u0001\u0000\u0001((\u0000\u0000\u0000\u0001\u0003\u0002<\u0000\u0003<\u0000" +
+              "\u0000,\u0001\u0000\u0001,,\u0000\u0000\u0000\u0001\u0003\u0002<\u0000\u0003<\u0000" +
               "\u0004<\u0000\u0005<\u0000\u0006<\u0000\u0007<\u0000\b<\u0000\t<\u0000\n<\u0000\u000b" +
               "<\u0000\f<\u0000\r<\u0000\u000e<\u0000\u000f<\u0000\u0010<\u0000\u0011<\u0000\u0012" +
               "<\u0000\u0013<\u0000\u0014<\u0000\u0015<\u0000\u0016<\u0000\u0017<\u0000\u0018<\u0000" +
               "\u0019<\u0000\u001a<\u0000\u001b<\u0000\u001c<\u0000\u001d<\u0000\u001e<\u0000\u001f" +
               "<\u0000 <\u0000!<\u0000\"<\u0000#<\u0000$<\u0000%<\u0000&<\u0000\'<\u0000(<\u0000" +
-              "";
+              ")<\u0000*<\u0000+<\u0000,<\u0000";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/proto/src/main/java/org/ragwortrun/proto/FrameOrBuilder.java
+++ b/proto/src/main/java/org/ragwortrun/proto/FrameOrBuilder.java
@@ -445,5 +445,49 @@
    */
   org.ragwortrun.proto.StartMoveReply getStartMoveReply();
 
+  /**
+   * <code>.org.ragwortrun.proto.PeerReserve peer_reserve = 41;</code>
+   * @return Whether the peerReserve field is set.
+   */
+  boolean hasPeerReserve();
+  /**
+   * <code>.org.ragwortrun.proto.PeerReserve peer_reserve = 41;</code>
+   * @return The peerReserve.
+   */
+  org.ragwortrun.proto.PeerReserve getPeerReserve();
+
+  /**
+   * <code>.org.ragwortrun.proto.PeerReserved peer_reserved = 42;</code>
+   * @return Whether the peerReserved field is set.
+   */
+  boolean hasPeerReserved();
+  /**
+   * <code>.org.ragwortrun.proto.PeerReserved peer_reserved = 42;</code>
+   * @return The peerReserved.
+   */
+  org.ragwortrun.proto.PeerReserved getPeerReserved();
+
+  /**
+   * <code>.org.ragwortrun.proto.PeerSettle peer_settle = 43;</code>
+   * @return Whether the peerSettle field is set.
+   */
+  boolean hasPeerSettle();
+  /**
+   * <code>.org.ragwortrun.proto.PeerSettle peer_settle = 43;</code>
+   * @return The peerSettle.
+   */
+  org.ragwortrun.proto.PeerSettle getPeerSettle();
+
+  /**
+   * <code>.org.ragwortrun.proto.PeerSettled peer_settled = 44;</code>
+   * @return Whether the peerSettled field is set.
+   */
+  boolean hasPeerSettled();
+  /**
+   * <code>.org.ragwortrun.proto.PeerSettled peer_settled = 44;</code>
+   * @return The peerSettled.
+   */
+  org.ragwortrun.proto.PeerSettled getPeerSettled();
+
   public org.ragwortrun.proto.Frame.BodyCase getBodyCase();
 }
--- a/proto/src/main/java/org/ragwortrun/proto/Heartbeat.java
+++ b/proto/src/main/java/org/ragwortrun/proto/Heartbeat.java
@@ -20,6 +20,7 @@
     // @@protoc_insertion_point(message_implements:org.ragwortrun.proto.Heartbeat)
     HeartbeatOrBuilder {
   private Heartbeat() {
+    members_ = emptyProtobufList();
   }
   public static final int NUMBER_FIELD_NUMBER = 1;
   private long number_;
@@ -99,6 +100,144 @@
     echo_ = 0L;
   }
 
+  public static final int MEMBERS_FIELD_NUMBER = 4;
+  private com.google.protobuf.Internal.ProtobufList<org.ragwortrun.proto.Member> members_;
+  /**
+   * <pre>
+   * Members of the meta group, so that a daemon outlasts the loss of all that its settings name.
+   * </pre>
+   *
+   * <code>repeated .org.ragwortrun.proto.Member members = 4;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.ragwortrun.proto.Member> getMembersList() {
+    return members_;
+  }
+  /**
+   * <pre>
+   * Members of the meta group, so that a daemon outlasts the loss of all that its settings name.
+   * </pre>
+   *
+   * <code>repeated .org.ragwortrun.proto.Member members = 4;</code>
+   */
+  public java.util.List<? extends org.ragwortrun.proto.MemberOrBuilder> 
+      getMembersOrBuilderList() {
+    return members_;
+  }
+  /**
+   * <pre>
+   * Members of the meta group, so that a daemon outlasts the loss of all that its settings name.
+   * </pre>
+   *
+   * <code>repeated .org.ragwortrun.proto.Member members = 4;</code>
+   */
+  @java.lang.Override
+  public int getMembersCount() {
+    return members_.size();
+  }
+  /**
+   * <pre>
+   * Members of the meta group, so that a daemon outlasts the loss of all that its settings name.
+   * </pre>
+   *
+   * <code>repeated .org.ragwortrun.proto.Member members = 4;</code>
+   */
+  @java.lang.Override
+  public org.ragwortrun.proto.Member getMembers(int index) {
+    return members_.get(index);
+  }
+  /**
+   * <pre>
+   * Members of the meta group, so that a daemon outlasts the loss of all that its settings name.
+   * </pre>
+   *
+   * <code>repeated .org.ragwortrun.proto.Member members = 4;</code>
+   */
+  public org.ragwortrun.proto.MemberOrBuilder getMembersOrBuilder(
+      int index) {
+    return members_.get(index);
+  }
+  private void ensureMembersIsMutable() {
+    com.google.protobuf.Internal.ProtobufList<org.ragwortrun.proto.Member> tmp = members_;
+    if (!tmp.isModifiable()) {
+      members_ =
+          com.google.protobuf.GeneratedMessageLite.mutableCopy(tmp);
+     }
+  }
+
+  /**
+   * <pre>
+   * Members of the meta group, so that a daemon outlasts the loss of all that its settings name.
+   * </pre>
+   *
+   * <code>repeated .org.ragwortrun.proto.Member members = 4;</code>
+   */
+  private void setMembers(
+      int index, org.ragwortrun.proto.Member value) {
+    java.util.Objects.requireNonNull(value);
+    ensureMembersIsMutable();
+    members_.set(index, value);
+  }
+  /**
+   * <pre>
+   * Members of the meta group, so that a daemon outlasts the loss of all that its settings name.
+   * </pre>
+   *
+   * <code>repeated .org.ragwortrun.proto.Member members = 4;</code>
+   */
+  private void addMembers(org.ragwortrun.proto.Member value) {
+    java.util.Objects.requireNonNull(value);
+    ensureMembersIsMutable();
+    members_.add(value);
+  }
+  /**
+   * <pre>
+   * Members of the meta group, so that a daemon outlasts the loss of all that its settings name.
+   * </pre>
+   *
+   * <code>repeated .org.ragwortrun.proto.Member members = 4;</code>
+   */
+  private void addMembers(
+      int index, org.ragwortrun.proto.Member value) {
+    java.util.Objects.requireNonNull(value);
+    ensureMembersIsMutable();
+    members_.add(index, value);
+  }
+  /**
+   * <pre>
+   * Members of the meta group, so that a daemon outlasts the loss of all that its settings name.
+   * </pre>
+   *
+   * <code>repeated .org.ragwortrun.proto.Member members = 4;</code>
+   */
+  private void addAllMembers(
+      java.lang.Iterable<? extends org.ragwortrun.proto.Member> values) {
+    ensureMembersIsMutable();
+    com.google.protobuf.AbstractMessageLite.addAll(
+        values, members_);
+  }
+  /**
+   * <pre>
+   * Members of the meta group, so that a daemon outlasts the loss of all that its settings name.
+   * </pre>
+   *
+   * <code>repeated .org.ragwortrun.proto.Member members = 4;</code>
+   */
+  private void clearMembers() {
+    members_ = emptyProtobufList();
+  }
+  /**
+   * <pre>
+   * Members of the meta group, so that a daemon outlasts the loss of all that its settings name.
+   * </pre>
+   *
+   * <code>repeated .org.ragwortrun.proto.Member members = 4;</code>
+   */
+  private void removeMembers(int index) {
+    ensureMembersIsMutable();
+    members_.remove(index);
+  }
+
   public static org.ragwortrun.proto.Heartbeat parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -285,6 +424,156 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Members of the meta group, so that a daemon outlasts the loss of all that its settings name.
+     * </pre>
+     *
+     * <code>repeated .org.ragwortrun.proto.Member members = 4;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.ragwortrun.proto.Member> getMembersList() {
+      return java.util.Collections.unmodifiableList(
+          instance.getMembersList());
+    }
+    /**
+     * <pre>
+     * Members of the meta group, so that a daemon outlasts the loss of all that its settings name.
+     * </pre>
+     *
+     * <code>repeated .org.ragwortrun.proto.Member members = 4;</code>
+     */
+    @java.lang.Override
+    public int getMembersCount() {
+      return instance.getMembersCount();
+    }/**
+     * <pre>
+     * Members of the meta group, so that a daemon outlasts the loss of all that its settings name.
+     * </pre>
+     *
+     * <code>repeated .org.ragwortrun.proto.Member members = 4;</code>
+     */
+    @java.lang.Override
+    public org.ragwortrun.proto.Member getMembers(int index) {
+      return instance.getMembers(index);
+    }
+    /**
+     * <pre>
+     * Members of the meta group, so that a daemon outlasts the loss of all that its settings name.
+     * </pre>
+     *
+     * <code>repeated .org.ragwortrun.proto.Member members = 4;</code>
+     */
+    public Builder setMembers(
+        int index, org.ragwortrun.proto.Member value) {
+      copyOnWrite();
+      instance.setMembers(index, value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Members of the meta group, so that a daemon outlasts the loss of all that its settings name.
+     * </pre>
+     *
+     * <code>repeated .org.ragwortrun.proto.Member members = 4;</code>
+     */
+    public Builder setMembers(
+        int index, org.ragwortrun.proto.Member.Builder builderForValue) {
+      copyOnWrite();
+      instance.setMembers(index,
+          builderForValue.build());
+      return this;
+    }
+    /**
+     * <pre>
+     * Members of the meta group, so that a daemon outlasts the loss of all that its settings name.
+     * </pre>
+     *
+     * <code>repeated .org.ragwortrun.proto.Member members = 4;</code>
+     */
+    public Builder addMembers(org.ragwortrun.proto.Member value) {
+      copyOnWrite();
+      instance.addMembers(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Members of the meta group, so that a daemon outlasts the loss of all that its settings name.
+     * </pre>
+     *
+     * <code>repeated .org.ragwortrun.proto.Member members = 4;</code>
+     */
+    public Builder addMembers(
+        int index, org.ragwortrun.proto.Member value) {
+      copyOnWrite();
+      instance.addMembers(index, value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Members of the meta group, so that a daemon outlasts the loss of all that its settings name.
+     * </pre>
+     *
+     * <code>repeated .org.ragwortrun.proto.Member members = 4;</code>
+     */
+    public Builder addMembers(
+        org.ragwortrun.proto.Member.Builder builderForValue) {
+      copyOnWrite();
+      instance.addMembers(builderForValue.build());
+      return this;
+    }
+    /**
+     * <pre>
+     * Members of the meta group, so that a daemon outlasts the loss of all that its settings name.
+     * </pre>
+     *
+     * <code>repeated .org.ragwortrun.proto.Member members = 4;</code>
+     */
+    public Builder addMembers(
+        int index, org.ragwortrun.proto.Member.Builder builderForValue) {
+      copyOnWrite();
+      instance.addMembers(index,
+          builderForValue.build());
+      return this;
+    }
+    /**
+     * <pre>
+     * Members of the meta group, so that a daemon outlasts the loss of all that its settings name.
+     * </pre>
+     *
+     * <code>repeated .org.ragwortrun.proto.Member members = 4;</code>
+     */
+    public Builder addAllMembers(
+        java.lang.Iterable<? extends org.ragwortrun.proto.Member> values) {
+      copyOnWrite();
+      instance.addAllMembers(values);
+      return this;
+    }
+    /**
+     * <pre>
+     * Members of the meta group, so that a daemon outlasts the loss of all that its settings name.
+     * </pre>
+     *
+     * <code>repeated .org.ragwortrun.proto.Member members = 4;</code>
+     */
+    public Builder clearMembers() {
+      copyOnWrite();
+      instance.clearMembers();
+      return this;
+    }
+    /**
+     * <pre>
+     * Members of the meta group, so that a daemon outlasts the loss of all that its settings name.
+     * </pre>
+     *
+     * <code>repeated .org.ragwortrun.proto.Member members = 4;</code>
+     */
+    public Builder removeMembers(int index) {
+      copyOnWrite();
+      instance.removeMembers(index);
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.ragwortrun.proto.Heartbeat)
   }
   @java.lang.Override
@@ -304,10 +593,12 @@
             "number_",
             "leaseMs_",
             "echo_",
+            "members_",
+            org.ragwortrun.proto.Member.class,
           };
           java.lang.String info =
-              "\u0000\u0003\u0000\u0000\u0001\u0003\u0003\u0000\u0000\u0000\u0001\u0003\u0002\u000b" +
-              "\u0003\u0003";
+              "\u0000\u0004\u0000\u0000\u0001\u0004\u0004\u0000\u0001\u0000\u0001\u0003\u0002\u000b" +
+              "\u0003\u0003\u0004\u001b";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/proto/src/main/java/org/ragwortrun/proto/HeartbeatOrBuilder.java
+++ b/proto/src/main/java/org/ragwortrun/proto/HeartbeatOrBuilder.java
@@ -27,4 +27,30 @@
    * @return The echo.
    */
   long getEcho();
+
+  /**
+   * <pre>
+   * Members of the meta group, so that a daemon outlasts the loss of all that its settings name.
+   * </pre>
+   *
+   * <code>repeated .org.ragwortrun.proto.Member members = 4;</code>
+   */
+  java.util.List<org.ragwortrun.proto.Member> 
+      getMembersList();
+  /**
+   * <pre>
+   * Members of the meta group, so that a daemon outlasts the loss of all that its settings name.
+   * </pre>
+   *
+   * <code>repeated .org.ragwortrun.proto.Member members = 4;</code>
+   */
+  org.ragwortrun.proto.Member getMembers(int index);
+  /**
+   * <pre>
+   * Members of the meta group, so that a daemon outlasts the loss of all that its settings name.
+   * </pre>
+   *
+   * <code>repeated .org.ragwortrun.proto.Member members = 4;</code>
+   */
+  int getMembersCount();
 }
--- a/proto/src/main/java/org/ragwortrun/proto/Hello.java
+++ b/proto/src/main/java/org/ragwortrun/proto/Hello.java
@@ -22,6 +22,7 @@
     name_ = "";
     incarnation_ = "";
     dataCenter_ = "";
+    address_ = "";
   }
   public static final int NAME_FIELD_NUMBER = 1;
   private java.lang.String name_;
@@ -207,6 +208,73 @@
 
   }
 
+  public static final int ADDRESS_FIELD_NUMBER = 5;
+  private java.lang.String address_;
+  /**
+   * <pre>
+   * Where it listens for its peers; empty if it does not.
+   * </pre>
+   *
+   * <code>string address = 5;</code>
+   * @return The address.
+   */
+  @java.lang.Override
+  public java.lang.String getAddress() {
+    return address_;
+  }
+  /**
+   * <pre>
+   * Where it listens for its peers; empty if it does not.
+   * </pre>
+   *
+   * <code>string address = 5;</code>
+   * @return The bytes for address.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getAddressBytes() {
+    return com.google.protobuf.ByteString.copyFromUtf8(address_);
+  }
+  /**
+   * <pre>
+   * Where it listens for its peers; empty if it does not.
+   * </pre>
+   *
+   * <code>string address = 5;</code>
+   * @param value The address to set.
+   */
+  private void setAddress(
+      java.lang.String value) {
+    java.util.Objects.requireNonNull(value);
+
+    address_ = value;
+  }
+  /**
+   * <pre>
+   * Where it listens for its peers; empty if it does not.
+   * </pre>
+   *
+   * <code>string address = 5;</code>
+   */
+  private void clearAddress() {
+
+    address_ = getDefaultInstance().getAddress();
+  }
+  /**
+   * <pre>
+   * Where it listens for its peers; empty if it does not.
+   * </pre>
+   *
+   * <code>string address = 5;</code>
+   * @param value The bytes for address to set.
+   */
+  private void setAddressBytes(
+      com.google.protobuf.ByteString value) {
+    checkByteStringIsUtf8(value);
+    address_ = value.toStringUtf8();
+
+  }
+
   public static org.ragwortrun.proto.Hello parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -502,6 +570,75 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Where it listens for its peers; empty if it does not.
+     * </pre>
+     *
+     * <code>string address = 5;</code>
+     * @return The address.
+     */
+    @java.lang.Override
+    public java.lang.String getAddress() {
+      return instance.getAddress();
+    }
+    /**
+     * <pre>
+     * Where it listens for its peers; empty if it does not.
+     * </pre>
+     *
+     * <code>string address = 5;</code>
+     * @return The bytes for address.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getAddressBytes() {
+      return instance.getAddressBytes();
+    }
+    /**
+     * <pre>
+     * Where it listens for its peers; empty if it does not.
+     * </pre>
+     *
+     * <code>string address = 5;</code>
+     * @param value The address to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAddress(
+        java.lang.String value) {
+      copyOnWrite();
+      instance.setAddress(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Where it listens for its peers; empty if it does not.
+     * </pre>
+     *
+     * <code>string address = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAddress() {
+      copyOnWrite();
+      instance.clearAddress();
+      return this;
+    }
+    /**
+     * <pre>
+     * Where it listens for its peers; empty if it does not.
+     * </pre>
+     *
+     * <code>string address = 5;</code>
+     * @param value The bytes for address to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAddressBytes(
+        com.google.protobuf.ByteString value) {
+      copyOnWrite();
+      instance.setAddressBytes(value);
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.ragwortrun.proto.Hello)
   }
   @java.lang.Override
@@ -522,10 +659,11 @@
             "incarnation_",
             "role_",
             "dataCenter_",
+            "address_",
           };
           java.lang.String info =
-              "\u0000\u0004\u0000\u0000\u0001\u0004\u0004\u0000\u0000\u0000\u0001\u0208\u0002\u0208" +
-              "\u0003\f\u0004\u0208";
+              "\u0000\u0005\u0000\u0000\u0001\u0005\u0005\u0000\u0000\u0000\u0001\u0208\u0002\u0208" +
+              "\u0003\f\u0004\u0208\u0005\u0208";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/proto/src/main/java/org/ragwortrun/proto/HelloOrBuilder.java
+++ b/proto/src/main/java/org/ragwortrun/proto/HelloOrBuilder.java
@@ -56,4 +56,24 @@
    */
   com.google.protobuf.ByteString
       getDataCenterBytes();
+
+  /**
+   * <pre>
+   * Where it listens for its peers; empty if it does not.
+   * </pre>
+   *
+   * <code>string address = 5;</code>
+   * @return The address.
+   */
+  java.lang.String getAddress();
+  /**
+   * <pre>
+   * Where it listens for its peers; empty if it does not.
+   * </pre>
+   *
+   * <code>string address = 5;</code>
+   * @return The bytes for address.
+   */
+  com.google.protobuf.ByteString
+      getAddressBytes();
 }
--- a/proto/src/main/java/org/ragwortrun/proto/JoinReply.java
+++ b/proto/src/main/java/org/ragwortrun/proto/JoinReply.java
@@ -17,6 +17,7 @@
   private JoinReply() {
     leaderName_ = "";
     reason_ = "";
+    founders_ = emptyProtobufList();
   }
   public static final int ACCEPTED_FIELD_NUMBER = 1;
   private boolean accepted_;
@@ -138,6 +139,182 @@
 
   }
 
+  public static final int WITHOUT_STORAGE_FIELD_NUMBER = 4;
+  private boolean withoutStorage_;
+  /**
+   * <pre>
+   * The sender has no storage and is never a member.
+   * </pre>
+   *
+   * <code>bool without_storage = 4;</code>
+   * @return The withoutStorage.
+   */
+  @java.lang.Override
+  public boolean getWithoutStorage() {
+    return withoutStorage_;
+  }
+  /**
+   * <pre>
+   * The sender has no storage and is never a member.
+   * </pre>
+   *
+   * <code>bool without_storage = 4;</code>
+   * @param value The withoutStorage to set.
+   */
+  private void setWithoutStorage(boolean value) {
+    
+    withoutStorage_ = value;
+  }
+  /**
+   * <pre>
+   * The sender has no storage and is never a member.
+   * </pre>
+   *
+   * <code>bool without_storage = 4;</code>
+   */
+  private void clearWithoutStorage() {
+
+    withoutStorage_ = false;
+  }
+
+  public static final int FOUNDERS_FIELD_NUMBER = 5;
+  private com.google.protobuf.Internal.ProtobufList<org.ragwortrun.proto.Member> founders_;
+  /**
+   * <pre>
+   * The first members, if the receiver is to found the group: only when no listed host has storage. It stands first.
+   * </pre>
+   *
+   * <code>repeated .org.ragwortrun.proto.Member founders = 5;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.ragwortrun.proto.Member> getFoundersList() {
+    return founders_;
+  }
+  /**
+   * <pre>
+   * The first members, if the receiver is to found the group: only when no listed host has storage. It stands first.
+   * </pre>
+   *
+   * <code>repeated .org.ragwortrun.proto.Member founders = 5;</code>
+   */
+  public java.util.List<? extends org.ragwortrun.proto.MemberOrBuilder> 
+      getFoundersOrBuilderList() {
+    return founders_;
+  }
+  /**
+   * <pre>
+   * The first members, if the receiver is to found the group: only when no listed host has storage. It stands first.
+   * </pre>
+   *
+   * <code>repeated .org.ragwortrun.proto.Member founders = 5;</code>
+   */
+  @java.lang.Override
+  public int getFoundersCount() {
+    return founders_.size();
+  }
+  /**
+   * <pre>
+   * The first members, if the receiver is to found the group: only when no listed host has storage. It stands first.
+   * </pre>
+   *
+   * <code>repeated .org.ragwortrun.proto.Member founders = 5;</code>
+   */
+  @java.lang.Override
+  public org.ragwortrun.proto.Member getFounders(int index) {
+    return founders_.get(index);
+  }
+  /**
+   * <pre>
+   * The first members, if the receiver is to found the group: only when no listed host has storage. It stands first.
+   * </pre>
+   *
+   * <code>repeated .org.ragwortrun.proto.Member founders = 5;</code>
+   */
+  public org.ragwortrun.proto.MemberOrBuilder getFoundersOrBuilder(
+      int index) {
+    return founders_.get(index);
+  }
+  private void ensureFoundersIsMutable() {
+    com.google.protobuf.Internal.ProtobufList<org.ragwortrun.proto.Member> tmp = founders_;
+    if (!tmp.isModifiable()) {
+      founders_ =
+          com.google.protobuf.GeneratedMessageLite.mutableCopy(tmp);
+     }
+  }
+
+  /**
+   * <pre>
+   * The first members, if the receiver is to found the group: only when no listed host has storage. It stands first.
+   * </pre>
+   *
+   * <code>repeated .org.ragwortrun.proto.Member founders = 5;</code>
+   */
+  private void setFounders(
+      int index, org.ragwortrun.proto.Member value) {
+    java.util.Objects.requireNonNull(value);
+    ensureFoundersIsMutable();
+    founders_.set(index, value);
+  }
+  /**
+   * <pre>
+   * The first members, if the receiver is to found the group: only when no listed host has storage. It stands first.
+   * </pre>
+   *
+   * <code>repeated .org.ragwortrun.proto.Member founders = 5;</code>
+   */
+  private void addFounders(org.ragwortrun.proto.Member value) {
+    java.util.Objects.requireNonNull(value);
+    ensureFoundersIsMutable();
+    founders_.add(value);
+  }
+  /**
+   * <pre>
+   * The first members, if the receiver is to found the group: only when no listed host has storage. It stands first.
+   * </pre>
+   *
+   * <code>repeated .org.ragwortrun.proto.Member founders = 5;</code>
+   */
+  private void addFounders(
+      int index, org.ragwortrun.proto.Member value) {
+    java.util.Objects.requireNonNull(value);
+    ensureFoundersIsMutable();
+    founders_.add(index, value);
+  }
+  /**
+   * <pre>
+   * The first members, if the receiver is to found the group: only when no listed host has storage. It stands first.
+   * </pre>
+   *
+   * <code>repeated .org.ragwortrun.proto.Member founders = 5;</code>
+   */
+  private void addAllFounders(
+      java.lang.Iterable<? extends org.ragwortrun.proto.Member> values) {
+    ensureFoundersIsMutable();
+    com.google.protobuf.AbstractMessageLite.addAll(
+        values, founders_);
+  }
+  /**
+   * <pre>
+   * The first members, if the receiver is to found the group: only when no listed host has storage. It stands first.
+   * </pre>
+   *
+   * <code>repeated .org.ragwortrun.proto.Member founders = 5;</code>
+   */
+  private void clearFounders() {
+    founders_ = emptyProtobufList();
+  }
+  /**
+   * <pre>
+   * The first members, if the receiver is to found the group: only when no listed host has storage. It stands first.
+   * </pre>
+   *
+   * <code>repeated .org.ragwortrun.proto.Member founders = 5;</code>
+   */
+  private void removeFounders(int index) {
+    ensureFoundersIsMutable();
+    founders_.remove(index);
+  }
+
   public static org.ragwortrun.proto.JoinReply parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -361,6 +538,196 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * The sender has no storage and is never a member.
+     * </pre>
+     *
+     * <code>bool without_storage = 4;</code>
+     * @return The withoutStorage.
+     */
+    @java.lang.Override
+    public boolean getWithoutStorage() {
+      return instance.getWithoutStorage();
+    }
+    /**
+     * <pre>
+     * The sender has no storage and is never a member.
+     * </pre>
+     *
+     * <code>bool without_storage = 4;</code>
+     * @param value The withoutStorage to set.
+     * @return This builder for chaining.
+     */
+    public Builder setWithoutStorage(boolean value) {
+      copyOnWrite();
+      instance.setWithoutStorage(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * The sender has no storage and is never a member.
+     * </pre>
+     *
+     * <code>bool without_storage = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearWithoutStorage() {
+      copyOnWrite();
+      instance.clearWithoutStorage();
+      return this;
+    }
+
+    /**
+     * <pre>
+     * The first members, if the receiver is to found the group: only when no listed host has storage. It stands first.
+     * </pre>
+     *
+     * <code>repeated .org.ragwortrun.proto.Member founders = 5;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.ragwortrun.proto.Member> getFoundersList() {
+      return java.util.Collections.unmodifiableList(
+          instance.getFoundersList());
+    }
+    /**
+     * <pre>
+     * The first members, if the receiver is to found the group: only when no listed host has storage. It stands first.
+     * </pre>
+     *
+     * <code>repeated .org.ragwortrun.proto.Member founders = 5;</code>
+     */
+    @java.lang.Override
+    public int getFoundersCount() {
+      return instance.getFoundersCount();
+    }/**
+     * <pre>
+     * The first members, if the receiver is to found the group: only when no listed host has storage. It stands first.
+     * </pre>
+     *
+     * <code>repeated .org.ragwortrun.proto.Member founders = 5;</code>
+     */
+    @java.lang.Override
+    public org.ragwortrun.proto.Member getFounders(int index) {
+      return instance.getFounders(index);
+    }
+    /**
+     * <pre>
+     * The first members, if the receiver is to found the group: only when no listed host has storage. It stands first.
+     * </pre>
+     *
+     * <code>repeated .org.ragwortrun.proto.Member founders = 5;</code>
+     */
+    public Builder setFounders(
+        int index, org.ragwortrun.proto.Member value) {
+      copyOnWrite();
+      instance.setFounders(index, value);
+      return this;
+    }
+    /**
+     * <pre>
+     * The first members, if the receiver is to found the group: only when no listed host has storage. It stands first.
+     * </pre>
+     *
+     * <code>repeated .org.ragwortrun.proto.Member founders = 5;</code>
+     */
+    public Builder setFounders(
+        int index, org.ragwortrun.proto.Member.Builder builderForValue) {
+      copyOnWrite();
+      instance.setFounders(index,
+          builderForValue.build());
+      return this;
+    }
+    /**
+     * <pre>
+     * The first members, if the receiver is to found the group: only when no listed host has storage. It stands first.
+     * </pre>
+     *
+     * <code>repeated .org.ragwortrun.proto.Member founders = 5;</code>
+     */
+    public Builder addFounders(org.ragwortrun.proto.Member value) {
+      copyOnWrite();
+      instance.addFounders(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * The first members, if the receiver is to found the group: only when no listed host has storage. It stands first.
+     * </pre>
+     *
+     * <code>repeated .org.ragwortrun.proto.Member founders = 5;</code>
+     */
+    public Builder addFounders(
+        int index, org.ragwortrun.proto.Member value) {
+      copyOnWrite();
+      instance.addFounders(index, value);
+      return this;
+    }
+    /**
+     * <pre>
+     * The first members, if the receiver is to found the group: only when no listed host has storage. It stands first.
+     * </pre>
+     *
+     * <code>repeated .org.ragwortrun.proto.Member founders = 5;</code>
+     */
+    public Builder addFounders(
+        org.ragwortrun.proto.Member.Builder builderForValue) {
+      copyOnWrite();
+      instance.addFounders(builderForValue.build());
+      return this;
+    }
+    /**
+     * <pre>
+     * The first members, if the receiver is to found the group: only when no listed host has storage. It stands first.
+     * </pre>
+     *
+     * <code>repeated .org.ragwortrun.proto.Member founders = 5;</code>
+     */
+    public Builder addFounders(
+        int index, org.ragwortrun.proto.Member.Builder builderForValue) {
+      copyOnWrite();
+      instance.addFounders(index,
+          builderForValue.build());
+      return this;
+    }
+    /**
+     * <pre>
+     * The first members, if the receiver is to found the group: only when no listed host has storage. It stands first.
+     * </pre>
+     *
+     * <code>repeated .org.ragwortrun.proto.Member founders = 5;</code>
+     */
+    public Builder addAllFounders(
+        java.lang.Iterable<? extends org.ragwortrun.proto.Member> values) {
+      copyOnWrite();
+      instance.addAllFounders(values);
+      return this;
+    }
+    /**
+     * <pre>
+     * The first members, if the receiver is to found the group: only when no listed host has storage. It stands first.
+     * </pre>
+     *
+     * <code>repeated .org.ragwortrun.proto.Member founders = 5;</code>
+     */
+    public Builder clearFounders() {
+      copyOnWrite();
+      instance.clearFounders();
+      return this;
+    }
+    /**
+     * <pre>
+     * The first members, if the receiver is to found the group: only when no listed host has storage. It stands first.
+     * </pre>
+     *
+     * <code>repeated .org.ragwortrun.proto.Member founders = 5;</code>
+     */
+    public Builder removeFounders(int index) {
+      copyOnWrite();
+      instance.removeFounders(index);
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.ragwortrun.proto.JoinReply)
   }
   @java.lang.Override
@@ -380,10 +747,13 @@
             "accepted_",
             "leaderName_",
             "reason_",
+            "withoutStorage_",
+            "founders_",
+            org.ragwortrun.proto.Member.class,
           };
           java.lang.String info =
-              "\u0000\u0003\u0000\u0000\u0001\u0003\u0003\u0000\u0000\u0000\u0001\u0007\u0002\u0208" +
-              "\u0003\u0208";
+              "\u0000\u0005\u0000\u0000\u0001\u0005\u0005\u0000\u0001\u0000\u0001\u0007\u0002\u0208" +
+              "\u0003\u0208\u0004\u0007\u0005\u001b";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/proto/src/main/java/org/ragwortrun/proto/JoinReplyOrBuilder.java
+++ b/proto/src/main/java/org/ragwortrun/proto/JoinReplyOrBuilder.java
@@ -39,4 +39,40 @@
    */
   com.google.protobuf.ByteString
       getReasonBytes();
+
+  /**
+   * <pre>
+   * The sender has no storage and is never a member.
+   * </pre>
+   *
+   * <code>bool without_storage = 4;</code>
+   * @return The withoutStorage.
+   */
+  boolean getWithoutStorage();
+
+  /**
+   * <pre>
+   * The first members, if the receiver is to found the group: only when no listed host has storage. It stands first.
+   * </pre>
+   *
+   * <code>repeated .org.ragwortrun.proto.Member founders = 5;</code>
+   */
+  java.util.List<org.ragwortrun.proto.Member> 
+      getFoundersList();
+  /**
+   * <pre>
+   * The first members, if the receiver is to found the group: only when no listed host has storage. It stands first.
+   * </pre>
+   *
+   * <code>repeated .org.ragwortrun.proto.Member founders = 5;</code>
+   */
+  org.ragwortrun.proto.Member getFounders(int index);
+  /**
+   * <pre>
+   * The first members, if the receiver is to found the group: only when no listed host has storage. It stands first.
+   * </pre>
+   *
+   * <code>repeated .org.ragwortrun.proto.Member founders = 5;</code>
+   */
+  int getFoundersCount();
 }
--- a/proto/src/main/java/org/ragwortrun/proto/Role.java
+++ b/proto/src/main/java/org/ragwortrun/proto/Role.java
@@ -31,6 +31,14 @@
    * <code>OPERATOR = 4;</code>
    */
   OPERATOR(4),
+  /**
+   * <pre>
+   * Leads callers to the members and holds no state.
+   * </pre>
+   *
+   * <code>RELAY = 5;</code>
+   */
+  RELAY(5),
   UNRECOGNIZED(-1),
   ;
 
@@ -54,6 +62,14 @@
    * <code>OPERATOR = 4;</code>
    */
   public static final int OPERATOR_VALUE = 4;
+  /**
+   * <pre>
+   * Leads callers to the members and holds no state.
+   * </pre>
+   *
+   * <code>RELAY = 5;</code>
+   */
+  public static final int RELAY_VALUE = 5;
 
 
   @java.lang.Override
@@ -81,6 +97,7 @@
       case 2: return AGENT;
       case 3: return CONTROL;
       case 4: return OPERATOR;
+      case 5: return RELAY;
       default: return null;
     }
   }
--- a/replication/src/main/java/org/ragwortrun/replication/GroupHost.java
+++ b/replication/src/main/java/org/ragwortrun/replication/GroupHost.java
@@ -9,13 +9,13 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Random;
 import java.util.TreeMap;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.LongSupplier;
+import java.util.stream.Stream;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.jspecify.annotations.Nullable;
@@ -37,6 +37,7 @@
 import org.ragwortrun.replication.internal.GroupRunner;
 import org.ragwortrun.replication.internal.GroupStorage;
 import org.ragwortrun.replication.internal.HostContext;
+import org.ragwortrun.replication.internal.MemberLinks;
 import org.ragwortrun.replication.internal.RaftCore;
 import org.ragwortrun.replication.internal.Restored;
 
@@ -53,19 +54,21 @@
  */
 public final class GroupHost implements AutoCloseable {
     private static final Logger LOG = LogManager.getLogger(GroupHost.class);
-    private static final int TICKS_PER_TIMEOUT = 24;
+    private static final int TICKS_PER_TIMEOUT = 12;
+    private static final long LEARN_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
 
     private final Closer closer = new Closer();
     private final Map<Integer, GroupRunner> groups = new TreeMap<>();
-    private final Map<String, FrameClient> others = new TreeMap<>();
-    /** Connections that other members opened, by member name. */
-    private final Map<String, Peer> incoming = new ConcurrentHashMap<>();
-
     private final HostContext context;
+    private final MemberLinks links;
+    private final AtomicBoolean failed = new AtomicBoolean();
+    private volatile Runnable failureListener = () -> {};
+    private long learnAt;
 
-    private GroupHost(HostSettings settings, Time time, Metrics metrics) {
+    private GroupHost(HostSettings settings, Transport transport, Time time, Metrics metrics) {
         long origin = time.nanos();
-        context = new HostContext(settings, () -> time.nanos() - origin, metrics, this::send);
+        context = new HostContext(settings, () -> time.nanos() - origin, metrics, this::send, this::fail);
+        links = closer.register(new MemberLinks(settings.name(), settings.members(), a -> connect(transport, a)));
     }
 
     /**
@@ -78,10 +81,30 @@
     public static GroupHost open(
             HostSettings settings, Map<Integer, StateMachine> machines, Transport transport, Time time, Metrics metrics)
             throws CorruptLogException, StorageException {
-        GroupHost host = new GroupHost(settings, time, metrics);
+        return open(settings, machines, transport, time, time.nanos(), metrics);
+    }
+
+    /**
+     * Restores the groups from the data folder and starts them.
+     *
+     * @param machines an empty state machine for each group number
+     * @param beganNanos time since which no earlier process has used the folder, by the clock; members give no vote for
+     *     an election timeout after it
+     * @throws CorruptLogException if stored state of a group is damaged; its folder must be cleared
+     * @throws StorageException if the folder cannot be used or another process uses it
+     */
+    public static GroupHost open(
+            HostSettings settings,
+            Map<Integer, StateMachine> machines,
+            Transport transport,
+            Time time,
+            long beganNanos,
+            Metrics metrics)
+            throws CorruptLogException, StorageException {
+        GroupHost host = new GroupHost(settings, transport, time, metrics);
         boolean started = false;
         try {
-            host.start(machines, transport, time);
+            host.start(machines, time, beganNanos);
             started = true;
             return host;
         } catch (IOException e) {
@@ -109,10 +132,7 @@
     /** Takes a frame with a {@code GroupMessage}; others are ignored. Does not block. */
     public void onFrame(Peer peer, Frame frame) {
         if (frame.hasGroupMessage()) {
-            String from = frame.getGroupMessage().getFrom();
-            if (!peer.equals(incoming.get(from))) {
-                incoming.put(from, peer);
-            }
+            links.heard(frame.getGroupMessage().getFrom(), peer);
             GroupRunner runner = groups.get(frame.getGroupMessage().getGroup());
             if (runner != null) {
                 runner.receive(frame.getGroupMessage());
@@ -120,6 +140,17 @@
         }
     }
 
+    /**
+     * Sets who hears, once, that a group has stopped because its files failed. Only a new host on the same folder can
+     * take part again, since the state of the files is unknown.
+     */
+    public void onFailure(Runnable listener) {
+        failureListener = listener;
+        if (failed.get()) {
+            listener.run();
+        }
+    }
+
     /** Stops all groups. Commands that wait fail. */
     @Override
     public void close() {
@@ -127,32 +158,28 @@
         closer.close();
     }
 
-    private void start(Map<Integer, StateMachine> machines, Transport transport, Time time)
+    private void start(Map<Integer, StateMachine> machines, Time time, long beganNanos)
             throws IOException, CorruptLogException {
         HostSettings settings = context.settings();
         Files.createDirectories(settings.folder());
         closer.register(lock(settings.folder()));
         closer.register(this::closeStorage);
+        long began = context.clock().getAsLong() - Math.max(0, time.nanos() - beganNanos);
         List<GroupDuties> duties = new ArrayList<>();
         for (int i = 0; i < Math.min(settings.duties(), machines.size()); i++) {
             duties.add(GroupDuties.start(i, machines.size(), closer));
         }
         for (Map.Entry<Integer, StateMachine> e : new TreeMap<>(machines).entrySet()) {
             GroupDuties own = duties.get(groups.size() % duties.size());
-            groups.put(e.getKey(), restore(e.getKey(), e.getValue(), time, own));
+            groups.put(e.getKey(), restore(e.getKey(), e.getValue(), time, began, own));
         }
-        settings.members().forEach((name, address) -> {
-            if (!name.equals(settings.name())) {
-                others.put(name, closer.register(connect(transport, address)));
-            }
-        });
         ScheduledExecutorService timer = Duty.timer("replication-timer");
         closer.register(() -> Duty.stop(timer));
         long period = Math.max(1, settings.electionTimeout().toMillis() / TICKS_PER_TIMEOUT);
         timer.scheduleAtFixedRate(this::tick, 0, period, TimeUnit.MILLISECONDS);
     }
 
-    private GroupRunner restore(int group, StateMachine machine, Time time, GroupDuties duties)
+    private GroupRunner restore(int group, StateMachine machine, Time time, long began, GroupDuties duties)
             throws IOException, CorruptLogException {
         HostSettings settings = context.settings();
         LongSupplier clock = context.clock();
@@ -173,7 +200,7 @@
                 settings.electionTimeout().toNanos(),
                 names.get(Math.floorMod(group, names.size())));
         Random random = new Random(restored.state().getIdentity().hashCode() * 31L + group);
-        RaftCore raft = new RaftCore(core, restored, opened.storage(), random, clock.getAsLong());
+        RaftCore raft = new RaftCore(core, restored, opened.storage(), random, clock.getAsLong(), began);
         Event.of("group-restarted")
                 .with("group", group)
                 .with("identity", raft.identity())
@@ -195,20 +222,27 @@
     }
 
     private void send(String to, GroupMessage message) {
-        FrameClient client = others.get(to);
-        if (client != null) {
-            // The own connection may still wait to reconnect to a member that has restarted and already calls.
-            client.peer()
-                    .or(() -> Optional.ofNullable(incoming.get(to)))
-                    .filter(Peer::isWritable)
-                    .ifPresent(p ->
-                            p.send(Frame.newBuilder().setGroupMessage(message).build()));
+        links.to(to)
+                .ifPresent(
+                        p -> p.send(Frame.newBuilder().setGroupMessage(message).build()));
+    }
+
+    private void fail() {
+        if (failed.compareAndSet(false, true)) {
+            failureListener.run();
         }
     }
 
     private void tick() {
         long now = context.clock().getAsLong();
         groups.values().forEach(g -> g.tick(now));
+        if (now - learnAt >= 0) {
+            learnAt = now + LEARN_NANOS;
+            links.learn(groups.values().stream()
+                    .map(GroupRunner::status)
+                    .flatMap(s -> Stream.concat(s.voters().stream(), s.learners().stream()))
+                    .toList());
+        }
     }
 
     private void closeStorage() throws IOException {
--- a/replication/src/main/java/org/ragwortrun/replication/HostSettings.java
+++ b/replication/src/main/java/org/ragwortrun/replication/HostSettings.java
@@ -33,9 +33,10 @@
     // Three kinds of duty with two threads each keep 65 groups at six threads.
     private static final int DEFAULT_LANES = 2;
     private static final int DEFAULT_RING = 4_096;
-    private static final long DEFAULT_SNAPSHOT_ENTRIES = 50_000;
-    // Entries since the last snapshot are held in memory: 65 groups hold at most 520 MiB.
-    private static final long DEFAULT_SNAPSHOT_BYTES = 8L << 20;
+    /** Entries after which a snapshot is taken, unless the settings tell otherwise. */
+    public static final long SNAPSHOT_ENTRIES = 50_000;
+    /** Bytes of log after which a snapshot is taken. They are held in memory: 65 groups hold at most 520 MiB. */
+    public static final long SNAPSHOT_BYTES = 8L << 20;
 
     public HostSettings {
         members = Map.copyOf(members);
@@ -56,8 +57,8 @@
                 Duration.ofSeconds(1),
                 DEFAULT_LANES,
                 DEFAULT_RING,
-                DEFAULT_SNAPSHOT_ENTRIES,
-                DEFAULT_SNAPSHOT_BYTES);
+                SNAPSHOT_ENTRIES,
+                SNAPSHOT_BYTES);
     }
 
     public HostSettings withElectionTimeout(Duration timeout) {
--- a/replication/src/main/java/org/ragwortrun/replication/internal/GroupRunner.java
+++ b/replication/src/main/java/org/ragwortrun/replication/internal/GroupRunner.java
@@ -380,6 +380,7 @@
             // After a failed sync the state of the file is unknown, so the group never writes again.
             Event.of("group-stopped").with("group", group).with("duty", duty).error(LOG, e);
             stop(duty + " failed");
+            host.failed().run();
         }
     }
 
--- a/replication/src/main/java/org/ragwortrun/replication/internal/Joining.java
+++ b/replication/src/main/java/org/ragwortrun/replication/internal/Joining.java
@@ -1,8 +1,13 @@
 package org.ragwortrun.replication.internal;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.ragwortrun.core.log.Event;
 import org.ragwortrun.proto.GroupMessage;
 import org.ragwortrun.proto.JoinReply;
@@ -15,7 +20,7 @@
 /**
  * A member that is no voter asks to join; the first listed member founds the group.
  *
- * <p>Only the founder, the first name of the bootstrap list, creates the first member set, and only after every listed
+ * <p>Only the founder, the first name of the bootstrap list that has storage, creates the first member set, and only after every listed
  * member has reported lately, under the identity that goes into the set, that it has never held a log entry or given a
  * vote, and no member has answered that it has. A majority would not suffice: a wiped founder and a member that has not
  * started yet could found a second group while the only member with the log is unreachable. The others get the first
@@ -26,18 +31,23 @@
 final class Joining {
     // A report must be repeated within this many request intervals to count.
     private static final int REPORT_INTERVALS = 4;
+    // Hosts without storage that are told of this member ask the leader for the others.
+    private static final int NOTICE_INTERVALS = 4;
 
     private final RaftCore core;
     private final Map<String, Report> unused = new HashMap<>();
+    private final Set<String> withoutStorage = new HashSet<>();
     private boolean groupExists;
     private boolean waitingLogged;
     private long nextRequest;
+    private long nextNotice;
 
     private record Report(Member member, long time) {}
 
     Joining(RaftCore core, long now) {
         this.core = core;
         nextRequest = now;
+        nextNotice = now;
     }
 
     long nextRequest() {
@@ -50,20 +60,34 @@
         }
         nextRequest = now + interval();
         if (core.isVoter() || core.heardOfLeader(now) && core.leader().isPresent()) {
+            if (now - nextNotice >= 0) {
+                nextNotice = now + NOTICE_INTERVALS * interval();
+                request(name -> !isMember(name));
+            }
             return;
         }
         boolean isUnused = !core.state().getStarted();
-        JoinRequest.Builder request = JoinRequest.newBuilder()
-                .setMember(core.settings().self(core.identity()))
-                .setUnused(isUnused);
-        core.settings()
-                .others()
-                .forEach(name -> core.send(name, "", GroupMessage.newBuilder().setJoinRequest(request)));
+        request(name -> true);
         if (isUnused && isFounder() && !groupExists) {
             found(now);
         }
     }
 
+    /** Sends a request to the listed hosts that fulfil a condition. It also tells a host without storage of this one. */
+    private void request(Predicate<String> condition) {
+        JoinRequest.Builder request = JoinRequest.newBuilder()
+                .setMember(core.settings().self(core.identity()))
+                .setUnused(!core.state().getStarted());
+        core.settings().others().stream()
+                .filter(condition)
+                .forEach(name -> core.send(name, "", GroupMessage.newBuilder().setJoinRequest(request)));
+    }
+
+    private boolean isMember(String name) {
+        return core.members().getMembersList().stream()
+                .anyMatch(m -> m.getName().equals(name));
+    }
+
     void onRequest(long now, JoinRequest r) {
         Member asking = r.getMember();
         if (r.getUnused()) {
@@ -87,7 +111,14 @@
         }
     }
 
-    void onReply(JoinReply reply) {
+    void onReply(String from, JoinReply reply) {
+        if (reply.getWithoutStorage()) {
+            withoutStorage.add(from);
+            if (mayFound(reply.getFoundersList())) {
+                found(reply.getFoundersList());
+            }
+            return;
+        }
         if (!groupExists) {
             core.event(Event.of("join-answered")
                     .with("leader", reply.getLeaderName())
@@ -97,7 +128,7 @@
     }
 
     private void found(long now) {
-        List<String> awaited = core.settings().bootstrap().stream()
+        List<String> awaited = candidates()
                 .filter(name -> !name.equals(core.settings().name()) && !isReported(now, name))
                 .toList();
         if (!awaited.isEmpty()) {
@@ -107,12 +138,15 @@
             waitingLogged = true;
             return;
         }
+        found(candidates()
+                .map(unused::get)
+                .map(r -> r == null ? core.settings().self(core.identity()) : r.member())
+                .toList());
+    }
+
+    private void found(List<Member> founders) {
         MemberSet.Builder set = MemberSet.newBuilder();
-        for (String name : core.settings().bootstrap()) {
-            Report report = unused.get(name);
-            Member member = report == null ? core.settings().self(core.identity()) : report.member();
-            set.addMembers(member.toBuilder().setVoter(true));
-        }
+        founders.forEach(m -> set.addMembers(m.toBuilder().setVoter(true)));
         // The entry is written before the state record: a founder that crashes between the two must not find itself
         // started without a log, because then nobody would found the group.
         core.append(List.of(LogEntry.newBuilder()
@@ -121,7 +155,26 @@
                 .setMembers(set)
                 .build()));
         core.event(Event.of("group-founded")
-                .with("members", String.join(",", core.settings().bootstrap())));
+                .with("members", founders.stream().map(Member::getName).collect(Collectors.joining(","))));
+    }
+
+    /**
+     * Tells whether this member may found the group with members that a host without storage has named. Only the first
+     * of them may, and only when no listed host has storage, so that nobody else founds.
+     */
+    private boolean mayFound(List<Member> founders) {
+        return !founders.isEmpty()
+                && founders.get(0).getIdentity().equals(core.identity())
+                && core.role() == Role.LEARNER
+                && !core.state().getStarted()
+                && !groupExists
+                && !core.settings().bootstrap().isEmpty()
+                && candidates().findAny().isEmpty();
+    }
+
+    /** Returns the listed members that have not said that they have no storage. */
+    private Stream<String> candidates() {
+        return core.settings().bootstrap().stream().filter(name -> !withoutStorage.contains(name));
     }
 
     private boolean isReported(long now, String name) {
@@ -130,10 +183,11 @@
     }
 
     private boolean isFounder() {
-        List<String> names = core.settings().bootstrap();
         return core.role() == Role.LEARNER
-                && !names.isEmpty()
-                && names.get(0).equals(core.settings().name());
+                && candidates()
+                        .findFirst()
+                        .filter(core.settings().name()::equals)
+                        .isPresent();
     }
 
     private long interval() {
--- a/replication/src/main/java/org/ragwortrun/replication/internal/MemberChanges.java
+++ b/replication/src/main/java/org/ragwortrun/replication/internal/MemberChanges.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.stream.Stream;
 import org.ragwortrun.core.log.Event;
 import org.ragwortrun.proto.Member;
 import org.ragwortrun.proto.MemberSet;
@@ -13,15 +14,15 @@
  *
  * <p>A change starts only when an entry of the leader's own term and the previous change are committed and a quorum of
  * the resulting set is active. A new identity becomes a learner; when it has every entry, the voter that had its name is
- * removed, and then the learner becomes a voter.
+ * removed, and then the learner becomes a voter. Other learners stay as spares while the number of voters is odd.
  */
 final class MemberChanges {
-    private final RaftCore core;
-    private final Leadership leadership;
     private static final int LEAST_VOTERS = 3;
-    // A restarted host is back after a few election timeouts, one that is still away then has been replaced.
+    // A restarted host is back after a few election timeouts, one that is still away then is replaced.
     private static final int AWAY_TIMEOUTS = 5;
 
+    private final RaftCore core;
+    private final Leadership leadership;
     private final Map<String, Member> asking = new TreeMap<>();
     private long awaySince = Long.MIN_VALUE;
 
@@ -49,9 +50,7 @@
      */
     private void removeReplaced(long now, MemberSet set) {
         List<Member> voters = Members.voters(set).toList();
-        List<Member> away = voters.stream()
-                .filter(m -> !leadership.isActive(now, m.getIdentity()))
-                .toList();
+        List<Member> away = away(now, set).toList();
         if (voters.size() % 2 == 1 || voters.size() <= LEAST_VOTERS || away.size() != 1) {
             awaySince = Long.MIN_VALUE;
             return;
@@ -65,23 +64,37 @@
         }
     }
 
+    private Stream<Member> away(long now, MemberSet set) {
+        return Members.voters(set).filter(m -> !leadership.isActive(now, m.getIdentity()));
+    }
+
+    /**
+     * Makes a voter of a learner that has every entry. While all voters are there their number stays odd, because one
+     * more outlasts no more losses, and halves that are cut from each other would both stand still. The learner that is
+     * left takes the place of the next voter that is away.
+     */
     private boolean finishLearner(long now, MemberSet set) {
-        Optional<Member> complete = set.getMembersList().stream()
-                .filter(m -> !m.getVoter() && isComplete(now, m))
-                .findFirst();
+        List<Member> complete = completeLearners(now, set).toList();
         if (complete.isEmpty()) {
             return false;
         }
-        Member learner = complete.get();
-        Optional<Member> replaced = Members.voters(set)
-                .filter(m -> m.getName().equals(learner.getName()))
-                .findFirst();
-        if (replaced.isPresent()) {
-            Member old = replaced.get();
-            return change(now, Members.without(set, old.getIdentity()), "remove-voter", old);
+        for (Member learner : complete) {
+            Optional<Member> replaced = Members.voters(set)
+                    .filter(m -> m.getName().equals(learner.getName()))
+                    .findFirst();
+            if (replaced.isPresent()) {
+                Member old = replaced.get();
+                return change(now, Members.without(set, old.getIdentity()), "remove-voter", old);
+            }
         }
-        Member voter = learner.toBuilder().setVoter(true).build();
-        return change(now, Members.with(set, voter), "promote", voter);
+        boolean even = Members.voters(set).count() % 2 == 0;
+        boolean wanted = even || complete.size() > 1 || away(now, set).findAny().isPresent();
+        Member voter = complete.get(0).toBuilder().setVoter(true).build();
+        return wanted && change(now, Members.with(set, voter), "promote", voter);
+    }
+
+    private Stream<Member> completeLearners(long now, MemberSet set) {
+        return set.getMembersList().stream().filter(m -> !m.getVoter() && isComplete(now, m));
     }
 
     private boolean isComplete(long now, Member learner) {
--- a/replication/src/main/java/org/ragwortrun/replication/internal/RaftCore.java
+++ b/replication/src/main/java/org/ragwortrun/replication/internal/RaftCore.java
@@ -50,6 +50,7 @@
 
     private long lastHeartbeat;
     private long electionDeadline;
+    private boolean heardLeader;
     private long sequence;
     private long persisted;
     private Outputs out = new Outputs();
@@ -61,6 +62,16 @@
     private record Held(long sequence, Runnable effect) {}
 
     public RaftCore(CoreSettings settings, Restored restored, SnapshotSource snapshots, Random random, long now) {
+        this(settings, restored, snapshots, random, now, now);
+    }
+
+    /**
+     * Creates the state of a member that has started.
+     *
+     * @param began time since which no earlier process of this member has run
+     */
+    public RaftCore(
+            CoreSettings settings, Restored restored, SnapshotSource snapshots, Random random, long now, long began) {
         this.settings = settings;
         this.snapshots = snapshots;
         this.random = random;
@@ -77,12 +88,13 @@
         handed = commit;
         durable = log.lastIndex();
         // A heartbeat that was acknowledged before a restart may support a lease, so no vote is given for one
-        // election timeout after the start.
-        lastHeartbeat = now;
+        // election timeout after the process began. Reading the files may have taken longer than that.
+        lastHeartbeat = began;
         election = new Election(this);
         joining = new Joining(this, now);
         receiver = new SnapshotReceiver(this);
         resetElection(now);
+        electionDeadline = Math.max(now, electionDeadline - (now - began));
     }
 
     // ---- inputs ----
@@ -96,6 +108,9 @@
         joining.tick(now);
         if (now - electionDeadline >= 0) {
             resetElection(now);
+            if (!heardLeader) {
+                electionDeadline = now + firstRetry();
+            }
             election.campaign(now);
         }
     }
@@ -113,7 +128,7 @@
             case SNAPSHOT_CHUNK -> receiver.onChunk(now, m.getFrom(), m.getSnapshotChunk());
             case SNAPSHOT_REPLY -> onSnapshotReply(now, m.getSnapshotReply());
             case JOIN_REQUEST -> joining.onRequest(now, m.getJoinRequest());
-            case JOIN_REPLY -> joining.onReply(m.getJoinReply());
+            case JOIN_REPLY -> joining.onReply(m.getFrom(), m.getJoinReply());
             case TAKE_OVER -> election.onTakeOver(now, m.getTakeOver());
             case BODY_NOT_SET -> {
                 // a message of a later version
@@ -396,6 +411,7 @@
             event(Event.of("following").with("leader", name));
         }
         lastHeartbeat = now;
+        heardLeader = true;
         resetElection(now);
     }
 
@@ -418,6 +434,15 @@
         electionDeadline = now + timeout + head + (long) (random.nextDouble() * spread);
     }
 
+    /**
+     * Returns the pause between pre-votes of a member that has heard no leader since its start. After a loss of all
+     * members, the first to be back finds nobody, and should not wait for a whole timeout to ask again.
+     */
+    private long firstRetry() {
+        long least = settings.electionTimeout() / (settings.isPreferred() ? 8 : 4);
+        return least + (long) (random.nextDouble() * least);
+    }
+
     private void limitDurable(long last) {
         durable = Math.min(durable, last);
         List<Pending> limited = pending.stream()
--- a/replication/src/test/java/org/ragwortrun/replication/Fleet.java
+++ b/replication/src/test/java/org/ragwortrun/replication/Fleet.java
@@ -68,6 +68,10 @@
             closer.close();
         }
 
+        void onFailure(Runnable listener) {
+            host.onFailure(listener);
+        }
+
         private void onFrame(Peer peer, Frame frame) {
             GroupHost h = host;
             if (h != null) {
@@ -81,6 +85,15 @@
                 .withElectionTimeout(ELECTION);
     }
 
+    /** Returns the settings of a member that knows no others than the ones of the start. */
+    HostSettings settings(String name, List<String> first) {
+        Map<String, Address> known = new TreeMap<>();
+        first.forEach(n -> known.put(n, addresses.get(n)));
+        known.put(name, addresses.get(name));
+        return HostSettings.of(name, root.resolve(name), known, first.contains(name) ? first : List.of())
+                .withElectionTimeout(ELECTION);
+    }
+
     Node start(String name) throws Exception {
         return start(settings(name), Time.system());
     }
--- a/replication/src/test/java/org/ragwortrun/replication/GroupHostTest.java
+++ b/replication/src/test/java/org/ragwortrun/replication/GroupHostTest.java
@@ -15,6 +15,7 @@
 import java.util.Optional;
 import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
@@ -52,6 +53,23 @@
         }
     }
 
+    /** Guards against a member that stays out for good after its disk has refused a write. */
+    @Test
+    void tellsItsOwnerOnceThatItsFilesHaveFailed() throws Exception {
+        fleet = new Fleet(folder.resolve("one"), 2, "c1");
+        fleet.start(fleet.settings("c1").withSnapshotLimits(50, 1 << 20), Time.system());
+        proposeMany("a", 10);
+        CountDownLatch told = new CountDownLatch(1);
+        fleet.node("c1").onFailure(told::countDown);
+        fleet.wipe("c1");
+        ReplicatedGroup group = fleet.node("c1").group(1);
+        for (int i = 0; i < 60; i++) {
+            group.propose(("b" + i).getBytes(StandardCharsets.UTF_8));
+        }
+        assertThat(told.await(10, TimeUnit.SECONDS)).isTrue();
+        assertThat(group.status().role()).isEqualTo(GroupStatus.Role.STOPPED);
+    }
+
     /** Guards against data loss when a second member stops right after the disk of a first one was repaired. */
     @Test
     void survivesStopOfSecondMemberAfterRepair() throws Exception {
@@ -227,6 +245,35 @@
         other.close();
     }
 
+    /**
+     * Guards against hosts that joined under names which no setting holds: they got no entries, and once two of the
+     * first hosts were gone, nothing could be committed. Each host is told of the first ones only.
+     */
+    @Test
+    void membersThatNoSettingNamesTakeThePlacesOfLostOnes() throws Exception {
+        fleet = new Fleet(folder.resolve("five"), 2, "c1", "c2", "c3", "c4", "c5");
+        List<String> first = List.of("c1", "c2", "c3");
+        for (String name : first) {
+            fleet.start(fleet.settings(name, first), Time.system());
+        }
+        List<String> sent = proposeMany("a", 20);
+        for (String added : List.of("c4", "c5")) {
+            fleet.start(fleet.settings(added, first), Time.system());
+            Fleet.await(
+                    "a learner",
+                    () -> fleet.node(added).machines.get(1).commands().equals(sent));
+            String lost = added.equals("c4") ? "c3" : "c2";
+            String lostIdentity = identity(lost);
+            fleet.stop(lost);
+            Fleet.await(added + " in the place of " + lost, () -> isVoterEverywhere(identity(added), lostIdentity));
+        }
+        fleet.stop("c1");
+        sent.addAll(proposeMany("b", 5));
+        Fleet.await(
+                "all commands",
+                () -> fleet.node("c4").machines.get(1).commands().equals(sent));
+    }
+
     /** Guards against a member that is not in the bootstrap list and can never take part. */
     @Test
     void unlistedMemberJoins() throws Exception {
@@ -236,8 +283,15 @@
         }
         List<String> sent = proposeMany("a", 10);
         fleet.start(fleet.settings("c4").withBootstrap(List.of("c1", "c2", "c3")), Time.system());
+        Fleet.await(
+                "all commands on c4",
+                () -> fleet.node("c4").machines.get(1).commands().equals(sent));
+        // A fourth voter would outlast no more losses than three, so it gets a vote when one of them is away.
+        assertThat(fleet.node("c4").group(1).status().role()).isEqualTo(GroupStatus.Role.LEARNER);
+        fleet.stop("c3");
         String identity = identity("c4");
         Fleet.await("c4 to be a voter", () -> isVoterEverywhere(identity, ""));
+        sent.addAll(proposeMany("b", 10));
         Fleet.await(
                 "all commands on c4",
                 () -> fleet.node("c4").machines.get(1).commands().equals(sent));
--- a/router/src/main/java/org/ragwortrun/router/ForwardDaemon.java
+++ b/router/src/main/java/org/ragwortrun/router/ForwardDaemon.java
@@ -1,5 +1,6 @@
 package org.ragwortrun.router;
 
+import java.util.function.LongSupplier;
 import org.ragwortrun.core.error.RagwortrunException;
 import org.ragwortrun.core.settings.Settings;
 import org.ragwortrun.net.control.EndpointSource;
@@ -18,12 +19,14 @@
     /**
      * Starts a router with its settings.
      *
-     * @param beganNanos monotonic time at which this process began, after any earlier one on this host had ended
+     * @param processStart tells the monotonic time at which this process began, after any earlier one on this host had
+     *     ended
      * @throws RagwortrunException if a setting is wrong or an address cannot be bound
      */
-    public static ForwardDaemon start(Settings settings, HeaderNames names, EndpointSource endpoints, long beganNanos)
+    public static ForwardDaemon start(
+            Settings settings, HeaderNames names, EndpointSource endpoints, LongSupplier processStart)
             throws RagwortrunException {
-        return new ForwardDaemon(ForwardRouter.start(ForwardSettings.read(settings), names, endpoints, beganNanos));
+        return new ForwardDaemon(ForwardRouter.start(ForwardSettings.read(settings), names, endpoints, processStart));
     }
 
     /** Stops gracefully: running requests finish, bills are delivered and grants are returned. */
