--- a/control/src/main/java/org/ragwortrun/control/internal/EndpointDirectory.java
+++ b/control/src/main/java/org/ragwortrun/control/internal/EndpointDirectory.java
@@ -1,12 +1,16 @@
 package org.ragwortrun.control.internal;
 
 import java.time.Duration;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.Set;
+import java.util.WeakHashMap;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.ragwortrun.core.concurrent.Duty;
@@ -20,6 +24,7 @@
 import org.ragwortrun.proto.ListedEndpoint;
 import org.ragwortrun.proto.MetaCommand;
 import org.ragwortrun.proto.Role;
+import org.ragwortrun.proto.RouterAddress;
 import org.ragwortrun.proto.SetBaseline;
 
 /**
@@ -40,6 +45,11 @@
     private final Peers peers;
     private final ScheduledExecutorService timer = Duty.timer("control-endpoints");
     private List<ListedEndpoint> last = List.of();
+    private List<Peer> routers = List.of();
+    private List<RouterAddress> takers = List.of();
+    // The sequence of the whole list that each connection got last.
+    private final Map<Peer, Long> sent = new WeakHashMap<>();
+    private OptionalLong sentTerm = OptionalLong.empty();
     private long readNanos;
     private long sentNanos;
     private long sequence;
@@ -57,8 +67,7 @@
     public static EndpointDirectory start(
             Time time, EndpointSource source, MetaGroup meta, Peers peers, Duration interval) {
         EndpointDirectory directory = new EndpointDirectory(time, source, meta, peers);
-        directory.timer.scheduleWithFixedDelay(
-                directory, interval.toMillis(), interval.toMillis(), TimeUnit.MILLISECONDS);
+        Duty.repeat(directory.timer, directory, interval.toMillis(), interval.toMillis());
         return directory;
     }
 
@@ -69,9 +78,17 @@
             hasRead = false;
             return;
         }
+        if (!term.equals(sentTerm)) {
+            sentTerm = term;
+            sent.clear();
+        }
         boolean changed = read();
         long now = time.nanos();
-        if (hasRead && (changed || now - sentNanos >= BEAT_NANOS)) {
+        boolean due = changed || now - sentNanos >= BEAT_NANOS;
+        if (hasRead && due) {
+            if (noteRouters()) {
+                sequence++;
+            }
             sentNanos = now;
             send(term.getAsLong(), now);
         }
@@ -126,7 +143,7 @@
         meta.snapshot().orderedMoves().forEach(m -> counts.remove(m.getService()));
         counts.forEach((service, versions) -> versions.entrySet().stream()
                 .max(Map.Entry.<String, Integer>comparingByValue()
-                        .thenComparing(Map.Entry.comparingByKey(java.util.Comparator.reverseOrder())))
+                        .thenComparing(Map.Entry.comparingByKey(Comparator.reverseOrder())))
                 .ifPresent(v -> meta.propose(MetaCommand.newBuilder()
                                 .setSetBaseline(SetBaseline.newBuilder()
                                         .setService(service)
@@ -141,13 +158,47 @@
     }
 
     private void send(long term, long now) {
-        Frame frame = Frame.newBuilder()
-                .setEndpointList(EndpointList.newBuilder()
-                        .setTerm(term)
-                        .setSequence(sequence)
-                        .setAgeMs((int) TimeUnit.NANOSECONDS.toMillis(now - readNanos))
-                        .addAllEndpoints(last))
+        EndpointList.Builder list = EndpointList.newBuilder()
+                .setTerm(term)
+                .setSequence(sequence)
+                .setAgeMs((int) TimeUnit.NANOSECONDS.toMillis(now - readNanos))
+                .setRouters(routers.size());
+        Frame unchanged =
+                Frame.newBuilder().setEndpointList(list.setUnchanged(true)).build();
+        Frame whole = Frame.newBuilder()
+                .setEndpointList(list.setUnchanged(false).addAllEndpoints(last).addAllPeers(takers))
                 .build();
-        peers.byRole(Role.ROUTER).stream().filter(Peer::isWritable).forEach(p -> p.send(frame));
+        for (Peer p : routers) {
+            if (p.isWritable()) {
+                boolean known = Long.valueOf(sequence).equals(sent.put(p, sequence));
+                p.send(known ? unchanged : whole);
+            }
+        }
+    }
+
+    private static String host(String address) {
+        return address.substring(0, Math.max(0, address.lastIndexOf(':')));
+    }
+
+    /** Notes which routers there are. Returns whether those that take reservations are others than before. */
+    private boolean noteRouters() {
+        routers = peers.byRole(Role.ROUTER);
+        // A host that holds a member is cut off or lost together with a part of the owner, which homes should outlast.
+        Set<String> hosts =
+                meta.members().stream().map(m -> host(m.getAddress())).collect(Collectors.toSet());
+        List<RouterAddress> next = routers.stream()
+                .filter(p -> !p.hello().getAddress().isEmpty()
+                        && !hosts.contains(host(p.hello().getAddress())))
+                .map(p -> RouterAddress.newBuilder()
+                        .setName(p.hello().getName())
+                        .setDataCenter(p.hello().getDataCenter())
+                        .setAddress(p.hello().getAddress())
+                        .build())
+                .sorted(Comparator.comparing(RouterAddress::getName))
+                .distinct()
+                .toList();
+        boolean changed = !next.equals(takers);
+        takers = next;
+        return changed;
     }
 }
--- a/core/src/main/java/org/ragwortrun/core/settings/Settings.java
+++ b/core/src/main/java/org/ragwortrun/core/settings/Settings.java
@@ -110,6 +110,25 @@
         return fallback;
     }
 
+    /** Returns a number, which may have a fraction, between the bounds. A blank value counts as none. */
+    public double decimal(String key, double fallback, double min, double max) {
+        asked.add(key);
+        String value = values.getOrDefault(key, "");
+        if (value.isBlank()) {
+            return fallback;
+        }
+        try {
+            double n = Double.parseDouble(value);
+            if (n >= min && n <= max) {
+                return n;
+            }
+        } catch (NumberFormatException e) {
+            // reported below with the numbers out of range
+        }
+        problems.add(key + " must be a number from " + min + " to " + max + ", not " + value);
+        return fallback;
+    }
+
     /** Returns a duration such as {@code 500ms} or {@code 30s}. */
     public Duration duration(String key, Duration fallback) {
         asked.add(key);
--- a/ledger/src/main/java/org/ragwortrun/ledger/GrantPool.java
+++ b/ledger/src/main/java/org/ragwortrun/ledger/GrantPool.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Function;
@@ -85,6 +86,11 @@
         return of(reservation.budget()).spendUnacknowledged(reservation.tokens(), time.millis());
     }
 
+    /** Returns after how many milliseconds a request for a reservation that may not be spent now can come back. */
+    public OptionalLong unacknowledgedAfter(Reservation reservation) {
+        return of(reservation.budget()).unacknowledgedAfter(reservation.tokens(), time.millis());
+    }
+
     /** Takes the owner's answer to a request and returns what is now due to the owner. Copies change nothing. */
     public Optional<ReduceGrants> granted(RequestGrant ask, GrantResult result) {
         return reduce(of(ask.getBudget()).granted(ask, result, time.millis()));
--- a/ledger/src/main/java/org/ragwortrun/ledger/internal/BudgetPool.java
+++ b/ledger/src/main/java/org/ragwortrun/ledger/internal/BudgetPool.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
 import org.jspecify.annotations.Nullable;
@@ -61,6 +62,8 @@
     private double rate;
     private long burst;
     private long spentSilently;
+    // What those who were told when to come back will ask for.
+    private long promised;
     private long acknowledgedMs = Long.MIN_VALUE;
 
     public BudgetPool(BudgetRef budget, String incarnation, PoolSettings settings, LongSupplier ids) {
@@ -123,6 +126,7 @@
     /** Notes that the owner has acknowledged a mark, so that it knows of all reservations up to then. */
     public synchronized void marked(long nowMs) {
         spentSilently = 0;
+        promised = 0;
         acknowledgedMs = nowMs;
     }
 
@@ -144,9 +148,24 @@
             return false;
         }
         spentSilently += tokens;
+        promised = Math.max(0, promised - tokens);
         return true;
     }
 
+    /**
+     * Returns after how many milliseconds a request that may not be spent now can come back, if the owner stays silent.
+     * Each request that is told a time counts before the next one, so that their returns are spread.
+     */
+    public synchronized OptionalLong unacknowledgedAfter(long tokens, long nowMs) {
+        if (acknowledgedMs == Long.MIN_VALUE || rate <= 0) {
+            return OptionalLong.empty();
+        }
+        promised += tokens;
+        double earnedMs = Math.max(0, spentSilently + promised - burst) / rate;
+        long at = acknowledgedMs + SpendTerms.SILENT_MS + (long) Math.ceil(earnedMs);
+        return OptionalLong.of(Math.max(0, at - nowMs));
+    }
+
     /** Returns the tokens that the pool should hold: those of its demand over a span, and one request's. */
     private long target(long nowMs) {
         if (!settings.isOutlasting()) {
--- a/ledger/src/test/java/org/ragwortrun/ledger/OutlastingPoolTest.java
+++ b/ledger/src/test/java/org/ragwortrun/ledger/OutlastingPoolTest.java
@@ -38,6 +38,25 @@
         assertThat(pool.spendUnacknowledged(large)).isFalse();
     }
 
+    /** Load: many callers in the first second of a cut. Those who are refused must not all come back at once. */
+    @Test
+    void callersAreToldToComeBackOneAfterTheOther() {
+        RequestGrant ask = steadyDemand();
+        assertThat(pool.spendUnacknowledged(reserved(burst))).isTrue();
+        Reservation first = reserved(1_000);
+        Reservation second = reserved(1_000);
+        long apart = (long) (1_000 / rate(ask));
+        long firstAfter = pool.unacknowledgedAfter(first).orElseThrow();
+        long secondAfter = pool.unacknowledgedAfter(second).orElseThrow();
+        assertThat(firstAfter).isIn(Range.closed(SILENT_MS + apart - 2, SILENT_MS + apart + 2));
+        assertThat(secondAfter - firstAfter).isIn(Range.closed(apart - 2, apart + 2));
+        time.advanceMillis(firstAfter + 1);
+        assertThat(pool.spendUnacknowledged(second)).isTrue();
+        assertThat(pool.spendUnacknowledged(first)).isFalse();
+        time.advanceMillis(apart + 1);
+        assertThat(pool.spendUnacknowledged(first)).isTrue();
+    }
+
     /** Guards against an overspend: for some seconds, the owner counts on no more than the burst. */
     @Test
     void onlyTheBurstIsSpentSilentlyAtFirst() {
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/CallerAnswer.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/CallerAnswer.java
@@ -9,9 +9,12 @@
     /** Sends the head of an answer whose body follows in parts. */
     void head(HttpResponse head);
 
-    /** Sends a part of the body and releases it. Returns whether the caller reads fast enough for more. */
+    /** Sends a part of the body soon and releases it. Returns whether the caller reads fast enough for more. */
     boolean part(ByteBuf part);
 
+    /** Sends now what was to be sent soon. */
+    void flush();
+
     /** Ends the answer as complete. */
     void end();
 
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/CallerConnection.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/CallerConnection.java
@@ -228,10 +228,19 @@
             part.release();
             return true;
         }
-        ctx.writeAndFlush(new DefaultHttpContent(part), ctx.voidPromise());
+        ctx.write(new DefaultHttpContent(part), ctx.voidPromise());
+        front.flushLater(ctx);
         return ctx.channel().isWritable();
     }
 
+    @Override
+    public void flush() {
+        ChannelHandlerContext ctx = context;
+        if (ctx != null) {
+            ctx.flush();
+        }
+    }
+
     @Override
     public void end() {
         ChannelHandlerContext ctx = context;
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointConnection.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointConnection.java
@@ -20,14 +20,15 @@
 /**
  * One connection to an endpoint, which serves one request at a time.
  *
- * <p>An answer that bears the id of another request is read and dropped, and the connection is not used again. The same
- * goes for bytes that arrive while no request waits.
+ * <p>An answer that bears the id of another request is read and dropped, and the connection is not used again. Bytes that
+ * arrive while no request waits end the connection.
  */
 final class EndpointConnection extends SimpleChannelInboundHandler<HttpObject> {
     private static final Pattern KEEP_ALIVE = Pattern.compile("timeout=(\\d+)");
     private static final long SECOND_NANOS = 1_000_000_000L;
     // A connection is left this long before its endpoint closes it, so that a request does not cross the close.
     private static final long MARGIN_NANOS = 700_000_000L;
+    private static final long MOST_SKIPPED_BYTES = 64 << 10;
     private static final long DEFAULT_IDLE_NANOS = 4 * SECOND_NANOS;
 
     private final Time time;
@@ -38,6 +39,7 @@
     private String requestId = "";
     private boolean reusable = true;
     private boolean skipping;
+    private long skipped;
     private boolean headSeen;
     private boolean failed;
     private boolean written;
@@ -87,6 +89,12 @@
         }
     }
 
+    /** Reads over the rest of the answer, of which the head says all. The connection is used again after it. */
+    void discardRest() {
+        listener = null;
+        skipping = true;
+    }
+
     /** Ends the connection, so that the endpoint drops the request that it runs. */
     void close() {
         listener = null;
@@ -100,19 +108,19 @@
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, HttpObject part) {
         AnswerListener l = listener;
-        if (l == null || part.decoderResult().isFailure()) {
+        if (part.decoderResult().isFailure() || l == null && !skipping) {
             fail(ctx, "not-an-answer");
             return;
         }
-        if (part instanceof HttpResponse head) {
-            onHead(head, l);
+        if (part instanceof HttpResponse head && l != null) {
+            onHead(ctx, head, l);
         }
         if (part instanceof HttpContent content) {
             onContent(ctx, content);
         }
     }
 
-    private void onHead(HttpResponse head, AnswerListener l) {
+    private void onHead(ChannelHandlerContext ctx, HttpResponse head, AnswerListener l) {
         boolean interim = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
         boolean foreign = heads.isForeign(head.headers(), requestId);
         skipping = interim || foreign;
@@ -122,6 +130,11 @@
         if (skipping) {
             return;
         }
+        if (head.status().codeClass() == HttpStatusClass.SUCCESS && !heads.namesRequest(head.headers())) {
+            // It may be the late copy of another request's answer.
+            fail(ctx, "answer-without-id");
+            return;
+        }
         headSeen = true;
         if (!HttpUtil.isKeepAlive(head)) {
             reusable = false;
@@ -131,30 +144,48 @@
     }
 
     private void onContent(ChannelHandlerContext ctx, HttpContent content) {
+        if (skipping) {
+            skip(ctx, content);
+            return;
+        }
         AnswerListener l = listener;
-        if (!skipping && headSeen && l != null && content.content().isReadable()) {
+        if (headSeen && l != null && content.content().isReadable()) {
             l.onBody(content.content());
         }
         if (!(content instanceof LastHttpContent)) {
             return;
         }
-        if (skipping) {
-            skipping = false;
-            return;
-        }
         // A body without a length ends with its connection. One that was reset is not complete.
         l = listener;
         if (failed || l == null) {
             return;
         }
         listener = null;
+        free(ctx);
+        l.onEnd();
+    }
+
+    /** Reads over what belongs to no request that waits. A body without an end must not be read for ever. */
+    private void skip(ChannelHandlerContext ctx, HttpContent content) {
+        skipped += content.content().readableBytes();
+        if (skipped > MOST_SKIPPED_BYTES) {
+            fail(ctx, "endless-answer");
+        } else if (content instanceof LastHttpContent) {
+            skipping = false;
+            skipped = 0;
+            if (listener == null) {
+                free(ctx);
+            }
+        }
+    }
+
+    private void free(ChannelHandlerContext ctx) {
         if (reusable && written && ctx.channel().isActive()) {
             ctx.channel().config().setAutoRead(true);
             owner.release(this);
         } else {
             ctx.close();
         }
-        l.onEnd();
     }
 
     @Override
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointConnections.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointConnections.java
@@ -34,8 +34,9 @@
         this.heads = heads;
     }
 
-    int open() {
-        return open;
+    /** Tells whether a request would need one connection more than this router may have. */
+    boolean isFull(int most) {
+        return idle.isEmpty() && open >= most;
     }
 
     /** Hands over an idle connection, or a new one. Hands over nothing, but the cause, if none can be opened. */
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointTable.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointTable.java
@@ -1,5 +1,6 @@
 package org.ragwortrun.router.internal.forward;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -23,14 +24,20 @@
 final class EndpointTable {
     private static final Logger LOG = LogManager.getLogger(EndpointTable.class);
 
+    // Assumed until a leader has told the number, so that shares are small rather than too large.
+    private static final int MANY_ROUTERS = 64;
+
     private final Time time;
     private final Function<ListedEndpoint, EndpointConnections> connector;
     private final Map<String, EndpointState> states = new HashMap<>();
     private long term;
     private long sequence;
+    private List<ListedEndpoint> leaderList = List.of();
+    private boolean ownApplied;
     private volatile long heardNanos;
     private long readNanos;
     private volatile boolean known;
+    private int routers = MANY_ROUTERS;
 
     EndpointTable(Time time, Function<ListedEndpoint, EndpointConnections> connector) {
         this.time = time;
@@ -38,27 +45,35 @@
         heardNanos = time.nanos();
     }
 
-    /** Applies a list that a leader sent. */
-    void apply(EndpointList list) {
+    /**
+     * Applies a list that a leader sent. Returns whether it counts: a list of an earlier leader does not, nor does the
+     * notice that nothing has changed since a list that this router has not got.
+     */
+    boolean apply(EndpointList list) {
         boolean older = list.getTerm() < term || (list.getTerm() == term && list.getSequence() < sequence);
-        if (older) {
-            return;
+        boolean same = list.getTerm() == term && list.getSequence() == sequence && sequence > 0;
+        if (older || list.getUnchanged() && !same) {
+            return false;
         }
-        boolean same = known && list.getTerm() == term && list.getSequence() == sequence;
-        term = list.getTerm();
-        sequence = list.getSequence();
         heardNanos = time.nanos();
         readNanos = heardNanos - list.getAgeMs() * 1_000_000L;
+        routers = list.getRouters();
         if (!same) {
-            replace(list.getEndpointsList(), "leader");
+            term = list.getTerm();
+            sequence = list.getSequence();
+            leaderList = list.getEndpointsList();
+        }
+        if (!same || ownApplied || !known) {
+            ownApplied = false;
+            replace(leaderList, "leader");
         }
+        return true;
     }
 
-    /** Applies a list that this router read itself. */
+    /** Applies a list that this router read itself, which counts until a leader is heard again. */
     void applyOwn(List<ListedEndpoint> list) {
         readNanos = time.nanos();
-        // The next list of a leader is applied even if its sequence is known.
-        sequence = 0;
+        ownApplied = true;
         replace(list, "own-read");
     }
 
@@ -99,11 +114,15 @@
                 .info(LOG);
     }
 
-    /** Returns the endpoints of an origin that new requests may go to, apart from their health. */
+    /** Returns a new list of the endpoints of an origin that new requests may go to, apart from their health. */
     List<EndpointState> open(String origin) {
-        return states.values().stream()
-                .filter(s -> s.listed().getService().equals(origin) && s.isOpen())
-                .toList();
+        List<EndpointState> open = new ArrayList<>();
+        for (EndpointState s : states.values()) {
+            if (s.isOpen() && s.listed().getService().equals(origin)) {
+                open.add(s);
+            }
+        }
+        return open;
     }
 
     Optional<EndpointState> find(String id) {
@@ -120,6 +139,11 @@
         return (time.nanos() - readNanos) / 1_000_000;
     }
 
+    /** Returns the number of routers among which shared allowances are divided. */
+    int routers() {
+        return routers;
+    }
+
     boolean isKnown() {
         return known;
     }
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/EventSplitter.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/EventSplitter.java
@@ -15,6 +15,9 @@
     // An event of the deployments has a few hundred bytes; what is longer is not an event stream.
     private static final int MOST_HELD = 256 << 10;
 
+    private static final byte[] ID = {'i', 'd'};
+    private static final byte[] DATA = {'d', 'a', 't', 'a'};
+
     private final ByteBuf held = Unpooled.buffer();
     private OptionalLong lastId = OptionalLong.empty();
     private long firstId = -1;
@@ -33,7 +36,7 @@
         }
         ByteBuf whole = held.readBytes(end);
         held.discardReadBytes();
-        count(whole.toString(StandardCharsets.UTF_8));
+        count(whole);
         return whole;
     }
 
@@ -86,19 +89,43 @@
         return 0;
     }
 
-    private void count(String whole) {
+    /** Reads the lines of whole events as bytes, without a text for each: this runs for each event of each stream. */
+    private void count(ByteBuf whole) {
         boolean any = false;
-        for (String line : whole.split("\r?\n", -1)) {
-            if (line.isEmpty()) {
+        int start = whole.readerIndex();
+        int end = whole.writerIndex();
+        while (start < end) {
+            int newline = whole.indexOf(start, end, (byte) '\n');
+            int stop = newline < 0 ? end : newline;
+            int length = stop - start;
+            if (length > 0 && whole.getByte(stop - 1) == '\r') {
+                length--;
+            }
+            if (length == 0) {
                 events += any ? 1 : 0;
                 any = false;
-                continue;
+            } else {
+                boolean id = startsWith(whole, start, length, ID);
+                any |= id || startsWith(whole, start, length, DATA);
+                if (id && length > ID.length && whole.getByte(start + ID.length) == ':') {
+                    noteId(whole.toString(start + ID.length + 1, length - ID.length - 1, StandardCharsets.UTF_8)
+                            .trim());
+                }
             }
-            any |= line.startsWith("data") || line.startsWith("id");
-            if (line.startsWith("id:")) {
-                noteId(line.substring(3).trim());
+            start = stop + 1;
+        }
+    }
+
+    private static boolean startsWith(ByteBuf bytes, int from, int length, byte[] prefix) {
+        if (length < prefix.length) {
+            return false;
+        }
+        for (int i = 0; i < prefix.length; i++) {
+            if (bytes.getByte(from + i) != prefix[i]) {
+                return false;
             }
         }
+        return true;
     }
 
     private void noteId(String text) {
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -33,7 +34,7 @@
 import org.ragwortrun.proto.BudgetRef;
 import org.ragwortrun.proto.Usage;
 import org.ragwortrun.router.internal.evidence.EvidenceKey;
-import org.ragwortrun.router.internal.ledger.Reservation;
+import org.ragwortrun.router.internal.pool.Spending;
 
 /**
  * One request of a caller from its admission to its final answer.
@@ -48,6 +49,9 @@
     // An answer up to this size is held until it is complete, so that a broken one can be replaced by another run.
     private static final int HELD_BYTES = 64 << 10;
     private static final Duration RETRY_AFTER = Duration.ofMillis(400);
+    // Callers are spread unevenly over the routers, and connections that are being closed still count.
+    private static final double CONNECTIONS_PART = 0.8;
+    private static final int LEAST_CONNECTIONS = 4;
     private static final int SERVER_ERROR = 500;
     private static final int MISDIRECTED = 421;
     private static final int MOST_URGENCY = 9;
@@ -66,7 +70,7 @@
     private final long limitNanos;
     private final Set<String> tried = new HashSet<>();
     private final EventSplitter events = new EventSplitter();
-    private @Nullable Reservation reservation;
+    private @Nullable Spending reservation;
     private @Nullable ScheduledFuture<?> limit;
     private @Nullable Attempt current;
     private int runs;
@@ -75,6 +79,7 @@
     private boolean over;
     private long firstByteNanos;
     private String lastCause = "";
+    private String reason = "";
 
     Exchange(
             ForwardServices services,
@@ -113,13 +118,15 @@
             return;
         }
         long most = request.usage().map(TokenUsage::most).orElse(0L);
-        services.grants().reserve(budget.get(), most).whenComplete((r, failure) -> {
-            if (services.loop().inEventLoop()) {
-                reserved(r, failure);
-            } else {
-                services.loop().execute(() -> reserved(r, failure));
-            }
-        });
+        services.tokens()
+                .reserve(budget.get(), most, request.id(), Duration.ofNanos(limitNanos - startNanos))
+                .whenComplete((r, failure) -> {
+                    if (services.loop().inEventLoop()) {
+                        reserved(r, failure);
+                    } else {
+                        services.loop().execute(() -> reserved(r, failure));
+                    }
+                });
     }
 
     /** Ends the exchange because the caller has left. */
@@ -140,7 +147,7 @@
                         .build());
     }
 
-    private void reserved(@Nullable Reservation r, @Nullable Throwable failure) {
+    private void reserved(@Nullable Spending r, @Nullable Throwable failure) {
         if (r == null) {
             Throwable cause = failure instanceof CompletionException e && e.getCause() != null ? e.getCause() : failure;
             if (!over) {
@@ -159,20 +166,24 @@
 
     private void place() {
         Optional<Configuration> configuration = services.configuration().get();
-        List<EndpointState> open = services.endpoints().open(origin.name()).stream()
-                .filter(s -> !tried.contains(s.id()))
-                .toList();
+        List<EndpointState> open = services.endpoints().open(origin.name());
+        open.removeIf(s -> tried.contains(s.id()));
         List<EndpointState> allowed =
                 configuration.map(c -> picker.ofVersion(c, origin.name(), open)).orElse(List.of());
         long now = services.time().nanos();
-        List<EndpointState> healthy =
-                allowed.stream().filter(s -> s.health().isUsable(now)).toList();
-        List<EndpointState> usable = healthy.isEmpty() ? allowed : healthy;
+        int most = connectionsEach();
+        List<Placement.Candidate> healthy = new ArrayList<>();
+        List<Placement.Candidate> others = new ArrayList<>();
+        for (EndpointState s : allowed) {
+            if (!s.connections().isFull(most)) {
+                (s.health().isUsable(now) ? healthy : others).add(candidate(s, now));
+            }
+        }
         Optional<EndpointState> chosen = Placement.choose(
-                        usable.stream().map(s -> candidate(s, now)).toList(), request.parts(), origin.model())
+                        healthy.isEmpty() ? others : healthy, request.parts(), origin.model())
                 .flatMap(c -> services.endpoints().find(c.id()));
         if (chosen.isEmpty()) {
-            giveUp("no-endpoint");
+            giveUp(allowed.isEmpty() ? "no-endpoint" : "connections-in-use");
             return;
         }
         tries++;
@@ -180,6 +191,14 @@
         current.begin();
     }
 
+    /** Returns how many connections this router may open to each endpoint: its part of what the endpoint accepts. */
+    private int connectionsEach() {
+        int routers = Math.max(1, services.endpoints().routers());
+        return origin.maxConnections() == 0
+                ? Integer.MAX_VALUE
+                : Math.max(LEAST_CONNECTIONS, (int) (origin.maxConnections() * CONNECTIONS_PART / routers));
+    }
+
     private Placement.Candidate candidate(EndpointState s, long now) {
         int slots = origin.slots() > 0 ? origin.slots() : s.listed().getSlots();
         return new Placement.Candidate(
@@ -258,6 +277,7 @@
 
     private void refuse(Refusal refusal) {
         services.metrics().refused(refusal.reason());
+        reason = refusal.reason().code();
         answer.refuse(refusal);
         finish(
                 refusal.run() == RunOutcome.NOT_RUN ? "refused-not-run" : "failed",
@@ -284,7 +304,7 @@
     }
 
     private long bill(@Nullable Attempt last, int status) {
-        Reservation r = reservation;
+        Spending r = reservation;
         if (r == null) {
             return 0;
         }
@@ -295,21 +315,16 @@
         TokenUsage usage = request.usage().orElse(new TokenUsage(0, 0));
         long output = Math.min(usage.mostOutput(), (long) events.events() * origin.tokensPerEvent());
         long tokens = usage.prompt() + output;
-        r.settle(tokens);
-        services.settlements()
-                .add(Usage.newBuilder()
-                        .setBudget(budget().orElse(BudgetRef.getDefaultInstance()))
-                        .setRequestId(request.id())
-                        .setGrantId(r.grantId())
-                        .setIncarnation(services.incarnation())
-                        .setTokens(tokens)
-                        .setPromptTokens(usage.prompt())
-                        .setOutputTokens(output)
-                        .setEndpoint(last.endpoint.id())
-                        .setVersion(last.endpoint.listed().getVersion())
-                        .setRoute(route.name())
-                        .setStatus(status)
-                        .build());
+        r.bill(Usage.newBuilder()
+                .setBudget(budget().orElse(BudgetRef.getDefaultInstance()))
+                .setRequestId(request.id())
+                .setTokens(tokens)
+                .setPromptTokens(usage.prompt())
+                .setOutputTokens(output)
+                .setEndpoint(last.endpoint.id())
+                .setVersion(last.endpoint.listed().getVersion())
+                .setRoute(route.name())
+                .setStatus(status));
         return tokens;
     }
 
@@ -325,6 +340,7 @@
                 .with("tries", tries)
                 .with("runs", runs)
                 .with("cause", lastCause)
+                .with("reason", reason)
                 .with("tokens", tokens)
                 .with("events", events.events())
                 .with("first-ms", firstByteNanos == 0 ? -1 : (firstByteNanos - startNanos) / 1_000_000)
@@ -348,7 +364,6 @@
         private @Nullable HttpResponse received;
         private ByteBuf held = Unpooled.EMPTY_BUFFER;
         private int pendingTokens;
-        private boolean notRun;
         private boolean begun;
         private boolean done;
         private boolean isStream;
@@ -421,8 +436,16 @@
         public void onHead(HttpResponse answerHead) {
             received = answerHead;
             int status = answerHead.status().code();
-            notRun = services.heads().isNotRun(answerHead.headers()) || status == MISDIRECTED;
-            if (notRun) {
+            if (services.heads().isNotRun(answerHead.headers()) || status == MISDIRECTED) {
+                EndpointConnection c = connection;
+                if (c != null) {
+                    c.discardRest();
+                }
+                endNotRun(answerHead);
+                return;
+            }
+            if (isSuccess() && !services.heads().isProven(answerHead.headers())) {
+                broken("unproven-answer");
                 return;
             }
             String type = answerHead.headers().get(HttpHeaderNames.CONTENT_TYPE, "");
@@ -437,7 +460,7 @@
         @Override
         public void onBody(ByteBuf part) {
             HttpResponse r = received;
-            if (notRun || r == null || done) {
+            if (r == null || done) {
                 return;
             }
             if (isStream) {
@@ -448,10 +471,6 @@
         }
 
         private void onEvents(HttpResponse r, ByteBuf part) {
-            if (!services.heads().isProven(r.headers())) {
-                broken("unproven-answer");
-                return;
-            }
             OptionalLong before = events.lastId();
             ByteBuf whole = events.add(part);
             if (events.isTooLong()) {
@@ -468,13 +487,17 @@
                 return;
             }
             readPrompt();
-            if (!answering) {
+            boolean first = !answering;
+            if (first) {
                 startAnswer(r);
             }
             EndpointConnection c = connection;
             if (!answer.part(whole) && c != null) {
                 c.setReading(false);
             }
+            if (first) {
+                answer.flush();
+            }
         }
 
         /** The first event of a resumed run must follow the last one that the caller got. */
@@ -492,8 +515,7 @@
             }
             held.writeBytes(part);
             HttpResponse r = received;
-            boolean provenSuccess = isSuccess() && r != null && services.heads().isProven(r.headers());
-            if (held.readableBytes() > HELD_BYTES && r != null && (provenSuccess || !isSuccess())) {
+            if (held.readableBytes() > HELD_BYTES && r != null) {
                 startAnswer(r);
                 answer.part(held);
                 held = Unpooled.EMPTY_BUFFER;
@@ -517,11 +539,7 @@
             if (done || r == null) {
                 return;
             }
-            if (notRun) {
-                endNotRun(r);
-            } else if (isSuccess() && !services.heads().isProven(r.headers())) {
-                broken("unproven-answer");
-            } else if (isStream && events.hasRest()) {
+            if (isStream && events.hasRest()) {
                 broken("stream-ends-within-event");
             } else if (r.status().code() >= SERVER_ERROR && mayReplace()) {
                 end();
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardFront.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardFront.java
@@ -1,6 +1,7 @@
 package org.ragwortrun.router.internal.forward;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpRequest;
 import java.time.Duration;
 import java.util.HashSet;
@@ -27,10 +28,13 @@
 final class ForwardFront {
     private static final Logger LOG = LogManager.getLogger(ForwardFront.class);
     private static final Duration RETRY_AFTER = Duration.ofMillis(500);
+    // The connection is closed with the refusal, so that the caller comes back to another host.
+    private static final Duration RETRY_ELSEWHERE = Duration.ofMillis(50);
     private static final int MOST_DIGESTS = 4_096;
 
     private final ForwardServices services;
     private final OriginPicker picker;
+    private final FlushLater flushes;
     private final Set<CallerConnection> connections = new HashSet<>();
     private final Map<String, String> digests = new LinkedHashMap<>() {
         private static final long serialVersionUID = 1L;
@@ -41,11 +45,13 @@
         }
     };
     private volatile boolean stopping;
+    private boolean ended;
     private volatile int active;
 
     ForwardFront(ForwardServices services) {
         this.services = services;
         picker = new OriginPicker(services.random());
+        flushes = new FlushLater(services.loop());
     }
 
     RequestHeads heads() {
@@ -85,6 +91,11 @@
         connections.remove(connection);
     }
 
+    /** Sends what was written to a caller's connection together with what others get, a little later. */
+    void flushLater(ChannelHandlerContext ctx) {
+        flushes.add(ctx);
+    }
+
     void failed(Throwable cause) {
         services.metrics().count("caller_connection_failures", 1);
         Event.of("caller-connection-failed")
@@ -98,8 +109,12 @@
         List.copyOf(connections).forEach(c -> c.closeIfIdle(now));
     }
 
-    /** Closes connections without a request, the others after their request. */
-    void closeConnections() {
+    /**
+     * Refuses requests from now on, since there is no time left to serve them. Connections without a request are closed,
+     * the others after their request.
+     */
+    void endAdmission() {
+        ended = true;
         List.copyOf(connections).forEach(CallerConnection::closeWhenIdle);
     }
 
@@ -140,6 +155,10 @@
     }
 
     private Exchange admit(HttpRequest head, ByteBuf body, CallerAnswer answer) throws RefusedException {
+        if (ended) {
+            throw new RefusedException(Refusal.notRun(
+                    RefusalReason.STOPPING, "this host is about to stop; others serve", RETRY_ELSEWHERE));
+        }
         CallerRequest request;
         try {
             request = services.heads().read(head);
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
@@ -50,6 +50,8 @@
 import org.ragwortrun.router.internal.ledger.Sessions;
 import org.ragwortrun.router.internal.ledger.SettlementQueue;
 import org.ragwortrun.router.internal.ledger.Shards;
+import org.ragwortrun.router.internal.pool.LocalTokens;
+import org.ragwortrun.router.internal.pool.TokenSource;
 
 /** Builds the parts of a router that forwards to origins, and ends them in order. */
 public final class ForwardRouter implements AutoCloseable {
@@ -72,7 +74,12 @@
     private final Closer closer;
 
     private ForwardRouter(
-            ForwardSettings settings, Time time, ForwardFront front, EventLoop loop, Closer listeners, Closer closer) {
+            ForwardSettings settings,
+            Time time,
+            ForwardFront front,
+            EventLoop loop,
+            Closer listeners,
+            Closer closer) {
         this.settings = settings;
         this.time = time;
         this.front = front;
@@ -102,7 +109,11 @@
     }
 
     private static ForwardRouter start(
-            ForwardSettings settings, HeaderNames names, EndpointSource source, LongSupplier processStart, Closer closer)
+            ForwardSettings settings,
+            HeaderNames names,
+            EndpointSource source,
+            LongSupplier processStart,
+            Closer closer)
             throws RagwortrunException {
         Time time = Time.system();
         String incarnation = Incarnations.create(settings.name(), time.wallMillis());
@@ -136,6 +147,8 @@
                 () -> settlements.pending() == 0,
                 new HeldReservations(control, shards)));
         closer.register(settlements);
+        LocalTokens local = new LocalTokens(grants, settlements, incarnation);
+        TokenSource tokens = local;
         EvidenceCollector evidence = new EvidenceCollector(control);
         UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create();
         ForwardServices services = new ForwardServices(
@@ -146,10 +159,9 @@
                 endpoints,
                 new RetryAllowance(
                         settings.retryRatio(),
-                        settings.retrySlack(),
+                        () -> settings.retrySlack(endpoints.routers()),
                         settings.retryWindow().toNanos()),
-                grants,
-                settlements,
+                tokens,
                 evidence,
                 heads,
                 metrics,
@@ -160,9 +172,9 @@
         pushes.connect(watch, grants);
         watch.start(CONFIRM_INTERVAL);
         sessions.open();
-        timer.scheduleWithFixedDelay(evidence, SECOND_MS, SECOND_MS, TimeUnit.MILLISECONDS);
-        loop.scheduleWithFixedDelay(front::closeIdle, SECOND_MS, SECOND_MS, TimeUnit.MILLISECONDS);
-        loop.scheduleWithFixedDelay(endpoints::closeExpired, SECOND_MS, SECOND_MS, TimeUnit.MILLISECONDS);
+        Duty.repeat(timer, evidence, SECOND_MS, SECOND_MS);
+        Duty.repeat(loop, front::closeIdle, SECOND_MS, SECOND_MS);
+        Duty.repeat(loop, endpoints::closeExpired, SECOND_MS, SECOND_MS);
         readOwnList(source, endpoints, loop, closer);
         metrics.gauge("running_requests", "Requests that have not ended", front::active);
         metrics.gauge("pending_settlements", "Bills that no shard has acknowledged", settlements::pending);
@@ -187,7 +199,8 @@
     private static void readOwnList(EndpointSource source, EndpointTable endpoints, EventLoop loop, Closer closer) {
         ScheduledExecutorService reader = Duty.timer("router-endpoints");
         closer.register(() -> Duty.stop(reader));
-        reader.scheduleWithFixedDelay(
+        Duty.repeat(
+                reader,
                 () -> {
                     if (endpoints.isKnown() && endpoints.silenceNanos() < SILENCE_NANOS) {
                         return;
@@ -200,8 +213,7 @@
                     }
                 },
                 FIRST_READ_MS,
-                SECOND_MS,
-                TimeUnit.MILLISECONDS);
+                SECOND_MS);
     }
 
     private static EndpointConnections connections(
@@ -255,7 +267,7 @@
         try {
             // A balancer needs some checks to turn away, and connections that it still opens must be served.
             sleepUntil(begin + settings.stopLinger().toNanos(), false);
-            loop.execute(front::closeConnections);
+            loop.execute(front::endAdmission);
             sleepUntil(begin + settings.stopTimeout().toNanos(), true);
             listeners.close();
         } catch (InterruptedException e) {
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardServices.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardServices.java
@@ -8,8 +8,7 @@
 import org.ragwortrun.core.metrics.Metrics;
 import org.ragwortrun.core.time.Time;
 import org.ragwortrun.router.internal.evidence.EvidenceCollector;
-import org.ragwortrun.router.internal.ledger.Grants;
-import org.ragwortrun.router.internal.ledger.SettlementQueue;
+import org.ragwortrun.router.internal.pool.TokenSource;
 
 /**
  * What exchanges of one router share.
@@ -20,8 +19,7 @@
  * @param configuration newest configuration, if one is known
  * @param endpoints endpoints of all origins
  * @param retries allowance for second endpoints
- * @param grants tokens of client accounts
- * @param settlements bills on their way to the ledger
+ * @param tokens tokens of client accounts
  * @param evidence outcomes by version
  * @param heads reader and writer of heads
  * @param metrics counters
@@ -36,8 +34,7 @@
         Supplier<Optional<Configuration>> configuration,
         EndpointTable endpoints,
         RetryAllowance retries,
-        Grants grants,
-        SettlementQueue settlements,
+        TokenSource tokens,
         EvidenceCollector evidence,
         RequestHeads heads,
         Metrics metrics,
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardSettings.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardSettings.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Map;
+import java.util.Optional;
 import org.ragwortrun.core.settings.Settings;
 import org.ragwortrun.core.settings.SettingsException;
 import org.ragwortrun.net.Address;
@@ -19,11 +20,13 @@
  * @param shards number of shard groups
  * @param callers address for callers
  * @param readiness address at which a balancer asks whether this router is ready
+ * @param peers address at which this router takes reservations of others, if it does
  * @param grantTimeout longest wait for tokens
  * @param hold span of demand for which a router holds tokens, so that it outlasts a cut from control
  * @param retryRatio repeats for each request to an origin
  * @param retrySlack repeats within the window without any request, for this router
- * @param retryWindow window of the two
+ * @param sharedRetrySlack the same for all routers together, which replaces the other, 0 for none
+ * @param retryWindow window of these
  * @param stopLinger time after the begin of a stop for which new connections are still served
  * @param stopTimeout longest time that a stop waits for running requests
  */
@@ -36,16 +39,21 @@
         int shards,
         Address callers,
         Address readiness,
+        Optional<Address> peers,
         Duration grantTimeout,
         Duration hold,
         double retryRatio,
         double retrySlack,
+        double sharedRetrySlack,
         Duration retryWindow,
         Duration stopLinger,
         Duration stopTimeout) {
     private static final int MAX_PORT = 65_535;
     private static final int MAX_SHARDS = 4_096;
     private static final int PERMILLE = 1_000;
+    private static final int MAX_SHARED_SLACK = 1_000_000;
+    // Routers that have just come or gone are counted late.
+    private static final double SLACK_PART = 0.8;
 
     /**
      * Reads and checks the settings.
@@ -62,17 +70,24 @@
                 (int) s.number("cluster.shards", 1, 1, MAX_SHARDS),
                 address(s, "http.address"),
                 address(s, "http.readiness"),
-                s.duration("budgets.grant-timeout", Duration.ofMillis(400)),
+                s.text("peers.address", "").isBlank() ? Optional.empty() : Optional.of(address(s, "peers.address")),
+                s.duration("budgets.grant-timeout", Duration.ofMillis(300)),
                 s.duration("budgets.hold", Duration.ofSeconds(12)),
                 (double) s.number("retries.ratio-permille", 100, 0, PERMILLE) / PERMILLE,
                 s.number("retries.slack", 5, 0, PERMILLE),
+                s.decimal("retries.shared-slack", 0, 0, MAX_SHARED_SLACK),
                 s.duration("retries.window", Duration.ofSeconds(10)),
-                s.duration("daemon.stop-linger", Duration.ofMillis(3_200)),
-                s.duration("daemon.stop-timeout", Duration.ofMillis(6_500)));
+                s.duration("daemon.stop-linger", Duration.ofMillis(2_900)),
+                s.duration("daemon.stop-timeout", Duration.ofMillis(7_100)));
         s.check();
         return read;
     }
 
+    /** Returns the repeats in a window without any request that one of some routers may take. */
+    double retrySlack(int routers) {
+        return sharedRetrySlack == 0 ? retrySlack : sharedRetrySlack * SLACK_PART / Math.max(1, routers);
+    }
+
     private static Address address(Settings s, String key) {
         try {
             return Address.parse(s.text(key));
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/OriginPicker.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/OriginPicker.java
@@ -1,12 +1,12 @@
 package org.ragwortrun.router.internal.forward;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.DoubleSupplier;
 import java.util.function.Predicate;
-import java.util.stream.Stream;
 import org.ragwortrun.core.config.Configuration;
 import org.ragwortrun.proto.ListedEndpoint;
 
@@ -38,15 +38,26 @@
     List<EndpointState> ofVersion(Configuration configuration, String origin, Collection<EndpointState> open) {
         Map<String, Integer> shares = configuration.originShares(origin);
         Optional<String> drawn = draw(shares);
-        Predicate<ListedEndpoint> untried = e -> configuration.moves().stream()
-                .noneMatch(m -> m.service().equals(origin) && m.to().equals(e.getVersion()));
-        Stream<Predicate<ListedEndpoint>> choices = Stream.of(
-                e -> drawn.filter(e.getVersion()::equals).isPresent(),
-                e -> shares.getOrDefault(e.getVersion(), 0) > 0,
-                untried);
-        return choices.map(c -> open.stream().filter(s -> c.test(s.listed())).toList())
-                .filter(l -> !l.isEmpty())
-                .findFirst()
-                .orElse(List.of());
+        List<EndpointState> chosen =
+                filter(open, e -> drawn.filter(e.getVersion()::equals).isPresent());
+        if (chosen.isEmpty()) {
+            chosen = filter(open, e -> shares.getOrDefault(e.getVersion(), 0) > 0);
+        }
+        return chosen.isEmpty()
+                ? filter(
+                        open,
+                        e -> configuration.moves().stream()
+                                .noneMatch(m -> m.service().equals(origin) && m.to().equals(e.getVersion())))
+                : chosen;
+    }
+
+    private static List<EndpointState> filter(Collection<EndpointState> all, Predicate<ListedEndpoint> condition) {
+        List<EndpointState> some = new ArrayList<>();
+        for (EndpointState s : all) {
+            if (condition.test(s.listed())) {
+                some.add(s);
+            }
+        }
+        return some;
     }
 }
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/Placement.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/Placement.java
@@ -1,11 +1,10 @@
 package org.ragwortrun.router.internal.forward;
 
-import java.nio.charset.StandardCharsets;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import org.apache.commons.codec.digest.MurmurHash3;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Chooses the endpoint of a request.
@@ -33,14 +32,31 @@
 
     /** Returns the endpoint with the least cost, or nothing if there is no candidate. */
     public static Optional<Candidate> choose(Collection<Candidate> candidates, List<PromptPart> parts, boolean model) {
-        int home = homeTokens(parts);
-        Optional<String> place = model && home > 0 ? home(candidates, parts) : Optional.empty();
-        return candidates.stream()
-                .min(Comparator.comparingDouble((Candidate c) -> cost(c, parts, model, place))
-                        .thenComparing(Candidate::id));
+        int tokens = 0;
+        for (PromptPart p : parts) {
+            tokens += p.tokens();
+        }
+        // The last part belongs to the request or its session; those before it are shared.
+        int shared = parts.isEmpty() ? 0 : tokens - parts.get(parts.size() - 1).tokens();
+        int part = parts.isEmpty()
+                ? 0
+                : parts.get(Math.max(0, parts.size() - 2)).id().hashCode();
+        Candidate home = model && shared > 0 ? home(candidates, part) : null;
+        Candidate best = null;
+        double least = Double.POSITIVE_INFINITY;
+        for (Candidate c : candidates) {
+            int cached = c.equals(home) ? Math.max(shared, c.cachedTokens()) : c.cachedTokens();
+            double cost = cost(c, tokens, cached, model);
+            // Of endpoints that cost the same, all routers take the one that ranks first for the part.
+            if (best == null || cost < least || cost == least && ranksBefore(c, best, part)) {
+                best = c;
+                least = cost;
+            }
+        }
+        return Optional.ofNullable(best);
     }
 
-    private static double cost(Candidate c, List<PromptPart> parts, boolean model, Optional<String> home) {
+    private static double cost(Candidate c, int tokens, int cached, boolean model) {
         int running = Math.max(c.inFlight(), c.reported());
         double cost = c.sameDataCenter() ? 0 : OTHER_DATA_CENTER_MS;
         cost += c.cold() ? COLD_MS : 0;
@@ -48,32 +64,29 @@
         if (!model) {
             return cost + PLAIN_MS * running / Math.max(1, c.slots());
         }
-        int tokens = parts.stream().mapToInt(PromptPart::tokens).sum();
-        int cached = Math.max(c.cachedTokens(), home.filter(c.id()::equals).isPresent() ? homeTokens(parts) : 0);
         return cost
                 + (c.pendingTokens() + tokens - Math.min(tokens, cached)) / PREFILL_TOKENS_PER_MS
                 + running * RUNNING_MS;
     }
 
-    /** The last part belongs to the request or its session; those before it are shared. */
-    private static int homeTokens(List<PromptPart> parts) {
-        return parts.stream()
-                .limit(Math.max(0, parts.size() - 1))
-                .mapToInt(PromptPart::tokens)
-                .sum();
+    /** Returns the endpoint that ranks first for the last shared part. Few parts move when endpoints change. */
+    private static @Nullable Candidate home(Collection<Candidate> candidates, int part) {
+        Candidate home = null;
+        for (Candidate c : candidates) {
+            if (home == null || ranksBefore(c, home, part)) {
+                home = c;
+            }
+        }
+        return home;
     }
 
-    /** Returns the endpoint with the highest hash with the last shared part. Few parts move when endpoints change. */
-    private static Optional<String> home(Collection<Candidate> candidates, List<PromptPart> parts) {
-        String part = parts.get(Math.max(0, parts.size() - 2)).id();
-        return candidates.stream()
-                .map(Candidate::id)
-                .max(Comparator.comparingInt((String id) -> hash(part + '@' + id))
-                        .thenComparing(id -> id));
+    private static boolean ranksBefore(Candidate c, Candidate other, int part) {
+        int order = Integer.compare(rank(c, part), rank(other, part));
+        return order > 0 || order == 0 && c.id().compareTo(other.id()) < 0;
     }
 
-    private static int hash(String text) {
-        return MurmurHash3.hash32x86(text.getBytes(StandardCharsets.UTF_8)) & Integer.MAX_VALUE;
+    private static int rank(Candidate c, int part) {
+        return MurmurHash3.hash32(part, c.id().hashCode());
     }
 
     /**
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/RequestHeads.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/RequestHeads.java
@@ -4,32 +4,50 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import java.util.ArrayList;
-import java.util.Arrays;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.stream.Stream;
 
 /** Reads the heads of callers' requests and makes those for endpoints. */
 public final class RequestHeads {
     private static final String LAST_EVENT_ID = "Last-Event-ID";
-    private static final List<String> HOP_BY_HOP = List.of(
-            "Connection",
-            "Keep-Alive",
-            "Proxy-Connection",
-            "Proxy-Authenticate",
-            "Proxy-Authorization",
-            "TE",
-            "Trailer",
-            "Transfer-Encoding",
-            "Upgrade",
-            "Expect",
-            "Content-Length");
+    private static final String BEARER = "Bearer ";
+    // In lower case, because names are compared without case.
+    private static final Set<String> HOP_BY_HOP = Set.of(
+            "connection",
+            "keep-alive",
+            "proxy-connection",
+            "proxy-authenticate",
+            "proxy-authorization",
+            "te",
+            "trailer",
+            "transfer-encoding",
+            "upgrade",
+            "expect",
+            "content-length");
 
     private final HeaderNames names;
+    private final Set<String> notForEndpoints;
 
     public RequestHeads(HeaderNames names) {
         this.names = names;
+        Set<String> dropped = new HashSet<>(HOP_BY_HOP);
+        Stream.concat(
+                        names.reserved().stream(),
+                        Stream.of(
+                                names.key(),
+                                names.account(),
+                                names.deadline(),
+                                names.expectedEndpoint(),
+                                names.urgency()))
+                .map(n -> n.toLowerCase(Locale.ROOT))
+                .forEach(dropped::add);
+        notForEndpoints = Set.copyOf(dropped);
     }
 
     /**
@@ -53,7 +71,8 @@
                 id,
                 String.valueOf(h.get(HttpHeaderNames.HOST)),
                 head.uri(),
-                Optional.ofNullable(h.get(names.key())).map(k -> k.replaceFirst("^Bearer ", "")),
+                Optional.ofNullable(h.get(names.key()))
+                        .map(k -> k.startsWith(BEARER) ? k.substring(BEARER.length()) : k),
                 number(h, names.deadline()),
                 usage(h),
                 parts(h),
@@ -62,19 +81,27 @@
 
     /** Fills in the headers of a request to an endpoint: the caller's, without those that only the system may set. */
     void pass(HttpHeaders from, HttpHeaders to) {
-        List<String> dropped = new ArrayList<>(HOP_BY_HOP);
-        from.getAll(HttpHeaderNames.CONNECTION).stream()
-                .flatMap(v -> Arrays.stream(v.split(",")))
-                .map(String::trim)
-                .forEach(dropped::add);
-        dropped.addAll(names.reserved());
-        dropped.addAll(
-                List.of(names.key(), names.account(), names.deadline(), names.expectedEndpoint(), names.urgency()));
-        from.forEach(e -> {
-            if (dropped.stream().noneMatch(d -> d.equalsIgnoreCase(e.getKey()))) {
+        Set<String> listed = listedAsHopByHop(from);
+        for (Map.Entry<String, String> e : from) {
+            String name = e.getKey().toLowerCase(Locale.ROOT);
+            if (!notForEndpoints.contains(name) && !listed.contains(name)) {
                 to.add(e.getKey(), e.getValue());
             }
-        });
+        }
+    }
+
+    /** Returns the names that the Connection header lists, in lower case. */
+    private static Set<String> listedAsHopByHop(HttpHeaders from) {
+        if (!from.contains(HttpHeaderNames.CONNECTION)) {
+            return Set.of();
+        }
+        Set<String> listed = new HashSet<>();
+        for (String value : from.getAll(HttpHeaderNames.CONNECTION)) {
+            for (String name : value.split(",")) {
+                listed.add(name.trim().toLowerCase(Locale.ROOT));
+            }
+        }
+        return listed;
     }
 
     /** Fills in the headers that the system sets. */
@@ -92,11 +119,11 @@
 
     /** Fills in the headers of an answer to a caller, without those that concern the endpoint's connection. */
     void answer(HttpHeaders from, HttpHeaders to) {
-        from.forEach(e -> {
-            if (HOP_BY_HOP.stream().noneMatch(d -> d.equalsIgnoreCase(e.getKey()))) {
+        for (Map.Entry<String, String> e : from) {
+            if (!HOP_BY_HOP.contains(e.getKey().toLowerCase(Locale.ROOT))) {
                 to.add(e.getKey(), e.getValue());
             }
-        });
+        }
     }
 
     boolean isProven(HttpHeaders answer) {
@@ -107,6 +134,11 @@
         return answer.contains(names.notRun());
     }
 
+    /** Tells whether an answer names the request that it belongs to. */
+    boolean namesRequest(HttpHeaders answer) {
+        return answer.contains(names.requestId());
+    }
+
     /** Tells whether an answer belongs to another request. */
     boolean isForeign(HttpHeaders answer, String requestId) {
         String echoed = answer.get(names.requestId());
@@ -163,6 +195,11 @@
     }
 
     private static boolean isVisible(String target) {
-        return Stream.of(target).flatMapToInt(String::chars).allMatch(c -> c > ' ' && c < 0x7f);
+        for (int i = 0; i < target.length(); i++) {
+            if (target.charAt(i) <= ' ' || target.charAt(i) >= 0x7f) {
+                return false;
+            }
+        }
+        return true;
     }
 }
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/RetryAllowance.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/RetryAllowance.java
@@ -4,18 +4,18 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.DoubleSupplier;
 
 /**
  * Decides whether a request may go to a second endpoint.
  *
  * <p>The load it answers: endpoints that fail together, where repeats would multiply the load. Each origin's repeats in
- * a window stay below a share of its requests plus a fixed part, which all routers of the fleet have together. A router
- * does not know how many others there are, so it takes a part that leaves room for a fleet of the size that is
- * configured. Times are monotonic nanoseconds.
+ * a window stay below a share of its requests plus a fixed part. The fixed part is divided among the routers that there
+ * are, or given to each. Times are monotonic nanoseconds.
  */
 public final class RetryAllowance {
     private final double ratio;
-    private final double slack;
+    private final DoubleSupplier slack;
     private final long windowNanos;
     private final Map<String, Window> origins = new HashMap<>();
 
@@ -23,10 +23,10 @@
      * Creates an allowance.
      *
      * @param ratio repeats for each request
-     * @param slack repeats in a window without any request, for this router
+     * @param slack repeats in a window without any request that this router may take now
      * @param windowNanos length of the window
      */
-    public RetryAllowance(double ratio, double slack, long windowNanos) {
+    public RetryAllowance(double ratio, DoubleSupplier slack, long windowNanos) {
         this.ratio = ratio;
         this.slack = slack;
         this.windowNanos = windowNanos;
@@ -40,7 +40,7 @@
     /** Takes a repeat out of the allowance, if there is one left. */
     public boolean take(String origin, long now) {
         Window w = window(origin, now);
-        if (w.repeats.size() + 1 > ratio * w.requests.size() + slack) {
+        if (w.repeats.size() + 1 > ratio * w.requests.size() + slack.getAsDouble()) {
             return false;
         }
         w.repeats.add(now);
--- a/router/src/main/java/org/ragwortrun/router/internal/ledger/Declarations.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/ledger/Declarations.java
@@ -10,6 +10,7 @@
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.ragwortrun.core.concurrent.Duty;
 import org.ragwortrun.core.log.Event;
 import org.ragwortrun.ledger.GrantPool;
 import org.ragwortrun.ledger.Reservation;
@@ -28,7 +29,7 @@
     // Several times the round trip with a write to disk; a request that waits longer would miss its aim.
     private static final Duration TIMEOUT = Duration.ofMillis(250);
     // The shard measures the time since a router's last declaration, so that a quiet one must be heard too.
-    private static final long BEAT_MS = 300;
+    private static final long BEAT_MS = 450;
     private static final long RETRY_MS = 25;
 
     private final GrantPool pool;
@@ -42,7 +43,7 @@
         this.shards = shards;
         this.timer = timer;
         this.incarnation = incarnation;
-        timer.scheduleWithFixedDelay(this::beat, BEAT_MS, BEAT_MS, TimeUnit.MILLISECONDS);
+        Duty.repeat(timer, this::beat, BEAT_MS, BEAT_MS);
     }
 
     /** A reservation that waits to be declared, and who waits for it. */
--- a/router/src/main/java/org/ragwortrun/router/internal/ledger/GrantClient.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/ledger/GrantClient.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutionException;
@@ -20,6 +21,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.jspecify.annotations.Nullable;
+import org.ragwortrun.core.concurrent.Duty;
 import org.ragwortrun.core.log.Event;
 import org.ragwortrun.core.refusal.Refusal;
 import org.ragwortrun.core.refusal.RefusalReason;
@@ -45,10 +47,14 @@
     private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
     // A router that is cut off has others beside it that are not; a caller that comes back at once is served in time.
     private static final Duration RETRY_ELSEWHERE = Duration.ofMillis(50);
+    private static final long LONGEST_LATER_MS = 3_000;
     private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(3);
     private static final long RESEND_MS = 1_000;
     private static final long PAUSE_MS = 30;
     private static final int MAX_PAUSES = 10;
+    // A holder answers a recall within one pause; what it has not returned after three is in use or out of reach, and
+    // the caller is better told so at once.
+    private static final int MOST_HELD_ANSWERS = 3;
 
     private final GrantPool pool;
     private final Shards shards;
@@ -60,6 +66,8 @@
     private final BooleanSupplier settled;
     private final HeldReservations held;
     private final AtomicInteger open = new AtomicInteger();
+    private final int mostHeldAnswers;
+    private volatile BooleanSupplier isHome = () -> false;
     private final @Nullable Declarations declarations;
 
     /**
@@ -87,8 +95,9 @@
         this.agents = agents;
         this.settled = settled;
         this.held = held;
+        mostHeldAnswers = sessions.isDirect() ? MOST_HELD_ANSWERS : Integer.MAX_VALUE;
         declarations = sessions.isDirect() ? new Declarations(pool, shards, timer, sessions.incarnation()) : null;
-        timer.scheduleWithFixedDelay(this::maintain, RESEND_MS, RESEND_MS, TimeUnit.MILLISECONDS);
+        Duty.repeat(timer, this::maintain, RESEND_MS, RESEND_MS);
     }
 
     @Override
@@ -131,11 +140,12 @@
             if (allowed) {
                 result.complete(handle);
             } else {
+                Duration later = retryAfter(pool.unacknowledgedAfter(reservation));
                 handle.release();
                 result.completeExceptionally(new RefusedException(Refusal.notRun(
                         RefusalReason.BUDGET_UNREACHABLE,
                         "the owner of the budget is away, and no more may be spent without it now",
-                        retryAfter())));
+                        later)));
             }
         });
         return result;
@@ -146,6 +156,11 @@
         pool.recall(budget).ifPresent(this::reduce);
     }
 
+    /** Sets what tells whether this host reserves for others, which then have no tokens of their own to speak of. */
+    public void reservesForOthers(BooleanSupplier condition) {
+        isHome = condition;
+    }
+
     /** Returns the number of reservations whose bill is not known. */
     public int heldReservations() {
         return held.size();
@@ -172,6 +187,14 @@
         }
     }
 
+    /** Tells a caller when this host can serve; where others take reservations for all, no other can sooner. */
+    private Duration retryAfter(OptionalLong laterMs) {
+        return isHome.getAsBoolean() && shards.isCutOff() && laterMs.isPresent()
+                ? Duration.ofMillis(
+                        Math.max(RETRY_ELSEWHERE.toMillis(), Math.min(LONGEST_LATER_MS, laterMs.getAsLong())))
+                : retryAfter();
+    }
+
     private Duration retryAfter() {
         return shards.isCutOff() ? RETRY_ELSEWHERE : RETRY_AFTER;
     }
@@ -332,7 +355,8 @@
                 // A recall is under way and running requests return what they do not use, so it waits.
                 noteHeld(answer);
             }
-            return answer.getOutcome() == GrantResult.Outcome.SPENT
+            return heldAnswers() >= mostHeldAnswers
+                    || answer.getOutcome() == GrantResult.Outcome.SPENT
                     || answer.getOutcome() == GrantResult.Outcome.UNKNOWN_BUDGET
                     || answer.getOutcome() == GrantResult.Outcome.UNKNOWN_SESSION;
         }
--- a/router/src/main/java/org/ragwortrun/router/internal/ledger/SettlementQueue.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/ledger/SettlementQueue.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
@@ -43,6 +44,8 @@
     private final Consumer<Usage> billed;
     private final Map<Integer, WaitQueue> queues = new ConcurrentHashMap<>();
     private final AtomicInteger pending = new AtomicInteger();
+    private final AtomicBoolean scheduled = new AtomicBoolean();
+    private final ScheduledExecutorService timer;
 
     /**
      * Creates a queue that sends on the timer's thread.
@@ -63,7 +66,7 @@
         this.closeTimeout = closeTimeout;
         this.time = time;
         this.billed = billed;
-        timer.scheduleWithFixedDelay(this::sendAll, PERIOD_MS, PERIOD_MS, TimeUnit.MILLISECONDS);
+        this.timer = timer;
     }
 
     /** Queues the usage of one finished request. */
@@ -75,6 +78,14 @@
             pending.decrementAndGet();
             Event.of("settlement-dropped").with("request", usage.getRequestId()).warn(LOG);
         }
+        sendSoon();
+    }
+
+    /** Sends what waits after a short pause, in which more may come. A queue without reports costs nothing. */
+    private void sendSoon() {
+        if (!timer.isShutdown() && scheduled.compareAndSet(false, true)) {
+            timer.schedule(this::sendAll, PERIOD_MS, TimeUnit.MILLISECONDS);
+        }
     }
 
     /** Returns how many reports wait for an acknowledgement. */
@@ -95,6 +106,7 @@
     }
 
     private void sendAll() {
+        scheduled.set(false);
         queues.values().forEach(WaitQueue::send);
     }
 
@@ -128,6 +140,9 @@
                 if (result != null && result.hasSettled()) {
                     acknowledged(result.getSettled().getRejectedList());
                 }
+                if (pending.get() > 0) {
+                    sendSoon();
+                }
             });
         }
 
--- /dev/null
+++ b/router/src/main/java/org/ragwortrun/router/internal/pool/Spending.java
@@ -0,0 +1,12 @@
+package org.ragwortrun.router.internal.pool;
+
+import org.ragwortrun.proto.Usage;
+
+/** Tokens that are reserved for one request. The first of its ending methods counts. */
+public interface Spending {
+    /** Ends the reservation with what the request used, and reports the bill. */
+    void bill(Usage.Builder usage);
+
+    /** Ends the reservation of a request that certainly did not run. */
+    void release();
+}
