--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
@@ -50,7 +50,10 @@
 import org.ragwortrun.router.internal.ledger.Sessions;
 import org.ragwortrun.router.internal.ledger.SettlementQueue;
 import org.ragwortrun.router.internal.ledger.Shards;
+import org.ragwortrun.router.internal.pool.HomeServer;
 import org.ragwortrun.router.internal.pool.LocalTokens;
+import org.ragwortrun.router.internal.pool.PeerLinks;
+import org.ragwortrun.router.internal.pool.PooledTokens;
 import org.ragwortrun.router.internal.pool.TokenSource;
 
 /** Builds the parts of a router that forwards to origins, and ends them in order. */
@@ -69,6 +72,7 @@
     private final ForwardSettings settings;
     private final Time time;
     private final ForwardFront front;
+    private final HomeServer home;
     private final EventLoop loop;
     private final Closer listeners;
     private final Closer closer;
@@ -77,12 +81,14 @@
             ForwardSettings settings,
             Time time,
             ForwardFront front,
+            HomeServer home,
             EventLoop loop,
             Closer listeners,
             Closer closer) {
         this.settings = settings;
         this.time = time;
         this.front = front;
+        this.home = home;
         this.loop = loop;
         this.listeners = listeners;
         this.closer = closer;
@@ -148,7 +154,16 @@
                 new HeldReservations(control, shards)));
         closer.register(settlements);
         LocalTokens local = new LocalTokens(grants, settlements, incarnation);
+        HomeServer home = new HomeServer(local, time);
         TokenSource tokens = local;
+        if (settings.peers().isPresent()) {
+            PeerLinks links = closer.register(new PeerLinks(transport));
+            pushes.peers(links);
+            grants.reservesForOthers(links::hasHomes);
+            tokens = new PooledTokens(settings.name(), incarnation, local, links, timer, time);
+            closer.register(transport.listen(settings.peers().get(), home));
+            Duty.repeat(timer, home, SECOND_MS, SECOND_MS);
+        }
         EvidenceCollector evidence = new EvidenceCollector(control);
         UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create();
         ForwardServices services = new ForwardServices(
@@ -177,6 +192,7 @@
         Duty.repeat(loop, endpoints::closeExpired, SECOND_MS, SECOND_MS);
         readOwnList(source, endpoints, loop, closer);
         metrics.gauge("running_requests", "Requests that have not ended", front::active);
+        metrics.gauge("peer_reservations", "Reservations of other routers that have not ended", home::open);
         metrics.gauge("pending_settlements", "Bills that no shard has acknowledged", settlements::pending);
         ProblemWriter problems = new ProblemWriter(new ObjectMapper());
         Closer listeners = closer.register(new Closer());
@@ -193,7 +209,7 @@
                 .with("callers", settings.callers())
                 .with("control", settings.members().values())
                 .info(LOG);
-        return new ForwardRouter(settings, time, front, loop, listeners, closer);
+        return new ForwardRouter(settings, time, front, home, loop, listeners, closer);
     }
 
     private static void readOwnList(EndpointSource source, EndpointTable endpoints, EventLoop loop, Closer closer) {
@@ -262,6 +278,7 @@
     @Override
     public void close() {
         front.stop();
+        home.stop();
         Event.of("router-stopping").with("running", front.active()).info(LOG);
         long begin = time.nanos();
         try {
@@ -292,6 +309,7 @@
                 .setIncarnation(incarnation)
                 .setRole(Role.ROUTER)
                 .setDataCenter(settings.dataCenter())
+                .setAddress(settings.peers().map(Address::toString).orElse(""))
                 .build();
     }
 }
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/Pushes.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/Pushes.java
@@ -1,19 +1,33 @@
 package org.ragwortrun.router.internal.forward;
 
 import io.netty.channel.EventLoop;
+import java.util.ArrayList;
+import java.util.List;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.jspecify.annotations.Nullable;
+import org.ragwortrun.core.log.Event;
+import org.ragwortrun.net.Address;
+import org.ragwortrun.net.AddressException;
 import org.ragwortrun.net.FrameHandler;
 import org.ragwortrun.net.Peer;
 import org.ragwortrun.net.control.ConfigWatch;
+import org.ragwortrun.proto.EndpointList;
 import org.ragwortrun.proto.Frame;
+import org.ragwortrun.proto.RouterAddress;
 import org.ragwortrun.router.internal.ledger.Grants;
+import org.ragwortrun.router.internal.pool.PeerLinks;
+import org.ragwortrun.router.internal.pool.RouterPeer;
 
 /** Hands frames that control members push to their receivers. */
 final class Pushes implements FrameHandler {
+    private static final Logger LOG = LogManager.getLogger(Pushes.class);
+
     private final EventLoop loop;
     private final EndpointTable endpoints;
     private volatile @Nullable ConfigWatch watch;
     private volatile @Nullable Grants grants;
+    private volatile @Nullable PeerLinks links;
 
     Pushes(EventLoop loop, EndpointTable endpoints) {
         this.loop = loop;
@@ -25,6 +39,29 @@
         grants = pool;
     }
 
+    /** Sets who hears of the routers that take reservations. */
+    void peers(PeerLinks receiver) {
+        links = receiver;
+    }
+
+    private void updatePeers(EndpointList list) {
+        PeerLinks l = links;
+        if (l == null) {
+            return;
+        }
+        List<RouterPeer> peers = new ArrayList<>();
+        for (RouterAddress r : list.getPeersList()) {
+            try {
+                peers.add(new RouterPeer(r.getName(), r.getDataCenter(), Address.parse(r.getAddress())));
+            } catch (AddressException e) {
+                Event.of("router-address-unreadable")
+                        .with("router", r.getName())
+                        .warn(LOG, e);
+            }
+        }
+        l.update(peers);
+    }
+
     @Override
     public void onFrame(Peer peer, Frame frame) {
         ConfigWatch w = watch;
@@ -34,7 +71,12 @@
         } else if (frame.hasConfigUpdate() && w != null) {
             w.onPush(frame);
         } else if (frame.hasEndpointList()) {
-            loop.execute(() -> endpoints.apply(frame.getEndpointList()));
+            EndpointList list = frame.getEndpointList();
+            loop.execute(() -> {
+                if (endpoints.apply(list) && !list.getUnchanged()) {
+                    updatePeers(list);
+                }
+            });
         }
     }
 }
