--- a/router/src/main/java/org/ragwortrun/router/internal/forward/CallerConnection.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/CallerConnection.java
@@ -167,7 +167,8 @@
             if (waiting.size() >= MOST_AHEAD) {
                 ctx.channel().config().setAutoRead(false);
             }
-            next();
+            // After all that has arrived is read: a request may have waited here while its caller left.
+            ctx.executor().execute(this::next);
         }
     }
 
@@ -177,6 +178,10 @@
         if (w == null || ctx == null) {
             return;
         }
+        if (!ctx.channel().isActive()) {
+            w.body().release();
+            return;
+        }
         ctx.channel().config().setAutoRead(true);
         served = w;
         answerBegun = false;
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelInitializer;
@@ -254,6 +255,9 @@
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                // Reads to the end of what has arrived, so that a close behind a request is seen with it.
+                .childOption(
+                        ChannelOption.RCVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false))
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel ch) {
