--- a/core/src/main/java/org/ragwortrun/core/config/Configuration.java
+++ b/core/src/main/java/org/ragwortrun/core/config/Configuration.java
@@ -143,6 +143,11 @@
         return budgets.values();
     }
 
+    /** Returns the budget of a client account for one service or, with {@link Budget#ALL_ORIGINS}, for all origins. */
+    public Optional<Budget> budget(String account, String service) {
+        return Optional.ofNullable(budgets.get(budgetKey(account, service)));
+    }
+
     public Collection<Service> services() {
         return services.values();
     }
--- a/ledger/src/main/java/org/ragwortrun/ledger/internal/BudgetAccount.java
+++ b/ledger/src/main/java/org/ragwortrun/ledger/internal/BudgetAccount.java
@@ -186,7 +186,9 @@
         if (size >= ask.getMinimum()) {
             return granted(size);
         }
-        GrantResult.Outcome outcome = outstanding > 0 ? GrantResult.Outcome.HELD : GrantResult.Outcome.SPENT;
+        // What is out may come back. A request that is larger than all of it would wait in vain.
+        boolean mayFit = outstanding > 0 && ask.getMinimum() <= available() + outstanding;
+        GrantResult.Outcome outcome = mayFit ? GrantResult.Outcome.HELD : GrantResult.Outcome.SPENT;
         GrantResult.Builder refused = GrantResult.newBuilder().setOutcome(outcome);
         holdings.keySet().stream().filter(h -> !h.equals(ask.getIncarnation())).forEach(refused::addHolders);
         return refused.build();
--- a/ledger/src/test/java/org/ragwortrun/ledger/DirectSessionTest.java
+++ b/ledger/src/test/java/org/ragwortrun/ledger/DirectSessionTest.java
@@ -148,6 +148,14 @@
         assertThat(grant("r@1-3", 100, 100, 0).getOutcome()).isEqualTo(GrantResult.Outcome.GRANTED);
     }
 
+    /** Guards against a request that waits for tokens although all that is out would not suffice. */
+    @Test
+    void whatExceedsAllThatMayComeBackIsRefusedForGood() {
+        grant("r@1-1", 0, 400_000, 0);
+        assertThat(grant("r@1-2", 1_000_000, 1_000_000, 0).getOutcome()).isEqualTo(GrantResult.Outcome.HELD);
+        assertThat(grant("r@1-3", 1_000_001, 1_000_001, 0).getOutcome()).isEqualTo(GrantResult.Outcome.SPENT);
+    }
+
     @Test
     void routersShareInProportionToTheirTargets() {
         open("q@1", 0);
--- a/ledger/src/test/java/org/ragwortrun/ledger/NaiveShard.java
+++ b/ledger/src/test/java/org/ragwortrun/ledger/NaiveShard.java
@@ -144,7 +144,8 @@
         }
         long available = prepaid(account) - settled(account) - held(account);
         if (available < ask.getMinimum()) {
-            GrantResult.Outcome o = held(account) > 0 ? GrantResult.Outcome.HELD : GrantResult.Outcome.SPENT;
+            boolean mayFit = held(account) > 0 && ask.getMinimum() <= prepaid(account) - settled(account);
+            GrantResult.Outcome o = mayFit ? GrantResult.Outcome.HELD : GrantResult.Outcome.SPENT;
             refused.put(ask.getGrantId(), o);
             return answer(o, 0);
         }
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardFront.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardFront.java
@@ -14,6 +14,7 @@
 import org.apache.logging.log4j.Logger;
 import org.jspecify.annotations.Nullable;
 import org.ragwortrun.core.config.Account;
+import org.ragwortrun.core.config.Budget;
 import org.ragwortrun.core.config.CallerLimits;
 import org.ragwortrun.core.config.Configuration;
 import org.ragwortrun.core.config.Forward;
@@ -175,6 +176,9 @@
                 .find(request.host(), request.path())
                 .orElseThrow(() -> refused(RefusalReason.UNKNOWN_ROUTE, "no route has this host and path"));
         Optional<Account> account = account(configuration, route, request);
+        if (exceedsPrepaid(configuration, account, request)) {
+            throw refused(RefusalReason.BUDGET_SPENT, "the request may consume more than the whole prepaid budget");
+        }
         Origin origin = picker.draw(route.shares())
                 .flatMap(configuration::origin)
                 .orElseThrow(() -> later(RefusalReason.NO_ENDPOINT, "the route leads to no origin"));
@@ -191,6 +195,16 @@
         return account;
     }
 
+    private static boolean exceedsPrepaid(
+            Configuration configuration, Optional<Account> account, CallerRequest request) {
+        long most = request.usage().map(TokenUsage::most).orElse(0L);
+        return account.filter(Account::metered)
+                .flatMap(a -> configuration.budget(a.name(), Budget.ALL_ORIGINS))
+                .map(Budget::total)
+                .filter(t -> t.isPresent() && most > t.getAsLong())
+                .isPresent();
+    }
+
     private static RefusedException refused(RefusalReason reason, String detail) {
         return new RefusedException(Refusal.notRun(reason, detail));
     }
--- a/router/src/test/java/org/ragwortrun/router/ForwardDaemonTest.java
+++ b/router/src/test/java/org/ragwortrun/router/ForwardDaemonTest.java
@@ -57,6 +57,7 @@
         route("guide", "/guide/", "stream", "yes");
         route("draft", "/draft/", "stream", "no");
         control.section("account", "c", Map.of("keys", Digests.apiKey("secret"), "metered", "yes"));
+        control.section("budget", "c", Map.of("prepaid", "1000"));
         pay(1_000);
         Transport transport = closer.register(new Transport(
                 Hello.newBuilder().setName("c1").setRole(Role.CONTROL).build(), 1));
@@ -376,6 +377,15 @@
         assertThat(sent()).hasSize(1);
     }
 
+    /** Guards against a caller who waits for the owner of the budget, or comes back, with what can never be served. */
+    @Test
+    void whatExceedsTheWholeBudgetIsRefusedWithoutItsOwner() throws IOException {
+        assertThat(call("/read/", "Ragwortrun-Usage: 900,101\r\n")).startsWith("HTTP/1.1 402");
+        assertThat(control.commands.stream().anyMatch(ShardCommand::hasRequestGrant))
+                .isFalse();
+        assertThat(sent()).isEmpty();
+    }
+
     /** Guards against reservations that the ledger does not know of when their request runs. */
     @Test
     void declaresReservationsBeforeRequestsAreSent() throws IOException {
