--- a/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointConnection.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointConnection.java
@@ -12,6 +12,8 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.jspecify.annotations.Nullable;
@@ -29,6 +31,8 @@
     // A connection is left this long before its endpoint closes it, so that a request does not cross the close.
     private static final long MARGIN_NANOS = 700_000_000L;
     private static final long MOST_SKIPPED_BYTES = 64 << 10;
+    // The body of a refusal is short and follows its head.
+    private static final long SKIP_LIMIT_MS = 1_000;
     private static final long DEFAULT_IDLE_NANOS = 4 * SECOND_NANOS;
 
     private final Time time;
@@ -44,6 +48,7 @@
     private boolean failed;
     private boolean written;
     private long usableUntil;
+    private @Nullable ScheduledFuture<?> skipLimit;
 
     EndpointConnection(Time time, RequestHeads heads, EndpointConnections owner) {
         super(HttpObject.class);
@@ -89,10 +94,17 @@
         }
     }
 
-    /** Reads over the rest of the answer, of which the head says all. The connection is used again after it. */
+    /**
+     * Reads over the rest of the answer, of which the head says all. The connection is used again after it, or closed if
+     * the rest does not come in time.
+     */
     void discardRest() {
         listener = null;
         skipping = true;
+        Channel c = channel;
+        if (c != null) {
+            skipLimit = c.eventLoop().schedule(this::close, SKIP_LIMIT_MS, TimeUnit.MILLISECONDS);
+        }
     }
 
     /** Ends the connection, so that the endpoint drops the request that it runs. */
@@ -174,11 +186,19 @@
             skipping = false;
             skipped = 0;
             if (listener == null) {
+                endSkipLimit();
                 free(ctx);
             }
         }
     }
 
+    private void endSkipLimit() {
+        if (skipLimit != null) {
+            skipLimit.cancel(false);
+            skipLimit = null;
+        }
+    }
+
     private void free(ChannelHandlerContext ctx) {
         if (reusable && written && ctx.channel().isActive()) {
             ctx.channel().config().setAutoRead(true);
@@ -191,6 +211,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         owner.closed(this);
+        endSkipLimit();
         AnswerListener l = listener;
         listener = null;
         if (l != null) {
--- a/router/src/test/java/org/ragwortrun/router/ForwardDaemonTest.java
+++ b/router/src/test/java/org/ragwortrun/router/ForwardDaemonTest.java
@@ -237,6 +237,18 @@
         assertThat(System.nanoTime() - start).isLessThan(TimeUnit.SECONDS.toNanos(2));
     }
 
+    /** Guards against connections that stay open, and counted, because the body of a refusal never comes. */
+    @Test
+    void aRefusalWhoseBodyStallsEndsItsConnection() throws Exception {
+        both((request, out) -> {
+            write(out, "HTTP/1.1 503 No\r\nRagwortrun-Not-Run: 1\r\nContent-Length: 9\r\n\r\nhalf");
+            return true;
+        });
+        assertThat(call("/order/", "")).startsWith("HTTP/1.1 503");
+        assertThat(first.callerLeft.await(TIMEOUT_MS, TimeUnit.MILLISECONDS)).isTrue();
+        assertThat(second.callerLeft.await(TIMEOUT_MS, TimeUnit.MILLISECONDS)).isTrue();
+    }
+
     /** Guards against streams that never end because their endpoint sends a byte now and then. */
     @Test
     void aStreamThatOnlyDripsEndsAtItsTimeLimit() throws Exception {
