--- a/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
@@ -76,6 +76,7 @@
     private int runs;
     private int tries;
     private boolean answering;
+    private boolean served;
     private boolean over;
     private long firstByteNanos;
     private String lastCause = "";
@@ -303,12 +304,13 @@
         ended.run();
     }
 
+    /** Bills what the caller got. Until the first part of a successful answer, nothing has been consumed. */
     private long bill(@Nullable Attempt last, int status) {
         Spending r = reservation;
         if (r == null) {
             return 0;
         }
-        if (runs == 0 || last == null) {
+        if (!served || last == null) {
             r.release();
             return 0;
         }
@@ -524,6 +526,7 @@
 
         private void startAnswer(HttpResponse r) {
             answering = true;
+            served = isSuccess();
             firstByteNanos = services.time().nanos();
             answer.head(r);
         }
--- a/router/src/test/java/org/ragwortrun/router/ForwardDaemonTest.java
+++ b/router/src/test/java/org/ragwortrun/router/ForwardDaemonTest.java
@@ -389,6 +389,33 @@
         assertThat(sent()).hasSize(1);
     }
 
+    /** Guards against a budget that is spent by requests of which no caller got anything. */
+    @Test
+    void whatNoCallerGotIsNotBilled() throws IOException {
+        both((request, out) -> false);
+        assertThat(call("/order/", "Ragwortrun-Usage: 900,50\r\n")).startsWith("HTTP/1.1 502");
+        both((request, out) -> {
+            write(out, ok(id(request), "failed").replace("200 OK", "500 No"));
+            return true;
+        });
+        assertThat(call("/order/", "Ragwortrun-Usage: 900,50\r\n")).startsWith("HTTP/1.1 500");
+        both(ForwardDaemonTest::echo);
+        assertThat(call("/read/", "Ragwortrun-Usage: 900,50\r\n")).startsWith("HTTP/1.1 200");
+    }
+
+    /** Guards against overspend by streams that break: the caller got a part, so the prompt and that part count. */
+    @Test
+    void aPartOfAStreamIsBilledWithItsPrompt() throws IOException {
+        both((request, out) -> {
+            write(out, streamHead(id(request)) + chunk("id: 1\ndata: a\n\n"));
+            return false;
+        });
+        assertThat(call("/draft/", "Ragwortrun-Usage: 900,50\r\n")).contains("id: 1\ndata: a");
+        both(ForwardDaemonTest::echo);
+        assertThat(call("/read/", "Ragwortrun-Usage: 50,49\r\n")).startsWith("HTTP/1.1 402");
+        assertThat(call("/read/", "Ragwortrun-Usage: 50,48\r\n")).startsWith("HTTP/1.1 200");
+    }
+
     /** Guards against a caller who waits for the owner of the budget, or comes back, with what can never be served. */
     @Test
     void whatExceedsTheWholeBudgetIsRefusedWithoutItsOwner() throws IOException {
