--- a/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
@@ -319,7 +319,7 @@
         long tokens = usage.prompt() + output;
         r.bill(Usage.newBuilder()
                 .setBudget(budget().orElse(BudgetRef.getDefaultInstance()))
-                .setRequestId(request.id())
+                .setRequestId(services.bills().next(request.id()))
                 .setTokens(tokens)
                 .setPromptTokens(usage.prompt())
                 .setOutputTokens(output)
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
@@ -168,8 +168,7 @@
         EvidenceCollector evidence = new EvidenceCollector(control);
         UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create();
         ForwardServices services = new ForwardServices(
-                settings.name(),
-                incarnation,
+                new BillIds(incarnation),
                 settings.dataCenter(),
                 watch::latest,
                 endpoints,
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardServices.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardServices.java
@@ -13,8 +13,7 @@
 /**
  * What exchanges of one router share.
  *
- * @param name name of this router
- * @param incarnation incarnation of this process
+ * @param bills names of bills
  * @param dataCenter data center of this router
  * @param configuration newest configuration, if one is known
  * @param endpoints endpoints of all origins
@@ -28,8 +27,7 @@
  * @param random numbers from 0 to below 1
  */
 record ForwardServices(
-        String name,
-        String incarnation,
+        BillIds bills,
         String dataCenter,
         Supplier<Optional<Configuration>> configuration,
         EndpointTable endpoints,
--- a/router/src/test/java/org/ragwortrun/router/ForwardDaemonTest.java
+++ b/router/src/test/java/org/ragwortrun/router/ForwardDaemonTest.java
@@ -403,6 +403,15 @@
         assertThat(call("/read/", "Ragwortrun-Usage: 900,50\r\n")).startsWith("HTTP/1.1 200");
     }
 
+    /** Guards against overspend by a caller that gives all its requests the same id. */
+    @Test
+    void requestsOfOneIdAreAllBilled() throws IOException {
+        for (int i = 0; i < 3; i++) {
+            assertThat(call("/read/", "Ragwortrun-Usage: 300,0\r\n")).startsWith("HTTP/1.1 200");
+        }
+        assertThat(call("/read/", "Ragwortrun-Usage: 300,0\r\n")).startsWith("HTTP/1.1 402");
+    }
+
     /** Guards against overspend by streams that break: the caller got a part, so the prompt and that part count. */
     @Test
     void aPartOfAStreamIsBilledWithItsPrompt() throws IOException {
