--- a/router/src/main/java/org/ragwortrun/router/internal/forward/CallerConnection.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/CallerConnection.java
@@ -97,13 +97,15 @@
         }
     }
 
-    /** Closes the connection with what runs on it. */
+    /** Gives up what runs on the connection, answers that, and closes the connection. */
     void cutOff() {
+        closing = true;
         Exchange e = exchange;
-        if (e != null) {
-            e.cancel();
+        if (e == null) {
+            breakOff();
+        } else {
+            e.stop();
         }
-        breakOff();
     }
 
     @Override
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
@@ -65,7 +65,7 @@
     private final Optional<Account> account;
     private final CallerAnswer answer;
     private final OriginPicker picker;
-    private final Runnable ended;
+    private final Observer observer;
     private final long startNanos;
     private final long limitNanos;
     private final Set<String> tried = new HashSet<>();
@@ -91,7 +91,7 @@
             Origin origin,
             Optional<Account> account,
             CallerAnswer answer,
-            Runnable ended) {
+            Observer observer) {
         this.services = services;
         this.request = request;
         this.head = head;
@@ -100,7 +100,7 @@
         this.origin = origin;
         this.account = account;
         this.answer = answer;
-        this.ended = ended;
+        this.observer = observer;
         picker = new OriginPicker(services.random());
         startNanos = services.time().nanos();
         long deadlineMs = request.deadlineMs().orElse(Long.MAX_VALUE);
@@ -130,6 +130,22 @@
                 });
     }
 
+    /** Hears of the end of an exchange. */
+    interface Observer {
+        /** Notes how long an answered request took. */
+        void answered(long tookNanos);
+
+        /** Notes that the exchange is over, answered or not. */
+        void ended();
+    }
+
+    /** Ends the exchange because its host stops, with what is known about its run. */
+    void stop() {
+        if (!over) {
+            giveUp("host-stops");
+        }
+    }
+
     /** Ends the exchange because the caller has left. */
     void cancel() {
         if (over) {
@@ -301,7 +317,7 @@
         log(outcome, status, last, tokens);
         body.release();
         events.close();
-        ended.run();
+        observer.ended();
     }
 
     /** Bills what the caller got. Until the first part of a successful answer, nothing has been consumed. */
@@ -585,6 +601,7 @@
                 }
             }
             answer.end();
+            observer.answered(services.time().nanos() - startNanos);
             finish("answered", r.status().code());
         }
 
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardFront.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardFront.java
@@ -46,7 +46,9 @@
         }
     };
     private volatile boolean stopping;
-    private boolean ended;
+    private final StopAdmission stops = new StopAdmission();
+    private boolean limited;
+    private long endNanos;
     private volatile int active;
 
     ForwardFront(ForwardServices services) {
@@ -111,15 +113,16 @@
     }
 
     /**
-     * Refuses requests from now on, since there is no time left to serve them. Connections without a request are closed,
-     * the others after their request.
+     * Refuses from now on what would not end before a time. Connections without a request are closed, the others after
+     * their request.
      */
-    void endAdmission() {
-        ended = true;
+    void limitAdmission(long end) {
+        limited = true;
+        endNanos = end;
         List.copyOf(connections).forEach(CallerConnection::closeWhenIdle);
     }
 
-    /** Closes all connections with what runs on them. */
+    /** Ends what still runs, and closes all connections. */
     void cutOff() {
         List.copyOf(connections).forEach(CallerConnection::cutOff);
     }
@@ -156,10 +159,6 @@
     }
 
     private Exchange admit(HttpRequest head, ByteBuf body, CallerAnswer answer) throws RefusedException {
-        if (ended) {
-            throw new RefusedException(Refusal.notRun(
-                    RefusalReason.STOPPING, "this host is about to stop; others serve", RETRY_ELSEWHERE));
-        }
         CallerRequest request;
         try {
             request = services.heads().read(head);
@@ -175,6 +174,14 @@
                 .forwards()
                 .find(request.host(), request.path())
                 .orElseThrow(() -> refused(RefusalReason.UNKNOWN_ROUTE, "no route has this host and path"));
+        if (limited
+                && !stops.takes(
+                        route.name(),
+                        route.timeout(),
+                        endNanos - services.time().nanos())) {
+            throw new RefusedException(Refusal.notRun(
+                    RefusalReason.STOPPING, "this host is about to stop; others serve", RETRY_ELSEWHERE));
+        }
         Optional<Account> account = account(configuration, route, request);
         if (exceedsPrepaid(configuration, account, request)) {
             throw refused(RefusalReason.BUDGET_SPENT, "the request may consume more than the whole prepaid budget");
@@ -182,7 +189,17 @@
         Origin origin = picker.draw(route.shares())
                 .flatMap(configuration::origin)
                 .orElseThrow(() -> later(RefusalReason.NO_ENDPOINT, "the route leads to no origin"));
-        return new Exchange(services, request, head, body, route, origin, account, answer, () -> active--);
+        return new Exchange(services, request, head, body, route, origin, account, answer, new Exchange.Observer() {
+            @Override
+            public void answered(long tookNanos) {
+                stops.answered(route.name(), tookNanos);
+            }
+
+            @Override
+            public void ended() {
+                active--;
+            }
+        });
     }
 
     private Optional<Account> account(Configuration configuration, Forward route, CallerRequest request)
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
@@ -62,6 +62,7 @@
     private static final Logger LOG = LogManager.getLogger(ForwardRouter.class);
     private static final Duration CONFIRM_INTERVAL = Duration.ofSeconds(1);
     private static final Duration SETTLE_TIMEOUT = Duration.ofMillis(500);
+    private static final long LAST_NANOS = 200_000_000L;
     private static final long SECOND_MS = 1_000;
     private static final long STOP_POLL_MS = 20;
     // A restarted router serves before the next leader is elected.
@@ -287,8 +288,12 @@
         try {
             // A balancer needs some checks to turn away, and connections that it still opens must be served.
             sleepUntil(begin + settings.stopLinger().toNanos(), false);
-            loop.execute(front::endAdmission);
-            sleepUntil(begin + settings.stopTimeout().toNanos(), true);
+            long end = begin + settings.stopTimeout().toNanos();
+            loop.execute(() -> front.limitAdmission(end));
+            sleepUntil(end - LAST_NANOS, true);
+            // What arrives from now on is refused, so that nothing is taken between the last look and the end.
+            loop.submit(() -> front.limitAdmission(time.nanos())).awaitUninterruptibly(SECOND_MS);
+            sleepUntil(end, true);
             listeners.close();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
--- a/router/src/test/java/org/ragwortrun/router/ForwardDaemonTest.java
+++ b/router/src/test/java/org/ragwortrun/router/ForwardDaemonTest.java
@@ -368,6 +368,53 @@
         stopped.get(TIMEOUT_MS, TimeUnit.MILLISECONDS);
     }
 
+    /** Guards against callers who are turned away although there is time enough to serve them. */
+    @Test
+    void aShortRequestIsServedWhileAStopWaitsForALongOne() throws Exception {
+        for (int i = 0; i < 8; i++) {
+            call("/read/", "");
+        }
+        CountDownLatch held = new CountDownLatch(1);
+        both((request, out) -> {
+            if (request.contains("/order/")) {
+                await(held);
+            }
+            return echo(request, out);
+        });
+        CompletableFuture<String> before = CompletableFuture.supplyAsync(() -> unchecked(() -> call("/order/", "")));
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MS);
+        while (sent().size() < 9 && System.nanoTime() < end) {
+            Thread.sleep(5);
+        }
+        CompletableFuture<Void> stopped = CompletableFuture.runAsync(router::close);
+        Thread.sleep(200);
+        assertThat(call("/read/", "")).startsWith("HTTP/1.1 200");
+        assertThat(call("/draft/", "")).startsWith("HTTP/1.1 503");
+        held.countDown();
+        assertThat(before.get(TIMEOUT_MS, TimeUnit.MILLISECONDS)).endsWith("done");
+        stopped.get(TIMEOUT_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Guards against a caller who gets nothing at all, not even that the answer was lost, when a stop ends. */
+    @Test
+    void aRequestThatAStopGivesUpIsAnswered() throws Exception {
+        CountDownLatch held = new CountDownLatch(1);
+        both((request, out) -> {
+            await(held);
+            return false;
+        });
+        CompletableFuture<String> given = CompletableFuture.supplyAsync(() -> unchecked(() -> call("/order/", "")));
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MS);
+        while (sent().isEmpty() && System.nanoTime() < end) {
+            Thread.sleep(5);
+        }
+        router.close();
+        String answer = given.get(TIMEOUT_MS, TimeUnit.MILLISECONDS);
+        held.countDown();
+        assertThat(answer).startsWith("HTTP/1.1 502");
+        assertThat(answer).doesNotContain("not run");
+    }
+
     @Test
     void refusesAmbiguousRequestsAndClosesTheConnection() throws IOException {
         String head = "POST /read/ HTTP/1.1\r\nHost: h\r\nX-Request-Id: 1\r\nAuthorization: Bearer secret\r\n";
