--- a/router/src/main/java/org/ragwortrun/router/internal/ledger/Declarations.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/ledger/Declarations.java
@@ -33,14 +33,14 @@
     private static final long RETRY_MS = 25;
 
     private final GrantPool pool;
-    private final Shards shards;
+    private final BudgetOwners owners;
     private final ScheduledExecutorService timer;
     private final String incarnation;
     private final Map<Integer, Group> groups = new ConcurrentHashMap<>();
 
-    Declarations(GrantPool pool, Shards shards, ScheduledExecutorService timer, String incarnation) {
+    Declarations(GrantPool pool, BudgetOwners owners, ScheduledExecutorService timer, String incarnation) {
         this.pool = pool;
-        this.shards = shards;
+        this.owners = owners;
         this.timer = timer;
         this.incarnation = incarnation;
         Duty.repeat(timer, this::beat, BEAT_MS, BEAT_MS);
@@ -56,7 +56,7 @@
      * @param done hears whether the reservation may be spent
      */
     void declare(Reservation reservation, Duration most, Consumer<Boolean> done) {
-        int group = shards.of(reservation.budget());
+        int group = owners.of(reservation.budget());
         groups.computeIfAbsent(group, Group::new)
                 .add(new Waiting(reservation, System.nanoTime() + most.toNanos(), done));
     }
@@ -70,6 +70,7 @@
         private final int number;
         private List<Waiting> waiting = new ArrayList<>();
         private boolean underWay;
+        private boolean allDue;
         private volatile boolean silent;
 
         Group(int number) {
@@ -87,26 +88,32 @@
             if (silent) {
                 retryLater();
             } else {
-                send(false);
+                send();
             }
         }
 
+        /** Declares all budgets, with the next declaration if one is under way. */
         void beat() {
-            send(true);
+            synchronized (this) {
+                allDue = true;
+            }
+            send();
         }
 
-        private void send(boolean all) {
+        private void send() {
             List<Waiting> batch;
             List<SpendMark> marks;
             synchronized (this) {
-                if (underWay || (waiting.isEmpty() && !all)) {
+                if (underWay || (waiting.isEmpty() && !allDue)) {
                     return;
                 }
+                boolean all = allDue;
+                allDue = false;
                 batch = waiting;
                 waiting = new ArrayList<>();
                 marks = all
                         ? pool.marks().stream()
-                                .filter(m -> shards.of(m.getBudget()) == number)
+                                .filter(m -> owners.of(m.getBudget()) == number)
                                 .toList()
                         : batch.stream()
                                 .map(w -> w.reservation().budget())
@@ -122,7 +129,7 @@
                     .setReporter(incarnation)
                     .addAllMarks(marks)
                     .build();
-            shards.send(number, ShardCommand.newBuilder().setSettle(declared), TIMEOUT)
+            owners.send(number, ShardCommand.newBuilder().setSettle(declared), TIMEOUT)
                     .whenComplete((result, failure) -> answered(batch, marks, result != null && result.hasSettled()));
         }
 
@@ -145,7 +152,7 @@
             }
             if (acknowledged) {
                 batch.forEach(w -> w.done().accept(true));
-                send(false);
+                send();
             } else {
                 spendWaiting();
             }
@@ -158,7 +165,7 @@
         /** Lets those that wait spend without an acknowledgement, as far as the bounds allow. */
         private void spendWaiting() {
             if (!silent) {
-                send(false);
+                send();
                 return;
             }
             List<Waiting> batch;
@@ -168,7 +175,7 @@
             }
             long now = System.nanoTime();
             // Another host can serve the caller sooner than an acknowledgement can come.
-            boolean cutOff = shards.isCutOff();
+            boolean cutOff = owners.isCutOff();
             List<Waiting> left = new ArrayList<>();
             for (Waiting w : batch) {
                 if (pool.spendUnacknowledged(w.reservation())) {
--- a/router/src/main/java/org/ragwortrun/router/internal/ledger/Shards.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/ledger/Shards.java
@@ -13,7 +13,7 @@
 import org.ragwortrun.proto.ShardResult;
 
 /** Sends commands to the shard groups. */
-public final class Shards {
+public final class Shards implements BudgetOwners {
     private final ControlClient control;
     private final int count;
 
@@ -26,17 +26,17 @@
         return count;
     }
 
-    /** Tells whether this host hears no control member, while other hosts may. */
-    boolean isCutOff() {
+    @Override
+    public boolean isCutOff() {
         return control.isCutOff();
     }
 
-    /** Returns the group that owns a budget. */
+    @Override
     public int of(BudgetRef budget) {
         return Digests.shard(budget.getAccount(), count);
     }
 
-    /** Sends a command; fails with {@link TransportException} if there is no result. */
+    @Override
     public CompletableFuture<ShardResult> send(int group, ShardCommand.Builder command, Duration timeout) {
         Frame.Builder frame = Frame.newBuilder()
                 .setShardRequest(ShardRequest.newBuilder().setGroup(group).setCommand(command));
