--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardFront.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardFront.java
@@ -46,6 +46,7 @@
         }
     };
     private volatile boolean stopping;
+    private final long beganNanos;
     private final StopAdmission stops = new StopAdmission();
     private boolean limited;
     private long endNanos;
@@ -53,6 +54,7 @@
 
     ForwardFront(ForwardServices services) {
         this.services = services;
+        beganNanos = services.time().nanos();
         picker = new OriginPicker(services.random());
         flushes = new FlushLater(services.loop());
     }
@@ -166,10 +168,7 @@
             throw new RefusedException(
                     Refusal.notRun(RefusalReason.MALFORMED_REQUEST, String.valueOf(e.getMessage())), e);
         }
-        Configuration configuration = services.configuration()
-                .get()
-                .orElseThrow(() -> later(
-                        RefusalReason.CONFIGURATION_LEASE_EXPIRED, "this host has not yet learned its configuration"));
+        Configuration configuration = services.configuration().get().orElseThrow(this::starting);
         Forward route = configuration
                 .forwards()
                 .find(request.host(), request.path())
@@ -202,6 +201,14 @@
         });
     }
 
+    private RefusedException starting() {
+        Duration elapsed = Duration.ofNanos(services.time().nanos() - beganNanos);
+        return new RefusedException(Refusal.notRun(
+                RefusalReason.CONFIGURATION_LEASE_EXPIRED,
+                "this host has not yet learned its configuration",
+                StartForecast.comeBackAfter(elapsed, services.random().getAsDouble())));
+    }
+
     private Optional<Account> account(Configuration configuration, Forward route, CallerRequest request)
             throws RefusedException {
         Optional<Account> account =
--- a/router/src/test/java/org/ragwortrun/router/internal/forward/CallerConnectionTest.java
+++ b/router/src/test/java/org/ragwortrun/router/internal/forward/CallerConnectionTest.java
@@ -42,6 +42,7 @@
         assertThat(asked).isGreaterThan(0);
         HttpResponse answer = channel.readOutbound();
         assertThat(answer.status().code()).isEqualTo(503);
+        assertThat(Double.parseDouble(answer.headers().get("Retry-After"))).isAtLeast(1.0);
     }
 
     /** Guards against work for a caller who left while the request waited to be read. */
