--- a/router/src/test/java/org/ragwortrun/router/ForwardDaemonTest.java
+++ b/router/src/test/java/org/ragwortrun/router/ForwardDaemonTest.java
@@ -350,10 +350,8 @@
             return echo(request, out);
         });
         CompletableFuture<String> before = CompletableFuture.supplyAsync(() -> unchecked(() -> call("/read/", "")));
+        awaitSent(1);
         long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MS);
-        while (sent().isEmpty() && System.nanoTime() < end) {
-            Thread.sleep(5);
-        }
         CompletableFuture<Void> stopped = CompletableFuture.runAsync(router::close);
         String late = "";
         while (!late.startsWith("HTTP/1.1 503") && System.nanoTime() < end) {
@@ -382,10 +380,7 @@
             return echo(request, out);
         });
         CompletableFuture<String> before = CompletableFuture.supplyAsync(() -> unchecked(() -> call("/order/", "")));
-        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MS);
-        while (sent().size() < 9 && System.nanoTime() < end) {
-            Thread.sleep(5);
-        }
+        awaitSent(9);
         CompletableFuture<Void> stopped = CompletableFuture.runAsync(router::close);
         Thread.sleep(200);
         assertThat(call("/read/", "")).startsWith("HTTP/1.1 200");
@@ -404,10 +399,7 @@
             return false;
         });
         CompletableFuture<String> given = CompletableFuture.supplyAsync(() -> unchecked(() -> call("/order/", "")));
-        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MS);
-        while (sent().isEmpty() && System.nanoTime() < end) {
-            Thread.sleep(5);
-        }
+        awaitSent(1);
         router.close();
         String answer = given.get(TIMEOUT_MS, TimeUnit.MILLISECONDS);
         held.countDown();
@@ -535,6 +527,13 @@
         second.script = script;
     }
 
+    private void awaitSent(int requests) throws InterruptedException {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MS);
+        while (sent().size() < requests && System.nanoTime() < end) {
+            Thread.sleep(5);
+        }
+    }
+
     private List<String> sent() {
         List<String> all = new ArrayList<>(first.requests);
         all.addAll(second.requests);
