--- a/router/src/main/java/org/ragwortrun/router/internal/agents/HostList.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/agents/HostList.java
@@ -4,9 +4,6 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.net.URI;
-import java.net.http.HttpClient;
-import java.net.http.HttpRequest;
-import java.net.http.HttpResponse;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -16,6 +13,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.ragwortrun.core.log.Event;
+import org.ragwortrun.net.http.DocumentReader;
 
 /**
  * Reads the platform's list of live and leaving hosts.
@@ -25,13 +23,14 @@
  */
 public final class HostList implements Runnable {
     private static final Logger LOG = LogManager.getLogger(HostList.class);
-    private static final Duration TIMEOUT = Duration.ofMillis(900);
-    private static final int OK = 200;
+    private static final Duration SILENCE = Duration.ofMillis(900);
+    private static final Duration WHOLE = Duration.ofSeconds(2);
+    private static final int MOST_BYTES = 8 << 20;
 
     private final String source;
     private final ObjectMapper json;
     private final Consumer<Set<String>> leaving;
-    private final HttpClient http;
+    private final DocumentReader http = new DocumentReader(SILENCE, WHOLE, MOST_BYTES);
     private Set<String> known = Set.of();
     private boolean failing;
 
@@ -45,7 +44,6 @@
         this.source = source;
         this.json = json;
         this.leaving = leaving;
-        http = HttpClient.newBuilder().connectTimeout(TIMEOUT).build();
     }
 
     @Override
@@ -58,22 +56,14 @@
                 Event.of("host-list-unreadable").with("source", source).warn(LOG, e);
             }
             failing = true;
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
         }
     }
 
-    private byte[] read() throws IOException, InterruptedException {
+    private byte[] read() throws IOException {
         if (!source.startsWith("http://")) {
             return Files.readAllBytes(Path.of(source));
         }
-        HttpRequest request =
-                HttpRequest.newBuilder(URI.create(source)).timeout(TIMEOUT).build();
-        HttpResponse<byte[]> response = http.send(request, HttpResponse.BodyHandlers.ofByteArray());
-        if (response.statusCode() != OK) {
-            throw new IOException("the host list answered " + response.statusCode());
-        }
-        return response.body();
+        return http.read(URI.create(source));
     }
 
     private void update(JsonNode root) throws IOException {
--- a/router/src/main/java/org/ragwortrun/router/internal/pool/Spending.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/pool/Spending.java
@@ -7,6 +7,6 @@
     /** Ends the reservation with what the request used, and reports the bill. */
     void bill(Usage.Builder usage);
 
-    /** Ends the reservation of a request that certainly did not run. */
+    /** Ends the reservation of a request that is not billed, because it did not run or its caller got nothing. */
     void release();
 }
--- a/router/src/test/java/org/ragwortrun/router/internal/agents/HostListTest.java
+++ b/router/src/test/java/org/ragwortrun/router/internal/agents/HostListTest.java
@@ -1,17 +1,27 @@
 package org.ragwortrun.router.internal.agents;
 
 import static com.google.common.truth.Truth.assertThat;
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
 final class HostListTest {
+    private static final long DRIP_MS = 50;
+    private static final long ENDS_WITHIN_S = 6;
+
     /** Guards against a stale entry that takes a host out of service again after it has come back. */
     @Test
     void reportsOnlyHostsThatAreNewlyLeaving(@TempDir Path folder) throws Exception {
@@ -36,6 +46,32 @@
         assertThat(heard).containsExactly(Set.of("a"), Set.of("b"), Set.of("a")).inOrder();
     }
 
+    /** Guards against a list that is never read again, because its server sends a byte now and then. */
+    @Test
+    void aListThatDripsIsGivenUp() throws Exception {
+        try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            Thread drips = new Thread(() -> drip(server), "list-in-trouble");
+            drips.setDaemon(true);
+            drips.start();
+            HostList list = new HostList("http://127.0.0.1:" + server.getLocalPort(), new ObjectMapper(), h -> {});
+            CompletableFuture.runAsync(list).get(ENDS_WITHIN_S, TimeUnit.SECONDS);
+        }
+    }
+
+    private static void drip(ServerSocket server) {
+        try (Socket s = server.accept()) {
+            s.getOutputStream().write("HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n".getBytes(ISO_8859_1));
+            while (!s.isClosed()) {
+                s.getOutputStream().write(' ');
+                TimeUnit.MILLISECONDS.sleep(DRIP_MS);
+            }
+        } catch (IOException e) {
+            // The reader has closed.
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private static void write(Path file, String a, String b) throws Exception {
         Files.writeString(
                 file,
