--- a/router/src/main/java/org/ragwortrun/router/internal/forward/CallerAnswer.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/CallerAnswer.java
@@ -6,6 +6,9 @@
 
 /** The way back to the caller of one request. Used on the event loop only. */
 interface CallerAnswer {
+    /** Tells whether the caller's connection is open, also before its close has been announced. */
+    boolean isOpen();
+
     /** Sends the head of an answer whose body follows in parts. */
     void head(HttpResponse head);
 
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/CallerConnection.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/CallerConnection.java
@@ -193,6 +193,12 @@
         exchange = served == null ? null : started;
     }
 
+    @Override
+    public boolean isOpen() {
+        ChannelHandlerContext ctx = context;
+        return ctx != null && ctx.channel().isActive();
+    }
+
     @Override
     public void head(HttpResponse from) {
         ChannelHandlerContext ctx = context;
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
@@ -177,7 +177,18 @@
             r.release();
         } else {
             reservation = r;
+            services.reads().run(this::placeForCaller);
+        }
+    }
+
+    private void placeForCaller() {
+        if (over) {
+            return;
+        }
+        if (answer.isOpen()) {
             place();
+        } else {
+            cancel();
         }
     }
 
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
@@ -10,6 +10,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.SingleThreadEventLoop;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpResponseEncoder;
@@ -132,7 +133,7 @@
                 1, new DefaultThreadFactory("forward", true), NioIoHandler.newFactory());
         closer.register(() ->
                 group.shutdownGracefully(0, SECOND_MS, TimeUnit.MILLISECONDS).awaitUninterruptibly(SECOND_MS));
-        EventLoop loop = (EventLoop) group.next();
+        SingleThreadEventLoop loop = (SingleThreadEventLoop) group.next();
         Transport transport = closer.register(new Transport(hello(settings, incarnation), 1));
         RequestHeads heads = new RequestHeads(names);
         EndpointTable endpoints = new EndpointTable(time, e -> connections(loop, e, time, heads));
@@ -183,6 +184,7 @@
                 metrics,
                 time,
                 loop,
+                new AfterReads(loop),
                 random::nextDouble);
         ForwardFront front = new ForwardFront(services);
         pushes.connect(watch, grants);
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardServices.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardServices.java
@@ -24,6 +24,7 @@
  * @param metrics counters
  * @param time clock
  * @param loop the thread of all exchanges
+ * @param reads runs steps on it after reads
  * @param random numbers from 0 to below 1
  */
 record ForwardServices(
@@ -38,4 +39,5 @@
         Metrics metrics,
         Time time,
         EventLoop loop,
+        AfterReads reads,
         DoubleSupplier random) {}
--- a/router/src/test/java/org/ragwortrun/router/internal/forward/CallerConnectionTest.java
+++ b/router/src/test/java/org/ragwortrun/router/internal/forward/CallerConnectionTest.java
@@ -4,7 +4,6 @@
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.channel.DefaultEventLoop;
-import io.netty.channel.EventLoop;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
@@ -56,7 +55,7 @@
 
     /** A connection whose requests are refused as soon as they are taken, since there is no configuration. */
     private EmbeddedChannel connection() {
-        EventLoop loop = new DefaultEventLoop();
+        DefaultEventLoop loop = new DefaultEventLoop();
         closer.register(() -> loop.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly());
         Metrics metrics = closer.register(Metrics.local());
         Time time = Time.steady();
@@ -77,6 +76,7 @@
                 metrics,
                 time,
                 loop,
+                new AfterReads(loop),
                 () -> 0));
         return new EmbeddedChannel(
                 new CallerConnection(front, () -> CallerLimits.USUAL, new ProblemWriter(new ObjectMapper()), time));
