--- a/router/src/main/java/org/ragwortrun/router/internal/forward/AfterReads.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/AfterReads.java
@@ -1,15 +1,16 @@
 package org.ragwortrun.router.internal.forward;
 
 import io.netty.channel.SingleThreadEventLoop;
+import java.util.concurrent.Executor;
 
 /**
- * Runs a step after all that has arrived in the meantime is read.
+ * Runs steps after all that has arrived in the meantime is read.
  *
- * <p>The load it answers: a host that is short of processor time. Its requests wait for their tokens in a long queue of
- * tasks, while their callers leave; a close that has arrived must be seen before a request is sent on. Used on the event
+ * <p>The load it answers: a host that is short of processor time. Its requests wait in a long queue of tasks, to be begun
+ * or for their tokens, while their callers leave; a close that has arrived must be seen before a request is sent on. Used on the event
  * loop only.
  */
-final class AfterReads {
+final class AfterReads implements Executor {
     private final SingleThreadEventLoop loop;
 
     AfterReads(SingleThreadEventLoop loop) {
@@ -17,7 +18,8 @@
     }
 
     /** Runs a step as one of the first tasks after the next look at all connections. */
-    void run(Runnable step) {
+    @Override
+    public void execute(Runnable step) {
         loop.executeAfterEventLoopIteration(() -> loop.execute(step));
     }
 }
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/CallerConnection.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/CallerConnection.java
@@ -170,7 +170,7 @@
                 ctx.channel().config().setAutoRead(false);
             }
             // After all that has arrived is read: a request may have waited here while its caller left.
-            ctx.executor().execute(this::next);
+            front.afterReads().execute(this::next);
         }
     }
 
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
@@ -177,7 +177,7 @@
             r.release();
         } else {
             reservation = r;
-            services.reads().run(this::placeForCaller);
+            services.afterReads().execute(this::placeForCaller);
         }
     }
 
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardFront.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardFront.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.Executor;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.jspecify.annotations.Nullable;
@@ -59,6 +60,10 @@
         flushes = new FlushLater(services.loop());
     }
 
+    Executor afterReads() {
+        return services.afterReads();
+    }
+
     RequestHeads heads() {
         return services.heads();
     }
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardServices.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardServices.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import java.util.Optional;
+import java.util.concurrent.Executor;
 import java.util.function.DoubleSupplier;
 import java.util.function.Supplier;
 import org.ragwortrun.core.config.Configuration;
@@ -24,7 +25,7 @@
  * @param metrics counters
  * @param time clock
  * @param loop the thread of all exchanges
- * @param reads runs steps on it after reads
+ * @param afterReads runs steps on it after the next look at all connections
  * @param random numbers from 0 to below 1
  */
 record ForwardServices(
@@ -39,5 +40,5 @@
         Metrics metrics,
         Time time,
         EventLoop loop,
-        AfterReads reads,
+        Executor afterReads,
         DoubleSupplier random) {}
--- a/router/src/test/java/org/ragwortrun/router/internal/forward/AfterReadsTest.java
+++ b/router/src/test/java/org/ragwortrun/router/internal/forward/AfterReadsTest.java
@@ -41,7 +41,7 @@
                 caller.connect(listen(group));
                 accepted.await(TIMEOUT_S, TimeUnit.SECONDS);
                 loop.execute(() -> {
-                    reads.run(() -> seen.add(connection.get().isActive()));
+                    reads.execute(() -> seen.add(connection.get().isActive()));
                     busy.countDown();
                     await(release);
                 });
--- a/router/src/test/java/org/ragwortrun/router/internal/forward/CallerConnectionTest.java
+++ b/router/src/test/java/org/ragwortrun/router/internal/forward/CallerConnectionTest.java
@@ -9,6 +9,8 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -25,6 +27,7 @@
 final class CallerConnectionTest {
     private final Closer closer = new Closer();
     private int asked;
+    private final Deque<Runnable> tasks = new ArrayDeque<>();
     private final EmbeddedChannel channel = connection();
 
     @AfterEach
@@ -37,7 +40,7 @@
     void aRequestIsTakenAfterAllThatHasArrivedIsRead() {
         request();
         assertThat(asked).isEqualTo(0);
-        channel.runPendingTasks();
+        tasks.forEach(Runnable::run);
         assertThat(asked).isGreaterThan(0);
         HttpResponse answer = channel.readOutbound();
         assertThat(answer.status().code()).isEqualTo(503);
@@ -49,7 +52,7 @@
     void aRequestWithItsCallersCloseBehindItIsNotTaken() {
         request();
         channel.pipeline().fireChannelInactive();
-        channel.runPendingTasks();
+        tasks.forEach(Runnable::run);
         assertThat(asked).isEqualTo(0);
     }
 
@@ -76,7 +79,7 @@
                 metrics,
                 time,
                 loop,
-                new AfterReads(loop),
+                tasks::add,
                 () -> 0));
         return new EmbeddedChannel(
                 new CallerConnection(front, () -> CallerLimits.USUAL, new ProblemWriter(new ObjectMapper()), time));
