--- a/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
@@ -346,7 +346,7 @@
         long tokens = usage.prompt() + output;
         r.bill(Usage.newBuilder()
                 .setBudget(budget().orElse(BudgetRef.getDefaultInstance()))
-                .setRequestId(services.bills().next(request.id()))
+                .setRequestId(request.id())
                 .setTokens(tokens)
                 .setPromptTokens(usage.prompt())
                 .setOutputTokens(output)
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
@@ -156,7 +156,7 @@
                 () -> settlements.pending() == 0,
                 new HeldReservations(control, shards)));
         closer.register(settlements);
-        LocalTokens local = new LocalTokens(grants, settlements, incarnation);
+        LocalTokens local = new LocalTokens(grants, settlements::add, incarnation);
         HomeServer home = new HomeServer(local, time);
         TokenSource tokens = local;
         if (settings.peers().isPresent()) {
@@ -170,7 +170,6 @@
         EvidenceCollector evidence = new EvidenceCollector(control);
         UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create();
         ForwardServices services = new ForwardServices(
-                new BillIds(incarnation),
                 settings.dataCenter(),
                 watch::latest,
                 endpoints,
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardServices.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardServices.java
@@ -14,7 +14,6 @@
 /**
  * What exchanges of one router share.
  *
- * @param bills names of bills
  * @param dataCenter data center of this router
  * @param configuration newest configuration, if one is known
  * @param endpoints endpoints of all origins
@@ -29,7 +28,6 @@
  * @param random numbers from 0 to below 1
  */
 record ForwardServices(
-        BillIds bills,
         String dataCenter,
         Supplier<Optional<Configuration>> configuration,
         EndpointTable endpoints,
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/BillIds.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/pool/BillIds.java
@@ -1,4 +1,4 @@
-package org.ragwortrun.router.internal.forward;
+package org.ragwortrun.router.internal.pool;
 
 import java.util.concurrent.atomic.AtomicLong;
 
--- a/router/src/main/java/org/ragwortrun/router/internal/pool/LocalTokens.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/pool/LocalTokens.java
@@ -2,22 +2,24 @@
 
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import org.ragwortrun.proto.BudgetRef;
 import org.ragwortrun.proto.Usage;
 import org.ragwortrun.router.internal.ledger.Grants;
 import org.ragwortrun.router.internal.ledger.Reservation;
-import org.ragwortrun.router.internal.ledger.SettlementQueue;
 
 /** Reserves from the grants that this router holds. */
 public final class LocalTokens implements TokenSource {
     private final Grants grants;
-    private final SettlementQueue settlements;
+    private final Consumer<Usage> settlements;
     private final String incarnation;
+    private final BillIds bills;
 
-    public LocalTokens(Grants grants, SettlementQueue settlements, String incarnation) {
+    public LocalTokens(Grants grants, Consumer<Usage> settlements, String incarnation) {
         this.grants = grants;
         this.settlements = settlements;
         this.incarnation = incarnation;
+        bills = new BillIds(incarnation);
     }
 
     @Override
@@ -35,7 +37,8 @@
         @Override
         public void bill(Usage.Builder usage) {
             reservation.settle(usage.getTokens());
-            settlements.add(usage.setGrantId(reservation.grantId())
+            settlements.accept(usage.setRequestId(bills.next(usage.getRequestId()))
+                    .setGrantId(reservation.grantId())
                     .setIncarnation(incarnation)
                     .build());
         }
--- a/router/src/test/java/org/ragwortrun/router/internal/forward/CallerConnectionTest.java
+++ b/router/src/test/java/org/ragwortrun/router/internal/forward/CallerConnectionTest.java
@@ -63,7 +63,6 @@
         Metrics metrics = closer.register(Metrics.local());
         Time time = Time.steady();
         ForwardFront front = new ForwardFront(new ForwardServices(
-                new BillIds("r@1"),
                 "dc",
                 () -> {
                     asked++;
