--- a/control/src/main/java/org/ragwortrun/control/internal/EndpointDirectory.java
+++ b/control/src/main/java/org/ragwortrun/control/internal/EndpointDirectory.java
@@ -13,6 +13,7 @@
 import java.util.stream.Collectors;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.ragwortrun.core.concurrent.Causes;
 import org.ragwortrun.core.concurrent.Duty;
 import org.ragwortrun.core.log.Event;
 import org.ragwortrun.core.time.Time;
@@ -152,7 +153,7 @@
                             if (e != null) {
                                 Event.of("baseline-not-proposed")
                                         .with("service", service)
-                                        .warn(LOG, Failures.unwrap(e));
+                                        .warn(LOG, Causes.of(e));
                             }
                         })));
     }
--- a/control/src/main/java/org/ragwortrun/control/internal/Failures.java
+++ b/control/src/main/java/org/ragwortrun/control/internal/Failures.java
@@ -1,8 +1,8 @@
 package org.ragwortrun.control.internal;
 
-import java.util.concurrent.CompletionException;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.ragwortrun.core.concurrent.Causes;
 import org.ragwortrun.core.error.RagwortrunException;
 import org.ragwortrun.core.log.Event;
 import org.ragwortrun.net.Peer;
@@ -35,7 +35,7 @@
 
     /** Answers a request whose proposal failed. */
     static Frame of(Frame request, Group group, Throwable failure) {
-        Throwable cause = unwrap(failure);
+        Throwable cause = Causes.of(failure);
         if (!(cause instanceof RagwortrunException typed)) {
             return Replies.error(request, "internal", String.valueOf(cause.getMessage()));
         }
@@ -56,9 +56,4 @@
             peer.send(Replies.error(request, "internal", String.valueOf(e.getMessage())));
         }
     }
-
-    static Throwable unwrap(Throwable failure) {
-        Throwable cause = failure.getCause();
-        return failure instanceof CompletionException && cause != null ? cause : failure;
-    }
 }
--- a/control/src/main/java/org/ragwortrun/control/internal/Fencing.java
+++ b/control/src/main/java/org/ragwortrun/control/internal/Fencing.java
@@ -13,6 +13,7 @@
 import java.util.stream.Collectors;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.ragwortrun.core.concurrent.Causes;
 import org.ragwortrun.core.config.SectionKind;
 import org.ragwortrun.core.log.Event;
 import org.ragwortrun.core.time.Time;
@@ -139,7 +140,7 @@
                     if (failure != null) {
                         Event.of("sessions-not-closed")
                                 .with("group", shard.id())
-                                .warn(LOG, Failures.unwrap(failure));
+                                .warn(LOG, Causes.of(failure));
                     } else if (meta.number() < status.getConfigNumber()) {
                         sessions.forEach(s -> triedNanos.remove(s.incarnation()));
                     } else {
@@ -227,7 +228,7 @@
                 Event.of(event)
                         .with("group", shard.id())
                         .with("incarnation", incarnation)
-                        .warn(LOG, Failures.unwrap(e));
+                        .warn(LOG, Causes.of(e));
             }
         });
     }
--- a/control/src/main/java/org/ragwortrun/control/internal/MetaService.java
+++ b/control/src/main/java/org/ragwortrun/control/internal/MetaService.java
@@ -7,6 +7,7 @@
 import org.apache.logging.log4j.Logger;
 import org.jspecify.annotations.Nullable;
 import org.ragwortrun.control.MoveDriver;
+import org.ragwortrun.core.concurrent.Causes;
 import org.ragwortrun.core.concurrent.Duty;
 import org.ragwortrun.core.log.Event;
 import org.ragwortrun.core.time.Time;
@@ -267,7 +268,7 @@
     private void proposeDecision(MetaCommand.Builder command) {
         group.propose(command).whenComplete((r, e) -> {
             if (e != null) {
-                Event.of("decision-not-proposed").warn(LOG, Failures.unwrap(e));
+                Event.of("decision-not-proposed").warn(LOG, Causes.of(e));
             }
         });
     }
--- a/control/src/main/java/org/ragwortrun/control/internal/ShardDuties.java
+++ b/control/src/main/java/org/ragwortrun/control/internal/ShardDuties.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.ragwortrun.core.concurrent.Causes;
 import org.ragwortrun.core.log.Event;
 import org.ragwortrun.core.time.Time;
 import org.ragwortrun.proto.BudgetRef;
@@ -107,7 +108,7 @@
                         .setForgetOld(ForgetOld.newBuilder().setBeforeMs(before)))
                 .whenComplete((r, e) -> {
                     if (e != null) {
-                        Event.of("ids-not-forgotten").with("group", shard.id()).warn(LOG, Failures.unwrap(e));
+                        Event.of("ids-not-forgotten").with("group", shard.id()).warn(LOG, Causes.of(e));
                     }
                 });
     }
--- a/control/src/main/java/org/ragwortrun/control/internal/TopUps.java
+++ b/control/src/main/java/org/ragwortrun/control/internal/TopUps.java
@@ -9,6 +9,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.jspecify.annotations.Nullable;
+import org.ragwortrun.core.concurrent.Causes;
 import org.ragwortrun.core.log.Event;
 import org.ragwortrun.proto.ApplyTopUps;
 import org.ragwortrun.proto.BudgetRef;
@@ -99,7 +100,7 @@
         running = false;
         if (failure != null) {
             // The next run repeats the batch.
-            Event.of("top-ups-not-applied").with("group", shard.id()).warn(LOG, Failures.unwrap(failure));
+            Event.of("top-ups-not-applied").with("group", shard.id()).warn(LOG, Causes.of(failure));
         } else if (result != null && result.hasTopUps()) {
             batch.forEach(this::markApplied);
             Event.of("top-ups-applied")
--- a/net/src/main/java/org/ragwortrun/net/control/ControlClient.java
+++ b/net/src/main/java/org/ragwortrun/net/control/ControlClient.java
@@ -6,7 +6,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -14,6 +13,7 @@
 import java.util.stream.Collectors;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.ragwortrun.core.concurrent.Causes;
 import org.ragwortrun.core.concurrent.Closer;
 import org.ragwortrun.core.log.Event;
 import org.ragwortrun.net.Address;
@@ -144,7 +144,7 @@
         }
         client.call(request.toBuilder(), Duration.ofMillis(leftMs)).whenComplete((reply, failure) -> {
             if (failure != null) {
-                onFailure(group, request, deadline, result, target, unwrap(failure));
+                onFailure(group, request, deadline, result, target, Causes.of(failure));
             } else if (reply.hasNotLeader()) {
                 onNotLeader(group, target, reply.getNotLeader());
                 retryLater(group, request, deadline, result);
@@ -239,9 +239,4 @@
                 .sorted()
                 .toList();
     }
-
-    private static Throwable unwrap(Throwable failure) {
-        Throwable cause = failure.getCause();
-        return failure instanceof CompletionException && cause != null ? cause : failure;
-    }
 }
--- a/router/src/main/java/org/ragwortrun/router/internal/flow/Refusals.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/flow/Refusals.java
@@ -2,8 +2,8 @@
 
 import java.time.Duration;
 import java.util.Optional;
-import java.util.concurrent.CompletionException;
 import org.jspecify.annotations.Nullable;
+import org.ragwortrun.core.concurrent.Causes;
 import org.ragwortrun.core.refusal.Refusal;
 import org.ragwortrun.core.refusal.RefusalReason;
 import org.ragwortrun.core.refusal.RefusedException;
@@ -35,17 +35,12 @@
 
     /** Returns the refusal that a failed reservation carries. */
     static Refusal ofFailure(@Nullable Throwable failure) {
-        return cause(failure) instanceof RefusedException r
+        return failure != null && Causes.of(failure) instanceof RefusedException r
                 ? r.refusal()
                 : Refusal.notRun(RefusalReason.BUDGET_UNREACHABLE, message(failure), RETRY_SOON);
     }
 
     static String message(@Nullable Throwable failure) {
-        Throwable cause = cause(failure);
-        return cause == null ? "no reply" : String.valueOf(cause.getMessage());
-    }
-
-    private static @Nullable Throwable cause(@Nullable Throwable failure) {
-        return failure instanceof CompletionException && failure.getCause() != null ? failure.getCause() : failure;
+        return failure == null ? "no reply" : String.valueOf(Causes.of(failure).getMessage());
     }
 }
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
@@ -16,11 +16,11 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
-import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.jspecify.annotations.Nullable;
+import org.ragwortrun.core.concurrent.Causes;
 import org.ragwortrun.core.config.Account;
 import org.ragwortrun.core.config.Budget;
 import org.ragwortrun.core.config.Configuration;
@@ -166,10 +166,9 @@
 
     private void reserved(@Nullable Spending r, @Nullable Throwable failure) {
         if (r == null) {
-            Throwable cause = failure instanceof CompletionException e && e.getCause() != null ? e.getCause() : failure;
             if (!over) {
                 refuse(
-                        cause instanceof RefusedException e
+                        failure != null && Causes.of(failure) instanceof RefusedException e
                                 ? e.refusal()
                                 : Refusal.notRun(RefusalReason.BUDGET_UNREACHABLE, "no tokens", RETRY_AFTER));
             }
--- a/router/src/main/java/org/ragwortrun/router/internal/pool/HomeServer.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/pool/HomeServer.java
@@ -3,10 +3,10 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.CompletionException;
 import java.util.concurrent.ConcurrentHashMap;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.ragwortrun.core.concurrent.Causes;
 import org.ragwortrun.core.log.Event;
 import org.ragwortrun.core.refusal.Refusal;
 import org.ragwortrun.core.refusal.RefusalReason;
@@ -140,9 +140,7 @@
     }
 
     private static Refusal refusal(Throwable failure) {
-        Throwable cause =
-                failure instanceof CompletionException && failure.getCause() != null ? failure.getCause() : failure;
-        return cause instanceof RefusedException e
+        return Causes.of(failure) instanceof RefusedException e
                 ? e.refusal()
                 : Refusal.notRun(RefusalReason.BUDGET_UNREACHABLE, "the home cannot reserve", RETRY_AFTER);
     }
