--- a/router/src/main/java/org/ragwortrun/router/internal/ControlPushes.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/ControlPushes.java
@@ -8,11 +8,12 @@
 import org.ragwortrun.router.internal.ledger.Grants;
 
 /** Hands frames that control members push to their receivers, once these exist. */
-final class ControlPushes implements FrameHandler {
+public final class ControlPushes implements FrameHandler {
     private volatile @Nullable ConfigWatch watch;
     private volatile @Nullable Grants grants;
 
-    void connect(ConfigWatch configWatch, Grants pool) {
+    /** Sets the receivers, which are made after the connections to the members. */
+    public void connect(ConfigWatch configWatch, Grants pool) {
         watch = configWatch;
         grants = pool;
     }
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/Pushes.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/Pushes.java
@@ -15,6 +15,7 @@
 import org.ragwortrun.proto.EndpointList;
 import org.ragwortrun.proto.Frame;
 import org.ragwortrun.proto.RouterAddress;
+import org.ragwortrun.router.internal.ControlPushes;
 import org.ragwortrun.router.internal.ledger.Grants;
 import org.ragwortrun.router.internal.pool.PeerLinks;
 import org.ragwortrun.router.internal.pool.RouterPeer;
@@ -25,8 +26,7 @@
 
     private final EventLoop loop;
     private final EndpointTable endpoints;
-    private volatile @Nullable ConfigWatch watch;
-    private volatile @Nullable Grants grants;
+    private final ControlPushes common = new ControlPushes();
     private volatile @Nullable PeerLinks links;
 
     Pushes(EventLoop loop, EndpointTable endpoints) {
@@ -35,8 +35,7 @@
     }
 
     void connect(ConfigWatch configWatch, Grants pool) {
-        watch = configWatch;
-        grants = pool;
+        common.connect(configWatch, pool);
     }
 
     /** Sets who hears of the routers that take reservations. */
@@ -64,19 +63,15 @@
 
     @Override
     public void onFrame(Peer peer, Frame frame) {
-        ConfigWatch w = watch;
-        Grants g = grants;
-        if (frame.hasRecall() && g != null) {
-            g.recall(frame.getRecall().getBudget());
-        } else if (frame.hasConfigUpdate() && w != null) {
-            w.onPush(frame);
-        } else if (frame.hasEndpointList()) {
+        if (frame.hasEndpointList()) {
             EndpointList list = frame.getEndpointList();
             loop.execute(() -> {
                 if (endpoints.apply(list) && !list.getUnchanged()) {
                     updatePeers(list);
                 }
             });
+        } else {
+            common.onFrame(peer, frame);
         }
     }
 }
