--- a/router/src/main/java/org/ragwortrun/router/ForwardDaemon.java
+++ b/router/src/main/java/org/ragwortrun/router/ForwardDaemon.java
@@ -1,6 +1,5 @@
 package org.ragwortrun.router;
 
-import java.util.function.LongSupplier;
 import org.ragwortrun.core.error.RagwortrunException;
 import org.ragwortrun.core.settings.Settings;
 import org.ragwortrun.net.control.EndpointSource;
@@ -19,14 +18,12 @@
     /**
      * Starts a router with its settings.
      *
-     * @param processStart tells the monotonic time at which this process began, after any earlier one on this host had
-     *     ended
+     * @param beganNanos monotonic time at which this process began, after any earlier one on this host had ended
      * @throws RagwortrunException if a setting is wrong or an address cannot be bound
      */
-    public static ForwardDaemon start(
-            Settings settings, HeaderNames names, EndpointSource endpoints, LongSupplier processStart)
+    public static ForwardDaemon start(Settings settings, HeaderNames names, EndpointSource endpoints, long beganNanos)
             throws RagwortrunException {
-        return new ForwardDaemon(ForwardRouter.start(ForwardSettings.read(settings), names, endpoints, processStart));
+        return new ForwardDaemon(ForwardRouter.start(ForwardSettings.read(settings), names, endpoints, beganNanos));
     }
 
     /** Stops gracefully: running requests finish, bills are delivered and grants are returned. */
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
@@ -19,7 +19,6 @@
 import java.util.List;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
@@ -102,15 +101,15 @@
      *
      * @param names headers by which callers and endpoints are spoken to
      * @param source list of endpoints, read by this router only while no control member sends it
-     * @param processStart tells the monotonic time at which this process began
+     * @param beganNanos monotonic time at which this process began
      * @throws RagwortrunException if an address cannot be bound
      */
     public static ForwardRouter start(
-            ForwardSettings settings, HeaderNames names, EndpointSource source, LongSupplier processStart)
+            ForwardSettings settings, HeaderNames names, EndpointSource source, long beganNanos)
             throws RagwortrunException {
         Closer closer = new Closer();
         try {
-            return start(settings, names, source, processStart, closer);
+            return start(settings, names, source, beganNanos, closer);
         } catch (RagwortrunException e) {
             closer.close();
             throw e;
@@ -118,11 +117,7 @@
     }
 
     private static ForwardRouter start(
-            ForwardSettings settings,
-            HeaderNames names,
-            EndpointSource source,
-            LongSupplier processStart,
-            Closer closer)
+            ForwardSettings settings, HeaderNames names, EndpointSource source, long beganNanos, Closer closer)
             throws RagwortrunException {
         Time time = Time.system();
         String incarnation = Incarnations.create(settings.name(), time.wallMillis());
@@ -141,7 +136,7 @@
         ControlClient control = closer.register(new ControlClient(transport, settings.members(), pushes));
         ConfigWatch watch = closer.register(new ConfigWatch(control, timer, time, c -> {}));
         Shards shards = new Shards(control, settings.shards());
-        Sessions sessions = new Sessions(shards, timer, settings.name(), incarnation, true, processStart);
+        Sessions sessions = new Sessions(shards, timer, settings.name(), incarnation, true, beganNanos);
         GrantPool pool = new GrantPool(
                 incarnation, time, PoolSettings.outlasting(settings.hold().toMillis()));
         SettlementQueue settlements = new SettlementQueue(
--- a/router/src/main/java/org/ragwortrun/router/internal/ledger/Sessions.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/ledger/Sessions.java
@@ -9,10 +9,8 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
-import java.util.function.LongSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.jspecify.annotations.Nullable;
 import org.ragwortrun.core.log.Event;
 import org.ragwortrun.proto.CloseSession;
 import org.ragwortrun.proto.OpenSession;
@@ -30,19 +28,18 @@
     private final String incarnation;
     private final boolean direct;
     private final Map<Integer, CompletableFuture<Void>> opened = new ConcurrentHashMap<>();
-    private final LongSupplier processStart;
-    private volatile @Nullable Long beganNanos;
+    private final long beganNanos;
     private volatile boolean fenced;
 
     public Sessions(Shards shards, ScheduledExecutorService timer, String router, String incarnation) {
-        this(shards, timer, router, incarnation, false, System::nanoTime);
+        this(shards, timer, router, incarnation, false, System.nanoTime());
     }
 
     /**
      * Creates the sessions.
      *
      * @param direct whether this router calls endpoints without agents, so that nobody else can prove what it spent
-     * @param processStart tells the monotonic time at which this process began, asked once
+     * @param beganNanos monotonic time at which this process began
      */
     public Sessions(
             Shards shards,
@@ -50,13 +47,13 @@
             String router,
             String incarnation,
             boolean direct,
-            LongSupplier processStart) {
+            long beganNanos) {
         this.shards = shards;
         this.timer = timer;
         this.router = router;
         this.incarnation = incarnation;
         this.direct = direct;
-        this.processStart = processStart;
+        this.beganNanos = beganNanos;
     }
 
     /** Opens a session at each shard and tries until each has one. */
@@ -118,21 +115,12 @@
         }
     }
 
-    private long beganNanos() {
-        Long began = beganNanos;
-        if (began == null) {
-            began = processStart.getAsLong();
-            beganNanos = began;
-        }
-        return began;
-    }
-
     private void open(int group) {
         OpenSession open = OpenSession.newBuilder()
                 .setRouter(router)
                 .setIncarnation(incarnation)
                 .setDirect(direct)
-                .setUptimeMs((int) TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - beganNanos()))
+                .setUptimeMs((int) TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - beganNanos))
                 .build();
         shards.send(group, ShardCommand.newBuilder().setOpenSession(open), TIMEOUT)
                 .whenComplete((result, failure) -> {
--- a/router/src/test/java/org/ragwortrun/router/ForwardDaemonTest.java
+++ b/router/src/test/java/org/ragwortrun/router/ForwardDaemonTest.java
@@ -84,7 +84,7 @@
                         "2s"))),
                 HeaderNames.STANDARD,
                 () -> List.of(first.listed(), second.listed()),
-                System::nanoTime));
+                System.nanoTime()));
         long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MS);
         while (!isReady(readiness) && System.nanoTime() < end) {
             Thread.sleep(20);
