--- a/replication/src/main/java/org/ragwortrun/replication/internal/Joining.java
+++ b/replication/src/main/java/org/ragwortrun/replication/internal/Joining.java
@@ -20,12 +20,13 @@
 /**
  * A member that is no voter asks to join; the first listed member founds the group.
  *
- * <p>Only the founder, the first name of the bootstrap list that has storage, creates the first member set, and only after every listed
- * member has reported lately, under the identity that goes into the set, that it has never held a log entry or given a
- * vote, and no member has answered that it has. A majority would not suffice: a wiped founder and a member that has not
- * started yet could found a second group while the only member with the log is unreachable. The others get the first
- * entry by replication. If the founder loses its disk after another member has given it a vote and before that member
- * holds an entry, nothing founds the group any more, and all folders must be cleared; there is nothing in them yet. A member whose disk was wiped has an identity that is in no member set, so it counts as a voter
+ * <p>Only the founder, the first name of the bootstrap list that has storage, creates the first member set, and only
+ * after every listed member has reported lately, under the identity that goes into the set, that it has never held a
+ * log entry or given a vote, and no member has answered that it has. A majority would not suffice: a wiped founder and
+ * a member that has not started yet could found a second group while the only member with the log is unreachable. The
+ * others get the first entry by replication. If the founder loses its disk after another member has given it a vote and
+ * before that member holds an entry, nothing founds the group any more, and all folders must be cleared; there is
+ * nothing in them yet. A member whose disk was wiped has an identity that is in no member set, so it counts as a voter
  * only after it has joined.
  */
 final class Joining {
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/CallerConnection.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/CallerConnection.java
@@ -177,10 +177,10 @@
     private void next() {
         Whole w = served == null ? waiting.poll() : null;
         ChannelHandlerContext ctx = context;
-        if (w == null || ctx == null) {
+        if (w == null) {
             return;
         }
-        if (!ctx.channel().isActive()) {
+        if (ctx == null || !ctx.channel().isActive()) {
             w.body().release();
             return;
         }
@@ -271,7 +271,7 @@
             written.addListener(ChannelFutureListener.CLOSE);
         } else {
             // The exchange has not yet noted its end when it calls this.
-            ctx.executor().execute(this::next);
+            front.afterReads().execute(this::next);
         }
     }
 
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardFront.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardFront.java
@@ -46,9 +46,9 @@
             return size() > MOST_DIGESTS;
         }
     };
-    private volatile boolean stopping;
-    private final long beganNanos;
     private final StopAdmission stops = new StopAdmission();
+    private final long beganNanos;
+    private volatile boolean stopping;
     private boolean limited;
     private long endNanos;
     private volatile int active;
--- a/router/src/main/java/org/ragwortrun/router/internal/pool/Homes.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/pool/Homes.java
@@ -22,9 +22,14 @@
 
     private Homes() {}
 
+    /** Tells whether accounts have homes, or each router uses its own grants. */
+    static boolean areUsed(Collection<RouterPeer> routers) {
+        return routers.size() >= LEAST_ROUTERS;
+    }
+
     /** Returns the homes of an account, the first choice first. Empty if each router should use its own grants. */
     public static List<RouterPeer> of(String account, Collection<RouterPeer> routers) {
-        if (routers.size() < LEAST_ROUTERS) {
+        if (!areUsed(routers)) {
             return List.of();
         }
         Map<String, List<RouterPeer>> byDataCenter = routers.stream()
--- a/router/src/main/java/org/ragwortrun/router/internal/pool/PeerLinks.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/pool/PeerLinks.java
@@ -43,7 +43,7 @@
 
     /** Tells whether accounts have homes, so that routers do not use their own grants. */
     public boolean hasHomes() {
-        return !homes("").isEmpty();
+        return Homes.areUsed(routers);
     }
 
     /** Returns the homes of an account, the first choice first. */
--- a/router/src/test/java/org/ragwortrun/router/internal/forward/CallerConnectionTest.java
+++ b/router/src/test/java/org/ragwortrun/router/internal/forward/CallerConnectionTest.java
@@ -40,7 +40,7 @@
     void aRequestIsTakenAfterAllThatHasArrivedIsRead() {
         request();
         assertThat(asked).isEqualTo(0);
-        tasks.forEach(Runnable::run);
+        runTasks();
         assertThat(asked).isGreaterThan(0);
         HttpResponse answer = channel.readOutbound();
         assertThat(answer.status().code()).isEqualTo(503);
@@ -52,7 +52,7 @@
     void aRequestWithItsCallersCloseBehindItIsNotTaken() {
         request();
         channel.pipeline().fireChannelInactive();
-        tasks.forEach(Runnable::run);
+        runTasks();
         assertThat(asked).isEqualTo(0);
     }
 
@@ -84,6 +84,12 @@
                 new CallerConnection(front, () -> CallerLimits.USUAL, new ProblemWriter(new ObjectMapper()), time));
     }
 
+    private void runTasks() {
+        for (Runnable task = tasks.poll(); task != null; task = tasks.poll()) {
+            task.run();
+        }
+    }
+
     private void request() {
         DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/x");
         request.headers().set("Host", "h").set(HeaderNames.STANDARD.requestId(), "q1");
