Share the harness of forwarding routers between tests

Cause: ForwardDaemonTest built its router, control member and account itself, so a test with several routers or with endpoints that crash would have written all of it again. Change: ForwardHarness builds them; ScriptedEndpoint can crash and come back under another id.

--- a/router/src/test/java/org/ragwortrun/router/ForwardDaemonTest.java
+++ b/router/src/test/java/org/ragwortrun/router/ForwardDaemonTest.java
@@ -7,15 +7,10 @@
 import static org.ragwortrun.router.ScriptedEndpoint.write;
 
 import java.io.IOException;
-import java.io.InputStream;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -23,77 +18,30 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.ragwortrun.core.concurrent.Closer;
-import org.ragwortrun.core.id.Digests;
-import org.ragwortrun.core.settings.Settings;
-import org.ragwortrun.net.Address;
-import org.ragwortrun.net.FrameServer;
-import org.ragwortrun.net.Transport;
-import org.ragwortrun.proto.ApplyTopUps;
-import org.ragwortrun.proto.Hello;
-import org.ragwortrun.proto.Role;
 import org.ragwortrun.proto.ShardCommand;
-import org.ragwortrun.proto.TopUp;
-import org.ragwortrun.router.internal.forward.HeaderNames;
 
 /** A forwarding router over real connections, between a caller and endpoints that follow a script. */
 final class ForwardDaemonTest {
-    private static final int TIMEOUT_MS = 5_000;
+    private static final int TIMEOUT_MS = ForwardHarness.TIMEOUT_MS;
 
-    private final FakeControl control = new FakeControl();
-    private final Closer closer = new Closer();
+    private ForwardHarness harness;
+    private FakeControl control;
     private ScriptedEndpoint first;
     private ScriptedEndpoint second;
-    private int port;
-    private ForwardDaemon router;
+    private ForwardHarness.Router router;
 
     @BeforeEach
     void start() throws Exception {
-        first = closer.register(new ScriptedEndpoint("e1", ForwardDaemonTest::echo));
-        second = closer.register(new ScriptedEndpoint("e2", ForwardDaemonTest::echo));
-        control.section("origin", "o", Map.of("tokens-per-event", "2"));
-        route("read", "/read/", "idempotent", "no");
-        route("order", "/order/", "once", "no");
-        route("guide", "/guide/", "stream", "yes");
-        route("draft", "/draft/", "stream", "no");
-        control.section("account", "c", Map.of("keys", Digests.apiKey("secret"), "metered", "yes"));
-        control.section("budget", "c", Map.of("prepaid", "1000"));
-        pay(1_000);
-        Transport transport = closer.register(new Transport(
-                Hello.newBuilder().setName("c1").setRole(Role.CONTROL).build(), 1));
-        FrameServer server = closer.register(transport.listen(new Address("127.0.0.1", 0), control));
-        port = freePort();
-        int readiness = freePort();
-        router = closer.register(ForwardDaemon.start(
-                Settings.of(new HashMap<>(Map.of(
-                        "daemon.name",
-                        "r1",
-                        "daemon.data-center",
-                        "dc",
-                        "control.members",
-                        "c1=127.0.0.1:" + server.port(),
-                        "cluster.shards",
-                        Integer.toString(FakeControl.SHARDS),
-                        "http.address",
-                        "127.0.0.1:" + port,
-                        "http.readiness",
-                        "127.0.0.1:" + readiness,
-                        "daemon.stop-linger",
-                        "0ms",
-                        "daemon.stop-timeout",
-                        "2s"))),
-                HeaderNames.STANDARD,
-                () -> List.of(first.listed(), second.listed()),
-                System.nanoTime()));
-        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MS);
-        while (!isReady(readiness) && System.nanoTime() < end) {
-            Thread.sleep(20);
-        }
+        harness = new ForwardHarness();
+        control = harness.control;
+        first = harness.endpoint("e1", ForwardDaemonTest::echo);
+        second = harness.endpoint("e2", ForwardDaemonTest::echo);
+        router = harness.router("r1");
     }
 
     @AfterEach
     void stop() {
-        closer.close();
+        harness.close();
     }
 
     private static boolean echo(String request, java.io.OutputStream out) throws IOException {
@@ -330,7 +278,7 @@
     @Test
     void theEndpointHearsAtOnceThatTheCallerHasLeft() throws Exception {
         both((request, out) -> true);
-        try (Socket s = new Socket("127.0.0.1", port)) {
+        try (Socket s = new Socket("127.0.0.1", router.port())) {
             s.getOutputStream().write(get("/read/", "").getBytes(StandardCharsets.ISO_8859_1));
             long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(2);
             while (sent().isEmpty() && System.nanoTime() < end) {
@@ -352,7 +300,7 @@
         CompletableFuture<String> before = CompletableFuture.supplyAsync(() -> unchecked(() -> call("/read/", "")));
         awaitSent(1);
         long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MS);
-        CompletableFuture<Void> stopped = CompletableFuture.runAsync(router::close);
+        CompletableFuture<Void> stopped = CompletableFuture.runAsync(router.daemon()::close);
         String late = "";
         while (!late.startsWith("HTTP/1.1 503") && System.nanoTime() < end) {
             held.await(50, TimeUnit.MILLISECONDS);
@@ -383,7 +331,7 @@
         });
         CompletableFuture<String> before = CompletableFuture.supplyAsync(() -> unchecked(() -> call("/order/", "")));
         awaitSent(73);
-        CompletableFuture<Void> stopped = CompletableFuture.runAsync(router::close);
+        CompletableFuture<Void> stopped = CompletableFuture.runAsync(router.daemon()::close);
         String unknown = call("/draft/", "");
         while (!unknown.startsWith("HTTP/1.1 503") && !stopped.isDone()) {
             unknown = call("/draft/", "");
@@ -405,7 +353,7 @@
         });
         CompletableFuture<String> given = CompletableFuture.supplyAsync(() -> unchecked(() -> call("/order/", "")));
         awaitSent(1);
-        router.close();
+        router.daemon().close();
         String answer = given.get(TIMEOUT_MS, TimeUnit.MILLISECONDS);
         held.countDown();
         assertThat(answer).startsWith("HTTP/1.1 502");
@@ -494,39 +442,6 @@
         assertThat(declared).containsExactly(150L);
     }
 
-    private void route(String name, String path, String kind, String resumable) {
-        control.section(
-                "forward",
-                name,
-                Map.of(
-                        "host",
-                        "h",
-                        "path",
-                        path,
-                        "kind",
-                        kind,
-                        "resumable",
-                        resumable,
-                        "to",
-                        "o",
-                        "timeout",
-                        "3s",
-                        "attempts",
-                        "2"));
-    }
-
-    private void pay(long tokens) {
-        control.apply(
-                "c",
-                ShardCommand.newBuilder()
-                        .setApplyTopUps(ApplyTopUps.newBuilder()
-                                .setConfigNumber(1)
-                                .addTopUps(TopUp.newBuilder()
-                                        .setBudget(FakeControl.budget("c", "*"))
-                                        .setTokens(tokens)
-                                        .setTotal(true))));
-    }
-
     private void both(ScriptedEndpoint.Script script) {
         first.script = script;
         second.script = script;
@@ -558,19 +473,8 @@
         return raw(request, TIMEOUT_MS);
     }
 
-    /** Sends a request and returns the answer, or nothing if there is none in time. */
     private String raw(String request, int timeoutMs) throws IOException {
-        try (Socket s = new Socket("127.0.0.1", port)) {
-            s.setSoTimeout(timeoutMs);
-            s.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
-            InputStream in = s.getInputStream();
-            return new String(in.readAllBytes(), StandardCharsets.ISO_8859_1);
-        } catch (java.net.SocketTimeoutException e) {
-            if (timeoutMs == TIMEOUT_MS) {
-                throw e;
-            }
-            return "";
-        }
+        return router.send(request, timeoutMs);
     }
 
     /** Sends a beginning and then filler until the router closes the connection. */
@@ -612,15 +516,6 @@
         }
     }
 
-    private static boolean isReady(int readiness) throws IOException {
-        try (Socket s = new Socket("127.0.0.1", readiness)) {
-            s.setSoTimeout(TIMEOUT_MS);
-            s.getOutputStream().write("GET / HTTP/1.1\r\nHost: h\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1));
-            byte[] status = s.getInputStream().readNBytes(12);
-            return new String(status, StandardCharsets.ISO_8859_1).endsWith("200");
-        }
-    }
-
     private static String unchunk(String answer) {
         StringBuilder body = new StringBuilder();
         String rest = answer.substring(answer.indexOf("\r\n\r\n") + 4);
@@ -649,10 +544,4 @@
                 .findFirst()
                 .orElse(Long.MAX_VALUE);
     }
-
-    private static int freePort() throws IOException {
-        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return s.getLocalPort();
-        }
-    }
 }
--- /dev/null
+++ b/router/src/test/java/org/ragwortrun/router/ForwardHarness.java
@@ -0,0 +1,173 @@
+package org.ragwortrun.router;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.ragwortrun.core.concurrent.Closer;
+import org.ragwortrun.core.error.RagwortrunException;
+import org.ragwortrun.core.id.Digests;
+import org.ragwortrun.core.settings.Settings;
+import org.ragwortrun.net.Address;
+import org.ragwortrun.net.FrameServer;
+import org.ragwortrun.net.Transport;
+import org.ragwortrun.net.TransportException;
+import org.ragwortrun.proto.ApplyTopUps;
+import org.ragwortrun.proto.Hello;
+import org.ragwortrun.proto.Role;
+import org.ragwortrun.proto.ShardCommand;
+import org.ragwortrun.proto.TopUp;
+import org.ragwortrun.router.internal.forward.HeaderNames;
+
+/** Forwarding routers over real connections, with one control member, an account and endpoints that follow scripts. */
+final class ForwardHarness implements AutoCloseable {
+    static final int TIMEOUT_MS = 5_000;
+
+    final FakeControl control = new FakeControl();
+    private final Closer closer = new Closer();
+    private final List<ScriptedEndpoint> endpoints = new ArrayList<>();
+    private final FrameServer server;
+
+    ForwardHarness() throws TransportException {
+        control.section("origin", "o", Map.of("tokens-per-event", "2"));
+        route("read", "/read/", "idempotent", "no");
+        route("order", "/order/", "once", "no");
+        route("guide", "/guide/", "stream", "yes");
+        route("draft", "/draft/", "stream", "no");
+        control.section("account", "c", Map.of("keys", Digests.apiKey("secret"), "metered", "yes"));
+        control.section("budget", "c", Map.of("prepaid", "1000"));
+        pay(1_000);
+        Transport transport = closer.register(new Transport(
+                Hello.newBuilder().setName("c1").setRole(Role.CONTROL).build(), 1));
+        server = closer.register(transport.listen(new Address("127.0.0.1", 0), control));
+    }
+
+    private void route(String name, String path, String kind, String resumable) {
+        control.section(
+                "forward",
+                name,
+                Map.of(
+                        "host",
+                        "h",
+                        "path",
+                        path,
+                        "kind",
+                        kind,
+                        "resumable",
+                        resumable,
+                        "to",
+                        "o",
+                        "timeout",
+                        "3s",
+                        "attempts",
+                        "2"));
+    }
+
+    /** Sets the whole prepaid amount of the account. */
+    void pay(long tokens) {
+        control.apply(
+                "c",
+                ShardCommand.newBuilder()
+                        .setApplyTopUps(ApplyTopUps.newBuilder()
+                                .setConfigNumber(1)
+                                .addTopUps(TopUp.newBuilder()
+                                        .setBudget(FakeControl.budget("c", "*"))
+                                        .setTokens(tokens)
+                                        .setTotal(true))));
+    }
+
+    /** Adds an endpoint, which routers that start later know at once and others within a second. */
+    ScriptedEndpoint endpoint(String id, ScriptedEndpoint.Script script) throws IOException {
+        ScriptedEndpoint e = closer.register(new ScriptedEndpoint(id, script));
+        synchronized (endpoints) {
+            endpoints.add(e);
+        }
+        return e;
+    }
+
+    /** Starts a router that is ready, or has not become so in time. */
+    Router router(String name) throws IOException, RagwortrunException, InterruptedException {
+        int port = freePort();
+        int readiness = freePort();
+        ForwardDaemon daemon = closer.register(ForwardDaemon.start(
+                Settings.of(new HashMap<>(Map.of(
+                        "daemon.name",
+                        name,
+                        "daemon.data-center",
+                        "dc",
+                        "control.members",
+                        "c1=127.0.0.1:" + server.port(),
+                        "cluster.shards",
+                        Integer.toString(FakeControl.SHARDS),
+                        "http.address",
+                        "127.0.0.1:" + port,
+                        "http.readiness",
+                        "127.0.0.1:" + readiness,
+                        "daemon.stop-linger",
+                        "0ms",
+                        "daemon.stop-timeout",
+                        "2s"))),
+                HeaderNames.STANDARD,
+                this::listed,
+                System.nanoTime()));
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MS);
+        while (!isReady(readiness) && System.nanoTime() < end) {
+            Thread.sleep(20);
+        }
+        return new Router(daemon, port);
+    }
+
+    private List<org.ragwortrun.proto.ListedEndpoint> listed() {
+        synchronized (endpoints) {
+            return endpoints.stream().map(ScriptedEndpoint::listed).toList();
+        }
+    }
+
+    private static boolean isReady(int readiness) throws IOException {
+        try (Socket s = new Socket("127.0.0.1", readiness)) {
+            s.setSoTimeout(TIMEOUT_MS);
+            s.getOutputStream().write("GET / HTTP/1.1\r\nHost: h\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1));
+            byte[] status = s.getInputStream().readNBytes(12);
+            return new String(status, StandardCharsets.ISO_8859_1).endsWith("200");
+        }
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            return s.getLocalPort();
+        }
+    }
+
+    @Override
+    public void close() {
+        closer.close();
+    }
+
+    /** A started router and the port for its callers. */
+    record Router(ForwardDaemon daemon, int port) {
+        /** Sends a request and returns the whole answer, which is empty if the connection just ended. */
+        String send(String request) throws IOException {
+            return send(request, TIMEOUT_MS);
+        }
+
+        /** Sends a request and returns the answer, or nothing if a shorter time than usual was given and has passed. */
+        String send(String request, int timeoutMs) throws IOException {
+            try (Socket s = new Socket("127.0.0.1", port)) {
+                s.setSoTimeout(timeoutMs);
+                s.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+                return new String(s.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+            } catch (java.net.SocketTimeoutException e) {
+                if (timeoutMs == TIMEOUT_MS) {
+                    throw e;
+                }
+                return "";
+            }
+        }
+    }
+}
--- a/router/src/test/java/org/ragwortrun/router/ScriptedEndpoint.java
+++ b/router/src/test/java/org/ragwortrun/router/ScriptedEndpoint.java
@@ -5,11 +5,13 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
-import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import org.ragwortrun.proto.ListedEndpoint;
@@ -19,14 +21,38 @@
     final List<String> requests = new CopyOnWriteArrayList<>();
     final CountDownLatch callerLeft = new CountDownLatch(1);
     volatile Script script;
-    private final String id;
-    private final ServerSocket server;
+    private final Set<Socket> open = ConcurrentHashMap.newKeySet();
+    private final int port;
+    private volatile String id;
+    private volatile ServerSocket server;
 
     ScriptedEndpoint(String id, Script script) throws IOException {
         this.id = id;
         this.script = script;
-        server = new ServerSocket(0, 64, InetAddress.getByName("127.0.0.1"));
-        start(this::accept);
+        server = listen(0);
+        port = server.getLocalPort();
+    }
+
+    private ServerSocket listen(int at) throws IOException {
+        ServerSocket listening = new ServerSocket();
+        listening.setReuseAddress(true);
+        listening.bind(new InetSocketAddress("127.0.0.1", at), 64);
+        start(() -> accept(listening));
+        return listening;
+    }
+
+    /** Ends all connections and listens no more, like a process that crashes. */
+    void crash() throws IOException {
+        server.close();
+        for (Socket s : open) {
+            s.close();
+        }
+    }
+
+    /** Listens again at the same address, under another id. */
+    void restart(String nextId) throws IOException {
+        id = nextId;
+        server = listen(port);
     }
 
     /** Answers one request; returns whether the connection stays open. */
@@ -39,7 +65,7 @@
         return ListedEndpoint.newBuilder()
                 .setId(id)
                 .setService("o")
-                .setAddress("127.0.0.1:" + server.getLocalPort())
+                .setAddress("127.0.0.1:" + port)
                 .setDataCenter("dc")
                 .setVersion("v1")
                 .setSlots(8)
@@ -71,10 +97,11 @@
         server.close();
     }
 
-    private void accept() {
-        while (!server.isClosed()) {
+    private void accept(ServerSocket listening) {
+        while (!listening.isClosed()) {
             try {
-                Socket s = server.accept();
+                Socket s = listening.accept();
+                open.add(s);
                 start(() -> serve(s));
             } catch (IOException e) {
                 return;
@@ -98,6 +125,8 @@
             callerLeft.countDown();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
+        } finally {
+            open.remove(s);
         }
     }
 
