Name the content of requests whose endpoint broke off

Cause: lines of the forwarding router name the id of a client attempt only. Change: `endpoint-broken` and `request` carry `content`, a digest of account, method, target and body, once an attempt was broken off; the counter `endpoint_breaks` counts them. Requests whose attempts end well are not digested.

--- a/core/src/main/java/org/ragwortrun/core/id/Digests.java
+++ b/core/src/main/java/org/ragwortrun/core/id/Digests.java
@@ -1,12 +1,17 @@
 package org.ragwortrun.core.id;
 
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.util.Arrays;
 import java.util.HexFormat;
 import org.apache.commons.codec.digest.DigestUtils;
 import org.apache.commons.codec.digest.MurmurHash3;
 
 /** Digests of content, keys and names. */
 public final class Digests {
+    private static final int CONTENT_BYTES = 16;
+
     private Digests() {}
 
     /** Returns the SHA-256 digest of an API key in lower-case hex, the form in which keys stand in the configuration. */
@@ -16,13 +21,22 @@
 
     /** Returns a 16-byte digest of a request's method, path and body, so that the same content has the same digest. */
     public static byte[] content(String method, String path, byte[] body) {
-        byte[] head = (method + ' ' + path + '\n').getBytes(StandardCharsets.UTF_8);
-        byte[] all = new byte[head.length + body.length];
-        System.arraycopy(head, 0, all, 0, head.length);
-        System.arraycopy(body, 0, all, head.length, body.length);
-        byte[] digest = new byte[16];
-        System.arraycopy(DigestUtils.sha256(all), 0, digest, 0, digest.length);
-        return digest;
+        return content(method + ' ' + path + '\n', ByteBuffer.wrap(body));
+    }
+
+    /**
+     * Returns a 16-byte digest of a request's client account, method, path and body, so that the same content of
+     * different accounts has different digests.
+     */
+    public static byte[] content(String account, String method, String path, ByteBuffer body) {
+        return content(account + '\n' + method + ' ' + path + '\n', body);
+    }
+
+    private static byte[] content(String head, ByteBuffer body) {
+        MessageDigest sha = DigestUtils.getSha256Digest();
+        sha.update(head.getBytes(StandardCharsets.UTF_8));
+        sha.update(body);
+        return Arrays.copyOf(sha.digest(), CONTENT_BYTES);
     }
 
     /** Returns the shard group of a client account, from 1 to shards. */
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
@@ -65,6 +65,7 @@
     private final Optional<Account> account;
     private final CallerAnswer answer;
     private final OriginPicker picker;
+    private final RequestContent content;
     private final Observer observer;
     private final long startNanos;
     private final long limitNanos;
@@ -102,6 +103,7 @@
         this.answer = answer;
         this.observer = observer;
         picker = new OriginPicker(services.random());
+        content = new RequestContent(account.map(Account::name).orElse(""), head.method(), request.target(), body);
         startNanos = services.time().nanos();
         long deadlineMs = request.deadlineMs().orElse(Long.MAX_VALUE);
         limitNanos = startNanos
@@ -369,6 +371,7 @@
                 .with("runs", runs)
                 .with("cause", lastCause)
                 .with("reason", reason)
+                .with("content", content.hexIfKnown())
                 .with("tokens", tokens)
                 .with("events", events.events())
                 .with("first-ms", firstByteNanos == 0 ? -1 : (firstByteNanos - startNanos) / 1_000_000)
@@ -631,6 +634,9 @@
             }
             endpoint.health().onFailure(services.time().nanos());
             observe(false);
+            services.metrics().count("endpoint_breaks", 1);
+            // Retries of the caller have other ids; the digest tells which of them carry the same content.
+            content.digest();
             log("endpoint-broken", cause);
             afterLost(cause);
         }
@@ -669,6 +675,7 @@
             Event.of(event)
                     .with("id", request.id())
                     .with("endpoint", endpoint.id())
+                    .with("content", content.hexIfKnown())
                     .with("cause", cause)
                     .with("health-out", endpoint.health().isOut())
                     .with("ms", (services.time().nanos() - beganNanos) / 1_000_000)
--- /dev/null
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/RequestContent.java
@@ -0,0 +1,45 @@
+package org.ragwortrun.router.internal.forward;
+
+import com.google.protobuf.ByteString;
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpMethod;
+import org.jspecify.annotations.Nullable;
+import org.ragwortrun.core.id.Digests;
+
+/** Identifies what a caller asks: the same for all attempts of an account with the same method, target and body. */
+final class RequestContent {
+    private final String account;
+    private final HttpMethod method;
+    private final String target;
+    private final ByteBuf body;
+    private @Nullable ByteString digest;
+
+    /**
+     * Creates the identity of a request.
+     *
+     * @param account name of the client account, empty for none
+     * @param body body, which must not be released before the first call of {@link #digest()}
+     */
+    RequestContent(String account, HttpMethod method, String target, ByteBuf body) {
+        this.account = account;
+        this.method = method;
+        this.target = target;
+        this.body = body;
+    }
+
+    /** Returns a digest of 16 bytes. */
+    ByteString digest() {
+        ByteString d = digest;
+        if (d == null) {
+            d = ByteString.copyFrom(Digests.content(account, method.name(), target, body.nioBuffer()));
+            digest = d;
+        }
+        return d;
+    }
+
+    /** Returns the digest in hex if it was needed so far, and an empty text otherwise. */
+    String hexIfKnown() {
+        ByteString d = digest;
+        return d == null ? "" : Digests.hex(d.toByteArray());
+    }
+}
