Keep content back that has crashed two endpoints, at all forwarding routers

Cause: forwarding routers knew a request by the id of one client attempt only. `SuspectRule` protects the flow over agents, whose agents report crashes; routers without agents neither reported nor asked. The class of fault: a protection that lives on one of two paths. Ruled out: reports that are late (there were none) and the router's own repeats (runs=1). Change: a router takes an endpoint for crashed if it breaks off a request and refuses the next connection (CrashDetector). It counts the digests of what it had there (CrashSuspects) and reports them to the meta group (CrashReports), which counts each report once and tells all daemons what was on two crashes. Such content is refused with 503 as not run, before tokens are reserved and before each send, for ten minutes after the newest crash. Content that was answered whole is not suspected. Why it works: the count no longer hangs on the id or on one router, and the router's own count works while control is away.

--- a/control/src/main/java/org/ragwortrun/control/internal/ControlNode.java
+++ b/control/src/main/java/org/ragwortrun/control/internal/ControlNode.java
@@ -79,8 +79,16 @@
         }
         switch (frame.getBodyCase()) {
             case SHARD_REQUEST, FENCE_CONFIRMED -> shardService.offer(peer, frame);
-            case PUBLISH, WATCH, CONFIRM, HEARTBEAT, MOVES_QUERY, CONFIG_QUERY, START_MOVE, EVIDENCE, CRASH_REPORT ->
-                metaService.offer(peer, frame);
+            case PUBLISH,
+                    WATCH,
+                    CONFIRM,
+                    HEARTBEAT,
+                    MOVES_QUERY,
+                    CONFIG_QUERY,
+                    START_MOVE,
+                    EVIDENCE,
+                    CRASH_REPORT,
+                    CRASH_EVIDENCE -> metaService.offer(peer, frame);
             case STATUS_QUERY -> metaService.status(peer, frame, status());
             default ->
                 peer.send(
--- a/control/src/main/java/org/ragwortrun/control/internal/MetaService.java
+++ b/control/src/main/java/org/ragwortrun/control/internal/MetaService.java
@@ -103,7 +103,12 @@
                 moves.onEvidence(peer.hello(), request.getEvidence());
                 acknowledge(peer, request);
             }
-            case CRASH_REPORT -> crash(peer, request);
+            case CRASH_REPORT -> {
+                moves.onCrash(peer.hello(), request.getCrashReport());
+                record(peer, request, MetaCommand.newBuilder().setCrash(request.getCrashReport()));
+            }
+            case CRASH_EVIDENCE ->
+                record(peer, request, MetaCommand.newBuilder().setCrashEvidence(request.getCrashEvidence()));
             default -> peer.send(Replies.error(request, "unknown-message", "not a call to the meta group"));
         }
     }
@@ -222,17 +227,15 @@
         waiters.check();
     }
 
-    /** Records a crash and answers once it is durable. A repeated report of the same crash changes nothing. */
-    private void crash(Peer peer, Frame request) {
-        moves.onCrash(peer.hello(), request.getCrashReport());
-        group.propose(MetaCommand.newBuilder().setCrash(request.getCrashReport()))
-                .whenComplete((result, failure) -> {
-                    if (failure == null) {
-                        acknowledge(peer, request);
-                    } else {
-                        peer.send(Failures.of(request, group, failure));
-                    }
-                });
+    /** Records crashes and answers once they are durable. A repeated report of the same crash changes nothing. */
+    private void record(Peer peer, Frame request, MetaCommand.Builder command) {
+        group.propose(command).whenComplete((result, failure) -> {
+            if (failure == null) {
+                acknowledge(peer, request);
+            } else {
+                peer.send(Failures.of(request, group, failure));
+            }
+        });
     }
 
     /** Answers a report, if it was a call, by a heartbeat that renews no lease. */
--- a/control/src/test/java/org/ragwortrun/control/ControlDaemonTest.java
+++ b/control/src/test/java/org/ragwortrun/control/ControlDaemonTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import com.google.protobuf.ByteString;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -24,6 +25,9 @@
 import org.ragwortrun.net.Transport;
 import org.ragwortrun.net.control.ControlClient;
 import org.ragwortrun.proto.ConfigQuery;
+import org.ragwortrun.proto.CrashEvidence;
+import org.ragwortrun.proto.CrashReport;
+import org.ragwortrun.proto.EndpointCrash;
 import org.ragwortrun.proto.Frame;
 import org.ragwortrun.proto.Hello;
 import org.ragwortrun.proto.Publish;
@@ -33,6 +37,7 @@
 import org.ragwortrun.proto.ShardRequest;
 import org.ragwortrun.proto.Statement;
 import org.ragwortrun.proto.StatementQuery;
+import org.ragwortrun.proto.Watch;
 
 /** Three members on loopback with their files. */
 final class ControlDaemonTest {
@@ -65,6 +70,32 @@
         running.values().forEach(ControlDaemon::close);
     }
 
+    /** Guards against crashes that one router reported and the others never learn of, also after a change of leader. */
+    @Test
+    void whatCrashedEndpointsAtTwoRoutersIsToldToAll() throws Exception {
+        publish(0);
+        report("r1");
+        running.remove(client.leader(0).orElseThrow()).close();
+        report("r1");
+        report("r2");
+        Frame update = client.call(0, Frame.newBuilder().setWatch(Watch.getDefaultInstance()), TIMEOUT)
+                .get();
+        CrashReport suspect = update.getConfigUpdate().getSuspects(0);
+        assertThat(suspect.getDigest().toStringUtf8()).isEqualTo("digest");
+        assertThat(suspect.getCrashes()).isEqualTo(2);
+    }
+
+    private void report(String router) throws Exception {
+        Frame.Builder evidence = Frame.newBuilder()
+                .setCrashEvidence(CrashEvidence.newBuilder()
+                        .setReporter(router)
+                        .setSequence(1)
+                        .addCrashes(EndpointCrash.newBuilder()
+                                .setEndpoint("e")
+                                .addDigests(ByteString.copyFromUtf8("digest"))));
+        assertThat(client.call(0, evidence, TIMEOUT).get().hasHeartbeat()).isTrue();
+    }
+
     /** Guards against a publish or a top-up that is lost when the leader stops. */
     @Test
     void survivesTheStopOfItsLeaderAndRestarts() throws Exception {
--- a/ledger/src/main/java/org/ragwortrun/ledger/MetaState.java
+++ b/ledger/src/main/java/org/ragwortrun/ledger/MetaState.java
@@ -82,7 +82,8 @@
                         .build();
             case VERSION_DECISION -> decide(command.getVersionDecision());
             case MOVE_PROGRESS -> progress(command.getMoveProgress());
-            case CRASH -> crash(command.getCrash());
+            case CRASH -> crashed(suspects.count(command.getCrash(), number + 1));
+            case CRASH_EVIDENCE -> crashed(suspects.count(command.getCrashEvidence(), number + 1, command.getNowMs()));
             case NEXT_FENCING ->
                 MetaResult.newBuilder()
                         .setFencing(fencing.merge(command.getNextFencing().getEndpoint(), 1L, Long::sum))
@@ -225,8 +226,8 @@
         return numbered();
     }
 
-    private MetaResult crash(CrashReport report) {
-        if (suspects.count(report, number + 1)) {
+    private MetaResult crashed(boolean tellDaemons) {
+        if (tellDaemons) {
             number = Math.addExact(number, 1);
         }
         return numbered();
@@ -288,7 +289,7 @@
                 .addAllMoves(moves.changedAfter(from))
                 .addAllDecisions(decisions.changedAfter(from))
                 .addAllOrderedMoves(ordered.all())
-                .addAllSuspects(suspects.changedAfter(from));
+                .addAllSuspects(suspects.refusedAfter(from));
         if (known) {
             update.addAllRemoved(sections.removedAfter(from));
         }
--- a/ledger/src/main/java/org/ragwortrun/ledger/internal/Suspects.java
+++ b/ledger/src/main/java/org/ragwortrun/ledger/internal/Suspects.java
@@ -1,16 +1,20 @@
 package org.ragwortrun.ledger.internal;
 
+import com.google.protobuf.ByteString;
 import java.io.IOException;
 import java.util.List;
 import java.util.Optional;
 import org.ragwortrun.core.id.Digests;
+import org.ragwortrun.proto.CrashEvidence;
 import org.ragwortrun.proto.CrashReport;
+import org.ragwortrun.proto.EndpointCrash;
 
 /**
  * Requests during which endpoints crashed, by content digest.
  *
- * <p>Each crash counts once, however often it is reported. An agent reports every request that shared the endpoint. A
- * crash at which a refused digest was present is explained by it and does not count against the others.
+ * <p>Each crash counts once, however often it is reported. An agent reports every request that shared the endpoint; a
+ * router reports those that it had sent itself. A crash at which a refused digest was present is explained by it and does
+ * not count against the others.
  */
 public final class Suspects {
     /** Crashes after which a request is refused for good. */
@@ -51,18 +55,62 @@
         return true;
     }
 
+    /**
+     * Counts the crashes that a router saw under the next configuration number, and tells whether there is more to refuse.
+     */
+    public boolean count(CrashEvidence evidence, long nextNumber, long nowMs) {
+        String name = evidence.getReporter() + '\n' + evidence.getSequence();
+        if (counted.find(name).isPresent()) {
+            return false;
+        }
+        counted.put(name, CrashReport.getDefaultInstance(), nextNumber);
+        counted.trim(MOST);
+        boolean more = false;
+        for (EndpointCrash crash : evidence.getCrashesList()) {
+            for (ByteString digest : blamed(crash.getDigestsList())) {
+                more |= blame(digest, crash.getEndpoint(), nextNumber, nowMs);
+            }
+        }
+        reports.trim(MOST);
+        return more;
+    }
+
+    private List<ByteString> blamed(List<ByteString> present) {
+        List<ByteString> known = present.stream().filter(this::isRefused).toList();
+        return known.isEmpty() ? present : known;
+    }
+
+    private boolean blame(ByteString digest, String endpoint, long nextNumber, long nowMs) {
+        String name = Digests.hex(digest.toByteArray());
+        int crashes = reports.find(name).map(CrashReport::getCrashes).orElse(0) + 1;
+        CrashReport report = CrashReport.newBuilder()
+                .setDigest(digest)
+                .setEndpoint(endpoint)
+                .setCrashes(crashes)
+                .setRefused(crashes >= REFUSED_AFTER)
+                .setLastCrashMs(nowMs)
+                .build();
+        reports.put(name, report, nextNumber);
+        return report.getRefused();
+    }
+
     private boolean isExplained(CrashReport report) {
-        return report.getNeighboursList().stream()
-                .map(n -> reports.find(Digests.hex(n.toByteArray())))
-                .anyMatch(known -> known.map(CrashReport::getRefused).orElse(false));
+        return report.getNeighboursList().stream().anyMatch(this::isRefused);
+    }
+
+    private boolean isRefused(ByteString digest) {
+        return find(digest.toByteArray()).map(CrashReport::getRefused).orElse(false);
     }
 
     public Optional<CrashReport> find(byte[] digest) {
         return reports.find(Digests.hex(digest));
     }
 
-    public List<CrashReport> changedAfter(long number) {
-        return reports.changedAfter(number);
+    /** Returns what has become refused, or has crashed once more, after a number. */
+    public List<CrashReport> refusedAfter(long number) {
+        return reports.changedAfter(number).stream()
+                .filter(CrashReport::getRefused)
+                .toList();
     }
 
     public void write(SnapshotWriter out) throws IOException {
--- a/ledger/src/test/java/org/ragwortrun/ledger/MetaStateTest.java
+++ b/ledger/src/test/java/org/ragwortrun/ledger/MetaStateTest.java
@@ -113,6 +113,36 @@
         assertThat(meta.suspect(innocent.toByteArray())).isEmpty();
     }
 
+    /** Guards against crashes that are counted again when a router's report is sent again, or lost with a snapshot. */
+    @Test
+    void countsEachReportOfARouterOnce() throws IOException {
+        ByteString culprit = ByteString.copyFromUtf8("d");
+        ByteString neighbour = ByteString.copyFromUtf8("n");
+        saw("r1", 1, 100, culprit, neighbour);
+        saw("r1", 1, 150, culprit, neighbour);
+        assertThat(meta.number()).isEqualTo(0);
+        restore();
+        saw("r2", 1, 200, culprit);
+        assertThat(meta.number()).isEqualTo(1);
+        CrashReport refused = meta.updateFrom(0).getSuspectsList().get(0);
+        assertThat(refused.getDigest()).isEqualTo(culprit);
+        assertThat(refused.getLastCrashMs()).isEqualTo(200);
+        saw("r3", 1, 300, culprit, neighbour);
+        assertThat(meta.updateFrom(1).getSuspects(0).getLastCrashMs()).isEqualTo(300);
+        assertThat(meta.suspect(neighbour.toByteArray()).orElseThrow().getRefused())
+                .isFalse();
+    }
+
+    /** Guards against a flood of configuration numbers when many endpoints crash. */
+    @Test
+    void contentThatCrashedOnceIsNotToldToDaemons() {
+        for (int i = 0; i < 50; i++) {
+            saw("r" + i, 1, 100, ByteString.copyFromUtf8("d" + i));
+        }
+        assertThat(meta.number()).isEqualTo(0);
+        assertThat(meta.updateFrom(0).getSuspectsList()).isEmpty();
+    }
+
     /** Guards against two load orders with the same fencing number. */
     @Test
     void fencingNumbersRise() throws IOException {
@@ -205,6 +235,18 @@
         meta.apply(MetaCommand.newBuilder().setCrash(report).build());
     }
 
+    private void saw(String router, long sequence, long nowMs, ByteString... digests) {
+        meta.apply(MetaCommand.newBuilder()
+                .setNowMs(nowMs)
+                .setCrashEvidence(CrashEvidence.newBuilder()
+                        .setReporter(router)
+                        .setSequence(sequence)
+                        .addCrashes(EndpointCrash.newBuilder()
+                                .setEndpoint("e" + nowMs)
+                                .addAllDigests(List.of(digests))))
+                .build());
+    }
+
     private static Section section(String kind, String name, String value) {
         return Section.newBuilder()
                 .setKind(kind)
--- a/net/src/main/java/org/ragwortrun/net/control/ConfigWatch.java
+++ b/net/src/main/java/org/ragwortrun/net/control/ConfigWatch.java
@@ -2,7 +2,7 @@
 
 import com.google.protobuf.ByteString;
 import java.time.Duration;
-import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -54,8 +54,8 @@
     private final Map<SectionId, Section> sections = new LinkedHashMap<>();
     private final Map<String, MoveProgress> moves = new LinkedHashMap<>();
     private final Map<String, VersionDecision> decisions = new LinkedHashMap<>();
-    private final Map<ByteString, CrashReport> suspects = new LinkedHashMap<>();
     private volatile @Nullable Configuration current;
+    private volatile Map<ByteString, Long> crashTimes = Map.of();
     private volatile long leaseUntil;
     private volatile boolean leased;
     private volatile boolean closed;
@@ -112,15 +112,14 @@
                         RETRY_AFTER)));
     }
 
-    /** Returns the crash suspects of the fleet. */
-    public synchronized List<CrashReport> suspects() {
-        return new ArrayList<>(suspects.values());
+    /** Returns whether requests with this content digest are refused because they crash endpoints. */
+    public boolean isRefused(ByteString digest) {
+        return crashTimes.containsKey(digest);
     }
 
-    /** Returns whether requests with this content digest are refused because they crash endpoints. */
-    public synchronized boolean isRefused(ByteString digest) {
-        CrashReport suspect = suspects.get(digest);
-        return suspect != null && suspect.getRefused();
+    /** Returns the wall-clock milliseconds of the newest crash of each content that is refused, by its digest. */
+    public Map<ByteString, Long> crashTimes() {
+        return crashTimes;
     }
 
     @Override
@@ -214,7 +213,7 @@
             sections.clear();
             moves.clear();
             decisions.clear();
-            suspects.clear();
+            crashTimes = Map.of();
         }
         update.getRemovedList().forEach(r -> {
             sections.remove(r);
@@ -226,7 +225,15 @@
         });
         update.getMovesList().forEach(m -> moves.put(m.getMove(), m));
         update.getDecisionsList().forEach(d -> decisions.put(d.getService() + "/" + d.getVersion(), d));
-        update.getSuspectsList().forEach(s -> suspects.put(s.getDigest(), s));
+        addCrashTimes(update.getSuspectsList());
+    }
+
+    private void addCrashTimes(List<CrashReport> suspects) {
+        if (!suspects.isEmpty()) {
+            Map<ByteString, Long> next = new HashMap<>(crashTimes);
+            suspects.stream().filter(CrashReport::getRefused).forEach(s -> next.put(s.getDigest(), s.getLastCrashMs()));
+            crashTimes = Map.copyOf(next);
+        }
     }
 
     /** Drops the progress of a move that was changed or removed; the update carries the progress that counts. */
--- a/proto/src/main/java/org/ragwortrun/proto/CrashReport.java
+++ b/proto/src/main/java/org/ragwortrun/proto/CrashReport.java
@@ -393,6 +393,44 @@
     refused_ = false;
   }
 
+  public static final int LAST_CRASH_MS_FIELD_NUMBER = 9;
+  private long lastCrashMs_;
+  /**
+   * <pre>
+   * Wall-clock time of the newest crash; 0 if it was reported by an agent.
+   * </pre>
+   *
+   * <code>int64 last_crash_ms = 9;</code>
+   * @return The lastCrashMs.
+   */
+  @java.lang.Override
+  public long getLastCrashMs() {
+    return lastCrashMs_;
+  }
+  /**
+   * <pre>
+   * Wall-clock time of the newest crash; 0 if it was reported by an agent.
+   * </pre>
+   *
+   * <code>int64 last_crash_ms = 9;</code>
+   * @param value The lastCrashMs to set.
+   */
+  private void setLastCrashMs(long value) {
+    
+    lastCrashMs_ = value;
+  }
+  /**
+   * <pre>
+   * Wall-clock time of the newest crash; 0 if it was reported by an agent.
+   * </pre>
+   *
+   * <code>int64 last_crash_ms = 9;</code>
+   */
+  private void clearLastCrashMs() {
+
+    lastCrashMs_ = 0L;
+  }
+
   public static org.ragwortrun.proto.CrashReport parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -871,6 +909,46 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Wall-clock time of the newest crash; 0 if it was reported by an agent.
+     * </pre>
+     *
+     * <code>int64 last_crash_ms = 9;</code>
+     * @return The lastCrashMs.
+     */
+    @java.lang.Override
+    public long getLastCrashMs() {
+      return instance.getLastCrashMs();
+    }
+    /**
+     * <pre>
+     * Wall-clock time of the newest crash; 0 if it was reported by an agent.
+     * </pre>
+     *
+     * <code>int64 last_crash_ms = 9;</code>
+     * @param value The lastCrashMs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setLastCrashMs(long value) {
+      copyOnWrite();
+      instance.setLastCrashMs(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Wall-clock time of the newest crash; 0 if it was reported by an agent.
+     * </pre>
+     *
+     * <code>int64 last_crash_ms = 9;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearLastCrashMs() {
+      copyOnWrite();
+      instance.clearLastCrashMs();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.ragwortrun.proto.CrashReport)
   }
   @java.lang.Override
@@ -895,10 +973,11 @@
             "neighbours_",
             "crashes_",
             "refused_",
+            "lastCrashMs_",
           };
           java.lang.String info =
-              "\u0000\b\u0000\u0000\u0001\b\b\u0000\u0001\u0000\u0001\n\u0002\u0208\u0003\u0208" +
-              "\u0004\u0208\u0005\u0208\u0006\u001c\u0007\u000b\b\u0007";
+              "\u0000\t\u0000\u0000\u0001\t\t\u0000\u0001\u0000\u0001\n\u0002\u0208\u0003\u0208" +
+              "\u0004\u0208\u0005\u0208\u0006\u001c\u0007\u000b\b\u0007\t\u0002";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/proto/src/main/java/org/ragwortrun/proto/CrashReportOrBuilder.java
+++ b/proto/src/main/java/org/ragwortrun/proto/CrashReportOrBuilder.java
@@ -104,4 +104,14 @@
    * @return The refused.
    */
   boolean getRefused();
+
+  /**
+   * <pre>
+   * Wall-clock time of the newest crash; 0 if it was reported by an agent.
+   * </pre>
+   *
+   * <code>int64 last_crash_ms = 9;</code>
+   * @return The lastCrashMs.
+   */
+  long getLastCrashMs();
 }
--- a/proto/src/main/java/org/ragwortrun/proto/Frame.java
+++ b/proto/src/main/java/org/ragwortrun/proto/Frame.java
@@ -60,6 +60,7 @@
     CONFIG_QUERY(35),
     CONFIG_REPLY(36),
     CRASH_REPORT(37),
+    CRASH_EVIDENCE(45),
     ENDPOINT_LIST(38),
     START_MOVE(39),
     START_MOVE_REPLY(40),
@@ -118,6 +119,7 @@
         case 35: return CONFIG_QUERY;
         case 36: return CONFIG_REPLY;
         case 37: return CRASH_REPORT;
+        case 45: return CRASH_EVIDENCE;
         case 38: return ENDPOINT_LIST;
         case 39: return START_MOVE;
         case 40: return START_MOVE_REPLY;
@@ -1972,6 +1974,56 @@
     }
   }
 
+  public static final int CRASH_EVIDENCE_FIELD_NUMBER = 45;
+  /**
+   * <code>.org.ragwortrun.proto.CrashEvidence crash_evidence = 45;</code>
+   */
+  @java.lang.Override
+  public boolean hasCrashEvidence() {
+    return bodyCase_ == 45;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.CrashEvidence crash_evidence = 45;</code>
+   */
+  @java.lang.Override
+  public org.ragwortrun.proto.CrashEvidence getCrashEvidence() {
+    if (bodyCase_ == 45) {
+       return (org.ragwortrun.proto.CrashEvidence) body_;
+    }
+    return org.ragwortrun.proto.CrashEvidence.getDefaultInstance();
+  }
+  /**
+   * <code>.org.ragwortrun.proto.CrashEvidence crash_evidence = 45;</code>
+   */
+  private void setCrashEvidence(org.ragwortrun.proto.CrashEvidence value) {
+    java.util.Objects.requireNonNull(value);
+    body_ = value;
+    bodyCase_ = 45;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.CrashEvidence crash_evidence = 45;</code>
+   */
+  private void mergeCrashEvidence(org.ragwortrun.proto.CrashEvidence value) {
+    java.util.Objects.requireNonNull(value);
+    if (bodyCase_ == 45 &&
+        body_ != org.ragwortrun.proto.CrashEvidence.getDefaultInstance()) {
+      body_ = org.ragwortrun.proto.CrashEvidence.newBuilder((org.ragwortrun.proto.CrashEvidence) body_)
+          .mergeFrom(value).buildPartial();
+    } else {
+      body_ = value;
+    }
+    bodyCase_ = 45;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.CrashEvidence crash_evidence = 45;</code>
+   */
+  private void clearCrashEvidence() {
+    if (bodyCase_ == 45) {
+      bodyCase_ = 0;
+      body_ = null;
+    }
+  }
+
   public static final int ENDPOINT_LIST_FIELD_NUMBER = 38;
   /**
    * <code>.org.ragwortrun.proto.EndpointList endpoint_list = 38;</code>
@@ -4191,6 +4243,54 @@
       return this;
     }
 
+    /**
+     * <code>.org.ragwortrun.proto.CrashEvidence crash_evidence = 45;</code>
+     */
+    @java.lang.Override
+    public boolean hasCrashEvidence() {
+      return instance.hasCrashEvidence();
+    }
+    /**
+     * <code>.org.ragwortrun.proto.CrashEvidence crash_evidence = 45;</code>
+     */
+    @java.lang.Override
+    public org.ragwortrun.proto.CrashEvidence getCrashEvidence() {
+      return instance.getCrashEvidence();
+    }
+    /**
+     * <code>.org.ragwortrun.proto.CrashEvidence crash_evidence = 45;</code>
+     */
+    public Builder setCrashEvidence(org.ragwortrun.proto.CrashEvidence value) {
+      copyOnWrite();
+      instance.setCrashEvidence(value);
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.CrashEvidence crash_evidence = 45;</code>
+     */
+    public Builder setCrashEvidence(
+        org.ragwortrun.proto.CrashEvidence.Builder builderForValue) {
+      copyOnWrite();
+      instance.setCrashEvidence(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.CrashEvidence crash_evidence = 45;</code>
+     */
+    public Builder mergeCrashEvidence(org.ragwortrun.proto.CrashEvidence value) {
+      copyOnWrite();
+      instance.mergeCrashEvidence(value);
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.CrashEvidence crash_evidence = 45;</code>
+     */
+    public Builder clearCrashEvidence() {
+      copyOnWrite();
+      instance.clearCrashEvidence();
+      return this;
+    }
+
     /**
      * <code>.org.ragwortrun.proto.EndpointList endpoint_list = 38;</code>
      */
@@ -4589,15 +4689,16 @@
             org.ragwortrun.proto.PeerReserved.class,
             org.ragwortrun.proto.PeerSettle.class,
             org.ragwortrun.proto.PeerSettled.class,
+            org.ragwortrun.proto.CrashEvidence.class,
           };
           java.lang.String info =
-              "\u0000,\u0001\u0000\u0001,,\u0000\u0000\u0000\u0001\u0003\u0002<\u0000\u0003<\u0000" +
+              "\u0000-\u0001\u0000\u0001--\u0000\u0000\u0000\u0001\u0003\u0002<\u0000\u0003<\u0000" +
               "\u0004<\u0000\u0005<\u0000\u0006<\u0000\u0007<\u0000\b<\u0000\t<\u0000\n<\u0000\u000b" +
               "<\u0000\f<\u0000\r<\u0000\u000e<\u0000\u000f<\u0000\u0010<\u0000\u0011<\u0000\u0012" +
               "<\u0000\u0013<\u0000\u0014<\u0000\u0015<\u0000\u0016<\u0000\u0017<\u0000\u0018<\u0000" +
               "\u0019<\u0000\u001a<\u0000\u001b<\u0000\u001c<\u0000\u001d<\u0000\u001e<\u0000\u001f" +
               "<\u0000 <\u0000!<\u0000\"<\u0000#<\u0000$<\u0000%<\u0000&<\u0000\'<\u0000(<\u0000" +
-              ")<\u0000*<\u0000+<\u0000,<\u0000";
+              ")<\u0000*<\u0000+<\u0000,<\u0000-<\u0000";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/proto/src/main/java/org/ragwortrun/proto/FrameOrBuilder.java
+++ b/proto/src/main/java/org/ragwortrun/proto/FrameOrBuilder.java
@@ -412,6 +412,17 @@
    */
   org.ragwortrun.proto.CrashReport getCrashReport();
 
+  /**
+   * <code>.org.ragwortrun.proto.CrashEvidence crash_evidence = 45;</code>
+   * @return Whether the crashEvidence field is set.
+   */
+  boolean hasCrashEvidence();
+  /**
+   * <code>.org.ragwortrun.proto.CrashEvidence crash_evidence = 45;</code>
+   * @return The crashEvidence.
+   */
+  org.ragwortrun.proto.CrashEvidence getCrashEvidence();
+
   /**
    * <code>.org.ragwortrun.proto.EndpointList endpoint_list = 38;</code>
    * @return Whether the endpointList field is set.
--- a/proto/src/main/java/org/ragwortrun/proto/MetaCommand.java
+++ b/proto/src/main/java/org/ragwortrun/proto/MetaCommand.java
@@ -32,6 +32,7 @@
     START_MOVE(7),
     READ_BARRIER(8),
     SET_BASELINE(9),
+    CRASH_EVIDENCE(10),
     OP_NOT_SET(0);
     private final int value;
     private OpCase(int value) {
@@ -55,6 +56,7 @@
         case 7: return START_MOVE;
         case 8: return READ_BARRIER;
         case 9: return SET_BASELINE;
+        case 10: return CRASH_EVIDENCE;
         case 0: return OP_NOT_SET;
         default: return null;
       }
@@ -502,6 +504,56 @@
     }
   }
 
+  public static final int CRASH_EVIDENCE_FIELD_NUMBER = 10;
+  /**
+   * <code>.org.ragwortrun.proto.CrashEvidence crash_evidence = 10;</code>
+   */
+  @java.lang.Override
+  public boolean hasCrashEvidence() {
+    return opCase_ == 10;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.CrashEvidence crash_evidence = 10;</code>
+   */
+  @java.lang.Override
+  public org.ragwortrun.proto.CrashEvidence getCrashEvidence() {
+    if (opCase_ == 10) {
+       return (org.ragwortrun.proto.CrashEvidence) op_;
+    }
+    return org.ragwortrun.proto.CrashEvidence.getDefaultInstance();
+  }
+  /**
+   * <code>.org.ragwortrun.proto.CrashEvidence crash_evidence = 10;</code>
+   */
+  private void setCrashEvidence(org.ragwortrun.proto.CrashEvidence value) {
+    java.util.Objects.requireNonNull(value);
+    op_ = value;
+    opCase_ = 10;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.CrashEvidence crash_evidence = 10;</code>
+   */
+  private void mergeCrashEvidence(org.ragwortrun.proto.CrashEvidence value) {
+    java.util.Objects.requireNonNull(value);
+    if (opCase_ == 10 &&
+        op_ != org.ragwortrun.proto.CrashEvidence.getDefaultInstance()) {
+      op_ = org.ragwortrun.proto.CrashEvidence.newBuilder((org.ragwortrun.proto.CrashEvidence) op_)
+          .mergeFrom(value).buildPartial();
+    } else {
+      op_ = value;
+    }
+    opCase_ = 10;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.CrashEvidence crash_evidence = 10;</code>
+   */
+  private void clearCrashEvidence() {
+    if (opCase_ == 10) {
+      opCase_ = 0;
+      op_ = null;
+    }
+  }
+
   public static org.ragwortrun.proto.MetaCommand parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -1027,6 +1079,54 @@
       return this;
     }
 
+    /**
+     * <code>.org.ragwortrun.proto.CrashEvidence crash_evidence = 10;</code>
+     */
+    @java.lang.Override
+    public boolean hasCrashEvidence() {
+      return instance.hasCrashEvidence();
+    }
+    /**
+     * <code>.org.ragwortrun.proto.CrashEvidence crash_evidence = 10;</code>
+     */
+    @java.lang.Override
+    public org.ragwortrun.proto.CrashEvidence getCrashEvidence() {
+      return instance.getCrashEvidence();
+    }
+    /**
+     * <code>.org.ragwortrun.proto.CrashEvidence crash_evidence = 10;</code>
+     */
+    public Builder setCrashEvidence(org.ragwortrun.proto.CrashEvidence value) {
+      copyOnWrite();
+      instance.setCrashEvidence(value);
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.CrashEvidence crash_evidence = 10;</code>
+     */
+    public Builder setCrashEvidence(
+        org.ragwortrun.proto.CrashEvidence.Builder builderForValue) {
+      copyOnWrite();
+      instance.setCrashEvidence(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.CrashEvidence crash_evidence = 10;</code>
+     */
+    public Builder mergeCrashEvidence(org.ragwortrun.proto.CrashEvidence value) {
+      copyOnWrite();
+      instance.mergeCrashEvidence(value);
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.CrashEvidence crash_evidence = 10;</code>
+     */
+    public Builder clearCrashEvidence() {
+      copyOnWrite();
+      instance.clearCrashEvidence();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.ragwortrun.proto.MetaCommand)
   }
   @java.lang.Override
@@ -1054,10 +1154,12 @@
             org.ragwortrun.proto.StartMove.class,
             org.ragwortrun.proto.ReadBarrier.class,
             org.ragwortrun.proto.SetBaseline.class,
+            org.ragwortrun.proto.CrashEvidence.class,
           };
           java.lang.String info =
-              "\u0000\t\u0001\u0000\u0001\t\t\u0000\u0000\u0000\u0001\u0002\u0002<\u0000\u0003<" +
-              "\u0000\u0004<\u0000\u0005<\u0000\u0006<\u0000\u0007<\u0000\b<\u0000\t<\u0000";
+              "\u0000\n\u0001\u0000\u0001\n\n\u0000\u0000\u0000\u0001\u0002\u0002<\u0000\u0003<" +
+              "\u0000\u0004<\u0000\u0005<\u0000\u0006<\u0000\u0007<\u0000\b<\u0000\t<\u0000\n<\u0000" +
+              "";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/proto/src/main/java/org/ragwortrun/proto/MetaCommandOrBuilder.java
+++ b/proto/src/main/java/org/ragwortrun/proto/MetaCommandOrBuilder.java
@@ -104,5 +104,16 @@
    */
   org.ragwortrun.proto.SetBaseline getSetBaseline();
 
+  /**
+   * <code>.org.ragwortrun.proto.CrashEvidence crash_evidence = 10;</code>
+   * @return Whether the crashEvidence field is set.
+   */
+  boolean hasCrashEvidence();
+  /**
+   * <code>.org.ragwortrun.proto.CrashEvidence crash_evidence = 10;</code>
+   * @return The crashEvidence.
+   */
+  org.ragwortrun.proto.CrashEvidence getCrashEvidence();
+
   public org.ragwortrun.proto.MetaCommand.OpCase getOpCase();
 }
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointConnections.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointConnections.java
@@ -17,6 +17,10 @@
 
 /** The connections of this router to one endpoint. The one used last is used again first, so that others can expire. */
 final class EndpointConnections {
+    /** Cause of a connection that the endpoint's host did not let be opened. */
+    static final String REFUSED = "connect-refused";
+
+    private static final String TIMED_OUT = "connect-timeout";
     // Several times the longest way between two hosts of a region; a busy accept queue drops the first packet.
     private static final int CONNECT_TIMEOUT_MS = 400;
 
@@ -49,6 +53,20 @@
             }
             c.close();
         }
+        open(connected, failed);
+    }
+
+    /** Opens a connection to see whether the endpoint takes it, and keeps it for a request if so. */
+    void check(Runnable taken, Consumer<String> failed) {
+        open(
+                c -> {
+                    release(c);
+                    taken.run();
+                },
+                failed);
+    }
+
+    private void open(Consumer<EndpointConnection> connected, Consumer<String> failed) {
         EndpointConnection connection = new EndpointConnection(time, heads, this);
         open++;
         new Bootstrap()
@@ -69,9 +87,7 @@
                     } else {
                         open--;
                         failed.accept(
-                                f.cause() instanceof io.netty.channel.ConnectTimeoutException
-                                        ? "connect-timeout"
-                                        : "connect-refused");
+                                f.cause() instanceof io.netty.channel.ConnectTimeoutException ? TIMED_OUT : REFUSED);
                     }
                 });
     }
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointState.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointState.java
@@ -6,6 +6,7 @@
 final class EndpointState {
     private final EndpointHealth health = new EndpointHealth();
     private final PrefixMemory prefixes = new PrefixMemory();
+    private final BrokenRequests broken = new BrokenRequests();
     private final EndpointConnections connections;
     private ListedEndpoint listed;
     private boolean listedNow = true;
@@ -36,6 +37,10 @@
         return prefixes;
     }
 
+    BrokenRequests broken() {
+        return broken;
+    }
+
     EndpointConnections connections() {
         return connections;
     }
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
@@ -115,6 +115,9 @@
     void start() {
         limit = services.loop().schedule(this::onLimit, limitNanos - startNanos, TimeUnit.NANOSECONDS);
         services.retries().onRequest(origin.name(), startNanos);
+        if (isKeptBack()) {
+            return;
+        }
         Optional<BudgetRef> budget = budget();
         if (budget.isEmpty()) {
             place();
@@ -193,7 +196,25 @@
         }
     }
 
+    /** Refuses the request if its content is suspected of crashes. A request that may have run is not sent again. */
+    private boolean isKeptBack() {
+        Optional<Duration> left = services.suspects().keptBackFor(content);
+        if (left.isEmpty()) {
+            return false;
+        }
+        if (runs > 0) {
+            giveUp(RefusalReason.CONTENT_QUARANTINED.code());
+        } else {
+            refuse(Refusal.notRun(
+                    RefusalReason.CONTENT_QUARANTINED, "endpoints crashed while they ran this content", left.get()));
+        }
+        return true;
+    }
+
     private void place() {
+        if (isKeptBack()) {
+            return;
+        }
         Optional<Configuration> configuration = services.configuration().get();
         List<EndpointState> open = services.endpoints().open(origin.name());
         open.removeIf(s -> tried.contains(s.id()));
@@ -606,6 +627,7 @@
                 endpoint.health().onFailure(services.time().nanos());
             }
             observe(good);
+            services.suspects().answered(content);
             if (!answering) {
                 startAnswer(r);
                 if (held.isReadable()) {
@@ -635,8 +657,7 @@
             endpoint.health().onFailure(services.time().nanos());
             observe(false);
             services.metrics().count("endpoint_breaks", 1);
-            // Retries of the caller have other ids; the digest tells which of them carry the same content.
-            content.digest();
+            services.crashes().broken(endpoint, content);
             log("endpoint-broken", cause);
             afterLost(cause);
         }
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
@@ -44,6 +44,7 @@
 import org.ragwortrun.proto.Hello;
 import org.ragwortrun.proto.ListedEndpoint;
 import org.ragwortrun.proto.Role;
+import org.ragwortrun.router.internal.evidence.CrashReports;
 import org.ragwortrun.router.internal.evidence.EvidenceCollector;
 import org.ragwortrun.router.internal.http.ProblemWriter;
 import org.ragwortrun.router.internal.ledger.GrantClient;
@@ -163,6 +164,9 @@
             Duty.repeat(timer, home, SECOND_MS, SECOND_MS);
         }
         EvidenceCollector evidence = new EvidenceCollector(control);
+        CrashSuspects suspects = new CrashSuspects(watch::crashTimes, time);
+        CrashDetector crashes =
+                new CrashDetector(suspects, new CrashReports(control, timer, incarnation)::add, metrics, time);
         UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create();
         ForwardServices services = new ForwardServices(
                 settings.dataCenter(),
@@ -174,6 +178,8 @@
                         settings.retryWindow().toNanos()),
                 tokens,
                 evidence,
+                suspects,
+                crashes,
                 heads,
                 metrics,
                 time,
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardServices.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardServices.java
@@ -20,6 +20,8 @@
  * @param retries allowance for second endpoints
  * @param tokens tokens of client accounts
  * @param evidence outcomes by version
+ * @param suspects content that may not be sent
+ * @param crashes detector of crashed endpoints
  * @param heads reader and writer of heads
  * @param metrics counters
  * @param time clock
@@ -34,6 +36,8 @@
         RetryAllowance retries,
         TokenSource tokens,
         EvidenceCollector evidence,
+        CrashSuspects suspects,
+        CrashDetector crashes,
         RequestHeads heads,
         Metrics metrics,
         Time time,
--- a/router/src/test/java/org/ragwortrun/router/CrashingContentTest.java
+++ b/router/src/test/java/org/ragwortrun/router/CrashingContentTest.java
@@ -9,6 +9,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -20,6 +21,7 @@
 /** Requests that crash each endpoint that runs them, sent again and again through two routers. */
 final class CrashingContentTest {
     private static final String CRASHING = "crashing";
+    private static final String LOST = "lost";
     private static final int ENDPOINTS = 6;
     private static final int CRASHES_TO_LEARN = 3;
     private static final int MOST_SENT_AFTER = 3;
@@ -28,6 +30,7 @@
 
     private final ScheduledExecutorService restarts = Executors.newSingleThreadScheduledExecutor();
     private final AtomicInteger crashes = new AtomicInteger();
+    private final AtomicInteger lost = new AtomicInteger();
     private final AtomicInteger ids = new AtomicInteger();
     private final List<ForwardHarness.Router> routers = new ArrayList<>();
     private ForwardHarness harness;
@@ -54,10 +57,14 @@
     }
 
     private boolean answer(ScriptedEndpoint endpoint, String id, String request, OutputStream out) throws IOException {
-        if (!request.endsWith(CRASHING)) {
+        if (!request.endsWith(CRASHING) && !request.endsWith(LOST)) {
             write(out, ok(request.split("X-Request-Id: ", 2)[1].split("\r", 2)[0], "done"));
             return true;
         }
+        if (request.endsWith(LOST)) {
+            lost.incrementAndGet();
+            return false;
+        }
         String nextId = id + "-" + crashes.incrementAndGet();
         endpoint.crash();
         restarts.schedule(
@@ -85,6 +92,71 @@
         assertThat(crashes.get() - before).isAtMost(MOST_SENT_AFTER);
     }
 
+    @Test
+    void theRefusalOfKeptBackContentSaysNotRunAndWhenToComeBack() throws Exception {
+        crashTwice();
+        awaitRefusal(0);
+        String answer = awaitRefusal(1);
+        assertThat(answer).startsWith("HTTP/1.1 503");
+        assertThat(answer).contains("\"run\":\"not run\"");
+        assertThat(answer).contains("content-quarantined");
+        double retryAfterS = Double.parseDouble(
+                answer.toLowerCase(Locale.ROOT).split("retry-after: ", 2)[1].split("\r", 2)[0]);
+        assertThat(retryAfterS).isGreaterThan(500.0);
+        assertThat(crashes.get()).isAtMost(CRASHES_TO_LEARN);
+    }
+
+    /** Guards against a router that goes on crashing endpoints while no control member records what it reports. */
+    @Test
+    void aRouterActsOnItsOwnCrashesWhileControlIsSilent() throws Exception {
+        harness.control.crashesSilent = true;
+        for (int i = 0; i < 4; i++) {
+            post(0, "/order/x", CRASHING);
+            pause(Duration.ofMillis(300));
+        }
+        assertThat(crashes.get()).isEqualTo(2);
+        harness.control.crashesSilent = false;
+        assertThat(awaitRefusal(1)).contains("content-quarantined");
+    }
+
+    /** Guards against the refusal of content whose answers are lost although its endpoints are well. */
+    @Test
+    void contentWhoseAnswersAreLostIsSentOn() throws Exception {
+        for (int i = 0; i < 8; i++) {
+            assertThat(post(i, "/order/x", LOST)).startsWith("HTTP/1.1 502");
+            pause(Duration.ofMillis(50));
+        }
+        assertThat(lost.get()).isEqualTo(8);
+    }
+
+    /** Guards against a repeat within one client attempt that crashes a second endpoint of content known to do so. */
+    @Test
+    void aRequestThatRanIsNotCalledNotRunWhenItsContentIsKeptBack() throws Exception {
+        post(0, "/order/x", CRASHING);
+        pause(Duration.ofMillis(300));
+        String answer = post(0, "/read/x", CRASHING);
+        assertThat(answer).startsWith("HTTP/1.1 502");
+        assertThat(answer).doesNotContain("not run");
+    }
+
+    private void crashTwice() throws Exception {
+        for (int i = 0; i < 2; i++) {
+            post(i, "/order/x", CRASHING);
+            pause(Duration.ofMillis(300));
+        }
+        assertThat(crashes.get()).isEqualTo(2);
+    }
+
+    /** Sends the content until a router refuses it, and returns the refusal. */
+    private String awaitRefusal(int router) throws Exception {
+        String answer = post(router, "/order/x", CRASHING);
+        for (int i = 0; i < 30 && !answer.contains("content-quarantined"); i++) {
+            pause(Duration.ofMillis(100));
+            answer = post(router, "/order/x", CRASHING);
+        }
+        return answer;
+    }
+
     private String post(int turn, String target, String body) throws IOException {
         return routers.get(turn % routers.size())
                 .send("POST " + target + " HTTP/1.1\r\nHost: h\r\nX-Request-Id: q" + ids.incrementAndGet()
--- a/router/src/test/java/org/ragwortrun/router/FakeControl.java
+++ b/router/src/test/java/org/ragwortrun/router/FakeControl.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import org.ragwortrun.core.id.Digests;
 import org.ragwortrun.ledger.GrantPolicy;
+import org.ragwortrun.ledger.MetaState;
 import org.ragwortrun.ledger.ShardState;
 import org.ragwortrun.net.FrameHandler;
 import org.ragwortrun.net.Peer;
@@ -15,10 +16,12 @@
 import org.ragwortrun.proto.ApplyTopUps;
 import org.ragwortrun.proto.BudgetRef;
 import org.ragwortrun.proto.ConfigUpdate;
+import org.ragwortrun.proto.CrashEvidence;
 import org.ragwortrun.proto.CrashReport;
 import org.ragwortrun.proto.EvidenceRow;
 import org.ragwortrun.proto.Frame;
 import org.ragwortrun.proto.Heartbeat;
+import org.ragwortrun.proto.MetaCommand;
 import org.ragwortrun.proto.Section;
 import org.ragwortrun.proto.ShardCommand;
 import org.ragwortrun.proto.ShardReply;
@@ -32,12 +35,15 @@
     private static final int LEASE_MS = 3_000;
 
     final List<EvidenceRow> evidence = new CopyOnWriteArrayList<>();
+    private final List<Peer> watchers = new CopyOnWriteArrayList<>();
     final List<ShardCommand> commands = new CopyOnWriteArrayList<>();
     volatile boolean leased = true;
     volatile boolean shardsSilent;
+    volatile boolean crashesSilent;
     private final Map<Integer, ShardState> shards = new ConcurrentHashMap<>();
     private final List<Section> sections = new ArrayList<>();
     private final List<CrashReport> suspects = new ArrayList<>();
+    private final MetaState meta = new MetaState((previous, next, now) -> List.of());
     private volatile long number = 1;
 
     synchronized void section(String kind, String name, Map<String, String> properties) {
@@ -90,12 +96,17 @@
     public void onFrame(Peer peer, Frame f) {
         Frame.Builder reply = Replies.to(f);
         if (f.hasWatch()) {
+            watchers.add(peer);
             peer.send(reply.setConfigUpdate(update()).build());
         } else if (f.hasConfirm()) {
             int lease = leased && f.getConfirm().getNumber() == number ? LEASE_MS : 0;
             peer.send(
                     reply.setHeartbeat(Heartbeat.newBuilder().setNumber(number).setLeaseMs(lease))
                             .build());
+        } else if (f.hasCrashEvidence() && !crashesSilent) {
+            record(f.getCrashEvidence());
+            peer.send(
+                    reply.setHeartbeat(Heartbeat.newBuilder().setNumber(number)).build());
         } else if (f.hasEvidence()) {
             evidence.addAll(f.getEvidence().getRowsList());
         } else if (f.getShardRequest().hasExplain()) {
@@ -118,11 +129,25 @@
         return shards.computeIfAbsent(group, g -> new ShardState(GrantPolicy.demand()));
     }
 
+    private synchronized void record(CrashEvidence evidence) {
+        long before = meta.number();
+        meta.apply(MetaCommand.newBuilder()
+                .setNowMs(System.currentTimeMillis())
+                .setCrashEvidence(evidence)
+                .build());
+        if (meta.number() > before) {
+            number++;
+            watchers.forEach(
+                    p -> p.send(Frame.newBuilder().setConfigUpdate(update()).build()));
+        }
+    }
+
     private synchronized ConfigUpdate update() {
         return ConfigUpdate.newBuilder()
                 .setNumber(number)
                 .addAllChanged(sections)
                 .addAllSuspects(suspects)
+                .addAllSuspects(meta.updateFrom(0).getSuspectsList())
                 .build();
     }
 }
--- a/router/src/test/java/org/ragwortrun/router/internal/forward/CallerConnectionTest.java
+++ b/router/src/test/java/org/ragwortrun/router/internal/forward/CallerConnectionTest.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -62,6 +63,7 @@
         closer.register(() -> loop.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly());
         Metrics metrics = closer.register(Metrics.local());
         Time time = Time.steady();
+        CrashSuspects suspects = new CrashSuspects(Map::of, time);
         ForwardFront front = new ForwardFront(new ForwardServices(
                 "dc",
                 () -> {
@@ -74,6 +76,8 @@
                 new RetryAllowance(0, () -> 0, 1),
                 (budget, tokens, id, longest) -> new CompletableFuture<>(),
                 new EvidenceCollector(null),
+                suspects,
+                new CrashDetector(suspects, (endpoint, contents) -> {}, metrics, time),
                 new RequestHeads(HeaderNames.STANDARD),
                 metrics,
                 time,
