--- a/control/src/main/java/org/ragwortrun/control/internal/ControlNode.java
+++ b/control/src/main/java/org/ragwortrun/control/internal/ControlNode.java
@@ -1,6 +1,8 @@
 package org.ragwortrun.control.internal;
 
+import java.util.EnumSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 import org.ragwortrun.control.MoveDriver;
 import org.ragwortrun.core.concurrent.Closer;
@@ -15,6 +17,17 @@
 
 /** One control member without its network and files: takes frames and hands them to the duties. */
 public final class ControlNode implements FrameHandler, AutoCloseable {
+    private static final Set<Frame.BodyCase> META_CALLS = EnumSet.of(
+            Frame.BodyCase.PUBLISH,
+            Frame.BodyCase.WATCH,
+            Frame.BodyCase.CONFIRM,
+            Frame.BodyCase.HEARTBEAT,
+            Frame.BodyCase.MOVES_QUERY,
+            Frame.BodyCase.CONFIG_QUERY,
+            Frame.BodyCase.START_MOVE,
+            Frame.BodyCase.EVIDENCE,
+            Frame.BodyCase.CRASH_REPORT,
+            Frame.BodyCase.CRASH_EVIDENCE);
     private static final long TICK_MS = 50;
 
     private final String name;
@@ -77,18 +90,12 @@
                     .build());
             return;
         }
+        if (META_CALLS.contains(frame.getBodyCase())) {
+            metaService.offer(peer, frame);
+            return;
+        }
         switch (frame.getBodyCase()) {
             case SHARD_REQUEST, FENCE_CONFIRMED -> shardService.offer(peer, frame);
-            case PUBLISH,
-                    WATCH,
-                    CONFIRM,
-                    HEARTBEAT,
-                    MOVES_QUERY,
-                    CONFIG_QUERY,
-                    START_MOVE,
-                    EVIDENCE,
-                    CRASH_REPORT,
-                    CRASH_EVIDENCE -> metaService.offer(peer, frame);
             case STATUS_QUERY -> metaService.status(peer, frame, status());
             default ->
                 peer.send(
