Judge a move before its finish, so that its verdict is in force in time

Cause: evidence is looked at every 5 s from the first decision on, whatever the finish time. A move of 15 s has two looks within its time; the third, which had enough evidence, came at 19.98 s, the finish was at 19.05 s. Change: the evidence is also judged 1.5 s before the finish, once, so that a verdict is decided and applied by then. Decisions on moves are logged (`move-decided`). Result: SequentialVersionMoveTest.takesBackASlowVersionBeforeTheFinishOfAShortMove failed before and passes.

--- a/control/src/main/java/org/ragwortrun/control/internal/MetaService.java
+++ b/control/src/main/java/org/ragwortrun/control/internal/MetaService.java
@@ -17,6 +17,7 @@
 import org.ragwortrun.proto.Heartbeat;
 import org.ragwortrun.proto.MetaCommand;
 import org.ragwortrun.proto.MetaResult;
+import org.ragwortrun.proto.MoveProgress;
 import org.ragwortrun.proto.MovesReply;
 import org.ragwortrun.proto.PublishReply;
 import org.ragwortrun.proto.ReadBarrier;
@@ -269,6 +270,15 @@
     }
 
     private void proposeDecision(MetaCommand.Builder command) {
+        if (command.hasMoveProgress()) {
+            MoveProgress progress = command.getMoveProgress();
+            Event.of("move-decided")
+                    .with("move", progress.getMove())
+                    .with("state", progress.getState())
+                    .with("share-permille", progress.getSharePermille())
+                    .with("reason", progress.getReason())
+                    .info(LOG);
+        }
         group.propose(command).whenComplete((r, e) -> {
             if (e != null) {
                 Event.of("decision-not-proposed").warn(LOG, Causes.of(e));
--- a/routing/src/main/java/org/ragwortrun/routing/version/SequentialVersionMove.java
+++ b/routing/src/main/java/org/ragwortrun/routing/version/SequentialVersionMove.java
@@ -15,6 +15,8 @@
  */
 public final class SequentialVersionMove implements VersionMove {
     private static final long INTERVAL_MS = 5_000;
+    // Decisions come once a second and must be in force by the finish.
+    private static final long VERDICT_MARGIN_MS = 1_500;
 
     private final Move move;
     private final Comparison comparison;
@@ -25,6 +27,7 @@
     private long requestsInStep;
     private int step;
     private boolean started;
+    private boolean judged;
     private String alarm = "";
 
     public SequentialVersionMove(Move move) {
@@ -54,7 +57,9 @@
         if (!alarm.isEmpty()) {
             return takenBack();
         }
-        if (nowMillis >= intervalEnd) {
+        boolean atVerdict = !judged && verdictMillis() <= nowMillis;
+        if (nowMillis >= intervalEnd || atVerdict) {
+            judged |= atVerdict;
             intervalEnd = nowMillis + INTERVAL_MS;
             Optional<String> found = comparison.endInterval();
             if (found.isPresent()) {
@@ -68,7 +73,7 @@
         if (!started) {
             begin(nowMillis);
         }
-        long left = Math.max(0, finishMillis() - nowMillis);
+        long left = Math.max(0, verdictMillis() - nowMillis);
         if (step < plan.last() && mayRise(nowMillis)) {
             step++;
             stepBegan = nowMillis;
@@ -108,6 +113,11 @@
                 : move.finish().toEpochMilli();
     }
 
+    /** Returns when the evidence is judged for the finish time. */
+    private long verdictMillis() {
+        return finishMillis() == Long.MAX_VALUE ? Long.MAX_VALUE : finishMillis() - VERDICT_MARGIN_MS;
+    }
+
     private MoveDecision takenBack() {
         return new MoveDecision(MoveState.MOVE_TAKEN_BACK, 0, alarm);
     }
--- a/routing/src/test/java/org/ragwortrun/routing/version/SequentialVersionMoveTest.java
+++ b/routing/src/test/java/org/ragwortrun/routing/version/SequentialVersionMoveTest.java
@@ -14,7 +14,7 @@
     private static final long MINUTE = 60;
     private static final Move MOVE = new Move("m", "s", "old", "new", 1000, 50, START, START.plusSeconds(30 * MINUTE));
 
-    private final SequentialVersionMove move = new SequentialVersionMove(MOVE);
+    private SequentialVersionMove move = new SequentialVersionMove(MOVE);
 
     @Test
     void completesAGoodVersionInTime() {
@@ -54,6 +54,15 @@
         assertThat(decision.reason()).startsWith("slower answers");
     }
 
+    /** Guards against a slow version that is taken back only after the time by which operators expect the verdict. */
+    @Test
+    void takesBackASlowVersionBeforeTheFinishOfAShortMove() {
+        Move shortMove = new Move("m", "s", "old", "new", 1000, 100, START, START.plusSeconds(15));
+        move = new SequentialVersionMove(shortMove);
+        MoveDecision decision = run(0, 15, 20, 0, 0, 1_400_000);
+        assertThat(decision.state()).isEqualTo(MoveState.MOVE_TAKEN_BACK);
+    }
+
     /** Guards against blaming the new version for an outage that hits both. */
     @Test
     void sparesAVersionInACommonOutage() {
