Judge versions by the pace of streams, before the streams end

What operators saw: on hasty, a version three times slower (96 ms for each event, 31 ms at the old one) was not taken back within its 15 s: the evidence was below the level of caution at the verdict. Cause: a router told the latency of a stream when the stream had ended, 5 to 10 s after it was known, and the slower the version the later. The latency was the time to the first event, which depends on what the engine has cached: a new version starts with nothing, so a sound one looks slow on long shared prompts as well. Change: AnswerPace decides which latency counts and when: the first four pauses between events where the prompt shares parts, the first event or the whole answer elsewhere. It is told at once; the end of the request is counted without it.

--- a/router/src/main/java/org/ragwortrun/router/internal/evidence/EvidenceCollector.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/evidence/EvidenceCollector.java
@@ -32,13 +32,22 @@
         EvidenceRow.Builder row = row(key);
         row.setRequests(row.getRequests() + 1).setFailures(row.getFailures() + (good ? 0 : 1));
         if (good && latency.isPresent()) {
-            double log = Math.log(Math.max(1, latency.get().toNanos() / 1_000));
-            row.setLogLatencySum(row.getLogLatencySum() + log)
-                    .setLogLatencySquareSum(row.getLogLatencySquareSum() + log * log)
-                    .setLatencyCount(row.getLatencyCount() + 1);
+            addLatency(row, latency.get());
         }
     }
 
+    /** Notes the latency of a request that has not ended yet and is counted without one when it does. */
+    public synchronized void recordLatency(EvidenceKey key, Duration latency) {
+        addLatency(row(key), latency);
+    }
+
+    private static void addLatency(EvidenceRow.Builder row, Duration latency) {
+        double log = Math.log(Math.max(1, latency.toNanos() / 1_000));
+        row.setLogLatencySum(row.getLogLatencySum() + log)
+                .setLogLatencySquareSum(row.getLogLatencySquareSum() + log * log)
+                .setLatencyCount(row.getLatencyCount() + 1);
+    }
+
     @Override
     public void run() {
         Map<EvidenceKey, EvidenceRow.Builder> sent = take();
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
@@ -412,6 +412,9 @@
     private final class Attempt implements AnswerListener {
         private final EndpointState endpoint;
         private final long beganNanos = services.time().nanos();
+        // The last part of a prompt belongs to its session; those before it are shared.
+        private final AnswerPace pace = new AnswerPace(request.parts().size() > 1, beganNanos);
+        private final int eventsBefore = events.events();
         private @Nullable EndpointConnection connection;
         private @Nullable HttpResponse received;
         private ByteBuf held = Unpooled.EMPTY_BUFFER;
@@ -539,6 +542,8 @@
                 return;
             }
             readPrompt();
+            pace.onEvents(events.events() - eventsBefore, services.time().nanos())
+                    .ifPresent(l -> services.evidence().recordLatency(evidenceKey(), l));
             boolean first = !answering;
             if (first) {
                 startAnswer(r);
@@ -663,12 +668,12 @@
         }
 
         private void observe(boolean good) {
-            EvidenceKey key = new EvidenceKey(origin.name(), endpoint.listed().getVersion(), route.name(), 0);
-            Duration took = Duration.ofNanos((firstByteNanos > beganNanos
-                            ? firstByteNanos
-                            : services.time().nanos())
-                    - beganNanos);
-            services.evidence().record(key, good, Optional.of(took));
+            services.evidence()
+                    .record(evidenceKey(), good, pace.onEnd(services.time().nanos()));
+        }
+
+        private EvidenceKey evidenceKey() {
+            return new EvidenceKey(origin.name(), endpoint.listed().getVersion(), route.name(), 0);
         }
 
         /** Stops an attempt that still runs, so that its endpoint drops the request. */
--- a/router/src/test/java/org/ragwortrun/router/ForwardDaemonTest.java
+++ b/router/src/test/java/org/ragwortrun/router/ForwardDaemonTest.java
@@ -18,6 +18,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.ragwortrun.proto.EvidenceRow;
 import org.ragwortrun.proto.ShardCommand;
 
 /** A forwarding router over real connections, between a caller and endpoints that follow a script. */
@@ -234,6 +235,37 @@
         assertThat(answer).endsWith("0\r\n\r\n");
     }
 
+    /** Guards against a slow version whose streams tell of it only at their end. */
+    @Test
+    void aStreamTellsItsLatencyAtItsFirstEvent() throws Exception {
+        CountDownLatch told = new CountDownLatch(1);
+        both((request, out) -> {
+            pause(300);
+            write(out, streamHead(id(request)) + chunk("id: 1\ndata: a\n\n"));
+            await(told);
+            write(out, chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n");
+            return true;
+        });
+        CompletableFuture<String> answer = CompletableFuture.supplyAsync(() -> unchecked(() -> call("/draft/", "")));
+        EvidenceRow first = awaitEvidence(0);
+        assertThat(first.getLatencyCount()).isEqualTo(1);
+        assertThat(Math.exp(first.getLogLatencySum())).isAtLeast(290_000.0);
+        assertThat(first.getRequests()).isEqualTo(0);
+        told.countDown();
+        assertThat(unchunk(answer.get())).endsWith("id: 2\ndata: b\n\n");
+        EvidenceRow second = awaitEvidence(1);
+        assertThat(second.getRequests()).isEqualTo(1);
+        assertThat(second.getLatencyCount()).isEqualTo(0);
+    }
+
+    private EvidenceRow awaitEvidence(int index) throws InterruptedException {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(2_500);
+        while (control.evidence.size() <= index && System.nanoTime() < end) {
+            Thread.sleep(20);
+        }
+        return control.evidence.size() <= index ? EvidenceRow.getDefaultInstance() : control.evidence.get(index);
+    }
+
     @Test
     void aTruncatedAnswerDoesNotLookComplete() throws IOException {
         both((request, out) -> {
