Give short moves most of their time for the trial

What operators saw: in a move of 15 s the new version got 1.25 % of the requests for 10 s, 8 to 21 requests by the finish, too few to tell a slow version from a sound one. Cause: the shortest time at a share was 10 s for moves of any length. Change: the shortest time is a fifth of the move's time where that is less than 10 s. Result: SequentialVersionMoveTest.aShortMoveHasMostOfItsTimeForTheTrial failed before (share 25 of 1,000 after 5 s, 100 now). The share stays within the trial's until the evidence suffices, so a bad version gets no more than before the verdict.

--- a/routing/src/main/java/org/ragwortrun/routing/version/ExposurePlan.java
+++ b/routing/src/main/java/org/ragwortrun/routing/version/ExposurePlan.java
@@ -9,6 +9,8 @@
     // a version that fails one request in ten a chance of 1.5 %.
     private static final long WANTED_REQUESTS = 40;
     private static final long SHORTEST_STEP_MS = 10_000;
+    // A step of a move whose whole time is short.
+    private static final double SHORTEST_STEP_PART = 0.2;
     private static final int[] RISE = {250, 500};
     // The trial needs most of the time when traffic is low; a twentieth is kept as slack before the finish.
     private static final double PROBE_PART = 0.03;
@@ -53,7 +55,7 @@
      * @param durationMs time that the move may take
      */
     boolean mayRise(int step, long requests, long stepMs, long moveMs, long durationMs) {
-        if (stepMs < SHORTEST_STEP_MS) {
+        if (stepMs < Math.min(SHORTEST_STEP_MS, SHORTEST_STEP_PART * durationMs)) {
             return false;
         }
         double allotted = 0;
--- a/routing/src/test/java/org/ragwortrun/routing/version/SequentialVersionMoveTest.java
+++ b/routing/src/test/java/org/ragwortrun/routing/version/SequentialVersionMoveTest.java
@@ -63,6 +63,15 @@
         assertThat(decision.state()).isEqualTo(MoveState.MOVE_TAKEN_BACK);
     }
 
+    /** Guards against a short move that spends its time in the probe, which is too small for a verdict. */
+    @Test
+    void aShortMoveHasMostOfItsTimeForTheTrial() {
+        Move shortMove = new Move("m", "s", "old", "new", 1000, 100, START, START.plusSeconds(15));
+        move = new SequentialVersionMove(shortMove);
+        assertThat(run(0, 5, 50, 0, 0, 400_000).sharePermille()).isEqualTo(100);
+        assertThat(run(5, 10, 50, 0, 0, 400_000).sharePermille()).isEqualTo(100);
+    }
+
     /** Guards against blaming the new version for an outage that hits both. */
     @Test
     void sparesAVersionInACommonOutage() {
