Follow what endpoints say: that they leave, or want nothing for a time

Cause: the forward path read neither header of an endpoint's answer. Change: NoticeReader reads each head of an answer, EndpointNotices decides whether the endpoint gets one more request and if not, from when. A leaving endpoint is bound to its id and outlives the list. If all endpoints want time, requests are refused at once with that time. The setting endpoints.longest-pause bounds the time. The stand-in of tests waits for the end of its accepting thread before its port is used again: a restart met a port in use once.

--- a/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointConnection.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointConnection.java
@@ -120,6 +120,9 @@
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, HttpObject part) {
         AnswerListener l = listener;
+        if (part instanceof HttpResponse head && !part.decoderResult().isFailure()) {
+            owner.heard(head);
+        }
         if (part.decoderResult().isFailure() || l == null && !skipping) {
             fail(ctx, "not-an-answer");
             return;
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointConnections.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointConnections.java
@@ -7,6 +7,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpResponse;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -29,6 +30,7 @@
     private final Time time;
     private final RequestHeads heads;
     private final Deque<EndpointConnection> idle = new ArrayDeque<>();
+    private Consumer<HttpResponse> listener = h -> {};
     private int open;
 
     EndpointConnections(EventLoop loop, Address address, Time time, RequestHeads heads) {
@@ -38,6 +40,15 @@
         this.heads = heads;
     }
 
+    /** Sets who hears of each head of an answer, also of answers that are dropped. */
+    void onHeads(Consumer<HttpResponse> heard) {
+        listener = heard;
+    }
+
+    void heard(HttpResponse head) {
+        listener.accept(head);
+    }
+
     /** Tells whether a request would need one connection more than this router may have. */
     boolean isFull(int most) {
         return idle.isEmpty() && open >= most;
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointState.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointState.java
@@ -8,6 +8,7 @@
     private final PrefixMemory prefixes = new PrefixMemory();
     private final BrokenRequests broken = new BrokenRequests();
     private final EndpointConnections connections;
+    private final EndpointNotices notices;
     private ListedEndpoint listed;
     private boolean listedNow = true;
     private boolean replaced;
@@ -15,9 +16,10 @@
     private long pendingTokens;
     private long coldUntil;
 
-    EndpointState(ListedEndpoint listed, EndpointConnections connections, long now) {
+    EndpointState(ListedEndpoint listed, EndpointConnections connections, EndpointNotices notices, long now) {
         this.listed = listed;
         this.connections = connections;
+        this.notices = notices;
         update(listed, now);
     }
 
@@ -37,6 +39,10 @@
         return prefixes;
     }
 
+    EndpointNotices notices() {
+        return notices;
+    }
+
     BrokenRequests broken() {
         return broken;
     }
@@ -69,7 +75,7 @@
 
     /** Tells whether new requests may go to the endpoint, apart from its health. */
     boolean isOpen() {
-        return listedNow && !replaced && !listed.getDraining();
+        return listedNow && !replaced && !listed.getDraining() && !notices.isLeaving();
     }
 
     boolean isListed() {
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointTable.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointTable.java
@@ -1,12 +1,16 @@
 package org.ragwortrun.router.internal.forward;
 
+import io.netty.handler.codec.http.HttpResponse;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BiConsumer;
 import java.util.function.Function;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -26,10 +30,23 @@
 
     // Assumed until a leader has told the number, so that shares are small rather than too large.
     private static final int MANY_ROUTERS = 64;
+    // Several times the endpoints of the largest fleet.
+    private static final int MOST_NOTICES = 4_096;
 
     private final Time time;
     private final Function<ListedEndpoint, EndpointConnections> connector;
+    private final BiConsumer<EndpointState, HttpResponse> heard;
+    private final Duration longestPause;
     private final Map<String, EndpointState> states = new HashMap<>();
+    // Outlives the states, so that an id that left the list and is back has still said that it leaves.
+    private final Map<String, EndpointNotices> notices = new LinkedHashMap<>(16, 0.75f, true) {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, EndpointNotices> eldest) {
+            return size() > MOST_NOTICES;
+        }
+    };
     private long term;
     private long sequence;
     private List<ListedEndpoint> leaderList = List.of();
@@ -39,9 +56,22 @@
     private volatile boolean known;
     private int routers = MANY_ROUTERS;
 
-    EndpointTable(Time time, Function<ListedEndpoint, EndpointConnections> connector) {
+    /**
+     * Creates an empty table.
+     *
+     * @param connector makes the connections of an endpoint
+     * @param heard takes the head of each answer of an endpoint
+     * @param longestPause longest time for which an endpoint may ask to get nothing
+     */
+    EndpointTable(
+            Time time,
+            Function<ListedEndpoint, EndpointConnections> connector,
+            BiConsumer<EndpointState, HttpResponse> heard,
+            Duration longestPause) {
         this.time = time;
         this.connector = connector;
+        this.heard = heard;
+        this.longestPause = longestPause;
         heardNanos = time.nanos();
     }
 
@@ -85,7 +115,7 @@
             EndpointState state = states.get(e.getId());
             boolean moved = state != null && !state.listed().getAddress().equals(e.getAddress());
             if (state == null || moved) {
-                states.put(e.getId(), new EndpointState(e, connector.apply(e), now));
+                states.put(e.getId(), state(e, now));
                 log("endpoint-added", e, source);
             } else {
                 if (!state.listed().getDraining() && e.getDraining()) {
@@ -104,6 +134,14 @@
         known = true;
     }
 
+    private EndpointState state(ListedEndpoint e, long now) {
+        EndpointConnections connections = connector.apply(e);
+        EndpointNotices said = notices.computeIfAbsent(e.getId(), id -> new EndpointNotices(longestPause));
+        EndpointState state = new EndpointState(e, connections, said, now);
+        connections.onHeads(head -> heard.accept(state, head));
+        return state;
+    }
+
     private static void log(String event, ListedEndpoint e, String source) {
         Event.of(event)
                 .with("endpoint", e.getId())
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
@@ -53,6 +53,7 @@
     private static final double CONNECTIONS_PART = 0.8;
     private static final int LEAST_CONNECTIONS = 4;
     private static final int SERVER_ERROR = 500;
+    private static final int UNAVAILABLE = 503;
     private static final int MISDIRECTED = 421;
     private static final int MOST_URGENCY = 9;
 
@@ -224,14 +225,22 @@
         int most = connectionsEach();
         List<Placement.Candidate> healthy = new ArrayList<>();
         List<Placement.Candidate> others = new ArrayList<>();
+        OptionalLong earliest = OptionalLong.empty();
         for (EndpointState s : allowed) {
-            if (!s.connections().isFull(most)) {
+            long from = s.notices().earliest(now, s.inFlight()).orElse(now);
+            if (from - now > 0) {
+                earliest = OptionalLong.of(Math.min(from, earliest.orElse(from)));
+            } else if (!s.connections().isFull(most)) {
                 (s.health().isUsable(now) ? healthy : others).add(candidate(s, now));
             }
         }
         Optional<EndpointState> chosen = Placement.choose(
                         healthy.isEmpty() ? others : healthy, request.parts(), origin.model())
                 .flatMap(c -> services.endpoints().find(c.id()));
+        if (chosen.isEmpty() && earliest.isPresent()) {
+            giveUpUntil(earliest.getAsLong(), now, allowed.size());
+            return;
+        }
         if (chosen.isEmpty()) {
             giveUp(allowed.isEmpty() ? "no-endpoint" : "connections-in-use");
             return;
@@ -297,8 +306,25 @@
         }
     }
 
+    /** Ends a request whose endpoints all want nothing before a time. Callers return spread over some time after it. */
+    private void giveUpUntil(long earliest, long now, int endpoints) {
+        long waitNanos = earliest - now;
+        long spread = (long) (services.random().getAsDouble() * Math.max(waitNanos / 2, RETRY_AFTER.toNanos()));
+        Event.of("endpoints-want-time")
+                .with("id", request.id())
+                .with("origin", origin.name())
+                .with("endpoints", endpoints)
+                .with("earliest-ms", waitNanos / 1_000_000)
+                .info(LOG);
+        giveUp("endpoints-want-time", Duration.ofNanos(waitNanos + spread));
+    }
+
     /** Ends a request for which there is no further endpoint. */
     private void giveUp(String cause) {
+        giveUp(cause, RETRY_AFTER);
+    }
+
+    private void giveUp(String cause, Duration retryAfter) {
         if (answering) {
             answer.breakOff();
             finish("broken-off:" + cause, 0);
@@ -307,7 +333,7 @@
         } else {
             RefusalReason reason =
                     "no-endpoint".equals(cause) ? RefusalReason.NO_ENDPOINT : RefusalReason.ENDPOINT_FULL;
-            refuse(Refusal.notRun(reason, "no endpoint has run the request: " + cause, RETRY_AFTER));
+            refuse(Refusal.notRun(reason, "no endpoint has run the request: " + cause, retryAfter));
         }
     }
 
@@ -422,6 +448,7 @@
         private boolean begun;
         private boolean done;
         private boolean isStream;
+        private boolean turnedAway;
 
         Attempt(EndpointState endpoint) {
             this.endpoint = endpoint;
@@ -442,12 +469,26 @@
                 endpoint.connections().release(c);
                 return;
             }
+            if (!mayStillSend()) {
+                endpoint.connections().release(c);
+                end();
+                afterNotRun("endpoint-wants-nothing", false);
+                return;
+            }
             connection = c;
             runs++;
             endpoint.prefixes().note(request.parts(), services.time().nanos());
             c.send(outgoing(), body.retainedDuplicate(), request.id(), this);
         }
 
+        /** Tells whether the endpoint has said nothing against this request while its connection was opened. */
+        private boolean mayStillSend() {
+            long now = services.time().nanos();
+            return endpoint.isOpen()
+                    && endpoint.notices().earliest(now, endpoint.inFlight() - 1).stream()
+                            .anyMatch(from -> from - now <= 0);
+        }
+
         private HttpRequest outgoing() {
             HttpRequest out = new DefaultHttpRequest(HttpVersion.HTTP_1_1, head.method(), head.uri());
             services.heads().pass(head.headers(), out.headers());
@@ -491,6 +532,8 @@
         public void onHead(HttpResponse answerHead) {
             received = answerHead;
             int status = answerHead.status().code();
+            turnedAway = status == UNAVAILABLE
+                    && endpoint.notices().isPaused(services.time().nanos());
             if (services.heads().isNotRun(answerHead.headers()) || status == MISDIRECTED) {
                 EndpointConnection c = connection;
                 if (c != null) {
@@ -601,8 +644,7 @@
                 broken("stream-ends-within-event");
             } else if (r.status().code() >= SERVER_ERROR && mayReplace()) {
                 end();
-                endpoint.health().onFailure(services.time().nanos());
-                observe(false);
+                judge(false);
                 afterLost("endpoint-error-" + r.status().code());
             } else {
                 deliver(r);
@@ -626,12 +668,7 @@
         private void deliver(HttpResponse r) {
             end();
             boolean good = r.status().code() < SERVER_ERROR;
-            if (good) {
-                endpoint.health().onSuccess();
-            } else {
-                endpoint.health().onFailure(services.time().nanos());
-            }
-            observe(good);
+            judge(good);
             services.suspects().answered(content);
             if (!answering) {
                 startAnswer(r);
@@ -667,6 +704,19 @@
             afterLost(cause);
         }
 
+        /** Counts a whole answer for or against its endpoint and version. Being asked for time is neither. */
+        private void judge(boolean good) {
+            if (turnedAway) {
+                return;
+            }
+            if (good) {
+                endpoint.health().onSuccess();
+            } else {
+                endpoint.health().onFailure(services.time().nanos());
+            }
+            observe(good);
+        }
+
         private void observe(boolean good) {
             services.evidence()
                     .record(evidenceKey(), good, pace.onEnd(services.time().nanos()));
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
@@ -132,7 +132,10 @@
         SingleThreadEventLoop loop = (SingleThreadEventLoop) group.next();
         Transport transport = closer.register(new Transport(hello(settings, incarnation), 1));
         RequestHeads heads = new RequestHeads(names);
-        EndpointTable endpoints = new EndpointTable(time, e -> connections(loop, e, time, heads));
+        UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create();
+        NoticeReader notices = new NoticeReader(heads, metrics, time, random::nextDouble);
+        EndpointTable endpoints =
+                new EndpointTable(time, e -> connections(loop, e, time, heads), notices::read, settings.longestPause());
         Pushes pushes = new Pushes(loop, endpoints);
         ControlClient control = closer.register(new ControlClient(transport, settings.members(), pushes));
         ConfigWatch watch = closer.register(new ConfigWatch(control, timer, time, c -> {}));
@@ -167,7 +170,6 @@
         CrashSuspects suspects = new CrashSuspects(watch::crashTimes, time);
         CrashDetector crashes =
                 new CrashDetector(suspects, new CrashReports(control, timer, incarnation)::add, metrics, time);
-        UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create();
         ForwardServices services = new ForwardServices(
                 settings.dataCenter(),
                 watch::latest,
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardSettings.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardSettings.java
@@ -27,6 +27,7 @@
  * @param retrySlack repeats within the window without any request, for this router
  * @param sharedRetrySlack the same for all routers together, which replaces the other, 0 for none
  * @param retryWindow window of these
+ * @param longestPause longest time for which an endpoint may ask to get nothing
  * @param stopLinger time after the begin of a stop for which new connections are still served
  * @param stopTimeout longest time that a stop waits for running requests
  */
@@ -46,6 +47,7 @@
         double retrySlack,
         double sharedRetrySlack,
         Duration retryWindow,
+        Duration longestPause,
         Duration stopLinger,
         Duration stopTimeout) {
     private static final int MAX_PORT = 65_535;
@@ -77,6 +79,7 @@
                 s.number("retries.slack", 5, 0, PERMILLE),
                 s.decimal("retries.shared-slack", 0, 0, MAX_SHARED_SLACK),
                 s.duration("retries.window", Duration.ofSeconds(10)),
+                s.duration("endpoints.longest-pause", Duration.ofMinutes(5)),
                 s.duration("daemon.stop-linger", Duration.ofMillis(2_900)),
                 s.duration("daemon.stop-timeout", Duration.ofMillis(7_100)));
         s.check();
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/HeaderNames.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/HeaderNames.java
@@ -16,6 +16,7 @@
  * @param expectedEndpoint id of the endpoint that alone may run the request
  * @param endpointId id of the endpoint that answers
  * @param urgency rank of the request at an engine, 0 first
+ * @param leaving header by which an endpoint says in any answer that it leaves, with the value 1
  * @param reserved further headers that only the system may set; removed from callers' requests
  */
 public record HeaderNames(
@@ -30,6 +31,7 @@
         String expectedEndpoint,
         String endpointId,
         String urgency,
+        String leaving,
         List<String> reserved) {
 
     /** Names of the project's own interface. */
@@ -45,5 +47,6 @@
             "Ragwortrun-Expect-Endpoint",
             "Ragwortrun-Endpoint",
             "Ragwortrun-Urgency",
+            "Ragwortrun-Leaving",
             List.of());
 }
--- /dev/null
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/NoticeReader.java
@@ -0,0 +1,76 @@
+package org.ragwortrun.router.internal.forward;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import java.time.Duration;
+import java.util.function.DoubleSupplier;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.ragwortrun.core.log.Event;
+import org.ragwortrun.core.metrics.Metrics;
+import org.ragwortrun.core.time.Time;
+
+/** Reads from the heads of answers what endpoints say of themselves: that they leave, or want nothing for a time. */
+final class NoticeReader {
+    private static final Logger LOG = LogManager.getLogger(NoticeReader.class);
+    private static final int UNAVAILABLE = 503;
+    private static final int MISDIRECTED = 421;
+
+    private final RequestHeads heads;
+    private final Metrics metrics;
+    private final Time time;
+    private final DoubleSupplier random;
+
+    /**
+     * Creates a reader.
+     *
+     * @param random numbers from 0 to below 1, which spread the return of several routers
+     */
+    NoticeReader(RequestHeads heads, Metrics metrics, Time time, DoubleSupplier random) {
+        this.heads = heads;
+        this.metrics = metrics;
+        this.time = time;
+        this.random = random;
+    }
+
+    /** Reads the head of an answer on a connection to an endpoint. One that names another endpoint says nothing of it. */
+    void read(EndpointState endpoint, HttpResponse answer) {
+        HttpHeaders headers = answer.headers();
+        int status = answer.status().code();
+        if (status == MISDIRECTED || heads.isOfOtherEndpoint(headers, endpoint.id())) {
+            return;
+        }
+        if (heads.saysLeaving(headers) && endpoint.notices().onLeaving()) {
+            endpoint.connections().closeIdle();
+            metrics.count("endpoint_leaving_notices", 1);
+            Event.of("endpoint-says-leaving")
+                    .with("endpoint", endpoint.id())
+                    .with("listed-as-leaving", endpoint.listed().getDraining())
+                    .with("in-flight", endpoint.inFlight())
+                    .info(LOG);
+        }
+        String retryAfter = headers.get(HttpHeaderNames.RETRY_AFTER);
+        if (status == UNAVAILABLE && retryAfter != null) {
+            pause(endpoint, retryAfter);
+        }
+    }
+
+    private void pause(EndpointState endpoint, String retryAfter) {
+        Duration asked = EndpointNotices.readSeconds(retryAfter);
+        if (asked == null) {
+            Event.of("endpoint-pause-unreadable")
+                    .with("endpoint", endpoint.id())
+                    .with("value", retryAfter)
+                    .warn(LOG);
+            return;
+        }
+        endpoint.notices().onPause(asked, time.nanos(), random.getAsDouble());
+        metrics.count("endpoint_pauses", 1);
+        Event.of("endpoint-asks-for-time")
+                .with("endpoint", endpoint.id())
+                .with("asked-ms", asked.toMillis())
+                .with("in-flight", endpoint.inFlight())
+                .info(LOG);
+    }
+}
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/RequestHeads.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/RequestHeads.java
@@ -145,6 +145,17 @@
         return echoed != null && !echoed.equals(requestId);
     }
 
+    /** Tells whether the endpoint that answers says that it leaves. */
+    boolean saysLeaving(HttpHeaders answer) {
+        return "1".equals(answer.get(names.leaving(), "").trim());
+    }
+
+    /** Tells whether an answer names another endpoint as its origin than the one with this id. */
+    boolean isOfOtherEndpoint(HttpHeaders answer, String endpoint) {
+        String named = answer.get(names.endpointId());
+        return named != null && !named.equals(endpoint);
+    }
+
     String idHeader() {
         return names.requestId();
     }
--- a/router/src/test/java/org/ragwortrun/router/CrashingContentTest.java
+++ b/router/src/test/java/org/ragwortrun/router/CrashingContentTest.java
@@ -56,7 +56,8 @@
         self[0] = harness.endpoint(id, (request, out) -> answer(self[0], id, request, out));
     }
 
-    private boolean answer(ScriptedEndpoint endpoint, String id, String request, OutputStream out) throws IOException {
+    private boolean answer(ScriptedEndpoint endpoint, String id, String request, OutputStream out)
+            throws IOException, InterruptedException {
         if (!request.endsWith(CRASHING) && !request.endsWith(LOST)) {
             write(out, ok(request.split("X-Request-Id: ", 2)[1].split("\r", 2)[0], "done"));
             return true;
--- a/router/src/test/java/org/ragwortrun/router/ScriptedEndpoint.java
+++ b/router/src/test/java/org/ragwortrun/router/ScriptedEndpoint.java
@@ -24,6 +24,7 @@
     private final Set<Socket> open = ConcurrentHashMap.newKeySet();
     private final int port;
     private volatile String id;
+    private volatile Thread acceptor;
     private volatile ServerSocket server;
 
     ScriptedEndpoint(String id, Script script) throws IOException {
@@ -37,13 +38,15 @@
         ServerSocket listening = new ServerSocket();
         listening.setReuseAddress(true);
         listening.bind(new InetSocketAddress("127.0.0.1", at), 64);
-        start(() -> accept(listening));
+        acceptor = start(() -> accept(listening));
         return listening;
     }
 
     /** Ends all connections and listens no more, like a process that crashes. */
-    void crash() throws IOException {
+    void crash() throws IOException, InterruptedException {
         server.close();
+        // The port is free only once the thread that accepts has left the socket.
+        acceptor.join();
         for (Socket s : open) {
             s.close();
         }
@@ -153,9 +156,10 @@
                 .orElse(0);
     }
 
-    private static void start(Runnable task) {
+    private static Thread start(Runnable task) {
         Thread t = new Thread(task, "endpoint");
         t.setDaemon(true);
         t.start();
+        return t;
     }
 }
--- a/router/src/test/java/org/ragwortrun/router/internal/forward/CallerConnectionTest.java
+++ b/router/src/test/java/org/ragwortrun/router/internal/forward/CallerConnectionTest.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
+import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Map;
@@ -70,9 +71,13 @@
                     asked++;
                     return Optional.empty();
                 },
-                new EndpointTable(time, e -> {
-                    throw new AssertionError("nothing is sent");
-                }),
+                new EndpointTable(
+                        time,
+                        e -> {
+                            throw new AssertionError("nothing is sent");
+                        },
+                        (endpoint, head) -> {},
+                        Duration.ZERO),
                 new RetryAllowance(0, () -> 0, 1),
                 (budget, tokens, id, longest) -> new CompletableFuture<>(),
                 new EvidenceCollector(null),
