Try an endpoint again whose trial request ended without a verdict

What callers got: an endpoint that had been left out stayed out for good if the request that tried it was turned away, or its caller left, so that the others carried its load. Cause: a trial was ended by a success or a failure only; a proof that nothing ran, or a stop of the attempt, is neither. Change: EndpointHealth tells an attempt that it is the trial, and the attempt ends the trial with itself.

--- a/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointHealth.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointHealth.java
@@ -33,11 +33,16 @@
         return out;
     }
 
-    /** Notes that a request goes to the endpoint. */
-    public void onSent(long now) {
-        if (out && now - outUntil >= 0) {
-            trying = true;
-        }
+    /** Notes that a request goes to the endpoint. Returns whether it tries an endpoint that is left out. */
+    public boolean onSent(long now) {
+        boolean tries = out && now - outUntil >= 0;
+        trying |= tries;
+        return tries;
+    }
+
+    /** Notes that the request that tried the endpoint has ended. Without a verdict, another one may try it. */
+    public void onTrialEnded() {
+        trying = false;
     }
 
     /** Notes an answer of the endpoint that tells nothing against it. */
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
@@ -446,6 +446,7 @@
         private ByteBuf held = Unpooled.EMPTY_BUFFER;
         private int pendingTokens;
         private boolean begun;
+        private boolean trial;
         private boolean done;
         private boolean isStream;
         private boolean turnedAway;
@@ -460,7 +461,7 @@
             pendingTokens = Math.max(0, total - endpoint.prefixes().cachedTokens(request.parts()));
             endpoint.begin(pendingTokens);
             begun = true;
-            endpoint.health().onSent(beganNanos);
+            trial = endpoint.health().onSent(beganNanos);
             endpoint.connections().acquire(this::connected, this::unreachable);
         }
 
@@ -744,6 +745,9 @@
                 begun = false;
                 readPrompt();
                 endpoint.end();
+                if (trial) {
+                    endpoint.health().onTrialEnded();
+                }
             }
         }
 
--- a/router/src/test/java/org/ragwortrun/router/EndpointSaysTest.java
+++ b/router/src/test/java/org/ragwortrun/router/EndpointSaysTest.java
@@ -209,6 +209,23 @@
         assertThat(first.requests.size() + second.requests.size()).isEqualTo(sent);
     }
 
+    /** Guards against an endpoint that is left out for good because the request that tried it was turned away. */
+    @Test
+    void anEndpointWhoseTrialWasTurnedAwayIsTriedAgain() throws Exception {
+        String id = first.listed().getId();
+        first.crash();
+        call("/order/");
+        first.restart(id);
+        first.script = refusing("");
+        TimeUnit.MILLISECONDS.sleep(500);
+        call("/order/");
+        assertThat(first.requests).hasSize(1);
+        first.script = EndpointSaysTest::echo;
+        TimeUnit.MILLISECONDS.sleep(500);
+        send(REQUESTS);
+        assertThat(first.requests.size()).isGreaterThan(REQUESTS / 2);
+    }
+
     @Test
     void timesThatCannotBeReadAreNone() throws Exception {
         for (String value : List.of("-3", "soon", "NaN", "")) {
--- a/router/src/test/java/org/ragwortrun/router/internal/forward/EndpointHealthTest.java
+++ b/router/src/test/java/org/ragwortrun/router/internal/forward/EndpointHealthTest.java
@@ -9,6 +9,17 @@
 
     private final EndpointHealth health = new EndpointHealth();
 
+    /** Guards against an endpoint that is left out for good because the request that tried it was turned away. */
+    @Test
+    void aTrialWithoutAVerdictIsFollowedByAnother() {
+        health.onUnreachable(0);
+        assertThat(health.onSent(SECOND)).isTrue();
+        assertThat(health.isUsable(SECOND)).isFalse();
+        health.onTrialEnded();
+        assertThat(health.isUsable(SECOND)).isTrue();
+        assertThat(health.isOut()).isTrue();
+    }
+
     @Test
     void anUnreachableEndpointIsLeftOutAtOnceAndTriedAgain() {
         health.onUnreachable(0);
