Log the outcome of each check after a break

Cause: a break whose check timed out or connected left no line, so that crashes could not be told from lost answers afterwards. Change: event=endpoint-checked with the outcome (connected, connect-refused, connect-timeout).

--- a/router/src/main/java/org/ragwortrun/router/internal/forward/CrashDetector.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/CrashDetector.java
@@ -36,16 +36,32 @@
     /** Notes that an endpoint has broken off a request, and checks whether it still takes connections. */
     void broken(EndpointState endpoint, RequestContent content) {
         if (endpoint.broken().add(content.digest())) {
-            endpoint.connections().check(() -> endpoint.broken().endCheck(), cause -> unreachable(endpoint, cause));
+            endpoint.connections().check(() -> alive(endpoint), cause -> unreachable(endpoint, cause));
         }
     }
 
+    private static void alive(EndpointState endpoint) {
+        log(endpoint, "connected", endpoint.broken().endCheck());
+    }
+
     private void unreachable(EndpointState endpoint, String cause) {
         endpoint.health().onUnreachable(time.nanos());
         List<ByteString> contents = endpoint.broken().endCheck();
-        if (!EndpointConnections.REFUSED.equals(cause)) {
-            return;
+        log(endpoint, cause, contents);
+        if (EndpointConnections.REFUSED.equals(cause)) {
+            crashed(endpoint, contents);
         }
+    }
+
+    private static void log(EndpointState endpoint, String outcome, List<ByteString> contents) {
+        Event.of("endpoint-checked")
+                .with("endpoint", endpoint.id())
+                .with("outcome", outcome)
+                .with("broken-off", contents.size())
+                .info(LOG);
+    }
+
+    private void crashed(EndpointState endpoint, List<ByteString> contents) {
         List<ByteString> suspected = suspects.crashed(contents);
         metrics.count("endpoint_crashes", 1);
         Event.of("endpoint-crashed")
