--- a/measure/src/main/java/org/ragwortrun/measure/budgets/EventQueue.java
+++ b/measure/src/main/java/org/ragwortrun/measure/budgets/EventQueue.java
@@ -5,7 +5,7 @@
 import org.ragwortrun.core.time.Time;
 
 /** Runs tasks in the order of their virtual time; tasks of the same time run in the order in which they were added. */
-final class EventQueue implements Time {
+public final class EventQueue implements Time {
     private static final long EPOCH_MS = 1_800_000_000_000L;
 
     private final PriorityQueue<Event> events =
@@ -23,19 +23,23 @@
         return EPOCH_MS + nowMicros / 1_000;
     }
 
-    long micros() {
+    /** Returns the virtual time in microseconds. */
+    public long micros() {
         return nowMicros;
     }
 
-    void at(long micros, Runnable task) {
+    /** Runs a task at a time in microseconds, or now if that has passed. */
+    public void at(long micros, Runnable task) {
         events.add(new Event(Math.max(micros, nowMicros), sequence++, task));
     }
 
-    void after(long micros, Runnable task) {
+    /** Runs a task after a time in microseconds. */
+    public void after(long micros, Runnable task) {
         at(nowMicros + micros, task);
     }
 
-    void runUntil(long micros) {
+    /** Runs all tasks up to a time in microseconds. */
+    public void runUntil(long micros) {
         while (!events.isEmpty() && events.peek().atMicros <= micros) {
             perform(events.poll());
         }
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointState.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointState.java
@@ -1,6 +1,7 @@
 package org.ragwortrun.router.internal.forward;
 
 import org.ragwortrun.proto.ListedEndpoint;
+import org.ragwortrun.routing.EndpointNotices;
 
 /** What this router knows about one endpoint. Used on the event loop only. */
 final class EndpointState {
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointTable.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointTable.java
@@ -18,6 +18,7 @@
 import org.ragwortrun.core.time.Time;
 import org.ragwortrun.proto.EndpointList;
 import org.ragwortrun.proto.ListedEndpoint;
+import org.ragwortrun.routing.EndpointNotices;
 
 /**
  * The endpoints of all origins, from the newest list.
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/NoticeReader.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/NoticeReader.java
@@ -10,6 +10,7 @@
 import org.ragwortrun.core.log.Event;
 import org.ragwortrun.core.metrics.Metrics;
 import org.ragwortrun.core.time.Time;
+import org.ragwortrun.routing.EndpointNotices;
 
 /** Reads from the heads of answers what endpoints say of themselves: that they leave, or want nothing for a time. */
 final class NoticeReader {
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointNotices.java
+++ b/routing/src/main/java/org/ragwortrun/routing/EndpointNotices.java
@@ -1,4 +1,4 @@
-package org.ragwortrun.router.internal.forward;
+package org.ragwortrun.routing;
 
 import java.time.Duration;
 import java.util.OptionalLong;
