Choose endpoints in a class of its own

Change: EndpointChoice holds it; the log of an unreadable time is cut to 40 characters, since an endpoint may send any length.

--- a/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
@@ -10,9 +10,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -49,9 +47,6 @@
     // An answer up to this size is held until it is complete, so that a broken one can be replaced by another run.
     private static final int HELD_BYTES = 64 << 10;
     private static final Duration RETRY_AFTER = Duration.ofMillis(400);
-    // Callers are spread unevenly over the routers, and connections that are being closed still count.
-    private static final double CONNECTIONS_PART = 0.8;
-    private static final int LEAST_CONNECTIONS = 4;
     private static final int SERVER_ERROR = 500;
     private static final int UNAVAILABLE = 503;
     private static final int MISDIRECTED = 421;
@@ -65,7 +60,7 @@
     private final Origin origin;
     private final Optional<Account> account;
     private final CallerAnswer answer;
-    private final OriginPicker picker;
+    private final EndpointChoice choices;
     private final RequestContent content;
     private final Observer observer;
     private final long startNanos;
@@ -103,7 +98,7 @@
         this.account = account;
         this.answer = answer;
         this.observer = observer;
-        picker = new OriginPicker(services.random());
+        choices = new EndpointChoice(services, request, origin);
         content = new RequestContent(account.map(Account::name).orElse(""), head.method(), request.target(), body);
         startNanos = services.time().nanos();
         long deadlineMs = request.deadlineMs().orElse(Long.MAX_VALUE);
@@ -216,59 +211,16 @@
         if (isKeptBack()) {
             return;
         }
-        Optional<Configuration> configuration = services.configuration().get();
-        List<EndpointState> open = services.endpoints().open(origin.name());
-        open.removeIf(s -> tried.contains(s.id()));
-        List<EndpointState> allowed =
-                configuration.map(c -> picker.ofVersion(c, origin.name(), open)).orElse(List.of());
-        long now = services.time().nanos();
-        int most = connectionsEach();
-        List<Placement.Candidate> healthy = new ArrayList<>();
-        List<Placement.Candidate> others = new ArrayList<>();
-        OptionalLong earliest = OptionalLong.empty();
-        for (EndpointState s : allowed) {
-            long from = s.notices().earliest(now, s.inFlight()).orElse(now);
-            if (from - now > 0) {
-                earliest = OptionalLong.of(Math.min(from, earliest.orElse(from)));
-            } else if (!s.connections().isFull(most)) {
-                (s.health().isUsable(now) ? healthy : others).add(candidate(s, now));
-            }
-        }
-        Optional<EndpointState> chosen = Placement.choose(
-                        healthy.isEmpty() ? others : healthy, request.parts(), origin.model())
-                .flatMap(c -> services.endpoints().find(c.id()));
-        if (chosen.isEmpty() && earliest.isPresent()) {
-            giveUpUntil(earliest.getAsLong(), now, allowed.size());
-            return;
-        }
-        if (chosen.isEmpty()) {
-            giveUp(allowed.isEmpty() ? "no-endpoint" : "connections-in-use");
-            return;
+        EndpointChoice.Choice choice = choices.choose(tried);
+        if (choice.endpoint().isPresent()) {
+            tries++;
+            current = new Attempt(choice.endpoint().get());
+            current.begin();
+        } else if (choice.earliest().isPresent()) {
+            giveUpUntil(choice.earliest().getAsLong(), choice.allowed());
+        } else {
+            giveUp(choice.allowed() == 0 ? "no-endpoint" : "connections-in-use");
         }
-        tries++;
-        current = new Attempt(chosen.get());
-        current.begin();
-    }
-
-    /** Returns how many connections this router may open to each endpoint: its part of what the endpoint accepts. */
-    private int connectionsEach() {
-        int routers = Math.max(1, services.endpoints().routers());
-        return origin.maxConnections() == 0
-                ? Integer.MAX_VALUE
-                : Math.max(LEAST_CONNECTIONS, (int) (origin.maxConnections() * CONNECTIONS_PART / routers));
-    }
-
-    private Placement.Candidate candidate(EndpointState s, long now) {
-        int slots = origin.slots() > 0 ? origin.slots() : s.listed().getSlots();
-        return new Placement.Candidate(
-                s.id(),
-                s.inFlight(),
-                s.listed().getRunning() + s.listed().getWaiting(),
-                slots,
-                s.pendingTokens(),
-                s.prefixes().cachedTokens(request.parts()),
-                s.listed().getDataCenter().equals(services.dataCenter()),
-                s.isCold(now));
     }
 
     /** Goes on after an attempt that the endpoint did not run. */
@@ -307,8 +259,8 @@
     }
 
     /** Ends a request whose endpoints all want nothing before a time. Callers return spread over some time after it. */
-    private void giveUpUntil(long earliest, long now, int endpoints) {
-        long waitNanos = earliest - now;
+    private void giveUpUntil(long earliest, int endpoints) {
+        long waitNanos = Math.max(0, earliest - services.time().nanos());
         long spread = (long) (services.random().getAsDouble() * Math.max(waitNanos / 2, RETRY_AFTER.toNanos()));
         Event.of("endpoints-want-time")
                 .with("id", request.id())
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/NoticeReader.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/NoticeReader.java
@@ -17,6 +17,7 @@
     private static final Logger LOG = LogManager.getLogger(NoticeReader.class);
     private static final int UNAVAILABLE = 503;
     private static final int MISDIRECTED = 421;
+    private static final int MOST_LOGGED = 40;
 
     private final RequestHeads heads;
     private final Metrics metrics;
@@ -62,7 +63,7 @@
         if (asked == null) {
             Event.of("endpoint-pause-unreadable")
                     .with("endpoint", endpoint.id())
-                    .with("value", retryAfter)
+                    .with("value", retryAfter.substring(0, Math.min(MOST_LOGGED, retryAfter.length())))
                     .warn(LOG);
             return;
         }
