Count what a crash broke off as one failure of a version

What operators would see: one crash of an endpoint counted as many failures of its version as it had requests, as if they had failed independently, so a sound version could be taken back after one crash of one server. Cause: the forward path counted each lost answer by itself; over agents such crashes do not count against versions. Change: lost answers are counted once the check of their endpoint has ended: one for a crash, all for an endpoint that takes connections or is silent.

--- a/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
@@ -650,9 +650,8 @@
                 c.close();
             }
             endpoint.health().onFailure(services.time().nanos());
-            observe(false);
             services.metrics().count("endpoint_breaks", 1);
-            services.crashes().broken(endpoint, content);
+            services.crashes().broken(endpoint, content, evidenceKey());
             log("endpoint-broken", cause);
             afterLost(cause);
         }
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
@@ -168,8 +168,8 @@
         }
         EvidenceCollector evidence = new EvidenceCollector(control);
         CrashSuspects suspects = new CrashSuspects(watch::crashTimes, time);
-        CrashDetector crashes =
-                new CrashDetector(suspects, new CrashReports(control, timer, incarnation)::add, metrics, time);
+        CrashDetector crashes = new CrashDetector(
+                suspects, new CrashReports(control, timer, incarnation)::add, evidence, metrics, time, loop);
         ForwardServices services = new ForwardServices(
                 settings.dataCenter(),
                 watch::latest,
--- a/router/src/test/java/org/ragwortrun/router/CrashingContentTest.java
+++ b/router/src/test/java/org/ragwortrun/router/CrashingContentTest.java
@@ -6,10 +6,12 @@
 
 import java.io.IOException;
 import java.io.OutputStream;
+import java.io.UncheckedIOException;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -17,11 +19,13 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.ragwortrun.proto.EvidenceRow;
 
 /** Requests that crash each endpoint that runs them, sent again and again through two routers. */
 final class CrashingContentTest {
     private static final String CRASHING = "crashing";
     private static final String LOST = "lost";
+    private static final String SLOW = "slow-";
     private static final int ENDPOINTS = 6;
     private static final int CRASHES_TO_LEARN = 3;
     private static final int MOST_SENT_AFTER = 3;
@@ -58,6 +62,9 @@
 
     private boolean answer(ScriptedEndpoint endpoint, String id, String request, OutputStream out)
             throws IOException, InterruptedException {
+        if (request.contains(SLOW)) {
+            pause(Duration.ofSeconds(1));
+        }
         if (!request.endsWith(CRASHING) && !request.endsWith(LOST)) {
             write(out, ok(request.split("X-Request-Id: ", 2)[1].split("\r", 2)[0], "done"));
             return true;
@@ -130,6 +137,36 @@
         assertThat(lost.get()).isEqualTo(8);
     }
 
+    /** Guards against a version that is taken back because one crash took many of its requests with it. */
+    @Test
+    void aCrashCountsOnceAgainstTheVersion() throws Exception {
+        List<CompletableFuture<String>> neighbours = new ArrayList<>();
+        for (int i = 0; i < 12; i++) {
+            String body = SLOW + i;
+            neighbours.add(CompletableFuture.supplyAsync(() -> unchecked(body)));
+        }
+        pause(Duration.ofMillis(300));
+        post(0, "/order/x", CRASHING);
+        int failed = 0;
+        for (CompletableFuture<String> n : neighbours) {
+            failed += n.get().startsWith("HTTP/1.1 502") ? 1 : 0;
+        }
+        assertThat(failed).isAtLeast(1);
+        pause(Duration.ofMillis(1_500));
+        long counted = harness.control.evidence.stream()
+                .mapToLong(EvidenceRow::getFailures)
+                .sum();
+        assertThat(counted).isEqualTo(1);
+    }
+
+    private String unchecked(String body) {
+        try {
+            return post(0, "/order/x", body);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     /** Guards against a repeat within one client attempt that crashes a second endpoint of content known to do so. */
     @Test
     void aRequestThatRanIsNotCalledNotRunWhenItsContentIsKeptBack() throws Exception {
