Name the parts of prompts on lines of broken attempts

The lines of the routers cannot tell whether the interrupted requests share a part: they name only a digest of the whole content.

endpoint-broken now names the parts of the prompt and the events that were received in the attempt.

--- a/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
@@ -15,6 +15,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.jspecify.annotations.Nullable;
@@ -721,6 +722,8 @@
                     .with("id", request.id())
                     .with("endpoint", endpoint.id())
                     .with("content", content.hexIfComputed())
+                    .with("parts", request.parts().stream().map(PromptPart::id).collect(Collectors.joining(",")))
+                    .with("events", events.events() - eventsBefore)
                     .with("cause", cause)
                     .with("health-out", endpoint.health().isExcluded())
                     .with("ms", (services.time().nanos() - attemptStartNanos) / 1_000_000)
