Quarantine the parts of prompts that crash endpoints

The cause is the unit of the quarantine. Content was counted as a whole, so requests that differ in any byte were each seen in one crash only.

Routers now report, with each crash, the parts of the prompts whose answers had not begun and which they have not seen answered in the last 30 s. The meta group counts crashes by part, each crash once, and quarantines a part after the third. Parts that were together in all suspected requests are refused only together, so that harmless requests with one of them are served. A router that has received an answer with a quarantined part has it released. Attempts whose answers have not begun are stopped when a part of their prompt is quarantined. Until its crashes are recorded, a router decides from them itself.

--- a/core/src/main/java/org/ragwortrun/core/id/Digests.java
+++ b/core/src/main/java/org/ragwortrun/core/id/Digests.java
@@ -32,6 +32,19 @@
         return content(account + '\n' + method + ' ' + path + '\n', body);
     }
 
+    /**
+     * Returns a 16-byte digest of a part of prompts at a service, cheap enough for each request. Callers choose the
+     * part's id, so they can choose equal digests too.
+     */
+    public static byte[] promptPart(String service, String id) {
+        byte[] text = (service + '\n' + id).getBytes(StandardCharsets.UTF_8);
+        long[] hash = MurmurHash3.hash128x64(text);
+        return ByteBuffer.allocate(CONTENT_BYTES)
+                .putLong(hash[0])
+                .putLong(hash[1])
+                .array();
+    }
+
     private static byte[] content(String prefix, ByteBuffer body) {
         MessageDigest sha = DigestUtils.getSha256Digest();
         sha.update(prefix.getBytes(StandardCharsets.UTF_8));
--- a/core/src/main/java/org/ragwortrun/core/refusal/RefusalReason.java
+++ b/core/src/main/java/org/ragwortrun/core/refusal/RefusalReason.java
@@ -31,6 +31,7 @@
     ENDPOINT_TIMEOUT("endpoint-timeout", 504, "The endpoint did not answer in time"),
     REQUEST_CRASHES_ENDPOINTS("request-crashes-endpoints", 422, "This request crashed endpoints"),
     CONTENT_QUARANTINED("content-quarantined", 503, "Endpoints crashed while they ran this content"),
+    PART_QUARANTINED("part-quarantined", 503, "Endpoints crashed while they ran prompts with this part"),
     ROUTER_FENCED("router-fenced", 503, "This host's incarnation has been fenced"),
     WRONG_INCARNATION("wrong-incarnation", 503, "The dispatch names another incarnation of the agent"),
     TOMBSTONE("tombstone", 409, "The request was given up before it arrived"),
--- a/ledger/src/main/java/org/ragwortrun/ledger/internal/CrashCounts.java
+++ b/ledger/src/main/java/org/ragwortrun/ledger/internal/CrashCounts.java
@@ -5,12 +5,13 @@
 import java.util.List;
 import java.util.Optional;
 import org.ragwortrun.core.id.Digests;
+import org.ragwortrun.ledger.PartCrashes;
 import org.ragwortrun.proto.CrashEvidence;
 import org.ragwortrun.proto.CrashReport;
 import org.ragwortrun.proto.EndpointCrash;
 
 /**
- * Counts the endpoint crashes during requests, by content digest of the request.
+ * Counts the endpoint crashes during requests, by content digest of the request and by the parts of its prompt.
  *
  * <p>Each crash counts once, even if it is reported repeatedly. An agent reports every request on the crashed endpoint; a
  * router reports only the requests that it sent. If a refused digest was running during a crash, the crash is attributed
@@ -57,7 +58,7 @@
 
     /**
      * Counts the crashes that a router observed under the next configuration number, and returns whether daemons need an
-     * update because a refused digest was added or has crashed again.
+     * update because a refused digest was added, has crashed again or was cleared.
      */
     public boolean count(CrashEvidence evidence, long nextNumber, long nowMs) {
         String name = evidence.getReporter() + '\n' + evidence.getSequence();
@@ -71,11 +72,34 @@
             for (ByteString digest : suspectedDigests(crash.getDigestsList())) {
                 refused |= countCrash(digest, crash.getEndpoint(), nextNumber, nowMs);
             }
+            for (CrashReport report : PartCrashes.count(crash, p -> find(p.toByteArray()), nowMs)) {
+                put(report, nextNumber);
+                refused |= report.getRefused();
+            }
+        }
+        for (ByteString part : evidence.getAnsweredPartsList()) {
+            refused |= clear(part, nextNumber);
         }
         reports.trim(MAX_ENTRIES);
         return refused;
     }
 
+    /** Releases a part of prompts that was answered, and returns whether daemons need an update. */
+    private boolean clear(ByteString part, long nextNumber) {
+        if (find(part.toByteArray()).filter(r -> r.getPart() && !r.getCleared()).isEmpty()) {
+            return false;
+        }
+        put(PartCrashes.cleared(part), nextNumber);
+        reports.all().stream()
+                .filter(r -> r.getCompanionsList().contains(part))
+                .forEach(r -> put(PartCrashes.withoutCompanion(r, part), nextNumber));
+        return true;
+    }
+
+    private void put(CrashReport report, long number) {
+        reports.put(Digests.hex(report.getDigest().toByteArray()), report, number);
+    }
+
     private List<ByteString> suspectedDigests(List<ByteString> present) {
         List<ByteString> refused = present.stream().filter(this::isRefused).toList();
         return refused.isEmpty() ? present : refused;
@@ -107,10 +131,10 @@
         return reports.find(Digests.hex(digest));
     }
 
-    /** Returns the refused digests that were refused or crashed again after a configuration number. */
+    /** Returns the digests that were refused, crashed again or were cleared after a configuration number. */
     public List<CrashReport> refusedAfter(long number) {
         return reports.changedAfter(number).stream()
-                .filter(CrashReport::getRefused)
+                .filter(r -> r.getRefused() || r.getCleared())
                 .toList();
     }
 
--- a/net/src/main/java/org/ragwortrun/net/control/ConfigWatch.java
+++ b/net/src/main/java/org/ragwortrun/net/control/ConfigWatch.java
@@ -17,6 +17,7 @@
 import org.ragwortrun.core.config.Configuration;
 import org.ragwortrun.core.config.ConfigurationException;
 import org.ragwortrun.core.config.SectionKind;
+import org.ragwortrun.core.id.Digests;
 import org.ragwortrun.core.log.Event;
 import org.ragwortrun.core.refusal.Refusal;
 import org.ragwortrun.core.refusal.RefusalReason;
@@ -56,6 +57,7 @@
     private final Map<String, VersionDecision> decisions = new LinkedHashMap<>();
     private volatile @Nullable Configuration current;
     private volatile Map<ByteString, Long> crashTimes = Map.of();
+    private volatile Map<ByteString, CrashReport> quarantinedParts = Map.of();
     private volatile long leaseUntil;
     private volatile boolean leased;
     private volatile boolean closed;
@@ -117,6 +119,11 @@
         return crashTimes.containsKey(digest);
     }
 
+    /** Returns the reports on quarantined parts of prompts, by the digest of the part. */
+    public Map<ByteString, CrashReport> quarantinedParts() {
+        return quarantinedParts;
+    }
+
     /** Returns the wall-clock time of the latest crash for each refused content digest, in milliseconds. */
     public Map<ByteString, Long> crashTimes() {
         return crashTimes;
@@ -214,6 +221,7 @@
             moves.clear();
             decisions.clear();
             crashTimes = Map.of();
+            quarantinedParts = Map.of();
         }
         update.getRemovedList().forEach(r -> {
             sections.remove(r);
@@ -225,7 +233,30 @@
         });
         update.getMovesList().forEach(m -> moves.put(m.getMove(), m));
         update.getDecisionsList().forEach(d -> decisions.put(d.getService() + "/" + d.getVersion(), d));
-        addCrashTimes(update.getSuspectsList());
+        addCrashTimes(
+                update.getSuspectsList().stream().filter(s -> !s.getPart()).toList());
+        mergeParts(
+                update.getSuspectsList().stream().filter(CrashReport::getPart).toList());
+    }
+
+    private void mergeParts(List<CrashReport> reports) {
+        if (reports.isEmpty()) {
+            return;
+        }
+        Map<ByteString, CrashReport> next = new HashMap<>(quarantinedParts);
+        for (CrashReport r : reports) {
+            if (r.getRefused()) {
+                next.put(r.getDigest(), r);
+            } else {
+                next.remove(r.getDigest());
+            }
+            Event.of(r.getRefused() ? "part-quarantined" : "part-released")
+                    .with("part", Digests.hex(r.getDigest().toByteArray()))
+                    .with("crashes", r.getCrashes())
+                    .with("companions", r.getCompanionsCount())
+                    .info(LOG);
+        }
+        quarantinedParts = Map.copyOf(next);
     }
 
     private void addCrashTimes(List<CrashReport> suspects) {
--- a/router/src/main/java/org/ragwortrun/router/internal/evidence/CrashReports.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/evidence/CrashReports.java
@@ -4,7 +4,8 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.List;
+import java.util.LinkedHashSet;
+import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
@@ -33,6 +34,7 @@
     private final ScheduledExecutorService timer;
     private final String incarnation;
     private final Deque<EndpointCrash> queued = new ArrayDeque<>();
+    private final Set<ByteString> answeredParts = new LinkedHashSet<>();
     private @Nullable CrashEvidence inFlight;
     private long sequence;
 
@@ -47,8 +49,8 @@
         this.incarnation = incarnation;
     }
 
-    /** Reports a crash with the digests of the request contents that may have caused it. */
-    public void add(String endpoint, List<ByteString> digests) {
+    /** Reports a crash with the contents and the parts of prompts that may have caused it. */
+    public void add(EndpointCrash crash) {
         synchronized (this) {
             if (queued.size() >= MAX_QUEUED) {
                 EndpointCrash dropped = queued.remove();
@@ -56,18 +58,30 @@
                         .with("endpoint", dropped.getEndpoint())
                         .warn(LOG);
             }
-            queued.add(EndpointCrash.newBuilder()
-                    .setEndpoint(endpoint)
-                    .addAllDigests(digests)
-                    .build());
+            queued.add(crash);
         }
         sendNext();
     }
 
+    /** Reports that a quarantined part of prompts was answered completely. */
+    public void addAnswered(ByteString part) {
+        synchronized (this) {
+            if (answeredParts.size() < MAX_QUEUED) {
+                answeredParts.add(part);
+            }
+        }
+        sendNext();
+    }
+
+    /** Returns whether some reports are not recorded yet. */
+    public synchronized boolean hasUnrecorded() {
+        return inFlight != null || !queued.isEmpty();
+    }
+
     private void sendNext() {
         CrashEvidence evidence;
         synchronized (this) {
-            if (inFlight != null || queued.isEmpty()) {
+            if (inFlight != null || queued.isEmpty() && answeredParts.isEmpty()) {
                 return;
             }
             sequence++;
@@ -75,8 +89,10 @@
                     .setReporter(incarnation)
                     .setSequence(sequence)
                     .addAllCrashes(queued)
+                    .addAllAnsweredParts(answeredParts)
                     .build();
             queued.clear();
+            answeredParts.clear();
             inFlight = evidence;
         }
         send(evidence);
@@ -97,6 +113,7 @@
         Event.of("crashes-recorded")
                 .with("sequence", evidence.getSequence())
                 .with("crashes", evidence.getCrashesCount())
+                .with("answered-parts", evidence.getAnsweredPartsCount())
                 .info(LOG);
         synchronized (this) {
             inFlight = null;
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/CallerConnection.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/CallerConnection.java
@@ -97,6 +97,14 @@
         }
     }
 
+    /** Stops the request that is being served if it has been quarantined since it was sent. */
+    void recheckQuarantine() {
+        Exchange e = exchange;
+        if (e != null) {
+            e.recheckQuarantine();
+        }
+    }
+
     /** Stops the request that is being served, answers it, and closes the connection. */
     void abortAndClose() {
         closing = true;
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ContentQuarantine.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ContentQuarantine.java
@@ -2,12 +2,10 @@
 
 import com.google.protobuf.ByteString;
 import java.time.Duration;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Supplier;
-import org.jspecify.annotations.Nullable;
 import org.ragwortrun.core.time.Time;
 
 /**
@@ -25,8 +23,8 @@
 
     private final Supplier<Map<ByteString, Long>> fleetCrashes;
     private final Time time;
-    private final Map<ByteString, Crashes> localCrashes = new BoundedMap<>();
-    private final Map<ByteString, Boolean> answeredContents = new BoundedMap<>();
+    private final Map<ByteString, Crashes> localCrashes = new BoundedMap<>(MAX_CONTENTS);
+    private final Map<ByteString, Boolean> answeredContents = new BoundedMap<>(MAX_CONTENTS);
 
     /**
      * Creates a quarantine.
@@ -88,13 +86,4 @@
             return new Crashes(count + later.count, later.newestMs);
         }
     }
-
-    private static final class BoundedMap<V> extends LinkedHashMap<ByteString, V> {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.@Nullable Entry<ByteString, V> eldest) {
-            return size() > MAX_CONTENTS;
-        }
-    }
 }
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/CrashDetector.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/CrashDetector.java
@@ -5,12 +5,14 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.ragwortrun.core.log.Event;
 import org.ragwortrun.core.metrics.Metrics;
 import org.ragwortrun.core.time.Time;
+import org.ragwortrun.proto.EndpointCrash;
+import org.ragwortrun.proto.SuspectedParts;
 import org.ragwortrun.router.internal.evidence.EvidenceCollector;
 import org.ragwortrun.router.internal.evidence.EvidenceKey;
 import org.ragwortrun.router.internal.forward.InterruptedRequests.Interrupted;
@@ -27,7 +29,8 @@
     private static final long SETTLE_DELAY_MS = 50;
 
     private final ContentQuarantine quarantine;
-    private final BiConsumer<String, List<ByteString>> reports;
+    private final PartQuarantine partQuarantine;
+    private final Consumer<EndpointCrash> reports;
     private final EvidenceCollector evidence;
     private final Metrics metrics;
     private final Time time;
@@ -36,17 +39,19 @@
     /**
      * Creates a detector.
      *
-     * @param reports receives the id of a crashed endpoint and the digests of the contents suspected of the crash
+     * @param reports receives crashed endpoints with the contents and parts of prompts suspected of the crash
      * @param evidence receives the failures of versions
      */
     CrashDetector(
             ContentQuarantine quarantine,
-            BiConsumer<String, List<ByteString>> reports,
+            PartQuarantine partQuarantine,
+            Consumer<EndpointCrash> reports,
             EvidenceCollector evidence,
             Metrics metrics,
             Time time,
             EventLoop loop) {
         this.quarantine = quarantine;
+        this.partQuarantine = partQuarantine;
         this.reports = reports;
         this.evidence = evidence;
         this.metrics = metrics;
@@ -54,9 +59,14 @@
         this.loop = loop;
     }
 
-    /** Records that an endpoint has interrupted a request, and checks whether it still accepts connections. */
-    void onInterrupted(EndpointState endpoint, RequestContent content, EvidenceKey failure) {
-        if (endpoint.interruptedRequests().add(content.digest(), failure)) {
+    /**
+     * Records that an endpoint has interrupted a request, and checks whether it still accepts connections.
+     *
+     * @param unansweredParts digests of the parts of its prompt if its answer had not begun, otherwise empty
+     */
+    void onInterrupted(
+            EndpointState endpoint, RequestContent content, EvidenceKey failure, List<ByteString> unansweredParts) {
+        if (endpoint.interruptedRequests().add(content.digest(), failure, unansweredParts)) {
             endpoint.connections().checkReachable(() -> onReachable(endpoint), cause -> onUnreachable(endpoint, cause));
         }
     }
@@ -78,7 +88,7 @@
         if (EndpointConnectionPool.REFUSED.equals(cause)) {
             // The requests of one crash did not fail independently, so the crash counts as one failure.
             recordFailures(interrupted.failures().subList(0, 1));
-            onCrash(endpoint, interrupted.contents());
+            onCrash(endpoint, interrupted);
         } else {
             recordFailures(interrupted.failures());
         }
@@ -96,16 +106,22 @@
                 .info(LOG);
     }
 
-    private void onCrash(EndpointState endpoint, List<ByteString> contents) {
-        List<ByteString> suspected = quarantine.onCrash(contents);
+    private void onCrash(EndpointState endpoint, Interrupted interrupted) {
+        List<ByteString> suspected = quarantine.onCrash(interrupted.contents());
+        List<SuspectedParts> suspectedParts = partQuarantine.onCrash(endpoint.id(), interrupted.unansweredParts());
         metrics.count("endpoint_crashes", 1);
         Event.of("endpoint-crashed")
                 .with("endpoint", endpoint.id())
-                .with("broken-off", contents.size())
+                .with("broken-off", interrupted.contents().size())
                 .with("suspected", suspected.size())
+                .with("suspected-prompts", suspectedParts.size())
                 .info(LOG);
-        if (!suspected.isEmpty()) {
-            reports.accept(endpoint.id(), suspected);
+        if (!suspected.isEmpty() || !suspectedParts.isEmpty()) {
+            reports.accept(EndpointCrash.newBuilder()
+                    .setEndpoint(endpoint.id())
+                    .addAllDigests(suspected)
+                    .addAllRequests(suspectedParts)
+                    .build());
         }
     }
 }
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
@@ -1,5 +1,6 @@
 package org.ragwortrun.router.internal.forward;
 
+import com.google.protobuf.ByteString;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultHttpRequest;
@@ -11,6 +12,7 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import java.time.Duration;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -54,6 +56,8 @@
     private static final int UNAVAILABLE = 503;
     private static final int MISDIRECTED = 421;
     private static final int MAX_URGENCY = 9;
+    // The first event may still be received from an endpoint that crashes as it begins an answer.
+    private static final int MAX_EVENTS_BEFORE_CRASH = 1;
 
     private final ForwardServices services;
     private final CallerRequest request;
@@ -65,6 +69,7 @@
     private final AnswerWriter answer;
     private final EndpointSelector selector;
     private final RequestContent content;
+    private final List<ByteString> sharedParts;
     private final Observer observer;
     private final long startNanos;
     private final long deadlineNanos;
@@ -103,6 +108,7 @@
         this.observer = observer;
         selector = new EndpointSelector(services, request, origin);
         content = new RequestContent(account.map(Account::name).orElse(""), head.method(), request.target(), body);
+        sharedParts = SharedParts.of(origin.name(), request.parts());
         startNanos = services.time().nanos();
         long deadlineMs = request.deadlineMs().orElse(Long.MAX_VALUE);
         deadlineNanos = startNanos
@@ -196,21 +202,43 @@
         }
     }
 
-    /** Ends the request if its content is quarantined, even if it may have run before. Returns whether it did. */
+    /**
+     * Ends the request if its content or a part of its prompt is quarantined, even if it may have run before. Returns
+     * whether it did.
+     */
     private boolean refuseIfQuarantined() {
-        Optional<Duration> left = services.quarantine().remainingQuarantine(content);
-        if (left.isEmpty()) {
+        Optional<Refusal> refusal = quarantineRefusal();
+        if (refusal.isEmpty()) {
             return false;
         }
         if (runs > 0) {
-            giveUp(RefusalReason.CONTENT_QUARANTINED.code());
+            giveUp(refusal.get().reason().code());
         } else {
-            refuse(Refusal.notRun(
-                    RefusalReason.CONTENT_QUARANTINED, "endpoints crashed while running this content", left.get()));
+            refuse(refusal.get());
         }
         return true;
     }
 
+    private Optional<Refusal> quarantineRefusal() {
+        return services.quarantine()
+                .remainingQuarantine(content)
+                .map(left -> Refusal.notRun(
+                        RefusalReason.CONTENT_QUARANTINED, "endpoints crashed while running this content", left))
+                .or(() -> services.partQuarantine()
+                        .remainingQuarantine(sharedParts)
+                        .map(left -> Refusal.notRun(
+                                RefusalReason.PART_QUARANTINED,
+                                "endpoints crashed while running prompts with this part",
+                                left)));
+    }
+
+    /** Stops an attempt whose answer has not begun if the request has been quarantined since the attempt began. */
+    void recheckQuarantine() {
+        if (!ended && current != null && !answerStarted) {
+            refuseIfQuarantined();
+        }
+    }
+
     private void sendToEndpoint() {
         if (refuseIfQuarantined()) {
             return;
@@ -635,6 +663,9 @@
             boolean good = r.status().code() < SERVER_ERROR;
             recordOutcome(good);
             services.quarantine().onAnswered(content);
+            if (isSuccess()) {
+                services.partQuarantine().onAnswered(sharedParts);
+            }
             if (!answerStarted) {
                 startAnswer(r);
                 if (buffered.isReadable()) {
@@ -663,11 +694,16 @@
             }
             endpoint.health().onFailure(services.time().nanos());
             services.metrics().count("endpoint_breaks", 1);
-            services.crashDetector().onInterrupted(endpoint, content, evidenceKey());
+            services.crashDetector().onInterrupted(endpoint, content, evidenceKey(), unansweredParts());
             log("endpoint-broken", cause);
             onAnswerLost(cause);
         }
 
+        /** Returns the shared parts of the prompt if the endpoint may have crashed at the beginning of its answer. */
+        private List<ByteString> unansweredParts() {
+            return events.events() - eventsBefore <= MAX_EVENTS_BEFORE_CRASH ? sharedParts : List.of();
+        }
+
         /**
          * Counts a complete answer as success or failure of its endpoint and version. A request to pause counts as
          * neither.
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardPushHandler.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardPushHandler.java
@@ -28,6 +28,7 @@
     private final EndpointTable endpoints;
     private final ControlPushes common = new ControlPushes();
     private volatile @Nullable PeerLinks links;
+    private volatile Runnable configurationListener = () -> {};
 
     ForwardPushHandler(EventLoop loop, EndpointTable endpoints) {
         this.loop = loop;
@@ -43,6 +44,15 @@
         links = receiver;
     }
 
+    /** Sets a task that runs on the event loop after each applied configuration. */
+    void setConfigurationListener(Runnable listener) {
+        configurationListener = listener;
+    }
+
+    void onConfigurationApplied() {
+        loop.execute(configurationListener);
+    }
+
     private void updatePeers(EndpointList list) {
         PeerLinks l = links;
         if (l == null) {
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
@@ -138,7 +138,8 @@
                 time, e -> connections(loop, e, time, headers), notices::read, settings.longestPause());
         ForwardPushHandler pushes = new ForwardPushHandler(loop, endpoints);
         ControlClient control = closer.register(new ControlClient(transport, settings.members(), pushes));
-        ConfigWatch watch = closer.register(new ConfigWatch(control, timer, time, c -> {}));
+        ConfigWatch watch =
+                closer.register(new ConfigWatch(control, timer, time, c -> pushes.onConfigurationApplied()));
         Shards shards = new Shards(control, settings.shards());
         Sessions sessions = new Sessions(shards, timer, settings.name(), incarnation, true, processStartNanos);
         GrantPool pool = new GrantPool(
@@ -175,8 +176,11 @@
         }
         EvidenceCollector evidence = new EvidenceCollector(control);
         ContentQuarantine quarantine = new ContentQuarantine(watch::crashTimes, time);
-        CrashDetector crashDetector = new CrashDetector(
-                quarantine, new CrashReports(control, timer, incarnation)::add, evidence, metrics, time, loop);
+        CrashReports crashReports = new CrashReports(control, timer, incarnation);
+        PartQuarantine partQuarantine = new PartQuarantine(
+                watch::quarantinedParts, crashReports::hasUnrecorded, crashReports::addAnswered, time);
+        CrashDetector crashDetector =
+                new CrashDetector(quarantine, partQuarantine, crashReports::add, evidence, metrics, time, loop);
         ForwardServices services = new ForwardServices(
                 settings.dataCenter(),
                 watch::latest,
@@ -188,6 +192,7 @@
                 tokens,
                 evidence,
                 quarantine,
+                partQuarantine,
                 crashDetector,
                 headers,
                 metrics,
@@ -197,6 +202,7 @@
                 random::nextDouble);
         RequestAdmission admission = new RequestAdmission(services);
         pushes.connect(watch, grants);
+        pushes.setConfigurationListener(admission::recheckQuarantine);
         watch.start(CONFIRM_INTERVAL);
         sessions.open();
         SingleThreadExecutor.repeat(timer, evidence, SECOND_MS, SECOND_MS);
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardServices.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardServices.java
@@ -21,6 +21,7 @@
  * @param tokens source of the tokens of client accounts
  * @param evidence collector of outcomes by version
  * @param quarantine content that is not sent because it may crash endpoints
+ * @param partQuarantine parts of prompts that are not sent because they may crash endpoints
  * @param crashDetector detector of crashed endpoints
  * @param headers reader and writer of heads
  * @param metrics counters
@@ -37,6 +38,7 @@
         TokenSource tokens,
         EvidenceCollector evidence,
         ContentQuarantine quarantine,
+        PartQuarantine partQuarantine,
         CrashDetector crashDetector,
         RequestHeaders headers,
         Metrics metrics,
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/RequestAdmission.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/RequestAdmission.java
@@ -129,6 +129,11 @@
         List.copyOf(connections).forEach(CallerConnection::closeWhenIdle);
     }
 
+    /** Stops running requests that have been quarantined since they were sent. */
+    void recheckQuarantine() {
+        List.copyOf(connections).forEach(CallerConnection::recheckQuarantine);
+    }
+
     /** Stops running requests and closes all connections. */
     void abortAll() {
         List.copyOf(connections).forEach(CallerConnection::abortAndClose);
--- a/router/src/test/java/org/ragwortrun/router/CrashingPartTest.java
+++ b/router/src/test/java/org/ragwortrun/router/CrashingPartTest.java
@@ -9,6 +9,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -88,6 +89,69 @@
         assertThat(crashes.get() - before).isAtMost(MAX_SENT_AFTER);
     }
 
+    /** Guards against refusing harmless requests that share their caller and their other parts. */
+    @Test
+    void servesRequestsThatShareCallerAndOtherParts() throws Exception {
+        crashUntilRefused();
+        for (int i = 0; i < 10; i++) {
+            assertThat(post(i, SHARED, SUBJECT)).startsWith("HTTP/1.1 200");
+        }
+        assertThat(post(0, SHARED, SUBJECT, CRASHING)).contains("part-quarantined");
+        assertThat(post(0, SHARED, "dd", CRASHING)).contains("part-quarantined");
+    }
+
+    @Test
+    void refusesAsNotRunWithRetryAfterAtAllRouters() throws Exception {
+        crashUntilRefused();
+        for (int i = 0; i < 2; i++) {
+            String answer = awaitRefusal(i);
+            assertThat(answer).startsWith("HTTP/1.1 503");
+            assertThat(answer).contains("\"run\":\"not run\"");
+            double retryAfterS = Double.parseDouble(
+                    answer.toLowerCase(Locale.ROOT).split("retry-after: ", 2)[1].split("\r", 2)[0]);
+            assertThat(retryAfterS).isGreaterThan(500.0);
+        }
+        assertThat(crashes.get()).isAtMost(CRASHES_TO_LEARN);
+    }
+
+    /** Guards against a router that has just started and does not know what the fleet quarantines. */
+    @Test
+    void refusesAtRouterThatStartsLater() throws Exception {
+        crashUntilRefused();
+        routers.add(harness.startRouter("r3"));
+        assertThat(post(2, SHARED, SUBJECT, CRASHING)).contains("part-quarantined");
+    }
+
+    /** Guards against a router that keeps crashing endpoints while no control member records its crash reports. */
+    @Test
+    void quarantinesLocallyWhileControlDoesNotAnswer() throws Exception {
+        harness.control.ignoresCrashReports = true;
+        for (int i = 0; i < 8; i++) {
+            post(0, SHARED, SUBJECT, CRASHING);
+            pause(Duration.ofMillis(300));
+        }
+        assertThat(crashes.get()).isAtMost(CRASHES_TO_LEARN);
+        harness.control.ignoresCrashReports = false;
+        assertThat(awaitRefusal(1)).contains("part-quarantined");
+    }
+
+    private void crashUntilRefused() throws Exception {
+        String answer = "";
+        for (int i = 0; i < 20 && !answer.contains("part-quarantined"); i++) {
+            answer = post(i, SHARED, SUBJECT, CRASHING);
+            pause(Duration.ofMillis(300));
+        }
+    }
+
+    private String awaitRefusal(int router) throws Exception {
+        String answer = post(router, SHARED, SUBJECT, CRASHING);
+        for (int i = 0; i < 30 && !answer.contains("part-quarantined"); i++) {
+            pause(Duration.ofMillis(100));
+            answer = post(router, SHARED, SUBJECT, CRASHING);
+        }
+        return answer;
+    }
+
     private String post(int turn, String... sharedParts) throws IOException {
         int id = ids.incrementAndGet();
         String body = "body-" + id;
--- a/router/src/test/java/org/ragwortrun/router/internal/forward/CallerConnectionTest.java
+++ b/router/src/test/java/org/ragwortrun/router/internal/forward/CallerConnectionTest.java
@@ -65,6 +65,7 @@
         Metrics metrics = closer.register(Metrics.local());
         Time time = Time.steady();
         ContentQuarantine quarantine = new ContentQuarantine(Map::of, time);
+        PartQuarantine parts = new PartQuarantine(Map::of, () -> false, p -> {}, time);
         EvidenceCollector evidence = new EvidenceCollector(null);
         RequestAdmission admission = new RequestAdmission(new ForwardServices(
                 "dc",
@@ -83,7 +84,8 @@
                 (budget, tokens, id, longest) -> new CompletableFuture<>(),
                 evidence,
                 quarantine,
-                new CrashDetector(quarantine, (endpoint, contents) -> {}, evidence, metrics, time, loop),
+                parts,
+                new CrashDetector(quarantine, parts, crash -> {}, evidence, metrics, time, loop),
                 new RequestHeaders(HeaderNames.STANDARD),
                 metrics,
                 time,
