Choose ports for test routers outside the range of outgoing connections

Ports now come from below the range that the system gives to outgoing connections. Other modules choose ports in the old way.

--- a/router/src/test/java/org/ragwortrun/router/ForwardHarness.java
+++ b/router/src/test/java/org/ragwortrun/router/ForwardHarness.java
@@ -1,6 +1,7 @@
 package org.ragwortrun.router;
 
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -10,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.ragwortrun.core.concurrent.Closer;
 import org.ragwortrun.core.error.RagwortrunException;
 import org.ragwortrun.core.id.Digests;
@@ -28,6 +30,10 @@
 /** Forwarding routers over real connections, with one control member, one account and scripted endpoints. */
 final class ForwardHarness implements AutoCloseable {
     static final int TIMEOUT_MS = 5_000;
+    private static final int FIRST_PORT = 20_000;
+    private static final int PORTS = 12_000;
+    private static final AtomicInteger nextPort =
+            new AtomicInteger((int) ProcessHandle.current().pid() * 64);
 
     final FakeControl control = new FakeControl();
     private final Closer closer = new Closer();
@@ -138,10 +144,17 @@
         }
     }
 
+    /** Returns a free port that the system does not give to outgoing connections until a router listens on it. */
     private static int freePort() throws IOException {
-        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return s.getLocalPort();
+        for (int i = 0; i < PORTS; i++) {
+            int port = FIRST_PORT + Math.floorMod(nextPort.getAndIncrement(), PORTS);
+            try (ServerSocket s = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+                return s.getLocalPort();
+            } catch (BindException e) {
+                // Another process listens on this port.
+            }
         }
+        throw new IOException("no free port");
     }
 
     @Override
