Resume streams only with answers that continue them

If a stream broke off and the endpoint that was tried next answered with an error, its text was written into the caller's stream, and the stream ended as if it were complete; an endpoint that began again repeated events. The cause: an answer that arrives after the caller's answer has begun was handled like a first one.

An attempt that resumes a stream now must answer with a stream of success whose first event follows the last one that the caller has. Anything else counts as a broken attempt, so the caller's connection is closed midway.

--- a/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
@@ -429,6 +429,7 @@
         // The last part of a prompt is specific to its session; the parts before it are shared.
         private final AnswerLatency latency = new AnswerLatency(request.parts().size() > 1, attemptStartNanos);
         private final int eventsBefore = events.events();
+        private final OptionalLong resumedAfter = answerStarted ? events.lastId() : OptionalLong.empty();
         private @Nullable EndpointConnection connection;
         private @Nullable HttpResponse answerHead;
         private ByteBuf buffered = Unpooled.EMPTY_BUFFER;
@@ -537,6 +538,9 @@
             }
             String type = receivedHead.headers().get(HttpHeaderNames.CONTENT_TYPE, "");
             isStream = isSuccess() && type.startsWith("text/event-stream");
+            if (answerStarted && !isStream) {
+                fail("answer-does-not-continue-stream");
+            }
         }
 
         private boolean isSuccess() {
@@ -558,7 +562,6 @@
         }
 
         private void onEvents(HttpResponse r, ByteBuf part) {
-            OptionalLong before = events.lastId();
             ByteBuf complete = events.add(part);
             if (events.isTooLong()) {
                 fail("event-too-long");
@@ -567,9 +570,7 @@
             if (!complete.isReadable()) {
                 return;
             }
-            boolean continuous =
-                    before.isEmpty() || !answerStarted || events.firstId() < 0 || continuesAfter(before.getAsLong());
-            if (!continuous) {
+            if (!continuesStream()) {
                 complete.release();
                 fail("events-do-not-follow");
                 return;
@@ -590,12 +591,9 @@
             }
         }
 
-        /**
-         * Returns whether the first event of a resumed stream leaves no gap after the last one that the caller
-         * received.
-         */
-        private boolean continuesAfter(long before) {
-            return events.firstId() <= before + 1;
+        /** Returns whether the first event of a resumed stream is the one after the last that the caller received. */
+        private boolean continuesStream() {
+            return resumedAfter.isEmpty() || events.firstId() == resumedAfter.getAsLong() + 1;
         }
 
         private void buffer(ByteBuf part) {
