Accept on a reused connection only answers that name their request

A refusal without a request id, written once more on a kept connection, was taken for the refusal of the next request: its caller was told that it had not run although it had. An error without an id was passed on to the caller of another request. Besides, an endpoint could keep an attempt until its time limit with interim answers, blank lines or answers to other requests without end.

After the first request on a connection every answer must name its request; otherwise the attempt is broken, with an unknown outcome. The bytes that no answer is decoded from and the messages that are skipped are limited for each request.

--- a/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointConnection.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointConnection.java
@@ -2,7 +2,9 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpContent;
@@ -22,8 +24,10 @@
 /**
  * One connection to an endpoint, which serves one request at a time.
  *
- * <p>An answer with the id of another request is read and dropped, and the connection is not reused. Data that arrives
- * while no request waits for an answer closes the connection.
+ * <p>An answer with the id of another request is read and dropped, and the connection is not reused. An answer without
+ * an id is accepted only as a refusal or failure of the first request on the connection, because it may be a copy of an
+ * earlier one. Data that arrives while no request waits for an answer closes the connection, and so do too many bytes
+ * that are no part of its answer.
  */
 final class EndpointConnection extends SimpleChannelInboundHandler<HttpObject> {
     private static final Pattern KEEP_ALIVE = Pattern.compile("timeout=(\\d+)");
@@ -31,6 +35,7 @@
     // Reuse stops this long before the endpoint closes the connection, so that no request is sent as it closes.
     private static final long CLOSE_MARGIN_NANOS = 700_000_000L;
     private static final long MAX_SKIPPED_BYTES = 64 << 10;
+    private static final int MAX_SKIPPED_MESSAGES = 32;
     // The body of a refusal is short and immediately follows its head.
     private static final long SKIP_TIMEOUT_MS = 1_000;
     private static final long DEFAULT_IDLE_NANOS = 4 * SECOND_NANOS;
@@ -44,6 +49,9 @@
     private boolean reusable = true;
     private boolean skipping;
     private long skippedBytes;
+    private int skippedMessages;
+    private long undecodedBytes;
+    private int requests;
     private boolean headSeen;
     private boolean failed;
     private boolean written;
@@ -70,6 +78,20 @@
         return c != null && c.isActive() && reusable && usableUntilNanos - time.nanos() > 0;
     }
 
+    /** Returns a handler in front of the decoder, which closes the connection if the decoder gets bytes without end. */
+    ChannelHandler undecodedBytesLimit() {
+        return new ChannelInboundHandlerAdapter() {
+            @Override
+            public void channelRead(ChannelHandlerContext ctx, Object bytes) {
+                undecodedBytes += bytes instanceof ByteBuf b ? b.readableBytes() : 0;
+                ctx.fireChannelRead(bytes);
+                if (undecodedBytes > MAX_SKIPPED_BYTES) {
+                    fail(ctx, "endless-answer");
+                }
+            }
+        };
+    }
+
     /** Sends a request. The body is released once it is written. */
     void send(HttpRequest head, ByteBuf body, String id, AnswerListener answers) {
         Channel c = channel;
@@ -80,6 +102,10 @@
         }
         listener = answers;
         requestId = id;
+        requests++;
+        skippedBytes = 0;
+        skippedMessages = 0;
+        undecodedBytes = 0;
         headSeen = false;
         written = false;
         c.write(head, c.voidPromise());
@@ -119,6 +145,7 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, HttpObject part) {
+        undecodedBytes = 0;
         AnswerListener l = listener;
         if (part instanceof HttpResponse head && !part.decoderResult().isFailure()) {
             pool.onHead(head);
@@ -143,10 +170,11 @@
             reusable = false;
         }
         if (skipping) {
+            skippedMessages++;
             return;
         }
-        if (head.status().codeClass() == HttpStatusClass.SUCCESS && !headers.namesRequest(head.headers())) {
-            // It may be a delayed copy of the answer to another request.
+        boolean mayNeedNoId = requests == 1 && head.status().codeClass() != HttpStatusClass.SUCCESS;
+        if (!mayNeedNoId && !headers.namesRequest(head.headers())) {
             fail(ctx, "answer-without-id");
             return;
         }
@@ -183,11 +211,10 @@
     /** Discards data that belongs to no waiting request, up to a limit because the body may be endless. */
     private void skip(ChannelHandlerContext ctx, HttpContent content) {
         skippedBytes += content.content().readableBytes();
-        if (skippedBytes > MAX_SKIPPED_BYTES) {
+        if (skippedBytes > MAX_SKIPPED_BYTES || skippedMessages > MAX_SKIPPED_MESSAGES) {
             fail(ctx, "endless-answer");
         } else if (content instanceof LastHttpContent) {
             skipping = false;
-            skippedBytes = 0;
             if (listener == null) {
                 cancelSkipTimeout();
                 releaseOrClose(ctx);
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointConnectionPool.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointConnectionPool.java
@@ -91,7 +91,7 @@
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel ch) {
-                        ch.pipeline().addLast(new HttpClientCodec(), connection);
+                        ch.pipeline().addLast(connection.undecodedBytesLimit(), new HttpClientCodec(), connection);
                     }
                 })
                 .connect(address.host(), address.port())
