Reset the connection of an HTTP/1.0 caller whose answer breaks off

The answer to such a caller ends with its connection, so an orderly close after a broken stream made the part look complete. The connection is now reset. FaultyAnswersTest.resetsConnectionOfHttp10CallerWhenStreamBreaksOff failed before.

--- a/router/src/main/java/org/ragwortrun/router/internal/forward/CallerConnection.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/CallerConnection.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -51,6 +52,7 @@
     private @Nullable Exchange exchange;
     private boolean answerStarted;
     private boolean chunked;
+    private boolean endsWithConnection;
     private boolean closing;
     private long idleSinceNanos;
     private long headReceivedNanos;
@@ -224,6 +226,7 @@
             out.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
         } else {
             closing = true;
+            endsWithConnection = true;
         }
         setKeepAlive(w, out);
         answerStarted = true;
@@ -290,6 +293,10 @@
         closing = true;
         ChannelHandlerContext ctx = context;
         if (ctx != null) {
+            if (endsWithConnection) {
+                // A reset, because an orderly close would complete the answer.
+                ctx.channel().config().setOption(ChannelOption.SO_LINGER, 0);
+            }
             ctx.close();
         }
     }
--- a/router/src/test/java/org/ragwortrun/router/FaultyAnswersTest.java
+++ b/router/src/test/java/org/ragwortrun/router/FaultyAnswersTest.java
@@ -9,6 +9,8 @@
 
 import java.io.IOException;
 import java.io.OutputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -169,6 +171,30 @@
         }
         return false;
     }
+
+    /** Guards against a truncated answer that looks complete to a caller whose answer ends with the connection. */
+    @Test
+    void resetsConnectionOfHttp10CallerWhenStreamBreaksOff() throws Exception {
+        harness.addEndpoint("e1", (request, out) -> {
+            write(out, streamHead(id(request)) + chunk(TWO_EVENTS));
+            TimeUnit.MILLISECONDS.sleep(200);
+            return false;
+        });
+        ForwardHarness.Router router = harness.startRouter("r1");
+        try (Socket s = new Socket("127.0.0.1", router.port())) {
+            s.setSoTimeout(ForwardHarness.TIMEOUT_MS);
+            s.getOutputStream()
+                    .write(get("/draft/").replace("HTTP/1.1", "HTTP/1.0").getBytes(StandardCharsets.ISO_8859_1));
+            String failure = "";
+            try {
+                s.getInputStream().readAllBytes();
+            } catch (IOException e) {
+                failure = String.valueOf(e.getMessage());
+            }
+            assertThat(failure).contains("reset");
+        }
+    }
+
     /** Guards against a stream without a length or chunks that is not forwarded completely, or ends within an event. */
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
