Quarantine messages that crash endpoints on the path over agents

The same cause as on the forwarding path: agents reported the requests on a crashed endpoint by whole content only, so conversations that share one message and differ in everything else were never refused.

Routers now pass the digests of all messages of a conversation but the last one to the agent. The agent adds those of requests without output to its crash reports, the meta group counts them by part as it does for forwarding routers, and routers refuse conversations with a quarantined message with 503 and part-quarantined, and have a message released that was answered. PartQuarantine is shared by both paths.

Tests: PartCrashesTest.countsPartsThatAgentsReport, ModelEndpointTest.reportsPartsOfPromptsWhoseAnswersHaveNotBegun, RefusalDocumentsTest.conversationWithMessageThatCrashesEndpoints. They use fields that did not exist before, so they were not run on the earlier code.

The line of a request refused as part-quarantined names the parts of its prompt.

--- a/agent/src/main/java/org/ragwortrun/agent/internal/AcceptedRequest.java
+++ b/agent/src/main/java/org/ragwortrun/agent/internal/AcceptedRequest.java
@@ -178,6 +178,10 @@
         sent = true;
     }
 
+    boolean hasOutput() {
+        return meter.outputTokens() > 0;
+    }
+
     boolean mayHaveRun() {
         return sent;
     }
--- a/agent/src/main/java/org/ragwortrun/agent/internal/PendingCrashReports.java
+++ b/agent/src/main/java/org/ragwortrun/agent/internal/PendingCrashReports.java
@@ -17,9 +17,10 @@
     private final Map<ByteString, CrashReport.Builder> reportsByDigest = new LinkedHashMap<>();
     private int crashes;
 
-    void recordFailure(Dispatch dispatch, String endpoint, String agentIncarnation, List<Dispatch> running) {
-        addReport(dispatch, endpoint, agentIncarnation);
-        running.forEach(d -> addReport(d, endpoint, agentIncarnation));
+    void recordFailure(
+            AcceptedRequest failed, String endpoint, String agentIncarnation, List<AcceptedRequest> running) {
+        addReport(failed, endpoint, agentIncarnation);
+        running.forEach(r -> addReport(r, endpoint, agentIncarnation));
     }
 
     /** Returns all reports, for an endpoint that crashed, and clears them. */
@@ -44,7 +45,8 @@
         return reportsByDigest.isEmpty();
     }
 
-    private void addReport(Dispatch d, String endpoint, String agentIncarnation) {
+    private void addReport(AcceptedRequest request, String endpoint, String agentIncarnation) {
+        Dispatch d = request.dispatch();
         reportsByDigest.computeIfAbsent(
                 d.getDigest(),
                 digest -> CrashReport.newBuilder()
@@ -52,6 +54,7 @@
                         .setRequestId(d.getRequestId())
                         .setAccount(d.getBudget().getAccount())
                         .setEndpoint(endpoint)
-                        .setAgentIncarnation(agentIncarnation));
+                        .setAgentIncarnation(agentIncarnation)
+                        .addAllPromptParts(request.hasOutput() ? List.of() : d.getPromptPartsList()));
     }
 }
--- a/agent/src/main/java/org/ragwortrun/agent/internal/RequestDispatcher.java
+++ b/agent/src/main/java/org/ragwortrun/agent/internal/RequestDispatcher.java
@@ -324,11 +324,10 @@
                 .with("detail", detail)
                 .info(LOG);
         if (r.mayHaveRun()) {
-            List<Dispatch> running = active.values().stream()
+            List<AcceptedRequest> running = active.values().stream()
                     .filter(o -> o.state() == AcceptedRequest.State.RUNNING)
-                    .map(AcceptedRequest::dispatch)
                     .toList();
-            pendingCrashReports.recordFailure(r.dispatch(), settings.endpoint(), identity.incarnation(), running);
+            pendingCrashReports.recordFailure(r, settings.endpoint(), identity.incarnation(), running);
             end(r, RequestOutcome.endpointFailed(r));
         } else {
             refuseAccepted(
--- a/agent/src/test/java/org/ragwortrun/agent/ModelEndpointTest.java
+++ b/agent/src/test/java/org/ragwortrun/agent/ModelEndpointTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import com.google.protobuf.ByteString;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -206,6 +207,22 @@
         fixture.send(router, fixture.chat("after", "after [len=5]")).finished();
     }
 
+    /** Guards against parts of prompts that are suspected of a crash although their answers had begun. */
+    @Test
+    void reportsPartsOfPromptsWhoseAnswersHaveNotBegun() throws Exception {
+        AnswerReader bystander = fixture.send(
+                router, fixture.chat("bystander", "by [len=3000]").addPromptParts(ByteString.copyFromUtf8("begun")));
+        AgentFixture.await(() -> bystander.length() > 20);
+        AnswerReader culprit = fixture.send(
+                router, fixture.chat("culprit", "bad [crash] [len=50]").addPromptParts(ByteString.copyFromUtf8("bad")));
+        culprit.finished();
+        AgentFixture.await(() -> fixture.control().crashes().size() == 2);
+        assertThat(fixture.control().crashes().stream()
+                        .flatMap(c -> c.getPromptPartsList().stream())
+                        .map(ByteString::toStringUtf8))
+                .containsExactly("bad");
+    }
+
     /** Guards against an agent that loses the outcome of a request but still has the record that it ran. */
     @Test
     void reportsRequestStates() throws Exception {
--- a/ledger/src/main/java/org/ragwortrun/ledger/MetaState.java
+++ b/ledger/src/main/java/org/ragwortrun/ledger/MetaState.java
@@ -83,7 +83,7 @@
                         .build();
             case VERSION_DECISION -> recordDecision(command.getVersionDecision());
             case MOVE_PROGRESS -> recordProgress(command.getMoveProgress());
-            case CRASH -> crashResult(crashCounts.count(command.getCrash(), number + 1));
+            case CRASH -> crashResult(crashCounts.count(command.getCrash(), number + 1, command.getNowMs()));
             case CRASH_EVIDENCE ->
                 crashResult(crashCounts.count(command.getCrashEvidence(), number + 1, command.getNowMs()));
             case NEXT_FENCING ->
--- a/ledger/src/main/java/org/ragwortrun/ledger/internal/CrashCounts.java
+++ b/ledger/src/main/java/org/ragwortrun/ledger/internal/CrashCounts.java
@@ -9,6 +9,7 @@
 import org.ragwortrun.proto.CrashEvidence;
 import org.ragwortrun.proto.CrashReport;
 import org.ragwortrun.proto.EndpointCrash;
+import org.ragwortrun.proto.SuspectedParts;
 
 /**
  * Counts the endpoint crashes during requests, by content digest of the request and by the parts of its prompt.
@@ -26,8 +27,20 @@
     private VersionedMap<CrashReport> reports = new VersionedMap<>();
     private VersionedMap<CrashReport> counted = new VersionedMap<>();
 
-    /** Counts a crash under the next configuration number and returns whether it was counted. */
-    public boolean count(CrashReport report, long nextNumber) {
+    /**
+     * Counts a crash that an agent observed under the next configuration number, and returns whether daemons need an
+     * update.
+     */
+    public boolean count(CrashReport report, long nextNumber, long nowMs) {
+        boolean contentCounted = countContent(report, nextNumber);
+        EndpointCrash crash = EndpointCrash.newBuilder()
+                .setEndpoint(report.getEndpoint())
+                .addRequests(SuspectedParts.newBuilder().addAllParts(report.getPromptPartsList()))
+                .build();
+        return countParts(crash, nextNumber, nowMs) || contentCounted;
+    }
+
+    private boolean countContent(CrashReport report, long nextNumber) {
         String digest = Digests.hex(report.getDigest().toByteArray());
         String crash = String.join(
                 "\n",
@@ -48,6 +61,7 @@
         reports.put(
                 digest,
                 report.toBuilder()
+                        .clearPromptParts()
                         .setCrashes(crashes)
                         .setRefused(crashes >= REFUSED_AFTER)
                         .build(),
@@ -72,10 +86,7 @@
             for (ByteString digest : suspectedDigests(crash.getDigestsList())) {
                 refused |= countCrash(digest, crash.getEndpoint(), nextNumber, nowMs);
             }
-            for (CrashReport report : PartCrashes.count(crash, p -> find(p.toByteArray()), nowMs)) {
-                put(report, nextNumber);
-                refused |= report.getRefused();
-            }
+            refused |= countParts(crash, nextNumber, nowMs);
         }
         for (ByteString part : evidence.getAnsweredPartsList()) {
             refused |= clear(part, nextNumber);
@@ -84,6 +95,16 @@
         return refused;
     }
 
+    /** Counts the parts of prompts suspected of a crash, and returns whether a quarantined one is among them. */
+    private boolean countParts(EndpointCrash crash, long nextNumber, long nowMs) {
+        boolean quarantined = false;
+        for (CrashReport report : PartCrashes.count(crash, p -> find(p.toByteArray()), nowMs)) {
+            put(report, nextNumber);
+            quarantined |= report.getRefused();
+        }
+        return quarantined;
+    }
+
     /** Releases a part of prompts that was answered, and returns whether daemons need an update. */
     private boolean clear(ByteString part, long nextNumber) {
         if (find(part.toByteArray()).filter(r -> r.getPart() && !r.getCleared()).isEmpty()) {
--- a/ledger/src/test/java/org/ragwortrun/ledger/PartCrashesTest.java
+++ b/ledger/src/test/java/org/ragwortrun/ledger/PartCrashesTest.java
@@ -93,6 +93,28 @@
                 .hasSize(1);
     }
 
+    /** Guards against a path on which crashes are counted by whole content only: here agents report each request. */
+    @Test
+    void countsPartsThatAgentsReport() {
+        for (int i = 0; i < 3; i++) {
+            reportByAgent("e" + i, "d" + i, "first", "bad");
+            reportByAgent("e" + i, "n" + i, "first");
+        }
+        assertThat(quarantined()).containsExactly("first", "bad");
+        record(CrashEvidence.newBuilder().addAnsweredParts(digest("first")));
+        assertThat(quarantined()).containsExactly("bad");
+    }
+
+    private void reportByAgent(String endpoint, String content, String... parts) {
+        state.apply(MetaCommand.newBuilder()
+                .setNowMs(nowMs)
+                .setCrash(CrashReport.newBuilder()
+                        .setDigest(digest(content))
+                        .setEndpoint(endpoint)
+                        .addAllPromptParts(digests(parts)))
+                .build());
+    }
+
     private static SuspectedParts request(String... parts) {
         return SuspectedParts.newBuilder().addAllParts(digests(parts)).build();
     }
--- a/proto/src/main/java/org/ragwortrun/proto/CrashReport.java
+++ b/proto/src/main/java/org/ragwortrun/proto/CrashReport.java
@@ -27,6 +27,7 @@
     neighbours_ = emptyProtobufList();
     endpoints_ = emptyProtobufList();
     companions_ = emptyProtobufList();
+    promptParts_ = emptyProtobufList();
   }
   public static final int DIGEST_FIELD_NUMBER = 1;
   private com.google.protobuf.ByteString digest_;
@@ -738,6 +739,106 @@
     cleared_ = false;
   }
 
+  public static final int PROMPT_PARTS_FIELD_NUMBER = 14;
+  private com.google.protobuf.Internal.ProtobufList<com.google.protobuf.ByteString> promptParts_;
+  /**
+   * <pre>
+   * Digests of the parts of the request's prompt if its answer had not begun. Only in reports of agents.
+   * </pre>
+   *
+   * <code>repeated bytes prompt_parts = 14;</code>
+   * @return A list containing the promptParts.
+   */
+  @java.lang.Override
+  public java.util.List<com.google.protobuf.ByteString>
+      getPromptPartsList() {
+    return promptParts_;
+  }
+  /**
+   * <pre>
+   * Digests of the parts of the request's prompt if its answer had not begun. Only in reports of agents.
+   * </pre>
+   *
+   * <code>repeated bytes prompt_parts = 14;</code>
+   * @return The count of promptParts.
+   */
+  @java.lang.Override
+  public int getPromptPartsCount() {
+    return promptParts_.size();
+  }
+  /**
+   * <pre>
+   * Digests of the parts of the request's prompt if its answer had not begun. Only in reports of agents.
+   * </pre>
+   *
+   * <code>repeated bytes prompt_parts = 14;</code>
+   * @param index The index of the element to return.
+   * @return The promptParts at the given index.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString getPromptParts(int index) {
+    return promptParts_.get(index);
+  }
+  private void ensurePromptPartsIsMutable() {
+    com.google.protobuf.Internal.ProtobufList<com.google.protobuf.ByteString> tmp = promptParts_;
+    if (!tmp.isModifiable()) {
+      promptParts_ =
+          com.google.protobuf.GeneratedMessageLite.mutableCopy(tmp);
+     }
+  }
+  /**
+   * <pre>
+   * Digests of the parts of the request's prompt if its answer had not begun. Only in reports of agents.
+   * </pre>
+   *
+   * <code>repeated bytes prompt_parts = 14;</code>
+   * @param index The index to set the value at.
+   * @param value The promptParts to set.
+   */
+  private void setPromptParts(
+      int index, com.google.protobuf.ByteString value) {
+    java.util.Objects.requireNonNull(value);
+  ensurePromptPartsIsMutable();
+    promptParts_.set(index, value);
+  }
+  /**
+   * <pre>
+   * Digests of the parts of the request's prompt if its answer had not begun. Only in reports of agents.
+   * </pre>
+   *
+   * <code>repeated bytes prompt_parts = 14;</code>
+   * @param value The promptParts to add.
+   */
+  private void addPromptParts(com.google.protobuf.ByteString value) {
+    java.util.Objects.requireNonNull(value);
+  ensurePromptPartsIsMutable();
+    promptParts_.add(value);
+  }
+  /**
+   * <pre>
+   * Digests of the parts of the request's prompt if its answer had not begun. Only in reports of agents.
+   * </pre>
+   *
+   * <code>repeated bytes prompt_parts = 14;</code>
+   * @param values The promptParts to add.
+   */
+  private void addAllPromptParts(
+      java.lang.Iterable<? extends com.google.protobuf.ByteString> values) {
+    ensurePromptPartsIsMutable();
+    com.google.protobuf.AbstractMessageLite.addAll(
+        values, promptParts_);
+  }
+  /**
+   * <pre>
+   * Digests of the parts of the request's prompt if its answer had not begun. Only in reports of agents.
+   * </pre>
+   *
+   * <code>repeated bytes prompt_parts = 14;</code>
+   */
+  private void clearPromptParts() {
+    promptParts_ = emptyProtobufList();
+  }
+
   public static org.ragwortrun.proto.CrashReport parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -1561,6 +1662,103 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Digests of the parts of the request's prompt if its answer had not begun. Only in reports of agents.
+     * </pre>
+     *
+     * <code>repeated bytes prompt_parts = 14;</code>
+     * @return A list containing the promptParts.
+     */
+    @java.lang.Override
+    public java.util.List<com.google.protobuf.ByteString>
+        getPromptPartsList() {
+      return java.util.Collections.unmodifiableList(
+          instance.getPromptPartsList());
+    }
+    /**
+     * <pre>
+     * Digests of the parts of the request's prompt if its answer had not begun. Only in reports of agents.
+     * </pre>
+     *
+     * <code>repeated bytes prompt_parts = 14;</code>
+     * @return The count of promptParts.
+     */
+    @java.lang.Override
+    public int getPromptPartsCount() {
+      return instance.getPromptPartsCount();
+    }
+    /**
+     * <pre>
+     * Digests of the parts of the request's prompt if its answer had not begun. Only in reports of agents.
+     * </pre>
+     *
+     * <code>repeated bytes prompt_parts = 14;</code>
+     * @param index The index of the element to return.
+     * @return The promptParts at the given index.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString getPromptParts(int index) {
+      return instance.getPromptParts(index);
+    }
+    /**
+     * <pre>
+     * Digests of the parts of the request's prompt if its answer had not begun. Only in reports of agents.
+     * </pre>
+     *
+     * <code>repeated bytes prompt_parts = 14;</code>
+     * @param value The promptParts to set.
+     * @return This builder for chaining.
+     */
+    public Builder setPromptParts(
+        int index, com.google.protobuf.ByteString value) {
+      copyOnWrite();
+      instance.setPromptParts(index, value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Digests of the parts of the request's prompt if its answer had not begun. Only in reports of agents.
+     * </pre>
+     *
+     * <code>repeated bytes prompt_parts = 14;</code>
+     * @param value The promptParts to add.
+     * @return This builder for chaining.
+     */
+    public Builder addPromptParts(com.google.protobuf.ByteString value) {
+      copyOnWrite();
+      instance.addPromptParts(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Digests of the parts of the request's prompt if its answer had not begun. Only in reports of agents.
+     * </pre>
+     *
+     * <code>repeated bytes prompt_parts = 14;</code>
+     * @param values The promptParts to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllPromptParts(
+        java.lang.Iterable<? extends com.google.protobuf.ByteString> values) {
+      copyOnWrite();
+      instance.addAllPromptParts(values);
+      return this;
+    }
+    /**
+     * <pre>
+     * Digests of the parts of the request's prompt if its answer had not begun. Only in reports of agents.
+     * </pre>
+     *
+     * <code>repeated bytes prompt_parts = 14;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearPromptParts() {
+      copyOnWrite();
+      instance.clearPromptParts();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.ragwortrun.proto.CrashReport)
   }
   @java.lang.Override
@@ -1590,11 +1788,12 @@
             "endpoints_",
             "companions_",
             "cleared_",
+            "promptParts_",
           };
           java.lang.String info =
-              "\u0000\r\u0000\u0000\u0001\r\r\u0000\u0003\u0000\u0001\n\u0002\u0208\u0003\u0208" +
-              "\u0004\u0208\u0005\u0208\u0006\u001c\u0007\u000b\b\u0007\t\u0002\n\u0007\u000b\u021a" +
-              "\f\u001c\r\u0007";
+              "\u0000\u000e\u0000\u0000\u0001\u000e\u000e\u0000\u0004\u0000\u0001\n\u0002\u0208" +
+              "\u0003\u0208\u0004\u0208\u0005\u0208\u0006\u001c\u0007\u000b\b\u0007\t\u0002\n\u0007" +
+              "\u000b\u021a\f\u001c\r\u0007\u000e\u001c";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/proto/src/main/java/org/ragwortrun/proto/CrashReportOrBuilder.java
+++ b/proto/src/main/java/org/ragwortrun/proto/CrashReportOrBuilder.java
@@ -204,4 +204,33 @@
    * @return The cleared.
    */
   boolean getCleared();
+
+  /**
+   * <pre>
+   * Digests of the parts of the request's prompt if its answer had not begun. Only in reports of agents.
+   * </pre>
+   *
+   * <code>repeated bytes prompt_parts = 14;</code>
+   * @return A list containing the promptParts.
+   */
+  java.util.List<com.google.protobuf.ByteString> getPromptPartsList();
+  /**
+   * <pre>
+   * Digests of the parts of the request's prompt if its answer had not begun. Only in reports of agents.
+   * </pre>
+   *
+   * <code>repeated bytes prompt_parts = 14;</code>
+   * @return The count of promptParts.
+   */
+  int getPromptPartsCount();
+  /**
+   * <pre>
+   * Digests of the parts of the request's prompt if its answer had not begun. Only in reports of agents.
+   * </pre>
+   *
+   * <code>repeated bytes prompt_parts = 14;</code>
+   * @param index The index of the element to return.
+   * @return The promptParts at the given index.
+   */
+  com.google.protobuf.ByteString getPromptParts(int index);
 }
--- a/router/src/main/java/org/ragwortrun/router/internal/Router.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/Router.java
@@ -29,7 +29,9 @@
 import org.ragwortrun.proto.Role;
 import org.ragwortrun.router.internal.agents.AgentPool;
 import org.ragwortrun.router.internal.agents.HostListPoller;
+import org.ragwortrun.router.internal.evidence.CrashReports;
 import org.ragwortrun.router.internal.evidence.EvidenceCollector;
+import org.ragwortrun.router.internal.evidence.PartQuarantine;
 import org.ragwortrun.router.internal.flow.FlowServices;
 import org.ragwortrun.router.internal.flow.RequestHandler;
 import org.ragwortrun.router.internal.flow.SuspectRule;
@@ -122,6 +124,9 @@
         closer.register(settlements);
         BufferBudget buffers = new BufferBudget(settings.bufferMemory(), settings.accountBufferMemory());
         EvidenceCollector evidence = new EvidenceCollector(control);
+        CrashReports crashReports = new CrashReports(control, timer, incarnation);
+        PartQuarantine parts = new PartQuarantine(
+                watch::quarantinedParts, crashReports::hasUnrecorded, crashReports::addAnswered, time);
         FlowServices services = new FlowServices(
                 settings.flow(incarnation),
                 watch::latest,
@@ -130,7 +135,7 @@
                 settlements,
                 agents,
                 new LoadAwareChooser(n -> random().nextInt(n), time, new OutputForecast()),
-                new SuspectRule(watch::isRefused),
+                new SuspectRule(watch::isRefused, parts),
                 new VersionPicker(),
                 new RetryPolicy(() -> random().nextDouble()),
                 buffers,
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/PartQuarantine.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/evidence/PartQuarantine.java
@@ -1,4 +1,4 @@
-package org.ragwortrun.router.internal.forward;
+package org.ragwortrun.router.internal.evidence;
 
 import com.google.protobuf.ByteString;
 import java.time.Duration;
@@ -24,12 +24,14 @@
  * <p>Such requests may differ in everything else, and harmless requests share their other parts. A part is not suspected
  * while this router has received a complete answer to a request with it within {@link #ANSWER_MEMORY}; if the fleet
  * quarantines such a part, this router has it released. The fleet decides from the crashes that all routers report. Until
- * control members have recorded the crashes of this router, the router decides from these crashes as well. Used on the
- * event loop.
+ * control members have recorded the crashes of this router, the router decides from these crashes as well. Thread-safe.
  */
-final class PartQuarantine {
-    static final Duration QUARANTINE = ContentQuarantine.QUARANTINE;
-    static final Duration ANSWER_MEMORY = Duration.ofSeconds(30);
+public final class PartQuarantine {
+    public static final Duration QUARANTINE = Duration.ofMinutes(10);
+    public static final Duration ANSWER_MEMORY = Duration.ofSeconds(30);
+    /** Detail of a refusal because of a quarantined part. */
+    public static final String REFUSAL_DETAIL = "endpoints crashed while running prompts with this part";
+
     private static final int MAX_PARTS = 8_192;
 
     private final Supplier<Map<ByteString, CrashReport>> fleetReports;
@@ -47,7 +49,7 @@
      * @param hasUnrecordedCrashes whether control members have not yet recorded all crashes of this router
      * @param release receives parts that the fleet quarantines although they were answered
      */
-    PartQuarantine(
+    public PartQuarantine(
             Supplier<Map<ByteString, CrashReport>> fleetReports,
             BooleanSupplier hasUnrecordedCrashes,
             Consumer<ByteString> release,
@@ -59,7 +61,7 @@
     }
 
     /** Returns for how long requests with these parts stay quarantined, or nothing if they may be sent. */
-    Optional<Duration> remainingQuarantine(List<ByteString> parts) {
+    public synchronized Optional<Duration> remainingQuarantine(List<ByteString> parts) {
         Map<ByteString, CrashReport> fleet = fleetReports.get();
         if (parts.isEmpty() || fleet.isEmpty() && localReports.isEmpty()) {
             return Optional.empty();
@@ -99,7 +101,7 @@
     }
 
     /** Records a complete and successful answer to a request with these parts. */
-    void onAnswered(List<ByteString> parts) {
+    public synchronized void onAnswered(List<ByteString> parts) {
         Map<ByteString, CrashReport> fleet = fleetReports.get();
         for (ByteString part : parts) {
             answeredMs.put(part, time.millis());
@@ -115,7 +117,7 @@
      * Records the parts of the requests that were running on an endpoint when it crashed and whose answers had not begun.
      * Returns those that are suspected of the crash, by request.
      */
-    List<SuspectedParts> onCrash(String endpoint, Collection<List<ByteString>> requests) {
+    public synchronized List<SuspectedParts> onCrash(String endpoint, Collection<List<ByteString>> requests) {
         List<SuspectedParts> suspected = requests.stream()
                 .map(parts -> parts.stream().filter(p -> !isHarmless(p)).toList())
                 .filter(parts -> !parts.isEmpty())
--- a/router/src/main/java/org/ragwortrun/router/internal/flow/FlowMessages.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/flow/FlowMessages.java
@@ -49,6 +49,7 @@
                 .setPath(request.caller().target())
                 .addAllHeaders(ForwardedHeaders.of(request.caller()))
                 .setBody(ByteString.copyFrom(request.caller().body()))
-                .setDigest(request.digest());
+                .setDigest(request.digest())
+                .addAllPromptParts(request.sharedParts());
     }
 }
--- a/router/src/main/java/org/ragwortrun/router/internal/flow/RequestFlow.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/flow/RequestFlow.java
@@ -44,6 +44,7 @@
 final class RequestFlow implements AgentCall.Events, EarlierAttemptResolver.Callbacks {
     private static final Logger LOG = LogManager.getLogger(RequestFlow.class);
     private static final Duration RETRY_DELAY = Duration.ofSeconds(1);
+    private static final int CLIENT_ERROR = 400;
     private static final int SERVER_ERROR = 500;
     private static final int MAX_CLAIMS = 8;
     // The agent itself ends a run at the deadline; the grace period is for its last messages.
@@ -178,7 +179,7 @@
             reserve();
             return;
         }
-        Optional<Refusal> suspect = services.suspects().check(request.digest());
+        Optional<Refusal> suspect = services.suspects().check(request);
         if (suspect.isPresent()) {
             refuseAfterRegisterCheck(suspect.get());
             return;
@@ -473,6 +474,9 @@
             if (state != FlowState.DRAINING) {
                 report.recordEvidence(answer.status() < SERVER_ERROR);
             }
+            if (answer.status() < CLIENT_ERROR) {
+                services.suspects().onAnswered(request);
+            }
             completion.settle(usage, assembler);
         }
         answer.finish(new AnswerSummary(usage.getPromptTokens(), usage.getOutputTokens(), finished.getTruncated()));
--- a/router/src/main/java/org/ragwortrun/router/internal/flow/SuspectRule.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/flow/SuspectRule.java
@@ -5,25 +5,39 @@
 import java.util.function.Predicate;
 import org.ragwortrun.core.refusal.Refusal;
 import org.ragwortrun.core.refusal.RefusalReason;
+import org.ragwortrun.router.internal.evidence.PartQuarantine;
+import org.ragwortrun.router.internal.request.AdmittedRequest;
 
-/** Refuses content that has crashed endpoints. Checked before each dispatch, so that retries stop too. */
+/**
+ * Refuses content and parts of prompts that have crashed endpoints. Checked before each dispatch, so that retries stop
+ * too.
+ */
 public final class SuspectRule {
     private final Predicate<ByteString> refused;
+    private final PartQuarantine parts;
 
     /**
      * Creates a rule.
      *
      * @param refused returns whether the fleet refuses a content digest; must be thread-safe
      */
-    public SuspectRule(Predicate<ByteString> refused) {
+    public SuspectRule(Predicate<ByteString> refused, PartQuarantine parts) {
         this.refused = refused;
+        this.parts = parts;
     }
 
-    Optional<Refusal> check(ByteString digest) {
-        return refused.test(digest)
-                ? Optional.of(Refusal.notRun(
-                        RefusalReason.REQUEST_CRASHES_ENDPOINTS,
-                        "endpoints crashed repeatedly while running this request"))
-                : Optional.empty();
+    Optional<Refusal> check(AdmittedRequest request) {
+        if (refused.test(request.digest())) {
+            return Optional.of(Refusal.notRun(
+                    RefusalReason.REQUEST_CRASHES_ENDPOINTS,
+                    "endpoints crashed repeatedly while running this request"));
+        }
+        return parts.remainingQuarantine(request.sharedParts())
+                .map(left -> Refusal.notRun(RefusalReason.PART_QUARANTINED, PartQuarantine.REFUSAL_DETAIL, left));
+    }
+
+    /** Records a complete and successful answer. */
+    void onAnswered(AdmittedRequest request) {
+        parts.onAnswered(request.sharedParts());
     }
 }
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ContentQuarantine.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ContentQuarantine.java
@@ -7,6 +7,8 @@
 import java.util.Optional;
 import java.util.function.Supplier;
 import org.ragwortrun.core.time.Time;
+import org.ragwortrun.router.internal.evidence.BoundedMap;
+import org.ragwortrun.router.internal.evidence.PartQuarantine;
 
 /**
  * Quarantines content that was running on endpoints when they crashed.
@@ -17,7 +19,7 @@
  * suspected of the next crash. Used on the event loop.
  */
 final class ContentQuarantine {
-    static final Duration QUARANTINE = Duration.ofMinutes(10);
+    static final Duration QUARANTINE = PartQuarantine.QUARANTINE;
     static final int CRASHES_TO_QUARANTINE = 2;
     private static final int MAX_CONTENTS = 4_096;
 
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/CrashDetector.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/CrashDetector.java
@@ -15,6 +15,7 @@
 import org.ragwortrun.proto.SuspectedParts;
 import org.ragwortrun.router.internal.evidence.EvidenceCollector;
 import org.ragwortrun.router.internal.evidence.EvidenceKey;
+import org.ragwortrun.router.internal.evidence.PartQuarantine;
 import org.ragwortrun.router.internal.forward.InterruptedRequests.Interrupted;
 
 /**
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
@@ -35,6 +35,7 @@
 import org.ragwortrun.proto.BudgetRef;
 import org.ragwortrun.proto.Usage;
 import org.ragwortrun.router.internal.evidence.EvidenceKey;
+import org.ragwortrun.router.internal.evidence.PartQuarantine;
 import org.ragwortrun.router.internal.pool.TokenReservation;
 
 /**
@@ -226,10 +227,8 @@
                         RefusalReason.CONTENT_QUARANTINED, "endpoints crashed while running this content", left))
                 .or(() -> services.partQuarantine()
                         .remainingQuarantine(sharedParts)
-                        .map(left -> Refusal.notRun(
-                                RefusalReason.PART_QUARANTINED,
-                                "endpoints crashed while running prompts with this part",
-                                left)));
+                        .map(left ->
+                                Refusal.notRun(RefusalReason.PART_QUARANTINED, PartQuarantine.REFUSAL_DETAIL, left)));
     }
 
     /** Stops an attempt whose answer has not begun if the request has been quarantined since the attempt began. */
@@ -393,6 +392,10 @@
         return tokens;
     }
 
+    private String partIds() {
+        return request.parts().stream().map(PromptPart::id).collect(Collectors.joining(","));
+    }
+
     private void log(String outcome, int status, @Nullable Attempt last, long tokens) {
         long now = services.time().nanos();
         Event.of("request")
@@ -407,6 +410,7 @@
                 .with("cause", lastCause)
                 .with("reason", reason)
                 .with("content", content.hexIfComputed())
+                .with("parts", reason.equals(RefusalReason.PART_QUARANTINED.code()) ? partIds() : "")
                 .with("tokens", tokens)
                 .with("events", events.events())
                 .with("first-ms", firstByteNanos == 0 ? -1 : (firstByteNanos - startNanos) / 1_000_000)
@@ -756,7 +760,7 @@
                     .with("id", request.id())
                     .with("endpoint", endpoint.id())
                     .with("content", content.hexIfComputed())
-                    .with("parts", request.parts().stream().map(PromptPart::id).collect(Collectors.joining(",")))
+                    .with("parts", partIds())
                     .with("events", events.events() - eventsBefore)
                     .with("cause", cause)
                     .with("health-out", endpoint.health().isExcluded())
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
@@ -46,6 +46,7 @@
 import org.ragwortrun.proto.Role;
 import org.ragwortrun.router.internal.evidence.CrashReports;
 import org.ragwortrun.router.internal.evidence.EvidenceCollector;
+import org.ragwortrun.router.internal.evidence.PartQuarantine;
 import org.ragwortrun.router.internal.http.ProblemWriter;
 import org.ragwortrun.router.internal.ledger.GrantClient;
 import org.ragwortrun.router.internal.ledger.HeldReservations;
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardServices.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardServices.java
@@ -9,6 +9,7 @@
 import org.ragwortrun.core.metrics.Metrics;
 import org.ragwortrun.core.time.Time;
 import org.ragwortrun.router.internal.evidence.EvidenceCollector;
+import org.ragwortrun.router.internal.evidence.PartQuarantine;
 import org.ragwortrun.router.internal.pool.TokenSource;
 
 /**
--- a/router/src/main/java/org/ragwortrun/router/internal/request/AdmittedRequest.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/request/AdmittedRequest.java
@@ -1,6 +1,7 @@
 package org.ragwortrun.router.internal.request;
 
 import com.google.protobuf.ByteString;
+import java.util.List;
 import java.util.Optional;
 import org.ragwortrun.core.config.Configuration;
 import org.ragwortrun.core.config.Route;
@@ -39,6 +40,11 @@
         return key.isPresent();
     }
 
+    /** Returns the digests of the parts of its prompt that other requests may share. */
+    public List<ByteString> sharedParts() {
+        return chat.map(ChatRequest::sharedParts).orElse(List.of());
+    }
+
     public boolean isModel() {
         return chat.isPresent();
     }
--- a/router/src/main/java/org/ragwortrun/router/internal/request/ChatReader.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/request/ChatReader.java
@@ -2,9 +2,13 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.google.protobuf.ByteString;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.stream.IntStream;
 import org.apache.commons.codec.digest.MurmurHash3;
+import org.ragwortrun.core.id.Digests;
 import org.ragwortrun.core.refusal.Refusal;
 import org.ragwortrun.core.refusal.RefusalReason;
 import org.ragwortrun.core.refusal.RefusedException;
@@ -13,6 +17,7 @@
 public final class ChatReader {
     // Chat templates add a few tokens for the role and the delimiters of each message.
     private static final long TOKENS_PER_MESSAGE = 8;
+    private static final int MAX_SHARED_PARTS = 32;
     // Prevents overflow when it is added to the prompt bound.
     private static final long MAX_OUTPUT = 1_000_000_000;
 
@@ -43,8 +48,21 @@
                 ? 0
                 : bytes(root.path("tools").toString());
         byte[] first = messages.get(0).toString().getBytes(StandardCharsets.UTF_8);
+        String model = root.path("model").asText();
         return new ChatRequest(
-                root.path("model").asText(), stream(root), bound, maxOutput(root), MurmurHash3.hash32x86(first));
+                model,
+                stream(root),
+                bound,
+                maxOutput(root),
+                sharedParts(model, messages),
+                MurmurHash3.hash32x86(first));
+    }
+
+    private static List<ByteString> sharedParts(String model, JsonNode messages) {
+        return IntStream.range(0, Math.min(MAX_SHARED_PARTS, messages.size() - 1))
+                .mapToObj(messages::get)
+                .map(m -> ByteString.copyFrom(Digests.promptPart(model, m.toString())))
+                .toList();
     }
 
     private JsonNode parse(byte[] body) throws RefusedException {
--- a/router/src/test/java/org/ragwortrun/router/FakeControl.java
+++ b/router/src/test/java/org/ragwortrun/router/FakeControl.java
@@ -63,6 +63,16 @@
         number++;
     }
 
+    synchronized void quarantinePart(byte[] digest) {
+        suspects.add(CrashReport.newBuilder()
+                .setDigest(ByteString.copyFrom(digest))
+                .setPart(true)
+                .setRefused(true)
+                .setLastCrashMs(System.currentTimeMillis())
+                .build());
+        number++;
+    }
+
     synchronized void publish() {
         number++;
     }
--- a/router/src/test/java/org/ragwortrun/router/RefusalDocumentsTest.java
+++ b/router/src/test/java/org/ragwortrun/router/RefusalDocumentsTest.java
@@ -104,6 +104,27 @@
         assertThat(again.statusCode()).isEqualTo(200);
     }
 
+    /** Guards against requests that share a message which crashes endpoints and differ in everything else. */
+    @Test
+    void conversationWithMessageThatCrashesEndpoints() throws Exception {
+        byte[] marker = RouterHarness.chatBody(true, "marker").getBytes(StandardCharsets.UTF_8);
+        harness.control.quarantinePart(Digests.promptPart("gas", RouterHarness.message("deadly")));
+        harness.control.refuseContent(Digests.content("POST", RouterHarness.CHAT, marker));
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(4);
+        while (harness.send(harness.chat(true, "marker")).statusCode() != 422 && System.nanoTime() - end < 0) {
+            TimeUnit.MILLISECONDS.sleep(50);
+        }
+        int dispatches = harness.first.dispatches.size() + harness.second.dispatches.size();
+        for (int i = 1; i < 4; i++) {
+            assertRefused(
+                    harness.send(harness.conversation("q" + i, "hello", "deadly")), 503, "part-quarantined", "not run");
+        }
+        assertThat(harness.first.dispatches.size() + harness.second.dispatches.size())
+                .isEqualTo(dispatches);
+        assertThat(harness.send(harness.conversation("q", "hello")).statusCode())
+                .isEqualTo(200);
+    }
+
     /** Guards against a request that keeps crashing endpoints after the fleet has refused its content. */
     @Test
     void contentThatCrashesEndpoints() throws Exception {
--- a/router/src/test/java/org/ragwortrun/router/RouterHarness.java
+++ b/router/src/test/java/org/ragwortrun/router/RouterHarness.java
@@ -6,11 +6,14 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.time.Duration;
+import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.ragwortrun.core.concurrent.Closer;
 import org.ragwortrun.core.id.Digests;
 import org.ragwortrun.core.settings.Settings;
@@ -118,6 +121,19 @@
         return request(CHAT).POST(HttpRequest.BodyPublishers.ofString(chatBody(stream, content)));
     }
 
+    /** Returns a chat whose last message follows others. */
+    HttpRequest.Builder conversation(String last, String... earlier) {
+        String messages = Stream.concat(Arrays.stream(earlier), Stream.of(last))
+                .map(RouterHarness::message)
+                .collect(Collectors.joining(","));
+        String body = "{\"model\":\"gas\",\"max_tokens\":100,\"messages\":[" + messages + "]}";
+        return request(CHAT).POST(HttpRequest.BodyPublishers.ofString(body));
+    }
+
+    static String message(String content) {
+        return "{\"role\":\"user\",\"content\":\"" + content + "\"}";
+    }
+
     static String chatBody(boolean stream, String content) {
         return "{\"model\":\"gas\",\"stream\":" + stream
                 + ",\"max_tokens\":100,\"messages\":[{\"role\":\"user\",\"content\":\"" + content + "\"}]}";
--- a/router/src/test/java/org/ragwortrun/router/internal/forward/PartQuarantineTest.java
+++ b/router/src/test/java/org/ragwortrun/router/internal/evidence/PartQuarantineTest.java
@@ -1,4 +1,4 @@
-package org.ragwortrun.router.internal.forward;
+package org.ragwortrun.router.internal.evidence;
 
 import static com.google.common.truth.Truth.assertThat;
 
--- a/router/src/test/java/org/ragwortrun/router/internal/forward/CallerConnectionTest.java
+++ b/router/src/test/java/org/ragwortrun/router/internal/forward/CallerConnectionTest.java
@@ -23,6 +23,7 @@
 import org.ragwortrun.core.metrics.Metrics;
 import org.ragwortrun.core.time.Time;
 import org.ragwortrun.router.internal.evidence.EvidenceCollector;
+import org.ragwortrun.router.internal.evidence.PartQuarantine;
 import org.ragwortrun.router.internal.http.ProblemWriter;
 
 /** Checks which requests a caller's connection handles when data and a close arrive together. */
