--- a/router/src/test/java/org/ragwortrun/router/ForwardHarness.java
+++ b/router/src/test/java/org/ragwortrun/router/ForwardHarness.java
@@ -32,7 +32,7 @@
     static final int TIMEOUT_MS = 5_000;
     private static final int FIRST_PORT = 20_000;
     private static final int PORTS = 12_000;
-    private static final AtomicInteger nextPort =
+    private static final AtomicInteger NEXT_PORT =
             new AtomicInteger((int) ProcessHandle.current().pid() * 64);
 
     final FakeControl control = new FakeControl();
@@ -147,7 +147,7 @@
     /** Returns a free port that the system does not give to outgoing connections until a router listens on it. */
     private static int freePort() throws IOException {
         for (int i = 0; i < PORTS; i++) {
-            int port = FIRST_PORT + Math.floorMod(nextPort.getAndIncrement(), PORTS);
+            int port = FIRST_PORT + Math.floorMod(NEXT_PORT.getAndIncrement(), PORTS);
             try (ServerSocket s = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
                 return s.getLocalPort();
             } catch (BindException e) {
