Build the refusal for quarantined parts in one place, and document it

PartQuarantine makes the refusal for both paths. Companions are checked only for the reports on the parts of a request, no longer for all reports that the fleet has, which would have grown with every quarantine. A dropped report of an answered part is logged.

--- a/ledger/src/main/java/org/ragwortrun/ledger/PartCrashes.java
+++ b/ledger/src/main/java/org/ragwortrun/ledger/PartCrashes.java
@@ -1,7 +1,6 @@
 package org.ragwortrun.ledger;
 
 import com.google.protobuf.ByteString;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
@@ -10,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import org.ragwortrun.proto.CrashReport;
 import org.ragwortrun.proto.EndpointCrash;
@@ -46,8 +46,9 @@
                 .toList();
         Set<ByteString> quarantined = requests.stream()
                 .flatMap(parts -> parts.stream()
-                        .filter(p ->
-                                find.apply(p).filter(r -> isRefused(r, parts)).isPresent()))
+                        .filter(p -> find.apply(p)
+                                .filter(r -> isRefused(r, parts::contains))
+                                .isPresent()))
                 .collect(Collectors.toSet());
         return companions(requests).entrySet().stream()
                 .filter(e -> quarantined.isEmpty() || quarantined.contains(e.getKey()))
@@ -55,9 +56,13 @@
                 .toList();
     }
 
-    /** Returns whether a request with these parts is refused because of a report on one of them. */
-    public static boolean isRefused(CrashReport report, Collection<ByteString> parts) {
-        return report.getRefused() && parts.containsAll(report.getCompanionsList());
+    /**
+     * Returns whether a request is refused because of a report on one of its parts.
+     *
+     * @param isPresent returns whether the request contains a companion of the part, or can be regarded as if it did
+     */
+    public static boolean isRefused(CrashReport report, Predicate<ByteString> isPresent) {
+        return report.getRefused() && report.getCompanionsList().stream().allMatch(isPresent);
     }
 
     /** Returns the report on a part that was shown to be harmless. */
--- a/ledger/src/test/java/org/ragwortrun/ledger/PartCrashesTest.java
+++ b/ledger/src/test/java/org/ragwortrun/ledger/PartCrashesTest.java
@@ -54,8 +54,10 @@
         crash("e2", request("bad", "subject"));
         crash("e3", request("bad", "subject"), request("another"));
         CrashReport report = report("subject");
-        assertThat(PartCrashes.isRefused(report, digests("subject", "bad"))).isTrue();
-        assertThat(PartCrashes.isRefused(report, digests("subject", "x"))).isFalse();
+        assertThat(PartCrashes.isRefused(report, digests("subject", "bad")::contains))
+                .isTrue();
+        assertThat(PartCrashes.isRefused(report, digests("subject", "x")::contains))
+                .isFalse();
     }
 
     @Test
@@ -63,7 +65,8 @@
         crash("e1", request("bad", "subject"));
         crash("e2", request("bad", "subject"));
         crash("e3", request("bad", "x"));
-        assertThat(PartCrashes.isRefused(report("bad"), digests("bad"))).isTrue();
+        assertThat(PartCrashes.isRefused(report("bad"), digests("bad")::contains))
+                .isTrue();
         assertThat(quarantined()).containsExactly("bad");
     }
 
@@ -88,7 +91,8 @@
         long before = state.number();
         record(CrashEvidence.newBuilder().addAnsweredParts(digest("first")));
         assertThat(quarantined()).containsExactly("bad");
-        assertThat(PartCrashes.isRefused(report("bad"), digests("bad"))).isTrue();
+        assertThat(PartCrashes.isRefused(report("bad"), digests("bad")::contains))
+                .isTrue();
         assertThat(state.updateFrom(before).getSuspectsList().stream().filter(CrashReport::getCleared))
                 .hasSize(1);
     }
--- a/router/src/main/java/org/ragwortrun/router/internal/evidence/CrashReports.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/evidence/CrashReports.java
@@ -11,6 +11,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.jspecify.annotations.Nullable;
+import org.ragwortrun.core.id.Digests;
 import org.ragwortrun.core.log.Event;
 import org.ragwortrun.net.control.ControlClient;
 import org.ragwortrun.proto.CrashEvidence;
@@ -66,9 +67,13 @@
     /** Reports that a quarantined part of prompts was answered completely. */
     public void addAnswered(ByteString part) {
         synchronized (this) {
-            if (answeredParts.size() < MAX_QUEUED) {
-                answeredParts.add(part);
+            if (answeredParts.size() >= MAX_QUEUED) {
+                Event.of("answered-part-dropped")
+                        .with("part", Digests.hex(part.toByteArray()))
+                        .warn(LOG);
+                return;
             }
+            answeredParts.add(part);
         }
         sendNext();
     }
--- a/router/src/main/java/org/ragwortrun/router/internal/evidence/PartQuarantine.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/evidence/PartQuarantine.java
@@ -4,14 +4,15 @@
 import java.time.Duration;
 import java.util.Collection;
 import java.util.Comparator;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
+import org.ragwortrun.core.refusal.Refusal;
+import org.ragwortrun.core.refusal.RefusalReason;
 import org.ragwortrun.core.time.Time;
 import org.ragwortrun.ledger.PartCrashes;
 import org.ragwortrun.proto.CrashReport;
@@ -29,9 +30,6 @@
 public final class PartQuarantine {
     public static final Duration QUARANTINE = Duration.ofMinutes(10);
     public static final Duration ANSWER_MEMORY = Duration.ofSeconds(30);
-    /** Detail of a refusal because of a quarantined part. */
-    public static final String REFUSAL_DETAIL = "endpoints crashed while running prompts with this part";
-
     private static final int MAX_PARTS = 8_192;
 
     private final Supplier<Map<ByteString, CrashReport>> fleetReports;
@@ -60,28 +58,36 @@
         this.time = time;
     }
 
+    /** Returns the refusal of a request with these parts, or nothing if it may be sent. */
+    public Optional<Refusal> refusal(List<ByteString> parts) {
+        return remainingQuarantine(parts)
+                .map(left -> Refusal.notRun(
+                        RefusalReason.PART_QUARANTINED,
+                        "endpoints crashed while running prompts with this part",
+                        left));
+    }
+
     /** Returns for how long requests with these parts stay quarantined, or nothing if they may be sent. */
-    public synchronized Optional<Duration> remainingQuarantine(List<ByteString> parts) {
+    synchronized Optional<Duration> remainingQuarantine(List<ByteString> parts) {
         Map<ByteString, CrashReport> fleet = fleetReports.get();
         if (parts.isEmpty() || fleet.isEmpty() && localReports.isEmpty()) {
             return Optional.empty();
         }
-        // Harmless companions are not needed for a refusal.
-        Set<ByteString> present = new HashSet<>(parts);
-        fleet.values().stream()
-                .flatMap(r -> r.getCompanionsList().stream())
-                .filter(this::isHarmless)
-                .forEach(present::add);
+        // A harmless companion cannot be at fault, so the part is refused without it too.
+        Predicate<ByteString> isPresent = companion -> parts.contains(companion) || isHarmless(companion);
         boolean localDecides = hasUnrecordedCrashes.getAsBoolean();
         return parts.stream()
-                .map(p -> remaining(p, present, fleet, localDecides))
+                .map(p -> remaining(p, isPresent, fleet, localDecides))
                 .filter(left -> left > 0)
                 .max(Comparator.naturalOrder())
                 .map(Duration::ofMillis);
     }
 
     private long remaining(
-            ByteString part, Set<ByteString> present, Map<ByteString, CrashReport> fleet, boolean localDecides) {
+            ByteString part,
+            Predicate<ByteString> isPresent,
+            Map<ByteString, CrashReport> fleet,
+            boolean localDecides) {
         CrashReport report = fleet.get(part);
         if (isHarmless(part)) {
             if (report != null) {
@@ -90,11 +96,11 @@
             return 0;
         }
         long age = Long.MAX_VALUE;
-        if (report != null && PartCrashes.isRefused(report, present)) {
+        if (report != null && PartCrashes.isRefused(report, isPresent)) {
             age = Math.max(0, time.wallMillis() - report.getLastCrashMs());
         }
         CrashReport local = localDecides ? localReports.get(part) : null;
-        if (local != null && PartCrashes.isRefused(local, present)) {
+        if (local != null && PartCrashes.isRefused(local, isPresent)) {
             age = Math.min(age, time.millis() - local.getLastCrashMs());
         }
         return Math.max(0, QUARANTINE.toMillis() - age);
--- a/router/src/main/java/org/ragwortrun/router/internal/flow/SuspectRule.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/flow/SuspectRule.java
@@ -32,8 +32,7 @@
                     RefusalReason.REQUEST_CRASHES_ENDPOINTS,
                     "endpoints crashed repeatedly while running this request"));
         }
-        return parts.remainingQuarantine(request.sharedParts())
-                .map(left -> Refusal.notRun(RefusalReason.PART_QUARANTINED, PartQuarantine.REFUSAL_DETAIL, left));
+        return parts.refusal(request.sharedParts());
     }
 
     /** Records a complete and successful answer. */
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
@@ -35,7 +35,6 @@
 import org.ragwortrun.proto.BudgetRef;
 import org.ragwortrun.proto.Usage;
 import org.ragwortrun.router.internal.evidence.EvidenceKey;
-import org.ragwortrun.router.internal.evidence.PartQuarantine;
 import org.ragwortrun.router.internal.pool.TokenReservation;
 
 /**
@@ -225,10 +224,7 @@
                 .remainingQuarantine(content)
                 .map(left -> Refusal.notRun(
                         RefusalReason.CONTENT_QUARANTINED, "endpoints crashed while running this content", left))
-                .or(() -> services.partQuarantine()
-                        .remainingQuarantine(sharedParts)
-                        .map(left ->
-                                Refusal.notRun(RefusalReason.PART_QUARANTINED, PartQuarantine.REFUSAL_DETAIL, left)));
+                .or(() -> services.partQuarantine().refusal(sharedParts));
     }
 
     /** Stops an attempt whose answer has not begun if the request has been quarantined since the attempt began. */
