--- a/router/src/test/java/org/ragwortrun/router/CrashingContentTest.java
+++ b/router/src/test/java/org/ragwortrun/router/CrashingContentTest.java
@@ -12,8 +12,6 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
@@ -30,74 +28,46 @@
     private static final int CRASHES_TO_LEARN = 3;
     private static final int MAX_CRASHES_AFTER = 3;
     private static final Duration TIME_TO_LEARN = Duration.ofSeconds(3);
-    private static final Duration DOWN = Duration.ofSeconds(1);
 
-    private final ScheduledExecutorService restarts = Executors.newSingleThreadScheduledExecutor();
-    private final AtomicInteger crashes = new AtomicInteger();
     private final AtomicInteger lost = new AtomicInteger();
     private final AtomicInteger ids = new AtomicInteger();
-    private final List<ForwardHarness.Router> routers = new ArrayList<>();
-    private ForwardHarness harness;
+    private CrashingEndpoints endpoints;
 
     @BeforeEach
     void start() throws Exception {
-        harness = new ForwardHarness();
-        for (int i = 0; i < ENDPOINTS; i++) {
-            addEndpoint("e" + i);
-        }
-        routers.add(harness.startRouter("r1"));
-        routers.add(harness.startRouter("r2"));
+        endpoints = new CrashingEndpoints(ENDPOINTS, request -> request.endsWith(CRASHING), this::answer);
     }
 
     @AfterEach
     void stop() {
-        harness.close();
-        restarts.shutdownNow();
-    }
-
-    private void addEndpoint(String id) throws IOException {
-        ScriptedEndpoint[] self = new ScriptedEndpoint[1];
-        self[0] = harness.addEndpoint(id, (request, out) -> answer(self[0], id, request, out));
+        endpoints.close();
     }
 
-    private boolean answer(ScriptedEndpoint endpoint, String id, String request, OutputStream out)
-            throws IOException, InterruptedException {
+    private boolean answer(String request, OutputStream out) throws IOException, InterruptedException {
         if (request.contains(SLOW)) {
             pause(Duration.ofSeconds(1));
         }
-        if (!request.endsWith(CRASHING) && !request.endsWith(LOST)) {
-            write(out, ok(request.split("X-Request-Id: ", 2)[1].split("\r", 2)[0], "done"));
-            return true;
-        }
         if (request.endsWith(LOST)) {
             lost.incrementAndGet();
             return false;
         }
-        String nextId = id + "-" + crashes.incrementAndGet();
-        endpoint.crash();
-        restarts.schedule(
-                () -> {
-                    endpoint.restart(nextId);
-                    return null;
-                },
-                DOWN.toMillis(),
-                TimeUnit.MILLISECONDS);
-        return false;
+        write(out, ok(request.split("X-Request-Id: ", 2)[1].split("\r", 2)[0], "done"));
+        return true;
     }
 
     @Test
     void stopsSendingContentThatCrashedThreeEndpoints() throws Exception {
-        for (int i = 0; i < 12 && crashes.get() < CRASHES_TO_LEARN; i++) {
+        for (int i = 0; i < 12 && endpoints.crashes() < CRASHES_TO_LEARN; i++) {
             post(i, "/order/x", CRASHING);
             pause(Duration.ofMillis(300));
         }
         pause(TIME_TO_LEARN);
-        int before = crashes.get();
+        int before = endpoints.crashes();
         for (int i = 0; i < 10; i++) {
             post(i, "/order/x", CRASHING);
             pause(Duration.ofMillis(100));
         }
-        assertThat(crashes.get() - before).isAtMost(MAX_CRASHES_AFTER);
+        assertThat(endpoints.crashes() - before).isAtMost(MAX_CRASHES_AFTER);
     }
 
     @Test
@@ -111,19 +81,19 @@
         double retryAfterS = Double.parseDouble(
                 answer.toLowerCase(Locale.ROOT).split("retry-after: ", 2)[1].split("\r", 2)[0]);
         assertThat(retryAfterS).isGreaterThan(500.0);
-        assertThat(crashes.get()).isAtMost(CRASHES_TO_LEARN);
+        assertThat(endpoints.crashes()).isAtMost(CRASHES_TO_LEARN);
     }
 
     /** Guards against a router that keeps crashing endpoints while no control member records its crash reports. */
     @Test
     void quarantinesContentLocallyWhileControlDoesNotAnswer() throws Exception {
-        harness.control.ignoresCrashReports = true;
+        endpoints.harness.control.ignoresCrashReports = true;
         for (int i = 0; i < 4; i++) {
             post(0, "/order/x", CRASHING);
             pause(Duration.ofMillis(300));
         }
-        assertThat(crashes.get()).isEqualTo(2);
-        harness.control.ignoresCrashReports = false;
+        assertThat(endpoints.crashes()).isEqualTo(2);
+        endpoints.harness.control.ignoresCrashReports = false;
         assertThat(awaitRefusal(1)).contains("content-quarantined");
     }
 
@@ -153,7 +123,7 @@
         }
         assertThat(failed).isAtLeast(1);
         pause(Duration.ofMillis(1_500));
-        long counted = harness.control.evidence.stream()
+        long counted = endpoints.harness.control.evidence.stream()
                 .mapToLong(EvidenceRow::getFailures)
                 .sum();
         assertThat(counted).isEqualTo(1);
@@ -185,7 +155,7 @@
             post(i, "/order/x", CRASHING);
             pause(Duration.ofMillis(300));
         }
-        assertThat(crashes.get()).isEqualTo(2);
+        assertThat(endpoints.crashes()).isEqualTo(2);
     }
 
     /** Sends the content until a router refuses it, and returns the refusal. */
@@ -199,7 +169,8 @@
     }
 
     private String post(int turn, String target, String body) throws IOException {
-        return routers.get(turn % routers.size())
+        return endpoints
+                .router(turn)
                 .send("POST " + target + " HTTP/1.1\r\nHost: h\r\nX-Request-Id: q" + ids.incrementAndGet()
                         + "\r\nAuthorization: Bearer secret\r\nConnection: close\r\nContent-Length: " + body.length()
                         + "\r\n\r\n" + body);
--- a/router/src/test/java/org/ragwortrun/router/CrashingPartTest.java
+++ b/router/src/test/java/org/ragwortrun/router/CrashingPartTest.java
@@ -5,13 +5,8 @@
 import static org.ragwortrun.router.ScriptedEndpoint.write;
 
 import java.io.IOException;
-import java.io.OutputStream;
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Locale;
-import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
@@ -27,66 +22,37 @@
     private static final int CRASHES_TO_LEARN = 5;
     private static final int MAX_SENT_AFTER = 3;
     private static final Duration TIME_TO_LEARN = Duration.ofSeconds(3);
-    private static final Duration DOWN = Duration.ofSeconds(1);
 
-    private final ScheduledExecutorService restarts = Executors.newSingleThreadScheduledExecutor();
-    private final AtomicInteger crashes = new AtomicInteger();
     private final AtomicInteger ids = new AtomicInteger();
-    private final List<ForwardHarness.Router> routers = new ArrayList<>();
-    private ForwardHarness harness;
+    private CrashingEndpoints endpoints;
 
     @BeforeEach
     void start() throws Exception {
-        harness = new ForwardHarness();
-        for (int i = 0; i < ENDPOINTS; i++) {
-            addEndpoint("e" + i);
-        }
-        routers.add(harness.startRouter("r1"));
-        routers.add(harness.startRouter("r2"));
+        endpoints =
+                new CrashingEndpoints(ENDPOINTS, request -> request.contains("," + CRASHING + ":"), (request, out) -> {
+                    write(out, ok(request.split("X-Request-Id: ", 2)[1].split("\r", 2)[0], "done"));
+                    return true;
+                });
     }
 
     @AfterEach
     void stop() {
-        harness.close();
-        restarts.shutdownNow();
-    }
-
-    private void addEndpoint(String id) throws IOException {
-        ScriptedEndpoint[] self = new ScriptedEndpoint[1];
-        self[0] = harness.addEndpoint(id, (request, out) -> answer(self[0], id, request, out));
-    }
-
-    private boolean answer(ScriptedEndpoint endpoint, String id, String request, OutputStream out)
-            throws IOException, InterruptedException {
-        if (!request.contains("," + CRASHING + ":")) {
-            write(out, ok(request.split("X-Request-Id: ", 2)[1].split("\r", 2)[0], "done"));
-            return true;
-        }
-        String nextId = id + "-" + crashes.incrementAndGet();
-        endpoint.crash();
-        restarts.schedule(
-                () -> {
-                    endpoint.restart(nextId);
-                    return null;
-                },
-                DOWN.toMillis(),
-                TimeUnit.MILLISECONDS);
-        return false;
+        endpoints.close();
     }
 
     @Test
     void stopsSendingRequestsWithPartThatCrashedFiveEndpoints() throws Exception {
-        for (int i = 0; i < 20 && crashes.get() < CRASHES_TO_LEARN; i++) {
+        for (int i = 0; i < 20 && endpoints.crashes() < CRASHES_TO_LEARN; i++) {
             post(i, SHARED, SUBJECT, CRASHING);
             pause(Duration.ofMillis(300));
         }
         pause(TIME_TO_LEARN);
-        int before = crashes.get();
+        int before = endpoints.crashes();
         for (int i = 0; i < 10; i++) {
             post(i, SHARED, SUBJECT, CRASHING);
             pause(Duration.ofMillis(100));
         }
-        assertThat(crashes.get() - before).isAtMost(MAX_SENT_AFTER);
+        assertThat(endpoints.crashes() - before).isAtMost(MAX_SENT_AFTER);
     }
 
     /** Guards against refusing harmless requests that share their caller and their other parts. */
@@ -111,27 +77,27 @@
                     answer.toLowerCase(Locale.ROOT).split("retry-after: ", 2)[1].split("\r", 2)[0]);
             assertThat(retryAfterS).isGreaterThan(500.0);
         }
-        assertThat(crashes.get()).isAtMost(CRASHES_TO_LEARN);
+        assertThat(endpoints.crashes()).isAtMost(CRASHES_TO_LEARN);
     }
 
     /** Guards against a router that has just started and does not know what the fleet quarantines. */
     @Test
     void refusesAtRouterThatStartsLater() throws Exception {
         crashUntilRefused();
-        routers.add(harness.startRouter("r3"));
+        endpoints.routers.add(endpoints.harness.startRouter("r3"));
         assertThat(post(2, SHARED, SUBJECT, CRASHING)).contains("part-quarantined");
     }
 
     /** Guards against a router that keeps crashing endpoints while no control member records its crash reports. */
     @Test
     void quarantinesLocallyWhileControlDoesNotAnswer() throws Exception {
-        harness.control.ignoresCrashReports = true;
+        endpoints.harness.control.ignoresCrashReports = true;
         for (int i = 0; i < 8; i++) {
             post(0, SHARED, SUBJECT, CRASHING);
             pause(Duration.ofMillis(300));
         }
-        assertThat(crashes.get()).isAtMost(CRASHES_TO_LEARN);
-        harness.control.ignoresCrashReports = false;
+        assertThat(endpoints.crashes()).isAtMost(CRASHES_TO_LEARN);
+        endpoints.harness.control.ignoresCrashReports = false;
         assertThat(awaitRefusal(1)).contains("part-quarantined");
     }
 
@@ -159,7 +125,8 @@
         for (String part : sharedParts) {
             parts.append(part).append(":100,");
         }
-        return routers.get(turn % routers.size())
+        return endpoints
+                .router(turn)
                 .send("POST /order/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: q" + id
                         + "\r\nAuthorization: Bearer secret\r\nConnection: close\r\nRagwortrun-Prompt-Parts: " + parts
                         + id + ":10\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
