Stop running attempts for quarantined parts only

A request whose whole content is quarantined while it runs was stopped too. Attempts are now stopped only for a part of their prompt.

CrashingPartTest.stopsRequestThatWaitsForItsAnswerWhenItsPartIsQuarantined shows the stop.

--- a/router/src/main/java/org/ragwortrun/router/internal/forward/CallerConnection.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/CallerConnection.java
@@ -99,7 +99,7 @@
         }
     }
 
-    /** Stops the request that is being served if it has been quarantined since it was sent. */
+    /** Stops the request that is being served if a part of its prompt has been quarantined since it was sent. */
     void recheckQuarantine() {
         Exchange e = exchange;
         if (e != null) {
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
@@ -207,30 +207,27 @@
      * whether it did.
      */
     private boolean refuseIfQuarantined() {
-        Optional<Refusal> refusal = quarantineRefusal();
-        if (refusal.isEmpty()) {
-            return false;
-        }
-        if (runs > 0) {
-            giveUp(refusal.get().reason().code());
-        } else {
-            refuse(refusal.get());
-        }
-        return true;
-    }
-
-    private Optional<Refusal> quarantineRefusal() {
-        return services.quarantine()
+        Optional<Refusal> refusal = services.quarantine()
                 .remainingQuarantine(content)
                 .map(left -> Refusal.notRun(
                         RefusalReason.CONTENT_QUARANTINED, "endpoints crashed while running this content", left))
                 .or(() -> services.partQuarantine().refusal(sharedParts));
+        refusal.ifPresent(this::endQuarantined);
+        return refusal.isPresent();
+    }
+
+    private void endQuarantined(Refusal refusal) {
+        if (runs > 0) {
+            giveUp(refusal.reason().code());
+        } else {
+            refuse(refusal);
+        }
     }
 
-    /** Stops an attempt whose answer has not begun if the request has been quarantined since the attempt began. */
+    /** Stops an attempt whose answer has not begun if a part of its prompt has been quarantined since it began. */
     void recheckQuarantine() {
         if (!ended && current != null && !answerStarted) {
-            refuseIfQuarantined();
+            services.partQuarantine().refusal(sharedParts).ifPresent(this::endQuarantined);
         }
     }
 
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/RequestAdmission.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/RequestAdmission.java
@@ -129,7 +129,7 @@
         List.copyOf(connections).forEach(CallerConnection::closeWhenIdle);
     }
 
-    /** Stops running requests that have been quarantined since they were sent. */
+    /** Stops running requests with a part of their prompt that has been quarantined since they were sent. */
     void recheckQuarantine() {
         List.copyOf(connections).forEach(CallerConnection::recheckQuarantine);
     }
--- a/router/src/test/java/org/ragwortrun/router/CrashingPartTest.java
+++ b/router/src/test/java/org/ragwortrun/router/CrashingPartTest.java
@@ -5,19 +5,24 @@
 import static org.ragwortrun.router.ScriptedEndpoint.write;
 
 import java.io.IOException;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
 import java.time.Duration;
 import java.util.Locale;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.ragwortrun.core.id.Digests;
 
 /** Tests requests that have only a part of their prompt in common, which crashes each endpoint that answers them. */
 final class CrashingPartTest {
     private static final String SHARED = "aa";
     private static final String SUBJECT = "bb";
     private static final String CRASHING = "cc";
+    private static final String WAITING = "waiting";
     private static final int ENDPOINTS = 8;
     private static final int CRASHES_TO_LEARN = 5;
     private static final int MAX_SENT_AFTER = 3;
@@ -28,11 +33,18 @@
 
     @BeforeEach
     void start() throws Exception {
-        endpoints =
-                new CrashingEndpoints(ENDPOINTS, request -> request.contains("," + CRASHING + ":"), (request, out) -> {
-                    write(out, ok(request.split("X-Request-Id: ", 2)[1].split("\r", 2)[0], "done"));
-                    return true;
-                });
+        endpoints = new CrashingEndpoints(
+                ENDPOINTS,
+                request -> request.contains("," + CRASHING + ":") && !request.contains(WAITING),
+                CrashingPartTest::answer);
+    }
+
+    private static boolean answer(String request, OutputStream out) throws IOException, InterruptedException {
+        if (request.contains(WAITING)) {
+            pause(Duration.ofSeconds(5));
+        }
+        write(out, ok(request.split("X-Request-Id: ", 2)[1].split("\r", 2)[0], "done"));
+        return true;
     }
 
     @AfterEach
@@ -101,6 +113,23 @@
         assertThat(awaitRefusal(1)).contains("part-quarantined");
     }
 
+    /** Guards against an endpoint that crashes on a request that was sent just before its part was quarantined. */
+    @Test
+    void stopsRequestThatWaitsForItsAnswerWhenItsPartIsQuarantined() throws Exception {
+        CompletableFuture<String> waiting = CompletableFuture.supplyAsync(() -> {
+            try {
+                return post(0, WAITING, CRASHING);
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        });
+        pause(Duration.ofMillis(100));
+        endpoints.harness.control.quarantinePart(Digests.promptPart("o", CRASHING));
+        String answer = waiting.get();
+        assertThat(answer).startsWith("HTTP/1.1 502");
+        assertThat(answer).contains("part-quarantined");
+    }
+
     private void crashUntilRefused() throws Exception {
         String answer = "";
         for (int i = 0; i < 20 && !answer.contains("part-quarantined"); i++) {
