Limit the heads and interim answers that an agent reads

An endpoint that wrote the head of one answer without end made its agent lose the connections to its routers, with all requests on them; header lines and interim answers without end kept a request until its deadline.

Found while looking for the same fault on each path that requests take.

--- a/agent/src/main/java/org/ragwortrun/agent/internal/HttpEndpoint.java
+++ b/agent/src/main/java/org/ragwortrun/agent/internal/HttpEndpoint.java
@@ -37,6 +37,8 @@
 
     private static final int MAX_CONNECTIONS = 4_096;
     private static final int MAX_REPLY_BYTES = 64 << 10;
+    private static final int MAX_LINE_BYTES = 16 << 10;
+    private static final int MAX_HEADERS = 200;
 
     private final HttpHost host;
     private final HttpAsyncRequester requester;
@@ -54,7 +56,10 @@
                 .setIOSessionDecorator(session -> new PausableSession(session, Timeout.of(idleTimeout)))
                 .setHttp1Config(Http1Config.custom()
                         .setInitialWindowSize(HttpExchange.WINDOW_BYTES)
+                        .setMaxLineLength(MAX_LINE_BYTES)
+                        .setMaxHeaderCount(MAX_HEADERS)
                         .build())
+                .setStreamListener(new InterimResponseLimit())
                 .setHttpProcessor(HttpProcessorBuilder.create()
                         .addAll(new RequestTargetHost(), new RequestContent(), new RequestConnControl())
                         .build())
