Log the limits that endpoints name

Change: routers read the limit from the heads of answers and write one line for each change, and count requests to endpoints with a limit. Requests are placed as before.

--- a/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointState.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointState.java
@@ -1,6 +1,7 @@
 package org.ragwortrun.router.internal.forward;
 
 import org.ragwortrun.proto.ListedEndpoint;
+import org.ragwortrun.routing.EndpointLimit;
 import org.ragwortrun.routing.EndpointNotices;
 
 /** State of one endpoint as this router knows it. Used on the event loop only. */
@@ -10,6 +11,7 @@
     private final InterruptedRequests interruptedRequests = new InterruptedRequests();
     private final EndpointConnectionPool connections;
     private final EndpointNotices notices;
+    private final EndpointLimit limit;
     private ListedEndpoint listed;
     private boolean listedNow = true;
     private boolean replaced;
@@ -17,10 +19,16 @@
     private long pendingTokens;
     private long coldUntilNanos;
 
-    EndpointState(ListedEndpoint listed, EndpointConnectionPool connections, EndpointNotices notices, long now) {
+    EndpointState(
+            ListedEndpoint listed,
+            EndpointConnectionPool connections,
+            EndpointNotices notices,
+            EndpointLimit limit,
+            long now) {
         this.listed = listed;
         this.connections = connections;
         this.notices = notices;
+        this.limit = limit;
         update(listed, now);
     }
 
@@ -44,6 +52,10 @@
         return notices;
     }
 
+    EndpointLimit limit() {
+        return limit;
+    }
+
     InterruptedRequests interruptedRequests() {
         return interruptedRequests;
     }
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointTable.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointTable.java
@@ -18,6 +18,7 @@
 import org.ragwortrun.core.time.Time;
 import org.ragwortrun.proto.EndpointList;
 import org.ragwortrun.proto.ListedEndpoint;
+import org.ragwortrun.routing.EndpointLimit;
 import org.ragwortrun.routing.EndpointNotices;
 
 /**
@@ -40,12 +41,12 @@
     private final BiConsumer<EndpointState, HttpResponse> headListener;
     private final Duration longestPause;
     private final Map<String, EndpointState> states = new HashMap<>();
-    // Kept longer than the states, so that an endpoint that is removed and listed again is still known to be leaving.
-    private final Map<String, EndpointNotices> notices = new LinkedHashMap<>(16, 0.75f, true) {
+    // Kept longer than the states, for endpoints that are removed and listed again.
+    private final Map<String, Notices> notices = new LinkedHashMap<>(16, 0.75f, true) {
         private static final long serialVersionUID = 1L;
 
         @Override
-        protected boolean removeEldestEntry(Map.Entry<String, EndpointNotices> eldest) {
+        protected boolean removeEldestEntry(Map.Entry<String, Notices> eldest) {
             return size() > MAX_NOTICES;
         }
     };
@@ -58,6 +59,8 @@
     private volatile boolean listKnown;
     private int routers = DEFAULT_ROUTERS;
 
+    private record Notices(EndpointNotices general, EndpointLimit limit) {}
+
     /**
      * Creates an empty table.
      *
@@ -138,8 +141,9 @@
 
     private EndpointState createState(ListedEndpoint e, long now) {
         EndpointConnectionPool connections = connector.apply(e);
-        EndpointNotices known = notices.computeIfAbsent(e.getId(), id -> new EndpointNotices(longestPause));
-        EndpointState state = new EndpointState(e, connections, known, now);
+        Notices known = notices.computeIfAbsent(
+                e.getId(), id -> new Notices(new EndpointNotices(longestPause), new EndpointLimit(now)));
+        EndpointState state = new EndpointState(e, connections, known.general(), known.limit(), now);
         connections.setHeadListener(head -> headListener.accept(state, head));
         return state;
     }
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
@@ -436,6 +436,7 @@
         private boolean done;
         private boolean isStream;
         private boolean pauseRequested;
+        private long sentNanos;
 
         Attempt(EndpointState endpoint) {
             this.endpoint = endpoint;
@@ -464,6 +465,10 @@
             }
             connection = c;
             runs++;
+            sentNanos = services.time().nanos();
+            if (endpoint.limit().isLimited()) {
+                services.metrics().count("requests_to_limited_endpoints", 1);
+            }
             endpoint.prefixCache().onPromptSent(request.parts(), services.time().nanos());
             c.send(endpointRequest(), body.retainedDuplicate(), request.id(), this);
         }
@@ -518,6 +523,7 @@
         @Override
         public void onHead(HttpResponse receivedHead) {
             answerHead = receivedHead;
+            services.limits().read(endpoint, receivedHead, sentNanos);
             int status = receivedHead.status().code();
             pauseRequested = status == UNAVAILABLE
                     && endpoint.notices().isPaused(services.time().nanos());
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
@@ -186,6 +186,7 @@
                 settings.dataCenter(),
                 watch::latest,
                 endpoints,
+                new LimitReader(headers, metrics, time),
                 new RetryAllowance(
                         settings.retryRatio(),
                         () -> settings.retrySlack(endpoints.routers()),
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardServices.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardServices.java
@@ -18,6 +18,7 @@
  * @param dataCenter data center of this router
  * @param configuration latest configuration, if one is known
  * @param endpoints endpoints of all origins
+ * @param limits reader of the limits that endpoints name
  * @param retries allowance for retries at other endpoints
  * @param tokens source of the tokens of client accounts
  * @param evidence collector of outcomes by version
@@ -35,6 +36,7 @@
         String dataCenter,
         Supplier<Optional<Configuration>> configuration,
         EndpointTable endpoints,
+        LimitReader limits,
         RetryAllowance retries,
         TokenSource tokens,
         EvidenceCollector evidence,
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/HeaderNames.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/HeaderNames.java
@@ -17,6 +17,8 @@
  * @param endpointId id of the endpoint that answers
  * @param urgency rank of the request at an engine; 0 runs first
  * @param leaving header with the value 1 by which an endpoint announces in any answer that it is leaving
+ * @param limit header by which an endpoint names in its answers how many requests per second it accepts from all
+ *     routers together
  * @param reserved further headers that only the system may set; removed from callers' requests
  */
 public record HeaderNames(
@@ -32,6 +34,7 @@
         String endpointId,
         String urgency,
         String leaving,
+        String limit,
         List<String> reserved) {
 
     /** Header names of the project's own interface. */
@@ -48,5 +51,6 @@
             "Ragwortrun-Endpoint",
             "Ragwortrun-Urgency",
             "Ragwortrun-Leaving",
+            "Ragwortrun-Limit",
             List.of());
 }
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/RequestHeaders.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/RequestHeaders.java
@@ -150,6 +150,11 @@
         return "1".equals(answerHeaders.get(names.leaving(), "").trim());
     }
 
+    /** Returns the values of the headers by which the endpoint names its limit, as they were received. */
+    List<String> limits(HttpHeaders answerHeaders) {
+        return answerHeaders.getAll(names.limit());
+    }
+
     /** Returns whether an answer contains the id of another endpoint. */
     boolean isFromOtherEndpoint(HttpHeaders answerHeaders, String endpoint) {
         String named = answerHeaders.get(names.endpointId());
--- a/router/src/test/java/org/ragwortrun/router/internal/forward/CallerConnectionTest.java
+++ b/router/src/test/java/org/ragwortrun/router/internal/forward/CallerConnectionTest.java
@@ -68,6 +68,7 @@
         ContentQuarantine quarantine = new ContentQuarantine(Map::of, time);
         PartQuarantine parts = new PartQuarantine(Map::of, () -> false, p -> {}, time);
         EvidenceCollector evidence = new EvidenceCollector(null);
+        RequestHeaders headers = new RequestHeaders(HeaderNames.STANDARD);
         RequestAdmission admission = new RequestAdmission(new ForwardServices(
                 "dc",
                 () -> {
@@ -81,13 +82,14 @@
                         },
                         (endpoint, head) -> {},
                         Duration.ZERO),
+                new LimitReader(headers, metrics, time),
                 new RetryAllowance(0, () -> 0, 1),
                 (budget, tokens, id, longest) -> new CompletableFuture<>(),
                 evidence,
                 quarantine,
                 parts,
                 new CrashDetector(quarantine, parts, crash -> {}, evidence, metrics, time, loop),
-                new RequestHeaders(HeaderNames.STANDARD),
+                headers,
                 metrics,
                 time,
                 loop,
