--- a/router/src/test/java/org/ragwortrun/router/FakeControl.java
+++ b/router/src/test/java/org/ragwortrun/router/FakeControl.java
@@ -77,6 +77,11 @@
         number++;
     }
 
+    /** Sends a message to all routers that watch the configuration. */
+    void sendToAll(Frame frame) {
+        watchers.forEach(p -> p.send(frame));
+    }
+
     void topUp(String account, String service, String id, long tokens) {
         apply(
                 account,
--- a/router/src/test/java/org/ragwortrun/router/ForwardHarness.java
+++ b/router/src/test/java/org/ragwortrun/router/ForwardHarness.java
@@ -21,8 +21,11 @@
 import org.ragwortrun.net.Transport;
 import org.ragwortrun.net.TransportException;
 import org.ragwortrun.proto.ApplyTopUps;
+import org.ragwortrun.proto.EndpointList;
+import org.ragwortrun.proto.Frame;
 import org.ragwortrun.proto.Hello;
 import org.ragwortrun.proto.Role;
+import org.ragwortrun.proto.RouterAddress;
 import org.ragwortrun.proto.ShardCommand;
 import org.ragwortrun.proto.TopUp;
 import org.ragwortrun.router.internal.forward.HeaderNames;
@@ -38,6 +41,8 @@
     final FakeControl control = new FakeControl();
     private final Closer closer = new Closer();
     private final List<ScriptedEndpoint> endpoints = new ArrayList<>();
+    private final List<RouterAddress> routers = new ArrayList<>();
+    private int listSequence;
     private final FrameServer server;
 
     ForwardHarness() throws TransportException {
@@ -101,12 +106,15 @@
     Router startRouter(String name) throws IOException, RagwortrunException, InterruptedException {
         int port = freePort();
         int readiness = freePort();
+        Address peers = new Address("127.0.0.1", freePort());
         ForwardDaemon daemon = closer.register(ForwardDaemon.start(
                 Settings.of(new HashMap<>(Map.of(
                         "daemon.name",
                         name,
                         "daemon.data-center",
                         "dc",
+                        "peers.address",
+                        peers.toString(),
                         "control.members",
                         "c1=127.0.0.1:" + server.port(),
                         "cluster.shards",
@@ -126,9 +134,26 @@
         while (!isReady(readiness) && System.nanoTime() < end) {
             Thread.sleep(20);
         }
+        routers.add(RouterAddress.newBuilder()
+                .setName(name)
+                .setDataCenter("dc")
+                .setAddress(peers.toString())
+                .build());
         return new Router(daemon, port);
     }
 
+    /** Sends the lists of endpoints and routers to all routers, as the leader does. */
+    void sendRouterList() {
+        control.sendToAll(Frame.newBuilder()
+                .setEndpointList(EndpointList.newBuilder()
+                        .setTerm(1)
+                        .setSequence(++listSequence)
+                        .setRouters(routers.size())
+                        .addAllEndpoints(listed())
+                        .addAllPeers(routers))
+                .build());
+    }
+
     private List<org.ragwortrun.proto.ListedEndpoint> listed() {
         synchronized (endpoints) {
             return endpoints.stream().map(ScriptedEndpoint::listed).toList();
