Grant permits for requests to endpoints with a limit

What callers saw: nothing; an endpoint in need got up to four times the requests that it had named as its limit for all routers together.

Cause: no router read the limit, and a limit for all routers together cannot be kept by routers that decide alone.

A router asks for one before it sends a request to an endpoint with a limit, on every path: first sends, repeats and resumed streams. Without a permit the request goes to another endpoint, or is refused at once with the time of the next permit. The coordinator knows what the routers report, so another one can take over with no state; it grants half until the list names it.

--- a/proto/src/main/java/org/ragwortrun/proto/Frame.java
+++ b/proto/src/main/java/org/ragwortrun/proto/Frame.java
@@ -68,6 +68,9 @@
     PEER_RESERVED(42),
     PEER_SETTLE(43),
     PEER_SETTLED(44),
+    PERMIT_REQUEST(46),
+    PERMIT_REPLY(47),
+    LIMIT_REPORT(48),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -127,6 +130,9 @@
         case 42: return PEER_RESERVED;
         case 43: return PEER_SETTLE;
         case 44: return PEER_SETTLED;
+        case 46: return PERMIT_REQUEST;
+        case 47: return PERMIT_REPLY;
+        case 48: return LIMIT_REPORT;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -2374,6 +2380,156 @@
     }
   }
 
+  public static final int PERMIT_REQUEST_FIELD_NUMBER = 46;
+  /**
+   * <code>.org.ragwortrun.proto.PermitRequest permit_request = 46;</code>
+   */
+  @java.lang.Override
+  public boolean hasPermitRequest() {
+    return bodyCase_ == 46;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.PermitRequest permit_request = 46;</code>
+   */
+  @java.lang.Override
+  public org.ragwortrun.proto.PermitRequest getPermitRequest() {
+    if (bodyCase_ == 46) {
+       return (org.ragwortrun.proto.PermitRequest) body_;
+    }
+    return org.ragwortrun.proto.PermitRequest.getDefaultInstance();
+  }
+  /**
+   * <code>.org.ragwortrun.proto.PermitRequest permit_request = 46;</code>
+   */
+  private void setPermitRequest(org.ragwortrun.proto.PermitRequest value) {
+    java.util.Objects.requireNonNull(value);
+    body_ = value;
+    bodyCase_ = 46;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.PermitRequest permit_request = 46;</code>
+   */
+  private void mergePermitRequest(org.ragwortrun.proto.PermitRequest value) {
+    java.util.Objects.requireNonNull(value);
+    if (bodyCase_ == 46 &&
+        body_ != org.ragwortrun.proto.PermitRequest.getDefaultInstance()) {
+      body_ = org.ragwortrun.proto.PermitRequest.newBuilder((org.ragwortrun.proto.PermitRequest) body_)
+          .mergeFrom(value).buildPartial();
+    } else {
+      body_ = value;
+    }
+    bodyCase_ = 46;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.PermitRequest permit_request = 46;</code>
+   */
+  private void clearPermitRequest() {
+    if (bodyCase_ == 46) {
+      bodyCase_ = 0;
+      body_ = null;
+    }
+  }
+
+  public static final int PERMIT_REPLY_FIELD_NUMBER = 47;
+  /**
+   * <code>.org.ragwortrun.proto.PermitReply permit_reply = 47;</code>
+   */
+  @java.lang.Override
+  public boolean hasPermitReply() {
+    return bodyCase_ == 47;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.PermitReply permit_reply = 47;</code>
+   */
+  @java.lang.Override
+  public org.ragwortrun.proto.PermitReply getPermitReply() {
+    if (bodyCase_ == 47) {
+       return (org.ragwortrun.proto.PermitReply) body_;
+    }
+    return org.ragwortrun.proto.PermitReply.getDefaultInstance();
+  }
+  /**
+   * <code>.org.ragwortrun.proto.PermitReply permit_reply = 47;</code>
+   */
+  private void setPermitReply(org.ragwortrun.proto.PermitReply value) {
+    java.util.Objects.requireNonNull(value);
+    body_ = value;
+    bodyCase_ = 47;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.PermitReply permit_reply = 47;</code>
+   */
+  private void mergePermitReply(org.ragwortrun.proto.PermitReply value) {
+    java.util.Objects.requireNonNull(value);
+    if (bodyCase_ == 47 &&
+        body_ != org.ragwortrun.proto.PermitReply.getDefaultInstance()) {
+      body_ = org.ragwortrun.proto.PermitReply.newBuilder((org.ragwortrun.proto.PermitReply) body_)
+          .mergeFrom(value).buildPartial();
+    } else {
+      body_ = value;
+    }
+    bodyCase_ = 47;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.PermitReply permit_reply = 47;</code>
+   */
+  private void clearPermitReply() {
+    if (bodyCase_ == 47) {
+      bodyCase_ = 0;
+      body_ = null;
+    }
+  }
+
+  public static final int LIMIT_REPORT_FIELD_NUMBER = 48;
+  /**
+   * <code>.org.ragwortrun.proto.LimitReport limit_report = 48;</code>
+   */
+  @java.lang.Override
+  public boolean hasLimitReport() {
+    return bodyCase_ == 48;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.LimitReport limit_report = 48;</code>
+   */
+  @java.lang.Override
+  public org.ragwortrun.proto.LimitReport getLimitReport() {
+    if (bodyCase_ == 48) {
+       return (org.ragwortrun.proto.LimitReport) body_;
+    }
+    return org.ragwortrun.proto.LimitReport.getDefaultInstance();
+  }
+  /**
+   * <code>.org.ragwortrun.proto.LimitReport limit_report = 48;</code>
+   */
+  private void setLimitReport(org.ragwortrun.proto.LimitReport value) {
+    java.util.Objects.requireNonNull(value);
+    body_ = value;
+    bodyCase_ = 48;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.LimitReport limit_report = 48;</code>
+   */
+  private void mergeLimitReport(org.ragwortrun.proto.LimitReport value) {
+    java.util.Objects.requireNonNull(value);
+    if (bodyCase_ == 48 &&
+        body_ != org.ragwortrun.proto.LimitReport.getDefaultInstance()) {
+      body_ = org.ragwortrun.proto.LimitReport.newBuilder((org.ragwortrun.proto.LimitReport) body_)
+          .mergeFrom(value).buildPartial();
+    } else {
+      body_ = value;
+    }
+    bodyCase_ = 48;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.LimitReport limit_report = 48;</code>
+   */
+  private void clearLimitReport() {
+    if (bodyCase_ == 48) {
+      bodyCase_ = 0;
+      body_ = null;
+    }
+  }
+
   public static org.ragwortrun.proto.Frame parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -4627,6 +4783,150 @@
       return this;
     }
 
+    /**
+     * <code>.org.ragwortrun.proto.PermitRequest permit_request = 46;</code>
+     */
+    @java.lang.Override
+    public boolean hasPermitRequest() {
+      return instance.hasPermitRequest();
+    }
+    /**
+     * <code>.org.ragwortrun.proto.PermitRequest permit_request = 46;</code>
+     */
+    @java.lang.Override
+    public org.ragwortrun.proto.PermitRequest getPermitRequest() {
+      return instance.getPermitRequest();
+    }
+    /**
+     * <code>.org.ragwortrun.proto.PermitRequest permit_request = 46;</code>
+     */
+    public Builder setPermitRequest(org.ragwortrun.proto.PermitRequest value) {
+      copyOnWrite();
+      instance.setPermitRequest(value);
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.PermitRequest permit_request = 46;</code>
+     */
+    public Builder setPermitRequest(
+        org.ragwortrun.proto.PermitRequest.Builder builderForValue) {
+      copyOnWrite();
+      instance.setPermitRequest(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.PermitRequest permit_request = 46;</code>
+     */
+    public Builder mergePermitRequest(org.ragwortrun.proto.PermitRequest value) {
+      copyOnWrite();
+      instance.mergePermitRequest(value);
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.PermitRequest permit_request = 46;</code>
+     */
+    public Builder clearPermitRequest() {
+      copyOnWrite();
+      instance.clearPermitRequest();
+      return this;
+    }
+
+    /**
+     * <code>.org.ragwortrun.proto.PermitReply permit_reply = 47;</code>
+     */
+    @java.lang.Override
+    public boolean hasPermitReply() {
+      return instance.hasPermitReply();
+    }
+    /**
+     * <code>.org.ragwortrun.proto.PermitReply permit_reply = 47;</code>
+     */
+    @java.lang.Override
+    public org.ragwortrun.proto.PermitReply getPermitReply() {
+      return instance.getPermitReply();
+    }
+    /**
+     * <code>.org.ragwortrun.proto.PermitReply permit_reply = 47;</code>
+     */
+    public Builder setPermitReply(org.ragwortrun.proto.PermitReply value) {
+      copyOnWrite();
+      instance.setPermitReply(value);
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.PermitReply permit_reply = 47;</code>
+     */
+    public Builder setPermitReply(
+        org.ragwortrun.proto.PermitReply.Builder builderForValue) {
+      copyOnWrite();
+      instance.setPermitReply(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.PermitReply permit_reply = 47;</code>
+     */
+    public Builder mergePermitReply(org.ragwortrun.proto.PermitReply value) {
+      copyOnWrite();
+      instance.mergePermitReply(value);
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.PermitReply permit_reply = 47;</code>
+     */
+    public Builder clearPermitReply() {
+      copyOnWrite();
+      instance.clearPermitReply();
+      return this;
+    }
+
+    /**
+     * <code>.org.ragwortrun.proto.LimitReport limit_report = 48;</code>
+     */
+    @java.lang.Override
+    public boolean hasLimitReport() {
+      return instance.hasLimitReport();
+    }
+    /**
+     * <code>.org.ragwortrun.proto.LimitReport limit_report = 48;</code>
+     */
+    @java.lang.Override
+    public org.ragwortrun.proto.LimitReport getLimitReport() {
+      return instance.getLimitReport();
+    }
+    /**
+     * <code>.org.ragwortrun.proto.LimitReport limit_report = 48;</code>
+     */
+    public Builder setLimitReport(org.ragwortrun.proto.LimitReport value) {
+      copyOnWrite();
+      instance.setLimitReport(value);
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.LimitReport limit_report = 48;</code>
+     */
+    public Builder setLimitReport(
+        org.ragwortrun.proto.LimitReport.Builder builderForValue) {
+      copyOnWrite();
+      instance.setLimitReport(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.LimitReport limit_report = 48;</code>
+     */
+    public Builder mergeLimitReport(org.ragwortrun.proto.LimitReport value) {
+      copyOnWrite();
+      instance.mergeLimitReport(value);
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.LimitReport limit_report = 48;</code>
+     */
+    public Builder clearLimitReport() {
+      copyOnWrite();
+      instance.clearLimitReport();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.ragwortrun.proto.Frame)
   }
   @java.lang.Override
@@ -4690,15 +4990,18 @@
             org.ragwortrun.proto.PeerSettle.class,
             org.ragwortrun.proto.PeerSettled.class,
             org.ragwortrun.proto.CrashEvidence.class,
+            org.ragwortrun.proto.PermitRequest.class,
+            org.ragwortrun.proto.PermitReply.class,
+            org.ragwortrun.proto.LimitReport.class,
           };
           java.lang.String info =
-              "\u0000-\u0001\u0000\u0001--\u0000\u0000\u0000\u0001\u0003\u0002<\u0000\u0003<\u0000" +
+              "\u00000\u0001\u0000\u000100\u0000\u0000\u0000\u0001\u0003\u0002<\u0000\u0003<\u0000" +
               "\u0004<\u0000\u0005<\u0000\u0006<\u0000\u0007<\u0000\b<\u0000\t<\u0000\n<\u0000\u000b" +
               "<\u0000\f<\u0000\r<\u0000\u000e<\u0000\u000f<\u0000\u0010<\u0000\u0011<\u0000\u0012" +
               "<\u0000\u0013<\u0000\u0014<\u0000\u0015<\u0000\u0016<\u0000\u0017<\u0000\u0018<\u0000" +
               "\u0019<\u0000\u001a<\u0000\u001b<\u0000\u001c<\u0000\u001d<\u0000\u001e<\u0000\u001f" +
               "<\u0000 <\u0000!<\u0000\"<\u0000#<\u0000$<\u0000%<\u0000&<\u0000\'<\u0000(<\u0000" +
-              ")<\u0000*<\u0000+<\u0000,<\u0000-<\u0000";
+              ")<\u0000*<\u0000+<\u0000,<\u0000-<\u0000.<\u0000/<\u00000<\u0000";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/proto/src/main/java/org/ragwortrun/proto/FrameOrBuilder.java
+++ b/proto/src/main/java/org/ragwortrun/proto/FrameOrBuilder.java
@@ -500,5 +500,38 @@
    */
   org.ragwortrun.proto.PeerSettled getPeerSettled();
 
+  /**
+   * <code>.org.ragwortrun.proto.PermitRequest permit_request = 46;</code>
+   * @return Whether the permitRequest field is set.
+   */
+  boolean hasPermitRequest();
+  /**
+   * <code>.org.ragwortrun.proto.PermitRequest permit_request = 46;</code>
+   * @return The permitRequest.
+   */
+  org.ragwortrun.proto.PermitRequest getPermitRequest();
+
+  /**
+   * <code>.org.ragwortrun.proto.PermitReply permit_reply = 47;</code>
+   * @return Whether the permitReply field is set.
+   */
+  boolean hasPermitReply();
+  /**
+   * <code>.org.ragwortrun.proto.PermitReply permit_reply = 47;</code>
+   * @return The permitReply.
+   */
+  org.ragwortrun.proto.PermitReply getPermitReply();
+
+  /**
+   * <code>.org.ragwortrun.proto.LimitReport limit_report = 48;</code>
+   * @return Whether the limitReport field is set.
+   */
+  boolean hasLimitReport();
+  /**
+   * <code>.org.ragwortrun.proto.LimitReport limit_report = 48;</code>
+   * @return The limitReport.
+   */
+  org.ragwortrun.proto.LimitReport getLimitReport();
+
   public org.ragwortrun.proto.Frame.BodyCase getBodyCase();
 }
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointSelector.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointSelector.java
@@ -55,7 +55,9 @@
         List<Placement.Candidate> others = new ArrayList<>();
         OptionalLong earliest = OptionalLong.empty();
         for (EndpointState s : allowed) {
-            long acceptsFrom = s.notices().earliestSendTime(now, s.inFlight()).orElse(now);
+            long acceptsFrom = Math.max(
+                    s.notices().earliestSendTime(now, s.inFlight()).orElse(now),
+                    s.limit().earliestNanos(now));
             if (acceptsFrom - now > 0) {
                 earliest = OptionalLong.of(Math.min(acceptsFrom, earliest.orElse(acceptsFrom)));
             } else if (!s.connections().isFull(maxConnections)) {
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointTable.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointTable.java
@@ -142,7 +142,7 @@
     private EndpointState createState(ListedEndpoint e, long now) {
         EndpointConnectionPool connections = connector.apply(e);
         Notices known = notices.computeIfAbsent(
-                e.getId(), id -> new Notices(new EndpointNotices(longestPause), new EndpointLimit(now)));
+                e.getId(), id -> new Notices(new EndpointNotices(longestPause), new EndpointLimit()));
         EndpointState state = new EndpointState(e, connections, known.general(), known.limit(), now);
         connections.setHeadListener(head -> headListener.accept(state, head));
         return state;
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
@@ -237,9 +237,7 @@
         }
         EndpointSelector.Choice choice = selector.choose(tried);
         if (choice.endpoint().isPresent()) {
-            tries++;
-            current = new Attempt(choice.endpoint().get());
-            current.begin();
+            sendIfPermitted(choice.endpoint().get());
         } else if (choice.earliestNanos().isPresent()) {
             giveUpUntil(choice.earliestNanos().getAsLong(), choice.allowed());
         } else {
@@ -247,6 +245,29 @@
         }
     }
 
+    private void sendIfPermitted(EndpointState endpoint) {
+        if (!endpoint.limit().isLimited()) {
+            send(endpoint);
+            return;
+        }
+        services.permits().acquire(endpoint.id(), endpoint.limit(), granted -> {
+            if (ended) {
+                return;
+            }
+            if (granted) {
+                send(endpoint);
+            } else {
+                sendToEndpoint();
+            }
+        });
+    }
+
+    private void send(EndpointState endpoint) {
+        tries++;
+        current = new Attempt(endpoint);
+        current.begin();
+    }
+
     /** Retries or gives up after an attempt that the endpoint did not run. */
     private void onNotRun(String cause, boolean sent) {
         lastCause = cause;
@@ -523,7 +544,9 @@
         @Override
         public void onHead(HttpResponse receivedHead) {
             answerHead = receivedHead;
-            services.limits().read(endpoint, receivedHead, sentNanos);
+            if (services.limits().read(endpoint, receivedHead, sentNanos)) {
+                services.permits().report(endpoint.id(), endpoint.limit());
+            }
             int status = receivedHead.status().code();
             pauseRequested = status == UNAVAILABLE
                     && endpoint.notices().isPaused(services.time().nanos());
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
@@ -53,8 +53,12 @@
 import org.ragwortrun.router.internal.ledger.Sessions;
 import org.ragwortrun.router.internal.ledger.SettlementQueue;
 import org.ragwortrun.router.internal.ledger.Shards;
+import org.ragwortrun.router.internal.limits.LimitReportHandler;
+import org.ragwortrun.router.internal.limits.PermitClient;
+import org.ragwortrun.router.internal.limits.PermitServer;
 import org.ragwortrun.router.internal.pool.HomeServer;
 import org.ragwortrun.router.internal.pool.LocalTokens;
+import org.ragwortrun.router.internal.pool.PeerFrames;
 import org.ragwortrun.router.internal.pool.PeerLinks;
 import org.ragwortrun.router.internal.pool.PooledTokens;
 import org.ragwortrun.router.internal.pool.TokenSource;
@@ -167,12 +171,25 @@
         LocalTokens local = new LocalTokens(grants, settlements::add, incarnation);
         HomeServer home = new HomeServer(local, time);
         TokenSource tokens = local;
+        LimitReader limits = new LimitReader(headers, endpoints, metrics, time);
+        PeerLinks links =
+                closer.register(new PeerLinks(transport, new LimitReportHandler(limits::onReported, loop, time)));
+        PermitServer permitServer = new PermitServer(settings.name(), links, metrics, time);
+        PermitClient permits = new PermitClient(
+                settings.name(),
+                links,
+                permitServer,
+                limits::onReported,
+                endpoints::routers,
+                loop,
+                metrics,
+                time,
+                random::nextDouble);
         if (settings.peers().isPresent()) {
-            PeerLinks links = closer.register(new PeerLinks(transport));
             pushes.setPeerLinks(links);
             grants.useHomesIf(links::hasHomes);
             tokens = new PooledTokens(settings.name(), incarnation, local, links, timer, time);
-            closer.register(transport.listen(settings.peers().get(), home));
+            closer.register(transport.listen(settings.peers().get(), new PeerFrames(home, permitServer)));
             SingleThreadExecutor.repeat(timer, home, SECOND_MS, SECOND_MS);
         }
         EvidenceCollector evidence = new EvidenceCollector(control);
@@ -186,7 +203,8 @@
                 settings.dataCenter(),
                 watch::latest,
                 endpoints,
-                new LimitReader(headers, metrics, time),
+                limits,
+                permits,
                 new RetryAllowance(
                         settings.retryRatio(),
                         () -> settings.retrySlack(endpoints.routers()),
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardServices.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardServices.java
@@ -10,6 +10,7 @@
 import org.ragwortrun.core.time.Time;
 import org.ragwortrun.router.internal.evidence.EvidenceCollector;
 import org.ragwortrun.router.internal.evidence.PartQuarantine;
+import org.ragwortrun.router.internal.limits.PermitSource;
 import org.ragwortrun.router.internal.pool.TokenSource;
 
 /**
@@ -19,6 +20,7 @@
  * @param configuration latest configuration, if one is known
  * @param endpoints endpoints of all origins
  * @param limits reader of the limits that endpoints name
+ * @param permits source of permits for requests to endpoints with a limit
  * @param retries allowance for retries at other endpoints
  * @param tokens source of the tokens of client accounts
  * @param evidence collector of outcomes by version
@@ -37,6 +39,7 @@
         Supplier<Optional<Configuration>> configuration,
         EndpointTable endpoints,
         LimitReader limits,
+        PermitSource permits,
         RetryAllowance retries,
         TokenSource tokens,
         EvidenceCollector evidence,
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/LimitReader.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/LimitReader.java
@@ -23,11 +23,13 @@
     private static final int MAX_LOGGED_CHARS = 40;
 
     private final RequestHeaders requestHeaders;
+    private final EndpointTable endpoints;
     private final Metrics metrics;
     private final Time time;
 
-    LimitReader(RequestHeaders requestHeaders, Metrics metrics, Time time) {
+    LimitReader(RequestHeaders requestHeaders, EndpointTable endpoints, Metrics metrics, Time time) {
         this.requestHeaders = requestHeaders;
+        this.endpoints = endpoints;
         this.metrics = metrics;
         this.time = time;
     }
@@ -36,11 +38,12 @@
      * Reads the head of an answer. Ignores one of another endpoint, and limits that are no finite, non-negative number.
      *
      * @param sentNanos monotonic time at which the request was sent
+     * @return whether the limit has changed
      */
-    void read(EndpointState endpoint, HttpResponse answer, long sentNanos) {
+    boolean read(EndpointState endpoint, HttpResponse answer, long sentNanos) {
         HttpHeaders headers = answer.headers();
         if (answer.status().code() == MISDIRECTED || requestHeaders.isFromOtherEndpoint(headers, endpoint.id())) {
-            return;
+            return false;
         }
         List<String> values = requestHeaders.limits(headers);
         OptionalDouble limit = LimitStatement.parse(values);
@@ -50,15 +53,23 @@
                     .with("endpoint", endpoint.id())
                     .with("value", first.substring(0, Math.min(MAX_LOGGED_CHARS, first.length())))
                     .warn(LOG);
-            return;
+            return false;
         }
-        record(endpoint, new LimitStatement(limit.orElse(Double.POSITIVE_INFINITY), sentNanos, time.nanos()), "answer");
+        return record(
+                endpoint,
+                new LimitStatement(limit.orElse(Double.POSITIVE_INFINITY), sentNanos, time.nanos()),
+                "answer");
     }
 
-    /** Records a statement of an endpoint, and logs it if it changes the limit. */
-    void record(EndpointState endpoint, LimitStatement statement, String source) {
-        double before = endpoint.limit().statement().perSecond();
-        if (endpoint.limit().record(statement)) {
+    /** Records a statement that another router has received from an endpoint. */
+    void onReported(String endpoint, LimitStatement statement) {
+        endpoints.find(endpoint).ifPresent(e -> record(e, statement, "router"));
+    }
+
+    private boolean record(EndpointState endpoint, LimitStatement statement, String source) {
+        double before = endpoint.limit().perSecond();
+        boolean changed = endpoint.limit().record(statement);
+        if (changed) {
             metrics.count("endpoint_limit_changes", 1);
             Event.of("endpoint-limit")
                     .with("endpoint", endpoint.id())
@@ -68,5 +79,6 @@
                     .with("in-flight", endpoint.inFlight())
                     .info(LOG);
         }
+        return changed;
     }
 }
--- a/router/src/main/java/org/ragwortrun/router/internal/pool/HomeRouters.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/pool/HomeRouters.java
@@ -30,14 +30,16 @@
 
     /** Returns the homes of an account in order of preference. Empty if each router should use its own grants. */
     public static List<RouterPeer> of(String account, Collection<RouterPeer> routers) {
-        if (!areUsed(routers)) {
-            return List.of();
-        }
+        return areUsed(routers) ? ranked(account, routers) : List.of();
+    }
+
+    /** Returns one router in each data center, ranked by a key. */
+    static List<RouterPeer> ranked(String key, Collection<RouterPeer> routers) {
         Map<String, List<RouterPeer>> byDataCenter = routers.stream()
                 .collect(Collectors.groupingBy(RouterPeer::dataCenter, TreeMap::new, Collectors.toList()));
         return byDataCenter.entrySet().stream()
                 .map(e -> firstRanked(e.getValue(), e.getKey()))
-                .sorted(rank(account).reversed())
+                .sorted(rank(key).reversed())
                 .toList();
     }
 
--- a/router/src/main/java/org/ragwortrun/router/internal/pool/PeerLinks.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/pool/PeerLinks.java
@@ -7,22 +7,32 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Function;
 import java.util.stream.Collectors;
 import org.ragwortrun.net.FrameClient;
+import org.ragwortrun.net.FrameHandler;
 import org.ragwortrun.net.Transport;
 import org.ragwortrun.proto.Frame;
 
-/** The routers in the leader's latest list, and connections to those that serve as homes. */
+/** The routers in the leader's latest list, and connections to those that serve as homes or coordinators. */
 public final class PeerLinks implements AutoCloseable {
-    private static final int MAX_CACHED_ACCOUNTS = 10_000;
+    private static final int MAX_CACHED_KEYS = 10_000;
 
     private final Transport transport;
+    private final FrameHandler pushes;
     private final Map<String, FrameClient> clients = new ConcurrentHashMap<>();
     private final Map<String, List<RouterPeer>> homesByAccount = new ConcurrentHashMap<>();
+    private final Map<String, List<RouterPeer>> coordinatorsByEndpoint = new ConcurrentHashMap<>();
     private volatile List<RouterPeer> routers = List.of();
 
-    public PeerLinks(Transport transport) {
+    /**
+     * Creates links without routers.
+     *
+     * @param pushes handles messages that other routers send without being asked
+     */
+    public PeerLinks(Transport transport, FrameHandler pushes) {
         this.transport = transport;
+        this.pushes = pushes;
     }
 
     /** Replaces the list of routers and closes connections to routers that are no longer listed. */
@@ -32,6 +42,7 @@
         }
         routers = List.copyOf(list);
         homesByAccount.clear();
+        coordinatorsByEndpoint.clear();
         Set<String> present = routers.stream().map(PeerLinks::key).collect(Collectors.toSet());
         clients.keySet().stream().filter(k -> !present.contains(k)).toList().forEach(k -> {
             FrameClient removed = clients.remove(k);
@@ -48,15 +59,25 @@
 
     /** Returns the homes of an account in order of preference. */
     List<RouterPeer> homes(String account) {
-        if (homesByAccount.size() > MAX_CACHED_ACCOUNTS) {
-            homesByAccount.clear();
+        return cached(homesByAccount, account, a -> HomeRouters.of(a, routers));
+    }
+
+    /** Returns the routers that may coordinate the limit of an endpoint, one in each data center, best first. */
+    public List<RouterPeer> coordinators(String endpoint) {
+        return cached(coordinatorsByEndpoint, endpoint, e -> HomeRouters.ranked(e, routers));
+    }
+
+    private static List<RouterPeer> cached(
+            Map<String, List<RouterPeer>> cache, String key, Function<String, List<RouterPeer>> ranking) {
+        if (cache.size() > MAX_CACHED_KEYS) {
+            cache.clear();
         }
-        return homesByAccount.computeIfAbsent(account, a -> HomeRouters.of(a, routers));
+        return cache.computeIfAbsent(key, ranking);
     }
 
     /** Calls a router. Without a connection, it starts to open one and fails with {@code NOT_SENT} at once. */
-    CompletableFuture<Frame> call(RouterPeer peer, Frame.Builder request, Duration timeout) {
-        return clients.computeIfAbsent(key(peer), k -> transport.connect(peer.address(), (p, f) -> {}))
+    public CompletableFuture<Frame> call(RouterPeer peer, Frame.Builder request, Duration timeout) {
+        return clients.computeIfAbsent(key(peer), k -> transport.connect(peer.address(), pushes))
                 .call(request, timeout);
     }
 
--- a/router/src/test/java/org/ragwortrun/router/internal/forward/CallerConnectionTest.java
+++ b/router/src/test/java/org/ragwortrun/router/internal/forward/CallerConnectionTest.java
@@ -16,6 +16,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.ragwortrun.core.concurrent.Closer;
@@ -25,6 +26,8 @@
 import org.ragwortrun.router.internal.evidence.EvidenceCollector;
 import org.ragwortrun.router.internal.evidence.PartQuarantine;
 import org.ragwortrun.router.internal.http.ProblemWriter;
+import org.ragwortrun.router.internal.limits.PermitSource;
+import org.ragwortrun.routing.EndpointLimit;
 
 /** Checks which requests a caller's connection handles when data and a close arrive together. */
 final class CallerConnectionTest {
@@ -69,20 +72,30 @@
         PartQuarantine parts = new PartQuarantine(Map::of, () -> false, p -> {}, time);
         EvidenceCollector evidence = new EvidenceCollector(null);
         RequestHeaders headers = new RequestHeaders(HeaderNames.STANDARD);
+        EndpointTable endpoints = new EndpointTable(
+                time,
+                e -> {
+                    throw new AssertionError("nothing is sent");
+                },
+                (endpoint, head) -> {},
+                Duration.ZERO);
         RequestAdmission admission = new RequestAdmission(new ForwardServices(
                 "dc",
                 () -> {
                     configurationReads++;
                     return Optional.empty();
                 },
-                new EndpointTable(
-                        time,
-                        e -> {
-                            throw new AssertionError("nothing is sent");
-                        },
-                        (endpoint, head) -> {},
-                        Duration.ZERO),
-                new LimitReader(headers, metrics, time),
+                endpoints,
+                new LimitReader(headers, endpoints, metrics, time),
+                new PermitSource() {
+                    @Override
+                    public void acquire(String endpoint, EndpointLimit limit, Consumer<Boolean> decided) {
+                        throw new AssertionError("nothing is sent");
+                    }
+
+                    @Override
+                    public void report(String endpoint, EndpointLimit limit) {}
+                },
                 new RetryAllowance(0, () -> 0, 1),
                 (budget, tokens, id, longest) -> new CompletableFuture<>(),
                 evidence,
