Keep requests over agents within the limit of their endpoint

What callers saw: nothing; an endpoint behind an agent got every request, whatever limit it named.

Cause: as on the path without agents, nothing read the limit. Change: all requests of all routers pass through the endpoint's agent, so it keeps the limit alone. It accepts a request only if there is a permit for it behind the queued ones, and otherwise refuses it at once with the time of the next permit. Retries of a request with an unknown outcome wait for a permit.

--- a/agent/src/main/java/org/ragwortrun/agent/internal/AgentProcess.java
+++ b/agent/src/main/java/org/ragwortrun/agent/internal/AgentProcess.java
@@ -68,6 +68,7 @@
         Metrics metrics = closer.register(Metrics.exporting(settings.listen().host(), settings.metricsPort()));
         AgentSettings.Timing timing = settings.timing();
         HttpEndpoint endpoint = closer.register(new HttpEndpoint(settings.url(), timing.connect(), timing.idle()));
+        EndpointLimitGate limit = new EndpointLimitGate(time, metrics);
         transport = closer.register(new Transport(hello(), 1));
         ScheduledExecutorService timer = SingleThreadExecutor.timer("timer");
         closer.register(() -> SingleThreadExecutor.stop(timer));
@@ -76,10 +77,12 @@
         watch = closer.register(new ConfigWatch(control, timer, time, c -> {}));
         PlainHttpClient.RetryPolicy noRetries = new PlainHttpClient.RetryPolicy("", 0, 0);
         EndpointClientFactory clients = EndpointClientFactory.caching((kind, header) -> kind == Service.Kind.MODEL
-                ? new ChatCompletionsClient(endpoint)
+                ? new ChatCompletionsClient(endpoint, limit, time)
                 : new PlainHttpClient(
                         endpoint,
+                        limit,
                         timer,
+                        time,
                         header.isEmpty()
                                 ? noRetries
                                 : new PlainHttpClient.RetryPolicy(
@@ -101,7 +104,8 @@
                         executor::offer,
                         () -> health[0].check(),
                         report -> reportCrash(report, CRASH_REPORT_ATTEMPTS),
-                        this::reconnectAll));
+                        this::reconnectAll,
+                        limit));
         reporter = new LoadReporter(dispatcher, time);
         loadOrderHandler = new LoadOrderHandler(endpoint, executor::offer);
         health[0] = new HealthMonitor(
--- a/agent/src/main/java/org/ragwortrun/agent/internal/ChatCompletionsClient.java
+++ b/agent/src/main/java/org/ragwortrun/agent/internal/ChatCompletionsClient.java
@@ -14,6 +14,7 @@
 import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
 import org.jspecify.annotations.Nullable;
+import org.ragwortrun.core.time.Time;
 import org.ragwortrun.proto.Dispatch;
 
 /** Client for the chat-completions protocol: always streams the answer, with usage in each event, and can cancel it. */
@@ -25,9 +26,13 @@
     private static final int OK = 200;
 
     private final HttpEndpoint endpoint;
+    private final EndpointLimitGate limit;
+    private final Time time;
 
-    ChatCompletionsClient(HttpEndpoint endpoint) {
+    ChatCompletionsClient(HttpEndpoint endpoint, EndpointLimitGate limit, Time time) {
         this.endpoint = endpoint;
+        this.limit = limit;
+        this.time = time;
     }
 
     @Override
@@ -89,6 +94,7 @@
         private boolean eventStream;
         private boolean done;
         private boolean failed;
+        private volatile long sentNanos;
 
         Stream(Dispatch dispatch, EndpointListener listener) {
             this.dispatch = dispatch.toBuilder().clearBody().clearResumeText().build();
@@ -114,11 +120,13 @@
 
         @Override
         public void onSent() {
+            sentNanos = time.nanos();
             listener.onEvent(new EndpointEvent.Sent());
         }
 
         @Override
         public void onHead(int status, List<Header> headers) {
+            limit.onAnswer(headers, sentNanos);
             eventStream = status == OK;
             listener.onEvent(new EndpointEvent.Head(status, List.of()));
         }
--- a/agent/src/main/java/org/ragwortrun/agent/internal/PlainHttpClient.java
+++ b/agent/src/main/java/org/ragwortrun/agent/internal/PlainHttpClient.java
@@ -9,6 +9,7 @@
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
 import org.jspecify.annotations.Nullable;
+import org.ragwortrun.core.time.Time;
 import org.ragwortrun.proto.Dispatch;
 
 /**
@@ -36,12 +37,21 @@
             "expect");
 
     private final HttpEndpoint endpoint;
+    private final EndpointLimitGate limit;
     private final ScheduledExecutorService timer;
+    private final Time time;
     private final RetryPolicy retryPolicy;
 
-    PlainHttpClient(HttpEndpoint endpoint, ScheduledExecutorService timer, RetryPolicy repeats) {
+    PlainHttpClient(
+            HttpEndpoint endpoint,
+            EndpointLimitGate limit,
+            ScheduledExecutorService timer,
+            Time time,
+            RetryPolicy repeats) {
         this.endpoint = endpoint;
+        this.limit = limit;
         this.timer = timer;
+        this.time = time;
         this.retryPolicy = repeats;
     }
 
@@ -70,6 +80,7 @@
         private int attempts;
         private boolean sent;
         private boolean answered;
+        private volatile long sentNanos;
 
         PlainCall(Dispatch dispatch, EndpointListener listener) {
             this.dispatch = dispatch;
@@ -95,6 +106,17 @@
             exchange = endpoint.send(request, body, this);
         }
 
+        /** Sends the request again once the endpoint's limit allows it. */
+        private void sendAgain() {
+            if (cancelled) {
+                listener.onEvent(new EndpointEvent.Failed("cancelled"));
+            } else if (limit.tryTake()) {
+                send();
+            } else {
+                timer.schedule(this::sendAgain, limit.waitBehind(0).toNanos(), TimeUnit.NANOSECONDS);
+            }
+        }
+
         @Override
         public void cancel() {
             cancelled = true;
@@ -115,12 +137,14 @@
         @Override
         public void onSent() {
             sent = true;
+            sentNanos = time.nanos();
             listener.onEvent(new EndpointEvent.Sent());
         }
 
         @Override
         public void onHead(int status, List<Header> headers) {
             answered = true;
+            limit.onAnswer(headers, sentNanos);
             listener.onEvent(new EndpointEvent.Head(
                     status,
                     headers.stream()
@@ -152,7 +176,7 @@
                     && !retryPolicy.dedupeHeader().isEmpty()
                     && attempts <= retryPolicy.maxRetries();
             if (retry) {
-                timer.schedule(this::send, retryPolicy.delayMs(), TimeUnit.MILLISECONDS);
+                timer.schedule(this::sendAgain, retryPolicy.delayMs(), TimeUnit.MILLISECONDS);
             } else {
                 listener.onEvent(new EndpointEvent.Failed(detail));
             }
--- a/agent/src/main/java/org/ragwortrun/agent/internal/RequestDispatcher.java
+++ b/agent/src/main/java/org/ragwortrun/agent/internal/RequestDispatcher.java
@@ -42,7 +42,8 @@
             TaskQueue executor,
             Runnable healthCheck,
             Consumer<CrashReport> crashReporter,
-            Runnable onIncarnationRenewed) {}
+            Runnable onIncarnationRenewed,
+            EndpointLimitGate limit) {}
 
     private static final Logger LOG = LogManager.getLogger(RequestDispatcher.class);
 
@@ -106,7 +107,8 @@
                 new BodySizeRule(limits.bodyBytes()),
                 new OutboxRule(outbox),
                 new RequestHistoryRule(tombstones, seen),
-                new AnswerMemoryRule(store, limits.storeBytes() + limits.totalUnsent()));
+                new AnswerMemoryRule(store, limits.storeBytes() + limits.totalUnsent()),
+                new EndpointLimitRule(ports.limit(), queue::size));
     }
 
     // ---- frames of routers ----
@@ -465,7 +467,7 @@
     private void startQueued() {
         while (true) {
             AcceptedRequest r = queue.first();
-            if (r == null || !healthy) {
+            if (r == null || !healthy || !ports.limit().hasPermitBehind(0)) {
                 return;
             }
             Dispatch d = r.dispatch();
@@ -474,6 +476,7 @@
             AdmissionGate.Decision decision = gate.admit(demand, capacity());
             if (decision instanceof AdmissionGate.Decision.Admitted admitted) {
                 queue.remove(r);
+                ports.limit().take();
                 start(r, admitted.permit());
             } else if (decision instanceof AdmissionGate.Decision.TooLarge) {
                 queue.remove(r);
--- a/agent/src/test/java/org/ragwortrun/agent/AnswerReader.java
+++ b/agent/src/test/java/org/ragwortrun/agent/AnswerReader.java
@@ -96,6 +96,11 @@
         return frame.getFinished();
     }
 
+    /** Waits for the end of the answer and returns whether it is a refusal. */
+    boolean isRefused() throws Exception {
+        return end.get(WAIT_SECONDS, TimeUnit.SECONDS).hasRefused();
+    }
+
     Refused refused() throws Exception {
         Frame frame = end.get(WAIT_SECONDS, TimeUnit.SECONDS);
         if (!frame.hasRefused()) {
--- a/routing/src/main/java/org/ragwortrun/routing/LimitCoordinator.java
+++ b/routing/src/main/java/org/ragwortrun/routing/LimitCoordinator.java
@@ -90,7 +90,7 @@
 
     private static long waitNanos(Entry e, double perSecond, long now) {
         double queued = e.deniedSinceGrant++ * SECOND_NANOS / perSecond;
-        double wait = e.bucket.nanosUntilNext(now) + queued;
+        double wait = e.bucket.nanosUntil(1, now) + queued;
         return (long) Math.min(MAX_WAIT_NANOS, Math.max(MIN_WAIT_NANOS, wait));
     }
 }
--- a/routing/src/main/java/org/ragwortrun/routing/PermitBucket.java
+++ b/routing/src/main/java/org/ragwortrun/routing/PermitBucket.java
@@ -28,6 +28,12 @@
         perSecond = nextPerSecond;
     }
 
+    /** Takes one permit, in advance if there is none. */
+    public void take(long now) {
+        update(now);
+        level--;
+    }
+
     /** Takes one permit. Returns whether there was one. */
     public boolean tryTake(long now) {
         update(now);
@@ -44,10 +50,10 @@
         return (int) level;
     }
 
-    /** Returns the time until the next permit, 0 if there is one, {@code Long.MAX_VALUE} if the rate is 0. */
-    public long nanosUntilNext(long now) {
+    /** Returns the time until a number of permits has been available, 0 if they are now. */
+    public long nanosUntil(int permits, long now) {
         update(now);
-        return level >= 1 ? 0 : (long) Math.ceil((1 - level) * SECOND_NANOS / perSecond);
+        return level >= permits ? 0 : (long) Math.ceil((permits - level) * SECOND_NANOS / perSecond);
     }
 
     private void update(long now) {
