Refuse late requests of a stopping host that might be cut off

Cause: a stopping host accepted each request whose route had been fast lately. That is a forecast, which does not hold when an endpoint slows down. Change: only plain requests that may be repeated are accepted by the forecast. For orders and streams their whole time limit must fit, because another host can serve them. ShutdownAdmissionTest checks the forecast with such requests now, with the same values, and the new rule for the others.

Measured: ForwardDaemonTest.shutdownRefusesRequestThatMayBeCutOff failed before for orders and both kinds of streams (502 instead of 503) and passes now.

--- a/router/src/main/java/org/ragwortrun/router/internal/forward/RequestAdmission.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/RequestAdmission.java
@@ -185,8 +185,8 @@
                 .orElseThrow(() -> refused(RefusalReason.UNKNOWN_ROUTE, "no route matches this host and path"));
         if (admissionLimited
                 && !shutdownAdmission.accepts(
-                        route.name(),
-                        route.timeout(),
+                        route,
+                        timeLimit(route, request),
                         endNanos - services.time().nanos())) {
             throw new RefusedException(Refusal.notRun(
                     RefusalReason.STOPPING, "this host is stopping; retry at another host", RETRY_ELSEWHERE));
@@ -211,6 +211,11 @@
         });
     }
 
+    private static Duration timeLimit(Forward route, CallerRequest request) {
+        Duration deadline = Duration.ofMillis(request.deadlineMs().orElse(Long.MAX_VALUE));
+        return deadline.compareTo(route.timeout()) < 0 ? deadline : route.timeout();
+    }
+
     private RefusedException noConfiguration() {
         Duration elapsed = Duration.ofNanos(services.time().nanos() - startNanos);
         return new RefusedException(Refusal.notRun(
--- a/router/src/test/java/org/ragwortrun/router/ForwardDaemonTest.java
+++ b/router/src/test/java/org/ragwortrun/router/ForwardDaemonTest.java
@@ -18,6 +18,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.ragwortrun.proto.EvidenceRow;
 import org.ragwortrun.proto.ShardCommand;
 
@@ -377,6 +379,30 @@
         stopped.get(TIMEOUT_MS, TimeUnit.MILLISECONDS);
     }
 
+    /** Guards against a request that must not be repeated, is accepted late and runs longer than others did. */
+    @ParameterizedTest
+    @ValueSource(strings = {"/order/", "/draft/", "/guide/"})
+    void shutdownRefusesRequestThatMayBeCutOff(String target) throws Exception {
+        for (int i = 0; i < 12; i++) {
+            assertThat(call(target, "")).startsWith("HTTP/1.1 200");
+        }
+        CountDownLatch held = new CountDownLatch(1);
+        setScripts((request, out) -> {
+            await(held);
+            return echo(request, out);
+        });
+        CompletableFuture<String> before = CompletableFuture.supplyAsync(() -> unchecked(() -> call("/read/", "")));
+        awaitSent(13);
+        CompletableFuture<Void> stopped = CompletableFuture.runAsync(router.daemon()::close);
+        held.await(300, TimeUnit.MILLISECONDS);
+        String late = raw(get(target, "").replace("q1", "q2"), TIMEOUT_MS);
+        held.countDown();
+        assertThat(late).startsWith("HTTP/1.1 503");
+        assertThat(late).contains("\"run\":\"not run\"");
+        before.get(TIMEOUT_MS, TimeUnit.MILLISECONDS);
+        stopped.get(TIMEOUT_MS, TimeUnit.MILLISECONDS);
+    }
+
     /** Guards against a caller who gets no answer at all when a shutdown interrupts the request. */
     @Test
     void answersRequestInterruptedByShutdown() throws Exception {
--- a/router/src/test/java/org/ragwortrun/router/internal/forward/ShutdownAdmissionTest.java
+++ b/router/src/test/java/org/ragwortrun/router/internal/forward/ShutdownAdmissionTest.java
@@ -3,7 +3,10 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.time.Duration;
+import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
+import org.ragwortrun.core.config.Forward;
 
 /** Checks which requests are accepted at which time before the end of a shutdown. */
 final class ShutdownAdmissionTest {
@@ -40,6 +43,18 @@
         assertThat(accepts("other", 15_000)).isFalse();
     }
 
+    /** Guards against orders and streams that are cut off because they take longer than those before them. */
+    @Test
+    void requiresWholeTimeLimitUnlessRequestMayBeRepeated() {
+        recordAnswered("order", 90, 20);
+        for (Forward.Kind kind : List.of(Forward.Kind.ONCE, Forward.Kind.STREAM)) {
+            assertThat(accepts("order", kind, Duration.ofMillis(600), 800)).isFalse();
+            assertThat(accepts("order", kind, Duration.ofMillis(600), 900)).isTrue();
+        }
+        assertThat(accepts("order", Forward.Kind.IDEMPOTENT, Duration.ofMillis(600), 800))
+                .isTrue();
+    }
+
     private void recordAnswered(String route, long ms, int times) {
         for (int i = 0; i < times; i++) {
             admission.onAnswered(route, Duration.ofMillis(ms).toNanos());
@@ -47,6 +62,13 @@
     }
 
     private boolean accepts(String route, long remainingMs) {
-        return admission.accepts(route, TIMEOUT, Duration.ofMillis(remainingMs).toNanos());
+        return accepts(route, Forward.Kind.IDEMPOTENT, TIMEOUT, remainingMs);
+    }
+
+    private boolean accepts(String route, Forward.Kind kind, Duration timeLimit, long remainingMs) {
+        Forward forward =
+                new Forward(route, "h", "/", kind, false, TIMEOUT, TIMEOUT, TIMEOUT, 0, Map.of(), 1, false, false);
+        return admission.accepts(
+                forward, timeLimit, Duration.ofMillis(remainingMs).toNanos());
     }
 }
