Answer requests that a stop interrupts on the path over agents

Cause: the router closed its server while requests were running. Change: when the time is up, each running request is answered first: with an unknown outcome if it was sent to an agent, otherwise as not run.

Measured: ShutdownAndSlowReadersTest.answersRequestInterruptedByShutdown failed before ("header parser received no bytes") and passes now.

--- a/router/src/main/java/org/ragwortrun/router/internal/Router.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/Router.java
@@ -60,6 +60,8 @@
     private static final Duration CONFIRM_INTERVAL = Duration.ofSeconds(1);
     private static final Duration SETTLE_TIMEOUT = Duration.ofSeconds(5);
     private static final long SECOND_MS = 1_000;
+    // Time to write the answers of requests that a stop interrupts.
+    private static final Duration ANSWER_TIMEOUT = Duration.ofMillis(500);
     private static final long STOP_POLL_MS = 20;
     private static final int NET_THREADS = 2;
     private static final int FLOW_THREADS = 2;
@@ -171,14 +173,23 @@
     }
 
     /**
-     * Stops gracefully: readiness probes of the balancer fail, new requests are refused, running ones finish, bills are
-     * delivered, grants are returned, and the sessions at the shards are closed.
+     * Stops gracefully: readiness probes of the balancer fail, new requests are refused, running ones finish or are
+     * answered when the time is up, bills are delivered, grants are returned, and the sessions at the shards are closed.
      */
     @Override
     public void close() {
         handler.stop();
         Event.of("router-stopping").with("running", handler.active()).info(LOG);
-        long end = time.nanos() + settings.stopTimeout().toNanos();
+        awaitIdle(settings.stopTimeout());
+        int interrupted = handler.active();
+        handler.interruptAll();
+        awaitIdle(ANSWER_TIMEOUT);
+        closer.close();
+        Event.of("router-stopped").with("cut-off", interrupted).info(LOG);
+    }
+
+    private void awaitIdle(Duration timeout) {
+        long end = time.nanos() + timeout.toNanos();
         try {
             while (handler.active() > 0 && end - time.nanos() > 0) {
                 TimeUnit.MILLISECONDS.sleep(STOP_POLL_MS);
@@ -186,9 +197,6 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
-        int interrupted = handler.active();
-        closer.close();
-        Event.of("router-stopped").with("cut-off", interrupted).info(LOG);
     }
 
     private static RequestHandler createHandler(
--- a/router/src/main/java/org/ragwortrun/router/internal/flow/RequestFlow.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/flow/RequestFlow.java
@@ -671,6 +671,18 @@
 
     // ---- completion ----
 
+    /** Answers the caller because this host stops. A request that its agent runs continues there. */
+    void interrupt() {
+        if (answer.isEnded()) {
+            return;
+        }
+        if (state == FlowState.SENT || state == FlowState.RECOVERING) {
+            fail(Refusal.unknown(RefusalReason.OUTCOME_UNKNOWN, "this host stopped before the request had ended"));
+        } else {
+            refuseNotRun(Refusal.notRun(RefusalReason.STOPPING, "this host is stopping", RETRY_DELAY));
+        }
+    }
+
     private void onDeadline() {
         if (answer.isEnded()) {
             return;
--- a/router/src/main/java/org/ragwortrun/router/internal/flow/RequestHandler.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/flow/RequestHandler.java
@@ -2,6 +2,8 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
@@ -31,6 +33,7 @@
     private final BooleanSupplier healthy;
     private final AtomicInteger active = new AtomicInteger();
     private final AtomicLong ids = new AtomicLong();
+    private final Set<Session> sessions = ConcurrentHashMap.newKeySet();
     private volatile boolean stopping;
 
     /**
@@ -99,6 +102,11 @@
         stopping = true;
     }
 
+    /** Answers the requests that still run, because this host stops. */
+    public void interruptAll() {
+        sessions.forEach(s -> s.mailbox.execute(s::interrupt));
+    }
+
     /** Returns the number of requests that have not ended. */
     public int active() {
         return active.get();
@@ -142,11 +150,24 @@
                 return;
             }
             long now = services.time().nanos();
-            RequestFlow f = new RequestFlow(services, admitted, response, mailbox, now, active::decrementAndGet);
+            RequestFlow f = new RequestFlow(services, admitted, response, mailbox, now, this::onDone);
             flow = f;
+            sessions.add(this);
             f.start();
         }
 
+        private void onDone() {
+            sessions.remove(this);
+            active.decrementAndGet();
+        }
+
+        void interrupt() {
+            RequestFlow f = flow;
+            if (f != null) {
+                f.interrupt();
+            }
+        }
+
         void onExchangeEnded() {
             RequestFlow f = flow;
             if (f != null) {
--- a/router/src/test/java/org/ragwortrun/router/ShutdownAndSlowReadersTest.java
+++ b/router/src/test/java/org/ragwortrun/router/ShutdownAndSlowReadersTest.java
@@ -110,6 +110,23 @@
         harness.second.release();
     }
 
+    /** Guards against a caller who gets no answer at all when a shutdown interrupts the request. */
+    @Test
+    void answersRequestInterruptedByShutdown() throws Exception {
+        harness.close();
+        harness = new RouterHarness(Map.of("daemon.stop-timeout", "400ms"));
+        harness.first.holdAt = 0;
+        harness.second.holdAt = 0;
+        CompletableFuture<HttpResponse<String>> call = harness.sendAsync(harness.chat(true, "x"));
+        RouterHarness.await(() -> harness.first.dispatches.size() + harness.second.dispatches.size() == 1);
+        harness.router.close();
+        HttpResponse<String> answer = call.get();
+        assertThat(answer.statusCode()).isEqualTo(502);
+        assertThat(answer.body()).contains("\"run\":\"unknown\"");
+        harness.first.release();
+        harness.second.release();
+    }
+
     /** Guards against a shutdown that interrupts a stream, loses a bill or keeps a grant. */
     @Test
     void shutdownFinishesStreamsAndReturnsGrants() throws Exception {
