Reopen a member after an unexpected failure too

Cause: a member whose disk was full is reopened by a task on a timer. An unexpected exception in one attempt ended the task, and no other followed. Change: such a failure is logged, and the next attempt follows.

Measured: MemberSupervisorTest.reopensAfterUnexpectedFailure failed before and passes now.

--- a/control/src/main/java/org/ragwortrun/control/internal/MemberSupervisor.java
+++ b/control/src/main/java/org/ragwortrun/control/internal/MemberSupervisor.java
@@ -99,6 +99,7 @@
         }
     }
 
+    @SuppressWarnings("PMD.AvoidCatchingGenericException")
     private synchronized void reopen() {
         closeCurrent();
         try {
@@ -107,6 +108,10 @@
             // The files may be damaged. The process keeps running, so that its log can be read.
             Event.of("reopen-failed").with("type", e.type()).error(LOG, e);
             scheduleReopen();
+        } catch (RuntimeException e) {
+            // The timer would not run the task again.
+            Event.of("reopen-failed").with("type", "unexpected").error(LOG, e);
+            scheduleReopen();
         }
     }
 
--- a/control/src/test/java/org/ragwortrun/control/internal/MemberSupervisorTest.java
+++ b/control/src/test/java/org/ragwortrun/control/internal/MemberSupervisorTest.java
@@ -18,6 +18,7 @@
     private final List<String> log = new CopyOnWriteArrayList<>();
     private final BlockingQueue<Runnable> opened = new LinkedBlockingQueue<>();
     private volatile int failures;
+    private volatile int unexpectedFailures;
 
     /** Guards against a member that never rejoins its groups after its disk was temporarily full. */
     @Test
@@ -34,6 +35,21 @@
                 .inOrder();
     }
 
+    /** Guards against a member that is never opened again because one attempt failed in an unexpected way. */
+    @Test
+    void reopensAfterUnexpectedFailure() throws Exception {
+        try (MemberSupervisor member = MemberSupervisor.start(this::open)) {
+            assertThat(member).isNotNull();
+            Runnable onFailure = opened.poll(5, TimeUnit.SECONDS);
+            unexpectedFailures = 1;
+            onFailure.run();
+            assertThat(opened.poll(10, TimeUnit.SECONDS)).isNotNull();
+        }
+        assertThat(log)
+                .containsExactly("open", "close", "failed", "open", "close")
+                .inOrder();
+    }
+
     /** Guards against a process that exits because its disk is full at startup. */
     @Test
     void startsOnceStorageIsUsable() throws Exception {
@@ -61,6 +77,11 @@
             log.add("refused");
             throw new StorageException(Path.of("data"), new IOException("No space left on device"));
         }
+        if (unexpectedFailures > 0) {
+            unexpectedFailures--;
+            log.add("failed");
+            throw new IllegalStateException("unexpected");
+        }
         log.add("open");
         opened.add(onFailure);
         return () -> log.add("close");
