Keep the other entries of a list beside one that cannot be read

Change: entries are separated by their brackets and quotes before each is parsed by itself (EntryList), also in the list of hosts on the path over agents. Periodic work continues after a stack overflow.

--- a/core/src/main/java/org/ragwortrun/core/concurrent/SingleThreadExecutor.java
+++ b/core/src/main/java/org/ragwortrun/core/concurrent/SingleThreadExecutor.java
@@ -95,7 +95,7 @@
         return () -> {
             try {
                 task.run();
-            } catch (RuntimeException e) {
+            } catch (RuntimeException | StackOverflowError e) {
                 Event.of("periodic-task-failed")
                         .with("thread", Thread.currentThread().getName())
                         .error(LOG, e);
--- a/core/src/test/java/org/ragwortrun/core/concurrent/SingleThreadExecutorTest.java
+++ b/core/src/test/java/org/ragwortrun/core/concurrent/SingleThreadExecutorTest.java
@@ -5,18 +5,23 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 final class SingleThreadExecutorTest {
     /** Guards against periodic tasks that silently stop after one unexpected failure. */
-    @Test
-    void repeatsTaskAfterFailure() throws Exception {
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void repeatsTaskAfterFailure(boolean overflow) throws Exception {
         ScheduledExecutorService timer = SingleThreadExecutor.timer("test");
         CountDownLatch runs = new CountDownLatch(3);
         SingleThreadExecutor.repeat(
                 timer,
                 () -> {
                     runs.countDown();
+                    if (overflow) {
+                        throw new StackOverflowError();
+                    }
                     throw new IllegalStateException("unexpected");
                 },
                 0,
--- a/net/src/main/java/org/ragwortrun/net/Address.java
+++ b/net/src/main/java/org/ragwortrun/net/Address.java
@@ -1,5 +1,6 @@
 package org.ragwortrun.net;
 
+import io.netty.util.NetUtil;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -24,9 +25,25 @@
             throw new AddressException(text);
         }
         String host = m.group(1).replace("[", "").replace("]", "");
+        if (!NetUtil.isValidIpV4Address(host) && !NetUtil.isValidIpV6Address(host)) {
+            throw new AddressException(text);
+        }
         return new Address(host, Integer.parseInt(m.group(2)));
     }
 
+    /**
+     * Parses {@code ip:port} of another process, whose port is not 0.
+     *
+     * @throws AddressException if the text has another form
+     */
+    public static Address parseRemote(String text) throws AddressException {
+        Address address = parse(text);
+        if (address.port == 0) {
+            throw new AddressException(text);
+        }
+        return address;
+    }
+
     @Override
     public String toString() {
         return host + ":" + port;
--- a/router/src/main/java/org/ragwortrun/router/internal/Router.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/Router.java
@@ -153,7 +153,7 @@
         SingleThreadExecutor.repeat(timer, held, SECOND_MS, SECOND_MS);
         SingleThreadExecutor.repeat(timer, agents::closeRetired, SECOND_MS, SECOND_MS);
         if (!settings.hostList().isEmpty()) {
-            HostListPoller hosts = new HostListPoller(settings.hostList(), json, agents::markLeaving);
+            HostListPoller hosts = new HostListPoller(settings.hostList(), agents::markLeaving);
             SingleThreadExecutor.repeat(slowTimer, hosts, 0, SECOND_MS);
         }
         registerGauges(metrics, handler, buffers, settlements, grants);
--- a/router/src/main/java/org/ragwortrun/router/internal/agents/HostListPoller.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/agents/HostListPoller.java
@@ -1,19 +1,20 @@
 package org.ragwortrun.router.internal.agents;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.net.URI;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.ragwortrun.core.log.Event;
 import org.ragwortrun.net.http.DocumentReader;
+import org.ragwortrun.net.http.EntryList;
 
 /**
  * Reads the platform's list of live and leaving hosts.
@@ -28,7 +29,6 @@
     private static final int MAX_BYTES = 8 << 20;
 
     private final String source;
-    private final ObjectMapper json;
     private final Consumer<Set<String>> leavingListener;
     private final DocumentReader http = new DocumentReader(IDLE_TIMEOUT, TOTAL_TIMEOUT, MAX_BYTES);
     private Set<String> leavingHosts = Set.of();
@@ -40,16 +40,15 @@
      * @param source HTTP URL or file name
      * @param leavingListener receives the hosts that are newly listed as leaving
      */
-    public HostListPoller(String source, ObjectMapper json, Consumer<Set<String>> leavingListener) {
+    public HostListPoller(String source, Consumer<Set<String>> leavingListener) {
         this.source = source;
-        this.json = json;
         this.leavingListener = leavingListener;
     }
 
     @Override
     public void run() {
         try {
-            update(json.readTree(read()));
+            update(EntryList.read(read(), "hosts").entries());
             failing = false;
         } catch (IOException e) {
             if (!failing) {
@@ -66,12 +65,9 @@
         return http.read(URI.create(source));
     }
 
-    private void update(JsonNode root) throws IOException {
-        if (root == null || !root.path("hosts").isArray()) {
-            throw new IOException("the host list has no array 'hosts'");
-        }
+    private void update(List<JsonNode> hosts) {
         Set<String> now = new HashSet<>();
-        for (JsonNode host : root.path("hosts")) {
+        for (JsonNode host : hosts) {
             if ("leaving".equals(host.path("state").asText())) {
                 now.add(host.path("name").asText());
             }
--- a/router/src/test/java/org/ragwortrun/router/internal/agents/HostListPollerTest.java
+++ b/router/src/test/java/org/ragwortrun/router/internal/agents/HostListPollerTest.java
@@ -3,7 +3,6 @@
 import static com.google.common.truth.Truth.assertThat;
 import static java.nio.charset.StandardCharsets.ISO_8859_1;
 
-import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -27,7 +26,7 @@
     void reportsOnlyHostsThatAreNewlyLeaving(@TempDir Path folder) throws Exception {
         Path file = folder.resolve("hosts.json");
         List<Set<String>> reported = new ArrayList<>();
-        HostListPoller list = new HostListPoller(file.toString(), new ObjectMapper(), reported::add);
+        HostListPoller list = new HostListPoller(file.toString(), reported::add);
         write(file, "live", "live");
         list.run();
         write(file, "leaving", "live");
@@ -48,6 +47,19 @@
                 .inOrder();
     }
 
+    /** Guards against one odd entry that makes the list unreadable. */
+    @Test
+    void readsOtherEntriesBesideOddOne(@TempDir Path folder) throws Exception {
+        Path file = folder.resolve("hosts.json");
+        List<Set<String>> reported = new ArrayList<>();
+        Files.writeString(
+                file,
+                "{\"hosts\":[{\"name\":" + "[".repeat(2_000) + "]".repeat(2_000) + "},"
+                        + "{\"name\":\"a\",\"state\":\"leaving\"}]}");
+        new HostListPoller(file.toString(), reported::add).run();
+        assertThat(reported).containsExactly(Set.of("a"));
+    }
+
     /** Guards against a poller that hangs forever because the server of the list sends one byte at a time. */
     @Test
     void timesOutOnSlowResponse() throws Exception {
@@ -55,8 +67,7 @@
             Thread sender = new Thread(() -> sendSlowly(server), "list-in-trouble");
             sender.setDaemon(true);
             sender.start();
-            HostListPoller list =
-                    new HostListPoller("http://127.0.0.1:" + server.getLocalPort(), new ObjectMapper(), h -> {});
+            HostListPoller list = new HostListPoller("http://127.0.0.1:" + server.getLocalPort(), h -> {});
             CompletableFuture.runAsync(list).get(TIMEOUT_S, TimeUnit.SECONDS);
         }
     }
