Let routers beside members coordinate where there are no others

Cause: coordinators are taken from the routers that take reservations, which are those on hosts without a control member. A small site may have no such host, and its routers then only have fixed shares of a limit, which are unused at routers without requests. Change: the list contains all routers if there is none apart from members (ServingRouters).

--- a/control/src/main/java/org/ragwortrun/control/internal/EndpointDirectory.java
+++ b/control/src/main/java/org/ragwortrun/control/internal/EndpointDirectory.java
@@ -6,11 +6,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.WeakHashMap;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.Collectors;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.ragwortrun.core.concurrent.Causes;
@@ -47,7 +45,7 @@
     private final ScheduledExecutorService timer = SingleThreadExecutor.timer("control-endpoints");
     private List<ListedEndpoint> last = List.of();
     private List<Peer> routers = List.of();
-    private List<RouterAddress> reservationRouters = List.of();
+    private List<RouterAddress> servingRouters = List.of();
     // Sequence number of the last full list that was sent on each connection.
     private final Map<Peer, Long> sentSequences = new WeakHashMap<>();
     private OptionalLong sentTerm = OptionalLong.empty();
@@ -170,7 +168,7 @@
         Frame unchanged =
                 Frame.newBuilder().setEndpointList(list.setUnchanged(true)).build();
         Frame full = Frame.newBuilder()
-                .setEndpointList(list.setUnchanged(false).addAllEndpoints(last).addAllPeers(reservationRouters))
+                .setEndpointList(list.setUnchanged(false).addAllEndpoints(last).addAllPeers(servingRouters))
                 .build();
         for (Peer p : routers) {
             if (p.isWritable()) {
@@ -180,30 +178,14 @@
         }
     }
 
-    private static String host(String address) {
-        return address.substring(0, Math.max(0, address.lastIndexOf(':')));
-    }
-
-    /** Updates the list of connected routers. Returns whether the set of routers that hold reservations has changed. */
+    /** Updates the list of connected routers. Returns whether the set of routers that serve others has changed. */
     private boolean updateRouters() {
         routers = peers.byRole(Role.ROUTER);
-        // Excludes routers on hosts with a control member: such a host fails or is partitioned together with a replica
-        // of the budget's owner, and reservations should survive the loss of the owner.
-        Set<String> hosts =
-                meta.members().stream().map(m -> host(m.getAddress())).collect(Collectors.toSet());
-        List<RouterAddress> next = routers.stream()
-                .filter(p -> !p.hello().getAddress().isEmpty()
-                        && !hosts.contains(host(p.hello().getAddress())))
-                .map(p -> RouterAddress.newBuilder()
-                        .setName(p.hello().getName())
-                        .setDataCenter(p.hello().getDataCenter())
-                        .setAddress(p.hello().getAddress())
-                        .build())
-                .sorted(Comparator.comparing(RouterAddress::getName))
-                .distinct()
-                .toList();
-        boolean changed = !next.equals(reservationRouters);
-        reservationRouters = next;
+        List<RouterAddress> next = ServingRouters.select(
+                routers.stream().map(Peer::hello).toList(),
+                meta.members().stream().map(m -> m.getAddress()).toList());
+        boolean changed = !next.equals(servingRouters);
+        servingRouters = next;
         return changed;
     }
 }
--- a/proto/src/main/java/org/ragwortrun/proto/EndpointList.java
+++ b/proto/src/main/java/org/ragwortrun/proto/EndpointList.java
@@ -260,7 +260,7 @@
   private com.google.protobuf.Internal.ProtobufList<org.ragwortrun.proto.RouterAddress> peers_;
   /**
    * <pre>
-   * Routers that accept reservations from other routers.
+   * Routers that accept reservations and requests for permits from other routers.
    * </pre>
    *
    * <code>repeated .org.ragwortrun.proto.RouterAddress peers = 6;</code>
@@ -271,7 +271,7 @@
   }
   /**
    * <pre>
-   * Routers that accept reservations from other routers.
+   * Routers that accept reservations and requests for permits from other routers.
    * </pre>
    *
    * <code>repeated .org.ragwortrun.proto.RouterAddress peers = 6;</code>
@@ -282,7 +282,7 @@
   }
   /**
    * <pre>
-   * Routers that accept reservations from other routers.
+   * Routers that accept reservations and requests for permits from other routers.
    * </pre>
    *
    * <code>repeated .org.ragwortrun.proto.RouterAddress peers = 6;</code>
@@ -293,7 +293,7 @@
   }
   /**
    * <pre>
-   * Routers that accept reservations from other routers.
+   * Routers that accept reservations and requests for permits from other routers.
    * </pre>
    *
    * <code>repeated .org.ragwortrun.proto.RouterAddress peers = 6;</code>
@@ -304,7 +304,7 @@
   }
   /**
    * <pre>
-   * Routers that accept reservations from other routers.
+   * Routers that accept reservations and requests for permits from other routers.
    * </pre>
    *
    * <code>repeated .org.ragwortrun.proto.RouterAddress peers = 6;</code>
@@ -323,7 +323,7 @@
 
   /**
    * <pre>
-   * Routers that accept reservations from other routers.
+   * Routers that accept reservations and requests for permits from other routers.
    * </pre>
    *
    * <code>repeated .org.ragwortrun.proto.RouterAddress peers = 6;</code>
@@ -336,7 +336,7 @@
   }
   /**
    * <pre>
-   * Routers that accept reservations from other routers.
+   * Routers that accept reservations and requests for permits from other routers.
    * </pre>
    *
    * <code>repeated .org.ragwortrun.proto.RouterAddress peers = 6;</code>
@@ -348,7 +348,7 @@
   }
   /**
    * <pre>
-   * Routers that accept reservations from other routers.
+   * Routers that accept reservations and requests for permits from other routers.
    * </pre>
    *
    * <code>repeated .org.ragwortrun.proto.RouterAddress peers = 6;</code>
@@ -361,7 +361,7 @@
   }
   /**
    * <pre>
-   * Routers that accept reservations from other routers.
+   * Routers that accept reservations and requests for permits from other routers.
    * </pre>
    *
    * <code>repeated .org.ragwortrun.proto.RouterAddress peers = 6;</code>
@@ -374,7 +374,7 @@
   }
   /**
    * <pre>
-   * Routers that accept reservations from other routers.
+   * Routers that accept reservations and requests for permits from other routers.
    * </pre>
    *
    * <code>repeated .org.ragwortrun.proto.RouterAddress peers = 6;</code>
@@ -384,7 +384,7 @@
   }
   /**
    * <pre>
-   * Routers that accept reservations from other routers.
+   * Routers that accept reservations and requests for permits from other routers.
    * </pre>
    *
    * <code>repeated .org.ragwortrun.proto.RouterAddress peers = 6;</code>
@@ -788,7 +788,7 @@
 
     /**
      * <pre>
-     * Routers that accept reservations from other routers.
+     * Routers that accept reservations and requests for permits from other routers.
      * </pre>
      *
      * <code>repeated .org.ragwortrun.proto.RouterAddress peers = 6;</code>
@@ -800,7 +800,7 @@
     }
     /**
      * <pre>
-     * Routers that accept reservations from other routers.
+     * Routers that accept reservations and requests for permits from other routers.
      * </pre>
      *
      * <code>repeated .org.ragwortrun.proto.RouterAddress peers = 6;</code>
@@ -810,7 +810,7 @@
       return instance.getPeersCount();
     }/**
      * <pre>
-     * Routers that accept reservations from other routers.
+     * Routers that accept reservations and requests for permits from other routers.
      * </pre>
      *
      * <code>repeated .org.ragwortrun.proto.RouterAddress peers = 6;</code>
@@ -821,7 +821,7 @@
     }
     /**
      * <pre>
-     * Routers that accept reservations from other routers.
+     * Routers that accept reservations and requests for permits from other routers.
      * </pre>
      *
      * <code>repeated .org.ragwortrun.proto.RouterAddress peers = 6;</code>
@@ -834,7 +834,7 @@
     }
     /**
      * <pre>
-     * Routers that accept reservations from other routers.
+     * Routers that accept reservations and requests for permits from other routers.
      * </pre>
      *
      * <code>repeated .org.ragwortrun.proto.RouterAddress peers = 6;</code>
@@ -848,7 +848,7 @@
     }
     /**
      * <pre>
-     * Routers that accept reservations from other routers.
+     * Routers that accept reservations and requests for permits from other routers.
      * </pre>
      *
      * <code>repeated .org.ragwortrun.proto.RouterAddress peers = 6;</code>
@@ -860,7 +860,7 @@
     }
     /**
      * <pre>
-     * Routers that accept reservations from other routers.
+     * Routers that accept reservations and requests for permits from other routers.
      * </pre>
      *
      * <code>repeated .org.ragwortrun.proto.RouterAddress peers = 6;</code>
@@ -873,7 +873,7 @@
     }
     /**
      * <pre>
-     * Routers that accept reservations from other routers.
+     * Routers that accept reservations and requests for permits from other routers.
      * </pre>
      *
      * <code>repeated .org.ragwortrun.proto.RouterAddress peers = 6;</code>
@@ -886,7 +886,7 @@
     }
     /**
      * <pre>
-     * Routers that accept reservations from other routers.
+     * Routers that accept reservations and requests for permits from other routers.
      * </pre>
      *
      * <code>repeated .org.ragwortrun.proto.RouterAddress peers = 6;</code>
@@ -900,7 +900,7 @@
     }
     /**
      * <pre>
-     * Routers that accept reservations from other routers.
+     * Routers that accept reservations and requests for permits from other routers.
      * </pre>
      *
      * <code>repeated .org.ragwortrun.proto.RouterAddress peers = 6;</code>
@@ -913,7 +913,7 @@
     }
     /**
      * <pre>
-     * Routers that accept reservations from other routers.
+     * Routers that accept reservations and requests for permits from other routers.
      * </pre>
      *
      * <code>repeated .org.ragwortrun.proto.RouterAddress peers = 6;</code>
@@ -925,7 +925,7 @@
     }
     /**
      * <pre>
-     * Routers that accept reservations from other routers.
+     * Routers that accept reservations and requests for permits from other routers.
      * </pre>
      *
      * <code>repeated .org.ragwortrun.proto.RouterAddress peers = 6;</code>
--- a/proto/src/main/java/org/ragwortrun/proto/EndpointListOrBuilder.java
+++ b/proto/src/main/java/org/ragwortrun/proto/EndpointListOrBuilder.java
@@ -62,7 +62,7 @@
 
   /**
    * <pre>
-   * Routers that accept reservations from other routers.
+   * Routers that accept reservations and requests for permits from other routers.
    * </pre>
    *
    * <code>repeated .org.ragwortrun.proto.RouterAddress peers = 6;</code>
@@ -71,7 +71,7 @@
       getPeersList();
   /**
    * <pre>
-   * Routers that accept reservations from other routers.
+   * Routers that accept reservations and requests for permits from other routers.
    * </pre>
    *
    * <code>repeated .org.ragwortrun.proto.RouterAddress peers = 6;</code>
@@ -79,7 +79,7 @@
   org.ragwortrun.proto.RouterAddress getPeers(int index);
   /**
    * <pre>
-   * Routers that accept reservations from other routers.
+   * Routers that accept reservations and requests for permits from other routers.
    * </pre>
    *
    * <code>repeated .org.ragwortrun.proto.RouterAddress peers = 6;</code>
