Ignore the Retry-After of a repeated refusal

What callers saw: requests that went elsewhere, or were refused, for as long as an endpoint had once asked for, because a copy of its refusal arrived on a connection in use again.

Cause: notices are also read from answers that are dropped as copies, and the time in a copy was counted from the copy's arrival. Change: only an answer to the current request begins such a time. An announcement that an endpoint leaves is read from copies as before.

Measured: EndpointNoticesTest.ignoresRetryAfterInRepeatedRefusal failed before and passes now.

--- a/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointConnection.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointConnection.java
@@ -148,7 +148,7 @@
         undecodedBytes = 0;
         AnswerListener l = listener;
         if (part instanceof HttpResponse head && !part.decoderResult().isFailure()) {
-            pool.onHead(head);
+            pool.onHead(head, l != null && isCurrent(head));
         }
         if (part.decoderResult().isFailure() || l == null && !skipping) {
             fail(ctx, "not-an-answer");
@@ -162,6 +162,12 @@
         }
     }
 
+    /** Returns whether an answer is certainly not the copy of an answer to an earlier request. */
+    private boolean isCurrent(HttpResponse head) {
+        return !headers.isForOtherRequest(head.headers(), requestId)
+                && (requests == 1 || headers.namesRequest(head.headers()));
+    }
+
     private void onHead(ChannelHandlerContext ctx, HttpResponse head, AnswerListener l) {
         boolean interim = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
         boolean forOtherRequest = headers.isForOtherRequest(head.headers(), requestId);
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointConnectionPool.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointConnectionPool.java
@@ -30,7 +30,7 @@
     private final Time time;
     private final RequestHeaders headers;
     private final Deque<EndpointConnection> idle = new ArrayDeque<>();
-    private Consumer<HttpResponse> headListener = h -> {};
+    private HeadListener headListener = (head, current) -> {};
     private int open;
 
     EndpointConnectionPool(EventLoop loop, Address address, Time time, RequestHeaders headers) {
@@ -40,13 +40,22 @@
         this.headers = headers;
     }
 
-    /** Sets the listener that receives the head of each answer, including answers that are dropped. */
-    void setHeadListener(Consumer<HttpResponse> listener) {
+    /** Receives the heads of answers. */
+    interface HeadListener {
+        /**
+         * Called for the head of each answer, including answers that are dropped.
+         *
+         * @param current whether it answers the current request; otherwise it may repeat an earlier answer
+         */
+        void onHead(HttpResponse head, boolean current);
+    }
+
+    void setHeadListener(HeadListener listener) {
         headListener = listener;
     }
 
-    void onHead(HttpResponse head) {
-        headListener.accept(head);
+    void onHead(HttpResponse head, boolean current) {
+        headListener.onHead(head, current);
     }
 
     /** Returns whether a request would need a new connection although the limit is reached. */
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointTable.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointTable.java
@@ -10,7 +10,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.BiConsumer;
 import java.util.function.Function;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -38,7 +37,7 @@
 
     private final Time time;
     private final Function<ListedEndpoint, EndpointConnectionPool> connector;
-    private final BiConsumer<EndpointState, HttpResponse> headListener;
+    private final HeadReader headReader;
     private final Duration longestPause;
     private final Map<String, EndpointState> states = new HashMap<>();
     // Kept longer than the states, for endpoints that are removed and listed again.
@@ -59,23 +58,33 @@
     private volatile boolean listKnown;
     private int routers = DEFAULT_ROUTERS;
 
+    /** Reads the heads of answers. */
+    interface HeadReader {
+        /**
+         * Reads the head of an answer.
+         *
+         * @param current whether it answers the current request; otherwise it may repeat an earlier answer
+         */
+        void read(EndpointState endpoint, HttpResponse head, boolean current);
+    }
+
     private record Notices(EndpointNotices general, EndpointLimit limit) {}
 
     /**
      * Creates an empty table.
      *
      * @param connector creates the connection pool of an endpoint
-     * @param headListener receives the head of each answer of an endpoint
+     * @param headReader receives the head of each answer of an endpoint
      * @param longestPause longest time for which an endpoint may ask to get no requests
      */
     EndpointTable(
             Time time,
             Function<ListedEndpoint, EndpointConnectionPool> connector,
-            BiConsumer<EndpointState, HttpResponse> headListener,
+            HeadReader headReader,
             Duration longestPause) {
         this.time = time;
         this.connector = connector;
-        this.headListener = headListener;
+        this.headReader = headReader;
         this.longestPause = longestPause;
         leaderListNanos = time.nanos();
     }
@@ -144,7 +153,7 @@
         Notices known = notices.computeIfAbsent(
                 e.getId(), id -> new Notices(new EndpointNotices(longestPause), new EndpointLimit()));
         EndpointState state = new EndpointState(e, connections, known.general(), known.limit(), now);
-        connections.setHeadListener(head -> headListener.accept(state, head));
+        connections.setHeadListener((head, current) -> headReader.read(state, head, current));
         return state;
     }
 
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/NoticeReader.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/NoticeReader.java
@@ -12,7 +12,12 @@
 import org.ragwortrun.core.time.Time;
 import org.ragwortrun.routing.EndpointNotices;
 
-/** Reads from the heads of answers whether endpoints are leaving or ask to get no requests for a time. */
+/**
+ * Reads from the heads of answers whether endpoints are leaving or ask to get no requests for a time.
+ *
+ * <p>An endpoint that was leaving is still leaving, but a time that it asked for has begun with the original answer. Times
+ * in repeated answers are therefore ignored.
+ */
 final class NoticeReader {
     private static final Logger LOG = LogManager.getLogger(NoticeReader.class);
     private static final int UNAVAILABLE = 503;
@@ -36,8 +41,12 @@
         this.random = random;
     }
 
-    /** Reads the head of an answer on a connection to an endpoint. Ignores one that names another endpoint. */
-    void read(EndpointState endpoint, HttpResponse answer) {
+    /**
+     * Reads the head of an answer on a connection to an endpoint. Ignores one that names another endpoint.
+     *
+     * @param current whether it answers the current request; otherwise it may repeat an earlier answer
+     */
+    void read(EndpointState endpoint, HttpResponse answer, boolean current) {
         HttpHeaders headers = answer.headers();
         int status = answer.status().code();
         if (status == MISDIRECTED || requestHeaders.isFromOtherEndpoint(headers, endpoint.id())) {
@@ -53,7 +62,7 @@
                     .info(LOG);
         }
         String retryAfter = headers.get(HttpHeaderNames.RETRY_AFTER);
-        if (status == UNAVAILABLE && retryAfter != null) {
+        if (current && status == UNAVAILABLE && retryAfter != null) {
             onPauseRequested(endpoint, retryAfter);
         }
     }
--- a/router/src/test/java/org/ragwortrun/router/EndpointNoticesTest.java
+++ b/router/src/test/java/org/ragwortrun/router/EndpointNoticesTest.java
@@ -226,6 +226,20 @@
         assertThat(first.requests.size()).isGreaterThan(REQUESTS / 2);
     }
 
+    /** Guards against a time that is counted again from the repeated copy of the refusal that named it. */
+    @Test
+    void ignoresRetryAfterInRepeatedRefusal() throws Exception {
+        first.script = (request, out) -> {
+            write(
+                    out,
+                    "HTTP/1.1 503 No\r\nRagwortrun-Not-Run: 1\r\nX-Request-Id: earlier\r\nRetry-After: 5\r\n"
+                            + "Content-Length: 0\r\n\r\n" + ok(id(request), "done"));
+            return true;
+        };
+        send(REQUESTS);
+        assertThat(first.requests).hasSize(REQUESTS);
+    }
+
     @Test
     void ignoresInvalidRetryAfter() throws Exception {
         for (String value : List.of("-3", "soon", "NaN", "")) {
--- a/router/src/test/java/org/ragwortrun/router/internal/forward/CallerConnectionTest.java
+++ b/router/src/test/java/org/ragwortrun/router/internal/forward/CallerConnectionTest.java
@@ -77,7 +77,7 @@
                 e -> {
                     throw new AssertionError("nothing is sent");
                 },
-                (endpoint, head) -> {},
+                (endpoint, head, current) -> {},
                 Duration.ZERO);
         RequestAdmission admission = new RequestAdmission(new ForwardServices(
                 "dc",
