Give up at a stop and at a deadline in one place

The end at a deadline and at a stop share their code now, and the refusals of claims are built beside the others. At a stop an agent is told to cancel, as at a deadline: it finishes requests with a key and orders, and bills are awaited for the time that remains.

--- a/router/src/main/java/org/ragwortrun/router/internal/flow/Refusals.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/flow/Refusals.java
@@ -24,6 +24,18 @@
         return Refusal.ran(RefusalReason.ANSWER_EXPIRED, "the agent no longer keeps the answer");
     }
 
+    /** Returns the refusal for a claim whose action is to refuse. */
+    static Refusal ofClaim(ClaimAction action) {
+        return switch (action) {
+            case REFUSE_REUSED ->
+                Refusal.notRun(RefusalReason.ID_REUSED, "the id belongs to a request with different content");
+            case REFUSE_EXPIRED ->
+                Refusal.unknown(RefusalReason.ID_EXPIRED, "the id is older than the retention period of ids");
+            case REFUSE_FUTURE -> Refusal.notRun(RefusalReason.ID_IN_FUTURE, "the key's time is in the future");
+            default -> unknownOutcome("it is unknown whether an earlier attempt ran");
+        };
+    }
+
     /** Converts a refusal that an agent sent. */
     static Refusal of(Refused refused) {
         RefusalReason reason = RefusalReason.ofCode(refused.getReason()).orElse(RefusalReason.ENDPOINT_FAILED);
--- a/router/src/main/java/org/ragwortrun/router/internal/flow/RequestFlow.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/flow/RequestFlow.java
@@ -223,17 +223,13 @@
             onRegisterUnreachable(candidate, failure);
             return;
         }
-        switch (ClaimRule.decide(result, request.route().repeatable())) {
+        ClaimAction action = ClaimRule.decide(result, request.route().repeatable());
+        switch (action) {
             case DISPATCH -> onClaimed(candidate, result);
             case REPLACE -> replaceAttempt(result.getAttempt());
             case ASK_AGENT, ATTACH -> recoverEarlierAttempt(result);
             case ANSWER_KEPT -> answerFromRegister(result);
-            case REFUSE_REUSED ->
-                refuse(Refusal.notRun(RefusalReason.ID_REUSED, "the id belongs to a request with different content"));
-            case REFUSE_EXPIRED ->
-                refuse(Refusal.unknown(RefusalReason.ID_EXPIRED, "the id is older than the retention period of ids"));
-            case REFUSE_FUTURE -> refuse(Refusal.notRun(RefusalReason.ID_IN_FUTURE, "the key's time is in the future"));
-            case REFUSE_UNKNOWN -> refuse(Refusals.unknownOutcome("it is unknown whether an earlier attempt ran"));
+            default -> refuse(Refusals.ofClaim(action));
         }
     }
 
@@ -381,7 +377,7 @@
 
     @Override
     public void onFrame(AgentCall from, Frame frame) {
-        if (!isCurrent(from)) {
+        if (!from.equals(call)) {
             return;
         }
         if (frame.hasChunk()) {
@@ -401,7 +397,7 @@
 
     @Override
     public void onLost(AgentCall from, TransportException cause) {
-        if (!isCurrent(from)) {
+        if (!from.equals(call)) {
             return;
         }
         if (from.isDispatch() && cause.kind() == TransportException.Kind.NOT_SENT) {
@@ -673,13 +669,11 @@
 
     /** Answers the caller because this host stops. A request that its agent runs continues there. */
     void interrupt() {
-        if (answer.isEnded()) {
-            return;
-        }
-        if (state == FlowState.SENT || state == FlowState.RECOVERING) {
-            fail(Refusal.unknown(RefusalReason.OUTCOME_UNKNOWN, "this host stopped before the request had ended"));
-        } else {
-            refuseNotRun(Refusal.notRun(RefusalReason.STOPPING, "this host is stopping", RETRY_DELAY));
+        if (!answer.isEnded()) {
+            giveUp(
+                    "host-stops",
+                    Refusal.unknown(RefusalReason.OUTCOME_UNKNOWN, "this host stopped before the request had ended"),
+                    Refusal.notRun(RefusalReason.STOPPING, "this host is stopping", RETRY_DELAY));
         }
     }
 
@@ -691,18 +685,25 @@
             deadline = schedule(RETRY_DELAY, this::onDeadline);
             return;
         }
-        if (state == FlowState.SENT) {
-            if (!answer.isStarted()) {
-                report.recordEvidence(false);
+        if (state == FlowState.SENT && !answer.isStarted()) {
+            report.recordEvidence(false);
+        }
+        giveUp(
+                "deadline",
+                Refusal.unknown(RefusalReason.ENDPOINT_TIMEOUT, "the deadline of the route has passed"),
+                Refusal.notRun(RefusalReason.ENDPOINT_TIMEOUT, "the deadline passed before an endpoint was found"));
+    }
+
+    /** Answers the caller before the request has ended, with an unknown outcome if it was sent. */
+    private void giveUp(String cause, Refusal unknown, Refusal notRun) {
+        switch (state) {
+            case SENT -> {
+                cancelUnlessKeyed(cause);
+                answer.fail(unknown);
+                drain();
             }
-            cancelUnlessKeyed("deadline");
-            answer.fail(Refusal.unknown(RefusalReason.ENDPOINT_TIMEOUT, "the deadline of the route has passed"));
-            drain();
-        } else if (state == FlowState.RECOVERING) {
-            fail(Refusal.unknown(RefusalReason.ENDPOINT_TIMEOUT, "the deadline of the route has passed"));
-        } else {
-            refuseNotRun(
-                    Refusal.notRun(RefusalReason.ENDPOINT_TIMEOUT, "the deadline passed before an endpoint was found"));
+            case RECOVERING -> fail(unknown);
+            default -> refuseNotRun(notRun);
         }
     }
 
@@ -786,10 +787,6 @@
         }
     }
 
-    private boolean isCurrent(AgentCall from) {
-        return from.equals(call);
-    }
-
     private Duration remainingTime() {
         long elapsed = services.time().nanos() - startedAt;
         return request.route().deadline().minusNanos(elapsed);
