Send the limits of endpoints to all routers

What callers saw: nothing; with many routers an endpoint in need still got several times its limit, because each router sends requests until it has an answer with the limit.

Cause: only routers that had an answer knew of the limit. Change: routers are connected to the coordinators, at most one for each data center. These pass on a changed limit, and send theirs to a router that connects, for example after a restart. ForwardRouter builds the components for limits in a method of its own.

EndpointLimitTest.routersComplyBeforeTheirFirstAnswer passes; it was not run on the code before.

--- a/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointTable.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointTable.java
@@ -150,13 +150,16 @@
 
     private EndpointState createState(ListedEndpoint e, long now) {
         EndpointConnectionPool connections = connector.apply(e);
-        Notices known = notices.computeIfAbsent(
-                e.getId(), id -> new Notices(new EndpointNotices(longestPause), new EndpointLimit()));
+        Notices known = notices(e.getId());
         EndpointState state = new EndpointState(e, connections, known.general(), known.limit(), now);
         connections.setHeadListener((head, current) -> headReader.read(state, head, current));
         return state;
     }
 
+    private Notices notices(String id) {
+        return notices.computeIfAbsent(id, i -> new Notices(new EndpointNotices(longestPause), new EndpointLimit()));
+    }
+
     private static void log(String event, ListedEndpoint e, String source) {
         Event.of(event)
                 .with("endpoint", e.getId())
@@ -180,6 +183,11 @@
         return eligible;
     }
 
+    /** Returns the limit of an endpoint, which may not be listed yet. */
+    EndpointLimit limit(String id) {
+        return notices(id).limit();
+    }
+
     Optional<EndpointState> find(String id) {
         return Optional.ofNullable(states.get(id));
     }
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
@@ -171,25 +171,13 @@
         LocalTokens local = new LocalTokens(grants, settlements::add, incarnation);
         HomeServer home = new HomeServer(local, time);
         TokenSource tokens = local;
-        LimitReader limits = new LimitReader(headers, endpoints, metrics, time);
-        PeerLinks links =
-                closer.register(new PeerLinks(transport, new LimitReportHandler(limits::onReported, loop, time)));
-        PermitServer permitServer = new PermitServer(settings.name(), links, metrics, time);
-        PermitClient permits = new PermitClient(
-                settings.name(),
-                links,
-                permitServer,
-                limits::onReported,
-                endpoints::routers,
-                loop,
-                metrics,
-                time,
-                random::nextDouble);
+        Limits limits = limits(settings, headers, endpoints, transport, loop, metrics, time, random, closer);
+        PeerLinks links = limits.links();
         if (settings.peers().isPresent()) {
             pushes.setPeerLinks(links);
             grants.useHomesIf(links::hasHomes);
             tokens = new PooledTokens(settings.name(), incarnation, local, links, timer, time);
-            closer.register(transport.listen(settings.peers().get(), new PeerFrames(home, permitServer)));
+            closer.register(transport.listen(settings.peers().get(), new PeerFrames(home, limits.server())));
             SingleThreadExecutor.repeat(timer, home, SECOND_MS, SECOND_MS);
         }
         EvidenceCollector evidence = new EvidenceCollector(control);
@@ -203,8 +191,8 @@
                 settings.dataCenter(),
                 watch::latest,
                 endpoints,
-                limits,
-                permits,
+                limits.reader(),
+                limits.permits(),
                 new RetryAllowance(
                         settings.retryRatio(),
                         () -> settings.retrySlack(endpoints.routers()),
@@ -255,6 +243,33 @@
         return new ForwardRouter(settings, time, admission, home, loop, listeners, closer);
     }
 
+    /**
+     * Components that keep requests within the limits of endpoints.
+     *
+     * @param links connections to the routers that coordinate limits
+     */
+    private record Limits(LimitReader reader, PermitClient permits, PermitServer server, PeerLinks links) {}
+
+    private static Limits limits(
+            ForwardSettings settings,
+            RequestHeaders headers,
+            EndpointTable endpoints,
+            Transport transport,
+            EventLoop loop,
+            Metrics metrics,
+            Time time,
+            UniformRandomProvider random,
+            Closer closer) {
+        String name = settings.name();
+        LimitReader reader = new LimitReader(headers, endpoints, metrics, time);
+        PeerLinks links =
+                closer.register(new PeerLinks(name, transport, new LimitReportHandler(reader::onReported, loop, time)));
+        PermitServer server = new PermitServer(name, links, metrics, time);
+        PermitClient permits = new PermitClient(
+                name, links, server, reader::onReported, endpoints::routers, loop, metrics, time, random::nextDouble);
+        return new Limits(reader, permits, server, links);
+    }
+
     private static void readOwnList(EndpointSource source, EndpointTable endpoints, EventLoop loop, Closer closer) {
         ScheduledExecutorService reader = SingleThreadExecutor.timer("router-endpoints");
         closer.register(() -> SingleThreadExecutor.stop(reader));
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/LimitReader.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/LimitReader.java
@@ -9,6 +9,7 @@
 import org.ragwortrun.core.log.Event;
 import org.ragwortrun.core.metrics.Metrics;
 import org.ragwortrun.core.time.Time;
+import org.ragwortrun.routing.EndpointLimit;
 import org.ragwortrun.routing.LimitStatement;
 
 /**
@@ -56,27 +57,27 @@
             return false;
         }
         return record(
-                endpoint,
+                endpoint.id(),
+                endpoint.limit(),
                 new LimitStatement(limit.orElse(Double.POSITIVE_INFINITY), sentNanos, time.nanos()),
                 "answer");
     }
 
     /** Records a statement that another router has received from an endpoint. */
     void onReported(String endpoint, LimitStatement statement) {
-        endpoints.find(endpoint).ifPresent(e -> record(e, statement, "router"));
+        record(endpoint, endpoints.limit(endpoint), statement, "router");
     }
 
-    private boolean record(EndpointState endpoint, LimitStatement statement, String source) {
-        double before = endpoint.limit().perSecond();
-        boolean changed = endpoint.limit().record(statement);
+    private boolean record(String endpoint, EndpointLimit limit, LimitStatement statement, String source) {
+        double before = limit.perSecond();
+        boolean changed = limit.record(statement);
         if (changed) {
             metrics.count("endpoint_limit_changes", 1);
             Event.of("endpoint-limit")
-                    .with("endpoint", endpoint.id())
+                    .with("endpoint", endpoint)
                     .with("per-second", statement.perSecond())
                     .with("before", before)
                     .with("source", source)
-                    .with("in-flight", endpoint.inFlight())
                     .info(LOG);
         }
         return changed;
--- a/router/src/main/java/org/ragwortrun/router/internal/limits/PermitServer.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/limits/PermitServer.java
@@ -1,6 +1,7 @@
 package org.ragwortrun.router.internal.limits;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -24,7 +25,8 @@
  * Grants permits to the routers for which this router coordinates the limit of an endpoint.
  *
  * <p>A router that does not reach the preferred coordinator asks the next one. That one grants half of the limit,
- * because the preferred one may still grant permits to others. A changed limit is sent to all connected routers.
+ * because the preferred one may still grant permits to others. All connected routers are sent the limits, so that they
+ * comply before they have an answer of the endpoint.
  */
 public final class PermitServer implements FrameHandler {
     private static final Logger LOG = LogManager.getLogger(PermitServer.class);
@@ -47,6 +49,12 @@
     @Override
     public void onConnected(Peer peer) {
         connected.add(peer);
+        long now = time.nanos();
+        Map<String, LimitStatement> limits;
+        synchronized (coordinator) {
+            limits = coordinator.limits();
+        }
+        limits.forEach((endpoint, statement) -> peer.send(frame(endpoint, statement, now)));
     }
 
     @Override
@@ -83,6 +91,12 @@
                 .build();
     }
 
+    private static Frame frame(String endpoint, LimitStatement statement, long now) {
+        return Frame.newBuilder()
+                .setLimitReport(LimitReports.toMessage(endpoint, statement, now))
+                .build();
+    }
+
     private double share(String endpoint) {
         List<RouterPeer> coordinators = links.coordinators(endpoint);
         boolean preferred = coordinators.isEmpty() || coordinators.get(0).name().equals(ownName);
@@ -96,9 +110,7 @@
                 .with("share", share)
                 .with("routers", connected.size())
                 .info(LOG);
-        Frame report = Frame.newBuilder()
-                .setLimitReport(LimitReports.toMessage(endpoint, statement, now))
-                .build();
+        Frame report = frame(endpoint, statement, now);
         connected.stream().filter(Peer::isWritable).forEach(p -> p.send(report));
     }
 }
--- a/router/src/main/java/org/ragwortrun/router/internal/pool/HomeRouters.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/pool/HomeRouters.java
@@ -33,7 +33,7 @@
         return areUsed(routers) ? ranked(account, routers) : List.of();
     }
 
-    /** Returns one router in each data center, ranked by a key. */
+    /** Returns one router in each data center, ranked by a key. The routers are the same for all keys. */
     static List<RouterPeer> ranked(String key, Collection<RouterPeer> routers) {
         Map<String, List<RouterPeer>> byDataCenter = routers.stream()
                 .collect(Collectors.groupingBy(RouterPeer::dataCenter, TreeMap::new, Collectors.toList()));
--- a/router/src/main/java/org/ragwortrun/router/internal/pool/PeerLinks.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/pool/PeerLinks.java
@@ -18,6 +18,7 @@
 public final class PeerLinks implements AutoCloseable {
     private static final int MAX_CACHED_KEYS = 10_000;
 
+    private final String ownName;
     private final Transport transport;
     private final FrameHandler pushes;
     private final Map<String, FrameClient> clients = new ConcurrentHashMap<>();
@@ -28,14 +29,19 @@
     /**
      * Creates links without routers.
      *
+     * @param ownName name of this router, to which it opens no connection
      * @param pushes handles messages that other routers send without being asked
      */
-    public PeerLinks(Transport transport, FrameHandler pushes) {
+    public PeerLinks(String ownName, Transport transport, FrameHandler pushes) {
+        this.ownName = ownName;
         this.transport = transport;
         this.pushes = pushes;
     }
 
-    /** Replaces the list of routers and closes connections to routers that are no longer listed. */
+    /**
+     * Replaces the list of routers, closes connections to routers that are no longer listed, and opens those to
+     * coordinators, which send their limits.
+     */
     public void update(Collection<RouterPeer> list) {
         if (routers.equals(List.copyOf(list))) {
             return;
@@ -50,6 +56,9 @@
                 removed.close();
             }
         });
+        HomeRouters.ranked("", routers).stream()
+                .filter(c -> !c.name().equals(ownName))
+                .forEach(this::client);
     }
 
     /** Returns whether accounts have homes, so that other routers do not use their own grants. */
@@ -77,8 +86,11 @@
 
     /** Calls a router. Without a connection, it starts to open one and fails with {@code NOT_SENT} at once. */
     public CompletableFuture<Frame> call(RouterPeer peer, Frame.Builder request, Duration timeout) {
-        return clients.computeIfAbsent(key(peer), k -> transport.connect(peer.address(), pushes))
-                .call(request, timeout);
+        return client(peer).call(request, timeout);
+    }
+
+    private FrameClient client(RouterPeer peer) {
+        return clients.computeIfAbsent(key(peer), k -> transport.connect(peer.address(), pushes));
     }
 
     @Override
--- a/router/src/test/java/org/ragwortrun/router/EndpointLimitTest.java
+++ b/router/src/test/java/org/ragwortrun/router/EndpointLimitTest.java
@@ -125,6 +125,25 @@
         assertThat(System.nanoTime() - last).isLessThan(WINDOW_NANOS);
     }
 
+    /** Guards against many routers that each send requests until they have an answer with the limit. */
+    @Test
+    void routersComplyBeforeTheirFirstAnswer() throws Exception {
+        LimitedEndpoint limited = limited(1);
+        harness.addEndpoint("e1", limited);
+        startRouters();
+        call(routers.get(0), "/order/");
+        TimeUnit.MILLISECONDS.sleep(500);
+        // This one starts after the limit has been named.
+        routers.add(harness.startRouter("r" + ROUTERS));
+        harness.sendRouterList();
+        TimeUnit.MILLISECONDS.sleep(500);
+        limited.arrivals.clear();
+        for (ForwardHarness.Router r : routers.subList(1, routers.size())) {
+            call(r, "/order/");
+        }
+        assertThat(limited.arrivals.size()).isAtMost(2);
+    }
+
     /** Guards against routers that exceed the limit because they do not know each other. */
     @Test
     void keepsToLimitWithoutListOfRouters() throws Exception {
--- a/router/src/test/java/org/ragwortrun/router/internal/pool/PooledTokensTest.java
+++ b/router/src/test/java/org/ragwortrun/router/internal/pool/PooledTokensTest.java
@@ -94,7 +94,7 @@
         };
         server = new HomeServer(home, time);
         listener = closer.register(transport("home").listen(new Address("127.0.0.1", 0), server));
-        PeerLinks links = closer.register(new PeerLinks(transport("r"), (p, f) -> {}));
+        PeerLinks links = closer.register(new PeerLinks("r", transport("r"), (p, f) -> {}));
         List<RouterPeer> routers = new ArrayList<>();
         for (RouterPeer p : HomeRoutersTest.fleet(12, 1)) {
             routers.add(new RouterPeer(p.name(), p.dataCenter(), new Address("127.0.0.1", listener.port())));
--- a/routing/src/main/java/org/ragwortrun/routing/LimitCoordinator.java
+++ b/routing/src/main/java/org/ragwortrun/routing/LimitCoordinator.java
@@ -2,6 +2,7 @@
 
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.stream.Collectors;
 
 /**
  * Grants permits for requests to endpoints with a limit, on behalf of all routers.
@@ -73,6 +74,13 @@
         return new Answer(granted, wait, e.statement, changed);
     }
 
+    /** Returns the limits that are in force, by endpoint. */
+    public Map<String, LimitStatement> limits() {
+        return entries.entrySet().stream()
+                .filter(e -> e.getValue().statement.isLimited())
+                .collect(Collectors.toMap(Map.Entry::getKey, e -> e.getValue().statement));
+    }
+
     private Entry create(String endpoint, LimitStatement statement, double share, long now) {
         Entry e = new Entry(statement, new PermitBucket(share * statement.usablePerSecond(), now));
         entries.put(endpoint, e);
