Measure how fleets keep to the limits of endpoints

bin/measure limits plays one or all of 13 endpoints under a limit, limits that change, and a lost coordinator, with 7, 35 and 340 routers in virtual time. It counts what an endpoint gets in each 4 s from routers that know the limit, and how much of the limit is used, also for three other schemes.

--- a/measure/src/main/java/org/ragwortrun/measure/Measurements.java
+++ b/measure/src/main/java/org/ragwortrun/measure/Measurements.java
@@ -4,6 +4,7 @@
 import java.util.TreeMap;
 import org.ragwortrun.measure.budgets.BudgetsMeasure;
 import org.ragwortrun.measure.capacity.CapacityMeasurement;
+import org.ragwortrun.measure.limits.LimitsMeasurement;
 import org.ragwortrun.measure.notices.NoticesMeasurement;
 import org.ragwortrun.measure.process.FootprintMeasurement;
 import org.ragwortrun.measure.process.OverheadMeasurement;
@@ -21,6 +22,7 @@
                 "overhead", new OverheadMeasurement(),
                 "capacity", new CapacityMeasurement(),
                 "footprint", new FootprintMeasurement(),
+                "limits", new LimitsMeasurement(),
                 "notices", new NoticesMeasurement(),
                 "replication", new ReplicationMeasurement(),
                 "soak", new SoakMeasurement(),
