Ask for at most four permits for one request

What callers would see: with hundreds of endpoints under a limit, a request that none of them permits was refused only after a question for each of them.

Change: after four denials only endpoints without a limit are considered, and the request is refused if there is none.

EndpointLimitTest passes.

--- a/measure/src/main/java/org/ragwortrun/measure/limits/LimitsRun.java
+++ b/measure/src/main/java/org/ragwortrun/measure/limits/LimitsRun.java
@@ -24,6 +24,7 @@
     // Requests that are sent at most this long after a router has been told of a limit do not count.
     private static final long GRACE_MICROS = 500_000;
     private static final double REPLACEMENT_SHARE = 0.5;
+    private static final int MAX_DENIED_PERMITS = 4;
 
     private final EventQueue events = new EventQueue();
     private final UniformRandomProvider random;
@@ -129,7 +130,8 @@
             int offset = random.nextInt(ENDPOINTS);
             for (int k = 0; k < ENDPOINTS; k++) {
                 int e = (k + offset) % ENDPOINTS;
-                boolean blocked = limits[e].earliestNanos(events.nanos()) > events.nanos();
+                boolean blocked = limits[e].earliestNanos(events.nanos()) > events.nanos()
+                        || denied.size() >= MAX_DENIED_PERMITS && limits[e].isLimited();
                 if (!blocked && !denied.contains(e) && (best < 0 || inFlight[e] < inFlight[best])) {
                     best = e;
                 }
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointSelector.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointSelector.java
@@ -19,6 +19,8 @@
     // count.
     private static final double CONNECTION_SHARE = 0.8;
     private static final int MIN_CONNECTIONS = 4;
+    // Time after which a caller may come back if there may be permits that were not asked for.
+    private static final long NOT_ASKED_NANOS = 100_000_000L;
 
     private final ForwardServices services;
     private final CallerRequest request;
@@ -41,8 +43,12 @@
      */
     record Choice(Optional<EndpointState> endpoint, OptionalLong earliestNanos, int allowed) {}
 
-    /** Selects an endpoint among those that have not been tried. */
-    Choice choose(Set<String> tried) {
+    /**
+     * Selects an endpoint among those that have not been tried.
+     *
+     * @param mayAskForPermit whether an endpoint with a limit may be selected
+     */
+    Choice choose(Set<String> tried, boolean mayAskForPermit) {
         List<EndpointState> eligible = services.endpoints().eligible(origin.name());
         eligible.removeIf(s -> tried.contains(s.id()));
         List<EndpointState> allowed = services.configuration()
@@ -55,9 +61,12 @@
         List<Placement.Candidate> others = new ArrayList<>();
         OptionalLong earliest = OptionalLong.empty();
         for (EndpointState s : allowed) {
-            long acceptsFrom = Math.max(
-                    s.notices().earliestSendTime(now, s.inFlight()).orElse(now),
-                    s.limit().earliestNanos(now));
+            long permittedFrom = s.limit().earliestNanos(now);
+            if (s.limit().isLimited() && !mayAskForPermit) {
+                permittedFrom = Math.max(permittedFrom, now + NOT_ASKED_NANOS);
+            }
+            long acceptsFrom =
+                    Math.max(s.notices().earliestSendTime(now, s.inFlight()).orElse(now), permittedFrom);
             if (acceptsFrom - now > 0) {
                 earliest = OptionalLong.of(Math.min(acceptsFrom, earliest.orElse(acceptsFrom)));
             } else if (!s.connections().isFull(maxConnections)) {
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
@@ -48,6 +48,8 @@
     private static final Logger LOG = LogManager.getLogger(Exchange.class);
     // Endpoints that are tried for one request, even if each proves that it did not run it.
     private static final int MAX_TRIES = 4;
+    // Each question for a permit delays the answer to the caller.
+    private static final int MAX_DENIED_PERMITS = 4;
     // An answer up to this size is buffered until it is complete, so that the request can be retried if the answer is
     // lost.
     private static final int MAX_BUFFERED_BYTES = 64 << 10;
@@ -80,6 +82,7 @@
     private @Nullable Attempt current;
     private int runs;
     private int tries;
+    private int deniedPermits;
     private boolean answerStarted;
     private boolean billable;
     private boolean ended;
@@ -235,7 +238,7 @@
         if (refuseIfQuarantined()) {
             return;
         }
-        EndpointSelector.Choice choice = selector.choose(tried);
+        EndpointSelector.Choice choice = selector.choose(tried, deniedPermits < MAX_DENIED_PERMITS);
         if (choice.endpoint().isPresent()) {
             sendIfPermitted(choice.endpoint().get());
         } else if (choice.earliestNanos().isPresent()) {
@@ -257,6 +260,7 @@
             if (granted) {
                 send(endpoint);
             } else {
+                deniedPermits++;
                 sendToEndpoint();
             }
         });
