Let routers spare agents whose endpoint has reached its limit

What callers saw: with one limited endpoint behind an agent, each request was sent there first, because it is the least loaded, and was refused and repeated, so that repeats ran out although other endpoints had room.

Cause: the agent refused with the reason of a full endpoint, which says nothing about later requests. Change: it refuses with endpoint-limited and the time of the next permit, and the router sends it nothing until then (AgentLink).

Measured: FailureTest.sendsNothingToLimitedEndpointUntilItsNextPermit failed before (19 of 20 requests went there first, 1 is the most) and passes now.

--- a/agent/src/main/java/org/ragwortrun/agent/internal/EndpointLimitRule.java
+++ b/agent/src/main/java/org/ragwortrun/agent/internal/EndpointLimitRule.java
@@ -14,7 +14,7 @@
         return limit.hasPermitBehind(others)
                 ? Optional.empty()
                 : Optional.of(Refusal.notRun(
-                        RefusalReason.ENDPOINT_FULL,
+                        RefusalReason.ENDPOINT_LIMITED,
                         "the endpoint accepts no more requests now",
                         limit.waitBehind(others)));
     }
--- a/agent/src/test/java/org/ragwortrun/agent/EndpointLimitTest.java
+++ b/agent/src/test/java/org/ragwortrun/agent/EndpointLimitTest.java
@@ -87,7 +87,7 @@
         assertThat(mostInWindow()).isAtMost(PER_SECOND * 4 + 3);
         assertThat(arrivals.size()).isAtLeast(PER_SECOND * 4);
         assertThat(refused).isNotNull();
-        assertThat(refused.getReason()).isEqualTo("endpoint-full");
+        assertThat(refused.getReason()).isEqualTo("endpoint-limited");
         assertThat(refused.getRetryAfterMs()).isAtMost(1_000);
     }
 
--- a/core/src/main/java/org/ragwortrun/core/refusal/RefusalReason.java
+++ b/core/src/main/java/org/ragwortrun/core/refusal/RefusalReason.java
@@ -27,6 +27,7 @@
     OVERLOADED("overloaded", 503, "This host has no memory left for the request"),
     NO_ENDPOINT("no-endpoint", 503, "No endpoint of the service is available"),
     ENDPOINT_FULL("endpoint-full", 503, "The endpoints have no room for the request"),
+    ENDPOINT_LIMITED("endpoint-limited", 503, "The endpoint accepts no more requests for now"),
     ENDPOINT_FAILED("endpoint-failed", 502, "The endpoint failed"),
     ENDPOINT_TIMEOUT("endpoint-timeout", 504, "The endpoint did not answer in time"),
     REQUEST_CRASHES_ENDPOINTS("request-crashes-endpoints", 422, "This request crashed endpoints"),
--- a/router/src/main/java/org/ragwortrun/router/internal/Router.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/Router.java
@@ -105,7 +105,7 @@
         ScheduledExecutorService slowTimer = SingleThreadExecutor.timer("router-host-list");
         closer.register(() -> SingleThreadExecutor.stop(slowTimer));
         Transport transport = closer.register(new Transport(hello(settings, incarnation), NET_THREADS));
-        AgentPool agents = closer.register(new AgentPool(transport));
+        AgentPool agents = closer.register(new AgentPool(transport, time));
         ControlPushes pushes = new ControlPushes();
         ControlClient control = closer.register(new ControlClient(transport, settings.members(), pushes));
         ConfigWatch watch = closer.register(new ConfigWatch(control, timer, time, agents::apply));
--- a/router/src/main/java/org/ragwortrun/router/internal/agents/AgentLink.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/agents/AgentLink.java
@@ -4,6 +4,9 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.jspecify.annotations.Nullable;
 import org.ragwortrun.core.config.Endpoint;
+import org.ragwortrun.core.refusal.Refusal;
+import org.ragwortrun.core.refusal.RefusalReason;
+import org.ragwortrun.core.time.Time;
 import org.ragwortrun.net.Address;
 import org.ragwortrun.net.FrameClient;
 import org.ragwortrun.net.FrameHandler;
@@ -22,14 +25,18 @@
     private final FrameClient client;
     private final AtomicInteger inFlight = new AtomicInteger();
     private final AtomicInteger startedSinceReport = new AtomicInteger();
+    private final Time time;
     private volatile Endpoint endpoint;
     private volatile @Nullable LoadReport load;
     private volatile @Nullable String lastIncarnation;
     private volatile @Nullable String leavingIncarnation;
     private volatile boolean leavingOnConnect;
+    private volatile long pausedUntilNanos;
 
-    AgentLink(Transport transport, Endpoint endpoint, Address address) {
+    AgentLink(Transport transport, Endpoint endpoint, Address address, Time time) {
         this.endpoint = endpoint;
+        this.time = time;
+        pausedUntilNanos = time.nanos();
         client = transport.connect(address, new ReportHandler());
     }
 
@@ -61,6 +68,15 @@
         leavingOnConnect = last == null;
     }
 
+    /** Records what a refusal of the agent says about later requests: it is leaving, or accepts none for a time. */
+    public void onRefused(Refusal refusal) {
+        if (refusal.reason() == RefusalReason.LEAVING) {
+            markLeaving();
+        } else if (refusal.reason() == RefusalReason.ENDPOINT_LIMITED) {
+            refusal.retryAfter().ifPresent(wait -> pausedUntilNanos = time.nanos() + wait.toNanos());
+        }
+    }
+
     /** Replaces the properties of the endpoint. */
     void update(Endpoint changed) {
         endpoint = changed;
@@ -80,12 +96,13 @@
         inFlight.decrementAndGet();
     }
 
-    /** Returns the endpoint as a candidate for new work, unless it is leaving, unhealthy or not connected. */
+    /** Returns the endpoint as a candidate for new work, unless it is leaving, unhealthy, paused or not connected. */
     Optional<EndpointCandidate> candidate() {
         LoadReport report = load;
         Endpoint e = endpoint;
         return incarnation()
                 .filter(i -> !i.equals(leavingIncarnation))
+                .filter(i -> pausedUntilNanos - time.nanos() <= 0)
                 .filter(i -> report == null
                         || !report.getAgentIncarnation().equals(i)
                         || report.getHealthy() && !report.getLeaving())
--- a/router/src/main/java/org/ragwortrun/router/internal/agents/AgentPool.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/agents/AgentPool.java
@@ -11,6 +11,7 @@
 import org.ragwortrun.core.config.Configuration;
 import org.ragwortrun.core.config.Endpoint;
 import org.ragwortrun.core.log.Event;
+import org.ragwortrun.core.time.Time;
 import org.ragwortrun.net.Address;
 import org.ragwortrun.net.AddressException;
 import org.ragwortrun.net.Transport;
@@ -21,11 +22,13 @@
     private static final Logger LOG = LogManager.getLogger(AgentPool.class);
 
     private final Transport transport;
+    private final Time time;
     private final Map<String, AgentLink> links = new ConcurrentHashMap<>();
     private final List<AgentLink> retired = new ArrayList<>();
 
-    public AgentPool(Transport transport) {
+    public AgentPool(Transport transport, Time time) {
         this.transport = transport;
+        this.time = time;
     }
 
     /** Connects to endpoints that were added or whose address changed, and retires the links of removed endpoints. */
@@ -92,7 +95,7 @@
     private void connect(Endpoint endpoint) {
         try {
             Address address = Address.parse(endpoint.agentAddress());
-            links.put(endpoint.name(), new AgentLink(transport, endpoint, address));
+            links.put(endpoint.name(), new AgentLink(transport, endpoint, address, time));
         } catch (AddressException e) {
             Event.of("agent-address-invalid").with("endpoint", endpoint.name()).warn(LOG, e);
         }
--- a/router/src/main/java/org/ragwortrun/router/internal/flow/RequestFlow.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/flow/RequestFlow.java
@@ -511,9 +511,7 @@
         Refusal refusal = Refusals.of(refused);
         RefusalReason reason = refusal.reason();
         RunOutcome run = refusal.run();
-        if (reason == RefusalReason.LEAVING) {
-            from.link().markLeaving();
-        }
+        from.link().onRefused(refusal);
         if (state == FlowState.DRAINING) {
             completion.onDrained(run);
             finish();
--- a/router/src/test/java/org/ragwortrun/router/FailureTest.java
+++ b/router/src/test/java/org/ragwortrun/router/FailureTest.java
@@ -12,6 +12,8 @@
 import org.ragwortrun.proto.BudgetStatement;
 import org.ragwortrun.proto.Dispatch;
 import org.ragwortrun.proto.LoadReport;
+import org.ragwortrun.proto.Refused;
+import org.ragwortrun.proto.RunState;
 import org.ragwortrun.proto.ShardCommand;
 
 final class FailureTest {
@@ -48,6 +50,20 @@
         RouterHarness.await(() -> assayBudget().getBills() == 1);
     }
 
+    /** Guards against requests that each ask an agent first whose endpoint accepts none for a time that it has named. */
+    @Test
+    void sendsNothingToLimitedEndpointUntilItsNextPermit() throws Exception {
+        harness.first.refusal = (agent, d) -> Refused.newBuilder()
+                .setReason("endpoint-limited")
+                .setRun(RunState.RUN_NOT_RUN)
+                .setRetryAfterMs(20_000)
+                .build();
+        for (int i = 0; i < 20; i++) {
+            assertThat(harness.send(harness.chat(true, "x" + i)).statusCode()).isEqualTo(200);
+        }
+        assertThat(harness.first.dispatches.size()).isAtMost(1);
+    }
+
     /** Guards against answering a request whose id was already used for other content. */
     @Test
     void idWithOtherContentIsRefused() throws Exception {
