Read limits at routers and agents in one place

LimitStatement.read decides for both what a head without a limit and one with unreadable values mean. Behaviour is unchanged; the tests of limits pass.

--- a/agent/src/main/java/org/ragwortrun/agent/internal/EndpointLimitGate.java
+++ b/agent/src/main/java/org/ragwortrun/agent/internal/EndpointLimitGate.java
@@ -2,7 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
-import java.util.OptionalDouble;
+import java.util.Optional;
 import org.apache.hc.core5.http.Header;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -40,14 +40,14 @@
                 .filter(h -> HEADER.equalsIgnoreCase(h.getName()))
                 .map(h -> String.valueOf(h.getValue()))
                 .toList();
-        OptionalDouble named = LimitStatement.parse(values);
-        if (named.isEmpty() && !values.isEmpty()) {
+        long now = time.nanos();
+        Optional<LimitStatement> statement = LimitStatement.read(values, sentNanos, now);
+        if (statement.isEmpty()) {
             metrics.count("agent_unreadable_limits", 1);
             return;
         }
-        long now = time.nanos();
         double before = limit.perSecond();
-        if (limit.record(new LimitStatement(named.orElse(Double.POSITIVE_INFINITY), sentNanos, now))) {
+        if (limit.record(statement.get())) {
             updateBucket(now);
             Event.of("endpoint-limit")
                     .with("per-second", limit.perSecond())
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointConnectionPool.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointConnectionPool.java
@@ -50,6 +50,7 @@
         void onHead(HttpResponse head, boolean current);
     }
 
+    /** Sets the listener that receives the head of each answer. */
     void setHeadListener(HeadListener listener) {
         headListener = listener;
     }
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/LimitReader.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/LimitReader.java
@@ -3,7 +3,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.List;
-import java.util.OptionalDouble;
+import java.util.Optional;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.ragwortrun.core.log.Event;
@@ -47,8 +47,8 @@
             return false;
         }
         List<String> values = requestHeaders.limits(headers);
-        OptionalDouble limit = LimitStatement.parse(values);
-        if (limit.isEmpty() && !values.isEmpty()) {
+        Optional<LimitStatement> statement = LimitStatement.read(values, sentNanos, time.nanos());
+        if (statement.isEmpty()) {
             String first = values.get(0);
             Event.of("endpoint-limit-unreadable")
                     .with("endpoint", endpoint.id())
@@ -56,11 +56,7 @@
                     .warn(LOG);
             return false;
         }
-        return record(
-                endpoint.id(),
-                endpoint.limit(),
-                new LimitStatement(limit.orElse(Double.POSITIVE_INFINITY), sentNanos, time.nanos()),
-                "answer");
+        return record(endpoint.id(), endpoint.limit(), statement.get(), "answer");
     }
 
     /** Records a statement that another router has received from an endpoint. */
--- a/routing/src/main/java/org/ragwortrun/routing/LimitStatement.java
+++ b/routing/src/main/java/org/ragwortrun/routing/LimitStatement.java
@@ -2,6 +2,7 @@
 
 import java.util.Arrays;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalDouble;
 
 /**
@@ -45,12 +46,24 @@
         return later || !earlier && perSecond < other.perSecond;
     }
 
+    /**
+     * Reads the statement in an answer, from the values of its limit headers. Without a value there is no limit.
+     *
+     * @return the statement, or empty if there are values of which none is a finite, non-negative number
+     */
+    public static Optional<LimitStatement> read(List<String> values, long sentNanos, long receivedNanos) {
+        OptionalDouble limit = parse(values);
+        return limit.isEmpty() && !values.isEmpty()
+                ? Optional.empty()
+                : Optional.of(new LimitStatement(limit.orElse(Double.POSITIVE_INFINITY), sentNanos, receivedNanos));
+    }
+
     /**
      * Parses the values of a limit header, which may occur several times in one head or contain a list.
      *
      * @return the lowest limit, or empty if none is a finite, non-negative number
      */
-    public static OptionalDouble parse(List<String> values) {
+    static OptionalDouble parse(List<String> values) {
         return values.stream()
                 .flatMap(v -> Arrays.stream(v.split(",")))
                 .mapToDouble(LimitStatement::parseNumber)
