--- a/review/harness/Servers.java
+++ b/review/harness/Servers.java
@@ -48,6 +48,12 @@
 
     private static void answer(HttpExchange x, int status, String body) throws IOException {
         byte[] text = body.getBytes(StandardCharsets.UTF_8);
+        if (x.getRequestMethod().equals("HEAD")) {
+            x.getResponseHeaders().set("Content-Length", Integer.toString(text.length));
+            x.sendResponseHeaders(status, -1);
+            x.close();
+            return;
+        }
         x.sendResponseHeaders(status, text.length == 0 ? -1 : text.length);
         if (text.length > 0) {
             x.getResponseBody().write(text);
