Bound the replicated log in memory by its size

Cause: the log in memory was bounded by the number of entries only. Evidence: jmap -histo:live of the three members after 100 changes shows 50 of 71 MB in byte arrays, on followers too, which serve no operator; the old generation is 99 % full. Uncommitted entries of a leader, queued commands and entries in flight to a follower had the same kind of limit, and entries were sent again with every heartbeat to a follower that does not answer.

Change: the log has a limit in bytes, an eighth of the heap for all groups. This works because each of these places now holds at most a fixed part of the heap for any size of command. The gauge replication_log_bytes shows the size, which no metric did.

--- a/core/src/main/java/org/ragwortrun/core/metrics/Metrics.java
+++ b/core/src/main/java/org/ragwortrun/core/metrics/Metrics.java
@@ -82,9 +82,9 @@
                 .record(millis, Attributes.of(OUTCOME, outcome));
     }
 
-    /** Registers a gauge that is read at each scrape. */
-    public void gauge(String name, String description, LongSupplier value) {
-        meter.gaugeBuilder("ragwortrun_" + name)
+    /** Registers a gauge that is read at each scrape until the returned object is closed. */
+    public AutoCloseable gauge(String name, String description, LongSupplier value) {
+        return meter.gaugeBuilder("ragwortrun_" + name)
                 .ofLongs()
                 .setDescription(description)
                 .buildWithCallback(m -> m.record(value.getAsLong()));
--- a/replication/src/main/java/org/ragwortrun/replication/GroupHost.java
+++ b/replication/src/main/java/org/ragwortrun/replication/GroupHost.java
@@ -170,17 +170,26 @@
         for (int i = 0; i < Math.min(settings.threadsPerStage(), machines.size()); i++) {
             threads.add(GroupThreads.start(i, machines.size(), closer));
         }
+        long logBytes = settings.logBytes() / Math.max(1, machines.size());
         for (Map.Entry<Integer, StateMachine> e : new TreeMap<>(machines).entrySet()) {
             GroupThreads assigned = threads.get(groups.size() % threads.size());
-            groups.put(e.getKey(), restore(e.getKey(), e.getValue(), time, processStart, assigned));
+            groups.put(e.getKey(), restore(e.getKey(), e.getValue(), time, processStart, logBytes, assigned));
         }
+        closer.register(context.metrics()
+                .gauge(
+                        "replication_log_bytes",
+                        "Size of the log entries in memory",
+                        () -> groups.values().stream()
+                                .mapToLong(GroupRunner::logBytes)
+                                .sum()));
         ScheduledExecutorService timer = SingleThreadExecutor.timer("replication-timer");
         closer.register(() -> SingleThreadExecutor.stop(timer));
         long period = Math.max(1, settings.electionTimeout().toMillis() / TICKS_PER_TIMEOUT);
         timer.scheduleAtFixedRate(this::tick, 0, period, TimeUnit.MILLISECONDS);
     }
 
-    private GroupRunner restore(int group, StateMachine machine, Time time, long processStart, GroupThreads threads)
+    private GroupRunner restore(
+            int group, StateMachine machine, Time time, long processStart, long logBytes, GroupThreads threads)
             throws IOException, CorruptLogException {
         HostSettings settings = context.settings();
         LongSupplier clock = context.clock();
@@ -194,12 +203,13 @@
         }
         List<String> names = settings.members().keySet().stream().sorted().toList();
         CoreSettings core = CoreSettings.of(
-                settings.name(),
-                String.valueOf(settings.members().get(settings.name())),
-                names.stream().filter(n -> !n.equals(settings.name())).toList(),
-                settings.bootstrap(),
-                settings.electionTimeout().toNanos(),
-                names.get(Math.floorMod(group, names.size())));
+                        settings.name(),
+                        String.valueOf(settings.members().get(settings.name())),
+                        names.stream().filter(n -> !n.equals(settings.name())).toList(),
+                        settings.bootstrap(),
+                        settings.electionTimeout().toNanos(),
+                        names.get(Math.floorMod(group, names.size())))
+                .withLogBytes(logBytes);
         Random random = new Random(restored.state().getIdentity().hashCode() * 31L + group);
         RaftCore raft = new RaftCore(core, restored, opened.storage(), random, clock.getAsLong(), processStart);
         Event.of("group-restarted")
@@ -210,7 +220,7 @@
                 .with("truncated_bytes", opened.truncatedBytes())
                 .with("ms", (clock.getAsLong() - start) / 1_000_000)
                 .info(LOG);
-        return new GroupRunner(group, context, raft, opened.storage(), machine, raft.lastIndex(), threads);
+        return new GroupRunner(group, context, raft, opened.storage(), machine, raft.lastIndex(), logBytes, threads);
     }
 
     private FrameClient connect(Transport transport, Address address) {
--- a/replication/src/main/java/org/ragwortrun/replication/HostSettings.java
+++ b/replication/src/main/java/org/ragwortrun/replication/HostSettings.java
@@ -18,6 +18,7 @@
  * @param proposalQueueCapacity maximum number of queued commands per group
  * @param snapshotEntries number of applied entries after which a snapshot is taken
  * @param snapshotBytes bytes of log after which a snapshot is taken
+ * @param logBytes maximum size of the log entries that all groups together keep in memory
  */
 public record HostSettings(
         String name,
@@ -28,15 +29,19 @@
         int threadsPerStage,
         int proposalQueueCapacity,
         long snapshotEntries,
-        long snapshotBytes) {
+        long snapshotBytes,
+        long logBytes) {
 
     // Three stages with two threads each serve 65 groups with six threads.
     private static final int DEFAULT_THREADS_PER_STAGE = 2;
     private static final int DEFAULT_PROPOSAL_QUEUE_CAPACITY = 4_096;
     /** Default number of applied entries after which a snapshot is taken. */
     public static final long SNAPSHOT_ENTRIES = 50_000;
-    /** Default size of the log after which a snapshot is taken. The log is in memory: 65 groups take up to 520 MiB. */
+    /** Default size of the log after which a snapshot is taken, if the limit of the log in memory allows it. */
     public static final long SNAPSHOT_BYTES = 8L << 20;
+    // Part of the heap that log entries may fill. Queued commands, which are limited to the same size, messages and the
+    // state of the groups need the rest.
+    private static final int LOG_HEAP_SHARE = 8;
 
     public HostSettings {
         members = Map.copyOf(members);
@@ -58,7 +63,8 @@
                 DEFAULT_THREADS_PER_STAGE,
                 DEFAULT_PROPOSAL_QUEUE_CAPACITY,
                 SNAPSHOT_ENTRIES,
-                SNAPSHOT_BYTES);
+                SNAPSHOT_BYTES,
+                Runtime.getRuntime().maxMemory() / LOG_HEAP_SHARE);
     }
 
     public HostSettings withElectionTimeout(Duration timeout) {
@@ -71,7 +77,8 @@
                 threadsPerStage,
                 proposalQueueCapacity,
                 snapshotEntries,
-                snapshotBytes);
+                snapshotBytes,
+                logBytes);
     }
 
     public HostSettings withSnapshotLimits(long entries, long bytes) {
@@ -84,6 +91,21 @@
                 threadsPerStage,
                 proposalQueueCapacity,
                 entries,
+                bytes,
+                logBytes);
+    }
+
+    public HostSettings withLogBytes(long bytes) {
+        return new HostSettings(
+                name,
+                folder,
+                members,
+                bootstrap,
+                electionTimeout,
+                threadsPerStage,
+                proposalQueueCapacity,
+                snapshotEntries,
+                snapshotBytes,
                 bytes);
     }
 
@@ -97,7 +119,8 @@
                 threadsPerStage,
                 size,
                 snapshotEntries,
-                snapshotBytes);
+                snapshotBytes,
+                logBytes);
     }
 
     public HostSettings withBootstrap(List<String> names) {
@@ -110,6 +133,7 @@
                 threadsPerStage,
                 proposalQueueCapacity,
                 snapshotEntries,
-                snapshotBytes);
+                snapshotBytes,
+                logBytes);
     }
 }
--- a/replication/src/main/java/org/ragwortrun/replication/internal/CoreSettings.java
+++ b/replication/src/main/java/org/ragwortrun/replication/internal/CoreSettings.java
@@ -15,9 +15,8 @@
  * @param preferred name of the member that should lead the group while it is available, empty for none
  * @param batchBytes maximum size of the entries in one message
  * @param chunkBytes maximum size of a snapshot part in one message
- * @param retainedEntries number of entries before a snapshot that are kept for followers that lag slightly
- * @param catchUpBytes maximum size of the log in memory up to which entries before a snapshot are kept for active
- *     members that need them
+ * @param retainedEntries maximum number of entries before a snapshot that are kept for followers that lag slightly
+ * @param logBytes size of the entries in memory above which a leader accepts no commands
  * @param maxInFlightEntries maximum number of unacknowledged entries sent to one follower
  * @param maxUncommittedEntries maximum number of uncommitted entries of a leader
  */
@@ -32,14 +31,14 @@
         int batchBytes,
         int chunkBytes,
         int retainedEntries,
-        long catchUpBytes,
+        long logBytes,
         int maxInFlightEntries,
         int maxUncommittedEntries) {
 
     private static final int BATCH_BYTES = 1 << 20;
     private static final int CHUNK_BYTES = 512 << 10;
     private static final int RETAINED_ENTRIES = 1_000;
-    private static final long CATCH_UP_BYTES = 64L << 20;
+    private static final long LOG_BYTES = 64L << 20;
     private static final int MAX_IN_FLIGHT_ENTRIES = 1_024;
     private static final int MAX_UNCOMMITTED_ENTRIES = 8_192;
     // Four heartbeats may be lost within the lease of 0.8 election timeouts.
@@ -63,11 +62,28 @@
                 BATCH_BYTES,
                 CHUNK_BYTES,
                 RETAINED_ENTRIES,
-                CATCH_UP_BYTES,
+                LOG_BYTES,
                 MAX_IN_FLIGHT_ENTRIES,
                 MAX_UNCOMMITTED_ENTRIES);
     }
 
+    public CoreSettings withLogBytes(long bytes) {
+        return new CoreSettings(
+                name,
+                address,
+                others,
+                bootstrap,
+                electionTimeout,
+                heartbeat,
+                preferred,
+                batchBytes,
+                chunkBytes,
+                retainedEntries,
+                bytes,
+                maxInFlightEntries,
+                maxUncommittedEntries);
+    }
+
     public CoreSettings withSizes(int newBatchBytes, int newChunkBytes, int newRetainedEntries) {
         return new CoreSettings(
                 name,
@@ -80,11 +96,26 @@
                 newBatchBytes,
                 newChunkBytes,
                 newRetainedEntries,
-                catchUpBytes,
+                logBytes,
                 maxInFlightEntries,
                 maxUncommittedEntries);
     }
 
+    /** Returns the maximum size of the entries before a snapshot that are kept for followers that lag slightly. */
+    public long retainedBytes() {
+        return logBytes / 4;
+    }
+
+    /** Returns the size of the log below which entries before a snapshot are kept for active members that need them. */
+    public long catchUpBytes() {
+        return logBytes / 2;
+    }
+
+    /** Returns the size of the unacknowledged entries above which no more are sent to a follower. */
+    public long inFlightBytes() {
+        return logBytes / 4;
+    }
+
     /** Returns the duration of a lease, counted from when the acknowledged heartbeats were sent. */
     public long lease() {
         return electionTimeout / 10 * 8;
--- a/replication/src/main/java/org/ragwortrun/replication/internal/CoreView.java
+++ b/replication/src/main/java/org/ragwortrun/replication/internal/CoreView.java
@@ -10,6 +10,7 @@
  *
  * @param leaseUntil end of the lease, or {@link Progress#NEVER}
  * @param readyIndex entry that must be applied before a leader may serve reads
+ * @param logBytes size of the log entries in memory
  */
 record CoreView(
         Role role,
@@ -21,7 +22,8 @@
         MemberSet members,
         long leaseUntil,
         long readyIndex,
-        boolean sendingSnapshot) {
+        boolean sendingSnapshot,
+        long logBytes) {
 
     static CoreView of(RaftCore core, long now) {
         return new CoreView(
@@ -34,7 +36,8 @@
                 core.members(),
                 core.leaseUntil(now),
                 core.readyIndex(),
-                core.isSendingSnapshot(now));
+                core.isSendingSnapshot(now),
+                core.logBytes());
     }
 
     /** Returns the view of a member that has stopped. */
@@ -49,6 +52,7 @@
                 members,
                 Progress.NEVER,
                 Long.MAX_VALUE,
-                false);
+                false,
+                0);
     }
 }
--- a/replication/src/main/java/org/ragwortrun/replication/internal/GroupRunner.java
+++ b/replication/src/main/java/org/ragwortrun/replication/internal/GroupRunner.java
@@ -39,11 +39,18 @@
     private static final int MIN_WRITE_CAPACITY = 4 * MAX_STEP_MESSAGES;
     private static final int MAX_STEP_PROPOSALS = 1_024;
     private static final int MAX_STEP_BYTES = 4 << 20;
+    // A step may exceed the limit of the log by at most this part of it, or by one command.
+    private static final int MIN_STEPS_PER_LOG = 8;
     // Entries that are written together become one record, which is kept in memory while it is written.
     private static final long MAX_RECORD_BYTES = 4L << 20;
     // A new snapshot restarts transfers of the old one, so it is deferred during transfers until the log has grown to
     // this multiple of its limits.
     private static final int SNAPSHOT_DEFERRAL_FACTOR = 16;
+    // Parts of the limit of the log in memory. Entries that snapshots replace must not reach the limit, because a
+    // leader
+    // then accepts no commands.
+    private static final int SNAPSHOTS_PER_LOG = 4;
+    private static final int DEFERRED_SNAPSHOTS_PER_LOG = 2;
 
     private final int group;
     private final HostContext host;
@@ -53,8 +60,9 @@
     private final CoalescingTask coreTask;
     private final CoalescingTask syncTask;
     private final CoalescingTask applyTask;
+    private final long logBytes;
     private final BlockingQueue<GroupMessage> inbox = new ArrayBlockingQueue<>(INBOX_CAPACITY);
-    private final BlockingQueue<Proposal> proposals;
+    private final ProposalQueue proposals;
     private final BlockingQueue<Write> writes = new ArrayBlockingQueue<>(WRITE_QUEUE_CAPACITY);
     private final BlockingQueue<Delivery> deliveries = new ArrayBlockingQueue<>(DELIVERY_QUEUE_CAPACITY);
     private final PendingCommands pendingCommands;
@@ -68,14 +76,16 @@
     private volatile boolean snapshotting;
     private volatile boolean stopped;
 
-    private record Proposal(ByteString command, CompletableFuture<byte[]> reply) {}
-
     /** Work on one of the threads; any exception stops the group. */
     private interface Step {
         void run() throws IOException, CorruptLogException;
     }
 
-    /** Creates the runner of a group whose state machine has been restored from the snapshot. */
+    /**
+     * Creates the runner of a group whose state machine has been restored from the snapshot.
+     *
+     * @param logBytesLimit size in bytes that limits the log in memory and the queued commands
+     */
     public GroupRunner(
             int group,
             HostContext host,
@@ -83,13 +93,15 @@
             GroupStorage storage,
             StateMachine machine,
             long replayTo,
+            long logBytesLimit,
             GroupThreads threads) {
         this.group = group;
         this.host = host;
         this.core = core;
         this.storage = storage;
         pendingCommands = new PendingCommands(group);
-        proposals = new ArrayBlockingQueue<>(host.settings().proposalQueueCapacity());
+        logBytes = logBytesLimit;
+        proposals = new ProposalQueue(host.settings().proposalQueueCapacity(), logBytes);
         self = memberId(Member.newBuilder()
                 .setName(host.settings().name())
                 .setIdentity(core.identity())
@@ -110,7 +122,7 @@
         if (view.role() != GroupStatus.Role.LEADER) {
             return CompletableFuture.failedFuture(notLeader());
         }
-        Proposal p = new Proposal(ByteString.copyFrom(command), new CompletableFuture<>());
+        ProposalQueue.Proposal p = new ProposalQueue.Proposal(ByteString.copyFrom(command), new CompletableFuture<>());
         if (!proposals.offer(p)) {
             host.metrics().count("replication_overloads", 1);
             return CompletableFuture.failedFuture(new OverloadedException(group, proposals.size()));
@@ -155,6 +167,11 @@
                 members(v, false));
     }
 
+    /** Returns the size in bytes of the log entries in memory. */
+    public long logBytes() {
+        return view.logBytes();
+    }
+
     /** Queues a message of another member, or drops it if the queue is full; Raft resends the necessary messages. */
     public void receive(GroupMessage message) {
         if (inbox.offer(message)) {
@@ -235,27 +252,20 @@
             return;
         }
         int room = Math.min(MAX_STEP_PROPOSALS, core.proposalCapacity());
-        List<Proposal> batch = new ArrayList<>();
-        int bytes = 0;
-        while (batch.size() < room && bytes < MAX_STEP_BYTES) {
-            Proposal p = proposals.poll();
-            if (p == null) {
-                break;
-            }
-            bytes += p.command().size();
-            batch.add(p);
-        }
+        List<ProposalQueue.Proposal> batch =
+                proposals.poll(room, Math.min(MAX_STEP_BYTES, logBytes / MIN_STEPS_PER_LOG));
         if (batch.isEmpty()) {
             return;
         }
-        long first = core.propose(now, batch.stream().map(Proposal::command).toList());
+        long first = core.propose(
+                now, batch.stream().map(ProposalQueue.Proposal::command).toList());
         for (int i = 0; i < batch.size(); i++) {
             pendingCommands.add(first + i, core.term(), batch.get(i).reply());
         }
     }
 
     private void rejectProposals() {
-        Proposal p = proposals.poll();
+        ProposalQueue.Proposal p = proposals.poll();
         while (p != null) {
             p.reply().completeExceptionally(notLeader());
             p = proposals.poll();
@@ -346,11 +356,11 @@
 
     private void snapshotIfDue() throws IOException {
         long entries = host.settings().snapshotEntries();
-        long bytes = host.settings().snapshotBytes();
+        long bytes = Math.min(host.settings().snapshotBytes(), logBytes / SNAPSHOTS_PER_LOG);
+        long deferredBytes = Math.min(SNAPSHOT_DEFERRAL_FACTOR * bytes, logBytes / DEFERRED_SNAPSHOTS_PER_LOG);
         boolean due = applier.hasReachedLimit(entries, bytes)
                 && (!view.sendingSnapshot()
-                        || applier.hasReachedLimit(
-                                SNAPSHOT_DEFERRAL_FACTOR * entries, SNAPSHOT_DEFERRAL_FACTOR * bytes));
+                        || applier.hasReachedLimit(SNAPSHOT_DEFERRAL_FACTOR * entries, deferredBytes));
         if (!due || snapshotting) {
             return;
         }
--- a/replication/src/main/java/org/ragwortrun/replication/internal/Leadership.java
+++ b/replication/src/main/java/org/ragwortrun/replication/internal/Leadership.java
@@ -56,7 +56,7 @@
     }
 
     int proposalCapacity() {
-        if (transfer.isPausingProposals()) {
+        if (transfer.isPausingProposals() || log.bytes() >= settings.logBytes()) {
             return 0;
         }
         return (int) Math.max(0, settings.maxUncommittedEntries() - (log.lastIndex() - core.commitIndex()));
@@ -126,7 +126,6 @@
         if (now - nextHeartbeat >= 0) {
             nextHeartbeat = now + settings.heartbeat();
             for (Progress p : others.values()) {
-                p.probeSent = false;
                 p.catchUpTarget = core.commitIndex();
                 send(p, now, true);
             }
@@ -266,7 +265,14 @@
     }
 
     private boolean isBlocked(Progress p) {
-        return p.probing ? p.probeSent : p.next - 1 - p.match >= settings.maxInFlightEntries();
+        return p.probing ? p.probeSent : isWindowFull(p);
+    }
+
+    /** Returns whether a follower must acknowledge entries before it gets more. Discarded entries have no known size. */
+    private boolean isWindowFull(Progress p) {
+        return p.match < log.base()
+                || p.next - 1 - p.match >= settings.maxInFlightEntries()
+                || log.bytes(p.match, p.next - 1) >= settings.inFlightBytes();
     }
 
     private void sendAppend(Progress p, long now, long previous, List<LogEntry> entries) {
@@ -287,13 +293,13 @@
     private void continueSnapshot(Progress p, long now) {
         boolean stale = p.snapshot != core.snapshot().index();
         boolean timedOut = now - p.chunkSentAt > settings.electionTimeout() / 2;
-        if (stale && (p.snapshot == 0 || timedOut)) {
+        if (stale && (p.snapshot == 0 || timedOut && isActive(now, p.member.getIdentity()))) {
             p.snapshot = core.snapshot().index();
             p.snapshotOffset = 0;
             core.event(
                     Event.of("snapshot-sending").with("to", p.member.getName()).with("index", p.snapshot));
             sendChunk(p, now);
-        } else if (timedOut) {
+        } else if (timedOut && isActive(now, p.member.getIdentity())) {
             sendChunk(p, now);
         }
     }
--- a/replication/src/main/java/org/ragwortrun/replication/internal/Progress.java
+++ b/replication/src/main/java/org/ragwortrun/replication/internal/Progress.java
@@ -12,10 +12,12 @@
     long match;
     /** Next entry to send. */
     long next;
-    /** While true, one message at a time is sent until the last common entry of both logs is known. */
+    /** While true, entries are sent only once until the last common entry of both logs is known. */
     boolean probing = true;
 
+    /** Whether entries were sent while probing. They are sent again only after a reply to a heartbeat. */
     boolean probeSent;
+
     long probeSince = NEVER;
     /** Time at which the newest acknowledged message was sent. */
     long acknowledged = NEVER;
--- a/replication/src/main/java/org/ragwortrun/replication/internal/RaftCore.java
+++ b/replication/src/main/java/org/ragwortrun/replication/internal/RaftCore.java
@@ -166,7 +166,7 @@
             return;
         }
         snapshot = stored;
-        long keep = stored.index() - settings.retainedEntries();
+        long keep = log.lowestIndexWithin(stored.index(), settings.retainedEntries(), settings.retainedBytes());
         if (leadership != null && log.bytes() < settings.catchUpBytes()) {
             keep = Math.min(keep, leadership.lowestNeededIndex(now));
         }
@@ -227,6 +227,11 @@
         return durable;
     }
 
+    /** Returns the size of the log entries in memory. */
+    public long logBytes() {
+        return log.bytes();
+    }
+
     public SnapshotMeta snapshot() {
         return snapshot;
     }
--- a/replication/src/main/java/org/ragwortrun/replication/internal/RaftLog.java
+++ b/replication/src/main/java/org/ragwortrun/replication/internal/RaftLog.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.TreeMap;
+import java.util.stream.LongStream;
 import org.ragwortrun.proto.LogEntry;
 import org.ragwortrun.proto.MemberSet;
 
@@ -82,6 +83,27 @@
         return slice;
     }
 
+    /** Returns the size of the entries in memory after one index up to another, inclusive. */
+    long bytes(long after, long upTo) {
+        return LongStream.rangeClosed(Math.max(after, base) + 1, Math.min(upTo, lastIndex()))
+                .map(i -> get(i).getSerializedSize())
+                .sum();
+    }
+
+    /** Returns the lowest index after which the entries up to an index have at most the given number and size. */
+    long lowestIndexWithin(long index, int maxEntries, long maxBytes) {
+        long lowest = index;
+        long size = 0;
+        while (lowest > base && index - lowest < maxEntries) {
+            size += get(lowest).getSerializedSize();
+            if (size > maxBytes) {
+                break;
+            }
+            lowest--;
+        }
+        return lowest;
+    }
+
     /** Discards entries up to an index that a snapshot covers. */
     void compact(long index) {
         if (index <= base) {
--- a/replication/src/test/java/org/ragwortrun/replication/internal/CoreFixture.java
+++ b/replication/src/test/java/org/ragwortrun/replication/internal/CoreFixture.java
@@ -30,6 +30,10 @@
     }
 
     CoreFixture(String preferred) {
+        this(preferred, 64 << 20);
+    }
+
+    CoreFixture(String preferred, long logBytes) {
         List<LogEntry> log = List.of(
                 LogEntry.newBuilder().setIndex(1).setTerm(1).setMembers(SET).build(),
                 LogEntry.newBuilder().setIndex(2).setTerm(2).setNoOp(true).build());
@@ -39,7 +43,8 @@
                 .setStarted(true)
                 .build();
         CoreSettings settings = CoreSettings.of(
-                "c1", "127.0.0.1:1", List.of("c2", "c3"), List.of("c1", "c2", "c3"), TIMEOUT, preferred);
+                        "c1", "127.0.0.1:1", List.of("c2", "c3"), List.of("c1", "c2", "c3"), TIMEOUT, preferred)
+                .withLogBytes(logBytes);
         core = new RaftCore(
                 settings,
                 new RestoredState(state, SnapshotMeta.NONE, log),
