--- a/replication/src/main/java/org/ragwortrun/replication/internal/GroupStorage.java
+++ b/replication/src/main/java/org/ragwortrun/replication/internal/GroupStorage.java
@@ -8,7 +8,6 @@
 import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.List;
@@ -37,6 +36,7 @@
     private static final String INCOMING = "incoming" + TEMPORARY;
     private static final long SEGMENT_BYTES = 4L << 20;
 
+    private final Directory directory;
     private final Path folder;
     private final List<Segment> segments = new ArrayList<>();
     private RecordFile active;
@@ -52,8 +52,9 @@
         }
     }
 
-    private GroupStorage(Path folder, RecordFile active) {
-        this.folder = folder;
+    private GroupStorage(Directory directory, RecordFile active) {
+        this.directory = directory;
+        folder = directory.path();
         this.active = active;
     }
 
@@ -66,17 +67,18 @@
      * @throws CorruptLogException if stored data is damaged or missing
      */
     public static Opened open(Path folder, Supplier<String> newIdentity) throws IOException, CorruptLogException {
-        Files.createDirectories(folder);
+        return open(DiskDirectory.open(folder), newIdentity);
+    }
+
+    static Opened open(Directory directory, Supplier<String> newIdentity) throws IOException, CorruptLogException {
+        Path folder = directory.path();
         for (Path file : list(folder, "", TEMPORARY)) {
-            Files.delete(file);
+            directory.delete(file);
         }
         List<Path> logs = list(folder, LOG, "");
         Path stateFile = folder.resolve(STATE);
         if (!Files.exists(stateFile)) {
-            return create(folder, logs, newIdentity.get());
-        }
-        if (logs.isEmpty()) {
-            throw new CorruptLogException(folder, 0, "log files are missing");
+            return create(directory, logs, newIdentity.get());
         }
         PersistedState[] state = {PersistedState.getDefaultInstance()};
         RecordFile.read(stateFile, false, (offset, in) -> state[0] = PersistedState.parseFrom(in));
@@ -86,6 +88,13 @@
         List<Path> snapshots = list(folder, SNAPSHOT, "");
         SnapshotMeta snapshot =
                 snapshots.isEmpty() ? SnapshotMeta.NONE : SnapshotFile.verify(snapshots.get(snapshots.size() - 1));
+        if (logs.isEmpty()) {
+            if (snapshots.isEmpty()) {
+                throw new CorruptLogException(folder, 0, "log files are missing");
+            }
+            // All log files are deleted only after a snapshot that replaces them was synced.
+            logs = List.of(firstLog(directory));
+        }
         LogReplay replay = new LogReplay(snapshot);
         List<Segment> segments = new ArrayList<>();
         long truncated = 0;
@@ -100,7 +109,7 @@
             segments.add(segment);
         }
         List<LogEntry> tail = replay.tail(segments.get(0).path);
-        GroupStorage storage = new GroupStorage(folder, RecordFile.append(logs.get(logs.size() - 1)));
+        GroupStorage storage = new GroupStorage(directory, RecordFile.append(logs.get(logs.size() - 1)));
         storage.segments.addAll(segments);
         storage.nextSegment = number(logs.get(logs.size() - 1), LOG) + 1;
         if (replay.isDropped()) {
@@ -113,12 +122,12 @@
     public void saveState(PersistedState state) throws IOException {
         Path temporary = folder.resolve(STATE + TEMPORARY);
         Files.deleteIfExists(temporary);
-        try (RecordFile file = RecordFile.create(temporary)) {
+        try (RecordFile file = directory.create(temporary)) {
             file.append(state.toByteString());
             file.sync();
         }
-        Files.move(temporary, folder.resolve(STATE), StandardCopyOption.ATOMIC_MOVE);
-        syncFolder();
+        directory.replace(temporary, folder.resolve(STATE));
+        directory.sync();
     }
 
     /** Appends entries as one record. They are durable after {@link #sync()}. */
@@ -160,8 +169,8 @@
         if (meta.index() != chunk.getLastIndex()) {
             throw new CorruptLogException(incoming, 0, "snapshot is of index " + meta.index());
         }
-        Files.move(incoming, snapshotPath(meta.index()), StandardCopyOption.ATOMIC_MOVE);
-        syncFolder();
+        directory.replace(incoming, snapshotPath(meta.index()));
+        directory.sync();
         deleteCoveredFiles(meta.index());
     }
 
@@ -178,8 +187,8 @@
         try (FileChannel file = FileChannel.open(temporary, StandardOpenOption.WRITE)) {
             file.force(true);
         }
-        Files.move(temporary, snapshotPath(meta.index()), StandardCopyOption.ATOMIC_MOVE);
-        syncFolder();
+        directory.replace(temporary, snapshotPath(meta.index()));
+        directory.sync();
         deleteCoveredFiles(meta.index());
     }
 
@@ -190,17 +199,16 @@
         }
     }
 
-    /** Deletes all log files and starts a new one. */
+    /** Starts a new log file and deletes all others, which the snapshot replaces. */
     public void resetLog() throws IOException {
-        active.close();
+        // The new file is created first, because a folder without log files cannot be told from a damaged one.
+        rollSegment();
         // Deletes the newest file first: after a crash, the remaining prefix does not reach the snapshot and is
         // discarded on start.
-        for (int i = segments.size() - 1; i >= 0; i--) {
-            Files.delete(segments.get(i).path);
-            syncFolder();
+        for (int i = segments.size() - 2; i >= 0; i--) {
+            directory.delete(segments.remove(i).path);
+            directory.sync();
         }
-        segments.clear();
-        openSegment();
     }
 
     @Override
@@ -224,19 +232,20 @@
         active.close();
     }
 
-    private static Opened create(Path folder, List<Path> logs, String identity)
+    private static Opened create(Directory directory, List<Path> logs, String identity)
             throws IOException, CorruptLogException {
+        Path folder = directory.path();
         for (Path log : logs) {
             if (Files.size(log) > 0) {
                 throw new CorruptLogException(folder, 0, "state record is missing");
             }
-            Files.delete(log);
+            directory.delete(log);
         }
         if (!list(folder, SNAPSHOT, "").isEmpty()) {
             throw new CorruptLogException(folder, 0, "state record is missing");
         }
-        Path first = logPath(folder, 1);
-        GroupStorage storage = new GroupStorage(folder, RecordFile.create(first));
+        Path first = firstLog(directory);
+        GroupStorage storage = new GroupStorage(directory, RecordFile.append(first));
         storage.segments.add(new Segment(first));
         storage.nextSegment = 2;
         PersistedState state = PersistedState.newBuilder().setIdentity(identity).build();
@@ -244,6 +253,13 @@
         return new Opened(storage, new RestoredState(state, SnapshotMeta.NONE, List.of()), 0);
     }
 
+    /** Creates the first log file. */
+    private static Path firstLog(Directory directory) throws IOException {
+        Path first = logPath(directory.path(), 1);
+        directory.create(first).close();
+        return first;
+    }
+
     private void rollSegment() throws IOException {
         // Synced first, because only the last file may end in an incomplete record.
         active.sync();
@@ -254,30 +270,24 @@
     private void openSegment() throws IOException {
         Path path = logPath(folder, nextSegment);
         nextSegment++;
-        active = RecordFile.create(path);
-        syncFolder();
+        active = directory.create(path);
+        directory.sync();
         segments.add(new Segment(path));
     }
 
     private void deleteCoveredFiles(long index) throws IOException {
         for (Path old : list(folder, SNAPSHOT, "")) {
             if (number(old, SNAPSHOT) < index) {
-                Files.delete(old);
+                directory.delete(old);
             }
         }
         if (active.size() > 0) {
             rollSegment();
         }
         while (segments.size() > 1 && segments.get(0).maxIndex <= index) {
-            Files.delete(segments.remove(0).path);
-        }
-        syncFolder();
-    }
-
-    private void syncFolder() throws IOException {
-        try (FileChannel directory = FileChannel.open(folder, StandardOpenOption.READ)) {
-            directory.force(true);
+            directory.delete(segments.remove(0).path);
         }
+        directory.sync();
     }
 
     private Path snapshotPath(long index) {
