Sync the first log file of a group before its state record

Operators would see a member that never starts again after a loss of power during its first start.

Cause: the first log file was created and the state record renamed within one sync of the folder. A loss of power before it may keep the record and lose the log file, and a folder with a state record and without a log file is rejected.

Change: the folder is synced after the log file was created, before the state record is written.

--- a/replication/src/main/java/org/ragwortrun/replication/internal/GroupStorage.java
+++ b/replication/src/main/java/org/ragwortrun/replication/internal/GroupStorage.java
@@ -253,10 +253,11 @@
         return new Opened(storage, new RestoredState(state, SnapshotMeta.NONE, List.of()), 0);
     }
 
-    /** Creates the first log file. */
+    /** Creates the first log file. It is durable before the state record that requires it. */
     private static Path firstLog(Directory directory) throws IOException {
         Path first = logPath(directory.path(), 1);
         directory.create(first).close();
+        directory.sync();
         return first;
     }
 
--- a/replication/src/test/java/org/ragwortrun/replication/internal/InterruptedStorageTest.java
+++ b/replication/src/test/java/org/ragwortrun/replication/internal/InterruptedStorageTest.java
@@ -41,6 +41,12 @@
         void run(GroupStorage storage, Acknowledged acknowledged) throws IOException, CorruptLogException;
     }
 
+    /** Guards against a member that never starts again after it was interrupted during its first start. */
+    @Test
+    void startsAfterInterruptedFirstStart() throws Exception {
+        interruptEachStep(Optional.empty(), NOTHING);
+    }
+
     /** Guards against a member without entries that never starts again after an interrupted installation. */
     @Test
     void startsAfterInterruptedInstallationOfJoiningMember() throws Exception {
