--- a/replication/src/main/java/org/ragwortrun/replication/internal/LogReplay.java
+++ b/replication/src/main/java/org/ragwortrun/replication/internal/LogReplay.java
@@ -20,6 +20,11 @@
         if (!entries.isEmpty()) {
             long first = entries.get(0).getIndex();
             long replaced = e.getIndex() - first;
+            if (replaced > entries.size() && e.getIndex() <= snapshot.index() + 1) {
+                // Files that a snapshot covers are deleted together, and a loss of power may keep some of them.
+                entries.clear();
+                replaced = 0;
+            }
             if (replaced > entries.size()) {
                 throw new CorruptLogException(
                         file, offset, "entry " + e.getIndex() + " follows entry " + (first + entries.size() - 1));
--- a/replication/src/test/java/org/ragwortrun/replication/internal/InterruptedStorageTest.java
+++ b/replication/src/test/java/org/ragwortrun/replication/internal/InterruptedStorageTest.java
@@ -47,12 +47,24 @@
         interruptEachStep(Optional.empty(), NOTHING);
     }
 
+    /** Guards against a member that never starts again after it was interrupted while it replaced its log. */
+    @Test
+    void startsAfterInterruptedInstallation() throws Exception {
+        interruptEachStep(Optional.of(this::appendFiles), this::install);
+    }
+
     /** Guards against a member without entries that never starts again after an interrupted installation. */
     @Test
     void startsAfterInterruptedInstallationOfJoiningMember() throws Exception {
         interruptEachStep(Optional.of(NOTHING), this::install);
     }
 
+    /** Guards against a member that never starts again after it was interrupted while a snapshot replaced log files. */
+    @Test
+    void startsAfterInterruptedSnapshot() throws Exception {
+        interruptEachStep(Optional.of(this::appendFiles), this::takeSnapshot);
+    }
+
     /** Guards against a repair of an interrupted installation that is interrupted itself. */
     @Test
     void startsAfterInterruptedRepair() throws Exception {
@@ -138,6 +150,13 @@
         acknowledged.index = 6;
     }
 
+    private void takeSnapshot(GroupStorage storage, Acknowledged acknowledged) throws IOException {
+        commitSnapshot(storage, 5);
+        storage.append(entries(7, 8));
+        storage.sync();
+        acknowledged.index = 8;
+    }
+
     private static void commitSnapshot(GroupStorage storage, long index) throws IOException {
         SnapshotMeta meta = new SnapshotMeta(index, 1, MemberSet.getDefaultInstance());
         storage.writeSnapshot(meta, new ListStateMachine());
