Apply a changed header limit to all connections

Cause: ForwardRouter.start read the limit once, when it began to listen. No configuration has been received then, so the value was always the default of CallerLimits, 16 KiB.

--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
@@ -19,6 +19,7 @@
 import java.util.List;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.IntSupplier;
 import java.util.function.Supplier;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
@@ -226,13 +227,13 @@
                 listeners,
                 group,
                 settings.callers(),
-                admission.limits().headerBytes(),
+                () -> admission.limits().headerBytes(),
                 () -> new CallerConnection(admission, admission::limits, problems, time));
         listen(
                 closer,
                 group,
                 settings.readiness(),
-                admission.limits().headerBytes(),
+                () -> admission.limits().headerBytes(),
                 () -> new ReadinessHandler(admission::isReady));
         Event.of("router-started")
                 .with("name", settings.name())
@@ -304,7 +305,11 @@
     }
 
     private static void listen(
-            Closer closer, EventLoopGroup group, Address address, int headerBytes, Supplier<ChannelHandler> handler)
+            Closer closer,
+            EventLoopGroup group,
+            Address address,
+            IntSupplier headerBytes,
+            Supplier<ChannelHandler> handler)
             throws TransportException {
         var bound = new ServerBootstrap()
                 .group(group)
