Read answers no faster than their callers do

Cause: Exchange.buffer ignored that the caller's connection was full and went on reading, for every answer that is no event stream. What slow callers did not read filled the memory outside the heap, and the event loop slept in the allocation of the next buffer.

Change: reading from the endpoint stops when the caller's connection is full and goes on when it has room. Parts that arrive together are written as one, because each part that waits occupies more than its size. A full connection is flushed at once.

--- a/router/src/main/java/org/ragwortrun/router/internal/forward/AnswerListener.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/AnswerListener.java
@@ -11,6 +11,9 @@
     /** Called with a part of the body, which is valid only during the call. */
     void onBody(ByteBuf part);
 
+    /** Called when all data that had arrived has been passed to this listener. */
+    void onReadComplete();
+
     /** Called when the answer is complete. */
     void onEnd();
 
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/CallerConnection.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/CallerConnection.java
@@ -253,7 +253,11 @@
             return true;
         }
         ctx.write(new DefaultHttpContent(part), ctx.voidPromise());
-        admission.flushLater(ctx);
+        if (ctx.channel().isWritable()) {
+            admission.flushLater(ctx);
+        } else {
+            ctx.flush();
+        }
         return ctx.channel().isWritable();
     }
 
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointConnection.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointConnection.java
@@ -162,6 +162,14 @@
         }
     }
 
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        AnswerListener l = listener;
+        if (l != null) {
+            l.onReadComplete();
+        }
+    }
+
     /** Returns whether an answer is certainly not the copy of an answer to an earlier request. */
     private boolean isCurrent(HttpResponse head) {
         return !headers.isForOtherRequest(head.headers(), requestId)
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
@@ -588,7 +588,7 @@
             if (isStream) {
                 onEvents(r, part);
             } else {
-                buffer(part);
+                buffer(r, part);
             }
         }
 
@@ -613,10 +613,7 @@
             if (first) {
                 startAnswer(r);
             }
-            EndpointConnection c = connection;
-            if (!answer.writeBody(complete) && c != null) {
-                c.setReading(false);
-            }
+            writeBody(complete);
             if (first) {
                 answer.flush();
             }
@@ -632,20 +629,43 @@
                     || events.firstId() == resumedAfter.getAsLong() + 1;
         }
 
-        private void buffer(ByteBuf part) {
-            if (answerStarted) {
-                answer.writeBody(part.retainedDuplicate());
-                return;
-            }
-            if (buffered.readableBytes() == 0) {
-                buffered = Unpooled.buffer();
+        /**
+         * Buffers a part of a body. Parts that arrive together are written together, because each part that waits for a
+         * slow caller occupies more memory than its size.
+         */
+        private void buffer(HttpResponse r, ByteBuf part) {
+            if (!buffered.isReadable()) {
+                buffered = Unpooled.buffer(part.readableBytes());
             }
             buffered.writeBytes(part);
-            HttpResponse r = answerHead;
-            if (buffered.readableBytes() > MAX_BUFFERED_BYTES && r != null) {
-                startAnswer(r);
-                answer.writeBody(buffered);
+            if (buffered.readableBytes() > MAX_BUFFERED_BYTES) {
+                if (!answerStarted) {
+                    startAnswer(r);
+                }
+                writeBuffered();
+            }
+        }
+
+        @Override
+        public void onReadComplete() {
+            if (!done && !isStream && answerStarted) {
+                writeBuffered();
+            }
+        }
+
+        private void writeBuffered() {
+            if (buffered.isReadable()) {
+                ByteBuf part = buffered;
                 buffered = Unpooled.EMPTY_BUFFER;
+                writeBody(part);
+            }
+        }
+
+        /** Writes a part of the body and stops reading from the endpoint if the caller cannot receive more. */
+        private void writeBody(ByteBuf part) {
+            EndpointConnection c = connection;
+            if (!answer.writeBody(part) && c != null) {
+                c.setReading(false);
             }
         }
 
@@ -703,11 +723,8 @@
             }
             if (!answerStarted) {
                 startAnswer(r);
-                if (buffered.isReadable()) {
-                    answer.writeBody(buffered);
-                    buffered = Unpooled.EMPTY_BUFFER;
-                }
             }
+            writeBuffered();
             answer.complete();
             observer.onAnswered(services.time().nanos() - startNanos);
             finish("answered", r.status().code());
