Search only the added bytes for the end of an event

Cause: EventSplitter searched the whole buffered data, up to 256 KB, for the last blank line with each part, so the work grew with the square of the size.

Change: the search ends where the added bytes begin; what was buffered before contains no blank line.

--- a/router/src/main/java/org/ragwortrun/router/internal/forward/EventSplitter.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/EventSplitter.java
@@ -29,8 +29,9 @@
      * @return the events that are now complete, or an empty buffer
      */
     ByteBuf add(ByteBuf bytes) {
+        int added = buffer.writerIndex();
         buffer.writeBytes(bytes);
-        int end = lastBoundary();
+        int end = lastBoundary(added);
         if (end == 0) {
             return Unpooled.EMPTY_BUFFER;
         }
@@ -74,9 +75,9 @@
         buffer.release();
     }
 
-    /** Returns the bytes up to the end of the last blank line. */
-    private int lastBoundary() {
-        for (int i = buffer.writerIndex() - 1; i > buffer.readerIndex(); i--) {
+    /** Returns the number of bytes up to the end of the last blank line, which ends at or after an index. */
+    private int lastBoundary(int from) {
+        for (int i = buffer.writerIndex() - 1; i >= Math.max(from, buffer.readerIndex() + 1); i--) {
             if (buffer.getByte(i) == '\n') {
                 byte before = buffer.getByte(i - 1);
                 boolean blank = before == '\n'
--- a/router/src/test/java/org/ragwortrun/router/SlowCallersTest.java
+++ b/router/src/test/java/org/ragwortrun/router/SlowCallersTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 import static org.ragwortrun.router.ScriptedEndpoint.chunk;
 import static org.ragwortrun.router.ScriptedEndpoint.ok;
+import static org.ragwortrun.router.ScriptedEndpoint.streamHead;
 import static org.ragwortrun.router.ScriptedEndpoint.write;
 
 import java.io.IOException;
@@ -122,6 +123,18 @@
         assertThat(new String(answer, StandardCharsets.ISO_8859_1)).endsWith("\r\n\r\n" + body);
     }
 
+    /** Guards against an event without end that is searched from its beginning again with each part of it. */
+    @Test
+    void failsEventWithoutEndInSmallChunks() throws Exception {
+        String head = streamHead("ID");
+        EndlessAnswer answer = new EndlessAnswer("event", head, chunk("x").repeat(SMALL_CHUNKS), SMALL_CHUNKS);
+        harness.addEndpoint("e1", (request, out) -> sendWithoutEnd(request, out, answer));
+        ForwardHarness.Router router = startRouter();
+        long start = System.nanoTime();
+        assertThat(router.send(get("/draft/"))).startsWith("HTTP/1.1 502");
+        assertThat(System.nanoTime() - start).isLessThan(TimeUnit.MILLISECONDS.toNanos(WAIT_MS));
+    }
+
     /** Starts a router that knows that it is the only one and may open many connections to an endpoint. */
     private ForwardHarness.Router startRouter() throws Exception {
         ForwardHarness.Router router = harness.startRouter("r1");
