Limit the memory of all requests and answers of a router

Cause: what a connection holds was bounded, what all of them hold was not, and the body of a request was allocated in full when its head arrived.

Above a third of the heap the connection that holds most releases its memory: a request that is still being read is refused as overloaded and not run, another one ends as if its answer were lost. Bodies grow with the data that arrives.

Not measured with real processes.

--- a/router/src/main/java/org/ragwortrun/router/internal/forward/AnswerWriter.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/AnswerWriter.java
@@ -9,6 +9,9 @@
     /** Returns whether the caller's connection is open. Detects a close before the channel reports it as inactive. */
     boolean isOpen();
 
+    /** Called before a part of the answer that was received is buffered. May end the request if memory is short. */
+    void onReceived(int bytes);
+
     /** Writes the head of an answer whose body follows in parts. */
     void writeHead(HttpResponse head);
 
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/CallerConnection.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/CallerConnection.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -36,7 +37,10 @@
  *
  * <p>The connection is read while a request is served, so that the router notices at once when the caller disconnects.
  */
-final class CallerConnection extends SimpleChannelInboundHandler<HttpObject> implements AnswerWriter {
+final class CallerConnection extends SimpleChannelInboundHandler<HttpObject>
+        implements AnswerWriter, MemoryLimit.Holder {
+    private static final int FIRST_BODY_BYTES = 64 << 10;
+    private static final Duration RETRY_AFTER = Duration.ofMillis(500);
     // Reading stops when this many requests of the connection are waiting.
     private static final int MAX_PIPELINED_REQUESTS = 16;
 
@@ -108,13 +112,13 @@
     }
 
     /** Stops the request that is being served, answers it, and closes the connection. */
-    void abortAndClose() {
+    void abortAndClose(String cause) {
         closing = true;
         Exchange e = exchange;
         if (e == null) {
             abort();
         } else {
-            e.stop();
+            e.stop(cause);
         }
     }
 
@@ -155,7 +159,8 @@
         }
         head = request;
         headReceivedNanos = time.nanos();
-        body = Unpooled.buffer((int) Math.min(length, limits.get().bodyBytes()));
+        // Grows with the received data, because the declared length need not arrive.
+        body = Unpooled.buffer((int) Math.min(length, FIRST_BODY_BYTES));
         if (HttpUtil.is100ContinueExpected(request) && current == null) {
             ctx.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
         }
@@ -171,6 +176,10 @@
             reject(ctx, Refusal.notRun(RefusalReason.REQUEST_TOO_LARGE, "the body is larger than allowed"));
             return;
         }
+        admission.memory().onReceived(content.content().readableBytes());
+        if (head == null) {
+            return;
+        }
         b.writeBytes(content.content());
         if (content instanceof LastHttpContent) {
             head = null;
@@ -203,6 +212,48 @@
         exchange = current == null ? null : started;
     }
 
+    @Override
+    public void onReceived(int bytes) {
+        admission.memory().onReceived(bytes);
+    }
+
+    /** Returns the bytes of requests that are read, wait or are served, and of the answer that is being written. */
+    @Override
+    public long heldBytes() {
+        long held = capacity(body)
+                + waiting.stream().mapToLong(w -> capacity(w.body())).sum();
+        CompleteRequest w = current;
+        held += w == null ? 0 : capacity(w.body());
+        Exchange e = exchange;
+        held += e == null ? 0 : e.bufferedBytes();
+        ChannelHandlerContext ctx = context;
+        ChannelOutboundBuffer unsent =
+                ctx == null ? null : ctx.channel().unsafe().outboundBuffer();
+        return held + (unsent == null ? 0 : unsent.totalPendingWriteBytes());
+    }
+
+    private static long capacity(@Nullable ByteBuf bytes) {
+        return bytes == null || bytes.refCnt() == 0 ? 0 : bytes.capacity();
+    }
+
+    /** Refuses the request that is being read, or ends the one that is being served, and closes the connection. */
+    @Override
+    public void releaseMemory() {
+        ChannelHandlerContext ctx = context;
+        if (ctx == null) {
+            return;
+        }
+        waiting.forEach(w -> w.body().release());
+        waiting.clear();
+        if (current == null && head != null) {
+            reject(ctx, Refusal.notRun(RefusalReason.OVERLOADED, "too many bytes of requests", RETRY_AFTER));
+            return;
+        }
+        head = null;
+        body = null;
+        abortAndClose("memory-short");
+    }
+
     @Override
     public boolean isOpen() {
         ChannelHandlerContext ctx = context;
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/EventSplitter.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/EventSplitter.java
@@ -60,6 +60,11 @@
         return buffer.isReadable();
     }
 
+    /** Returns the size of the buffer. */
+    int capacity() {
+        return buffer.refCnt() == 0 ? 0 : buffer.capacity();
+    }
+
     boolean isTooLong() {
         return buffer.readableBytes() > MAX_BUFFERED_BYTES;
     }
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
@@ -152,10 +152,16 @@
         void onEnded();
     }
 
-    /** Ends the exchange because its host stops, and tells the caller whether the request may have run. */
-    void stop() {
+    /** Returns the size of the buffers of an answer that is not written yet. */
+    long bufferedBytes() {
+        Attempt last = current;
+        return events.capacity() + (last == null ? 0 : last.buffered.capacity());
+    }
+
+    /** Ends the exchange for a cause in its host, and tells the caller whether the request may have run. */
+    void stop(String cause) {
         if (!ended) {
-            giveUp("host-stops");
+            giveUp(cause);
         }
     }
 
@@ -585,6 +591,10 @@
             if (r == null || done) {
                 return;
             }
+            answer.onReceived(part.readableBytes());
+            if (done) {
+                return;
+            }
             if (isStream) {
                 onEvents(r, part);
             } else {
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
@@ -75,6 +75,9 @@
     // Short, so that a restarted router can serve before the next leader is elected.
     private static final long FIRST_READ_MS = 50;
     private static final int BACKLOG = 512;
+    // Part of the heap that requests and answers may occupy; buffers grow by copying, and the rest of the router needs
+    // heap.
+    private static final int MEMORY_HEAP_SHARE = 3;
     // Two intervals at which the leader sends the list to all routers, plus a margin.
     private static final long LEADER_SILENCE_NANOS = 2_500_000_000L;
 
@@ -209,7 +212,8 @@
                 loop,
                 new AfterReadExecutor(loop),
                 random::nextDouble);
-        RequestAdmission admission = new RequestAdmission(services);
+        RequestAdmission admission =
+                new RequestAdmission(services, Runtime.getRuntime().maxMemory() / MEMORY_HEAP_SHARE);
         pushes.connect(watch, grants);
         pushes.setConfigurationListener(admission::recheckQuarantine);
         watch.start(CONFIRM_INTERVAL);
@@ -219,6 +223,7 @@
         SingleThreadExecutor.repeat(loop, endpoints::closeExpired, SECOND_MS, SECOND_MS);
         readOwnList(source, endpoints, loop, closer);
         metrics.gauge("running_requests", "Requests that have not ended", admission::active);
+        metrics.gauge("held_bytes", "Bytes of requests and answers in memory", admission.memory()::heldBytes);
         metrics.gauge("peer_reservations", "Reservations of other routers that have not ended", home::open);
         metrics.gauge("pending_settlements", "Bills that no shard has acknowledged", settlements::pending);
         ProblemWriter problems = new ProblemWriter(new ObjectMapper());
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/RequestAdmission.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/RequestAdmission.java
@@ -37,6 +37,7 @@
     private final ForwardServices services;
     private final OriginPicker picker;
     private final FlushBatcher flushBatcher;
+    private final MemoryLimit memory;
     private final Set<CallerConnection> connections = new HashSet<>();
     private final Map<String, String> keyDigests = new LinkedHashMap<>() {
         private static final long serialVersionUID = 1L;
@@ -53,8 +54,14 @@
     private long endNanos;
     private volatile int active;
 
-    RequestAdmission(ForwardServices services) {
+    /**
+     * Creates the admission of a router.
+     *
+     * @param maxHeldBytes maximum number of bytes that requests and answers of all callers may occupy
+     */
+    RequestAdmission(ForwardServices services, long maxHeldBytes) {
         this.services = services;
+        memory = new MemoryLimit(maxHeldBytes, () -> connections, services.metrics());
         startNanos = services.time().nanos();
         picker = new OriginPicker(services.random());
         flushBatcher = new FlushBatcher(services.loop());
@@ -101,6 +108,10 @@
         connections.remove(connection);
     }
 
+    MemoryLimit memory() {
+        return memory;
+    }
+
     /** Flushes a caller's connection after a short delay, together with others. */
     void flushLater(ChannelHandlerContext ctx) {
         flushBatcher.add(ctx);
@@ -136,7 +147,7 @@
 
     /** Stops running requests and closes all connections. */
     void abortAll() {
-        List.copyOf(connections).forEach(CallerConnection::abortAndClose);
+        List.copyOf(connections).forEach(c -> c.abortAndClose("host-stops"));
     }
 
     /** Starts an exchange. Returns nothing if the request was refused at once. */
--- a/router/src/test/java/org/ragwortrun/router/internal/forward/CallerConnectionTest.java
+++ b/router/src/test/java/org/ragwortrun/router/internal/forward/CallerConnectionTest.java
@@ -3,12 +3,17 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.DefaultEventLoop;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -31,6 +36,8 @@
 
 /** Checks which requests a caller's connection handles when data and a close arrive together. */
 final class CallerConnectionTest {
+    private static final long MAX_HELD_BYTES = 1 << 20;
+
     private final Closer closer = new Closer();
     private int configurationReads;
     private final Deque<Runnable> tasks = new ArrayDeque<>();
@@ -62,6 +69,28 @@
         assertThat(configurationReads).isEqualTo(0);
     }
 
+    /** Guards against bodies of callers that fill the memory, and against an upload that is cut without an answer. */
+    @Test
+    void refusesUploadWhenMemoryIsShort() {
+        DefaultHttpRequest head = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/x");
+        head.headers().set("Host", "h").set("Content-Length", 4 * MAX_HELD_BYTES - 1);
+        channel.pipeline().fireChannelRead(head);
+        CallerConnection connection = channel.pipeline().get(CallerConnection.class);
+        assertThat(connection.heldBytes()).isLessThan(MAX_HELD_BYTES);
+        DefaultFullHttpResponse refusal = null;
+        for (int i = 0; i < 100 && refusal == null; i++) {
+            channel.pipeline()
+                    .fireChannelRead(new DefaultHttpContent(Unpooled.buffer().writeZero(64 << 10)));
+            assertThat(connection.heldBytes()).isAtMost(2 * MAX_HELD_BYTES);
+            refusal = channel.readOutbound();
+        }
+        assertThat(refusal).isNotNull();
+        assertThat(refusal.status().code()).isEqualTo(503);
+        assertThat(refusal.headers().contains("Retry-After")).isTrue();
+        assertThat(refusal.content().toString(StandardCharsets.UTF_8)).contains("\"run\":\"not run\"");
+        assertThat(connection.heldBytes()).isEqualTo(0);
+    }
+
     /** Creates a connection that refuses every request that it handles, because there is no configuration. */
     private EmbeddedChannel connection() {
         DefaultEventLoop loop = new DefaultEventLoop();
@@ -79,35 +108,37 @@
                 },
                 (endpoint, head, current) -> {},
                 Duration.ZERO);
-        RequestAdmission admission = new RequestAdmission(new ForwardServices(
-                "dc",
-                () -> {
-                    configurationReads++;
-                    return Optional.empty();
-                },
-                endpoints,
-                new LimitReader(headers, endpoints, metrics, time),
-                new PermitSource() {
-                    @Override
-                    public void acquire(String endpoint, EndpointLimit limit, Consumer<Boolean> decided) {
-                        throw new AssertionError("nothing is sent");
-                    }
+        RequestAdmission admission = new RequestAdmission(
+                new ForwardServices(
+                        "dc",
+                        () -> {
+                            configurationReads++;
+                            return Optional.empty();
+                        },
+                        endpoints,
+                        new LimitReader(headers, endpoints, metrics, time),
+                        new PermitSource() {
+                            @Override
+                            public void acquire(String endpoint, EndpointLimit limit, Consumer<Boolean> decided) {
+                                throw new AssertionError("nothing is sent");
+                            }
 
-                    @Override
-                    public void report(String endpoint, EndpointLimit limit) {}
-                },
-                new RetryAllowance(0, () -> 0, 1),
-                (budget, tokens, id, longest) -> new CompletableFuture<>(),
-                evidence,
-                quarantine,
-                parts,
-                new CrashDetector(quarantine, parts, crash -> {}, evidence, metrics, time, loop),
-                headers,
-                metrics,
-                time,
-                loop,
-                tasks::add,
-                () -> 0));
+                            @Override
+                            public void report(String endpoint, EndpointLimit limit) {}
+                        },
+                        new RetryAllowance(0, () -> 0, 1),
+                        (budget, tokens, id, longest) -> new CompletableFuture<>(),
+                        evidence,
+                        quarantine,
+                        parts,
+                        new CrashDetector(quarantine, parts, crash -> {}, evidence, metrics, time, loop),
+                        headers,
+                        metrics,
+                        time,
+                        loop,
+                        tasks::add,
+                        () -> 0),
+                MAX_HELD_BYTES);
         return new EmbeddedChannel(new CallerConnection(
                 admission, () -> CallerLimits.DEFAULTS, new ProblemWriter(new ObjectMapper()), time));
     }
