Write no body in the answer to a HEAD request

Cause: CallerConnection wrote the problem document for each method, and the encoder does not know the method. An answer to HEAD of an endpoint that names no length got chunked encoding and a last chunk, which spoils the connection in the same way.

Change: the refusal of a HEAD request has the headers of the document and no body; an answer to HEAD without a length gets no framing.

--- a/router/src/main/java/org/ragwortrun/router/internal/forward/CallerConnection.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/CallerConnection.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
@@ -55,7 +56,6 @@
     private @Nullable CompleteRequest current;
     private @Nullable Exchange exchange;
     private boolean answerStarted;
-    private boolean chunked;
     private boolean endsWithConnection;
     private boolean closing;
     private long idleSinceNanos;
@@ -270,9 +270,12 @@
         HttpResponse out = new DefaultHttpResponse(HttpVersion.HTTP_1_1, from.status());
         admission.headers().copyToCaller(from.headers(), out.headers());
         String length = from.headers().get(HttpHeaderNames.CONTENT_LENGTH);
-        chunked = length == null || isEventStream(from);
-        if (!chunked) {
+        boolean hasLength = length != null && !isEventStream(from);
+        if (hasLength) {
             out.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
+        } else if (isHead(w.head())) {
+            // The answer has no body, so that its end needs no framing.
+            out.headers().remove(HttpHeaderNames.TRANSFER_ENCODING);
         } else if (w.head().protocolVersion().isKeepAliveDefault()) {
             out.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
         } else {
@@ -371,17 +374,22 @@
             closing = true;
         }
         String id = w.head().headers().get(admission.headers().idHeader(), "");
-        DefaultFullHttpResponse out = response(refusal, id);
+        DefaultFullHttpResponse out = response(refusal, id, isHead(w.head()));
         setKeepAlive(w, out);
         writeLast(ctx, out);
     }
 
-    private DefaultFullHttpResponse response(Refusal refusal, String id) {
+    private static boolean isHead(@Nullable HttpRequest request) {
+        return request != null && request.method().equals(HttpMethod.HEAD);
+    }
+
+    /** Creates the answer to a refused request. A caller that asked for the head only would read a body as its next answer. */
+    private DefaultFullHttpResponse response(Refusal refusal, String id, boolean headOnly) {
         byte[] text = problems.write(id, refusal);
         DefaultFullHttpResponse out = new DefaultFullHttpResponse(
                 HttpVersion.HTTP_1_1,
                 HttpResponseStatus.valueOf(refusal.reason().status()),
-                Unpooled.wrappedBuffer(text));
+                headOnly ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(text));
         out.headers()
                 .set(HttpHeaderNames.CONTENT_TYPE, ProblemWriter.MEDIA_TYPE)
                 .set(HttpHeaderNames.CONTENT_LENGTH, text.length);
@@ -399,11 +407,12 @@
      * unknown.
      */
     private void reject(ChannelHandlerContext ctx, Refusal refusal) {
+        boolean headOnly = isHead(head);
         head = null;
         body = null;
         ctx.channel().config().setAutoRead(false);
         if (current == null && !closing) {
-            DefaultFullHttpResponse out = response(refusal, "");
+            DefaultFullHttpResponse out = response(refusal, "", headOnly);
             out.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             ctx.writeAndFlush(out).addListener(ChannelFutureListener.CLOSE);
         }
