--- a/router/src/main/java/org/ragwortrun/router/internal/forward/CallerConnection.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/CallerConnection.java
@@ -271,14 +271,13 @@
         admission.headers().copyToCaller(from.headers(), out.headers());
         String length = from.headers().get(HttpHeaderNames.CONTENT_LENGTH);
         boolean hasLength = length != null && !isEventStream(from);
+        // The answer to HEAD has no body, so its end needs no framing.
+        boolean needsFraming = !hasLength && !isHead(w.head());
         if (hasLength) {
             out.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
-        } else if (isHead(w.head())) {
-            // The answer has no body, so that its end needs no framing.
-            out.headers().remove(HttpHeaderNames.TRANSFER_ENCODING);
-        } else if (w.head().protocolVersion().isKeepAliveDefault()) {
+        } else if (needsFraming && w.head().protocolVersion().isKeepAliveDefault()) {
             out.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
-        } else {
+        } else if (needsFraming) {
             closing = true;
             endsWithConnection = true;
         }
@@ -383,7 +382,11 @@
         return request != null && request.method().equals(HttpMethod.HEAD);
     }
 
-    /** Creates the answer to a refused request. A caller that asked for the head only would read a body as its next answer. */
+    /**
+     * Creates the answer to a refused request.
+     *
+     * @param headOnly whether the request was HEAD, whose caller would read a body as the next answer
+     */
     private DefaultFullHttpResponse response(Refusal refusal, String id, boolean headOnly) {
         byte[] text = problems.write(id, refusal);
         DefaultFullHttpResponse out = new DefaultFullHttpResponse(
