--- a/replication/src/main/java/org/ragwortrun/replication/internal/GroupRunner.java
+++ b/replication/src/main/java/org/ragwortrun/replication/internal/GroupRunner.java
@@ -46,8 +46,7 @@
     // A new snapshot restarts transfers of the old one, so it is deferred during transfers until the log has grown to
     // this multiple of its limits.
     private static final int SNAPSHOT_DEFERRAL_FACTOR = 16;
-    // Parts of the limit of the log in memory. Entries that snapshots replace must not reach the limit, because a
-    // leader
+    // Parts of the limit of the log in memory. Entries that snapshots replace must not reach the limit, since a leader
     // then accepts no commands.
     private static final int SNAPSHOTS_PER_LOG = 4;
     private static final int DEFERRED_SNAPSHOTS_PER_LOG = 2;
