Log the connection, status and proof of the answer to each request

The lines event=request and event=endpoint-broken now have received, proof, connection (the local port), connection-requests and dropped; a dropped answer and data on an idle connection have lines (answer-dropped, unexpected-endpoint-data) and counters of their own. No decision is changed.

--- a/core/src/main/java/org/ragwortrun/core/log/Event.java
+++ b/core/src/main/java/org/ragwortrun/core/log/Event.java
@@ -5,6 +5,8 @@
 
 /** One log event, written as a line of key=value pairs. */
 public final class Event {
+    private static final int MAX_EXTERNAL_CHARS = 64;
+
     private final StringBuilder line = new StringBuilder(96);
 
     private Event(String name) {
@@ -28,6 +30,11 @@
         return this;
     }
 
+    /** Adds a pair whose value was received from outside; it is cut after 64 characters. */
+    public Event withExternal(String key, String value) {
+        return with(key, value.substring(0, Math.min(MAX_EXTERNAL_CHARS, value.length())));
+    }
+
     public void info(Logger log) {
         log.info(line);
     }
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointConnection.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointConnection.java
@@ -15,10 +15,15 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.ScheduledFuture;
+import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.jspecify.annotations.Nullable;
+import org.ragwortrun.core.log.Event;
+import org.ragwortrun.core.metrics.Metrics;
 import org.ragwortrun.core.time.Time;
 
 /**
@@ -30,6 +35,7 @@
  * that are no part of its answer.
  */
 final class EndpointConnection extends SimpleChannelInboundHandler<HttpObject> {
+    private static final Logger LOG = LogManager.getLogger(EndpointConnection.class);
     private static final Pattern KEEP_ALIVE = Pattern.compile("timeout=(\\d+)");
     private static final long SECOND_NANOS = 1_000_000_000L;
     // Reuse stops this long before the endpoint closes the connection, so that no request is sent as it closes.
@@ -42,6 +48,7 @@
 
     private final Time time;
     private final RequestHeaders headers;
+    private final Metrics metrics;
     private final EndpointConnectionPool pool;
     private @Nullable Channel channel;
     private @Nullable AnswerListener listener;
@@ -50,6 +57,7 @@
     private boolean skipping;
     private long skippedBytes;
     private int skippedMessages;
+    private int dropped;
     private long undecodedBytes;
     private int requests;
     private boolean headSeen;
@@ -58,10 +66,11 @@
     private long usableUntilNanos;
     private @Nullable ScheduledFuture<?> skipTimeout;
 
-    EndpointConnection(Time time, RequestHeaders headers, EndpointConnectionPool pool) {
+    EndpointConnection(Time time, RequestHeaders headers, Metrics metrics, EndpointConnectionPool pool) {
         super(HttpObject.class);
         this.time = time;
         this.headers = headers;
+        this.metrics = metrics;
         this.pool = pool;
     }
 
@@ -105,6 +114,7 @@
         requests++;
         skippedBytes = 0;
         skippedMessages = 0;
+        dropped = 0;
         undecodedBytes = 0;
         headSeen = false;
         written = false;
@@ -112,6 +122,13 @@
         c.writeAndFlush(new DefaultLastHttpContent(body)).addListener(f -> written = f.isSuccess());
     }
 
+    /** Describes the connection and what has arrived on it since the latest request was sent. */
+    ConnectionTrace trace() {
+        Channel c = channel;
+        int port = c != null && c.localAddress() instanceof InetSocketAddress a ? a.getPort() : 0;
+        return new ConnectionTrace(port, requests, dropped);
+    }
+
     /** Stops or resumes reading, while the caller reads more slowly than the endpoint sends. */
     void setReading(boolean reading) {
         Channel c = channel;
@@ -150,7 +167,11 @@
         if (part instanceof HttpResponse head && !part.decoderResult().isFailure()) {
             pool.onHead(head, l != null && isCurrent(head));
         }
-        if (part.decoderResult().isFailure() || l == null && !skipping) {
+        if (l == null && !skipping) {
+            onUnexpected(ctx);
+            return;
+        }
+        if (part.decoderResult().isFailure()) {
             fail(ctx, "not-an-answer");
             return;
         }
@@ -182,6 +203,7 @@
         skipping = interim || forOtherRequest;
         if (forOtherRequest) {
             reusable = false;
+            onDropped(ctx, head);
         }
         if (skipping) {
             skippedMessages++;
@@ -200,6 +222,29 @@
         l.onHead(head);
     }
 
+    /** Closes the connection because it received data while no request waited for an answer. */
+    private void onUnexpected(ChannelHandlerContext ctx) {
+        if (reusable) {
+            metrics.count("unexpected_endpoint_data", 1);
+            trace().addTo(Event.of("unexpected-endpoint-data")
+                            .with("address", String.valueOf(ctx.channel().remoteAddress())))
+                    .info(LOG);
+        }
+        fail(ctx, "not-an-answer");
+    }
+
+    private void onDropped(ChannelHandlerContext ctx, HttpResponse head) {
+        dropped++;
+        metrics.count("dropped_answers", 1);
+        trace().addTo(Event.of("answer-dropped")
+                        .with("id", requestId)
+                        .withExternal(
+                                "answered-id", String.valueOf(head.headers().get(headers.idHeader())))
+                        .with("status", head.status().code())
+                        .with("address", String.valueOf(ctx.channel().remoteAddress())))
+                .info(LOG);
+    }
+
     private void onContent(ChannelHandlerContext ctx, HttpContent content) {
         if (skipping) {
             skip(ctx, content);
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointConnectionPool.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointConnectionPool.java
@@ -13,6 +13,7 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.function.Consumer;
+import org.ragwortrun.core.metrics.Metrics;
 import org.ragwortrun.core.time.Time;
 import org.ragwortrun.net.Address;
 
@@ -29,15 +30,17 @@
     private final Address address;
     private final Time time;
     private final RequestHeaders headers;
+    private final Metrics metrics;
     private final Deque<EndpointConnection> idle = new ArrayDeque<>();
     private HeadListener headListener = (head, current) -> {};
     private int open;
 
-    EndpointConnectionPool(EventLoop loop, Address address, Time time, RequestHeaders headers) {
+    EndpointConnectionPool(EventLoop loop, Address address, Time time, RequestHeaders headers, Metrics metrics) {
         this.loop = loop;
         this.address = address;
         this.time = time;
         this.headers = headers;
+        this.metrics = metrics;
     }
 
     /** Receives the heads of answers. */
@@ -91,7 +94,7 @@
     }
 
     private void open(Consumer<EndpointConnection> connected, Consumer<String> failed) {
-        EndpointConnection connection = new EndpointConnection(time, headers, this);
+        EndpointConnection connection = new EndpointConnection(time, headers, metrics, this);
         open++;
         new Bootstrap()
                 .group(loop)
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
@@ -422,7 +422,7 @@
 
     private void log(String outcome, int status, @Nullable Attempt last, long tokens) {
         long now = services.time().nanos();
-        Event.of("request")
+        Event line = Event.of("request")
                 .with("id", request.id())
                 .with("route", route.name())
                 .with("account", account.map(Account::name).orElse(""))
@@ -432,8 +432,11 @@
                 .with("tries", tries)
                 .with("runs", runs)
                 .with("cause", lastCause)
-                .with("reason", reason)
-                .with("content", content.hexIfComputed())
+                .with("reason", reason);
+        if (last != null) {
+            last.addAnswer(line);
+        }
+        line.with("content", content.hexIfComputed())
                 .with("parts", reason.equals(RefusalReason.PART_QUARANTINED.code()) ? partIds() : "")
                 .with("tokens", tokens)
                 .with("events", events.events())
@@ -815,10 +818,17 @@
             }
         }
 
+        /** Adds what was received from the endpoint, and over which connection. */
+        private Event addAnswer(Event line) {
+            HttpResponse r = answerHead;
+            line.with("received", r == null ? 0 : r.status().code())
+                    .withExternal("proof", r == null ? "" : services.headers().proof(r.headers()));
+            EndpointConnection c = connection;
+            return (c == null ? ConnectionTrace.NONE : c.trace()).addTo(line);
+        }
+
         private void log(String event, String cause) {
-            Event.of(event)
-                    .with("id", request.id())
-                    .with("endpoint", endpoint.id())
+            addAnswer(Event.of(event).with("id", request.id()).with("endpoint", endpoint.id()))
                     .with("content", content.hexIfComputed())
                     .with("parts", partIds())
                     .with("events", events.events() - eventsBefore)
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
@@ -144,7 +144,7 @@
         UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create();
         NoticeReader notices = new NoticeReader(headers, metrics, time, random::nextDouble);
         EndpointTable endpoints = new EndpointTable(
-                time, e -> connections(loop, e, time, headers), notices::read, settings.longestPause());
+                time, e -> connections(loop, e, time, headers, metrics), notices::read, settings.longestPause());
         ForwardPushHandler pushes = new ForwardPushHandler(loop, endpoints);
         ControlClient control = closer.register(new ControlClient(transport, settings.members(), pushes));
         ConfigWatch watch =
@@ -297,15 +297,15 @@
     }
 
     private static EndpointConnectionPool connections(
-            EventLoop loop, ListedEndpoint endpoint, Time time, RequestHeaders headers) {
+            EventLoop loop, ListedEndpoint endpoint, Time time, RequestHeaders headers, Metrics metrics) {
         try {
-            return new EndpointConnectionPool(loop, Address.parse(endpoint.getAddress()), time, headers);
+            return new EndpointConnectionPool(loop, Address.parse(endpoint.getAddress()), time, headers, metrics);
         } catch (AddressException e) {
             // The source omits entries without an address, so this entry names no endpoint that could answer.
             Event.of("endpoint-address-unreadable")
                     .with("endpoint", endpoint.getId())
                     .warn(LOG, e);
-            return new EndpointConnectionPool(loop, new Address("127.0.0.1", 0), time, headers);
+            return new EndpointConnectionPool(loop, new Address("127.0.0.1", 0), time, headers, metrics);
         }
     }
 
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/RequestHeaders.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/RequestHeaders.java
@@ -130,6 +130,11 @@
         return answerHeaders.contains(names.proof());
     }
 
+    /** Returns the proof of an answer, or an empty string if it has none. */
+    String proof(HttpHeaders answerHeaders) {
+        return answerHeaders.get(names.proof(), "");
+    }
+
     boolean isNotRun(HttpHeaders answerHeaders) {
         return answerHeaders.contains(names.notRun());
     }
