Do not read parts of two answers of an endpoint as one

Callers saw: a success, with their own id and the proof and body of the endpoint's failure; or "not run" for a request that ran.

Cause: an endpoint that breaks off an answer within its head and writes another on the same connection. The decoder reads the status line of the second as the rest of a reason phrase or header value of the first, so the status is that of the first, and the id, proof and body are those of the second. The check of the id, the only one, passes. The same happened to bytes that arrived on an idle connection: as long as they were no whole head they stayed in the decoder and became the beginning of the next answer.

Change: a head with a second status line, id or proof ends the attempt (joined-answers), before anything else in it is believed. A connection is reused only if not a single byte has arrived after its last answer. The decoder is told by the connection whether the request was HEAD; before, it paired answers with methods by their order, which an answer too many shifts. A connection is not reused after HEAD, since a copy of such an answer cannot be delimited.

Why this works: the status line of the second answer is always in the joined head. If it begins a line or a header name, the decoder rejects it already; otherwise it is in the reason phrase or in a value.

The test now waits until the router has closed the connection instead of a fixed time.

--- a/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointConnection.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointConnection.java
@@ -5,15 +5,19 @@
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelPipeline;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
@@ -50,6 +54,8 @@
     private final RequestHeaders headers;
     private final Metrics metrics;
     private final EndpointConnectionPool pool;
+    private final JoinedAnswers joinedAnswers;
+    private final AnswerDecoder decoder = new AnswerDecoder(this::isAnswerToHead);
     private @Nullable Channel channel;
     private @Nullable AnswerListener listener;
     private String requestId = "";
@@ -60,6 +66,7 @@
     private int dropped;
     private long undecodedBytes;
     private int requests;
+    private boolean headRequested;
     private boolean headSeen;
     private boolean failed;
     private boolean written;
@@ -72,6 +79,7 @@
         this.headers = headers;
         this.metrics = metrics;
         this.pool = pool;
+        joinedAnswers = new JoinedAnswers(headers);
     }
 
     /** Stores the channel here because the connect future completes before {@code channelActive} is called. */
@@ -87,11 +95,25 @@
         return c != null && c.isActive() && reusable && usableUntilNanos - time.nanos() > 0;
     }
 
-    /** Returns a handler in front of the decoder, which closes the connection if the decoder gets bytes without end. */
-    ChannelHandler undecodedBytesLimit() {
+    /** Adds this connection and its codec to the pipeline of a new channel. */
+    void addTo(ChannelPipeline pipeline) {
+        pipeline.addLast(receivedBytesGuard(), decoder, new HttpRequestEncoder(), this);
+    }
+
+    /**
+     * Returns a handler in front of the decoder, which closes the connection if the decoder gets bytes without end, or
+     * bytes that no request waits for.
+     */
+    private ChannelHandler receivedBytesGuard() {
         return new ChannelInboundHandlerAdapter() {
             @Override
             public void channelRead(ChannelHandlerContext ctx, Object bytes) {
+                if (isIdle()) {
+                    // Undecoded, the bytes would become the beginning of the answer to the next request.
+                    ReferenceCountUtil.release(bytes);
+                    onUnexpected(ctx);
+                    return;
+                }
                 undecodedBytes += bytes instanceof ByteBuf b ? b.readableBytes() : 0;
                 ctx.fireChannelRead(bytes);
                 if (undecodedBytes > MAX_SKIPPED_BYTES) {
@@ -111,6 +133,12 @@
         }
         listener = answers;
         requestId = id;
+        headRequested = head.method().equals(HttpMethod.HEAD);
+        if (headRequested) {
+            // A copy of its answer could not be separated from the next answer: it names the length of a body that it
+            // does not have.
+            reusable = false;
+        }
         requests++;
         skippedBytes = 0;
         skippedMessages = 0;
@@ -164,10 +192,7 @@
     protected void channelRead0(ChannelHandlerContext ctx, HttpObject part) {
         undecodedBytes = 0;
         AnswerListener l = listener;
-        if (part instanceof HttpResponse head && !part.decoderResult().isFailure()) {
-            pool.onHead(head, l != null && isCurrent(head));
-        }
-        if (l == null && !skipping) {
+        if (isIdle()) {
             onUnexpected(ctx);
             return;
         }
@@ -175,6 +200,14 @@
             fail(ctx, "not-an-answer");
             return;
         }
+        if (part instanceof HttpResponse head) {
+            if (joinedAnswers.isJoined(head)) {
+                metrics.count("joined_answers", 1);
+                fail(ctx, "joined-answers");
+                return;
+            }
+            pool.onHead(head, l != null && isCurrent(head));
+        }
         if (part instanceof HttpResponse head && l != null) {
             onHead(ctx, head, l);
         }
@@ -222,6 +255,15 @@
         l.onHead(head);
     }
 
+    /** Returns whether no data may arrive, because no request waits and no rest of an answer is discarded. */
+    private boolean isIdle() {
+        return listener == null && !skipping;
+    }
+
+    private boolean isAnswerToHead(HttpResponse head) {
+        return headRequested && !headers.isForOtherRequest(head.headers(), requestId);
+    }
+
     /** Closes the connection because it received data while no request waited for an answer. */
     private void onUnexpected(ChannelHandlerContext ctx) {
         if (reusable) {
@@ -289,7 +331,9 @@
     }
 
     private void releaseOrClose(ChannelHandlerContext ctx) {
-        if (reusable && written && ctx.channel().isActive()) {
+        if (decoder.hasUndecodedData()) {
+            onUnexpected(ctx);
+        } else if (reusable && written && ctx.channel().isActive()) {
             ctx.channel().config().setAutoRead(true);
             pool.release(this);
         } else {
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointConnectionPool.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointConnectionPool.java
@@ -6,7 +6,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -104,7 +103,7 @@
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel ch) {
-                        ch.pipeline().addLast(connection.undecodedBytesLimit(), new HttpClientCodec(), connection);
+                        connection.addTo(ch.pipeline());
                     }
                 })
                 .connect(address.host(), address.port())
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/RequestHeaders.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/RequestHeaders.java
@@ -144,6 +144,12 @@
         return answerHeaders.contains(names.requestId());
     }
 
+    /** Returns whether an answer contains more than one request id or proof. */
+    boolean repeatsIdOrProof(HttpHeaders answerHeaders) {
+        return answerHeaders.getAll(names.requestId()).size() > 1
+                || answerHeaders.getAll(names.proof()).size() > 1;
+    }
+
     /** Returns whether an answer contains the id of another request. */
     boolean isForOtherRequest(HttpHeaders answerHeaders, String requestId) {
         String echoed = answerHeaders.get(names.requestId());
--- a/router/src/test/java/org/ragwortrun/router/JoinedAnswersTest.java
+++ b/router/src/test/java/org/ragwortrun/router/JoinedAnswersTest.java
@@ -98,26 +98,25 @@
     @ParameterizedTest
     @ValueSource(ints = {0, 20})
     void connectionWithDataAfterItsAnswerIsNotReused(int delayMs) throws Exception {
-        harness.addEndpoint("e1", (request, out) -> {
-            if (isFirst(request)) {
-                String answer = named(SUCCESS, id(request));
-                String repeated = answer.substring(0, bytes(request));
-                if (delayMs == 0) {
-                    write(out, answer + repeated);
-                } else {
-                    write(out, answer);
-                    TimeUnit.MILLISECONDS.sleep(delayMs);
-                    write(out, repeated);
-                }
-            } else {
+        ScriptedEndpoint endpoint = harness.addEndpoint("e1", (request, out) -> {
+            if (!isFirst(request)) {
                 write(out, named(FAILURE, id(request)));
+                return true;
+            }
+            String answer = named(SUCCESS, id(request));
+            write(out, delayMs == 0 ? answer + cut(SUCCESS, request) : answer);
+            if (delayMs > 0) {
+                TimeUnit.MILLISECONDS.sleep(delayMs);
+                write(out, cut(SUCCESS, request));
             }
             return true;
         });
         ForwardHarness.Router router = harness.startRouter("r1");
         for (int bytes = 1; bytes < SUCCESS.length(); bytes++) {
             sendFirst(router, bytes);
-            TimeUnit.MILLISECONDS.sleep(2L * delayMs);
+            assertWithMessage("connection closed after %s bytes of the earlier answer", bytes)
+                    .that(endpoint.awaitNoConnections(ANSWER_TIMEOUT_MS))
+                    .isTrue();
             assertWithMessage("after %s bytes of the earlier answer", bytes)
                     .that(router.send(next(bytes), ANSWER_TIMEOUT_MS))
                     .startsWith("HTTP/1.1 500 Failed");
--- a/router/src/test/java/org/ragwortrun/router/ScriptedEndpoint.java
+++ b/router/src/test/java/org/ragwortrun/router/ScriptedEndpoint.java
@@ -18,6 +18,8 @@
 
 /** An endpoint whose answers are written byte by byte by a script of the test. */
 final class ScriptedEndpoint implements AutoCloseable {
+    private static final long POLL_MS = 5;
+
     final List<String> requests = new CopyOnWriteArrayList<>();
     final CountDownLatch callerDisconnected = new CountDownLatch(1);
     volatile Script script;
@@ -58,6 +60,14 @@
         server = listen(port);
     }
 
+    /** Waits until all connections are closed. Returns whether they are. */
+    boolean awaitNoConnections(long timeoutMs) throws InterruptedException {
+        for (long waited = 0; !openConnections.isEmpty() && waited < timeoutMs; waited += POLL_MS) {
+            Thread.sleep(POLL_MS);
+        }
+        return openConnections.isEmpty();
+    }
+
     /** Answers one request; returns whether the connection stays open. */
     @FunctionalInterface
     interface Script {
