Do not read parts of two answers as one in an agent

Callers saw: a success for a request that the endpoint answered with a failure, and the reverse, or no answer until the time limit. A failed health check counted as passed; a refused load order would have counted as done (same reader, no test).

Cause: an endpoint that breaks off an answer within its head and writes another on the same connection. HttpCore reads the status line of the second as the rest of a reason phrase or header value of the first, or as a header if it contains a colon. A new connection for each request does not help, since both answers can come on it.

Change: a head or interim response with a second status line in its reason phrase, a header name or a value ends the attempt (joined-answers in the detail of event=endpoint-failed) before its receiver sees it, for requests as well as for health checks, queries of the load and load orders. The outcome is unknown, and is looked up if the service deduplicates.

Why this works: the status line of the second answer is always in the joined head. If it begins a line without a colon, or is within the status code of the first, the parser rejects it already.

--- a/agent/src/main/java/org/ragwortrun/agent/internal/HttpExchange.java
+++ b/agent/src/main/java/org/ragwortrun/agent/internal/HttpExchange.java
@@ -91,12 +91,15 @@
     }
 
     @Override
-    public void consumeInformation(HttpResponse response, HttpContext context) {
-        // Interim (1xx) responses are ignored.
+    public void consumeInformation(HttpResponse response, HttpContext context) throws HttpException {
+        // Interim (1xx) responses are otherwise ignored.
+        JoinedHeads.reject(response);
     }
 
     @Override
-    public void consumeResponse(HttpResponse response, @Nullable EntityDetails entity, HttpContext context) {
+    public void consumeResponse(HttpResponse response, @Nullable EntityDetails entity, HttpContext context)
+            throws HttpException {
+        JoinedHeads.reject(response);
         List<Header> headers = new ArrayList<>(List.of(response.getHeaders()));
         receiver.onHead(response.getCode(), headers);
         if (entity == null) {
