Reject an endpoint's answer that names another request in an agent

Callers saw: the endpoint's answer to an earlier request, as the answer to their own.

Cause: an endpoint, for example one behind a proxy that is out of step with it, writes an earlier answer before the real one. The agent read the first answer on a connection and ignored its X-Request-Id. A new connection for each request does not help here.

Why not any other id: plain services may answer with ids of their own in this header, and would fail with every request. Not detected: an answer without an id, with the id of a request sent by another process or before the agent started, or with an id that two accounts use. An answer from a cache in front of a service that keeps the id of an earlier request is rejected.

--- a/agent/src/main/java/org/ragwortrun/agent/internal/ChatCompletionsClient.java
+++ b/agent/src/main/java/org/ragwortrun/agent/internal/ChatCompletionsClient.java
@@ -51,7 +51,7 @@
         }
         BasicHttpRequest request = endpoint.request("POST", PATH);
         request.setHeader(HttpHeaders.CONTENT_TYPE, "application/json");
-        request.setHeader("X-Request-Id", engineRequestId(dispatch));
+        request.setHeader(SentRequestIds.HEADER, engineRequestId(dispatch));
         request.setHeader("X-Route", dispatch.getRoute());
         Stream stream = new Stream(dispatch, listener);
         stream.exchange = endpoint.send(request, body, stream);
--- a/agent/src/main/java/org/ragwortrun/agent/internal/HttpEndpoint.java
+++ b/agent/src/main/java/org/ragwortrun/agent/internal/HttpEndpoint.java
@@ -43,6 +43,7 @@
     private final HttpHost host;
     private final HttpAsyncRequester requester;
     private final Timeout connectTimeout;
+    private final SentRequestIds sentIds = new SentRequestIds();
 
     HttpEndpoint(URI url, Duration connectTimeout, Duration idleTimeout) {
         host = new HttpHost(url.getScheme(), url.getHost(), url.getPort());
@@ -78,7 +79,7 @@
 
     /** Sends a request once. */
     HttpExchange send(BasicHttpRequest request, byte[] body, HttpExchange.Receiver receiver) {
-        HttpExchange exchange = new HttpExchange(request, body, receiver);
+        HttpExchange exchange = new HttpExchange(request, body, receiver, sentIds);
         // The requester's execute method produces the request before it connects, so it would not show whether any byte
         // can have been sent.
         requester.connect(host, connectTimeout, null, new FutureCallback<>() {
--- a/agent/src/main/java/org/ragwortrun/agent/internal/HttpExchange.java
+++ b/agent/src/main/java/org/ragwortrun/agent/internal/HttpExchange.java
@@ -46,16 +46,21 @@
     private final HttpRequest request;
     private ByteBuffer body;
     private final Receiver receiver;
+    private final SentRequestIds sentIds;
+    private final String requestId;
     private final AtomicBoolean ended = new AtomicBoolean();
     private final Object lock = new Object();
     private volatile boolean aborted;
     private @Nullable CapacityChannel pausedChannel;
     private volatile @Nullable AsyncClientEndpoint connection;
 
-    HttpExchange(HttpRequest request, byte[] body, Receiver receiver) {
+    HttpExchange(HttpRequest request, byte[] body, Receiver receiver, SentRequestIds sentIds) {
         this.request = request;
         this.body = ByteBuffer.wrap(body);
         this.receiver = receiver;
+        this.sentIds = sentIds;
+        Header id = request.getFirstHeader(SentRequestIds.HEADER);
+        requestId = id == null ? "" : id.getValue();
     }
 
     /** Sets the connection of this exchange, which the exchange releases and discards when it ends. */
@@ -68,6 +73,9 @@
         if (aborted) {
             throw new InterruptedIOException("cancelled");
         }
+        if (!requestId.isEmpty()) {
+            sentIds.add(requestId);
+        }
         receiver.onSent();
         EntityDetails entity = body.hasRemaining() ? new BasicEntityDetails(body.remaining(), null) : null;
         channel.sendRequest(request, entity, context);
@@ -93,13 +101,13 @@
     @Override
     public void consumeInformation(HttpResponse response, HttpContext context) throws HttpException {
         // Interim (1xx) responses are otherwise ignored.
-        JoinedHeads.reject(response);
+        check(response);
     }
 
     @Override
     public void consumeResponse(HttpResponse response, @Nullable EntityDetails entity, HttpContext context)
             throws HttpException {
-        JoinedHeads.reject(response);
+        check(response);
         List<Header> headers = new ArrayList<>(List.of(response.getHeaders()));
         receiver.onHead(response.getCode(), headers);
         if (entity == null) {
@@ -172,6 +180,11 @@
         readMore();
     }
 
+    private void check(HttpResponse head) throws HttpException {
+        JoinedHeads.reject(head);
+        sentIds.rejectOther(head, requestId);
+    }
+
     private void end() {
         if (ended.compareAndSet(false, true)) {
             release();
--- a/agent/src/main/java/org/ragwortrun/agent/internal/PlainHttpClient.java
+++ b/agent/src/main/java/org/ragwortrun/agent/internal/PlainHttpClient.java
@@ -93,7 +93,7 @@
             dispatch.getHeadersList().stream()
                     .filter(h -> isEndToEnd(h.getName()))
                     .forEach(h -> request.addHeader(h.getName(), h.getValue()));
-            request.setHeader("X-Request-Id", dispatch.getRequestId());
+            request.setHeader(SentRequestIds.HEADER, dispatch.getRequestId());
             request.setHeader("X-Route", dispatch.getRoute());
             if (!retryPolicy.dedupeHeader().isEmpty()) {
                 request.setHeader(
