Show that a cut answer counts as complete if the request cannot be written

An endpoint answers 200 without a length before it has read a long request, sends a part of the body and resets the connection. The caller gets the part as a complete 200.

--- a/router/src/test/java/org/ragwortrun/router/ScriptedEndpoint.java
+++ b/router/src/test/java/org/ragwortrun/router/ScriptedEndpoint.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
+import org.jspecify.annotations.Nullable;
 import org.ragwortrun.proto.ListedEndpoint;
 
 /** An endpoint whose answers are written byte by byte by a script of the test. */
@@ -23,6 +24,7 @@
     final List<String> requests = new CopyOnWriteArrayList<>();
     final CountDownLatch callerDisconnected = new CountDownLatch(1);
     volatile Script script;
+    volatile @Nullable ConnectionScript connectionScript;
     private final Set<Socket> openConnections = ConcurrentHashMap.newKeySet();
     private final int port;
     private volatile String id;
@@ -74,6 +76,12 @@
         boolean answer(String request, OutputStream out) throws IOException, InterruptedException;
     }
 
+    /** Serves a whole connection, instead of a script for each request. */
+    @FunctionalInterface
+    interface ConnectionScript {
+        void serve(Socket connection, InputStream in) throws IOException, InterruptedException;
+    }
+
     ListedEndpoint listed() {
         return ListedEndpoint.newBuilder()
                 .setId(id)
@@ -125,6 +133,11 @@
     private void serve(Socket s) {
         try (s) {
             InputStream in = new BufferedInputStream(s.getInputStream());
+            ConnectionScript whole = connectionScript;
+            if (whole != null) {
+                whole.serve(s, in);
+                return;
+            }
             String request = readRequest(in);
             while (!request.isEmpty()) {
                 requests.add(request);
@@ -145,13 +158,19 @@
 
     /** Reads a request head and a body of the given content length. */
     static String readRequest(InputStream in) throws IOException {
+        String head = readHead(in);
+        return head + new String(in.readNBytes(contentLength(head)), StandardCharsets.ISO_8859_1);
+    }
+
+    /** Reads a request head, which is empty if the connection was closed before its end. */
+    static String readHead(InputStream in) throws IOException {
         ByteArrayOutputStream text = new ByteArrayOutputStream();
         int b = in.read();
         while (b >= 0) {
             text.write(b);
             String head = text.toString(StandardCharsets.ISO_8859_1);
             if (head.endsWith("\r\n\r\n")) {
-                return head + new String(in.readNBytes(contentLength(head)), StandardCharsets.ISO_8859_1);
+                return head;
             }
             b = in.read();
         }
