Take an answer without a length for complete only if its endpoint ended it

Callers saw: a part of an answer as a complete 200, if the endpoint had answered before it read a long request and reset the connection while the request was still being written.

Cause: the decoder ends an answer without a length when the connection becomes inactive, for whatever reason. A failed write closes the connection on the router's side, and the reading side learns of no error.

Change: connections to endpoints allow half closure, so that the end of the endpoint's output is an event of its own. Only after it is an answer without a length complete; a connection that becomes inactive in any other way has failed. It is closed at that event, as before.

--- a/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointConnection.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointConnection.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMethod;
@@ -36,7 +37,7 @@
  * <p>An answer with the id of another request is read and dropped, and the connection is not reused. An answer without
  * an id is accepted only as a refusal or failure of the first request on the connection, because it may be a copy of an
  * earlier one. Data that arrives while no request waits for an answer closes the connection, and so do too many bytes
- * that are no part of its answer.
+ * that are no part of its answer. An answer without a length is complete only if the endpoint has ended its output.
  */
 final class EndpointConnection extends SimpleChannelInboundHandler<HttpObject> {
     private static final Logger LOG = LogManager.getLogger(EndpointConnection.class);
@@ -69,6 +70,7 @@
     private boolean headRequested;
     private boolean headSeen;
     private boolean failed;
+    private boolean inputEnded;
     private boolean written;
     private long usableUntilNanos;
     private @Nullable ScheduledFuture<?> skipTimeout;
@@ -102,7 +104,7 @@
 
     /**
      * Returns a handler in front of the decoder, which closes the connection if the decoder gets bytes without end, or
-     * bytes that no request waits for.
+     * bytes that no request waits for, and notes whether the endpoint has ended its output.
      */
     private ChannelHandler receivedBytesGuard() {
         return new ChannelInboundHandlerAdapter() {
@@ -120,6 +122,26 @@
                     fail(ctx, "endless-answer");
                 }
             }
+
+            @Override
+            public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+                boolean ended = event instanceof ChannelInputShutdownEvent;
+                if (ended) {
+                    inputEnded = true;
+                    reusable = false;
+                }
+                ctx.fireUserEventTriggered(event);
+                if (ended) {
+                    ctx.close();
+                }
+            }
+
+            @Override
+            public void channelInactive(ChannelHandlerContext ctx) {
+                // The decoder takes this for the end of an answer without a length, even after a failed write.
+                failed |= !inputEnded;
+                ctx.fireChannelInactive();
+            }
         };
     }
 
@@ -299,7 +321,7 @@
         if (!(content instanceof LastHttpContent)) {
             return;
         }
-        // A body without a length ends when the connection closes. After a reset it is not complete.
+        // A body without a length is not complete if the connection was closed before the endpoint ended its output.
         l = listener;
         if (failed || l == null) {
             return;
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointConnectionPool.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointConnectionPool.java
@@ -99,6 +99,8 @@
                 .group(loop)
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
+                // Distinguishes the end of an answer from a connection that is closed for another reason.
+                .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
