Accept heads that name a protocol and an address

Callers saw: 502 for each answer of an endpoint behind a proxy that writes "Via: HTTP/1.1 192.0.2.1:80". Seen in a test only.

Cause: the search for a second status line takes "HTTP/1.1 192" for one.

Change: a status code must be followed by white space or the end of the line. Several spaces before it count as one, as they do for the decoder: a second status line with two spaces or a tab was not found before (seen in a trial, no test).

--- a/router/src/main/java/org/ragwortrun/router/internal/forward/JoinedAnswers.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/JoinedAnswers.java
@@ -12,7 +12,8 @@
  * the status line of the second as the rest of a line of the first.
  */
 final class JoinedAnswers {
-    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d \\d{3}");
+    // As lenient as the decoder about spaces. A name of a protocol may be followed by an address.
+    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d\\s+\\d{3}(?:\\s|$)");
 
     private final RequestHeaders headers;
 
