Do not read the answer after cut trailers as a trailer

Callers saw: 200 where the endpoint wrote a 200, cut within its trailers, and then a 500; or no answer until the time limit if the cut answer was that of another request. Seen in a test only.

Cause: the decoder reads the status line of the second answer as the rest of a trailer, and its header fields as trailers.

Change: trailers with a status line end the attempt, as heads with a second one do. An id in the trailers is not a sign of a second answer, because an endpoint may repeat its own there.

--- a/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointConnection.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointConnection.java
@@ -222,12 +222,12 @@
             fail(ctx, "not-an-answer");
             return;
         }
+        if (isJoined(part)) {
+            metrics.count("joined_answers", 1);
+            fail(ctx, "joined-answers");
+            return;
+        }
         if (part instanceof HttpResponse head) {
-            if (joinedAnswers.isJoined(head)) {
-                metrics.count("joined_answers", 1);
-                fail(ctx, "joined-answers");
-                return;
-            }
             pool.onHead(head, l != null && isCurrent(head));
         }
         if (part instanceof HttpResponse head && l != null) {
@@ -238,6 +238,11 @@
         }
     }
 
+    private boolean isJoined(HttpObject part) {
+        return part instanceof HttpResponse head && joinedAnswers.isJoined(head)
+                || part instanceof LastHttpContent end && joinedAnswers.isJoined(end);
+    }
+
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
         AnswerListener l = listener;
