Reject answers that change to another protocol

Callers saw: 504 after the whole time limit if an endpoint answered 101. Seen in a test only.

Cause: 101 was skipped like other interim answers, but the decoder stops to decode after it, so no answer could follow.

Change: 101 ends the attempt at once (not-an-answer), since the router never asks for another protocol.

--- a/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointConnection.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointConnection.java
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -228,6 +229,11 @@
             return;
         }
         if (part instanceof HttpResponse head) {
+            if (head.status().code() == HttpResponseStatus.SWITCHING_PROTOCOLS.code()) {
+                // No request asks for another protocol, and what follows is not decoded.
+                fail(ctx, "not-an-answer");
+                return;
+            }
             pool.onHead(head, l != null && isCurrent(head));
         }
         if (part instanceof HttpResponse head && l != null) {
