Show that a request waits for an answer that is never read

PipelinedRequestsTest fails on the current code: one caller sends requests and reads no answers, another caller's request on the same router gets no answer within 2 s although the endpoint has written it.

--- /dev/null
+++ b/router/src/test/java/org/ragwortrun/router/PipelinedRequestsTest.java
@@ -0,0 +1,78 @@
+package org.ragwortrun.router;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+import static org.ragwortrun.router.ScriptedEndpoint.ok;
+import static org.ragwortrun.router.ScriptedEndpoint.write;
+
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Tests what callers receive who send several requests ahead on one connection. */
+final class PipelinedRequestsTest {
+    // More than the buffers of a connection hold.
+    private static final int UNREAD_ANSWERS = 400;
+    private static final String LARGE_BODY = "x".repeat(20_000);
+    private static final int SMALL_RECEIVE_BUFFER_BYTES = 8 << 10;
+    // Less than the time limit of the route, so that a request that waits for it is noticed.
+    private static final int SERVE_TIMEOUT_MS = 2_000;
+
+    private ForwardHarness harness;
+
+    @BeforeEach
+    void start() throws Exception {
+        harness = new ForwardHarness();
+    }
+
+    @AfterEach
+    void stop() {
+        harness.close();
+    }
+
+    /** Guards against requests that reach their time limit on a connection that was paused for an earlier caller. */
+    @Test
+    void connectionIsReadAfterAnswerToSlowCaller() throws Exception {
+        ScriptedEndpoint endpoint = harness.addEndpoint("e1", (request, out) -> {
+            write(out, ok(id(request), id(request).startsWith("slow") ? LARGE_BODY : "done"));
+            return true;
+        });
+        int port = harness.startRouter("r1").port();
+        try (Socket slow = new Socket();
+                Socket other = new Socket("127.0.0.1", port)) {
+            slow.setReceiveBufferSize(SMALL_RECEIVE_BUFFER_BYTES);
+            slow.connect(new InetSocketAddress("127.0.0.1", port));
+            other.setSoTimeout(SERVE_TIMEOUT_MS);
+            for (int i = 0; i < UNREAD_ANSWERS; i++) {
+                write(slow.getOutputStream(), request("GET", "/read/", "slow" + i, ""));
+                awaitRequests(endpoint, 2 * i + 1);
+                write(other.getOutputStream(), request("GET", "/read/", "q" + i, ""));
+                String answer = ScriptedEndpoint.readRequest(other.getInputStream());
+                assertWithMessage("answer %s", i).that(answer).startsWith("HTTP/1.1 200");
+                assertThat(id(answer)).isEqualTo("q" + i);
+            }
+        }
+    }
+
+    private static void awaitRequests(ScriptedEndpoint endpoint, int count) throws InterruptedException {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(SERVE_TIMEOUT_MS);
+        while (endpoint.requests.size() < count && System.nanoTime() < end) {
+            Thread.sleep(1);
+        }
+        assertThat(endpoint.requests.size()).isAtLeast(count);
+    }
+
+    private static String request(String method, String target, String id, String fields) {
+        return method + " " + target + " HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + id
+                + "\r\nAuthorization: Bearer secret\r\n" + fields + "\r\n";
+    }
+
+    private static String id(String message) {
+        return message.toLowerCase(java.util.Locale.ROOT)
+                .split("x-request-id: ", 2)[1]
+                .split("\r", 2)[0];
+    }
+}
