Do not pause an endpoint's connection for an answer that has ended

Callers saw 504 after the whole time limit, with one run and an empty cause, for requests that the endpoint had answered. The connection of an answer goes back to the pool before the end of the answer is written. If the caller was slow, the write then stopped the reading of that connection, and nothing resumed it: the next request on it was sent and its answer never read. An exchange now pauses and resumes the connection only while its attempt runs.

--- a/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
@@ -677,7 +677,8 @@
         /** Writes a part of the body and stops reading from the endpoint if the caller cannot receive more. */
         private void writeBody(ByteBuf part) {
             EndpointConnection c = connection;
-            if (!answer.writeBody(part) && c != null) {
+            // After the end of the answer, the connection may already serve another request.
+            if (!answer.writeBody(part) && c != null && !done) {
                 c.setReading(false);
             }
         }
@@ -842,8 +843,8 @@
     /** Resumes reading from the endpoint when the caller can receive more. */
     void resumeReading() {
         Attempt last = current;
-        EndpointConnection c = last == null ? null : last.connection;
-        if (c != null && !ended) {
+        EndpointConnection c = last == null || last.done ? null : last.connection;
+        if (c != null) {
             c.setReading(true);
         }
     }
