Show that a request gets the refusal of a later one

A caller sends three requests ahead and then one that cannot be read, in one segment: the first answer is the 400 or 413 of the last request, and the connection closes. Callers do not repeat a request after these.

--- a/router/src/test/java/org/ragwortrun/router/PipelinedRequestsTest.java
+++ b/router/src/test/java/org/ragwortrun/router/PipelinedRequestsTest.java
@@ -7,10 +7,15 @@
 
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests what callers receive who send several requests ahead on one connection. */
 final class PipelinedRequestsTest {
@@ -57,6 +62,31 @@
         }
     }
 
+    /** Guards against a request that gets the refusal of a later one, which its caller would not repeat. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "GET\r\n\r\n",
+                "GET /read/ HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n",
+                "POST /read/ HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+                "POST /read/ HTTP/1.1\r\nContent-Length: 999999999999\r\n\r\n"
+            })
+    void requestsBeforeUnreadableOneGetTheirOwnAnswers(String unreadable) throws Exception {
+        harness.addEndpoint("e1", (request, out) -> {
+            write(out, ok(id(request), id(request)));
+            return true;
+        });
+        String answers = harness.startRouter("r1")
+                .send(request("GET", "/read/", "q1", "")
+                        + request("GET", "/unknown/", "q2", "")
+                        + request("GET", "/read/", "q3", "")
+                        + unreadable
+                        + request("GET", "/read/", "q4", ""));
+        assertThat(statuses(answers))
+                .containsExactly("200 q1", "404 q2", "200 q3")
+                .inOrder();
+    }
+
     private static void awaitRequests(ScriptedEndpoint endpoint, int count) throws InterruptedException {
         long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(SERVE_TIMEOUT_MS);
         while (endpoint.requests.size() < count && System.nanoTime() < end) {
@@ -65,14 +95,21 @@
         assertThat(endpoint.requests.size()).isAtLeast(count);
     }
 
+    /** Returns the status and id of each answer. */
+    private static List<String> statuses(String answers) {
+        return Arrays.stream(answers.split("HTTP/1.1 "))
+                .skip(1)
+                .map(a ->
+                        a.substring(0, 3) + (a.toLowerCase(Locale.ROOT).contains("x-request-id: ") ? " " + id(a) : ""))
+                .toList();
+    }
+
     private static String request(String method, String target, String id, String fields) {
         return method + " " + target + " HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + id
                 + "\r\nAuthorization: Bearer secret\r\n" + fields + "\r\n";
     }
 
     private static String id(String message) {
-        return message.toLowerCase(java.util.Locale.ROOT)
-                .split("x-request-id: ", 2)[1]
-                .split("\r", 2)[0];
+        return message.toLowerCase(Locale.ROOT).split("x-request-id: ", 2)[1].split("\r", 2)[0];
     }
 }
