Show that answers follow the one that closes its connection

A caller sends a request with "Connection: close" and others after it. While the end of the first answer waits for a slow caller, the next requests are served and their answers written behind it.

--- a/router/src/test/java/org/ragwortrun/router/internal/forward/CallerConnectionTest.java
+++ b/router/src/test/java/org/ragwortrun/router/internal/forward/CallerConnectionTest.java
@@ -4,6 +4,9 @@
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
 import io.netty.channel.DefaultEventLoop;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -16,7 +19,9 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -69,6 +74,24 @@
         assertThat(configurationReads).isEqualTo(0);
     }
 
+    /** Guards against a second answer after one that closes the connection and is not written completely yet. */
+    @Test
+    void dropsRequestsAfterLastAnswer() {
+        List<Object> written = new ArrayList<>();
+        channel.pipeline().addFirst(new ChannelOutboundHandlerAdapter() {
+            @Override
+            public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
+                written.add(message);
+            }
+        });
+        request("Connection", "close");
+        request();
+        runTasks();
+        request();
+        runTasks();
+        assertThat(written).hasSize(1);
+    }
+
     /** Guards against bodies of callers that fill the memory, and against an upload that is cut without an answer. */
     @Test
     void refusesUploadWhenMemoryIsShort() {
@@ -150,8 +173,15 @@
     }
 
     private void request() {
+        request("Connection", "keep-alive");
+    }
+
+    private void request(String field, String value) {
         DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/x");
-        request.headers().set("Host", "h").set(HeaderNames.STANDARD.requestId(), "q1");
+        request.headers()
+                .set("Host", "h")
+                .set(HeaderNames.STANDARD.requestId(), "q1")
+                .set(field, value);
         channel.pipeline().fireChannelRead(request);
     }
 }
