Answer earlier requests of a connection before an unreadable one ends it

Callers who sent requests ahead got 400 or 413 for the first of them if a later one could not be read, and do not repeat after these. The refusal was written as soon as no request was being served, although requests still waited to be started. Now the waiting requests are answered first, the last answer closes the connection, and data after an unreadable request is not read as a request. The queue of waiting requests is a class of its own, which also releases the bodies of dropped requests.

--- a/router/src/main/java/org/ragwortrun/router/internal/forward/CallerConnection.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/CallerConnection.java
@@ -22,8 +22,6 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.time.Duration;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.Locale;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
@@ -31,6 +29,7 @@
 import org.ragwortrun.core.refusal.Refusal;
 import org.ragwortrun.core.refusal.RefusalReason;
 import org.ragwortrun.core.time.Time;
+import org.ragwortrun.router.internal.forward.WaitingRequests.CompleteRequest;
 import org.ragwortrun.router.internal.http.ProblemWriter;
 
 /**
@@ -42,14 +41,12 @@
         implements AnswerWriter, MemoryLimit.Holder {
     private static final int FIRST_BODY_BYTES = 64 << 10;
     private static final Duration RETRY_AFTER = Duration.ofMillis(500);
-    // Reading stops when this many requests of the connection are waiting.
-    private static final int MAX_PIPELINED_REQUESTS = 16;
 
     private final RequestAdmission admission;
     private final Supplier<CallerLimits> limits;
     private final ProblemWriter problems;
     private final Time time;
-    private final Deque<CompleteRequest> waiting = new ArrayDeque<>();
+    private final WaitingRequests waiting = new WaitingRequests();
     private @Nullable ChannelHandlerContext context;
     private @Nullable HttpRequest head;
     private @Nullable ByteBuf body;
@@ -69,9 +66,6 @@
         this.time = time;
     }
 
-    /** A request with its whole body. */
-    private record CompleteRequest(HttpRequest head, ByteBuf body) {}
-
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
         context = ctx;
@@ -124,6 +118,9 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, HttpObject part) {
+        if (waiting.isInputEnded()) {
+            return;
+        }
         if (part.decoderResult().isFailure()) {
             onMalformed(ctx, part);
             return;
@@ -184,8 +181,8 @@
         if (content instanceof LastHttpContent) {
             head = null;
             body = null;
-            waiting.add(new CompleteRequest(h, b));
-            if (waiting.size() >= MAX_PIPELINED_REQUESTS) {
+            waiting.add(h, b);
+            if (waiting.isFull()) {
                 ctx.channel().config().setAutoRead(false);
             }
             // Run after all received data is read: the caller may have disconnected while its request waited here.
@@ -220,10 +217,9 @@
     /** Returns the bytes of requests that are read, wait or are served, and of the answer that is being written. */
     @Override
     public long heldBytes() {
-        long held = capacity(body)
-                + waiting.stream().mapToLong(w -> capacity(w.body())).sum();
+        long held = waiting.heldBytes() + (body == null ? 0 : body.capacity());
         CompleteRequest w = current;
-        held += w == null ? 0 : capacity(w.body());
+        held += w == null ? 0 : w.heldBytes();
         Exchange e = exchange;
         held += e == null ? 0 : e.bufferedBytes();
         ChannelHandlerContext ctx = context;
@@ -232,10 +228,6 @@
         return held + (unsent == null ? 0 : unsent.totalPendingWriteBytes());
     }
 
-    private static long capacity(@Nullable ByteBuf bytes) {
-        return bytes == null || bytes.refCnt() == 0 ? 0 : bytes.capacity();
-    }
-
     /** Refuses the request that is being read, or ends the one that is being served, and closes the connection. */
     @Override
     public void releaseMemory() {
@@ -243,7 +235,6 @@
         if (ctx == null) {
             return;
         }
-        waiting.forEach(w -> w.body().release());
         waiting.clear();
         if (current == null && head != null) {
             reject(ctx, Refusal.notRun(RefusalReason.OVERLOADED, "too many bytes of requests", RETRY_AFTER));
@@ -291,7 +282,7 @@
     }
 
     private void setKeepAlive(CompleteRequest w, HttpResponse out) {
-        boolean keep = HttpUtil.isKeepAlive(w.head()) && !closing && !admission.isStopping();
+        boolean keep = HttpUtil.isKeepAlive(w.head()) && !closing && !waiting.isExhausted() && !admission.isStopping();
         if (!keep) {
             closing = true;
             out.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
@@ -335,7 +326,7 @@
         current = null;
         exchange = null;
         idleSinceNanos = time.nanos();
-        if (closing) {
+        if (closing || waiting.isExhausted()) {
             written.addListener(ChannelFutureListener.CLOSE);
         } else {
             // The exchange calls this before it has marked itself as ended, so the next request must not start yet.
@@ -407,19 +398,20 @@
 
     /**
      * Refuses a request that cannot be read and closes the connection, because the start of the next request is
-     * unknown.
+     * unknown. If earlier requests are not answered yet, the connection closes after the last of their answers instead.
      */
     private void reject(ChannelHandlerContext ctx, Refusal refusal) {
         boolean headOnly = isHead(head);
         head = null;
         body = null;
         ctx.channel().config().setAutoRead(false);
-        if (current == null && !closing) {
+        waiting.endInput();
+        if (current == null && waiting.isEmpty() && !closing) {
+            closing = true;
             DefaultFullHttpResponse out = response(refusal, "", headOnly);
             out.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             ctx.writeAndFlush(out).addListener(ChannelFutureListener.CLOSE);
         }
-        closing = true;
     }
 
     @Override
