Serve no request after the answer that closes its connection

Requests behind one with "Connection: close" were served while the end of its answer waited for a slow caller, and their answers written behind it; a caller whose body ends with the connection reads them as part of that body. A request that has begun at an endpoint was then cut off without an answer. The connection now drops what waits, and reads no further request, once its last answer is written.

--- a/router/src/main/java/org/ragwortrun/router/internal/forward/CallerConnection.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/CallerConnection.java
@@ -327,6 +327,11 @@
         exchange = null;
         idleSinceNanos = time.nanos();
         if (closing || waiting.isExhausted()) {
+            // Until a slow caller has received the answer, the connection stays open.
+            waiting.endInput();
+            waiting.clear();
+            head = null;
+            body = null;
             written.addListener(ChannelFutureListener.CLOSE);
         } else {
             // The exchange calls this before it has marked itself as ended, so the next request must not start yet.
