Pause a caller only after its answer has begun

The test of a slow caller could reset the endpoint's connection before the answer had begun, on a busy machine; not seen. It now waits for the first bytes.

--- a/router/src/test/java/org/ragwortrun/router/IncompleteAnswersTest.java
+++ b/router/src/test/java/org/ragwortrun/router/IncompleteAnswersTest.java
@@ -57,6 +57,7 @@
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
     void answerToSlowCallerIsCompleteOnlyWithoutReset(boolean reset) throws Exception {
+        CountDownLatch begun = new CountDownLatch(1);
         CountDownLatch paused = new CountDownLatch(1);
         harness.addEndpoint("e1", (request, out) -> false).connectionScript = (connection, in) -> {
             String request = ScriptedEndpoint.readRequest(in);
@@ -65,6 +66,7 @@
             }
             Thread writer = new Thread(() -> writeLongAnswer(connection, id(request)), "writer");
             writer.start();
+            begun.await();
             // The writer waits for the router, which waits for the caller.
             writer.join(PAUSE_MS);
             if (reset) {
@@ -80,8 +82,10 @@
             caller.getOutputStream()
                     .write(("GET" + longRequest(1).substring(4, longRequest(1).indexOf("Content-Length")) + "\r\n")
                             .getBytes(StandardCharsets.ISO_8859_1));
-            paused.await();
             ByteArrayOutputStream received = new ByteArrayOutputStream();
+            received.write(caller.getInputStream().readNBytes("HTTP/1.1 200".length()));
+            begun.countDown();
+            paused.await();
             try {
                 caller.getInputStream().transferTo(received);
             } catch (SocketException e) {
