Measure what callers get while endpoints answer twice

Only tests within one JVM showed it, each with one form.

Change: bin/measure answers plays three control members, two forwarding routers as processes, five stand-in endpoints with seeded extra, cut and garbled answers, and 48 callers on kept connections. Nine checks with bound 0 compare what callers saw with what the endpoints ran and wrote. Fleet can start forwarding routers.

One garbling is not counted as a fault, because it cannot be told from the bytes: bytes within a body with a length, or within one that ends with its connection. The received body must then be exactly the bytes that the endpoint sent there, and status, id and proof must still be those of that answer. The figure undetectable_garbled counts these.

--- a/measure/src/main/java/org/ragwortrun/measure/Measurements.java
+++ b/measure/src/main/java/org/ragwortrun/measure/Measurements.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import java.util.TreeMap;
+import org.ragwortrun.measure.answers.AnswersMeasurement;
 import org.ragwortrun.measure.budgets.BudgetsMeasure;
 import org.ragwortrun.measure.capacity.CapacityMeasurement;
 import org.ragwortrun.measure.limits.LimitsMeasurement;
@@ -18,6 +19,7 @@
 
     static Map<String, Measurement> all() {
         return new TreeMap<>(Map.of(
+                "answers", new AnswersMeasurement(),
                 "budgets", new BudgetsMeasure(),
                 "overhead", new OverheadMeasurement(),
                 "capacity", new CapacityMeasurement(),
--- a/measure/src/main/java/org/ragwortrun/measure/fleet/Fleet.java
+++ b/measure/src/main/java/org/ragwortrun/measure/fleet/Fleet.java
@@ -35,6 +35,7 @@
     private final Map<String, FleetProcess> processes = new LinkedHashMap<>();
     private final Map<String, Integer> controlPorts = new LinkedHashMap<>();
     private final Map<String, Integer> routerPorts = new LinkedHashMap<>();
+    private final Map<String, Integer> readinessPorts = new LinkedHashMap<>();
     private final Map<String, Integer> agentPorts = new LinkedHashMap<>();
     private final Map<String, Integer> endpointPorts = new LinkedHashMap<>();
     private final Map<String, EndpointSpec> endpoints = new LinkedHashMap<>();
@@ -91,6 +92,25 @@
                         + Ports.HOST + ":" + routerPorts.get(name) + "\n");
     }
 
+    /** Adds a router that forwards requests, started by a main class with its settings file and further arguments. */
+    public void addForwardingRouter(String name, String dataCenter, String main, List<String> arguments)
+            throws FleetException {
+        routerPorts.put(name, ports.next());
+        readinessPorts.put(name, ports.next());
+        String settings = settings(name, dataCenter)
+                + "[control]\nmembers = " + members + "\n[cluster]\nshards = " + shards + "\n[http]\naddress = "
+                + Ports.HOST + ":" + routerPorts.get(name) + "\nreadiness = " + Ports.HOST + ":"
+                + readinessPorts.get(name) + "\n";
+        try {
+            Path file = Files.writeString(folder.resolve(name + ".ini"), settings);
+            List<String> all = new ArrayList<>(List.of(file.toString()));
+            all.addAll(arguments);
+            add(name, FleetProcess.javaCommand(ROUTER_JVM, main, all));
+        } catch (IOException e) {
+            throw new FleetException("cannot write settings of " + name, e);
+        }
+    }
+
     /** Adds a stand-in endpoint and its agent. */
     public void addEndpoint(EndpointSpec spec) throws FleetException {
         int port = ports.next();
@@ -146,6 +166,11 @@
         return "http://" + Ports.HOST + ":" + routerPorts.get(router);
     }
 
+    /** Returns the port at which a router accepts callers. */
+    public int routerPort(String router) {
+        return routerPorts.getOrDefault(router, 0);
+    }
+
     /** Returns the base URL of a stand-in endpoint. */
     public String endpointUrl(String endpoint) {
         return "http://" + Ports.HOST + ":" + endpointPorts.get(endpoint);
@@ -167,7 +192,10 @@
     /** Waits until a router is ready. */
     public void awaitReady(String router) throws FleetException {
         Caller caller = new Caller("none");
-        await(router + " to be ready", () -> caller.get(url(router) + "/readyz").status() == 200);
+        String base = readinessPorts.containsKey(router)
+                ? "http://" + Ports.HOST + ":" + readinessPorts.get(router)
+                : url(router);
+        await(router + " to be ready", () -> caller.get(base + "/readyz").status() == 200);
     }
 
     /** Waits until a condition holds, and fails after a timeout. */
