Find status lines in all spellings that parsers accept, in one place

Callers could still see a success for a failure if the second status line was in lower case or had a version of several digits, and a sound answer that repeats its id was rejected. The reviewer of the fix found both. Router and agent had a pattern each; both use StatusLines now. Different ids or proofs in one head still end the attempt, equal ones do not. The lines of requests and broken attempts name the status and proof of the latest head also if it was not accepted; before, they were empty for just this fault.

--- a/agent/src/main/java/org/ragwortrun/agent/internal/JoinedHeads.java
+++ b/agent/src/main/java/org/ragwortrun/agent/internal/JoinedHeads.java
@@ -1,10 +1,10 @@
 package org.ragwortrun.agent.internal;
 
-import java.util.regex.Pattern;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.ProtocolException;
 import org.jspecify.annotations.Nullable;
+import org.ragwortrun.net.http.StatusLines;
 
 /**
  * Rejects heads that consist of parts of two answers.
@@ -13,8 +13,6 @@
  * the status line of the second as the rest of a line of the first, or, if it contains a colon, as a header.
  */
 final class JoinedHeads {
-    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d\\s+\\d{3}");
-
     private JoinedHeads() {}
 
     /**
@@ -33,8 +31,6 @@
     }
 
     private static boolean containsStatusLine(@Nullable String text) {
-        return text != null
-                && text.contains("HTTP/")
-                && STATUS_LINE.matcher(text).find();
+        return text != null && StatusLines.isIn(text);
     }
 }
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointConnection.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointConnection.java
@@ -70,6 +70,7 @@
     private int requests;
     private boolean headRequested;
     private boolean headSeen;
+    private @Nullable HttpResponse latestHead;
     private boolean failed;
     private boolean inputEnded;
     private boolean written;
@@ -168,6 +169,7 @@
         dropped = 0;
         undecodedBytes = 0;
         headSeen = false;
+        latestHead = null;
         written = false;
         c.write(head, c.voidPromise());
         c.writeAndFlush(new DefaultLastHttpContent(body)).addListener(f -> written = f.isSuccess());
@@ -177,7 +179,13 @@
     ConnectionTrace trace() {
         Channel c = channel;
         int port = c != null && c.localAddress() instanceof InetSocketAddress a ? a.getPort() : 0;
-        return new ConnectionTrace(port, requests, dropped);
+        HttpResponse head = latestHead;
+        return new ConnectionTrace(
+                port,
+                requests,
+                dropped,
+                head == null ? 0 : head.status().code(),
+                head == null ? "" : headers.proof(head.headers()));
     }
 
     /** Stops or resumes reading, while the caller reads more slowly than the endpoint sends. */
@@ -223,6 +231,9 @@
             fail(ctx, "not-an-answer");
             return;
         }
+        if (part instanceof HttpResponse head && !headers.isForOtherRequest(head.headers(), requestId)) {
+            latestHead = head;
+        }
         if (isJoined(part)) {
             metrics.count("joined_answers", 1);
             fail(ctx, "joined-answers");
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
@@ -821,9 +821,6 @@
 
         /** Adds what was received from the endpoint, and over which connection. */
         private Event addAnswer(Event line) {
-            HttpResponse r = answerHead;
-            line.with("received", r == null ? 0 : r.status().code())
-                    .withExternal("proof", r == null ? "" : services.headers().proof(r.headers()));
             EndpointConnection c = connection;
             return (c == null ? ConnectionTrace.NONE : c.trace()).addTo(line);
         }
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/JoinedAnswers.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/JoinedAnswers.java
@@ -4,7 +4,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.Map;
-import java.util.regex.Pattern;
+import org.ragwortrun.net.http.StatusLines;
 
 /**
  * Detects heads and trailers that consist of parts of two answers.
@@ -13,20 +13,17 @@
  * decoder reads the status line of the second as the rest of a line of the first.
  */
 final class JoinedAnswers {
-    // As lenient as the decoder about spaces. A name of a protocol may be followed by an address.
-    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d\\s+\\d{3}(?:\\s|$)");
-
     private final RequestHeaders headers;
 
     JoinedAnswers(RequestHeaders headers) {
         this.headers = headers;
     }
 
-    /** Returns whether a head contains a second status line, request id or proof. */
+    /** Returns whether a head contains a second status line, or different request ids or proofs. */
     boolean isJoined(HttpResponse head) {
-        return containsStatusLine(head.status().reasonPhrase())
+        return StatusLines.isIn(head.status().reasonPhrase())
                 || containsStatusLineInValue(head.headers())
-                || headers.repeatsIdOrProof(head.headers());
+                || headers.namesSeveral(head.headers());
     }
 
     /** Returns whether the trailers of an answer contain the status line of another. */
@@ -37,14 +34,10 @@
     // A loop, because this runs for each answer.
     private static boolean containsStatusLineInValue(HttpHeaders fields) {
         for (Map.Entry<String, String> e : fields) {
-            if (containsStatusLine(e.getValue())) {
+            if (StatusLines.isIn(e.getValue())) {
                 return true;
             }
         }
         return false;
     }
-
-    private static boolean containsStatusLine(String text) {
-        return text.contains("HTTP/") && STATUS_LINE.matcher(text).find();
-    }
 }
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/RequestHeaders.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/RequestHeaders.java
@@ -144,10 +144,14 @@
         return answerHeaders.contains(names.requestId());
     }
 
-    /** Returns whether an answer contains more than one request id or proof. */
-    boolean repeatsIdOrProof(HttpHeaders answerHeaders) {
-        return answerHeaders.getAll(names.requestId()).size() > 1
-                || answerHeaders.getAll(names.proof()).size() > 1;
+    /** Returns whether an answer contains different request ids or proofs. */
+    boolean namesSeveral(HttpHeaders answerHeaders) {
+        return hasSeveralValues(answerHeaders, names.requestId()) || hasSeveralValues(answerHeaders, names.proof());
+    }
+
+    private static boolean hasSeveralValues(HttpHeaders headers, String name) {
+        List<String> values = headers.getAll(name);
+        return values.size() > 1 && Set.copyOf(values).size() > 1;
     }
 
     /** Returns whether an answer contains the id of another request. */
--- a/router/src/test/java/org/ragwortrun/router/JoinedAnswersTest.java
+++ b/router/src/test/java/org/ragwortrun/router/JoinedAnswersTest.java
@@ -143,6 +143,31 @@
         assertThat(router.send(next(0), ANSWER_TIMEOUT_MS)).startsWith("HTTP/1.1 502");
     }
 
+    /** Guards against status lines that the decoder accepts and the search for a second one does not find. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {"HTTP/1.1  500 Failed", "HTTP/1.1\t500 Failed", "http/1.1 500 Failed", "HTTP/1.10 500 Failed"})
+    void cutSuccessIsNotJoinedWithStatusLineOfOtherSpelling(String statusLine) throws Exception {
+        harness.addEndpoint("e1", (request, out) -> {
+            write(
+                    out,
+                    "HTTP/1.1 200 OK\r\nServer: s"
+                            + named(FAILURE, id(request)).replace("HTTP/1.1 500 Failed", statusLine));
+            return true;
+        });
+        assertThat(harness.startRouter("r1").send(next(0), ANSWER_TIMEOUT_MS)).startsWith("HTTP/1.1 502");
+    }
+
+    /** Guards against a sound answer that is rejected because it repeats its id. */
+    @Test
+    void answerWithTheSameIdTwiceIsNotTakenForJoined() throws Exception {
+        harness.addEndpoint("e1", (request, out) -> {
+            write(out, named(SUCCESS, id(request)).replace("Server: s", "X-Request-Id: " + id(request)));
+            return true;
+        });
+        assertThat(harness.startRouter("r1").send(next(0))).startsWith("HTTP/1.1 200");
+    }
+
     /** Guards against a sound answer that is rejected because of the names of protocols and hosts in its head. */
     @Test
     void answerThroughProxyIsNotTakenForJoined() throws Exception {
