Log and measure how a configuration reaches a daemon

Change: updates say how long the sender had held the number; daemons log how the update came, its age and its wait, confirmations without an answer, and that they are behind; the line of a request refused before routing says how old the confirmation is. No logic changes.

--- a/agent/src/main/java/org/ragwortrun/agent/internal/AgentProcess.java
+++ b/agent/src/main/java/org/ragwortrun/agent/internal/AgentProcess.java
@@ -74,7 +74,7 @@
         closer.register(() -> SingleThreadExecutor.stop(timer));
         executor = closer.register(new SingleThreadExecutor("requests", QUEUE_CAPACITY));
         control = closer.register(new ControlClient(transport, settings.control(), new ControlFrameHandler()));
-        watch = closer.register(new ConfigWatch(control, timer, time, c -> {}));
+        watch = closer.register(new ConfigWatch(control, timer, time, metrics, c -> {}));
         PlainHttpClient.RetryPolicy noRetries = new PlainHttpClient.RetryPolicy("", 0, 0);
         EndpointClientFactory clients = EndpointClientFactory.caching((kind, header) -> kind == Service.Kind.MODEL
                 ? new ChatCompletionsClient(endpoint, limit, time)
--- a/control/src/main/java/org/ragwortrun/control/internal/HostedGroups.java
+++ b/control/src/main/java/org/ragwortrun/control/internal/HostedGroups.java
@@ -50,7 +50,7 @@
         ShardCountFile.check(settings.folder(), settings.shards());
         Map<Integer, StateMachine> machines = new TreeMap<>();
         MetaState metaState = new MetaState(new ConfigurationCheckerRules());
-        MetaStateMachine metaMachine = new MetaStateMachine(metaState);
+        MetaStateMachine metaMachine = new MetaStateMachine(metaState, time);
         machines.put(0, metaMachine);
         List<ShardState> states = new ArrayList<>();
         for (int i = 1; i <= settings.shards(); i++) {
--- a/control/src/main/java/org/ragwortrun/control/internal/HostedMetaGroup.java
+++ b/control/src/main/java/org/ragwortrun/control/internal/HostedMetaGroup.java
@@ -48,7 +48,9 @@
 
     @Override
     public ConfigUpdate updateFrom(long number) {
-        return state.updateFrom(number);
+        return state.updateFrom(number).toBuilder()
+                .setAgeMs(machine.numberAgeMs())
+                .build();
     }
 
     @Override
--- a/measure/src/main/java/org/ragwortrun/measure/capacity/CapacityMeasurement.java
+++ b/measure/src/main/java/org/ragwortrun/measure/capacity/CapacityMeasurement.java
@@ -13,6 +13,7 @@
 import org.ragwortrun.core.config.Configuration;
 import org.ragwortrun.core.config.ConfigurationException;
 import org.ragwortrun.core.id.Digests;
+import org.ragwortrun.core.metrics.Metrics;
 import org.ragwortrun.core.time.Time;
 import org.ragwortrun.ledger.GrantPolicy;
 import org.ragwortrun.ledger.ShardState;
@@ -199,7 +200,8 @@
                         .build();
                 Transport transport = closer.register(new Transport(own, 1));
                 ControlClient control = closer.register(new ControlClient(transport, members, (p, f) -> {}));
-                ConfigWatch watch = closer.register(new ConfigWatch(control, timer, Time.system(), c -> {}));
+                ConfigWatch watch =
+                        closer.register(new ConfigWatch(control, timer, Time.system(), Metrics.local(), c -> {}));
                 watch.start(Duration.ofSeconds(1));
                 watches.add(watch);
             }
--- a/net/src/main/java/org/ragwortrun/net/control/ConfigWatch.java
+++ b/net/src/main/java/org/ragwortrun/net/control/ConfigWatch.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -19,6 +20,7 @@
 import org.ragwortrun.core.config.SectionKind;
 import org.ragwortrun.core.id.Digests;
 import org.ragwortrun.core.log.Event;
+import org.ragwortrun.core.metrics.Metrics;
 import org.ragwortrun.core.refusal.Refusal;
 import org.ragwortrun.core.refusal.RefusalReason;
 import org.ragwortrun.core.refusal.RefusedException;
@@ -52,6 +54,7 @@
     private final ScheduledExecutorService timer;
     private final Time time;
     private final Consumer<Configuration> listener;
+    private final ConfigWatchLog log;
     private final Map<SectionId, Section> sections = new LinkedHashMap<>();
     private final Map<String, MoveProgress> moves = new LinkedHashMap<>();
     private final Map<String, VersionDecision> decisions = new LinkedHashMap<>();
@@ -67,14 +70,20 @@
     /**
      * Creates a watch, which {@link #start} starts.
      *
+     * @param metrics receives delays and ages in milliseconds, and counts
      * @param listener receives each applied configuration on the thread of the timer
      */
     public ConfigWatch(
-            ControlClient control, ScheduledExecutorService timer, Time time, Consumer<Configuration> listener) {
+            ControlClient control,
+            ScheduledExecutorService timer,
+            Time time,
+            Metrics metrics,
+            Consumer<Configuration> listener) {
         this.control = control;
         this.timer = timer;
         this.time = time;
         this.listener = listener;
+        log = new ConfigWatchLog(time, metrics, () -> control.leader(META_GROUP).orElse(""));
     }
 
     /** Starts to confirm the configuration periodically. */
@@ -85,10 +94,19 @@
     /** Applies a configuration update pushed by a control member. Other frames are ignored. */
     public void onPush(Frame frame) {
         if (frame.hasConfigUpdate()) {
-            timer.execute(() -> apply(frame.getConfigUpdate()));
+            long receivedAt = time.nanos();
+            timer.execute(() -> apply(frame.getConfigUpdate(), ConfigDelivery.PUSH, receivedAt));
         }
     }
 
+    /**
+     * Returns the time in milliseconds since the last confirmation of the configuration was sent, empty if none was
+     * answered.
+     */
+    public OptionalLong confirmedAgeMs() {
+        return log.confirmedAgeMs();
+    }
+
     /** Returns the configuration in force, if the lease on it is valid. */
     public Optional<Configuration> inForce() {
         Configuration c = current;
@@ -152,9 +170,11 @@
                 .whenComplete((reply, failure) -> {
                     if (reply != null && reply.hasHeartbeat()) {
                         retrying = false;
+                        log.onAnswered();
                         onHeartbeat(reply.getHeartbeat(), number, sentAt);
                     } else if (!closed) {
                         retrying = true;
+                        log.onUnanswered(failure);
                         timer.schedule(this::confirm, RETRY_MS, TimeUnit.MILLISECONDS);
                     }
                 });
@@ -162,10 +182,12 @@
 
     private void onHeartbeat(Heartbeat heartbeat, long confirmed, long sentAt) {
         if (heartbeat.getNumber() > confirmed || current == null) {
+            log.onBehind(confirmed, heartbeat.getNumber());
             fetch();
         } else if (heartbeat.getLeaseMs() > 0 && heartbeat.getNumber() == confirmed) {
             leaseUntil = sentAt + TimeUnit.MILLISECONDS.toNanos(heartbeat.getLeaseMs());
             leased = true;
+            log.onConfirmed(sentAt);
         }
     }
 
@@ -175,12 +197,15 @@
         control.call(META_GROUP, Frame.newBuilder().setWatch(Watch.newBuilder().setHaveNumber(have)), CALL_TIMEOUT)
                 .whenComplete((reply, failure) -> {
                     if (reply != null && reply.hasConfigUpdate()) {
-                        timer.execute(() -> apply(reply.getConfigUpdate()));
+                        long receivedAt = time.nanos();
+                        timer.execute(() -> apply(reply.getConfigUpdate(), ConfigDelivery.FETCH, receivedAt));
+                    } else {
+                        log.onFetchFailed(have, failure);
                     }
                 });
     }
 
-    private void apply(ConfigUpdate update) {
+    private void apply(ConfigUpdate update, ConfigDelivery delivery, long receivedAt) {
         Configuration before = current;
         long have = before == null ? 0 : before.number();
         boolean first = before == null;
@@ -210,7 +235,7 @@
             }
         }
         current = next;
-        Event.of("configuration-applied").with("number", next.number()).info(LOG);
+        log.onApplied(update, first ? ConfigDelivery.FIRST : delivery, receivedAt, sections.size());
         listener.accept(next);
         confirm();
     }
--- a/net/src/test/java/org/ragwortrun/net/control/ConfigWatchTest.java
+++ b/net/src/test/java/org/ragwortrun/net/control/ConfigWatchTest.java
@@ -13,6 +13,7 @@
 import org.ragwortrun.core.concurrent.Closer;
 import org.ragwortrun.core.concurrent.SingleThreadExecutor;
 import org.ragwortrun.core.config.Configuration;
+import org.ragwortrun.core.metrics.Metrics;
 import org.ragwortrun.core.time.Time;
 import org.ragwortrun.net.Address;
 import org.ragwortrun.net.FrameServer;
@@ -53,7 +54,7 @@
                 return 0;
             }
         };
-        watch = closer.register(new ConfigWatch(control, timer, time, c -> {}));
+        watch = closer.register(new ConfigWatch(control, timer, time, Metrics.local(), c -> {}));
         watch.start(Duration.ofMillis(10));
     }
 
--- a/proto/src/main/java/org/ragwortrun/proto/ConfigUpdate.java
+++ b/proto/src/main/java/org/ragwortrun/proto/ConfigUpdate.java
@@ -642,6 +642,44 @@
     orderedMoves_.remove(index);
   }
 
+  public static final int AGE_MS_FIELD_NUMBER = 21;
+  private long ageMs_;
+  /**
+   * <pre>
+   * Milliseconds for which the sending member had held this number when it sent the update.
+   * </pre>
+   *
+   * <code>uint64 age_ms = 21;</code>
+   * @return The ageMs.
+   */
+  @java.lang.Override
+  public long getAgeMs() {
+    return ageMs_;
+  }
+  /**
+   * <pre>
+   * Milliseconds for which the sending member had held this number when it sent the update.
+   * </pre>
+   *
+   * <code>uint64 age_ms = 21;</code>
+   * @param value The ageMs to set.
+   */
+  private void setAgeMs(long value) {
+    
+    ageMs_ = value;
+  }
+  /**
+   * <pre>
+   * Milliseconds for which the sending member had held this number when it sent the update.
+   * </pre>
+   *
+   * <code>uint64 age_ms = 21;</code>
+   */
+  private void clearAgeMs() {
+
+    ageMs_ = 0L;
+  }
+
   public static org.ragwortrun.proto.ConfigUpdate parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -1411,6 +1449,46 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Milliseconds for which the sending member had held this number when it sent the update.
+     * </pre>
+     *
+     * <code>uint64 age_ms = 21;</code>
+     * @return The ageMs.
+     */
+    @java.lang.Override
+    public long getAgeMs() {
+      return instance.getAgeMs();
+    }
+    /**
+     * <pre>
+     * Milliseconds for which the sending member had held this number when it sent the update.
+     * </pre>
+     *
+     * <code>uint64 age_ms = 21;</code>
+     * @param value The ageMs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAgeMs(long value) {
+      copyOnWrite();
+      instance.setAgeMs(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Milliseconds for which the sending member had held this number when it sent the update.
+     * </pre>
+     *
+     * <code>uint64 age_ms = 21;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAgeMs() {
+      copyOnWrite();
+      instance.clearAgeMs();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.ragwortrun.proto.ConfigUpdate)
   }
   @java.lang.Override
@@ -1441,10 +1519,11 @@
             org.ragwortrun.proto.CrashReport.class,
             "orderedMoves_",
             org.ragwortrun.proto.OrderedMove.class,
+            "ageMs_",
           };
           java.lang.String info =
-              "\u0000\b\u0000\u0000\u0001\u0014\b\u0000\u0006\u0000\u0001\u0003\u0002\u0003\u0003" +
-              "\u001b\u0004\u001b\u0005\u001b\u0006\u001b\u0007\u001b\u0014\u001b";
+              "\u0000\t\u0000\u0000\u0001\u0015\t\u0000\u0006\u0000\u0001\u0003\u0002\u0003\u0003" +
+              "\u001b\u0004\u001b\u0005\u001b\u0006\u001b\u0007\u001b\u0014\u001b\u0015\u0003";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/proto/src/main/java/org/ragwortrun/proto/ConfigUpdateOrBuilder.java
+++ b/proto/src/main/java/org/ragwortrun/proto/ConfigUpdateOrBuilder.java
@@ -105,4 +105,14 @@
    * <code>repeated .org.ragwortrun.proto.OrderedMove ordered_moves = 20;</code>
    */
   int getOrderedMovesCount();
+
+  /**
+   * <pre>
+   * Milliseconds for which the sending member had held this number when it sent the update.
+   * </pre>
+   *
+   * <code>uint64 age_ms = 21;</code>
+   * @return The ageMs.
+   */
+  long getAgeMs();
 }
--- a/router/src/main/java/org/ragwortrun/router/internal/Router.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/Router.java
@@ -108,7 +108,7 @@
         AgentPool agents = closer.register(new AgentPool(transport, time));
         ControlPushes pushes = new ControlPushes();
         ControlClient control = closer.register(new ControlClient(transport, settings.members(), pushes));
-        ConfigWatch watch = closer.register(new ConfigWatch(control, timer, time, agents::apply));
+        ConfigWatch watch = closer.register(new ConfigWatch(control, timer, time, metrics, agents::apply));
         Shards shards = new Shards(control, settings.shards());
         Sessions sessions = new Sessions(shards, timer, settings.name(), incarnation);
         HeldReservations held = new HeldReservations(control, shards);
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
@@ -148,7 +148,7 @@
         ForwardPushHandler pushes = new ForwardPushHandler(loop, endpoints);
         ControlClient control = closer.register(new ControlClient(transport, settings.members(), pushes));
         ConfigWatch watch =
-                closer.register(new ConfigWatch(control, timer, time, c -> pushes.onConfigurationApplied()));
+                closer.register(new ConfigWatch(control, timer, time, metrics, c -> pushes.onConfigurationApplied()));
         Shards shards = new Shards(control, settings.shards());
         Sessions sessions = new Sessions(shards, timer, settings.name(), incarnation, true, processStartNanos);
         GrantPool pool = new GrantPool(
@@ -194,6 +194,7 @@
         ForwardServices services = new ForwardServices(
                 settings.dataCenter(),
                 watch::latest,
+                watch::confirmedAgeMs,
                 endpoints,
                 limits.reader(),
                 limits.permits(),
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardServices.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardServices.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.Executor;
 import java.util.function.DoubleSupplier;
 import java.util.function.Supplier;
@@ -18,6 +19,7 @@
  *
  * @param dataCenter data center of this router
  * @param configuration latest configuration, if one is known
+ * @param confirmedAgeMs time since the last answered confirmation of the configuration, if there was one
  * @param endpoints endpoints of all origins
  * @param limits reader of the limits that endpoints name
  * @param permits source of permits for requests to endpoints with a limit
@@ -37,6 +39,7 @@
 record ForwardServices(
         String dataCenter,
         Supplier<Optional<Configuration>> configuration,
+        Supplier<OptionalLong> confirmedAgeMs,
         EndpointTable endpoints,
         LimitReader limits,
         PermitSource permits,
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/RequestAdmission.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/RequestAdmission.java
@@ -175,6 +175,7 @@
                                     .get()
                                     .map(Configuration::number)
                                     .orElse(0L))
+                    .with("confirmed-ms", services.confirmedAgeMs().get().orElse(-1))
                     .info(LOG);
             answer.refuse(refusal);
             return null;
--- a/router/src/test/java/org/ragwortrun/router/internal/forward/CallerConnectionTest.java
+++ b/router/src/test/java/org/ragwortrun/router/internal/forward/CallerConnectionTest.java
@@ -24,6 +24,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -138,6 +139,7 @@
                             configurationReads++;
                             return Optional.empty();
                         },
+                        OptionalLong::empty,
                         endpoints,
                         new LimitReader(headers, endpoints, metrics, time),
                         new PermitSource() {
