Show by tests how a daemon misses a configuration and denies routes

Hypothesis 1: a fetch without a reply is not repeated, and a new leader tells nobody. Hypothesis 2: an error in the periodic confirmation, or a failure in its retry, ends the confirmations for good.

--- a/control/src/test/java/org/ragwortrun/control/internal/ControlNodeTest.java
+++ b/control/src/test/java/org/ragwortrun/control/internal/ControlNodeTest.java
@@ -164,6 +164,19 @@
         assertThat(status().get().getConfigInForce()).isTrue();
     }
 
+    /** Guards against daemons that learn of a change of leader, and of what it acknowledges, only by their own timer. */
+    @Test
+    void newLeaderAnnouncesItselfToConnectedDaemons() throws Exception {
+        publish("p1", 0, 0, files(5));
+        FakePeer agent = peer("e1", Role.AGENT);
+        node.onConnected(agent);
+        meta.term = OptionalLong.of(2);
+        Frame toRouter = router.await(Frame::hasHeartbeat);
+        assertThat(toRouter.getCall()).isEqualTo(0);
+        assertThat(toRouter.getHeartbeat().getNumber()).isEqualTo(1);
+        assertThat(agent.await(Frame::hasHeartbeat).getCall()).isEqualTo(0);
+    }
+
     /** Guards against an isolated member that replies from stale state. */
     @Test
     void memberWithoutLeaseRedirectsToLeader() throws Exception {
--- a/net/src/test/java/org/ragwortrun/net/control/ConfigWatchTest.java
+++ b/net/src/test/java/org/ragwortrun/net/control/ConfigWatchTest.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -26,13 +27,21 @@
 import org.ragwortrun.proto.Hello;
 
 final class ConfigWatchTest {
+    private static final String TIMER = "config";
     private static final int LEASE_MS = 3_000;
+    private static final Duration SHORT_INTERVAL = Duration.ofMillis(10);
+    // Longer than the timeout of a call, so that one confirmation is made at a time.
+    private static final Duration INTERVAL = Duration.ofMillis(500);
+    // Longer than any test, so that nothing depends on the next periodic confirmation.
+    private static final Duration LONG_INTERVAL = Duration.ofMinutes(10);
 
     private final Closer closer = new Closer();
     private final AtomicLong nanos = new AtomicLong();
     private volatile long number = 1;
     private volatile int leaseMs = LEASE_MS;
     private volatile boolean repliesSuppressed;
+    private volatile boolean nextWatchIgnored;
+    private volatile Runnable onTimeRead = () -> {};
     private ConfigWatch watch;
 
     @BeforeEach
@@ -41,11 +50,12 @@
         FrameServer server = closer.register(transport.listen(new Address("127.0.0.1", 0), this::answer));
         ControlClient control = closer.register(
                 new ControlClient(transport, Map.of("c1", new Address("127.0.0.1", server.port())), (p, f) -> {}));
-        ScheduledExecutorService timer = SingleThreadExecutor.timer("config");
+        ScheduledExecutorService timer = SingleThreadExecutor.timer(TIMER);
         closer.register(() -> SingleThreadExecutor.stop(timer));
         Time time = new Time() {
             @Override
             public long nanos() {
+                onTimeRead.run();
                 return nanos.get();
             }
 
@@ -55,7 +65,6 @@
             }
         };
         watch = closer.register(new ConfigWatch(control, timer, time, Metrics.local(), c -> {}));
-        watch.start(Duration.ofMillis(10));
     }
 
     @AfterEach
@@ -66,6 +75,7 @@
     /** Guards against a host that continues with an old configuration during a network partition. */
     @Test
     void leaseExpiresWithoutConfirmation() throws Exception {
+        watch.start(SHORT_INTERVAL);
         awaitNumber(1);
         repliesSuppressed = true;
         TimeUnit.MILLISECONDS.sleep(50);
@@ -77,6 +87,7 @@
     /** Guards against an outdated member that sends an older configuration. */
     @Test
     void ignoresLowerNumber() throws Exception {
+        watch.start(SHORT_INTERVAL);
         number = 7;
         awaitNumber(7);
         number = 3;
@@ -85,6 +96,61 @@
         assertThat(watch.latest().map(Configuration::number).orElse(0L)).isEqualTo(7);
     }
 
+    /** Guards against a lost reply that delays a change until the next periodic confirmation. */
+    @Test
+    void repeatsFetchWithoutReply() throws Exception {
+        nextWatchIgnored = true;
+        watch.start(LONG_INTERVAL);
+        awaitNumber(1);
+    }
+
+    /** Guards against a daemon that never confirms again after an error in the periodic confirmation. */
+    @Test
+    void confirmsAfterErrorInPeriodicConfirmation() throws Exception {
+        failNextRead(new OutOfMemoryError("test"));
+        watch.start(SHORT_INTERVAL);
+        awaitNumber(1);
+    }
+
+    /** Guards against a daemon that never confirms again after a failure while it retries. */
+    @Test
+    void confirmsAfterFailureInRetry() throws Exception {
+        watch.start(INTERVAL);
+        awaitNumber(1);
+        repliesSuppressed = true;
+        // Until a confirmation has timed out and is being retried.
+        TimeUnit.MILLISECONDS.sleep(3 * INTERVAL.toMillis());
+        failNextRead(new IllegalStateException("test"));
+        repliesSuppressed = false;
+        number = 2;
+        awaitNumber(2);
+    }
+
+    /** Guards against a change that reaches a daemon only with its next periodic confirmation after a new election. */
+    @Test
+    void confirmsAtLeaderThatAnnouncesItself() throws Exception {
+        watch.start(LONG_INTERVAL);
+        awaitNumber(1);
+        number = 2;
+        watch.onPush(Frame.newBuilder()
+                .setHeartbeat(Heartbeat.newBuilder().setNumber(2))
+                .build());
+        awaitNumber(2);
+    }
+
+    /** Makes one reading of the clock fail, as any step of a confirmation may if the process runs out of memory. */
+    private void failNextRead(Throwable failure) {
+        AtomicBoolean failed = new AtomicBoolean();
+        onTimeRead = () -> {
+            if (Thread.currentThread().getName().equals(TIMER) && failed.compareAndSet(false, true)) {
+                if (failure instanceof Error e) {
+                    throw e;
+                }
+                throw (RuntimeException) failure;
+            }
+        };
+    }
+
     private void awaitNumber(long expected) throws InterruptedException {
         long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(5);
         while (watch.inForce().map(Configuration::number).orElse(-1L) != expected && System.nanoTime() < end) {
@@ -98,7 +164,9 @@
             return;
         }
         Frame.Builder reply = Replies.to(f);
-        if (f.hasWatch()) {
+        if (f.hasWatch() && nextWatchIgnored) {
+            nextWatchIgnored = false;
+        } else if (f.hasWatch()) {
             peer.send(reply.setConfigUpdate(update(number)).build());
         } else if (f.hasConfirm()) {
             int lease = f.getConfirm().getNumber() == number ? leaseMs : 0;
--- a/router/src/test/java/org/ragwortrun/router/FakeControl.java
+++ b/router/src/test/java/org/ragwortrun/router/FakeControl.java
@@ -40,6 +40,9 @@
     volatile boolean leased = true;
     volatile boolean ignoresShardRequests;
     volatile boolean ignoresCrashReports;
+    volatile boolean ignoresWatches;
+    // Answers no call about the configuration.
+    volatile boolean silent;
     private final Map<Integer, ShardState> shards = new ConcurrentHashMap<>();
     private final List<Section> sections = new ArrayList<>();
     private final List<CrashReport> suspects = new ArrayList<>();
@@ -110,7 +113,13 @@
     @Override
     public void onFrame(Peer peer, Frame f) {
         Frame.Builder reply = Replies.to(f);
+        if (silent && (f.hasWatch() || f.hasConfirm())) {
+            return;
+        }
         if (f.hasWatch()) {
+            if (ignoresWatches) {
+                return;
+            }
             watchers.add(peer);
             peer.send(reply.setConfigUpdate(update()).build());
         } else if (f.hasConfirm()) {
--- a/router/src/test/java/org/ragwortrun/router/ForwardHarness.java
+++ b/router/src/test/java/org/ragwortrun/router/ForwardHarness.java
@@ -59,7 +59,8 @@
         server = closer.register(transport.listen(new Address("127.0.0.1", 0), control));
     }
 
-    private void addRoute(String name, String path, String kind, String resumable) {
+    /** Adds a route, which is in force after the next change of the configuration. */
+    void addRoute(String name, String path, String kind, String resumable) {
         control.putSection(
                 "forward",
                 name,
