Confirm the configuration whatever became of earlier calls

Cause: a daemon followed the configuration by a chain of steps, each of which started the next. A failure in one step, or an error such as an exhausted heap in the periodic task, ended the chain for good, without a log line; a flag then kept the periodic task from starting another. A lost fetch waited for the next confirmation. An update that could not be read had changed the stored sections. Change: periodic work alone drives the calls, and waits for an earlier call at most until its timeout; replies, announcements of leaders and failures only make the next call come sooner. The state is one immutable value that a failed update leaves as it was. Tasks log unexpected errors and end normally. A call to control ends with a failure if one of its steps fails.

--- a/core/src/main/java/org/ragwortrun/core/concurrent/SingleThreadExecutor.java
+++ b/core/src/main/java/org/ragwortrun/core/concurrent/SingleThreadExecutor.java
@@ -90,12 +90,16 @@
         timer.scheduleWithFixedDelay(guarded(task), firstMs, pauseMs, TimeUnit.MILLISECONDS);
     }
 
+    /**
+     * Returns a task that logs an unexpected failure and then ends normally. This includes errors such as an exhausted
+     * heap, which an executor would drop without a trace.
+     */
     @SuppressWarnings("PMD.AvoidCatchingGenericException")
-    private static Runnable guarded(Runnable task) {
+    public static Runnable guarded(Runnable task) {
         return () -> {
             try {
                 task.run();
-            } catch (RuntimeException | StackOverflowError e) {
+            } catch (RuntimeException | Error e) {
                 Event.of("periodic-task-failed")
                         .with("thread", Thread.currentThread().getName())
                         .error(LOG, e);
--- a/net/src/main/java/org/ragwortrun/net/Transport.java
+++ b/net/src/main/java/org/ragwortrun/net/Transport.java
@@ -4,6 +4,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 import org.ragwortrun.proto.Hello;
 
@@ -40,6 +41,11 @@
         return new FrameClient(loops, this::localHello, address, handler);
     }
 
+    /** Runs a task, which must not block, on a network thread after a delay. */
+    public void schedule(Runnable task, Duration delay) {
+        loops.schedule(task, delay.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
     /** Changes the {@code Hello} that this process sends on new connections. */
     public void setLocalHello(Hello hello) {
         localHello = hello;
--- a/net/src/main/java/org/ragwortrun/net/control/ConfigWatch.java
+++ b/net/src/main/java/org/ragwortrun/net/control/ConfigWatch.java
@@ -2,24 +2,16 @@
 
 import com.google.protobuf.ByteString;
 import java.time.Duration;
-import java.util.HashMap;
-import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
 import org.jspecify.annotations.Nullable;
 import org.ragwortrun.core.concurrent.SingleThreadExecutor;
 import org.ragwortrun.core.config.Configuration;
 import org.ragwortrun.core.config.ConfigurationException;
-import org.ragwortrun.core.config.SectionKind;
-import org.ragwortrun.core.id.Digests;
-import org.ragwortrun.core.log.Event;
 import org.ragwortrun.core.metrics.Metrics;
 import org.ragwortrun.core.refusal.Refusal;
 import org.ragwortrun.core.refusal.RefusalReason;
@@ -30,10 +22,6 @@
 import org.ragwortrun.proto.CrashReport;
 import org.ragwortrun.proto.Frame;
 import org.ragwortrun.proto.Heartbeat;
-import org.ragwortrun.proto.MoveProgress;
-import org.ragwortrun.proto.Section;
-import org.ragwortrun.proto.SectionId;
-import org.ragwortrun.proto.VersionDecision;
 import org.ragwortrun.proto.Watch;
 
 /**
@@ -41,9 +29,12 @@
  *
  * <p>The lease starts when the confirmation is sent, so it expires here before the leader may consider it expired. A
  * configuration with a number below the highest one seen is never applied.
+ *
+ * <p>Periodic work calls the leader, to confirm the configuration or to fetch a newer one. It does not depend on the end
+ * of an earlier call, which only makes the next one come sooner: after a call without an answer, a newer number, or the
+ * announcement of a leader. State changes on the thread of the timer only.
  */
 public final class ConfigWatch implements AutoCloseable {
-    private static final Logger LOG = LogManager.getLogger(ConfigWatch.class);
     private static final int META_GROUP = 0;
     // If the leader is isolated and does not answer, a lease of 3 s leaves time to try several other members.
     private static final Duration CALL_TIMEOUT = Duration.ofMillis(400);
@@ -55,17 +46,12 @@
     private final Time time;
     private final Consumer<Configuration> listener;
     private final ConfigWatchLog log;
-    private final Map<SectionId, Section> sections = new LinkedHashMap<>();
-    private final Map<String, MoveProgress> moves = new LinkedHashMap<>();
-    private final Map<String, VersionDecision> decisions = new LinkedHashMap<>();
-    private volatile @Nullable Configuration current;
-    private volatile Map<ByteString, Long> crashTimes = Map.of();
-    private volatile Map<ByteString, CrashReport> quarantinedParts = Map.of();
-    private volatile long leaseUntil;
-    private volatile boolean leased;
+    private volatile ConfigState state = ConfigState.NONE;
+    private volatile @Nullable Confirmation confirmation;
+    // Highest number that a member has named.
+    private volatile long newest;
     private volatile boolean closed;
-    // Set while a failed confirmation is retried, so that periodic confirmations do not start further retries.
-    private volatile boolean retrying;
+    private @Nullable Call running;
 
     /**
      * Creates a watch, which {@link #start} starts.
@@ -84,39 +70,46 @@
         this.time = time;
         this.listener = listener;
         log = new ConfigWatchLog(time, metrics, () -> control.leader(META_GROUP).orElse(""));
+        metrics.gauge(
+                "configuration_confirmed_age_ms",
+                "Time since the last answered confirmation of the configuration was sent, -1 if there is none",
+                () -> confirmedAgeMs().orElse(-1));
     }
 
     /** Starts to confirm the configuration periodically. */
     public void start(Duration interval) {
-        SingleThreadExecutor.repeat(timer, this::confirmUnlessRetrying, 0, interval.toMillis());
+        SingleThreadExecutor.repeat(timer, this::callUnlessRunning, 0, interval.toMillis());
     }
 
-    /** Applies a configuration update pushed by a control member. Other frames are ignored. */
+    /**
+     * Handles a frame that a control member sent without a request: an update, or the heartbeat with which a new leader
+     * announces itself. Other frames are ignored.
+     */
     public void onPush(Frame frame) {
         if (frame.hasConfigUpdate()) {
             long receivedAt = time.nanos();
-            timer.execute(() -> apply(frame.getConfigUpdate(), ConfigDelivery.PUSH, receivedAt));
+            // A late reply to a call that has ended has the number of the call.
+            ConfigDelivery delivery = frame.getCall() == 0 ? ConfigDelivery.PUSH : ConfigDelivery.FETCH;
+            execute(() -> apply(frame.getConfigUpdate(), delivery, receivedAt));
+        } else if (frame.hasHeartbeat() && frame.getCall() == 0) {
+            execute(() -> {
+                learnNumber(frame.getHeartbeat().getNumber());
+                call();
+            });
         }
     }
 
-    /**
-     * Returns the time in milliseconds since the last confirmation of the configuration was sent, empty if none was
-     * answered.
-     */
-    public OptionalLong confirmedAgeMs() {
-        return log.confirmedAgeMs();
-    }
-
     /** Returns the configuration in force, if the lease on it is valid. */
     public Optional<Configuration> inForce() {
-        Configuration c = current;
-        boolean valid = leased && leaseUntil - time.nanos() > 0;
-        return valid ? Optional.ofNullable(c) : Optional.empty();
+        ConfigState s = state;
+        Confirmation c = confirmation;
+        boolean valid = !closed && c != null && c.leaseUntil - time.nanos() > 0;
+        return valid ? s.configuration() : Optional.empty();
     }
 
     /** Returns the latest configuration even if its lease has expired, for work that is already running. */
     public Optional<Configuration> latest() {
-        return Optional.ofNullable(current);
+        return state.configuration();
     }
 
     /**
@@ -132,174 +125,165 @@
                         RETRY_AFTER)));
     }
 
+    /**
+     * Returns whether a leader has confirmed a configuration in a call that was sent less than a time ago, and none is
+     * known that is newer than the latest one here, which then contains all changes accepted before that time.
+     */
+    public boolean isConfirmedWithin(Duration age) {
+        Confirmation c = confirmation;
+        return !closed && c != null && newest <= state.number() && time.nanos() - c.sentAt < age.toNanos();
+    }
+
+    /**
+     * Returns the time in milliseconds since the last answered confirmation of the configuration was sent, empty if none
+     * was answered.
+     */
+    public OptionalLong confirmedAgeMs() {
+        Confirmation c = confirmation;
+        return c == null
+                ? OptionalLong.empty()
+                : OptionalLong.of(TimeUnit.NANOSECONDS.toMillis(time.nanos() - c.sentAt));
+    }
+
     /** Returns whether requests with this content digest are refused because they crash endpoints. */
     public boolean isRefused(ByteString digest) {
-        return crashTimes.containsKey(digest);
+        return state.crashTimes().containsKey(digest);
     }
 
     /** Returns the reports on quarantined parts of prompts, by the digest of the part. */
     public Map<ByteString, CrashReport> quarantinedParts() {
-        return quarantinedParts;
+        return state.quarantinedParts();
     }
 
     /** Returns the wall-clock time of the latest crash for each refused content digest, in milliseconds. */
     public Map<ByteString, Long> crashTimes() {
-        return crashTimes;
+        return state.crashTimes();
     }
 
     @Override
     public void close() {
         closed = true;
-        leased = false;
     }
 
-    private void confirmUnlessRetrying() {
-        if (!retrying) {
-            confirm();
+    private void callUnlessRunning() {
+        Call c = running;
+        if (c == null || time.nanos() - c.end >= 0) {
+            call();
         }
     }
 
-    private void confirm() {
-        Configuration c = current;
-        long number = c == null ? 0 : c.number();
-        long sentAt = time.nanos();
-        control.call(
-                        META_GROUP,
-                        Frame.newBuilder().setConfirm(Confirm.newBuilder().setNumber(number)),
-                        CALL_TIMEOUT)
-                .whenComplete((reply, failure) -> {
-                    if (reply != null && reply.hasHeartbeat()) {
-                        retrying = false;
-                        log.onAnswered();
-                        onHeartbeat(reply.getHeartbeat(), number, sentAt);
-                    } else if (!closed) {
-                        retrying = true;
-                        log.onUnanswered(failure);
-                        timer.schedule(this::confirm, RETRY_MS, TimeUnit.MILLISECONDS);
-                    }
-                });
+    private void callLater() {
+        timer.schedule(SingleThreadExecutor.guarded(this::callUnlessRunning), RETRY_MS, TimeUnit.MILLISECONDS);
     }
 
-    private void onHeartbeat(Heartbeat heartbeat, long confirmed, long sentAt) {
-        if (heartbeat.getNumber() > confirmed || current == null) {
-            log.onBehind(confirmed, heartbeat.getNumber());
-            fetch();
-        } else if (heartbeat.getLeaseMs() > 0 && heartbeat.getNumber() == confirmed) {
-            leaseUntil = sentAt + TimeUnit.MILLISECONDS.toNanos(heartbeat.getLeaseMs());
-            leased = true;
-            log.onConfirmed(sentAt);
+    /** Confirms the configuration, or fetches a newer one if one is known or there is none yet. */
+    private void call() {
+        if (closed) {
+            return;
         }
+        long sentAt = time.nanos();
+        ConfigState s = state;
+        boolean behind = s.current() == null || newest > s.number();
+        Frame.Builder request = behind
+                ? Frame.newBuilder().setWatch(Watch.newBuilder().setHaveNumber(s.number()))
+                : Frame.newBuilder().setConfirm(Confirm.newBuilder().setNumber(s.number()));
+        Call c = new Call(s.number(), behind, sentAt, sentAt + CALL_TIMEOUT.toNanos());
+        running = c;
+        control.call(META_GROUP, request, CALL_TIMEOUT).whenComplete((reply, failure) -> {
+            long receivedAt = time.nanos();
+            execute(() -> onReply(c, reply, failure, receivedAt));
+        });
     }
 
-    private void fetch() {
-        Configuration c = current;
-        long have = c == null ? 0 : c.number();
-        control.call(META_GROUP, Frame.newBuilder().setWatch(Watch.newBuilder().setHaveNumber(have)), CALL_TIMEOUT)
-                .whenComplete((reply, failure) -> {
-                    if (reply != null && reply.hasConfigUpdate()) {
-                        long receivedAt = time.nanos();
-                        timer.execute(() -> apply(reply.getConfigUpdate(), ConfigDelivery.FETCH, receivedAt));
-                    } else {
-                        log.onFetchFailed(have, failure);
-                    }
-                });
-    }
-
-    private void apply(ConfigUpdate update, ConfigDelivery delivery, long receivedAt) {
-        Configuration before = current;
-        long have = before == null ? 0 : before.number();
-        boolean first = before == null;
-        if (!first && update.getNumber() <= have) {
-            return;
+    private void onReply(Call call, @Nullable Frame reply, @Nullable Throwable failure, long receivedAt) {
+        if (call.equals(running)) {
+            running = null;
         }
-        if (update.getBase() != 0 && update.getBase() != have) {
-            fetch();
-            return;
+        if (reply != null && reply.hasHeartbeat()) {
+            log.onAnswered();
+            onHeartbeat(call, reply.getHeartbeat());
+        } else if (reply != null && reply.hasConfigUpdate()) {
+            log.onAnswered();
+            apply(reply.getConfigUpdate(), ConfigDelivery.FETCH, receivedAt);
+        } else if (!closed) {
+            log.onUnanswered(call.fetch, confirmedAgeMs(), failure);
+            callLater();
         }
-        Configuration next;
-        synchronized (this) {
-            merge(update);
-            try {
-                next = Configuration.of(
-                        update.getNumber(),
-                        sections.values(),
-                        moves.values(),
-                        decisions.values(),
-                        update.getOrderedMovesList());
-            } catch (ConfigurationException e) {
-                // Control checks before it accepts, so the software versions differ. Refusing is safer than guessing.
-                Event.of("configuration-unreadable")
-                        .with("number", update.getNumber())
-                        .error(LOG, e);
-                return;
+    }
+
+    private void onHeartbeat(Call call, Heartbeat heartbeat) {
+        learnNumber(heartbeat.getNumber());
+        if (newest > state.number()) {
+            callUnlessRunning();
+        } else if (heartbeat.getLeaseMs() > 0 && heartbeat.getNumber() == call.number) {
+            long leaseUntil = call.sentAt + TimeUnit.MILLISECONDS.toNanos(heartbeat.getLeaseMs());
+            Confirmation c = confirmation;
+            if (c == null || leaseUntil - c.leaseUntil > 0) {
+                confirmation = new Confirmation(call.sentAt, leaseUntil);
             }
         }
-        current = next;
-        log.onApplied(update, first ? ConfigDelivery.FIRST : delivery, receivedAt, sections.size());
-        listener.accept(next);
-        confirm();
     }
 
-    private void merge(ConfigUpdate update) {
-        if (update.getBase() == 0) {
-            sections.clear();
-            moves.clear();
-            decisions.clear();
-            crashTimes = Map.of();
-            quarantinedParts = Map.of();
+    private void learnNumber(long number) {
+        if (number > newest) {
+            newest = number;
+            if (number > state.number()) {
+                log.onBehind(state.number(), number);
+            }
         }
-        update.getRemovedList().forEach(r -> {
-            sections.remove(r);
-            removeProgress(r.getKind(), r.getName());
-        });
-        update.getChangedList().forEach(s -> {
-            sections.put(id(s), s);
-            removeProgress(s.getKind(), s.getName());
-        });
-        update.getMovesList().forEach(m -> moves.put(m.getMove(), m));
-        update.getDecisionsList().forEach(d -> decisions.put(d.getService() + "/" + d.getVersion(), d));
-        addCrashTimes(
-                update.getSuspectsList().stream().filter(s -> !s.getPart()).toList());
-        mergeParts(
-                update.getSuspectsList().stream().filter(CrashReport::getPart).toList());
     }
 
-    private void mergeParts(List<CrashReport> reports) {
-        if (reports.isEmpty()) {
+    private void apply(ConfigUpdate update, ConfigDelivery delivery, long receivedAt) {
+        ConfigState before = state;
+        boolean first = before.current() == null;
+        if (!first && update.getNumber() <= before.number()) {
             return;
         }
-        Map<ByteString, CrashReport> next = new HashMap<>(quarantinedParts);
-        for (CrashReport r : reports) {
-            if (r.getRefused()) {
-                next.put(r.getDigest(), r);
-            } else {
-                next.remove(r.getDigest());
-            }
-            Event.of(r.getRefused() ? "part-quarantined" : "part-released")
-                    .with("part", Digests.hex(r.getDigest().toByteArray()))
-                    .with("crashes", r.getCrashes())
-                    .with("companions", r.getCompanionsCount())
-                    .info(LOG);
+        if (update.getBase() != 0 && update.getBase() != before.number()) {
+            learnNumber(update.getNumber());
+            callUnlessRunning();
+            return;
         }
-        quarantinedParts = Map.copyOf(next);
-    }
-
-    private void addCrashTimes(List<CrashReport> suspects) {
-        if (!suspects.isEmpty()) {
-            Map<ByteString, Long> next = new HashMap<>(crashTimes);
-            suspects.stream().filter(CrashReport::getRefused).forEach(s -> next.put(s.getDigest(), s.getLastCrashMs()));
-            crashTimes = Map.copyOf(next);
+        ConfigState next;
+        try {
+            next = before.with(update);
+        } catch (ConfigurationException e) {
+            // Control checks before it accepts, so the software versions differ. Refusing is safer than guessing.
+            learnNumber(update.getNumber());
+            log.onUnreadable(update, e);
+            return;
         }
+        state = next;
+        newest = Math.max(newest, next.number());
+        log.onApplied(
+                update,
+                first ? ConfigDelivery.FIRST : delivery,
+                receivedAt,
+                next.sections().size());
+        next.configuration().ifPresent(listener);
+        call();
     }
 
-    /** Drops the progress of a move that was changed or removed; the update contains its current progress. */
-    private void removeProgress(String kind, String name) {
-        if (kind.equals(SectionKind.MOVE.text())) {
-            moves.remove(name);
+    /** Runs a task on the thread of the timer, unless the process is stopping. */
+    private void execute(Runnable task) {
+        if (!closed) {
+            timer.execute(SingleThreadExecutor.guarded(task));
         }
     }
 
-    private static SectionId id(Section s) {
-        return SectionId.newBuilder().setKind(s.getKind()).setName(s.getName()).build();
-    }
+    /**
+     * A call to the leader that may not have ended.
+     *
+     * @param number number of the configuration when it was sent
+     * @param fetch whether it requests an update
+     * @param end time after which it counts as lost
+     */
+    private record Call(long number, boolean fetch, long sentAt, long end) {}
+
+    /**
+     * A leader's answer that the configuration at that time, or an earlier one, was the newest.
+     *
+     * @param sentAt time at which the confirmation was sent
+     */
+    private record Confirmation(long sentAt, long leaseUntil) {}
 }
--- a/net/src/main/java/org/ragwortrun/net/control/ConfigWatchLog.java
+++ b/net/src/main/java/org/ragwortrun/net/control/ConfigWatchLog.java
@@ -7,12 +7,15 @@
 import org.apache.logging.log4j.Logger;
 import org.jspecify.annotations.Nullable;
 import org.ragwortrun.core.concurrent.Causes;
+import org.ragwortrun.core.config.ConfigurationException;
+import org.ragwortrun.core.id.Digests;
 import org.ragwortrun.core.log.Event;
 import org.ragwortrun.core.metrics.Metrics;
 import org.ragwortrun.core.time.Time;
 import org.ragwortrun.proto.ConfigUpdate;
+import org.ragwortrun.proto.CrashReport;
 
-/** Logs and measures how a daemon follows the configuration. Used by several threads. */
+/** Logs and measures how a daemon follows the configuration. Used by one thread. */
 final class ConfigWatchLog {
     private static final Logger LOG = LogManager.getLogger(ConfigWatch.class);
     private static final long NONE = Long.MIN_VALUE;
@@ -20,49 +23,39 @@
     private final Time time;
     private final Metrics metrics;
     private final Supplier<String> leader;
-    private long confirmedNanos = NONE;
     private long unansweredSince = NONE;
     private long unanswered;
-    private long behindLogged;
 
     ConfigWatchLog(Time time, Metrics metrics, Supplier<String> leader) {
         this.time = time;
         this.metrics = metrics;
         this.leader = leader;
-        metrics.gauge(
-                "configuration_confirmed_age_ms",
-                "Time since the last answered confirmation of the configuration was sent, -1 if there is none",
-                () -> confirmedAgeMs().orElse(-1));
     }
 
-    /** Returns the time since the last answered confirmation was sent. */
-    synchronized OptionalLong confirmedAgeMs() {
-        return confirmedNanos == NONE ? OptionalLong.empty() : OptionalLong.of(millisSince(confirmedNanos));
-    }
-
-    /** Records that the leader confirmed the configuration in force here. */
-    synchronized void onConfirmed(long sentAt) {
-        confirmedNanos = sentAt;
-    }
-
-    /** Records a confirmation without an answer. Only the first of a series is logged. */
-    synchronized void onUnanswered(@Nullable Throwable failure) {
-        metrics.count("configuration_confirmations_unanswered", 1);
+    /**
+     * Records a call without an answer. Only the first of a series is logged.
+     *
+     * @param fetch whether the call requested an update
+     * @param confirmedAgeMs time since the last answered confirmation was sent
+     */
+    void onUnanswered(boolean fetch, OptionalLong confirmedAgeMs, @Nullable Throwable failure) {
+        metrics.count("configuration_calls_unanswered", 1);
         unanswered++;
         if (unansweredSince == NONE) {
             unansweredSince = time.nanos();
-            Event.of("configuration-unconfirmed")
+            Event.of("configuration-calls-unanswered")
                     .with("leader", leader.get())
-                    .with("confirmed-ms", confirmedAgeMs().orElse(-1))
+                    .with("fetch", fetch)
+                    .with("confirmed-ms", confirmedAgeMs.orElse(-1))
                     .with("failure", reason(failure))
                     .info(LOG);
         }
     }
 
-    /** Records an answered confirmation. */
-    synchronized void onAnswered() {
+    /** Records an answered call. */
+    void onAnswered() {
         if (unansweredSince != NONE) {
-            Event.of("configuration-confirmations-regained")
+            Event.of("configuration-calls-answered")
                     .with("leader", leader.get())
                     .with("unanswered", unanswered)
                     .with("silent-ms", millisSince(unansweredSince))
@@ -72,27 +65,19 @@
         }
     }
 
-    /** Records that the leader has a newer configuration. Each number is logged once. */
-    synchronized void onBehind(long have, long newest) {
-        if (newest != behindLogged) {
-            behindLogged = newest;
-            Event.of("configuration-behind")
-                    .with("have", have)
-                    .with("newest", newest)
-                    .with("leader", leader.get())
-                    .info(LOG);
-        }
-    }
-
-    void onFetchFailed(long have, @Nullable Throwable failure) {
-        metrics.count("configuration_fetches_failed", 1);
-        Event.of("configuration-fetch-failed")
+    /** Records that a member has named a newer configuration. */
+    void onBehind(long have, long newest) {
+        Event.of("configuration-behind")
                 .with("have", have)
+                .with("newest", newest)
                 .with("leader", leader.get())
-                .with("failure", reason(failure))
                 .info(LOG);
     }
 
+    void onUnreadable(ConfigUpdate update, ConfigurationException failure) {
+        Event.of("configuration-unreadable").with("number", update.getNumber()).error(LOG, failure);
+    }
+
     /**
      * Records an applied update.
      *
@@ -111,6 +96,13 @@
                 .with("age-ms", update.getAgeMs())
                 .with("waited-ms", waitedMs)
                 .info(LOG);
+        update.getSuspectsList().stream()
+                .filter(CrashReport::getPart)
+                .forEach(r -> Event.of(r.getRefused() ? "part-quarantined" : "part-released")
+                        .with("part", Digests.hex(r.getDigest().toByteArray()))
+                        .with("crashes", r.getCrashes())
+                        .with("companions", r.getCompanionsCount())
+                        .info(LOG));
     }
 
     private long millisSince(long nanos) {
--- a/net/src/main/java/org/ragwortrun/net/control/ControlClient.java
+++ b/net/src/main/java/org/ragwortrun/net/control/ControlClient.java
@@ -36,6 +36,7 @@
  * caller decides whether its request is idempotent.
  */
 public final class ControlClient implements AutoCloseable {
+    private static final int META_GROUP = 0;
     private static final long RETRY_DELAY_MS = 50;
     private static final long DISCONNECTED_RETRY_DELAY_MS = 150;
     // Each connection costs both sides keep-alive frames. The leader is always connected, since replies name it.
@@ -61,9 +62,10 @@
      */
     public ControlClient(Transport transport, Map<String, Address> members, FrameHandler pushHandler) {
         this.transport = transport;
-        this.pushHandler = pushHandler;
+        this.pushHandler = new LeaderTracker(pushHandler);
         configuredNames = List.copyOf(members.keySet());
-        members.forEach((name, address) -> clients.put(name, closer.register(transport.connect(address, pushHandler))));
+        members.forEach(
+                (name, address) -> clients.put(name, closer.register(transport.connect(address, this.pushHandler))));
     }
 
     /**
@@ -129,6 +131,10 @@
     }
 
     private void attempt(int group, Frame request, long deadline, CompletableFuture<Frame> result) {
+        endOnError(result, () -> callTarget(group, request, deadline, result));
+    }
+
+    private void callTarget(int group, Frame request, long deadline, CompletableFuture<Frame> result) {
         long remainingMs = TimeUnit.NANOSECONDS.toMillis(deadline - System.nanoTime());
         if (remainingMs <= 0) {
             result.completeExceptionally(new TransportException(
@@ -142,20 +148,35 @@
             retryLater(group, request, deadline, result);
             return;
         }
-        client.call(request.toBuilder(), Duration.ofMillis(remainingMs)).whenComplete((reply, failure) -> {
-            if (failure != null) {
-                onFailure(group, request, deadline, result, target, Causes.of(failure));
-            } else if (reply.hasNotLeader()) {
-                onNotLeader(group, target, reply.getNotLeader());
-                retryLater(group, request, deadline, result);
-            } else {
-                leaders.put(group, target);
-                if (reply.hasHeartbeat() && reply.getHeartbeat().getMembersCount() > 0) {
-                    learn(reply.getHeartbeat().getMembersList());
-                }
-                result.complete(reply);
-            }
-        });
+        client.call(request.toBuilder(), Duration.ofMillis(remainingMs))
+                .whenComplete((reply, failure) -> endOnError(result, () -> {
+                    if (failure != null) {
+                        onFailure(group, request, deadline, result, target, Causes.of(failure));
+                    } else if (reply.hasNotLeader()) {
+                        onNotLeader(group, target, reply.getNotLeader());
+                        retryLater(group, request, deadline, result);
+                    } else {
+                        onReply(group, target, reply);
+                        result.complete(reply);
+                    }
+                }));
+    }
+
+    private void onReply(int group, String target, Frame reply) {
+        leaders.put(group, target);
+        if (reply.hasHeartbeat() && reply.getHeartbeat().getMembersCount() > 0) {
+            learn(reply.getHeartbeat().getMembersList());
+        }
+    }
+
+    /** Runs a step of a call. An unexpected failure ends the call, whose caller may wait for nothing else. */
+    @SuppressWarnings("PMD.AvoidCatchingGenericException")
+    private static void endOnError(CompletableFuture<Frame> result, Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException | Error e) {
+            result.completeExceptionally(e);
+        }
     }
 
     private void onFailure(
@@ -217,8 +238,7 @@
     private void retryLater(int group, Frame request, long deadline, CompletableFuture<Frame> result) {
         // Without a connection no attempt can succeed, and frequent attempts waste CPU time during a partition.
         long delayMs = connectedNames(p -> true).isEmpty() ? DISCONNECTED_RETRY_DELAY_MS : RETRY_DELAY_MS;
-        CompletableFuture.delayedExecutor(delayMs, TimeUnit.MILLISECONDS)
-                .execute(() -> attempt(group, request, deadline, result));
+        transport.schedule(() -> attempt(group, request, deadline, result), Duration.ofMillis(delayMs));
     }
 
     private String target(int group) {
@@ -232,6 +252,34 @@
         return candidates.get(Math.floorMod(nextMember.getAndIncrement(), candidates.size()));
     }
 
+    /** Takes the sender of a heartbeat that no call requested for the leader of the meta group. */
+    private final class LeaderTracker implements FrameHandler {
+        private final FrameHandler next;
+
+        LeaderTracker(FrameHandler next) {
+            this.next = next;
+        }
+
+        @Override
+        public void onConnected(Peer peer) {
+            next.onConnected(peer);
+        }
+
+        @Override
+        public void onFrame(Peer peer, Frame frame) {
+            String name = peer.hello().getName();
+            if (frame.hasHeartbeat() && frame.getCall() == 0 && clients.containsKey(name)) {
+                leaders.put(META_GROUP, name);
+            }
+            next.onFrame(peer, frame);
+        }
+
+        @Override
+        public void onClosed(Peer peer) {
+            next.onClosed(peer);
+        }
+    }
+
     private List<String> connectedNames(Predicate<Peer> condition) {
         return clients.entrySet().stream()
                 .filter(e -> e.getValue().peer().filter(condition).isPresent())
