Announce a new leader to the daemons that are connected to it

Cause: only the leader at which a daemon has confirmed pushes changes to it. After a change of leader, nobody did until the daemon's own timer led it to the new leader, while that already acknowledged changes. Change: a member sends a heartbeat to all connected daemons when it begins to lead, and to each daemon that connects while it leads. A daemon that gets one calls that member at once. The test now discards the announcement that comes with the connection, so that only the one of the new term counts.

--- a/agent/src/main/java/org/ragwortrun/agent/internal/AgentProcess.java
+++ b/agent/src/main/java/org/ragwortrun/agent/internal/AgentProcess.java
@@ -302,7 +302,7 @@
         @Override
         public void onFrame(Peer peer, Frame frame) {
             switch (frame.getBodyCase()) {
-                case CONFIG_UPDATE -> watch.onPush(frame);
+                case CONFIG_UPDATE, HEARTBEAT -> watch.onPush(frame);
                 case FENCE_ROUTER -> executor.offer(() -> dispatcher.onFence(peer, frame));
                 case LOAD_ORDER -> executor.offer(() -> loadOrderHandler.onOrder(peer, frame));
                 default -> {
--- a/control/src/main/java/org/ragwortrun/control/internal/ControlNode.java
+++ b/control/src/main/java/org/ragwortrun/control/internal/ControlNode.java
@@ -59,7 +59,7 @@
         this.shards = shards;
         peers = new Peers(time);
         ConfigurationCache cache = new ConfigurationCache(settings.shards());
-        metaService = closer.register(new MetaService(time, meta, moves, cache, settings));
+        metaService = closer.register(new MetaService(time, meta, moves, peers, cache, settings));
         shardService = closer.register(new ShardService(time, shards, meta, leader, peers, cache, settings));
         ScheduledExecutorService timer = SingleThreadExecutor.timer("control-tick");
         closer.register(() -> SingleThreadExecutor.stop(timer));
@@ -69,6 +69,7 @@
     @Override
     public void onConnected(Peer peer) {
         peers.onConnected(peer);
+        metaService.onConnected(peer);
     }
 
     /** Returns the daemons that are connected to this member. */
--- a/control/src/main/java/org/ragwortrun/control/internal/MetaService.java
+++ b/control/src/main/java/org/ragwortrun/control/internal/MetaService.java
@@ -1,6 +1,7 @@
 package org.ragwortrun.control.internal;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
@@ -21,6 +22,7 @@
 import org.ragwortrun.proto.MovesReply;
 import org.ragwortrun.proto.PublishReply;
 import org.ragwortrun.proto.ReadBarrier;
+import org.ragwortrun.proto.Role;
 import org.ragwortrun.proto.StartMove;
 import org.ragwortrun.proto.StatusReply;
 
@@ -37,6 +39,7 @@
     private final Time time;
     private final MetaGroup group;
     private final MoveDriver moveDriver;
+    private final Peers peers;
     private final ConfigurationCache cache;
     private final DaemonLeases leases;
     private final InForceWaiters waiters;
@@ -44,11 +47,22 @@
     private OptionalLong term = OptionalLong.empty();
     private long nextMoveNanos;
 
+    /**
+     * Starts the tasks.
+     *
+     * @param peers daemons connected to this member, to which it announces itself when it becomes the leader
+     */
     public MetaService(
-            Time time, MetaGroup group, MoveDriver moves, ConfigurationCache cache, ControlSettings settings) {
+            Time time,
+            MetaGroup group,
+            MoveDriver moves,
+            Peers peers,
+            ConfigurationCache cache,
+            ControlSettings settings) {
         this.time = time;
         this.group = group;
         this.moveDriver = moves;
+        this.peers = peers;
         this.cache = cache;
         leases = new DaemonLeases(time, settings.configLease());
         watchers = new Watchers(group);
@@ -64,6 +78,15 @@
         }
     }
 
+    /** Announces this member to a daemon that has just connected, if it is the leader. */
+    public void onConnected(Peer peer) {
+        duty.offer(() -> {
+            if (isLeader() && isFollower(peer)) {
+                announce(peer);
+            }
+        });
+    }
+
     public void onClosed(Peer peer) {
         duty.offer(() -> watchers.remove(peer));
     }
@@ -139,7 +162,30 @@
         watchers.clear();
         moveDriver.reset();
         nextMoveNanos = time.nanos();
-        Event.of("meta-leadership").with("term", newTerm.getAsLong()).info(LOG);
+        List<Peer> daemons =
+                peers.all().stream().filter(MetaService::isFollower).toList();
+        daemons.forEach(this::announce);
+        Event.of("meta-leadership")
+                .with("term", newTerm.getAsLong())
+                .with("number", group.number())
+                .with("announced-to", daemons.size())
+                .info(LOG);
+    }
+
+    /**
+     * Sends a heartbeat without a request, so that the daemon confirms at this leader at once. It has no watch here yet and
+     * would learn of a change only by its own timer.
+     */
+    private void announce(Peer peer) {
+        peer.send(Frame.newBuilder()
+                .setHeartbeat(Heartbeat.newBuilder().setNumber(group.number()).addAllMembers(group.members()))
+                .build());
+    }
+
+    /** Returns whether a peer is a daemon that follows the configuration. */
+    private static boolean isFollower(Peer peer) {
+        Role role = peer.hello().getRole();
+        return role == Role.ROUTER || role == Role.AGENT;
     }
 
     private boolean isLeader() {
--- a/control/src/main/java/org/ragwortrun/control/internal/Peers.java
+++ b/control/src/main/java/org/ragwortrun/control/internal/Peers.java
@@ -61,6 +61,11 @@
                 .toList();
     }
 
+    /** Returns all open connections. */
+    public List<Peer> all() {
+        return open.values().stream().filter(Peer::isOpen).toList();
+    }
+
     /** Returns the connections of daemons with this role. */
     public List<Peer> byRole(Role role) {
         return open.values().stream()
--- a/control/src/test/java/org/ragwortrun/control/internal/ControlNodeTest.java
+++ b/control/src/test/java/org/ragwortrun/control/internal/ControlNodeTest.java
@@ -170,11 +170,13 @@
         publish("p1", 0, 0, files(5));
         FakePeer agent = peer("e1", Role.AGENT);
         node.onConnected(agent);
+        assertThat(agent.await(Frame::hasHeartbeat).getHeartbeat().getNumber()).isEqualTo(1);
+        assertThat(agent.receivesNone(Frame::hasHeartbeat)).isTrue();
         meta.term = OptionalLong.of(2);
-        Frame toRouter = router.await(Frame::hasHeartbeat);
-        assertThat(toRouter.getCall()).isEqualTo(0);
-        assertThat(toRouter.getHeartbeat().getNumber()).isEqualTo(1);
-        assertThat(agent.await(Frame::hasHeartbeat).getCall()).isEqualTo(0);
+        Frame toAgent = agent.await(Frame::hasHeartbeat);
+        assertThat(toAgent.getCall()).isEqualTo(0);
+        assertThat(toAgent.getHeartbeat().getNumber()).isEqualTo(1);
+        router.await(f -> f.getCall() == 0 && f.getHeartbeat().getNumber() == 1);
     }
 
     /** Guards against an isolated member that replies from stale state. */
--- a/router/src/main/java/org/ragwortrun/router/internal/ControlPushes.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/ControlPushes.java
@@ -24,7 +24,7 @@
         Grants g = grants;
         if (frame.hasRecall() && g != null) {
             g.recall(frame.getRecall().getBudget());
-        } else if (frame.hasConfigUpdate() && w != null) {
+        } else if ((frame.hasConfigUpdate() || frame.hasHeartbeat()) && w != null) {
             w.onPush(frame);
         }
     }
