Deny requests only by a configuration that was confirmed lately

Cause: a 404 or 401 claims that no configuration allows the request, but a forwarding router answered by the latest one it had, however old. Whatever keeps a change from a router (a lost call, a freeze, a cut, a change that cannot be read) became a false answer. Change: unknown routes and keys, and requests above a limit or a prepaid total, are denied only if a leader has confirmed the configuration in a call sent less than control.denial-age ago (2 s) and no newer number is known. The leader read its number after that call was sent, so every change acknowledged 2 s before the request is in it. Otherwise: 503, not run, with Retry-After. Requests that the latest configuration allows are served as before.

--- a/core/src/main/java/org/ragwortrun/core/refusal/RefusalReason.java
+++ b/core/src/main/java/org/ragwortrun/core/refusal/RefusalReason.java
@@ -23,6 +23,8 @@
     BUDGET_UNREACHABLE("budget-unreachable", 503, "The owner of the budget cannot be reached"),
     REGISTER_UNREACHABLE("register-unreachable", 503, "The register of request ids cannot be reached"),
     CONFIGURATION_LEASE_EXPIRED("configuration-lease-expired", 503, "This host has no current configuration"),
+    CONFIGURATION_UNCONFIRMED(
+            "configuration-unconfirmed", 503, "This host does not know whether its configuration is the newest"),
     STOPPING("stopping", 503, "This host is stopping"),
     OVERLOADED("overloaded", 503, "This host has no memory left for the request"),
     NO_ENDPOINT("no-endpoint", 503, "No endpoint of the service is available"),
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/CallerConnection.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/CallerConnection.java
@@ -136,11 +136,8 @@
     private void onMalformed(ChannelHandlerContext ctx, HttpObject part) {
         Throwable cause = part.decoderResult().cause();
         boolean tooLarge = String.valueOf(cause).contains("TooLong");
-        reject(
-                ctx,
-                Refusal.notRun(
-                        tooLarge ? RefusalReason.REQUEST_TOO_LARGE : RefusalReason.MALFORMED_REQUEST,
-                        "the request cannot be read: " + (cause == null ? "" : cause.getMessage())));
+        String detail = "the request cannot be read: " + (cause == null ? "" : cause.getMessage());
+        reject(ctx, tooLarge ? admission.tooLarge(detail) : Refusal.notRun(RefusalReason.MALFORMED_REQUEST, detail));
     }
 
     private void onHead(ChannelHandlerContext ctx, HttpRequest request) {
@@ -151,7 +148,7 @@
         }
         long length = HttpUtil.getContentLength(request, 0L);
         if (length > limits.get().bodyBytes()) {
-            reject(ctx, Refusal.notRun(RefusalReason.REQUEST_TOO_LARGE, "the body is larger than allowed"));
+            reject(ctx, admission.tooLarge("the body is larger than allowed"));
             return;
         }
         head = request;
@@ -170,7 +167,7 @@
             return;
         }
         if (b.readableBytes() + content.content().readableBytes() > limits.get().bodyBytes()) {
-            reject(ctx, Refusal.notRun(RefusalReason.REQUEST_TOO_LARGE, "the body is larger than allowed"));
+            reject(ctx, admission.tooLarge("the body is larger than allowed"));
             return;
         }
         admission.memory().onReceived(content.content().readableBytes());
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
@@ -67,7 +67,6 @@
 /** Starts the components of a router that forwards to origins, and closes them in order. */
 public final class ForwardRouter implements AutoCloseable {
     private static final Logger LOG = LogManager.getLogger(ForwardRouter.class);
-    private static final Duration CONFIRM_INTERVAL = Duration.ofSeconds(1);
     private static final Duration SETTLE_TIMEOUT = Duration.ofMillis(500);
     private static final long REFUSE_ALL_NANOS = 200_000_000L;
     private static final long SECOND_MS = 1_000;
@@ -193,8 +192,7 @@
                 new CrashDetector(quarantine, partQuarantine, crashReports::add, evidence, metrics, time, loop);
         ForwardServices services = new ForwardServices(
                 settings.dataCenter(),
-                watch::latest,
-                watch::confirmedAgeMs,
+                ConfigurationSource.of(watch, settings.denialAge()),
                 endpoints,
                 limits.reader(),
                 limits.permits(),
@@ -217,7 +215,7 @@
                 new RequestAdmission(services, Runtime.getRuntime().maxMemory() / MEMORY_HEAP_SHARE);
         pushes.connect(watch, grants);
         pushes.setConfigurationListener(admission::recheckQuarantine);
-        watch.start(CONFIRM_INTERVAL);
+        watch.start(settings.confirmInterval());
         sessions.open();
         SingleThreadExecutor.repeat(timer, evidence, SECOND_MS, SECOND_MS);
         SingleThreadExecutor.repeat(loop, admission::closeIdle, SECOND_MS, SECOND_MS);
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardServices.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardServices.java
@@ -1,12 +1,8 @@
 package org.ragwortrun.router.internal.forward;
 
 import io.netty.channel.EventLoop;
-import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.concurrent.Executor;
 import java.util.function.DoubleSupplier;
-import java.util.function.Supplier;
-import org.ragwortrun.core.config.Configuration;
 import org.ragwortrun.core.metrics.Metrics;
 import org.ragwortrun.core.time.Time;
 import org.ragwortrun.router.internal.evidence.EvidenceCollector;
@@ -18,8 +14,7 @@
  * Services that the exchanges of one router share.
  *
  * @param dataCenter data center of this router
- * @param configuration latest configuration, if one is known
- * @param confirmedAgeMs time since the last answered confirmation of the configuration, if there was one
+ * @param configuration source of the latest configuration
  * @param endpoints endpoints of all origins
  * @param limits reader of the limits that endpoints name
  * @param permits source of permits for requests to endpoints with a limit
@@ -38,8 +33,7 @@
  */
 record ForwardServices(
         String dataCenter,
-        Supplier<Optional<Configuration>> configuration,
-        Supplier<OptionalLong> confirmedAgeMs,
+        ConfigurationSource configuration,
         EndpointTable endpoints,
         LimitReader limits,
         PermitSource permits,
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardSettings.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardSettings.java
@@ -22,6 +22,7 @@
  * @param readiness address at which a load balancer checks whether this router is ready
  * @param peers address at which this router accepts reservations of other routers, if it does
  * @param grantTimeout longest wait for tokens
+ * @param denialAge time since the last confirmed configuration for which requests may be denied by it
  * @param hold time for whose demand a router holds tokens, so that it can serve while it cannot reach control
  * @param retryRatio retries allowed per request to an origin
  * @param retrySlack retries that this router may make per window in addition to the ratio
@@ -42,6 +43,7 @@
         Address readiness,
         Optional<Address> peers,
         Duration grantTimeout,
+        Duration denialAge,
         Duration hold,
         double retryRatio,
         double retrySlack,
@@ -50,6 +52,7 @@
         Duration longestPause,
         Duration stopLinger,
         Duration stopTimeout) {
+    private static final Duration LONGEST_CONFIRM_INTERVAL = Duration.ofSeconds(1);
     private static final int MAX_PORT = 65_535;
     private static final int MAX_SHARDS = 4_096;
     private static final int PERMILLE = 1_000;
@@ -74,6 +77,7 @@
                 address(s, "http.readiness"),
                 s.text("peers.address", "").isBlank() ? Optional.empty() : Optional.of(address(s, "peers.address")),
                 s.duration("budgets.grant-timeout", Duration.ofMillis(300)),
+                s.duration("control.denial-age", Duration.ofSeconds(2)),
                 s.duration("budgets.hold", Duration.ofSeconds(12)),
                 (double) s.number("retries.ratio-permille", 100, 0, PERMILLE) / PERMILLE,
                 s.number("retries.slack", 5, 0, PERMILLE),
@@ -86,6 +90,12 @@
         return read;
     }
 
+    /** Returns the interval of confirmations, which leaves time to repeat one before the last is too old for denials. */
+    Duration confirmInterval() {
+        Duration half = denialAge.dividedBy(2);
+        return half.compareTo(LONGEST_CONFIRM_INTERVAL) < 0 ? half : LONGEST_CONFIRM_INTERVAL;
+    }
+
     /** Returns the retries per window in addition to the ratio that each of a number of routers may make. */
     double retrySlack(int routers) {
         return sharedRetrySlack == 0 ? retrySlack : sharedRetrySlack * SLACK_SHARE / Math.max(1, routers);
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/RequestAdmission.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/RequestAdmission.java
@@ -35,6 +35,7 @@
     private static final int MAX_KEY_DIGESTS = 4_096;
 
     private final ForwardServices services;
+    private final DenialRule denials;
     private final OriginPicker picker;
     private final FlushBatcher flushBatcher;
     private final MemoryLimit memory;
@@ -63,6 +64,7 @@
         this.services = services;
         memory = new MemoryLimit(maxHeldBytes, () -> connections, services.metrics());
         startNanos = services.time().nanos();
+        denials = new DenialRule(services.configuration());
         picker = new OriginPicker(services.random());
         flushBatcher = new FlushBatcher(services.loop());
     }
@@ -108,6 +110,11 @@
         connections.remove(connection);
     }
 
+    /** Returns the refusal of a request that exceeds a limit of the configuration. */
+    Refusal tooLarge(String detail) {
+        return denials.refusal(RefusalReason.REQUEST_TOO_LARGE, detail);
+    }
+
     MemoryLimit memory() {
         return memory;
     }
@@ -175,7 +182,9 @@
                                     .get()
                                     .map(Configuration::number)
                                     .orElse(0L))
-                    .with("confirmed-ms", services.confirmedAgeMs().get().orElse(-1))
+                    .with(
+                            "confirmed-ms",
+                            services.configuration().confirmedAgeMs().orElse(-1))
                     .info(LOG);
             answer.refuse(refusal);
             return null;
@@ -194,7 +203,7 @@
         Forward route = configuration
                 .forwards()
                 .find(request.host(), request.path())
-                .orElseThrow(() -> refused(RefusalReason.UNKNOWN_ROUTE, "no route matches this host and path"));
+                .orElseThrow(() -> denied(RefusalReason.UNKNOWN_ROUTE, "no route matches this host and path"));
         if (admissionLimited
                 && !shutdownAdmission.accepts(
                         route,
@@ -205,7 +214,7 @@
         }
         Optional<Account> account = account(configuration, route, request);
         if (exceedsPrepaid(configuration, account, request)) {
-            throw refused(RefusalReason.BUDGET_SPENT, "the request may consume more than the whole prepaid budget");
+            throw denied(RefusalReason.BUDGET_SPENT, "the request may consume more than the whole prepaid budget");
         }
         Origin origin = picker.draw(route.shares())
                 .flatMap(configuration::origin)
@@ -241,7 +250,7 @@
         Optional<Account> account =
                 request.key().flatMap(k -> configuration.accountByKey(keyDigests.computeIfAbsent(k, Digests::apiKey)));
         if (account.isEmpty() && configuration.hasAccounts() && !route.open()) {
-            throw refused(RefusalReason.UNKNOWN_KEY, "the request has no API key of a client account");
+            throw denied(RefusalReason.UNKNOWN_KEY, "the request has no API key of a client account");
         }
         return account;
     }
@@ -256,8 +265,8 @@
                 .isPresent();
     }
 
-    private static RefusedException refused(RefusalReason reason, String detail) {
-        return new RefusedException(Refusal.notRun(reason, detail));
+    private RefusedException denied(RefusalReason reason, String detail) {
+        return new RefusedException(denials.refusal(reason, detail));
     }
 
     private static RefusedException refusedWithRetry(RefusalReason reason, String detail) {
--- a/router/src/test/java/org/ragwortrun/router/internal/forward/CallerConnectionTest.java
+++ b/router/src/test/java/org/ragwortrun/router/internal/forward/CallerConnectionTest.java
@@ -32,6 +32,7 @@
 import org.junit.jupiter.api.Test;
 import org.ragwortrun.core.concurrent.Closer;
 import org.ragwortrun.core.config.CallerLimits;
+import org.ragwortrun.core.config.Configuration;
 import org.ragwortrun.core.metrics.Metrics;
 import org.ragwortrun.core.time.Time;
 import org.ragwortrun.router.internal.evidence.EvidenceCollector;
@@ -135,11 +136,7 @@
         RequestAdmission admission = new RequestAdmission(
                 new ForwardServices(
                         "dc",
-                        () -> {
-                            configurationReads++;
-                            return Optional.empty();
-                        },
-                        OptionalLong::empty,
+                        configuration(),
                         endpoints,
                         new LimitReader(headers, endpoints, metrics, time),
                         new PermitSource() {
@@ -186,4 +183,24 @@
                 .set(field, value);
         channel.pipeline().fireChannelRead(request);
     }
+
+    private ConfigurationSource configuration() {
+        return new ConfigurationSource() {
+            @Override
+            public Optional<Configuration> get() {
+                configurationReads++;
+                return Optional.empty();
+            }
+
+            @Override
+            public boolean isConfirmed() {
+                return true;
+            }
+
+            @Override
+            public OptionalLong confirmedAgeMs() {
+                return OptionalLong.empty();
+            }
+        };
+    }
 }
