Ignore confirmations of earlier terms

Cause: a member that was suspended with its monotonic clock may answer by a lease that has ended, until it hears of its successor. Change: heartbeats name the term, and daemons ignore those of earlier terms. The successor announces itself, so that daemons know its term at once.

--- a/control/src/main/java/org/ragwortrun/control/internal/MetaService.java
+++ b/control/src/main/java/org/ragwortrun/control/internal/MetaService.java
@@ -177,9 +177,7 @@
      * would learn of a change only by its own timer.
      */
     private void announce(Peer peer) {
-        peer.send(Frame.newBuilder()
-                .setHeartbeat(Heartbeat.newBuilder().setNumber(group.number()).addAllMembers(group.members()))
-                .build());
+        peer.send(Frame.newBuilder().setHeartbeat(heartbeat(group.number())).build());
     }
 
     /** Returns whether a peer is a daemon that follows the configuration. */
@@ -299,11 +297,13 @@
                 peer,
                 request,
                 Replies.to(request)
-                        .setHeartbeat(Heartbeat.newBuilder()
-                                .setNumber(number)
+                        .setHeartbeat(heartbeat(number)
                                 .setLeaseMs((int) lease.toMillis())
-                                .setEcho(request.getCall())
-                                .addAllMembers(group.members())));
+                                .setEcho(request.getCall())));
+    }
+
+    private Heartbeat.Builder heartbeat(long number) {
+        return Heartbeat.newBuilder().setNumber(number).setTerm(term.orElse(0)).addAllMembers(group.members());
     }
 
     /** Sends the reply if this member still holds the lease; otherwise the data that was read may be stale. */
--- a/core/src/main/java/org/ragwortrun/core/concurrent/SingleThreadExecutor.java
+++ b/core/src/main/java/org/ragwortrun/core/concurrent/SingleThreadExecutor.java
@@ -100,7 +100,7 @@
             try {
                 task.run();
             } catch (RuntimeException | Error e) {
-                Event.of("periodic-task-failed")
+                Event.of("task-failed")
                         .with("thread", Thread.currentThread().getName())
                         .error(LOG, e);
             }
--- a/net/src/main/java/org/ragwortrun/net/control/ConfigWatch.java
+++ b/net/src/main/java/org/ragwortrun/net/control/ConfigWatch.java
@@ -52,6 +52,8 @@
     private volatile long newest;
     private volatile boolean closed;
     private @Nullable Call running;
+    // Highest term of a leader. A leader of an earlier one that was suspended may not know that its lease has ended.
+    private long term;
 
     /**
      * Creates a watch, which {@link #start} starts.
@@ -92,10 +94,7 @@
             ConfigDelivery delivery = frame.getCall() == 0 ? ConfigDelivery.PUSH : ConfigDelivery.FETCH;
             execute(() -> apply(frame.getConfigUpdate(), delivery, receivedAt));
         } else if (frame.hasHeartbeat() && frame.getCall() == 0) {
-            execute(() -> {
-                learnNumber(frame.getHeartbeat().getNumber());
-                call();
-            });
+            execute(() -> onAnnouncement(frame.getHeartbeat()));
         }
     }
 
@@ -199,7 +198,7 @@
         if (call.equals(running)) {
             running = null;
         }
-        if (reply != null && reply.hasHeartbeat()) {
+        if (reply != null && reply.hasHeartbeat() && reply.getHeartbeat().getTerm() >= term) {
             log.onAnswered();
             onHeartbeat(call, reply.getHeartbeat());
         } else if (reply != null && reply.hasConfigUpdate()) {
@@ -211,7 +210,16 @@
         }
     }
 
+    private void onAnnouncement(Heartbeat heartbeat) {
+        if (heartbeat.getTerm() >= term) {
+            term = heartbeat.getTerm();
+            learnNumber(heartbeat.getNumber());
+            call();
+        }
+    }
+
     private void onHeartbeat(Call call, Heartbeat heartbeat) {
+        term = heartbeat.getTerm();
         learnNumber(heartbeat.getNumber());
         if (newest > state.number()) {
             callUnlessRunning();
--- a/net/src/test/java/org/ragwortrun/net/control/ConfigWatchTest.java
+++ b/net/src/test/java/org/ragwortrun/net/control/ConfigWatchTest.java
@@ -39,6 +39,7 @@
     private final AtomicLong nanos = new AtomicLong();
     private volatile long number = 1;
     private volatile int leaseMs = LEASE_MS;
+    private volatile long term = 1;
     private volatile boolean repliesSuppressed;
     private volatile boolean nextWatchIgnored;
     private volatile Runnable onTimeRead = () -> {};
@@ -133,11 +134,26 @@
         awaitNumber(1);
         number = 2;
         watch.onPush(Frame.newBuilder()
-                .setHeartbeat(Heartbeat.newBuilder().setNumber(2))
+                .setHeartbeat(Heartbeat.newBuilder().setNumber(2).setTerm(1))
                 .build());
         awaitNumber(2);
     }
 
+    /** Guards against a confirmation by an earlier leader that was suspended and believes that it still leads. */
+    @Test
+    void ignoresHeartbeatOfEarlierTerm() throws Exception {
+        term = 2;
+        watch.start(SHORT_INTERVAL);
+        awaitNumber(1);
+        term = 1;
+        // Until no heartbeat of the second term is on its way any more.
+        TimeUnit.MILLISECONDS.sleep(100);
+        nanos.addAndGet(TimeUnit.MILLISECONDS.toNanos(LEASE_MS));
+        TimeUnit.MILLISECONDS.sleep(100);
+        assertThat(watch.inForce().isEmpty()).isTrue();
+        assertThat(watch.isConfirmedWithin(Duration.ofMillis(LEASE_MS))).isFalse();
+    }
+
     /** Makes one reading of the clock fail, as any step of a confirmation may if the process runs out of memory. */
     private void failNextRead(Throwable failure) {
         AtomicBoolean failed = new AtomicBoolean();
@@ -170,9 +186,11 @@
             peer.send(reply.setConfigUpdate(update(number)).build());
         } else if (f.hasConfirm()) {
             int lease = f.getConfirm().getNumber() == number ? leaseMs : 0;
-            peer.send(
-                    reply.setHeartbeat(Heartbeat.newBuilder().setNumber(number).setLeaseMs(lease))
-                            .build());
+            peer.send(reply.setHeartbeat(Heartbeat.newBuilder()
+                            .setNumber(number)
+                            .setTerm(term)
+                            .setLeaseMs(lease))
+                    .build());
         }
     }
 
--- a/proto/src/main/java/org/ragwortrun/proto/Heartbeat.java
+++ b/proto/src/main/java/org/ragwortrun/proto/Heartbeat.java
@@ -8,7 +8,8 @@
 /**
  * <pre>
  * Sent by a meta leader with a lease to state that number is the current configuration. Renews the daemon's
- * configuration lease, counted from the time at which the daemon sent the Confirm frame with the call id in echo.
+ * configuration lease, counted from the time at which the daemon sent the Confirm frame with the call id in echo. Without
+ * a call, it announces the leader of a new term.
  * </pre>
  *
  * Protobuf type {@code org.ragwortrun.proto.Heartbeat}
@@ -238,6 +239,44 @@
     members_.remove(index);
   }
 
+  public static final int TERM_FIELD_NUMBER = 5;
+  private long term_;
+  /**
+   * <pre>
+   * Term of the leader. Daemons ignore the heartbeats of earlier terms.
+   * </pre>
+   *
+   * <code>uint64 term = 5;</code>
+   * @return The term.
+   */
+  @java.lang.Override
+  public long getTerm() {
+    return term_;
+  }
+  /**
+   * <pre>
+   * Term of the leader. Daemons ignore the heartbeats of earlier terms.
+   * </pre>
+   *
+   * <code>uint64 term = 5;</code>
+   * @param value The term to set.
+   */
+  private void setTerm(long value) {
+    
+    term_ = value;
+  }
+  /**
+   * <pre>
+   * Term of the leader. Daemons ignore the heartbeats of earlier terms.
+   * </pre>
+   *
+   * <code>uint64 term = 5;</code>
+   */
+  private void clearTerm() {
+
+    term_ = 0L;
+  }
+
   public static org.ragwortrun.proto.Heartbeat parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -324,7 +363,8 @@
   /**
    * <pre>
    * Sent by a meta leader with a lease to state that number is the current configuration. Renews the daemon's
-   * configuration lease, counted from the time at which the daemon sent the Confirm frame with the call id in echo.
+   * configuration lease, counted from the time at which the daemon sent the Confirm frame with the call id in echo. Without
+   * a call, it announces the leader of a new term.
    * </pre>
    *
    * Protobuf type {@code org.ragwortrun.proto.Heartbeat}
@@ -574,6 +614,46 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Term of the leader. Daemons ignore the heartbeats of earlier terms.
+     * </pre>
+     *
+     * <code>uint64 term = 5;</code>
+     * @return The term.
+     */
+    @java.lang.Override
+    public long getTerm() {
+      return instance.getTerm();
+    }
+    /**
+     * <pre>
+     * Term of the leader. Daemons ignore the heartbeats of earlier terms.
+     * </pre>
+     *
+     * <code>uint64 term = 5;</code>
+     * @param value The term to set.
+     * @return This builder for chaining.
+     */
+    public Builder setTerm(long value) {
+      copyOnWrite();
+      instance.setTerm(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Term of the leader. Daemons ignore the heartbeats of earlier terms.
+     * </pre>
+     *
+     * <code>uint64 term = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearTerm() {
+      copyOnWrite();
+      instance.clearTerm();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.ragwortrun.proto.Heartbeat)
   }
   @java.lang.Override
@@ -595,10 +675,11 @@
             "echo_",
             "members_",
             org.ragwortrun.proto.Member.class,
+            "term_",
           };
           java.lang.String info =
-              "\u0000\u0004\u0000\u0000\u0001\u0004\u0004\u0000\u0001\u0000\u0001\u0003\u0002\u000b" +
-              "\u0003\u0003\u0004\u001b";
+              "\u0000\u0005\u0000\u0000\u0001\u0005\u0005\u0000\u0001\u0000\u0001\u0003\u0002\u000b" +
+              "\u0003\u0003\u0004\u001b\u0005\u0003";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/proto/src/main/java/org/ragwortrun/proto/HeartbeatOrBuilder.java
+++ b/proto/src/main/java/org/ragwortrun/proto/HeartbeatOrBuilder.java
@@ -53,4 +53,14 @@
    * <code>repeated .org.ragwortrun.proto.Member members = 4;</code>
    */
   int getMembersCount();
+
+  /**
+   * <pre>
+   * Term of the leader. Daemons ignore the heartbeats of earlier terms.
+   * </pre>
+   *
+   * <code>uint64 term = 5;</code>
+   * @return The term.
+   */
+  long getTerm();
 }
