Repeat tasks whose failure cannot be logged

Cause: with an exhausted heap the log line of a failed task may fail too, and that ended the periodic task for good. Change: a failure of the log line is dropped.

--- a/core/src/main/java/org/ragwortrun/core/concurrent/SingleThreadExecutor.java
+++ b/core/src/main/java/org/ragwortrun/core/concurrent/SingleThreadExecutor.java
@@ -100,13 +100,23 @@
             try {
                 task.run();
             } catch (RuntimeException | Error e) {
-                Event.of("task-failed")
-                        .with("thread", Thread.currentThread().getName())
-                        .error(LOG, e);
+                logFailure(e);
             }
         };
     }
 
+    /** Logs a failure, unless that fails too, for example because there is no memory for the line. */
+    @SuppressWarnings({"PMD.AvoidCatchingGenericException", "PMD.EmptyCatchBlock"})
+    private static void logFailure(Throwable failure) {
+        try {
+            Event.of("task-failed")
+                    .with("thread", Thread.currentThread().getName())
+                    .error(LOG, failure);
+        } catch (RuntimeException | Error e) {
+            // The next run of the task matters more than the line.
+        }
+    }
+
     /** Shuts down an executor after its waiting tasks have run. Interrupts them after two seconds. */
     public static void stop(ExecutorService executor) {
         executor.shutdown();
