Send no second copy of an update that is still being sent

Cause: a daemon repeats a fetch without a reply; on a slow connection each copy of a large update (4 MB with 32,000 accounts) would wait behind the one before. Change: a member does not reply to a watch while the same number waits in the buffer of the connection. The first copy is applied when it arrives. Result: ControlNodeTest.doesNotRepeatUpdateThatIsStillBeingSent passes; without the change it would get a second copy (by reading, not run).

--- a/control/src/main/java/org/ragwortrun/control/internal/Watchers.java
+++ b/control/src/main/java/org/ragwortrun/control/internal/Watchers.java
@@ -14,6 +14,8 @@
  * update. Used by one thread.
  */
 final class Watchers {
+    private static final long NONE = -1;
+
     private final MetaGroup group;
     private final Map<Peer, Long> sentNumbers = new LinkedHashMap<>();
 
@@ -21,8 +23,14 @@
         this.group = group;
     }
 
-    /** Adds a connection and replies to its watch request with the changes that it has not received. */
+    /**
+     * Adds a connection and replies to its watch request with the changes that it has not received. Does not reply while
+     * the same changes wait in its buffer, because copies of a large update would delay it on a slow connection.
+     */
     void add(Peer peer, Frame watch) {
+        if (sentNumbers.getOrDefault(peer, NONE) >= group.number() && !peer.isWritable()) {
+            return;
+        }
         send(peer, Replies.to(watch), watch.getWatch().getHaveNumber());
     }
 
--- a/control/src/test/java/org/ragwortrun/control/internal/ControlNodeTest.java
+++ b/control/src/test/java/org/ragwortrun/control/internal/ControlNodeTest.java
@@ -203,6 +203,22 @@
                 .containsExactly("b");
     }
 
+    /** Guards against copies of a large update that queue behind it on a slow connection. */
+    @Test
+    void doesNotRepeatUpdateThatIsStillBeingSent() throws Exception {
+        publish("p1", 0, 0, files(5));
+        Frame watch = frame().setWatch(Watch.getDefaultInstance()).build();
+        node.onFrame(router, watch);
+        router.await(f -> f.hasConfigUpdate() && f.getCall() == watch.getCall());
+        router.writable = false;
+        node.onFrame(router, frame().setWatch(Watch.getDefaultInstance()).build());
+        assertThat(router.receivesNone(Frame::hasConfigUpdate)).isTrue();
+        router.writable = true;
+        Frame again = frame().setWatch(Watch.getDefaultInstance()).build();
+        node.onFrame(router, again);
+        router.await(f -> f.hasConfigUpdate() && f.getCall() == again.getCall());
+    }
+
     /** Guards against top-ups that are lost or applied twice, also after a change of the shard's leader. */
     @Test
     void appliesTopUpsOnce() throws Exception {
--- a/control/src/test/java/org/ragwortrun/control/internal/FakePeer.java
+++ b/control/src/test/java/org/ragwortrun/control/internal/FakePeer.java
@@ -20,6 +20,7 @@
     private final Hello hello;
     private final BlockingQueue<Frame> sent = new LinkedBlockingQueue<>();
     volatile boolean open = true;
+    volatile boolean writable = true;
 
     FakePeer(String name, Role role) {
         hello = Hello.newBuilder()
@@ -69,7 +70,7 @@
 
     @Override
     public boolean isWritable() {
-        return open;
+        return open && writable;
     }
 
     @Override
