Judge a denial by the configuration that was used, and by both clocks

Callers could still see a false 404: if a newer configuration was confirmed between the search for a route and the denial; if the host was suspended with its monotonic clock; and before the first publication, by the empty configuration. They could see 503 instead of a right 404: if a member had named a number that does not exist any more (a regression), or while changes came faster than calls. Change: the rule gets the configuration that was used, and refuses to deny if the wall clock shows a longer time than the monotonic one or the number is 0. A heartbeat confirms whatever contains its number, apart from the lease. A fetch that brings no newer number ends the search for one.

--- a/net/src/main/java/org/ragwortrun/net/control/ConfigWatch.java
+++ b/net/src/main/java/org/ragwortrun/net/control/ConfigWatch.java
@@ -125,12 +125,18 @@
     }
 
     /**
-     * Returns whether a leader has confirmed a configuration in a call that was sent less than a time ago, and none is
-     * known that is newer than the latest one here, which then contains all changes accepted before that time.
+     * Returns whether a configuration contains all changes that were accepted before a time ago: a leader has confirmed it
+     * or an earlier one in a call that was sent less than that time ago, and no newer one is known. The monotonic clock
+     * may have stood still while the host was suspended, so the wall clock must agree.
      */
-    public boolean isConfirmedWithin(Duration age) {
+    public boolean isConfirmedWithin(Duration age, Configuration configuration) {
         Confirmation c = confirmation;
-        return !closed && c != null && newest <= state.number() && time.nanos() - c.sentAt < age.toNanos();
+        return !closed
+                && c != null
+                && configuration.number() > 0
+                && newest <= configuration.number()
+                && time.nanos() - c.sentAt < age.toNanos()
+                && time.wallMillis() - c.sentWallMillis < age.toMillis();
     }
 
     /**
@@ -181,12 +187,13 @@
             return;
         }
         long sentAt = time.nanos();
+        long sentWallMillis = time.wallMillis();
         ConfigState s = state;
         boolean behind = s.current() == null || newest > s.number();
         Frame.Builder request = behind
                 ? Frame.newBuilder().setWatch(Watch.newBuilder().setHaveNumber(s.number()))
                 : Frame.newBuilder().setConfirm(Confirm.newBuilder().setNumber(s.number()));
-        Call c = new Call(s.number(), behind, sentAt, sentAt + CALL_TIMEOUT.toNanos());
+        Call c = new Call(s.number(), behind, sentAt, sentWallMillis, sentAt + CALL_TIMEOUT.toNanos());
         running = c;
         control.call(META_GROUP, request, CALL_TIMEOUT).whenComplete((reply, failure) -> {
             long receivedAt = time.nanos();
@@ -203,7 +210,7 @@
             onHeartbeat(call, reply.getHeartbeat());
         } else if (reply != null && reply.hasConfigUpdate()) {
             log.onAnswered();
-            apply(reply.getConfigUpdate(), ConfigDelivery.FETCH, receivedAt);
+            onFetched(reply.getConfigUpdate(), receivedAt);
         } else if (!closed) {
             log.onUnanswered(call.fetch, confirmedAgeMs(), failure);
             callLater();
@@ -221,17 +228,23 @@
     private void onHeartbeat(Call call, Heartbeat heartbeat) {
         term = heartbeat.getTerm();
         learnNumber(heartbeat.getNumber());
+        if (heartbeat.getNumber() <= state.number()) {
+            int leaseMs = heartbeat.getNumber() == call.number ? heartbeat.getLeaseMs() : 0;
+            confirmation = Confirmation.of(call, leaseMs, confirmation);
+        }
         if (newest > state.number()) {
             callUnlessRunning();
-        } else if (heartbeat.getLeaseMs() > 0 && heartbeat.getNumber() == call.number) {
-            long leaseUntil = call.sentAt + TimeUnit.MILLISECONDS.toNanos(heartbeat.getLeaseMs());
-            Confirmation c = confirmation;
-            if (c == null || leaseUntil - c.leaseUntil > 0) {
-                confirmation = new Confirmation(call.sentAt, leaseUntil);
-            }
         }
     }
 
+    private void onFetched(ConfigUpdate update, long receivedAt) {
+        if (update.getNumber() < newest) {
+            // The leader does not have the number that another member has named, so nothing newer can be fetched.
+            newest = Math.max(update.getNumber(), state.number());
+        }
+        apply(update, ConfigDelivery.FETCH, receivedAt);
+    }
+
     private void learnNumber(long number) {
         if (number > newest) {
             newest = number;
@@ -284,14 +297,31 @@
      *
      * @param number number of the configuration when it was sent
      * @param fetch whether it requests an update
-     * @param end time after which it counts as lost
+     * @param sentAt monotonic time in nanoseconds
+     * @param sentWallMillis the same by the wall clock
+     * @param end monotonic time after which it counts as lost
      */
-    private record Call(long number, boolean fetch, long sentAt, long end) {}
+    private record Call(long number, boolean fetch, long sentAt, long sentWallMillis, long end) {}
 
     /**
-     * A leader's answer that the configuration at that time, or an earlier one, was the newest.
+     * A leader's answer that no configuration was newer than the one here.
      *
-     * @param sentAt time at which the confirmation was sent
+     * @param sentAt monotonic time at which the call was sent
+     * @param sentWallMillis the same by the wall clock
+     * @param leaseUntil end of the lease, as monotonic time
      */
-    private record Confirmation(long sentAt, long leaseUntil) {}
+    private record Confirmation(long sentAt, long sentWallMillis, long leaseUntil) {
+        /** Returns the confirmation after an answer, which extends the lease only if it has one. */
+        static Confirmation of(Call call, int leaseMs, @Nullable Confirmation before) {
+            long leaseUntil = call.sentAt + TimeUnit.MILLISECONDS.toNanos(leaseMs);
+            if (before == null) {
+                return new Confirmation(call.sentAt, call.sentWallMillis, leaseUntil);
+            }
+            boolean later = call.sentAt - before.sentAt > 0;
+            return new Confirmation(
+                    later ? call.sentAt : before.sentAt,
+                    later ? call.sentWallMillis : before.sentWallMillis,
+                    leaseUntil - before.leaseUntil > 0 ? leaseUntil : before.leaseUntil);
+        }
+    }
 }
--- a/net/src/test/java/org/ragwortrun/net/control/ConfigWatchTest.java
+++ b/net/src/test/java/org/ragwortrun/net/control/ConfigWatchTest.java
@@ -37,11 +37,13 @@
 
     private final Closer closer = new Closer();
     private final AtomicLong nanos = new AtomicLong();
+    private final AtomicLong wallMillis = new AtomicLong();
     private volatile long number = 1;
     private volatile int leaseMs = LEASE_MS;
     private volatile long term = 1;
     private volatile boolean repliesSuppressed;
     private volatile boolean nextWatchIgnored;
+    private volatile boolean changesBeforeEachReply;
     private volatile Runnable onTimeRead = () -> {};
     private ConfigWatch watch;
 
@@ -49,8 +51,8 @@
     void start() throws Exception {
         Transport transport = closer.register(new Transport(Hello.getDefaultInstance(), 1));
         FrameServer server = closer.register(transport.listen(new Address("127.0.0.1", 0), this::answer));
-        ControlClient control = closer.register(
-                new ControlClient(transport, Map.of("c1", new Address("127.0.0.1", server.port())), (p, f) -> {}));
+        ControlClient control = closer.register(new ControlClient(
+                transport, Map.of("c1", new Address("127.0.0.1", server.port())), (p, f) -> watch.onPush(f)));
         ScheduledExecutorService timer = SingleThreadExecutor.timer(TIMER);
         closer.register(() -> SingleThreadExecutor.stop(timer));
         Time time = new Time() {
@@ -62,7 +64,7 @@
 
             @Override
             public long wallMillis() {
-                return 0;
+                return wallMillis.get();
             }
         };
         watch = closer.register(new ConfigWatch(control, timer, time, Metrics.local(), c -> {}));
@@ -151,7 +153,57 @@
         nanos.addAndGet(TimeUnit.MILLISECONDS.toNanos(LEASE_MS));
         TimeUnit.MILLISECONDS.sleep(100);
         assertThat(watch.inForce().isEmpty()).isTrue();
-        assertThat(watch.isConfirmedWithin(Duration.ofMillis(LEASE_MS))).isFalse();
+        assertThat(isConfirmed()).isFalse();
+    }
+
+    /** Guards against a lease that is never renewed again after a member has named a number that no longer exists. */
+    @Test
+    void confirmsAgainWhenNamedNumberDoesNotExist() throws Exception {
+        watch.start(SHORT_INTERVAL);
+        awaitNumber(1);
+        nextWatchIgnored = true;
+        number = 2;
+        while (nextWatchIgnored) {
+            TimeUnit.MILLISECONDS.sleep(1);
+        }
+        number = 1;
+        TimeUnit.MILLISECONDS.sleep(500);
+        nanos.addAndGet(TimeUnit.MILLISECONDS.toNanos(LEASE_MS));
+        awaitNumber(1);
+    }
+
+    /** Guards against a daemon that stays unconfirmed while it receives each of many changes at once. */
+    @Test
+    void isConfirmedDuringSeriesOfChanges() throws Exception {
+        watch.start(SHORT_INTERVAL);
+        awaitNumber(1);
+        changesBeforeEachReply = true;
+        TimeUnit.MILLISECONDS.sleep(500);
+        nanos.addAndGet(TimeUnit.MILLISECONDS.toNanos(LEASE_MS));
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(3);
+        while (!isConfirmed() && System.nanoTime() < end) {
+            TimeUnit.MILLISECONDS.sleep(1);
+        }
+        assertThat(isConfirmed()).isTrue();
+    }
+
+    /** Guards against denials by an old configuration on a host that was suspended, whose monotonic clock stood still. */
+    @Test
+    void isNotConfirmedAfterSuspension() throws Exception {
+        watch.start(LONG_INTERVAL);
+        awaitNumber(1);
+        repliesSuppressed = true;
+        wallMillis.addAndGet(10_000);
+        assertThat(isConfirmed()).isFalse();
+    }
+
+    /** Guards against denials by the empty configuration that exists before the first publication. */
+    @Test
+    void hasNoConfigurationBeforeFirstPublication() throws Exception {
+        number = 0;
+        watch.start(SHORT_INTERVAL);
+        TimeUnit.MILLISECONDS.sleep(500);
+        assertThat(isConfirmed()).isFalse();
     }
 
     /** Makes one reading of the clock fail, as any step of a confirmation may if the process runs out of memory. */
@@ -167,6 +219,12 @@
         };
     }
 
+    private boolean isConfirmed() {
+        return watch.latest()
+                .map(c -> watch.isConfirmedWithin(Duration.ofSeconds(2), c))
+                .orElse(false);
+    }
+
     private void awaitNumber(long expected) throws InterruptedException {
         long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(5);
         while (watch.inForce().map(Configuration::number).orElse(-1L) != expected && System.nanoTime() < end) {
@@ -180,6 +238,10 @@
             return;
         }
         Frame.Builder reply = Replies.to(f);
+        if (changesBeforeEachReply) {
+            number++;
+            peer.send(Frame.newBuilder().setConfigUpdate(update(number)).build());
+        }
         if (f.hasWatch() && nextWatchIgnored) {
             nextWatchIgnored = false;
         } else if (f.hasWatch()) {
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ConfigurationSource.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ConfigurationSource.java
@@ -9,8 +9,8 @@
 
 /** Source of the latest configuration that this router has received, if there is one. */
 interface ConfigurationSource extends Supplier<Optional<Configuration>> {
-    /** Returns whether a control member has confirmed the latest configuration recently enough to deny requests by it. */
-    boolean isConfirmed();
+    /** Returns whether a control member has confirmed a configuration recently enough to deny requests by it. */
+    boolean isConfirmed(Configuration configuration);
 
     /** Returns the time in milliseconds since the last answered confirmation was sent, empty if none was answered. */
     OptionalLong confirmedAgeMs();
@@ -28,8 +28,8 @@
             }
 
             @Override
-            public boolean isConfirmed() {
-                return watch.isConfirmedWithin(denialAge);
+            public boolean isConfirmed(Configuration configuration) {
+                return watch.isConfirmedWithin(denialAge, configuration);
             }
 
             @Override
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/DenialRule.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/DenialRule.java
@@ -1,6 +1,7 @@
 package org.ragwortrun.router.internal.forward;
 
 import java.time.Duration;
+import org.ragwortrun.core.config.Configuration;
 import org.ragwortrun.core.refusal.Refusal;
 import org.ragwortrun.core.refusal.RefusalReason;
 
@@ -19,9 +20,13 @@
         this.configuration = configuration;
     }
 
-    /** Returns the refusal with the reason, or with {@code configuration-unconfirmed}. */
-    Refusal refusal(RefusalReason reason, String detail) {
-        return configuration.isConfirmed()
+    /**
+     * Returns the refusal with the reason, or with {@code configuration-unconfirmed}.
+     *
+     * @param used configuration that does not allow the request, which may not be the latest one any more
+     */
+    Refusal refusal(Configuration used, RefusalReason reason, String detail) {
+        return configuration.isConfirmed(used)
                 ? Refusal.notRun(reason, detail)
                 : Refusal.notRun(
                         RefusalReason.CONFIGURATION_UNCONFIRMED,
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/RequestAdmission.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/RequestAdmission.java
@@ -112,7 +112,10 @@
 
     /** Returns the refusal of a request that exceeds a limit of the configuration. */
     Refusal tooLarge(String detail) {
-        return denials.refusal(RefusalReason.REQUEST_TOO_LARGE, detail);
+        return services.configuration()
+                .get()
+                .map(c -> denials.refusal(c, RefusalReason.REQUEST_TOO_LARGE, detail))
+                .orElseGet(() -> Refusal.notRun(RefusalReason.REQUEST_TOO_LARGE, detail));
     }
 
     MemoryLimit memory() {
@@ -203,7 +206,8 @@
         Forward route = configuration
                 .forwards()
                 .find(request.host(), request.path())
-                .orElseThrow(() -> denied(RefusalReason.UNKNOWN_ROUTE, "no route matches this host and path"));
+                .orElseThrow(() ->
+                        denied(configuration, RefusalReason.UNKNOWN_ROUTE, "no route matches this host and path"));
         if (admissionLimited
                 && !shutdownAdmission.accepts(
                         route,
@@ -214,7 +218,10 @@
         }
         Optional<Account> account = account(configuration, route, request);
         if (exceedsPrepaid(configuration, account, request)) {
-            throw denied(RefusalReason.BUDGET_SPENT, "the request may consume more than the whole prepaid budget");
+            throw denied(
+                    configuration,
+                    RefusalReason.BUDGET_SPENT,
+                    "the request may consume more than the whole prepaid budget");
         }
         Origin origin = picker.draw(route.shares())
                 .flatMap(configuration::origin)
@@ -250,7 +257,7 @@
         Optional<Account> account =
                 request.key().flatMap(k -> configuration.accountByKey(keyDigests.computeIfAbsent(k, Digests::apiKey)));
         if (account.isEmpty() && configuration.hasAccounts() && !route.open()) {
-            throw denied(RefusalReason.UNKNOWN_KEY, "the request has no API key of a client account");
+            throw denied(configuration, RefusalReason.UNKNOWN_KEY, "the request has no API key of a client account");
         }
         return account;
     }
@@ -265,8 +272,8 @@
                 .isPresent();
     }
 
-    private RefusedException denied(RefusalReason reason, String detail) {
-        return new RefusedException(denials.refusal(reason, detail));
+    private RefusedException denied(Configuration used, RefusalReason reason, String detail) {
+        return new RefusedException(denials.refusal(used, reason, detail));
     }
 
     private static RefusedException refusedWithRetry(RefusalReason reason, String detail) {
--- a/router/src/test/java/org/ragwortrun/router/internal/forward/CallerConnectionTest.java
+++ b/router/src/test/java/org/ragwortrun/router/internal/forward/CallerConnectionTest.java
@@ -193,7 +193,7 @@
             }
 
             @Override
-            public boolean isConfirmed() {
+            public boolean isConfirmed(Configuration configuration) {
                 return true;
             }
 
