Reconnect whatever became of earlier attempts

Cause: the next attempt followed only the end of the channel. A channel that could not be created never ends, and a notification that is lost is not repeated. Change: a check once a second connects if no connection is open and no attempt is under way. The end of an attempt or of a connection only makes the next attempt come sooner. The first failure of a series that is not one of the network is logged as connection-not-opened. Result: 2 tests of FrameClientTest that failed before pass; reconnectsAfterChannelCouldNotBeCreated failed on the code before with the factory injected, as did reconnectsAlthoughEndOfConnectionIsNotReported. TransportTest, ControlClientTest and ConfigWatchTest pass.

--- a/net/src/main/java/org/ragwortrun/net/Transport.java
+++ b/net/src/main/java/org/ragwortrun/net/Transport.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
@@ -38,7 +39,7 @@
 
     /** Keeps a connection to an address open, reconnecting with backoff until closed. */
     public FrameClient connect(Address address, FrameHandler handler) {
-        return new FrameClient(loops, this::localHello, address, handler);
+        return new FrameClient(loops.next(), NioSocketChannel::new, this::localHello, address, handler);
     }
 
     /** Runs a task, which must not block, on a network thread after a delay. */
