Open sessions whatever became of earlier calls

Callers of a router whose session is not open get 503 for metered requests. Change: periodic work opens the missing sessions. It waits for an earlier call at most twice its timeout, and logs session-call-lost.

--- a/router/src/main/java/org/ragwortrun/router/internal/ledger/BudgetOwners.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/ledger/BudgetOwners.java
@@ -7,7 +7,10 @@
 import org.ragwortrun.proto.ShardResult;
 
 /** The shard groups that own the budgets. */
-interface BudgetOwners {
+public interface BudgetOwners {
+    /** Returns the number of groups, which are numbered from 1. */
+    int count();
+
     /** Returns the group that owns a budget. */
     int groupOf(BudgetRef budget);
 
--- a/router/src/main/java/org/ragwortrun/router/internal/ledger/Sessions.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/ledger/Sessions.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeoutException;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.ragwortrun.core.concurrent.SingleThreadExecutor;
 import org.ragwortrun.core.log.Event;
 import org.ragwortrun.proto.CloseSession;
 import org.ragwortrun.proto.OpenSession;
@@ -21,17 +22,21 @@
     private static final Logger LOG = LogManager.getLogger(Sessions.class);
     private static final Duration TIMEOUT = Duration.ofSeconds(1);
     private static final long RETRY_MS = 200;
+    // A call has ended by then, unless its end was lost.
+    private static final long LOST_NANOS = 2 * TIMEOUT.toNanos();
 
-    private final Shards shards;
+    private final BudgetOwners shards;
     private final ScheduledExecutorService timer;
     private final String router;
     private final String incarnation;
     private final boolean direct;
     private final Map<Integer, CompletableFuture<Void>> opened = new ConcurrentHashMap<>();
+    // Time at which the running call to a shard was sent.
+    private final Map<Integer, Long> callNanos = new ConcurrentHashMap<>();
     private final long processStartNanos;
     private volatile boolean fenced;
 
-    public Sessions(Shards shards, ScheduledExecutorService timer, String router, String incarnation) {
+    public Sessions(BudgetOwners shards, ScheduledExecutorService timer, String router, String incarnation) {
         this(shards, timer, router, incarnation, false, System.nanoTime());
     }
 
@@ -42,7 +47,7 @@
      * @param processStartNanos monotonic time at which this process started
      */
     public Sessions(
-            Shards shards,
+            BudgetOwners shards,
             ScheduledExecutorService timer,
             String router,
             String incarnation,
@@ -58,9 +63,7 @@
 
     /** Opens a session at each shard and retries until all are open. */
     public void open() {
-        for (int group = 1; group <= shards.count(); group++) {
-            open(group);
-        }
+        SingleThreadExecutor.repeat(timer, this::openMissing, 0, RETRY_MS);
     }
 
     /** Completes when the session at a shard is open. */
@@ -115,7 +118,29 @@
         }
     }
 
+    private void openMissing() {
+        for (int group = 1; group <= shards.count(); group++) {
+            if (!whenOpen(group).isDone()) {
+                int missing = group;
+                SingleThreadExecutor.guarded(() -> openUnlessCalled(missing)).run();
+            }
+        }
+    }
+
+    private void openUnlessCalled(int group) {
+        Long since = callNanos.get(group);
+        if (since != null) {
+            if (System.nanoTime() - since < LOST_NANOS) {
+                return;
+            }
+            Event.of("session-call-lost").with("group", group).warn(LOG);
+        }
+        open(group);
+    }
+
     private void open(int group) {
+        Long now = System.nanoTime();
+        callNanos.put(group, now);
         OpenSession open = OpenSession.newBuilder()
                 .setRouter(router)
                 .setIncarnation(incarnation)
@@ -124,10 +149,9 @@
                 .build();
         shards.send(group, ShardCommand.newBuilder().setOpenSession(open), TIMEOUT)
                 .whenComplete((result, failure) -> {
+                    callNanos.remove(group, now);
                     if (result != null && result.hasSessionOpened()) {
                         whenOpen(group).complete(null);
-                    } else if (!timer.isShutdown()) {
-                        timer.schedule(() -> open(group), RETRY_MS, TimeUnit.MILLISECONDS);
                     }
                 });
     }
--- a/router/src/main/java/org/ragwortrun/router/internal/ledger/Shards.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/ledger/Shards.java
@@ -22,6 +22,7 @@
         this.count = count;
     }
 
+    @Override
     public int count() {
         return count;
     }
--- a/router/src/test/java/org/ragwortrun/router/internal/ledger/ReservationDeclarerTest.java
+++ b/router/src/test/java/org/ragwortrun/router/internal/ledger/ReservationDeclarerTest.java
@@ -94,6 +94,11 @@
     private static final class FakeShards implements BudgetOwners {
         private final BlockingQueue<Call> calls = new LinkedBlockingQueue<>();
 
+        @Override
+        public int count() {
+            return 1;
+        }
+
         @Override
         public int groupOf(BudgetRef budget) {
             return 1;
