Send bills whatever became of earlier calls

A bill that is not sent counts as held or lost for its client account. An error in the scheduled task, or a call without an end, left the bills of a shard unsent until another request ended, or for good. A failure of the listener had the same batch sent and subtracted again. A reply that arrived while the next batch was being taken could acknowledge that batch as well. Change: periodic work sends what waits, and waits for an earlier call at most one second beyond its timeout; settlement-call-lost is logged. A reply acknowledges the batch that it belongs to only. That a reply acknowledged the wrong batch was found by reading, and no run has shown it on the code before.

--- a/router/src/main/java/org/ragwortrun/router/internal/ledger/SettlementQueue.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/ledger/SettlementQueue.java
@@ -16,6 +16,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.jspecify.annotations.Nullable;
+import org.ragwortrun.core.concurrent.SingleThreadExecutor;
 import org.ragwortrun.core.log.Event;
 import org.ragwortrun.core.time.Time;
 import org.ragwortrun.proto.RejectedUsage;
@@ -36,8 +37,11 @@
     private static final int MAX_BATCH_SIZE = 256;
     private static final long PERIOD_MS = 20;
     private static final Duration TIMEOUT = Duration.ofSeconds(2);
+    private static final long RESEND_MS = 1_000;
+    // A call has ended by then, unless its end was lost.
+    private static final long LOST_NANOS = TIMEOUT.toNanos() + 1_000_000_000;
 
-    private final Shards shards;
+    private final BudgetOwners shards;
     private final String reporter;
     private final Duration closeTimeout;
     private final Time time;
@@ -55,7 +59,7 @@
      * @param acknowledgementListener receives each usage that its shard has acknowledged
      */
     public SettlementQueue(
-            Shards shards,
+            BudgetOwners shards,
             ScheduledExecutorService timer,
             String reporter,
             Duration closeTimeout,
@@ -67,6 +71,7 @@
         this.time = time;
         this.acknowledgementListener = acknowledgementListener;
         this.timer = timer;
+        SingleThreadExecutor.repeat(timer, this::sendAll, RESEND_MS, RESEND_MS);
     }
 
     /** Queues the usage of one finished request. */
@@ -81,10 +86,10 @@
         sendSoon();
     }
 
-    /** Schedules queued reports to be sent after a short delay, to collect more. Idle queues need no timer. */
+    /** Makes queued reports be sent sooner than periodically: after a short delay, to collect more. */
     private void sendSoon() {
         if (!timer.isShutdown() && scheduled.compareAndSet(false, true)) {
-            timer.schedule(this::sendAll, PERIOD_MS, TimeUnit.MILLISECONDS);
+            timer.schedule(SingleThreadExecutor.guarded(this::sendAll), PERIOD_MS, TimeUnit.MILLISECONDS);
         }
     }
 
@@ -107,14 +112,16 @@
 
     private void sendAll() {
         scheduled.set(false);
-        queues.values().forEach(ShardQueue::send);
+        queues.values().forEach(q -> SingleThreadExecutor.guarded(q::send).run());
     }
 
     /** Reports for one shard, of which one batch is in flight at a time. */
     private final class ShardQueue {
         private final int group;
         private final BlockingQueue<Usage> waiting = new ArrayBlockingQueue<>(QUEUE_CAPACITY);
-        private final List<Usage> sent = new ArrayList<>();
+        private List<Usage> sent = new ArrayList<>();
+        private long batchNumber;
+        private long sentNanos;
         private @Nullable CompletableFuture<ShardResult> call;
 
         ShardQueue(int group) {
@@ -122,10 +129,15 @@
         }
 
         synchronized void send() {
+            long now = time.nanos();
             if (call != null && !call.isDone()) {
-                return;
+                if (now - sentNanos < LOST_NANOS) {
+                    return;
+                }
+                Event.of("settlement-call-lost").with("group", group).warn(LOG);
             }
             if (sent.isEmpty()) {
+                batchNumber++;
                 waiting.drainTo(sent, MAX_BATCH_SIZE);
             }
             if (sent.isEmpty()) {
@@ -135,10 +147,12 @@
                     .setReporter(reporter)
                     .addAllUsages(sent)
                     .build();
+            long number = batchNumber;
+            sentNanos = now;
             call = shards.send(group, ShardCommand.newBuilder().setSettle(batch), TIMEOUT);
             call.whenComplete((result, failure) -> {
                 if (result != null && result.hasSettled()) {
-                    onAcknowledged(result.getSettled().getRejectedList());
+                    onAcknowledged(number, result.getSettled().getRejectedList());
                 }
                 if (pending.get() > 0) {
                     sendSoon();
@@ -146,10 +160,15 @@
             });
         }
 
-        private synchronized void onAcknowledged(List<RejectedUsage> rejected) {
-            pending.addAndGet(-sent.size());
-            sent.forEach(acknowledgementListener);
-            sent.clear();
+        private synchronized void onAcknowledged(long number, List<RejectedUsage> rejected) {
+            if (number != batchNumber || sent.isEmpty()) {
+                return;
+            }
+            List<Usage> acknowledged = sent;
+            sent = new ArrayList<>();
+            pending.addAndGet(-acknowledged.size());
+            acknowledged.forEach(u -> SingleThreadExecutor.guarded(() -> acknowledgementListener.accept(u))
+                    .run());
             rejected.forEach(r -> Event.of("settlement-rejected")
                     .with("request", r.getRequestId())
                     .with("reason", r.getReason())
