Decide reservations whatever became of their declaration

Callers of metered routes got no answer until their deadline. A call without an end, or an error while its result was recorded, kept all later reservations of the shard waiting for good. Change: the periodic declaration of all budgets ends a call that has no result after twice its timeout, as one without a reply, and logs declaration-call-lost. An error while a result is recorded ends it as well.

--- a/router/src/main/java/org/ragwortrun/router/internal/ledger/ReservationDeclarer.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/ledger/ReservationDeclarer.java
@@ -7,9 +7,11 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.jspecify.annotations.Nullable;
 import org.ragwortrun.core.concurrent.SingleThreadExecutor;
 import org.ragwortrun.core.log.Event;
 import org.ragwortrun.ledger.GrantPool;
@@ -32,6 +34,8 @@
     // The shard measures the time since a router's last declaration, so budgets without requests are declared as well.
     private static final long DECLARE_ALL_INTERVAL_MS = 450;
     private static final long RETRY_MS = 25;
+    // A call has ended by then, unless its end was lost.
+    private static final long LOST_NANOS = 2 * TIMEOUT.toNanos();
 
     private final GrantPool pool;
     private final BudgetOwners shards;
@@ -63,14 +67,17 @@
     }
 
     private void declareAll() {
-        queues.values().forEach(ShardQueue::declareAll);
+        queues.values().forEach(q -> SingleThreadExecutor.guarded(q::declareAll).run());
     }
 
+    /** A call that declares reservations. */
+    private record Call(List<PendingDeclaration> batch, List<SpendMark> marks, long sentNanos, AtomicBoolean ended) {}
+
     /** Declarations to one shard, of which one is in flight at a time. */
     private final class ShardQueue {
         private final int group;
         private List<PendingDeclaration> waiting = new ArrayList<>();
-        private boolean callPending;
+        private @Nullable Call running;
         private boolean declareAllDue;
         private volatile boolean unresponsive;
 
@@ -95,24 +102,29 @@
 
         /** Declares all budgets, with the next declaration if one is in flight. */
         void declareAll() {
+            Call call;
             synchronized (this) {
                 declareAllDue = true;
+                call = running;
+            }
+            if (call != null && System.nanoTime() - call.sentNanos() >= LOST_NANOS) {
+                Event.of("declaration-call-lost").with("group", group).warn(LOG);
+                end(call, false);
             }
             send();
         }
 
         private void send() {
-            List<PendingDeclaration> batch;
-            List<SpendMark> marks;
+            Call call;
             synchronized (this) {
-                if (callPending || (waiting.isEmpty() && !declareAllDue)) {
+                if (running != null || (waiting.isEmpty() && !declareAllDue)) {
                     return;
                 }
                 boolean all = declareAllDue;
                 declareAllDue = false;
-                batch = waiting;
+                List<PendingDeclaration> batch = waiting;
                 waiting = new ArrayList<>();
-                marks = all
+                List<SpendMark> marks = all
                         ? pool.spendMarks().stream()
                                 .filter(m -> shards.groupOf(m.getBudget()) == group)
                                 .toList()
@@ -121,46 +133,59 @@
                                 .distinct()
                                 .map(pool::spendMark)
                                 .toList();
-                callPending = !marks.isEmpty();
-            }
-            if (marks.isEmpty()) {
-                return;
+                if (marks.isEmpty()) {
+                    return;
+                }
+                call = new Call(batch, marks, System.nanoTime(), new AtomicBoolean());
+                running = call;
             }
             SettleBatch declared = SettleBatch.newBuilder()
                     .setReporter(incarnation)
-                    .addAllMarks(marks)
+                    .addAllMarks(call.marks())
                     .build();
             shards.send(group, ShardCommand.newBuilder().setSettle(declared), TIMEOUT)
-                    .whenComplete((result, failure) -> onReply(batch, marks, result != null && result.hasSettled()));
+                    .whenComplete((result, failure) -> end(call, result != null && result.hasSettled()));
         }
 
-        private void onReply(List<PendingDeclaration> batch, List<SpendMark> marks, boolean acknowledged) {
-            if (acknowledged) {
-                pool.acknowledgeMarks(marks);
-            }
-            if (unresponsive == acknowledged) {
-                Event.of(acknowledged ? "ledger-regained" : "ledger-silent")
-                        .with("group", group)
-                        .with("waiting", batch.size())
-                        .info(LOG);
+        private void end(Call call, boolean acknowledged) {
+            if (call.ended().getAndSet(true)) {
+                return;
             }
-            unresponsive = !acknowledged;
-            synchronized (this) {
-                callPending = false;
-                if (!acknowledged) {
-                    waiting.addAll(0, batch);
+            boolean declared = false;
+            try {
+                record(call, acknowledged);
+                declared = acknowledged;
+            } finally {
+                synchronized (this) {
+                    running = null;
+                    if (!declared) {
+                        waiting.addAll(0, call.batch());
+                    }
                 }
             }
             if (acknowledged) {
-                batch.forEach(w -> w.done().accept(true));
+                call.batch().forEach(w -> w.done().accept(true));
                 send();
             } else {
                 resolveWaiting();
             }
         }
 
+        private void record(Call call, boolean acknowledged) {
+            if (acknowledged) {
+                pool.acknowledgeMarks(call.marks());
+            }
+            if (unresponsive == acknowledged) {
+                Event.of(acknowledged ? "ledger-regained" : "ledger-silent")
+                        .with("group", group)
+                        .with("waiting", call.batch().size())
+                        .info(LOG);
+            }
+            unresponsive = !acknowledged;
+        }
+
         private void retryLater() {
-            timer.schedule(this::resolveWaiting, RETRY_MS, TimeUnit.MILLISECONDS);
+            timer.schedule(SingleThreadExecutor.guarded(this::resolveWaiting), RETRY_MS, TimeUnit.MILLISECONDS);
         }
 
         /**
--- a/router/src/test/java/org/ragwortrun/router/internal/ledger/ReservationDeclarerTest.java
+++ b/router/src/test/java/org/ragwortrun/router/internal/ledger/ReservationDeclarerTest.java
@@ -61,10 +61,26 @@
         assertThat(next).containsExactly("quiet", "busy");
     }
 
-    private void declare(String account) {
+    /** Guards against requests that wait until their deadline because one call to their shard never ends. */
+    @Test
+    void decidesReservationsAfterCallThatNeverEnds() throws Exception {
+        CompletableFuture<Boolean> first = declare("a");
+        Call lost = shards.next();
+        CompletableFuture<Boolean> second = declare("a");
+        for (int i = 0; i < 2; i++) {
+            shards.answer();
+        }
+        assertThat(first.get(1, TimeUnit.SECONDS)).isTrue();
+        assertThat(second.get(1, TimeUnit.SECONDS)).isTrue();
+        assertThat(lost.reply().isDone()).isFalse();
+    }
+
+    private CompletableFuture<Boolean> declare(String account) {
         BudgetRef budget =
                 BudgetRef.newBuilder().setAccount(account).setService("*").build();
-        declarer.declare(reserve(budget), MAX_WAIT, allowed -> {});
+        CompletableFuture<Boolean> allowed = new CompletableFuture<>();
+        declarer.declare(reserve(budget), MAX_WAIT, allowed::complete);
+        return allowed;
     }
 
     private Reservation reserve(BudgetRef budget) {
