Report crashes whatever became of earlier calls

Content that crashes endpoints was quarantined late or not at all. An error in one step kept all later crashes of the router from being reported, without a log line. Change: periodic work repeats the report that is not recorded, and waits for an earlier call at most twice its timeout.

--- a/router/src/main/java/org/ragwortrun/router/internal/evidence/CrashReports.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/evidence/CrashReports.java
@@ -7,10 +7,10 @@
 import java.util.LinkedHashSet;
 import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.jspecify.annotations.Nullable;
+import org.ragwortrun.core.concurrent.SingleThreadExecutor;
 import org.ragwortrun.core.id.Digests;
 import org.ragwortrun.core.log.Event;
 import org.ragwortrun.net.control.ControlClient;
@@ -29,14 +29,17 @@
     private static final int META_GROUP = 0;
     private static final Duration TIMEOUT = Duration.ofSeconds(1);
     private static final long RETRY_MS = 200;
+    // A call has ended by then, unless its end was lost.
+    private static final long LOST_NANOS = 2 * TIMEOUT.toNanos();
     private static final int MAX_QUEUED = 256;
 
     private final ControlClient control;
-    private final ScheduledExecutorService timer;
     private final String incarnation;
     private final Deque<EndpointCrash> queued = new ArrayDeque<>();
     private final Set<ByteString> answeredParts = new LinkedHashSet<>();
     private @Nullable CrashEvidence inFlight;
+    private boolean called;
+    private long calledNanos;
     private long sequence;
 
     /**
@@ -46,8 +49,8 @@
      */
     public CrashReports(ControlClient control, ScheduledExecutorService timer, String incarnation) {
         this.control = control;
-        this.timer = timer;
         this.incarnation = incarnation;
+        SingleThreadExecutor.repeat(timer, this::resend, RETRY_MS, RETRY_MS);
     }
 
     /** Reports a crash with the contents and the parts of prompts that may have caused it. */
@@ -103,26 +106,47 @@
         send(evidence);
     }
 
+    private void resend() {
+        CrashEvidence evidence;
+        synchronized (this) {
+            evidence = inFlight;
+            if (called && System.nanoTime() - calledNanos < LOST_NANOS) {
+                return;
+            }
+        }
+        if (evidence != null) {
+            send(evidence);
+        }
+    }
+
     private void send(CrashEvidence evidence) {
+        synchronized (this) {
+            called = true;
+            calledNanos = System.nanoTime();
+        }
         control.call(META_GROUP, Frame.newBuilder().setCrashEvidence(evidence), TIMEOUT)
                 .whenComplete((reply, failure) -> {
+                    synchronized (this) {
+                        called = false;
+                    }
                     if (reply != null && reply.hasHeartbeat()) {
                         onRecorded(evidence);
-                    } else {
-                        timer.schedule(() -> send(evidence), RETRY_MS, TimeUnit.MILLISECONDS);
                     }
                 });
     }
 
     private void onRecorded(CrashEvidence evidence) {
+        synchronized (this) {
+            if (inFlight == null || inFlight.getSequence() != evidence.getSequence()) {
+                return;
+            }
+            inFlight = null;
+        }
         Event.of("crashes-recorded")
                 .with("sequence", evidence.getSequence())
                 .with("crashes", evidence.getCrashesCount())
                 .with("answered-parts", evidence.getAnsweredPartsCount())
                 .info(LOG);
-        synchronized (this) {
-            inFlight = null;
-        }
         sendNext();
     }
 }
