Ask for permits whatever became of earlier questions

Requests to an endpoint with a limit waited until their deadline. A question that failed in an unexpected way was never followed by another, and the endpoint got no request any more. Change: after a second the next request asks again, on behalf of all that wait; limit-question-lost is logged. The requests of the failed question itself still end with their deadline.

--- a/router/src/main/java/org/ragwortrun/router/internal/limits/PermitClient.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/limits/PermitClient.java
@@ -40,6 +40,8 @@
     private static final Logger LOG = LogManager.getLogger(PermitClient.class);
     // Several times the latency between two hosts of a region; meanwhile a caller waits.
     private static final Duration TIMEOUT = Duration.ofMillis(150);
+    // All coordinators have answered or timed out by then, unless an answer was lost.
+    private static final long LOST_NANOS = 1_000_000_000L;
     private static final long BACKOFF_NANOS = 1_000_000_000L;
     // A process that was suspended must not use permits that were granted before.
     private static final long MAX_PERMIT_AGE_NANOS = 400_000_000L;
@@ -95,6 +97,7 @@
     private static final class Waiting {
         private List<Consumer<Boolean>> requests = new ArrayList<>();
         private boolean asking;
+        private long askedNanos;
     }
 
     /** One question to the coordinators of an endpoint, on behalf of several requests. */
@@ -110,7 +113,11 @@
     public void acquire(String endpoint, EndpointLimit limit, Consumer<Boolean> decided) {
         Waiting w = waiting.computeIfAbsent(endpoint, id -> new Waiting());
         w.requests.add(decided);
-        if (!w.asking) {
+        boolean lost = w.asking && time.nanos() - w.askedNanos >= LOST_NANOS;
+        if (lost) {
+            Event.of("limit-question-lost").with("endpoint", endpoint).warn(LOG);
+        }
+        if (!w.asking || lost) {
             ask(endpoint, limit, w);
         }
     }
@@ -122,6 +129,7 @@
 
     private void ask(String endpoint, EndpointLimit limit, Waiting w) {
         w.asking = true;
+        w.askedNanos = time.nanos();
         Question q = question(endpoint, limit, w.requests);
         w.requests = new ArrayList<>();
         ask(q, 0);
