Keep the timer of the replicated groups after an error

A member without ticks sends no heartbeats and starts no elections, so a fleet that loses it as a leader waits for another, and it never leads again. Change: the task is guarded like the other periodic ones. Result: GroupHostTest.electsLeaderAfterErrorInPeriodicTask failed on the code before (no leader within 20 s) and passes now.

--- a/replication/src/main/java/org/ragwortrun/replication/GroupHost.java
+++ b/replication/src/main/java/org/ragwortrun/replication/GroupHost.java
@@ -185,7 +185,7 @@
         ScheduledExecutorService timer = SingleThreadExecutor.timer("replication-timer");
         closer.register(() -> SingleThreadExecutor.stop(timer));
         long period = Math.max(1, settings.electionTimeout().toMillis() / TICKS_PER_TIMEOUT);
-        timer.scheduleAtFixedRate(this::tick, 0, period, TimeUnit.MILLISECONDS);
+        timer.scheduleAtFixedRate(SingleThreadExecutor.guarded(this::tick), 0, period, TimeUnit.MILLISECONDS);
     }
 
     private GroupRunner restore(
--- a/replication/src/test/java/org/ragwortrun/replication/GroupHostTest.java
+++ b/replication/src/test/java/org/ragwortrun/replication/GroupHostTest.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Function;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
@@ -71,6 +72,29 @@
         assertThat(group.status().role()).isEqualTo(GroupStatus.Role.STOPPED);
     }
 
+    /** Guards against a member without heartbeats and elections after one error in its periodic task. */
+    @Test
+    void electsLeaderAfterErrorInPeriodicTask() throws Exception {
+        cluster = new TestCluster(folder.resolve("one"), 2, "c1");
+        AtomicBoolean failed = new AtomicBoolean();
+        cluster.start(cluster.settings("c1"), new Time() {
+            @Override
+            public long nanos() {
+                if (Thread.currentThread().getName().equals("replication-timer") && !failed.getAndSet(true)) {
+                    throw new OutOfMemoryError("test");
+                }
+                return System.nanoTime();
+            }
+
+            @Override
+            public long wallMillis() {
+                return System.currentTimeMillis();
+            }
+        });
+        cluster.awaitLeader(1);
+        assertThat(failed.get()).isTrue();
+    }
+
     /** Guards against data loss when a second member stops right after the wiped disk of another one was refilled. */
     @Test
     void keepsDataWhenSecondMemberStopsAfterRepair() throws Exception {
