Stop a replica after an error instead of skipping work

A replica could differ from the others, or claim entries that it had not written. Cause: a step that ended with an error, such as an exhausted heap, had taken commands or writes from its queue. Change: an error stops the replica like an exception does, and its owner opens it again from its files. No other step runs after the first failure. Result: GroupHostTest.stopsInsteadOfSkippingCommandAfterError failed on the code before (the owner was not told within 10 s) and passes now.

--- a/replication/src/main/java/org/ragwortrun/replication/internal/GroupRunner.java
+++ b/replication/src/main/java/org/ragwortrun/replication/internal/GroupRunner.java
@@ -75,7 +75,7 @@
     private volatile boolean snapshotting;
     private volatile boolean stopped;
 
-    /** Work on one of the threads; any exception stops the group. */
+    /** Work on one of the threads; any exception or error stops the group. */
     private interface Step {
         void run() throws IOException, CorruptLogException;
     }
@@ -386,8 +386,10 @@
         }
         try {
             step.run();
-        } catch (IOException | CorruptLogException | RuntimeException e) {
-            // After a failed sync the state of the file is unknown, so the group must not write again.
+        } catch (IOException | CorruptLogException | RuntimeException | Error e) {
+            // After a failed sync the state of the file is unknown, so the group must not write again. A step that has
+            // failed has lost what it had taken from its queue, so no later step may run.
+            stopped = true;
             Event.of("group-stopped").with("group", group).with("duty", stage).error(LOG, e);
             stop(stage + " failed");
             host.failureListener().run();
--- a/replication/src/test/java/org/ragwortrun/replication/GroupHostTest.java
+++ b/replication/src/test/java/org/ragwortrun/replication/GroupHostTest.java
@@ -95,6 +95,27 @@
         assertThat(failed.get()).isTrue();
     }
 
+    /** Guards against a replica that skips a committed command after an error such as an exhausted heap. */
+    @Test
+    void stopsInsteadOfSkippingCommandAfterError() throws Exception {
+        cluster = new TestCluster(folder.resolve("one"), 2, "c1");
+        cluster.start("c1");
+        proposeMany("a", 3);
+        CountDownLatch notified = new CountDownLatch(1);
+        cluster.node("c1").onFailure(notified::countDown);
+        ListStateMachine machine = cluster.node("c1").machines.get(1);
+        machine.onApply = () -> {
+            machine.onApply = () -> {};
+            throw new OutOfMemoryError("test");
+        };
+        ReplicatedGroup group = cluster.node("c1").group(1);
+        for (int i = 0; i < 3; i++) {
+            group.propose(("b" + i).getBytes(StandardCharsets.UTF_8));
+        }
+        assertThat(notified.await(10, TimeUnit.SECONDS)).isTrue();
+        assertThat(machine.commands()).containsExactly("a0", "a1", "a2").inOrder();
+    }
+
     /** Guards against data loss when a second member stops right after the wiped disk of another one was refilled. */
     @Test
     void keepsDataWhenSecondMemberStopsAfterRepair() throws Exception {
--- a/replication/src/test/java/org/ragwortrun/replication/ListStateMachine.java
+++ b/replication/src/test/java/org/ragwortrun/replication/ListStateMachine.java
@@ -12,9 +12,11 @@
 /** State machine that keeps every command in order and replies with their number. */
 public final class ListStateMachine implements StateMachine {
     private final List<String> commands = new ArrayList<>();
+    volatile Runnable onApply = () -> {};
 
     @Override
     public synchronized byte[] apply(long index, byte[] command) {
+        onApply.run();
         commands.add(new String(command, StandardCharsets.UTF_8));
         return Integer.toString(commands.size()).getBytes(StandardCharsets.UTF_8);
     }
