Reopen a control member after an error as well

A control member whose files had failed could stay away from its groups for good, which leaves the quorum without it. An error such as an exhausted heap, or one while the old files were closed, started none, and nothing was logged. Change: an error is handled like an unexpected exception, and the next attempt is scheduled before the failure is logged. Result: MemberSupervisorTest.reopensAfterError failed on the code before (not opened within 10 s) and passes now.

--- a/control/src/main/java/org/ragwortrun/control/internal/MemberSupervisor.java
+++ b/control/src/main/java/org/ragwortrun/control/internal/MemberSupervisor.java
@@ -101,17 +101,17 @@
 
     @SuppressWarnings("PMD.AvoidCatchingGenericException")
     private synchronized void reopen() {
-        closeCurrent();
         try {
+            closeCurrent();
             open();
         } catch (RagwortrunException e) {
             // The files may be damaged. The process keeps running, so that its log can be read.
             Event.of("reopen-failed").with("type", e.type()).error(LOG, e);
             scheduleReopen();
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             // The timer would not run the task again.
-            Event.of("reopen-failed").with("type", "unexpected").error(LOG, e);
             scheduleReopen();
+            Event.of("reopen-failed").with("type", "unexpected").error(LOG, e);
         }
     }
 
--- a/control/src/test/java/org/ragwortrun/control/internal/MemberSupervisorTest.java
+++ b/control/src/test/java/org/ragwortrun/control/internal/MemberSupervisorTest.java
@@ -19,6 +19,7 @@
     private final BlockingQueue<Runnable> opened = new LinkedBlockingQueue<>();
     private volatile int failures;
     private volatile int unexpectedFailures;
+    private volatile int errors;
 
     /** Guards against a member that never rejoins its groups after its disk was temporarily full. */
     @Test
@@ -50,6 +51,21 @@
                 .inOrder();
     }
 
+    /** Guards against a member that is never opened again because the heap was exhausted in one attempt. */
+    @Test
+    void reopensAfterError() throws Exception {
+        try (MemberSupervisor member = MemberSupervisor.start(this::open)) {
+            assertThat(member).isNotNull();
+            Runnable onFailure = opened.poll(5, TimeUnit.SECONDS);
+            errors = 1;
+            onFailure.run();
+            assertThat(opened.poll(10, TimeUnit.SECONDS)).isNotNull();
+        }
+        assertThat(log)
+                .containsExactly("open", "close", "error", "open", "close")
+                .inOrder();
+    }
+
     /** Guards against a process that exits because its disk is full at startup. */
     @Test
     void startsOnceStorageIsUsable() throws Exception {
@@ -82,6 +98,11 @@
             log.add("failed");
             throw new IllegalStateException("unexpected");
         }
+        if (errors > 0) {
+            errors--;
+            log.add("error");
+            throw new OutOfMemoryError("test");
+        }
         log.add("open");
         opened.add(onFailure);
         return () -> log.add("close");
