Apply top-ups whatever became of an earlier proposal

Callers got 402 or 403 although their budget had been added. Its completion is queued, and a full queue drops it, on the assumption that the periodic work makes up for it. That work waited for the completion until the next election. Change: a proposal that has not completed within five seconds is made again; the shard applies each top-up once. top-ups-unanswered is logged.

--- a/control/src/main/java/org/ragwortrun/control/internal/ShardLeaderTasks.java
+++ b/control/src/main/java/org/ragwortrun/control/internal/ShardLeaderTasks.java
@@ -44,7 +44,7 @@
         this.shard = shard;
         recallSender = new RecallSender(time, peers);
         fencing = new Fencing(time, shard, meta, leader, peers, settings.routerFenceAfter(), executor);
-        topUps = new TopUpApplier(shard, meta, cache, executor);
+        topUps = new TopUpApplier(time, shard, meta, cache, executor);
         retention = settings.idRetention();
     }
 
--- a/control/src/main/java/org/ragwortrun/control/internal/TopUpApplier.java
+++ b/control/src/main/java/org/ragwortrun/control/internal/TopUpApplier.java
@@ -6,11 +6,13 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.jspecify.annotations.Nullable;
 import org.ragwortrun.core.concurrent.Causes;
 import org.ragwortrun.core.log.Event;
+import org.ragwortrun.core.time.Time;
 import org.ragwortrun.proto.ApplyTopUps;
 import org.ragwortrun.proto.BudgetRef;
 import org.ragwortrun.proto.ShardCommand;
@@ -28,7 +30,10 @@
     private static final Logger LOG = LogManager.getLogger(TopUpApplier.class);
     // Keeps the size of a log entry near 200 KB.
     private static final int MAX_BATCH_SIZE = 2_000;
+    // A proposal is repeated after this time, in case its completion was lost.
+    private static final long LOST_NANOS = TimeUnit.SECONDS.toNanos(5);
 
+    private final Time time;
     private final ShardGroup shard;
     private final MetaGroup meta;
     private final ConfigurationCache cache;
@@ -37,13 +42,15 @@
     private final Map<BudgetRef, Long> totals = new HashMap<>();
     private long appliedNumber = -1;
     private boolean proposalPending;
+    private long proposedNanos;
 
     /**
      * Creates the top-up task of one shard.
      *
      * @param executor runs tasks on the thread that uses this object
      */
-    TopUpApplier(ShardGroup shard, MetaGroup meta, ConfigurationCache cache, Executor executor) {
+    TopUpApplier(Time time, ShardGroup shard, MetaGroup meta, ConfigurationCache cache, Executor executor) {
+        this.time = time;
         this.shard = shard;
         this.meta = meta;
         this.cache = cache;
@@ -61,7 +68,7 @@
     /** Proposes the next batch of top-ups that have not been applied. */
     void run() {
         MetaSnapshot snapshot = meta.snapshot();
-        if (proposalPending || snapshot.number() <= appliedNumber) {
+        if (isProposalRunning() || snapshot.number() <= appliedNumber) {
             return;
         }
         List<TopUp> batch = cache.topUps(snapshot, shard.id()).stream()
@@ -73,6 +80,7 @@
             return;
         }
         proposalPending = true;
+        proposedNanos = time.nanos();
         shard.propose(ShardCommand.newBuilder()
                         .setApplyTopUps(ApplyTopUps.newBuilder()
                                 .setConfigNumber(snapshot.number())
@@ -80,6 +88,18 @@
                 .whenComplete((result, failure) -> executor.execute(() -> onProposalCompleted(batch, result, failure)));
     }
 
+    private boolean isProposalRunning() {
+        if (!proposalPending) {
+            return false;
+        }
+        if (time.nanos() - proposedNanos < LOST_NANOS) {
+            return true;
+        }
+        Event.of("top-ups-unanswered").with("group", shard.id()).warn(LOG);
+        proposalPending = false;
+        return false;
+    }
+
     private boolean isApplied(TopUp t) {
         return t.getTotal() ? totals.getOrDefault(t.getBudget(), -1L) == t.getTokens() : applied.contains(t);
     }
--- a/control/src/test/java/org/ragwortrun/control/internal/ControlNodeTest.java
+++ b/control/src/test/java/org/ragwortrun/control/internal/ControlNodeTest.java
@@ -386,7 +386,7 @@
         return new FakePeer(name, role);
     }
 
-    private static List<Section> files(long topUp, Section... more) {
+    static List<Section> files(long topUp, Section... more) {
         List<Section> files = new ArrayList<>(List.of(
                 section("account", "a", Map.of()),
                 section("service", "s", Map.of("kind", "plain", "version", "v1")),
