End a call whose retry fails in an unexpected way

A request to a service that deduplicates never ended at its agent and held a slot there. Change: the call then ends as failed, and retry-failed is logged. Result: PlainHttpClientTest failed on the code before (no end within 5 s) and passes now; PlainEndpointTest passes.

--- a/agent/src/main/java/org/ragwortrun/agent/internal/PlainHttpClient.java
+++ b/agent/src/main/java/org/ragwortrun/agent/internal/PlainHttpClient.java
@@ -8,7 +8,10 @@
 import java.util.concurrent.TimeUnit;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.jspecify.annotations.Nullable;
+import org.ragwortrun.core.log.Event;
 import org.ragwortrun.core.time.Time;
 import org.ragwortrun.proto.Dispatch;
 
@@ -19,6 +22,8 @@
  * to a maximum number of times. Otherwise it is sent once.
  */
 final class PlainHttpClient implements EndpointClient {
+    private static final Logger LOG = LogManager.getLogger(PlainHttpClient.class);
+
     /** How a request with unknown outcome is retried. An empty header means no retries. */
     record RetryPolicy(String dedupeHeader, int maxRetries, long delayMs) {}
 
@@ -106,8 +111,22 @@
             exchange = endpoint.send(request, body, this);
         }
 
-        /** Sends the request again once the endpoint's limit allows it. */
+        /** Sends the request again. An unexpected failure ends the call, since nothing else would. */
+        @SuppressWarnings("PMD.AvoidCatchingGenericException")
         private void sendAgain() {
+            try {
+                sendWithinLimit();
+            } catch (RuntimeException | Error e) {
+                listener.onEvent(new EndpointEvent.Failed(
+                        "the retry failed: " + e.getClass().getSimpleName()));
+                Event.of("retry-failed")
+                        .with("request", dispatch.getRequestId())
+                        .error(LOG, e);
+            }
+        }
+
+        /** Sends the request once the endpoint's limit allows it. */
+        private void sendWithinLimit() {
             if (cancelled) {
                 listener.onEvent(new EndpointEvent.Failed("cancelled"));
             } else if (limit.tryTake()) {
