Deny requests over agents by a confirmed configuration only

Callers of a router that sends through agents got final 401 and 404 for routes and keys whose change was acknowledged more than 2 s before. Change: 401, 404, and 400 for an Idempotency-Key that the route requires are given only if the configuration was confirmed within 2 s and no newer one is known; otherwise 503 configuration-unconfirmed, not run, as forwarding routers do.

--- a/router/src/main/java/org/ragwortrun/router/internal/flow/RequestHandler.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/flow/RequestHandler.java
@@ -1,6 +1,7 @@
 package org.ragwortrun.router.internal.flow;
 
 import java.time.Duration;
+import java.util.EnumSet;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -24,6 +25,13 @@
 public final class RequestHandler {
     private static final Logger LOG = LogManager.getLogger(RequestHandler.class);
     private static final Duration RETRY_DELAY = Duration.ofSeconds(1);
+    // A change is in force everywhere within this time, which is shorter than the lease.
+    private static final Duration DENIAL_AGE = Duration.ofSeconds(2);
+    private static final Set<RefusalReason> DENIALS = EnumSet.of(
+            RefusalReason.UNKNOWN_KEY,
+            RefusalReason.UNKNOWN_ROUTE,
+            RefusalReason.ID_MISSING,
+            RefusalReason.ID_WITHOUT_TIME);
 
     private final FlowServices services;
     private final ConfigWatch watch;
@@ -117,6 +125,16 @@
         return !stopping && healthy.getAsBoolean() && watch.inForce().isPresent();
     }
 
+    /** Returns a refusal that is not final instead of a denial by a configuration that may not be the newest. */
+    private Refusal confirmed(Refusal refusal) {
+        return DENIALS.contains(refusal.reason()) && !watch.isConfirmedWithin(DENIAL_AGE)
+                ? Refusal.notRun(
+                        RefusalReason.CONFIGURATION_UNCONFIRMED,
+                        "the latest configuration of this host does not allow it, and a newer one may exist",
+                        RETRY_DELAY)
+                : refusal;
+    }
+
     private SingleThreadExecutor duty(String id) {
         return duties.get(Math.floorMod(id.hashCode(), duties.size()));
     }
@@ -146,7 +164,7 @@
                 admitted = admission.check(request, watch.require(), generatedId);
             } catch (RefusedException e) {
                 active.decrementAndGet();
-                refuse(response, request.idempotencyKey().orElse(generatedId), e.refusal());
+                refuse(response, request.idempotencyKey().orElse(generatedId), confirmed(e.refusal()));
                 return;
             }
             long now = services.time().nanos();
--- a/router/src/test/java/org/ragwortrun/router/RouterDaemonTest.java
+++ b/router/src/test/java/org/ragwortrun/router/RouterDaemonTest.java
@@ -2,13 +2,18 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.io.IOException;
 import java.net.http.HttpResponse;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
 final class RouterDaemonTest {
+    // Above the 2 s within which a change comes into force everywhere, below the lease of 3 s.
+    private static final long UNCONFIRMED_MS = 2_300;
+
     private RouterHarness harness;
 
     @BeforeEach
@@ -21,6 +26,28 @@
         harness.close();
     }
 
+    /** Guards against a final denial by a configuration that no control member has confirmed lately. */
+    @Test
+    void doesNotDenyWhileUnconfirmed() throws Exception {
+        harness.control.silent = true;
+        TimeUnit.MILLISECONDS.sleep(UNCONFIRMED_MS);
+        assertThat(harness.get("/nowhere").statusCode()).isEqualTo(503);
+        assertThat(harness.send(harness.request("/orders").setHeader("Authorization", "Bearer added"))
+                        .statusCode())
+                .isEqualTo(503);
+        assertThat(harness.get("/orders/1").statusCode()).isEqualTo(200);
+        harness.control.silent = false;
+        RouterHarness.await(() -> status("/nowhere") == 404);
+    }
+
+    private int status(String path) {
+        try {
+            return harness.get(path).statusCode();
+        } catch (IOException | InterruptedException e) {
+            return -1;
+        }
+    }
+
     /** Guards against a streamed answer with missing text, usage or end. */
     @Test
     void streamsAnAnswerWithUsageInTheLastEvent() throws Exception {
