Log requests that are refused before they are read

Operators could not see that, why, and by which knowledge a forwarding router had refused a request with 400, 408, 413 or 503 before it was read. Change: one line request-rejected with status, reason, config and confirmed-ms, and the counter of refusals. At most ten lines a second, since callers need no key to cause them; unlogged counts the others. Result: RejectionLogTest has no counterpart on the code before, which had no line. In a run of CallerLimitsTest with the lines printed, 408 and 413 have them. CallerLimitsTest, SlowCallersTest, FaultyAnswersTest and UnconfirmedConfigurationTest pass.

--- a/router/src/main/java/org/ragwortrun/router/internal/forward/CallerConnection.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/CallerConnection.java
@@ -410,6 +410,7 @@
         waiting.endInput();
         if (current == null && waiting.isEmpty() && !closing) {
             closing = true;
+            admission.onRejected(refusal);
             DefaultFullHttpResponse out = response(refusal, "", headOnly);
             out.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             ctx.writeAndFlush(out).addListener(ChannelFutureListener.CLOSE);
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/RequestAdmission.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/RequestAdmission.java
@@ -36,6 +36,7 @@
 
     private final ForwardServices services;
     private final DenialRule denials;
+    private final RejectionLog rejections;
     private final OriginPicker picker;
     private final FlushBatcher flushBatcher;
     private final MemoryLimit memory;
@@ -65,6 +66,7 @@
         memory = new MemoryLimit(maxHeldBytes, () -> connections, services.metrics());
         startNanos = services.time().nanos();
         denials = new DenialRule(services.configuration());
+        rejections = new RejectionLog(services.configuration(), services.time());
         picker = new OriginPicker(services.random());
         flushBatcher = new FlushBatcher(services.loop());
     }
@@ -115,6 +117,12 @@
         return denials.refusal(RefusalReason.REQUEST_TOO_LARGE, detail);
     }
 
+    /** Records that a request was refused before it could be read. */
+    void onRejected(Refusal refusal) {
+        services.metrics().refused(refusal.reason());
+        rejections.add(refusal);
+    }
+
     MemoryLimit memory() {
         return memory;
     }
