Use one rule for denials on both paths

Change: DenialRule serves both paths; RequestHandler passes the configuration that it has checked the request against.

--- a/router/src/main/java/org/ragwortrun/router/internal/flow/RequestHandler.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/flow/RequestHandler.java
@@ -12,11 +12,13 @@
 import org.apache.logging.log4j.Logger;
 import org.jspecify.annotations.Nullable;
 import org.ragwortrun.core.concurrent.SingleThreadExecutor;
+import org.ragwortrun.core.config.Configuration;
 import org.ragwortrun.core.log.Event;
 import org.ragwortrun.core.refusal.Refusal;
 import org.ragwortrun.core.refusal.RefusalReason;
 import org.ragwortrun.core.refusal.RefusedException;
 import org.ragwortrun.net.control.ConfigWatch;
+import org.ragwortrun.router.internal.DenialRule;
 import org.ragwortrun.router.internal.request.Admission;
 import org.ragwortrun.router.internal.request.AdmittedRequest;
 import org.ragwortrun.router.internal.request.CallerRequest;
@@ -36,6 +38,7 @@
     private final FlowServices services;
     private final ConfigWatch watch;
     private final Admission admission;
+    private final DenialRule denials;
     private final List<SingleThreadExecutor> duties;
     private final int maxRequests;
     private final BooleanSupplier healthy;
@@ -61,6 +64,7 @@
         this.services = services;
         this.watch = watch;
         this.admission = admission;
+        denials = new DenialRule(c -> watch.isConfirmedWithin(DENIAL_AGE, c), RETRY_DELAY);
         this.duties = List.copyOf(duties);
         this.maxRequests = maxRequests;
         this.healthy = healthy;
@@ -126,13 +130,8 @@
     }
 
     /** Returns a refusal that is not final instead of a denial by a configuration that may not be the newest. */
-    private Refusal confirmed(Refusal refusal) {
-        return DENIALS.contains(refusal.reason()) && !watch.isConfirmedWithin(DENIAL_AGE)
-                ? Refusal.notRun(
-                        RefusalReason.CONFIGURATION_UNCONFIRMED,
-                        "the latest configuration of this host does not allow it, and a newer one may exist",
-                        RETRY_DELAY)
-                : refusal;
+    private Refusal confirmed(Configuration used, Refusal refusal) {
+        return DENIALS.contains(refusal.reason()) ? denials.refusal(used, refusal) : refusal;
     }
 
     private SingleThreadExecutor duty(String id) {
@@ -161,10 +160,10 @@
                     throw new RefusedException(
                             Refusal.notRun(RefusalReason.STOPPING, "this host accepts no new requests", RETRY_DELAY));
                 }
-                admitted = admission.check(request, watch.require(), generatedId);
+                admitted = check(watch.require());
             } catch (RefusedException e) {
                 active.decrementAndGet();
-                refuse(response, request.idempotencyKey().orElse(generatedId), confirmed(e.refusal()));
+                refuse(response, request.idempotencyKey().orElse(generatedId), e.refusal());
                 return;
             }
             long now = services.time().nanos();
@@ -174,6 +173,14 @@
             f.start();
         }
 
+        private AdmittedRequest check(Configuration used) throws RefusedException {
+            try {
+                return admission.check(request, used, generatedId);
+            } catch (RefusedException e) {
+                throw new RefusedException(confirmed(used, e.refusal()), e);
+            }
+        }
+
         private void onDone() {
             sessions.remove(this);
             active.decrementAndGet();
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/RequestAdmission.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/RequestAdmission.java
@@ -25,6 +25,7 @@
 import org.ragwortrun.core.refusal.Refusal;
 import org.ragwortrun.core.refusal.RefusalReason;
 import org.ragwortrun.core.refusal.RefusedException;
+import org.ragwortrun.router.internal.DenialRule;
 
 /** Admits requests: finds their route, client account and origin, and starts an exchange. Used on the event loop. */
 final class RequestAdmission {
@@ -65,7 +66,7 @@
         this.services = services;
         memory = new MemoryLimit(maxHeldBytes, () -> connections, services.metrics());
         startNanos = services.time().nanos();
-        denials = new DenialRule(services.configuration());
+        denials = new DenialRule(services.configuration()::isConfirmed, RETRY_AFTER);
         rejections = new RejectionLog(services.configuration(), services.time());
         picker = new OriginPicker(services.random());
         flushBatcher = new FlushBatcher(services.loop());
@@ -114,10 +115,11 @@
 
     /** Returns the refusal of a request that exceeds a limit of the configuration. */
     Refusal tooLarge(String detail) {
+        Refusal denial = Refusal.notRun(RefusalReason.REQUEST_TOO_LARGE, detail);
         return services.configuration()
                 .get()
-                .map(c -> denials.refusal(c, RefusalReason.REQUEST_TOO_LARGE, detail))
-                .orElseGet(() -> Refusal.notRun(RefusalReason.REQUEST_TOO_LARGE, detail));
+                .map(c -> denials.refusal(c, denial))
+                .orElse(denial);
     }
 
     /** Records that a request was refused before it could be read. */
@@ -281,7 +283,7 @@
     }
 
     private RefusedException denied(Configuration used, RefusalReason reason, String detail) {
-        return new RefusedException(denials.refusal(used, reason, detail));
+        return new RefusedException(denials.refusal(used, Refusal.notRun(reason, detail)));
     }
 
     private static RefusedException refusedWithRetry(RefusalReason reason, String detail) {
--- a/router/src/test/java/org/ragwortrun/router/internal/forward/DenialRuleTest.java
+++ b/router/src/test/java/org/ragwortrun/router/internal/forward/DenialRuleTest.java
@@ -14,6 +14,7 @@
 import org.ragwortrun.core.concurrent.SingleThreadExecutor;
 import org.ragwortrun.core.config.Configuration;
 import org.ragwortrun.core.metrics.Metrics;
+import org.ragwortrun.core.refusal.Refusal;
 import org.ragwortrun.core.refusal.RefusalReason;
 import org.ragwortrun.core.time.Time;
 import org.ragwortrun.net.Address;
@@ -28,6 +29,7 @@
 import org.ragwortrun.proto.Heartbeat;
 import org.ragwortrun.proto.Hello;
 import org.ragwortrun.proto.Section;
+import org.ragwortrun.router.internal.DenialRule;
 
 final class DenialRuleTest {
     private static final Duration DENIAL_AGE = Duration.ofSeconds(2);
@@ -69,8 +71,8 @@
         assertThat(used.flatMap(c -> c.forwards().find("h", "/new/x"))).isEqualTo(Optional.empty());
         assertThat(source.get().flatMap(c -> c.forwards().find("h", "/new/x")).isPresent())
                 .isTrue();
-        RefusalReason reason = new DenialRule(source)
-                .refusal(used.orElseThrow(), RefusalReason.UNKNOWN_ROUTE, "no route")
+        RefusalReason reason = new DenialRule(source::isConfirmed, Duration.ZERO)
+                .refusal(used.orElseThrow(), Refusal.notRun(RefusalReason.UNKNOWN_ROUTE, "no route"))
                 .reason();
         assertThat(reason).isEqualTo(RefusalReason.CONFIGURATION_UNCONFIRMED);
     }
--- a/router/src/test/java/org/ragwortrun/router/internal/forward/RejectionLogTest.java
+++ b/router/src/test/java/org/ragwortrun/router/internal/forward/RejectionLogTest.java
@@ -34,7 +34,7 @@
         }
 
         @Override
-        public boolean isConfirmed() {
+        public boolean isConfirmed(Configuration used) {
             return false;
         }
 
