Run the tasks of each shard whatever becomes of another

A shard could stay without fencing and top-ups while its leader lived. Cause: one task did the periodic work of all shards in turn. Change: each shard's work is guarded by itself. Result: ControlNodeTest.failureInOneShardDoesNotStopAnother failed on the code before (no work for the second shard in 0.5 s) and passes now, with the other 15 tests of the class.

--- a/control/src/main/java/org/ragwortrun/control/internal/ShardService.java
+++ b/control/src/main/java/org/ragwortrun/control/internal/ShardService.java
@@ -48,7 +48,8 @@
 
     /** Queues the periodic work. */
     public void tick() {
-        duty.offer(() -> shards.values().forEach(ShardLeaderTasks::advance));
+        duty.offer(() -> shards.values()
+                .forEach(s -> SingleThreadExecutor.guarded(s::advance).run()));
     }
 
     @Override
--- a/control/src/test/java/org/ragwortrun/control/internal/ControlNodeTest.java
+++ b/control/src/test/java/org/ragwortrun/control/internal/ControlNodeTest.java
@@ -48,6 +48,7 @@
     private final FakeShardGroup shard = new FakeShardGroup(time);
     private final FakePeer operator = peer("op", Role.OPERATOR);
     private final FakePeer router = peer("r1", Role.ROUTER);
+    private final FakeShardGroup secondShard = new FakeShardGroup(time, 2);
     private ControlNode node;
     private long call;
 
@@ -69,7 +70,7 @@
                 Duration.ofSeconds(1),
                 50_000,
                 8 << 20);
-        node = new ControlNode(settings, time, meta, List.of(shard), this::status, new TimedMoveDriver());
+        node = new ControlNode(settings, time, meta, List.of(shard, secondShard), this::status, new TimedMoveDriver());
         node.onConnected(router);
         // The leadership term starts before tests advance the clock.
         status().get();
@@ -281,6 +282,19 @@
         assertThat(router.await(Frame::hasError).getError().getType()).isEqualTo("not-allowed");
     }
 
+    /** Guards against a shard without fencing and top-ups because the work for another one fails. */
+    @Test
+    void failureInOneShardDoesNotStopAnother() throws Exception {
+        shard.failing = true;
+        int before = shard.termReads.get() + 2;
+        while (shard.termReads.get() < before) {
+            TimeUnit.MILLISECONDS.sleep(10);
+        }
+        int reads = secondShard.termReads.get();
+        TimeUnit.MILLISECONDS.sleep(500);
+        assertThat(secondShard.termReads.get()).isGreaterThan(reads);
+    }
+
     private CompletableFuture<StatusReply> status() {
         FakePeer peer = peer("status", Role.CONTROL);
         node.onFrame(
--- a/control/src/test/java/org/ragwortrun/control/internal/FakeShardGroup.java
+++ b/control/src/test/java/org/ragwortrun/control/internal/FakeShardGroup.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.ragwortrun.core.time.Time;
 import org.ragwortrun.ledger.GrantPolicy;
 import org.ragwortrun.ledger.SessionState;
@@ -18,20 +19,32 @@
 /** An in-memory shard group with one member. */
 final class FakeShardGroup implements ShardGroup {
     final ShardState state = new ShardState(GrantPolicy.demand());
+    final AtomicInteger termReads = new AtomicInteger();
     private final Time time;
+    private final int id;
     volatile OptionalLong term = OptionalLong.of(1);
+    volatile boolean failing;
 
     FakeShardGroup(Time time) {
+        this(time, 1);
+    }
+
+    FakeShardGroup(Time time, int id) {
         this.time = time;
+        this.id = id;
     }
 
     @Override
     public int id() {
-        return 1;
+        return id;
     }
 
     @Override
     public OptionalLong leasedTerm() {
+        termReads.incrementAndGet();
+        if (failing) {
+            throw new IllegalStateException("test");
+        }
         return term;
     }
 
