Deny no budget that this router knows

Callers got a final 403 for a client account whose budget had been acknowledged. Cause: a forwarding router passed on that the owner of the budget does not know it. Change: if the router's configuration has the budget, the answer is 503 budget-unreachable, not run. Otherwise 403 follows the rule of the other denials: only by a configuration that was confirmed lately.

--- a/router/src/main/java/org/ragwortrun/router/internal/forward/DenialRule.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/DenialRule.java
@@ -1,6 +1,7 @@
 package org.ragwortrun.router.internal.forward;
 
 import java.time.Duration;
+import org.ragwortrun.core.config.Budget;
 import org.ragwortrun.core.refusal.Refusal;
 import org.ragwortrun.core.refusal.RefusalReason;
 
@@ -28,4 +29,22 @@
                         "the latest configuration of this host does not allow it, and a newer one may exist",
                         RETRY_AFTER);
     }
+
+    /**
+     * Returns the refusal of a reservation. The owner of a budget may not have applied the newest configuration, so that
+     * it does not know a budget is not final if this host knows it.
+     */
+    Refusal reservationRefusal(Refusal refusal, String account) {
+        if (refusal.reason() != RefusalReason.UNKNOWN_BUDGET) {
+            return refusal;
+        }
+        boolean configured = configuration
+                .get()
+                .flatMap(c -> c.budget(account, Budget.ALL_ORIGINS))
+                .isPresent();
+        return configured
+                ? Refusal.notRun(
+                        RefusalReason.BUDGET_UNREACHABLE, "the owner of the budget does not know it yet", RETRY_AFTER)
+                : refusal(refusal.reason(), refusal.detail());
+    }
 }
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
@@ -188,7 +188,10 @@
             if (!ended) {
                 refuse(
                         failure != null && Causes.of(failure) instanceof RefusedException e
-                                ? e.refusal()
+                                ? new DenialRule(services.configuration())
+                                        .reservationRefusal(
+                                                e.refusal(),
+                                                account.map(Account::name).orElse(""))
                                 : Refusal.notRun(
                                         RefusalReason.BUDGET_UNREACHABLE, "no tokens could be reserved", RETRY_AFTER));
             }
--- a/router/src/test/java/org/ragwortrun/router/UnconfirmedConfigurationTest.java
+++ b/router/src/test/java/org/ragwortrun/router/UnconfirmedConfigurationTest.java
@@ -5,10 +5,12 @@
 import static org.ragwortrun.router.ScriptedEndpoint.write;
 
 import java.util.Locale;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.ragwortrun.core.id.Digests;
 
 /** Tests what a forwarding router answers while no control member confirms its configuration. */
 final class UnconfirmedConfigurationTest {
@@ -71,6 +73,16 @@
         assertThat(get("/new/x", "secret")).startsWith("HTTP/1.1 503");
     }
 
+    /** Guards against a 403 while the owner of a budget has not applied a change that this router knows. */
+    @Test
+    void doesNotDenyBudgetThatItsOwnerDoesNotKnowYet() throws Exception {
+        control.putSection("account", "late", Map.of("keys", Digests.apiKey("added"), "metered", "yes"));
+        control.putSection("budget", "late", Map.of("prepaid", "1000"));
+        control.publish();
+        String metered = "added\r\nRagwortrun-Usage: 10,10";
+        assertThat(getUntilNot("401", "/read/x", metered)).startsWith("HTTP/1.1 503");
+    }
+
     /** Guards against outages: what the last known configuration allows is still served. */
     @Test
     void servesKnownRoutesWhileUnconfirmed() throws Exception {
