--- a/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
@@ -183,14 +183,21 @@
                         .build());
     }
 
+    private static Refusal reservationRefusal(@Nullable Throwable failure) {
+        if (failure == null || !(Causes.of(failure) instanceof RefusedException e)) {
+            return Refusal.notRun(RefusalReason.BUDGET_UNREACHABLE, "no tokens could be reserved", RETRY_AFTER);
+        }
+        // The account is metered here, so an owner that does not know its budget has not applied the configuration yet.
+        return e.refusal().reason() == RefusalReason.UNKNOWN_BUDGET
+                ? Refusal.notRun(
+                        RefusalReason.BUDGET_UNREACHABLE, "the owner of the budget does not know it yet", RETRY_AFTER)
+                : e.refusal();
+    }
+
     private void onReserved(@Nullable TokenReservation r, @Nullable Throwable failure) {
         if (r == null) {
             if (!ended) {
-                refuse(
-                        failure != null && Causes.of(failure) instanceof RefusedException e
-                                ? e.refusal()
-                                : Refusal.notRun(
-                                        RefusalReason.BUDGET_UNREACHABLE, "no tokens could be reserved", RETRY_AFTER));
+                refuse(reservationRefusal(failure));
             }
         } else if (ended) {
             r.release();
--- a/router/src/test/java/org/ragwortrun/router/UnconfirmedConfigurationTest.java
+++ b/router/src/test/java/org/ragwortrun/router/UnconfirmedConfigurationTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.ragwortrun.core.id.Digests;
 
 /** Tests what a forwarding router answers while no control member confirms its configuration. */
 final class UnconfirmedConfigurationTest {
@@ -74,6 +75,15 @@
         assertThat(getUntilNot("404", "/new/x", "secret")).startsWith("HTTP/1.1 503");
     }
 
+    /** Guards against a 403 while the owner of a budget has not applied a change that this router knows. */
+    @Test
+    void doesNotDenyBudgetThatItsOwnerDoesNotKnowYet() throws Exception {
+        control.putSection("account", "late", Map.of("keys", Digests.apiKey("added"), "metered", "yes"));
+        control.publish();
+        String metered = "added\r\nRagwortrun-Usage: 10,10";
+        assertThat(getUntilNot("401", "/read/x", metered)).startsWith("HTTP/1.1 503");
+    }
+
     /** Guards against outages: what the last known configuration allows is still served. */
     @Test
     void servesKnownRoutesWhileUnconfirmed() throws Exception {
