Measure how late a change of the configuration is in force

A change that had been acknowledged was denied by routers later than 2 s after it, and no measurement showed how late it comes. bin/measure config publishes a route every half second, disturbs members, routers and links in series, and asks all routers for the newest routes.

--- a/measure/src/main/java/org/ragwortrun/measure/MeasureMain.java
+++ b/measure/src/main/java/org/ragwortrun/measure/MeasureMain.java
@@ -25,6 +25,7 @@
         Options options = new Options()
                 .addOption(Option.builder().longOpt("seed").hasArg().get())
                 .addOption(Option.builder().longOpt("seconds").hasArg().get())
+                .addOption(Option.builder().longOpt("busy").hasArg().get())
                 .addOption(Option.builder().longOpt("plot").hasArg().get());
         CommandLine line;
         long seed;
@@ -39,7 +40,7 @@
                 ? measurements.get(line.getArgList().get(0))
                 : null;
         if (measurement == null) {
-            System.err.println("usage: measure NAME --seed N [--seconds S] [--plot FILE], with NAME one of "
+            System.err.println("usage: measure NAME --seed N [--seconds S] [--busy N] [--plot FILE], with NAME one of "
                     + String.join(", ", measurements.keySet()));
             return EXIT_USAGE;
         }
--- a/measure/src/main/java/org/ragwortrun/measure/Measurements.java
+++ b/measure/src/main/java/org/ragwortrun/measure/Measurements.java
@@ -5,6 +5,7 @@
 import org.ragwortrun.measure.answers.AnswersMeasurement;
 import org.ragwortrun.measure.budgets.BudgetsMeasure;
 import org.ragwortrun.measure.capacity.CapacityMeasurement;
+import org.ragwortrun.measure.config.ConfigMeasurement;
 import org.ragwortrun.measure.limits.LimitsMeasurement;
 import org.ragwortrun.measure.notices.NoticesMeasurement;
 import org.ragwortrun.measure.process.FootprintMeasurement;
@@ -18,16 +19,17 @@
     private Measurements() {}
 
     static Map<String, Measurement> all() {
-        return new TreeMap<>(Map.of(
-                "answers", new AnswersMeasurement(),
-                "budgets", new BudgetsMeasure(),
-                "overhead", new OverheadMeasurement(),
-                "capacity", new CapacityMeasurement(),
-                "footprint", new FootprintMeasurement(),
-                "limits", new LimitsMeasurement(),
-                "notices", new NoticesMeasurement(),
-                "replication", new ReplicationMeasurement(),
-                "soak", new SoakMeasurement(),
-                "versions", new VersionsMeasurement()));
+        return new TreeMap<>(Map.ofEntries(
+                Map.entry("answers", new AnswersMeasurement()),
+                Map.entry("budgets", new BudgetsMeasure()),
+                Map.entry("overhead", new OverheadMeasurement()),
+                Map.entry("capacity", new CapacityMeasurement()),
+                Map.entry("config", new ConfigMeasurement()),
+                Map.entry("footprint", new FootprintMeasurement()),
+                Map.entry("limits", new LimitsMeasurement()),
+                Map.entry("notices", new NoticesMeasurement()),
+                Map.entry("replication", new ReplicationMeasurement()),
+                Map.entry("soak", new SoakMeasurement()),
+                Map.entry("versions", new VersionsMeasurement())));
     }
 }
--- /dev/null
+++ b/measure/src/main/java/org/ragwortrun/measure/config/ConfigFleet.java
@@ -0,0 +1,77 @@
+package org.ragwortrun.measure.config;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.ragwortrun.core.concurrent.Closer;
+import org.ragwortrun.measure.answers.RouterMain;
+import org.ragwortrun.measure.fleet.Fleet;
+import org.ragwortrun.measure.fleet.FleetException;
+import org.ragwortrun.measure.fleet.FleetOptions;
+import org.ragwortrun.net.Address;
+import org.ragwortrun.standins.FaultProxy;
+
+/** Control members, and routers that reach each of them by a proxy of their own. */
+final class ConfigFleet implements AutoCloseable {
+    private static final String HOST = "127.0.0.1";
+    private static final int SHARDS = 1;
+
+    private final Closer closer = new Closer();
+    private final Fleet fleet;
+    private final Map<String, List<FaultProxy>> links = new LinkedHashMap<>();
+    private final List<String> members;
+
+    /** Adds the processes without starting them. */
+    ConfigFleet(int memberCount, int routerCount) throws FleetException, IOException {
+        fleet = closer.register(new Fleet(SHARDS, FleetOptions.DEPLOYED));
+        fleet.addControls(memberCount);
+        members = IntStream.rangeClosed(1, memberCount).mapToObj(i -> "c" + i).toList();
+        for (int i = 1; i <= routerCount; i++) {
+            addRouter("r" + i, "dc" + (1 + i % memberCount));
+        }
+    }
+
+    private void addRouter(String name, String dataCenter) throws FleetException, IOException {
+        List<FaultProxy> proxies = new ArrayList<>();
+        List<String> addresses = new ArrayList<>();
+        for (String member : members) {
+            FaultProxy proxy = closer.register(FaultProxy.start(HOST, 0, HOST, fleet.controlPort(member)));
+            proxies.add(proxy);
+            addresses.add(member + "=" + proxy.address());
+        }
+        links.put(name, List.copyOf(proxies));
+        fleet.addForwardingRouter(
+                name, dataCenter, RouterMain.class.getName(), List.of(), String.join(", ", addresses));
+    }
+
+    Fleet processes() {
+        return fleet;
+    }
+
+    /** Returns the names of the initial members. */
+    List<String> members() {
+        return members;
+    }
+
+    Map<String, Address> memberAddresses() {
+        return members.stream().collect(Collectors.toMap(m -> m, m -> new Address(HOST, fleet.controlPort(m))));
+    }
+
+    List<String> routers() {
+        return List.copyOf(links.keySet());
+    }
+
+    /** Returns the links of a router to the initial members. */
+    List<FaultProxy> links(String router) {
+        return links.getOrDefault(router, List.of());
+    }
+
+    @Override
+    public void close() {
+        closer.close();
+    }
+}
--- /dev/null
+++ b/measure/src/main/java/org/ragwortrun/measure/config/MemberFaults.java
@@ -0,0 +1,128 @@
+package org.ragwortrun.measure.config;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.ragwortrun.measure.fleet.Fleet;
+import org.ragwortrun.measure.fleet.FleetException;
+import org.ragwortrun.measure.fleet.FleetProcess;
+
+/** Faults of control members, one member at a time. */
+final class MemberFaults {
+    private static final int LEAST_FREEZE_MS = 300;
+    private static final int MOST_FREEZE_MS = 3_800;
+    private static final int MOST_DOWN_MS = 1_500;
+    // A member that has started again follows the log.
+    private static final long RETURN_MS = 1_200;
+    // A member without data has been replaced by its new identity, as a voter.
+    private static final long REPAIR_MS = 4_000;
+    // A member that was lost has been removed after its replacement was added.
+    private static final long REPLACE_MS = 7_000;
+
+    private final ConfigFleet fleet;
+    private final Fleet processes;
+    private final Supplier<Optional<String>> leader;
+    private final UniformRandomProvider random;
+    private final DisturbanceLog log;
+    private final List<String> members;
+    private int replaced;
+
+    /**
+     * Creates the faults.
+     *
+     * @param leader returns the leader, if it is known
+     */
+    MemberFaults(
+            ConfigFleet fleet, Supplier<Optional<String>> leader, UniformRandomProvider random, DisturbanceLog log) {
+        this.fleet = fleet;
+        processes = fleet.processes();
+        this.leader = leader;
+        this.random = random;
+        this.log = log;
+        members = new ArrayList<>(fleet.members());
+    }
+
+    /** Returns the faults. Those of the leader come more than once. */
+    List<FaultPlayer.Fault> all() {
+        return List.of(
+                () -> kill(leader()),
+                () -> kill(leader()),
+                () -> kill(any()),
+                () -> stop(leader()),
+                () -> stop(leader()),
+                () -> freeze(leader()),
+                () -> freeze(any()),
+                () -> wipe(any()),
+                this::replace);
+    }
+
+    private void kill(String name) throws FleetException, InterruptedException {
+        log.fault("member_killed", name);
+        FleetProcess p = processes.process(name);
+        p.kill();
+        sleep(random.nextInt(MOST_DOWN_MS));
+        p.start();
+        sleep(RETURN_MS);
+    }
+
+    private void stop(String name) throws FleetException, InterruptedException {
+        log.fault("member_stopped", name);
+        FleetProcess p = processes.process(name);
+        p.stop();
+        sleep(random.nextInt(MOST_DOWN_MS));
+        p.start();
+        sleep(RETURN_MS);
+    }
+
+    private void freeze(String name) throws FleetException, InterruptedException {
+        int ms = random.nextInt(LEAST_FREEZE_MS, MOST_FREEZE_MS);
+        log.fault("member_frozen", name + " ms=" + ms);
+        FleetProcess p = processes.process(name);
+        p.setSuspended(true);
+        try {
+            sleep(ms);
+        } finally {
+            p.setSuspended(false);
+        }
+        sleep(RETURN_MS);
+    }
+
+    private void wipe(String name) throws FleetException, InterruptedException {
+        log.fault("member_wiped", name);
+        FleetProcess p = processes.process(name);
+        p.kill();
+        processes.deleteData(name);
+        sleep(random.nextInt(MOST_DOWN_MS));
+        p.start();
+        sleep(REPAIR_MS);
+    }
+
+    /** Replaces the last member, so that the others remain in the settings of all processes. */
+    private void replace() throws FleetException, InterruptedException {
+        int last = members.size() - 1;
+        String old = members.get(last);
+        replaced++;
+        String name = "x" + replaced;
+        log.fault("member_replaced", old + " by=" + name);
+        processes.process(old).kill();
+        processes.addJoiningControl(name, "dc" + members.size());
+        processes.process(name).start();
+        members.set(last, name);
+        sleep(REPLACE_MS);
+    }
+
+    private String leader() {
+        return leader.get().filter(members::contains).orElseGet(this::any);
+    }
+
+    private String any() {
+        return members.get(random.nextInt(members.size()));
+    }
+
+    private static void sleep(long ms) throws InterruptedException {
+        TimeUnit.MILLISECONDS.sleep(ms);
+    }
+}
--- a/measure/src/main/java/org/ragwortrun/measure/fleet/Fleet.java
+++ b/measure/src/main/java/org/ragwortrun/measure/fleet/Fleet.java
@@ -4,6 +4,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -21,8 +22,6 @@
 
     private static final String STANDIN = "org.ragwortrun.standins.StandinMain";
     private static final long START_TIMEOUT_S = 30;
-    private static final List<String> CONTROL_JVM = List.of("-Xmx128m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1");
-    private static final List<String> ROUTER_JVM = List.of("-Xmx128m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1");
     private static final List<String> AGENT_JVM = List.of("-Xmx64m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1");
     private static final List<String> STANDIN_JVM = List.of("-Xmx64m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1");
     private static final List<String> CLI_JVM =
@@ -32,8 +31,10 @@
     private final Ports ports = new Ports();
     private final Path folder;
     private final int shards;
-    private final Map<String, FleetProcess> processes = new LinkedHashMap<>();
-    private final Map<String, Integer> controlPorts = new LinkedHashMap<>();
+    private final FleetOptions options;
+    // Members are added while others read.
+    private final Map<String, FleetProcess> processes = Collections.synchronizedMap(new LinkedHashMap<>());
+    private final Map<String, Integer> controlPorts = Collections.synchronizedMap(new LinkedHashMap<>());
     private final Map<String, Integer> routerPorts = new LinkedHashMap<>();
     private final Map<String, Integer> readinessPorts = new LinkedHashMap<>();
     private final Map<String, Integer> agentPorts = new LinkedHashMap<>();
@@ -43,7 +44,13 @@
 
     /** Creates a fleet that keeps its files in a new temporary folder, which is deleted on close. */
     public Fleet(int shards) throws FleetException {
+        this(shards, FleetOptions.DEFAULT);
+    }
+
+    /** Creates a fleet whose control members and routers run with the given options. */
+    public Fleet(int shards, FleetOptions options) throws FleetException {
         this.shards = shards;
+        this.options = options;
         try {
             folder = Files.createTempDirectory("ragwortrun-fleet");
         } catch (IOException e) {
@@ -59,21 +66,30 @@
         members = controlPorts.entrySet().stream()
                 .map(e -> e.getKey() + "=" + Ports.HOST + ":" + e.getValue())
                 .collect(Collectors.joining(", "));
+        String bootstrap = "bootstrap = " + String.join(", ", controlPorts.keySet()) + "\n";
         int i = 0;
-        for (Map.Entry<String, Integer> e : controlPorts.entrySet()) {
+        for (String name : controlPorts.keySet()) {
             i++;
-            addDaemon(
-                    "control",
-                    e.getKey(),
-                    CONTROL_JVM,
-                    settings(e.getKey(), "dc" + i)
-                            + "[control]\nmembers = " + members + "\nlisten = " + Ports.HOST + ":" + e.getValue()
-                            + "\n[storage]\nfolder = " + folder.resolve("data-" + e.getKey())
-                            + "\n[cluster]\nshards = " + shards + "\nbootstrap = "
-                            + String.join(", ", controlPorts.keySet()) + "\n");
+            addControl(name, "dc" + i, members, bootstrap);
         }
     }
 
+    /** Adds a control member that the settings of no other process name. It joins the others when it is started. */
+    public void addJoiningControl(String name, String dataCenter) throws FleetException {
+        controlPorts.put(name, ports.next());
+        addControl(name, dataCenter, members + ", " + name + "=" + Ports.HOST + ":" + controlPort(name), "");
+    }
+
+    private void addControl(String name, String dataCenter, String known, String bootstrap) throws FleetException {
+        addDaemon(
+                "control",
+                name,
+                options.controlJvm(),
+                settings(name, dataCenter) + "[control]\nmembers = " + known + "\nlisten = " + Ports.HOST + ":"
+                        + controlPort(name) + "\n[storage]\nfolder = " + folder.resolve("data-" + name)
+                        + "\n[cluster]\nshards = " + shards + "\n" + bootstrap + options.clusterSettings());
+    }
+
     /** Adds a router. */
     public void addRouter(String name, String dataCenter) throws FleetException {
         addRouter(name, dataCenter, members);
@@ -85,7 +101,7 @@
         addDaemon(
                 "router",
                 name,
-                ROUTER_JVM,
+                options.routerJvm(),
                 settings(name, dataCenter)
                         + "[control]\nmembers = " + controlMembers + "\n[cluster]\nshards = " + shards
                         + "\n[http]\naddress = "
@@ -95,17 +111,24 @@
     /** Adds a router that forwards requests, started by a main class with its settings file and further arguments. */
     public void addForwardingRouter(String name, String dataCenter, String main, List<String> arguments)
             throws FleetException {
+        addForwardingRouter(name, dataCenter, main, arguments, members);
+    }
+
+    /** Adds such a router that reaches the control members at the given addresses. */
+    public void addForwardingRouter(
+            String name, String dataCenter, String main, List<String> arguments, String controlMembers)
+            throws FleetException {
         routerPorts.put(name, ports.next());
         readinessPorts.put(name, ports.next());
         String settings = settings(name, dataCenter)
-                + "[control]\nmembers = " + members + "\n[cluster]\nshards = " + shards + "\n[http]\naddress = "
+                + "[control]\nmembers = " + controlMembers + "\n[cluster]\nshards = " + shards + "\n[http]\naddress = "
                 + Ports.HOST + ":" + routerPorts.get(name) + "\nreadiness = " + Ports.HOST + ":"
                 + readinessPorts.get(name) + "\n";
         try {
             Path file = Files.writeString(folder.resolve(name + ".ini"), settings);
             List<String> all = new ArrayList<>(List.of(file.toString()));
             all.addAll(arguments);
-            add(name, FleetProcess.javaCommand(ROUTER_JVM, main, all));
+            add(name, FleetProcess.javaCommand(options.routerJvm(), main, all));
         } catch (IOException e) {
             throw new FleetException("cannot write settings of " + name, e);
         }
