--- a/measure/src/main/java/org/ragwortrun/measure/config/ConfigFleet.java
+++ b/measure/src/main/java/org/ragwortrun/measure/config/ConfigFleet.java
@@ -39,7 +39,8 @@
         List<FaultProxy> proxies = new ArrayList<>();
         List<String> addresses = new ArrayList<>();
         for (String member : members) {
-            FaultProxy proxy = closer.register(FaultProxy.start(HOST, 0, HOST, fleet.controlPort(member)));
+            FaultProxy proxy =
+                    closer.register(FaultProxy.start(HOST, fleet.freePort(), HOST, fleet.controlPort(member)));
             proxies.add(proxy);
             addresses.add(member + "=" + proxy.address());
         }
--- a/measure/src/main/java/org/ragwortrun/measure/fleet/Fleet.java
+++ b/measure/src/main/java/org/ragwortrun/measure/fleet/Fleet.java
@@ -208,6 +208,11 @@
         return controlPorts.getOrDefault(name, 0);
     }
 
+    /** Returns a port that no process of the fleet uses. */
+    public int freePort() throws FleetException {
+        return ports.next();
+    }
+
     public Path folder() {
         return folder;
     }
