--- a/measure/src/main/java/org/ragwortrun/measure/config/ConfigRun.java
+++ b/measure/src/main/java/org/ragwortrun/measure/config/ConfigRun.java
@@ -37,15 +37,14 @@
     private long endNanos;
 
     /**
-     * Creates a run with three members and six routers, or five of each.
+     * Creates a run with three members and six routers, or five of each if the seed is even.
      *
      * @param notes receives a line for each fault
      */
     ConfigRun(long seed, Consumer<String> notes) throws FleetException, IOException {
         random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
         log = new DisturbanceLog(Clock.systemUTC(), notes);
-        boolean three = random.nextInt(3) > 0;
-        fleet = closer.register(three ? new ConfigFleet(3, 6) : new ConfigFleet(5, 5));
+        fleet = closer.register(seed % 2 == 0 ? new ConfigFleet(5, 5) : new ConfigFleet(3, 6));
         closer.register(() -> running = false);
     }
 
@@ -76,6 +75,7 @@
         for (Thread thread : faults) {
             thread.join();
         }
+        log.throwFailure();
         TimeUnit.MILLISECONDS.sleep(CALM_END_MS);
         endNanos = System.nanoTime();
         running = false;
--- a/measure/src/main/java/org/ragwortrun/measure/config/DisturbanceLog.java
+++ b/measure/src/main/java/org/ragwortrun/measure/config/DisturbanceLog.java
@@ -15,6 +15,7 @@
     private final Clock clock;
     private final Consumer<String> notes;
     private final Map<String, Queue<Disturbance>> disturbances = new ConcurrentHashMap<>();
+    private final Queue<FleetException> failures = new ConcurrentLinkedQueue<>();
     private final Map<String, Integer> counts = new ConcurrentHashMap<>();
 
     /**
@@ -56,6 +57,19 @@
         }
     }
 
+    /** Records that a fault could not be played. */
+    void onFailure(FleetException e) {
+        failures.add(e);
+    }
+
+    /** Fails if a fault could not be played. */
+    void throwFailure() throws FleetException {
+        FleetException failure = failures.peek();
+        if (failure != null) {
+            throw failure;
+        }
+    }
+
     /** Returns the disturbances that have ended, by router. */
     Map<String, Queue<Disturbance>> disturbances() {
         return disturbances;
--- a/measure/src/main/java/org/ragwortrun/measure/config/FaultPlayer.java
+++ b/measure/src/main/java/org/ragwortrun/measure/config/FaultPlayer.java
@@ -44,7 +44,7 @@
                 }
             }
         } catch (FleetException e) {
-            log.note("faults ended: " + e.getMessage());
+            log.onFailure(e);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
