--- a/measure/src/main/java/org/ragwortrun/measure/config/ConfigFleet.java
+++ b/measure/src/main/java/org/ragwortrun/measure/config/ConfigFleet.java
@@ -19,6 +19,7 @@
 final class ConfigFleet implements AutoCloseable {
     private static final String HOST = "127.0.0.1";
     private static final int SHARDS = 1;
+    private static final int STEADY_ROUTERS = 2;
 
     private final Closer closer = new Closer();
     private final Fleet fleet;
@@ -66,6 +67,18 @@
         return List.copyOf(links.keySet());
     }
 
+    /** Returns the routers that are disturbed. */
+    List<String> disturbedRouters() {
+        List<String> all = routers();
+        return all.subList(0, all.size() - STEADY_ROUTERS);
+    }
+
+    /** Returns the other routers, whose links are only delayed. */
+    List<String> steadyRouters() {
+        List<String> all = routers();
+        return all.subList(all.size() - STEADY_ROUTERS, all.size());
+    }
+
     /** Returns the links of a router to the initial members. */
     List<FaultProxy> links(String router) {
         return links.getOrDefault(router, List.of());
--- a/measure/src/main/java/org/ragwortrun/measure/config/LinkFaults.java
+++ b/measure/src/main/java/org/ragwortrun/measure/config/LinkFaults.java
@@ -25,11 +25,12 @@
         this.fleet = fleet;
         this.random = random;
         this.log = log;
-        next = random.nextInt(fleet.routers().size());
+        next = random.nextInt(fleet.disturbedRouters().size());
     }
 
     List<FaultPlayer.Fault> all() {
         return List.of(
+                this::delay,
                 this::delay,
                 this::delay,
                 this::reset,
@@ -39,9 +40,10 @@
                 () -> harm("links_drop_to_members", p -> p.drop(FaultProxy.Direction.TO_SERVER)));
     }
 
-    /** Delays all links of a router, which does not excuse it from following the configuration. */
+    /** Delays all links of a steady router, which does not excuse it from following the configuration. */
     private void delay() throws InterruptedException {
-        String router = next();
+        List<String> steady = fleet.steadyRouters();
+        String router = steady.get(random.nextInt(steady.size()));
         int ms = random.nextInt(LEAST_DELAY_MS, MOST_DELAY_MS);
         log.fault("links_delayed", router + " ms=" + ms);
         List<FaultProxy> links = fleet.links(router);
@@ -83,7 +85,7 @@
     }
 
     private String next() {
-        List<String> routers = fleet.routers();
+        List<String> routers = fleet.disturbedRouters();
         next++;
         return routers.get(next % routers.size());
     }
--- a/measure/src/main/java/org/ragwortrun/measure/config/RouterFaults.java
+++ b/measure/src/main/java/org/ragwortrun/measure/config/RouterFaults.java
@@ -72,7 +72,7 @@
 
     /** Returns the routers in turn, so that the others have time to become undisturbed. */
     private String next() {
-        List<String> routers = fleet.routers();
+        List<String> routers = fleet.disturbedRouters();
         next++;
         return routers.get(next % routers.size());
     }
