--- a/measure/src/main/java/org/ragwortrun/measure/config/ConfigMeasurement.java
+++ b/measure/src/main/java/org/ragwortrun/measure/config/ConfigMeasurement.java
@@ -57,6 +57,7 @@
                 run.records().stream().flatMap(r -> r.denials().stream()).toList();
         List<Denial> late = all.stream().filter(judge::isFalse).toList();
         late.stream()
+                .sorted(Comparator.comparing(judge::wasFrozen))
                 .limit(MOST_TRACED)
                 .forEach(d ->
                         report.note("false denial " + d + " sent " + run.log().wallTime(d.sentNanos())));
