--- a/measure/src/main/java/org/ragwortrun/measure/config/MemberFaults.java
+++ b/measure/src/main/java/org/ragwortrun/measure/config/MemberFaults.java
@@ -1,5 +1,8 @@
 package org.ragwortrun.measure.config;
 
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -64,7 +67,7 @@
         FleetProcess p = processes.process(name);
         p.kill();
         sleep(random.nextInt(MOST_DOWN_MS));
-        p.start();
+        start(p);
         sleep(RETURN_MS);
     }
 
@@ -73,7 +76,7 @@
         FleetProcess p = processes.process(name);
         p.stop();
         sleep(random.nextInt(MOST_DOWN_MS));
-        p.start();
+        start(p);
         sleep(RETURN_MS);
     }
 
@@ -96,7 +99,7 @@
         p.kill();
         processes.deleteData(name);
         sleep(random.nextInt(MOST_DOWN_MS));
-        p.start();
+        start(p);
         sleep(REPAIR_MS);
     }
 
@@ -109,11 +112,26 @@
         log.fault("member_replaced", old + " by=" + name);
         processes.process(old).kill();
         processes.addJoiningControl(name, "dc" + members.size());
-        processes.process(name).start();
+        start(processes.process(name));
         members.set(last, name);
         sleep(REPLACE_MS);
     }
 
+    /** Starts a member and waits until it listens, so that the next fault does not take a majority. */
+    private void start(FleetProcess p) throws FleetException {
+        p.start();
+        int port = processes.controlPort(p.name());
+        processes.await(p.name() + " to listen", () -> isListening(port));
+    }
+
+    private static boolean isListening(int port) {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+            return socket.isConnected();
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
     private String leader() {
         return leader.get().filter(members::contains).orElseGet(this::any);
     }
