--- a/router/src/test/java/org/ragwortrun/router/internal/ledger/ReservationDeclarerTest.java
+++ b/router/src/test/java/org/ragwortrun/router/internal/ledger/ReservationDeclarerTest.java
@@ -4,9 +4,7 @@
 
 import java.time.Duration;
 import java.util.List;
-import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -21,7 +19,6 @@
 import org.ragwortrun.proto.GrantResult;
 import org.ragwortrun.proto.RequestGrant;
 import org.ragwortrun.proto.Settled;
-import org.ragwortrun.proto.ShardCommand;
 import org.ragwortrun.proto.ShardResult;
 import org.ragwortrun.proto.SpendMark;
 
@@ -33,7 +30,7 @@
     private static final long SEVERAL_INTERVALS_MS = 2_000;
 
     private final ScheduledExecutorService timer = SingleThreadExecutor.timer("test-timer");
-    private final FakeShards shards = new FakeShards();
+    private final FakeBudgetOwners shards = new FakeBudgetOwners();
     private final GrantPool pool = new GrantPool("r@1", Time.system(), PoolSettings.partitionTolerant(HOLD_MS));
     private final ReservationDeclarer declarer = new ReservationDeclarer(pool, shards, timer, "r@1");
 
@@ -49,13 +46,13 @@
     @Test
     void declaresIdleBudgetWhileAnotherIsBusy() throws Exception {
         declare("quiet");
-        shards.answer();
+        answer(shards.next());
         declare("busy");
-        Call pending = shards.next();
+        FakeBudgetOwners.Call pending = shards.next();
         declare("busy");
         TimeUnit.MILLISECONDS.sleep(SEVERAL_INTERVALS_MS);
-        pending.answer();
-        List<String> next = shards.next().marks().stream()
+        answer(pending);
+        List<String> next = marks(shards.next()).stream()
                 .map(m -> m.getBudget().getAccount())
                 .toList();
         assertThat(next).containsExactly("quiet", "busy");
@@ -65,14 +62,14 @@
     @Test
     void decidesReservationsAfterCallThatNeverEnds() throws Exception {
         CompletableFuture<Boolean> first = declare("a");
-        Call lost = shards.next();
+        FakeBudgetOwners.Call lost = shards.next();
         CompletableFuture<Boolean> second = declare("a");
         for (int i = 0; i < 2; i++) {
-            shards.answer();
+            answer(shards.next());
         }
         assertThat(first.get(1, TimeUnit.SECONDS)).isTrue();
         assertThat(second.get(1, TimeUnit.SECONDS)).isTrue();
-        assertThat(lost.reply().isDone()).isFalse();
+        assertThat(lost.result().isDone()).isFalse();
     }
 
     private CompletableFuture<Boolean> declare(String account) {
@@ -98,50 +95,14 @@
         return ((ReserveResult.Reserved) result).reservation();
     }
 
-    /** A declaration and its reply. */
-    private record Call(List<SpendMark> marks, CompletableFuture<ShardResult> reply) {
-        void answer() {
-            reply.complete(ShardResult.newBuilder()
-                    .setSettled(Settled.getDefaultInstance())
-                    .build());
-        }
+    private static List<SpendMark> marks(FakeBudgetOwners.Call call) {
+        return call.command().getSettle().getMarksList();
     }
 
-    private static final class FakeShards implements BudgetOwners {
-        private final BlockingQueue<Call> calls = new LinkedBlockingQueue<>();
-
-        @Override
-        public int count() {
-            return 1;
-        }
-
-        @Override
-        public int groupOf(BudgetRef budget) {
-            return 1;
-        }
-
-        @Override
-        public boolean isPartitioned() {
-            return false;
-        }
-
-        @Override
-        public CompletableFuture<ShardResult> send(int group, ShardCommand.Builder command, Duration timeout) {
-            Call call = new Call(command.getSettle().getMarksList(), new CompletableFuture<>());
-            calls.add(call);
-            return call.reply();
-        }
-
-        Call next() throws InterruptedException {
-            Call call = calls.poll(MAX_WAIT.toSeconds(), TimeUnit.SECONDS);
-            if (call == null) {
-                throw new AssertionError("nothing was declared");
-            }
-            return call;
-        }
-
-        void answer() throws InterruptedException {
-            next().answer();
-        }
+    private static void answer(FakeBudgetOwners.Call call) {
+        call.result()
+                .complete(ShardResult.newBuilder()
+                        .setSettled(Settled.getDefaultInstance())
+                        .build());
     }
 }
