--- a/measure/src/main/java/org/ragwortrun/measure/config/MemberFaults.java
+++ b/measure/src/main/java/org/ragwortrun/measure/config/MemberFaults.java
@@ -25,7 +25,6 @@
     // A member that was lost has been removed after its replacement was added.
     private static final long REPLACE_MS = 7_000;
 
-    private final ConfigFleet fleet;
     private final Fleet processes;
     private final Supplier<Optional<String>> leader;
     private final UniformRandomProvider random;
@@ -40,7 +39,6 @@
      */
     MemberFaults(
             ConfigFleet fleet, Supplier<Optional<String>> leader, UniformRandomProvider random, DisturbanceLog log) {
-        this.fleet = fleet;
         processes = fleet.processes();
         this.leader = leader;
         this.random = random;
