Start routers on a platform that gives no bound for changes

Cause: deploy/router.ini appended a unit to a value that may be empty. A blank value of any optional setting means its default (it was an error for whole numbers and durations).

--- a/core/src/main/java/org/ragwortrun/core/settings/Settings.java
+++ b/core/src/main/java/org/ragwortrun/core/settings/Settings.java
@@ -23,7 +23,7 @@
  * Settings of one daemon, read from an INI file.
  *
  * <p>A daemon reads all its keys through this class and then calls {@link #check()}, which fails if a value was
- * invalid or the file has a key that was never read.
+ * invalid or the file has a key that was never read. A blank value means the default.
  */
 public final class Settings {
     private final String file;
@@ -78,8 +78,7 @@
 
     /** Returns a required text. */
     public String text(String key) {
-        readKeys.add(key);
-        String value = values.getOrDefault(key, "");
+        String value = optional(key);
         if (value.isBlank()) {
             problems.add(key + " is required");
         }
@@ -87,15 +86,14 @@
     }
 
     public String text(String key, String fallback) {
-        readKeys.add(key);
-        return values.getOrDefault(key, fallback);
+        String value = optional(key);
+        return value.isBlank() ? fallback : value;
     }
 
     /** Returns a whole number between the bounds. */
     public long number(String key, long fallback, long min, long max) {
-        readKeys.add(key);
-        String value = values.get(key);
-        if (value == null) {
+        String value = optional(key);
+        if (value.isBlank()) {
             return fallback;
         }
         try {
@@ -110,10 +108,9 @@
         return fallback;
     }
 
-    /** Returns a decimal number between the bounds, or the fallback if the value is blank. */
+    /** Returns a decimal number between the bounds. */
     public double decimal(String key, double fallback, double min, double max) {
-        readKeys.add(key);
-        String value = values.getOrDefault(key, "");
+        String value = optional(key);
         if (value.isBlank()) {
             return fallback;
         }
@@ -131,9 +128,8 @@
 
     /** Returns a duration such as {@code 500ms} or {@code 30s}. */
     public Duration duration(String key, Duration fallback) {
-        readKeys.add(key);
-        String value = values.get(key);
-        if (value == null) {
+        String value = optional(key);
+        if (value.isBlank()) {
             return fallback;
         }
         try {
@@ -154,6 +150,11 @@
         return split(text(key, ""));
     }
 
+    private String optional(String key) {
+        readKeys.add(key);
+        return values.getOrDefault(key, "");
+    }
+
     private static List<String> split(String text) {
         return Arrays.stream(text.split(","))
                 .map(String::trim)
