--- a/net/src/main/java/org/ragwortrun/net/control/ConfigWatch.java
+++ b/net/src/main/java/org/ragwortrun/net/control/ConfigWatch.java
@@ -280,7 +280,8 @@
                 update,
                 first ? ConfigDelivery.FIRST : delivery,
                 receivedAt,
-                next.sections().size());
+                next.sections().size(),
+                confirmedAgeMs());
         next.configuration().ifPresent(listener);
         call();
     }
--- a/net/src/main/java/org/ragwortrun/net/control/ConfigWatchLog.java
+++ b/net/src/main/java/org/ragwortrun/net/control/ConfigWatchLog.java
@@ -83,8 +83,10 @@
      *
      * @param receivedAt monotonic time at which the update was read from its connection
      * @param sections number of sections of the whole configuration
+     * @param confirmedAgeMs time since the last answered confirmation was sent, which bounds how late the update is
      */
-    void onApplied(ConfigUpdate update, ConfigDelivery delivery, long receivedAt, int sections) {
+    void onApplied(
+            ConfigUpdate update, ConfigDelivery delivery, long receivedAt, int sections, OptionalLong confirmedAgeMs) {
         long waitedMs = millisSince(receivedAt);
         metrics.recordDuration("configuration_delay", delivery.text(), update.getAgeMs() + waitedMs);
         Event.of("configuration-applied")
@@ -95,6 +97,7 @@
                 .with("leader", leader.get())
                 .with("age-ms", update.getAgeMs())
                 .with("waited-ms", waitedMs)
+                .with("confirmed-ms", confirmedAgeMs.orElse(-1))
                 .info(LOG);
         update.getSuspectsList().stream()
                 .filter(CrashReport::getPart)
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
@@ -65,6 +65,7 @@
     private final CallerRequest request;
     private final HttpRequest head;
     private final ByteBuf body;
+    private final Admitted admitted;
     private final Forward route;
     private final Origin origin;
     private final Optional<Account> account;
@@ -95,18 +96,17 @@
             CallerRequest request,
             HttpRequest head,
             ByteBuf body,
-            Forward route,
-            Origin origin,
-            Optional<Account> account,
+            Admitted admitted,
             AnswerWriter answer,
             Observer observer) {
         this.services = services;
         this.request = request;
         this.head = head;
         this.body = body;
-        this.route = route;
-        this.origin = origin;
-        this.account = account;
+        this.admitted = admitted;
+        route = admitted.route();
+        origin = admitted.origin();
+        account = admitted.account();
         this.answer = answer;
         this.observer = observer;
         selector = new EndpointSelector(services, request, origin, route.goal());
@@ -443,7 +443,8 @@
         if (last != null) {
             last.addAnswer(line);
         }
-        line.with("content", content.hexIfComputed())
+        admitted.addTo(line)
+                .with("content", content.hexIfComputed())
                 .with("parts", reason.equals(RefusalReason.PART_QUARANTINED.code()) ? partIds() : "")
                 .with("tokens", tokens)
                 .with("events", events.events())
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
@@ -27,6 +27,7 @@
 import org.apache.logging.log4j.Logger;
 import org.ragwortrun.core.concurrent.Closer;
 import org.ragwortrun.core.concurrent.SingleThreadExecutor;
+import org.ragwortrun.core.concurrent.StandstillMonitor;
 import org.ragwortrun.core.error.RagwortrunException;
 import org.ragwortrun.core.id.Incarnations;
 import org.ragwortrun.core.log.Event;
@@ -133,6 +134,8 @@
         Metrics metrics = closer.register(Metrics.exporting(settings.metricsHost(), settings.metricsPort()));
         ScheduledExecutorService timer = SingleThreadExecutor.timer("router-timer");
         closer.register(() -> SingleThreadExecutor.stop(timer));
+        StandstillMonitor standstills = new StandstillMonitor(time, metrics);
+        standstills.start(timer);
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(
                 1, new DefaultThreadFactory("forward", true), NioIoHandler.newFactory());
         closer.register(() ->
@@ -221,10 +224,7 @@
         SingleThreadExecutor.repeat(loop, admission::closeIdle, SECOND_MS, SECOND_MS);
         SingleThreadExecutor.repeat(loop, endpoints::closeExpired, SECOND_MS, SECOND_MS);
         readOwnList(source, endpoints, loop, closer);
-        metrics.gauge("running_requests", "Requests that have not ended", admission::active);
-        metrics.gauge("held_bytes", "Bytes of requests and answers in memory", admission.memory()::heldBytes);
-        metrics.gauge("peer_reservations", "Reservations of other routers that have not ended", home::open);
-        metrics.gauge("pending_settlements", "Bills that no shard has acknowledged", settlements::pending);
+        addGauges(metrics, admission, home, settlements);
         ProblemWriter problems = new ProblemWriter(new ObjectMapper());
         Closer listeners = closer.register(new Closer());
         listen(
@@ -248,6 +248,14 @@
         return new ForwardRouter(settings, time, admission, home, loop, listeners, closer);
     }
 
+    private static void addGauges(
+            Metrics metrics, RequestAdmission admission, HomeServer home, SettlementQueue settlements) {
+        metrics.gauge("running_requests", "Requests that have not ended", admission::active);
+        metrics.gauge("held_bytes", "Bytes of requests and answers in memory", admission.memory()::heldBytes);
+        metrics.gauge("peer_reservations", "Reservations of other routers that have not ended", home::open);
+        metrics.gauge("pending_settlements", "Bills that no shard has acknowledged", settlements::pending);
+    }
+
     /**
      * Components that keep requests within the limits of endpoints.
      *
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/RequestAdmission.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/RequestAdmission.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.Executor;
 import org.apache.logging.log4j.LogManager;
@@ -236,7 +237,10 @@
         Origin origin = picker.draw(route.shares())
                 .flatMap(configuration::origin)
                 .orElseThrow(() -> refusedWithRetry(RefusalReason.NO_ENDPOINT, "the route has no origin"));
-        return new Exchange(services, request, head, body, route, origin, account, answer, new Exchange.Observer() {
+        OptionalLong confirmedAgeMs = services.configuration().confirmedAgeMs();
+        services.metrics().recordDuration("admission_configuration_age", "", confirmedAgeMs.orElse(0));
+        Admitted admitted = new Admitted(route, origin, account, configuration.number(), confirmedAgeMs);
+        return new Exchange(services, request, head, body, admitted, answer, new Exchange.Observer() {
             @Override
             public void onAnswered(long durationNanos) {
                 shutdownAdmission.onAnswered(route.name(), durationNanos);
