Show dropped routes that a woken router still follows

What callers see: a router that stood still (frozen, no processor) answers the requests that wait in its sockets before it has read the changes that wait there too, so requests run by a service, or on a route, that only an older configuration allows. Change: each configuration of the measurement has a route of its own, and a probe asks each router for the one that the newest change due has dropped, also while the router does not answer. Members are replaced at other addresses, not only the last one.

--- a/measure/src/main/java/org/ragwortrun/measure/config/ChangeLog.java
+++ b/measure/src/main/java/org/ragwortrun/measure/config/ChangeLog.java
@@ -26,6 +26,16 @@
         return Optional.empty();
     }
 
+    /** Returns the path of the route that only the configuration before a change has. */
+    static String droppedPath(int number) {
+        return onlyPath(number - 1);
+    }
+
+    /** Returns the path of the route that only the configuration of a change has. */
+    static String onlyPath(int number) {
+        return "/only-" + number + "/";
+    }
+
     static String path(int number) {
         return "/route-" + number + "/";
     }
--- a/measure/src/main/java/org/ragwortrun/measure/config/ConfigJudge.java
+++ b/measure/src/main/java/org/ragwortrun/measure/config/ConfigJudge.java
@@ -21,6 +21,8 @@
     /** The same for a router that is expected to follow it over the links that are left. */
     static final Set<Disturbance.Kind> WITHOUT_MAJORITY = EnumSet.complementOf(EnumSet.of(Disturbance.Kind.SOME_LINKS));
 
+    private static final Set<Disturbance.Kind> CUT_OFF = EnumSet.complementOf(EnumSet.of(Disturbance.Kind.FROZEN));
+
     private final Map<String, ? extends Collection<Disturbance>> disturbances;
 
     /** Creates a judge. The disturbances are those of the whole run, by router. */
@@ -53,12 +55,29 @@
         return denial.sentNanos() - denial.change().ackNanos() > LIMIT_NANOS;
     }
 
+    /**
+     * Returns whether a router was restarted or one of its links harmed a short time before it answered for a dropped
+     * route, or meanwhile. Then it may follow the route, because it may be cut off.
+     */
+    boolean mayBeCutOff(DroppedRoute d) {
+        return wasDisturbed(d.router(), d.sentNanos(), d.answeredNanos(), CUT_OFF);
+    }
+
+    /** Returns whether a router was suspended a short time before it answered for a dropped route, or meanwhile. */
+    boolean wasFrozen(DroppedRoute d) {
+        return wasDisturbed(d.router(), d.sentNanos(), d.answeredNanos(), Set.of(Disturbance.Kind.FROZEN));
+    }
+
     /** Returns whether a router was suspended a short time before it denied a request, or meanwhile. */
     boolean wasFrozen(Denial d) {
-        return of(d.router()).stream()
-                .anyMatch(f -> f.kind() == Disturbance.Kind.FROZEN
-                        && f.fromNanos() <= d.answeredNanos()
-                        && d.sentNanos() < f.toNanos() + CALM_NANOS);
+        return wasDisturbed(d.router(), d.sentNanos(), d.answeredNanos(), Set.of(Disturbance.Kind.FROZEN));
+    }
+
+    private boolean wasDisturbed(String router, long sentNanos, long answeredNanos, Set<Disturbance.Kind> kinds) {
+        return of(router).stream()
+                .anyMatch(f -> kinds.contains(f.kind())
+                        && f.fromNanos() <= answeredNanos
+                        && sentNanos < f.toNanos() + CALM_NANOS);
     }
 
     private OptionalLong lastCalm(String router, Set<Disturbance.Kind> kinds, long from, long to) {
--- a/measure/src/main/java/org/ragwortrun/measure/config/ConfigMeasurement.java
+++ b/measure/src/main/java/org/ragwortrun/measure/config/ConfigMeasurement.java
@@ -32,6 +32,7 @@
             covered(run, report);
             ConfigJudge judge = new ConfigJudge(run.log().disturbances());
             denials(run, judge, report);
+            dropped(run, judge, report);
             delays(run, judge, report);
             report.figure("own_lag_worst", run.worstLagNanos() / NANOS_PER_MS, MS, Bound.none());
             answers(run, report);
@@ -62,11 +63,29 @@
                 .forEach(d ->
                         report.note("false denial " + d + " sent " + run.log().wallTime(d.sentNanos())));
         long frozen = late.stream().filter(judge::wasFrozen).count();
-        report.figure("false_denials_not_frozen", late.size() - frozen, ONE, Bound.atMost(0));
-        report.figure("false_denials_frozen", frozen, ONE, Bound.atMost(0));
+        report.figure("latedenials_not_frozen", late.size() - frozen, ONE, Bound.atMost(0));
+        report.figure("latedenials_frozen", frozen, ONE, Bound.atMost(0));
         report.figure("denials_in_time", all.size() - late.size(), ONE, Bound.none());
     }
 
+    private static void dropped(ConfigRun run, ConfigJudge judge, FigureReport report) {
+        List<DroppedRoute> all =
+                run.records().stream().flatMap(r -> r.dropped().stream()).toList();
+        report.covered("dropped_routes_asked", all.size());
+        List<DroppedRoute> served = all.stream().filter(DroppedRoute::served).toList();
+        List<DroppedRoute> late =
+                served.stream().filter(d -> !judge.mayBeCutOff(d)).toList();
+        late.stream()
+                .limit(MOST_TRACED)
+                .forEach(d -> report.note("dropped route served " + d + " sent "
+                        + run.log().wallTime(d.sentNanos()) + " answered "
+                        + run.log().wallTime(d.answeredNanos())));
+        long frozen = late.stream().filter(judge::wasFrozen).count();
+        report.figure("dropped_served_not_frozen", late.size() - frozen, ONE, Bound.atMost(0));
+        report.figure("dropped_served_frozen", frozen, ONE, Bound.atMost(0));
+        report.figure("dropped_served_cut_off", served.size() - late.size(), ONE, Bound.none());
+    }
+
     private static void delays(ConfigRun run, ConfigJudge judge, FigureReport report) {
         List<Arrival> arrivals = run.records().stream()
                 .flatMap(r -> r.arrivals(run.endNanos()).stream())
--- a/measure/src/main/java/org/ragwortrun/measure/config/ConfigRun.java
+++ b/measure/src/main/java/org/ragwortrun/measure/config/ConfigRun.java
@@ -123,6 +123,7 @@
     private void startProbes(String router) {
         RouterRecord record = new RouterRecord(router, changes);
         records.add(record);
+        startDroppedRouteProbe(record);
         for (int i = 0; i < PROBES; i++) {
             start(
                     "probe",
@@ -130,6 +131,13 @@
         }
     }
 
+    private void startDroppedRouteProbe(RouterRecord record) {
+        String router = record.router();
+        start(
+                "dropped",
+                new DroppedRouteProbe(router + "d", fleet.processes().url(router), record, changes, () -> running));
+    }
+
     private Thread play(List<FaultPlayer.Fault> faults, int mostPauseMs, long end) {
         return start("faults", new FaultPlayer(faults, random(), mostPauseMs, end, log));
     }
--- a/measure/src/main/java/org/ragwortrun/measure/config/MemberFaults.java
+++ b/measure/src/main/java/org/ragwortrun/measure/config/MemberFaults.java
@@ -56,7 +56,8 @@
                 () -> stop(leader()),
                 () -> freeze(leader()),
                 () -> freeze(any()),
-                () -> wipe(any()),
+                () -> wipe(members.get(anyButFirst())),
+                this::replace,
                 this::replace);
     }
 
@@ -101,17 +102,17 @@
         sleep(REPAIR_MS);
     }
 
-    /** Replaces the last member, so that the others remain in the settings of all processes. */
+    /** Replaces a member by one at another address. */
     private void replace() throws FleetException, InterruptedException {
-        int last = members.size() - 1;
-        String old = members.get(last);
+        int index = anyButFirst();
+        String old = members.get(index);
         replaced++;
         String name = "x" + replaced;
         log.fault("member_replaced", old + " by=" + name);
         processes.process(old).kill();
-        processes.addJoiningControl(name, "dc" + members.size());
+        processes.addJoiningControl(name, "dc" + (index + 1));
         start(processes.process(name));
-        members.set(last, name);
+        members.set(index, name);
         sleep(REPLACE_MS);
     }
 
@@ -134,6 +135,11 @@
         return leader.get().filter(members::contains).orElseGet(this::any);
     }
 
+    /** Returns a member that may lose its data. The settings of the other processes name the first one for good. */
+    private int anyButFirst() {
+        return random.nextInt(1, members.size());
+    }
+
     private String any() {
         return members.get(random.nextInt(members.size()));
     }
--- a/measure/src/main/java/org/ragwortrun/measure/config/Publisher.java
+++ b/measure/src/main/java/org/ragwortrun/measure/config/Publisher.java
@@ -12,7 +12,10 @@
 import org.ragwortrun.proto.PublishReply;
 import org.ragwortrun.proto.Section;
 
-/** Publishes a configuration with one more route about every half second, and now and then removes old ones. */
+/**
+ * Publishes a configuration with one more route about every half second, and now and then removes old ones. Each
+ * configuration has a further route that no other one has.
+ */
 final class Publisher {
     private static final int META_GROUP = 0;
     private static final String HOST = "127.0.0.1";
@@ -83,15 +86,20 @@
     private Publish configuration() {
         Publish.Builder publish = Publish.newBuilder().setGeneration(number).setOperator("measure");
         publish.addSections(Section.newBuilder().setKind("origin").setName(ORIGIN));
-        routes.forEach(r -> publish.addSections(Section.newBuilder()
+        routes.forEach(r -> publish.addSections(route("route-" + r, ChangeLog.path(r))));
+        publish.addSections(route("only-" + number, ChangeLog.onlyPath(number)));
+        return publish.build();
+    }
+
+    private static Section.Builder route(String name, String path) {
+        return Section.newBuilder()
                 .setKind("forward")
-                .setName("route-" + r)
+                .setName(name)
                 .putProperties("host", HOST)
-                .putProperties("path", ChangeLog.path(r))
+                .putProperties("path", path)
                 .putProperties("kind", "idempotent")
                 .putProperties("to", ORIGIN)
                 .putProperties("timeout", "1500ms")
-                .putProperties("attempts", "1")));
-        return publish.build();
+                .putProperties("attempts", "1");
     }
 }
--- a/measure/src/main/java/org/ragwortrun/measure/config/RouteProbe.java
+++ b/measure/src/main/java/org/ragwortrun/measure/config/RouteProbe.java
@@ -11,8 +11,6 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 
 /** Asks one router, on a connection that it keeps, for the routes of the newest changes. */
 final class RouteProbe implements Runnable {
@@ -21,9 +19,6 @@
     private static final long RECONNECT_MS = 100;
     private static final int MOST_ASKED = 12;
     private static final Set<Integer> DENIED = Set.of(401, 403, 404);
-    // The routes lead to an origin without endpoints, which only a router answers that knows them.
-    private static final Set<String> KNOWS_ROUTE = Set.of("no-endpoint", "endpoint-full");
-    private static final Pattern REASON = Pattern.compile("\"reason\":\"([^\"]*)\"");
 
     private final HttpClient http = HttpClient.newBuilder()
             .version(HttpClient.Version.HTTP_1_1)
@@ -81,11 +76,11 @@
         try {
             HttpResponse<String> answer = http.send(request(change), HttpResponse.BodyHandlers.ofString());
             long answered = System.nanoTime();
-            String reason = reason(answer.body());
+            String reason = ProblemReason.of(answer.body());
             record.onAnswer(answer.statusCode() + "_" + reason);
             if (DENIED.contains(answer.statusCode())) {
                 record.onDenied(new Denial(record.router(), change, sent, answered, answer.statusCode()));
-            } else if (KNOWS_ROUTE.contains(reason)) {
+            } else if (ProblemReason.knowsRoute(answer.body())) {
                 record.onInForce(change, answered);
             }
         } catch (IOException e) {
@@ -102,9 +97,4 @@
                 .header("X-Request-Id", name + "-" + requests)
                 .build();
     }
-
-    private static String reason(String body) {
-        Matcher m = REASON.matcher(body);
-        return m.find() ? m.group(1) : "";
-    }
 }
--- a/measure/src/main/java/org/ragwortrun/measure/config/RouterRecord.java
+++ b/measure/src/main/java/org/ragwortrun/measure/config/RouterRecord.java
@@ -14,6 +14,7 @@
     private final ChangeLog changes;
     private final Map<Integer, Long> seenNanos = new HashMap<>();
     private final Queue<Denial> denials = new ConcurrentLinkedQueue<>();
+    private final Queue<DroppedRoute> dropped = new ConcurrentLinkedQueue<>();
     private final Map<String, Integer> answers = new ConcurrentHashMap<>();
     private int newestSeen;
 
@@ -50,6 +51,15 @@
         denials.add(denial);
     }
 
+    void onDroppedRouteAsked(DroppedRoute answer) {
+        dropped.add(answer);
+    }
+
+    /** Returns the answers for routes that had been dropped. */
+    Queue<DroppedRoute> dropped() {
+        return dropped;
+    }
+
     void onAnswer(String kind) {
         answers.merge(kind, 1, Integer::sum);
     }
