Let requests of a woken router wait for a confirmation of its configuration

Callers saw: requests run on a dropped route or by an old service, over 2 s after the newer configuration had been acknowledged, by a router that had stood still: it answered the requests in its sockets before it had read the change, or before it had connected again to a leader that had closed the silent connection. Cause: a forwarding router served by its latest configuration whatever its age. The bound on the age of knowledge held for denials only. Change: if the last confirmation is older than control.denial-age, requests wait for one before their route is looked up, up to 500 ms of running time, and not at all while the calls to control have had no answer for that long. A standstill during a call or a wait does not count. The time limit of a request runs on while it waits. Why it works: a confirmation that was sent less than 2 s ago contains each change acknowledged 2 s before the request.

--- a/net/src/main/java/org/ragwortrun/net/control/ConfigWatch.java
+++ b/net/src/main/java/org/ragwortrun/net/control/ConfigWatch.java
@@ -50,6 +50,8 @@
     private volatile @Nullable Confirmation confirmation;
     // Highest number that a member has named.
     private volatile long newest;
+    private volatile @Nullable Long unansweredSince;
+    private volatile Runnable confirmationListener = () -> {};
     private volatile boolean closed;
     private @Nullable Call running;
     // Highest term of a leader. A leader of an earlier one that was suspended may not know that its lease has ended.
@@ -83,6 +85,16 @@
         SingleThreadExecutor.repeat(timer, this::callUnlessRunning, 0, interval.toMillis());
     }
 
+    /** Sets a task that runs on the thread of the timer after each confirmation. */
+    public void setConfirmationListener(Runnable task) {
+        confirmationListener = task;
+    }
+
+    /** Confirms the configuration now, unless a call is under way. */
+    public void confirm() {
+        execute(this::callUnlessRunning);
+    }
+
     /**
      * Handles a frame that a control member sent without a request: an update, or the heartbeat with which a new leader
      * announces itself. Other frames are ignored.
@@ -130,15 +142,30 @@
      * may have stood still while the host was suspended, so the wall clock must agree.
      */
     public boolean isConfirmedWithin(Duration age, Configuration configuration) {
+        return configuration.number() > 0 && newest <= configuration.number() && isConfirmedWithin(age);
+    }
+
+    /**
+     * Returns whether the latest configuration contains all changes that were accepted before a time ago, by both clocks. A
+     * newer one may be known.
+     */
+    public boolean isConfirmedWithin(Duration age) {
         Confirmation c = confirmation;
         return !closed
                 && c != null
-                && configuration.number() > 0
-                && newest <= configuration.number()
                 && time.nanos() - c.sentAt < age.toNanos()
                 && time.wallMillis() - c.sentWallMillis < age.toMillis();
     }
 
+    /**
+     * Returns the monotonic time in nanoseconds at which the first call was sent since the last answered one, empty if all
+     * have been answered.
+     */
+    public OptionalLong unansweredSinceNanos() {
+        Long since = unansweredSince;
+        return since == null ? OptionalLong.empty() : OptionalLong.of(since);
+    }
+
     /**
      * Returns the time in milliseconds since the last answered confirmation of the configuration was sent, empty if none
      * was answered.
@@ -195,6 +222,9 @@
                 : Frame.newBuilder().setConfirm(Confirm.newBuilder().setNumber(s.number()));
         Call c = new Call(s.number(), behind, sentAt, sentWallMillis, sentAt + CALL_TIMEOUT.toNanos());
         running = c;
+        if (unansweredSince == null) {
+            unansweredSince = sentAt;
+        }
         control.call(META_GROUP, request, CALL_TIMEOUT).whenComplete((reply, failure) -> {
             long receivedAt = time.nanos();
             execute(() -> onReply(c, reply, failure, receivedAt));
@@ -206,10 +236,10 @@
             running = null;
         }
         if (reply != null && reply.hasHeartbeat() && reply.getHeartbeat().getTerm() >= term) {
-            log.onAnswered();
+            onAnswered();
             onHeartbeat(call, reply.getHeartbeat());
         } else if (reply != null && reply.hasConfigUpdate()) {
-            log.onAnswered();
+            onAnswered();
             onFetched(reply.getConfigUpdate(), receivedAt);
         } else if (!closed) {
             log.onUnanswered(call.fetch, confirmedAgeMs(), failure);
@@ -217,6 +247,11 @@
         }
     }
 
+    private void onAnswered() {
+        unansweredSince = null;
+        log.onAnswered();
+    }
+
     private void onAnnouncement(Heartbeat heartbeat) {
         if (heartbeat.getTerm() >= term) {
             term = heartbeat.getTerm();
@@ -231,6 +266,7 @@
         if (heartbeat.getNumber() <= state.number()) {
             int leaseMs = heartbeat.getNumber() == call.number ? heartbeat.getLeaseMs() : 0;
             confirmation = Confirmation.of(call, leaseMs, confirmation);
+            confirmationListener.run();
         }
         if (newest > state.number()) {
             callUnlessRunning();
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/Admitted.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/Admitted.java
@@ -13,9 +13,15 @@
  * @param account client account, empty if the route needs none
  * @param configuration number of that configuration
  * @param confirmedAgeMs age of its last confirmation at that time in milliseconds
+ * @param startNanos monotonic time from which the time limit of the request runs
  */
 record Admitted(
-        Forward route, Origin origin, Optional<Account> account, long configuration, OptionalLong confirmedAgeMs) {
+        Forward route,
+        Origin origin,
+        Optional<Account> account,
+        long configuration,
+        OptionalLong confirmedAgeMs,
+        long startNanos) {
     /** Adds the number and the age of the configuration. */
     Event addTo(Event line) {
         return line.with("admitted-by", configuration).with("confirmed-ms", confirmedAgeMs.orElse(-1));
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/CallerConnection.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/CallerConnection.java
@@ -188,6 +188,13 @@
     }
 
     private void serveNext() {
+        if (current == null && !waiting.isEmpty()) {
+            long startNanos = time.nanos();
+            admission.whenRecent(() -> serve(startNanos));
+        }
+    }
+
+    private void serve(long startNanos) {
         CompleteRequest w = current == null ? waiting.poll() : null;
         ChannelHandlerContext ctx = context;
         if (w == null) {
@@ -201,7 +208,7 @@
         current = w;
         answerStarted = false;
         exchange = null;
-        Exchange started = admission.handle(w.head(), w.body(), this);
+        Exchange started = admission.handle(w.head(), w.body(), startNanos, this);
         // An exchange whose request was refused at once has already ended.
         exchange = current == null ? null : started;
     }
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ConfigurationSource.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ConfigurationSource.java
@@ -12,13 +12,26 @@
     /** Returns whether a control member has confirmed a configuration recently enough to deny requests by it. */
     boolean isConfirmed(Configuration configuration);
 
+    /** Returns whether this configuration contains all changes that were accepted before the age for denials. */
+    boolean isRecent();
+
+    /**
+     * Returns the monotonic time in nanoseconds at which the first call to a control member was sent that has had no
+     * answer, and no later one either, empty if there is none.
+     */
+    OptionalLong unansweredSinceNanos();
+
+    /** Requests a confirmation, unless one is under way. */
+    void confirm();
+
     /** Returns the time in milliseconds since the last answered confirmation was sent, empty if none was answered. */
     OptionalLong confirmedAgeMs();
 
     /**
      * Creates a source.
      *
-     * @param denialAge time since a confirmation was sent for which requests may be denied by the configuration
+     * @param denialAge time since a confirmation was sent for which the configuration counts as recent, so that requests
+     *     may be denied by it
      */
     static ConfigurationSource of(ConfigWatch watch, Duration denialAge) {
         return new ConfigurationSource() {
@@ -32,6 +45,21 @@
                 return watch.isConfirmedWithin(denialAge, configuration);
             }
 
+            @Override
+            public boolean isRecent() {
+                return watch.isConfirmedWithin(denialAge);
+            }
+
+            @Override
+            public OptionalLong unansweredSinceNanos() {
+                return watch.unansweredSinceNanos();
+            }
+
+            @Override
+            public void confirm() {
+                watch.confirm();
+            }
+
             @Override
             public OptionalLong confirmedAgeMs() {
                 return watch.confirmedAgeMs();
--- /dev/null
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ConfirmationGate.java
@@ -0,0 +1,162 @@
+package org.ragwortrun.router.internal.forward;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.concurrent.Executor;
+import java.util.concurrent.Future;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.jspecify.annotations.Nullable;
+import org.ragwortrun.core.concurrent.StandstillMonitor;
+import org.ragwortrun.core.log.Event;
+import org.ragwortrun.core.metrics.Metrics;
+import org.ragwortrun.core.time.Time;
+
+/**
+ * Holds requests back until the configuration is known to be recent.
+ *
+ * <p>A process that stood still may read requests before it reads the changes that wait in its other sockets. Requests then
+ * wait for a confirmation by a control member, for a bounded time. They do not wait while no member answers, because a host
+ * that is cut off serves what it knows. Used on the event loop only.
+ */
+final class ConfirmationGate {
+    /** Longest wait of a process that runs. */
+    static final Duration MAX_WAIT = Duration.ofMillis(500);
+
+    private static final Logger LOG = LogManager.getLogger(ConfirmationGate.class);
+    // Standstills during one wait after which it ends all the same.
+    private static final int MAX_EXTENSIONS = 3;
+
+    private final ConfigurationSource configuration;
+    private final StandstillMonitor standstills;
+    private final ScheduledExecutorService loop;
+    private final Executor afterReads;
+    private final Metrics metrics;
+    private final Time time;
+    private final List<Runnable> waiting = new ArrayList<>();
+    private volatile int waitingCount;
+    private @Nullable Future<?> timeout;
+    private @Nullable Long givenUpNanos;
+    private long waitStartNanos;
+    private int extensions;
+
+    /**
+     * Creates an open gate.
+     *
+     * @param loop event loop, which runs the timeouts
+     * @param afterReads runs the requests that have waited
+     */
+    ConfirmationGate(
+            ConfigurationSource configuration,
+            StandstillMonitor standstills,
+            ScheduledExecutorService loop,
+            Executor afterReads,
+            Metrics metrics,
+            Time time) {
+        this.configuration = configuration;
+        this.standstills = standstills;
+        this.loop = loop;
+        this.afterReads = afterReads;
+        this.metrics = metrics;
+        this.time = time;
+    }
+
+    /** Runs a task now, or when the configuration has been confirmed or the wait has ended. */
+    void pass(Runnable task) {
+        if (waiting.isEmpty() && isOpen()) {
+            task.run();
+            return;
+        }
+        waiting.add(task);
+        waitingCount = waiting.size();
+        if (waiting.size() == 1) {
+            waitStartNanos = time.nanos();
+            extensions = 0;
+            await(MAX_WAIT.toNanos());
+        }
+    }
+
+    /** Returns the number of tasks that wait. May be called by any thread. */
+    int waiting() {
+        return waitingCount;
+    }
+
+    /** Handles a confirmation, which may have been requested before this process stood still. */
+    void onConfirmed() {
+        if (waiting.isEmpty()) {
+            return;
+        }
+        if (configuration.isRecent()) {
+            release(true);
+        } else {
+            configuration.confirm();
+        }
+    }
+
+    private boolean isOpen() {
+        if (configuration.get().isEmpty() || configuration.isRecent()) {
+            givenUpNanos = null;
+            return true;
+        }
+        return isCutOff();
+    }
+
+    /** Returns whether no member has answered for the longest wait, all of which this process has run. */
+    private boolean isCutOff() {
+        long running = standstills.runningSinceNanos();
+        Long givenUp = givenUpNanos;
+        if (givenUp != null && givenUp - running > 0) {
+            return true;
+        }
+        OptionalLong unanswered = configuration.unansweredSinceNanos();
+        return unanswered.isPresent() && nanosSince(unanswered.getAsLong(), running) >= MAX_WAIT.toNanos();
+    }
+
+    private void await(long nanos) {
+        configuration.confirm();
+        timeout = loop.schedule(this::onTimeout, nanos, TimeUnit.NANOSECONDS);
+    }
+
+    private void onTimeout() {
+        if (waiting.isEmpty()) {
+            return;
+        }
+        long left = MAX_WAIT.toNanos() - nanosSince(waitStartNanos, standstills.runningSinceNanos());
+        if (left > 0 && extensions < MAX_EXTENSIONS) {
+            extensions++;
+            await(left);
+            return;
+        }
+        givenUpNanos = time.nanos();
+        release(false);
+    }
+
+    /** Returns the time since the later of two moments. */
+    private long nanosSince(long first, long second) {
+        long now = time.nanos();
+        return Math.min(now - first, now - second);
+    }
+
+    private void release(boolean confirmed) {
+        Future<?> t = timeout;
+        if (t != null) {
+            t.cancel(false);
+        }
+        long ms = TimeUnit.NANOSECONDS.toMillis(time.nanos() - waitStartNanos);
+        metrics.recordDuration("confirmation_wait", confirmed ? "confirmed" : "unanswered", ms);
+        Event.of("requests-held")
+                .with("tasks", waiting.size())
+                .with("ms", ms)
+                .with("confirmed", confirmed)
+                .with("confirmed-ms", configuration.confirmedAgeMs().orElse(-1))
+                .info(LOG);
+        List<Runnable> tasks = List.copyOf(waiting);
+        waiting.clear();
+        waitingCount = 0;
+        tasks.forEach(afterReads::execute);
+    }
+}
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
@@ -112,7 +112,7 @@
         selector = new EndpointSelector(services, request, origin, route.goal());
         content = new RequestContent(account.map(Account::name).orElse(""), head.method(), request.target(), body);
         sharedParts = SharedParts.of(origin.name(), request.parts());
-        startNanos = services.time().nanos();
+        startNanos = admitted.startNanos();
         long deadlineMs = request.deadlineMs().orElse(Long.MAX_VALUE);
         deadlineNanos = startNanos
                 + TimeUnit.MILLISECONDS.toNanos(
@@ -121,7 +121,8 @@
 
     /** Reserves the tokens that the request may consume and sends it to an endpoint. */
     void start() {
-        deadlineTimer = services.loop().schedule(this::onDeadline, deadlineNanos - startNanos, TimeUnit.NANOSECONDS);
+        deadlineTimer = services.loop()
+                .schedule(this::onDeadline, deadlineNanos - services.time().nanos(), TimeUnit.NANOSECONDS);
         services.retries().onRequest(origin.name(), startNanos);
         if (refuseIfQuarantined()) {
             return;
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
@@ -196,6 +196,7 @@
         ForwardServices services = new ForwardServices(
                 settings.dataCenter(),
                 ConfigurationSource.of(watch, settings.denialAge()),
+                standstills,
                 endpoints,
                 limits.reader(),
                 limits.permits(),
@@ -218,6 +219,7 @@
                 new RequestAdmission(services, Runtime.getRuntime().maxMemory() / MEMORY_HEAP_SHARE);
         pushes.connect(watch, grants);
         pushes.setConfigurationListener(admission::recheckQuarantine);
+        watch.setConfirmationListener(() -> loop.execute(admission::onConfirmed));
         watch.start(settings.confirmInterval());
         sessions.open();
         SingleThreadExecutor.repeat(timer, evidence, SECOND_MS, SECOND_MS);
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardServices.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardServices.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import java.util.concurrent.Executor;
 import java.util.function.DoubleSupplier;
+import org.ragwortrun.core.concurrent.StandstillMonitor;
 import org.ragwortrun.core.metrics.Metrics;
 import org.ragwortrun.core.time.Time;
 import org.ragwortrun.router.internal.evidence.EvidenceCollector;
@@ -15,6 +16,7 @@
  *
  * @param dataCenter data center of this router
  * @param configuration source of the latest configuration
+ * @param standstills monitor of the thread that applies configurations
  * @param endpoints endpoints of all origins
  * @param limits reader of the limits that endpoints name
  * @param permits source of permits for requests to endpoints with a limit
@@ -34,6 +36,7 @@
 record ForwardServices(
         String dataCenter,
         ConfigurationSource configuration,
+        StandstillMonitor standstills,
         EndpointTable endpoints,
         LimitReader limits,
         PermitSource permits,
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/RequestAdmission.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/RequestAdmission.java
@@ -41,6 +41,7 @@
     private final RejectionLog rejections;
     private final OriginPicker picker;
     private final FlushBatcher flushBatcher;
+    private final ConfirmationGate gate;
     private final MemoryLimit memory;
     private final Set<CallerConnection> connections = new HashSet<>();
     private final Map<String, String> keyDigests = new LinkedHashMap<>() {
@@ -71,6 +72,13 @@
         rejections = new RejectionLog(services.configuration(), services.time());
         picker = new OriginPicker(services.random());
         flushBatcher = new FlushBatcher(services.loop());
+        gate = new ConfirmationGate(
+                services.configuration(),
+                services.standstills(),
+                services.loop(),
+                services.afterReads(),
+                services.metrics(),
+                services.time());
     }
 
     Executor afterReads() {
@@ -94,9 +102,19 @@
         stopping = true;
     }
 
-    /** Returns the number of requests that are being served. */
+    /** Returns the number of requests that are being served or wait for a confirmation. */
     int active() {
-        return active;
+        return active + gate.waiting();
+    }
+
+    /** Runs a task when the configuration is recent, or cannot be confirmed in time. */
+    void whenRecent(Runnable task) {
+        gate.pass(task);
+    }
+
+    /** Handles a confirmation of the configuration. */
+    void onConfirmed() {
+        gate.onConfirmed();
     }
 
     /** Returns whether requests can be served. */
@@ -171,11 +189,15 @@
         List.copyOf(connections).forEach(c -> c.abortAndClose("host-stops"));
     }
 
-    /** Starts an exchange. Returns nothing if the request was refused at once. */
+    /**
+     * Starts an exchange. Returns nothing if the request was refused at once.
+     *
+     * @param startNanos monotonic time from which the time limit of the request runs
+     */
     @Nullable
-    Exchange handle(HttpRequest head, ByteBuf body, AnswerWriter answer) {
+    Exchange handle(HttpRequest head, ByteBuf body, long startNanos, AnswerWriter answer) {
         try {
-            Exchange exchange = admit(head, body, answer);
+            Exchange exchange = admit(head, body, startNanos, answer);
             active++;
             exchange.start();
             return exchange;
@@ -205,7 +227,8 @@
         }
     }
 
-    private Exchange admit(HttpRequest head, ByteBuf body, AnswerWriter answer) throws RefusedException {
+    private Exchange admit(HttpRequest head, ByteBuf body, long startNanos, AnswerWriter answer)
+            throws RefusedException {
         CallerRequest request;
         try {
             request = services.headers().read(head);
@@ -239,7 +262,7 @@
                 .orElseThrow(() -> refusedWithRetry(RefusalReason.NO_ENDPOINT, "the route has no origin"));
         OptionalLong confirmedAgeMs = services.configuration().confirmedAgeMs();
         services.metrics().recordDuration("admission_configuration_age", "", confirmedAgeMs.orElse(0));
-        Admitted admitted = new Admitted(route, origin, account, configuration.number(), confirmedAgeMs);
+        Admitted admitted = new Admitted(route, origin, account, configuration.number(), confirmedAgeMs, startNanos);
         return new Exchange(services, request, head, body, admitted, answer, new Exchange.Observer() {
             @Override
             public void onAnswered(long durationNanos) {
--- a/router/src/test/java/org/ragwortrun/router/UnconfirmedConfigurationTest.java
+++ b/router/src/test/java/org/ragwortrun/router/UnconfirmedConfigurationTest.java
@@ -17,6 +17,8 @@
     // Above the 2 s within which a change comes into force everywhere.
     private static final long UNCONFIRMED_MS = 2_300;
     private static final long POLL_MS = 20;
+    // Below the longest wait for a confirmation.
+    private static final long LONGEST_ANSWER_MS = 400;
     private static final String REQUEST_ID = "q1";
 
     private ForwardHarness harness;
@@ -92,6 +94,16 @@
         assertThat(get("/read/x", "secret")).startsWith("HTTP/1.1 200");
     }
 
+    /** Guards against callers of a host that is cut off who wait for a confirmation that cannot come. */
+    @Test
+    void servesKnownRoutesWithoutWaitWhileCutOff() throws Exception {
+        control.silent = true;
+        TimeUnit.MILLISECONDS.sleep(UNCONFIRMED_MS);
+        long start = System.nanoTime();
+        assertThat(get("/read/x", "secret")).startsWith("HTTP/1.1 200");
+        assertThat(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - start)).isLessThan(LONGEST_ANSWER_MS);
+    }
+
     private String getUntilNot(String status, String path, String key) throws Exception {
         long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ForwardHarness.TIMEOUT_MS);
         String answer = get(path, key);
--- a/router/src/test/java/org/ragwortrun/router/internal/forward/CallerConnectionTest.java
+++ b/router/src/test/java/org/ragwortrun/router/internal/forward/CallerConnectionTest.java
@@ -31,6 +31,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.ragwortrun.core.concurrent.Closer;
+import org.ragwortrun.core.concurrent.StandstillMonitor;
 import org.ragwortrun.core.config.CallerLimits;
 import org.ragwortrun.core.config.Configuration;
 import org.ragwortrun.core.metrics.Metrics;
@@ -137,6 +138,7 @@
                 new ForwardServices(
                         "dc",
                         configuration(),
+                        new StandstillMonitor(time, metrics),
                         endpoints,
                         new LimitReader(headers, endpoints, metrics, time),
                         new PermitSource() {
@@ -197,6 +199,21 @@
                 return true;
             }
 
+            @Override
+            public boolean isRecent() {
+                return true;
+            }
+
+            @Override
+            public OptionalLong unansweredSinceNanos() {
+                return OptionalLong.empty();
+            }
+
+            @Override
+            public void confirm() {
+                // Nothing confirms the configuration here.
+            }
+
             @Override
             public OptionalLong confirmedAgeMs() {
                 return OptionalLong.empty();
--- a/router/src/test/java/org/ragwortrun/router/internal/forward/RejectionLogTest.java
+++ b/router/src/test/java/org/ragwortrun/router/internal/forward/RejectionLogTest.java
@@ -38,6 +38,21 @@
             return false;
         }
 
+        @Override
+        public boolean isRecent() {
+            return false;
+        }
+
+        @Override
+        public OptionalLong unansweredSinceNanos() {
+            return OptionalLong.empty();
+        }
+
+        @Override
+        public void confirm() {
+            // Nothing confirms the configuration here.
+        }
+
         @Override
         public OptionalLong confirmedAgeMs() {
             return OptionalLong.of(2_300);
