End the configuration lease by the wall clock too

Callers saw: on a host whose monotonic clock stood still while it was suspended, a router of the path over agents, or an agent, works by a configuration whose lease has ended everywhere else, until its next confirmation. Shown by a test, not seen in a fleet. Change: the lease is valid only by both clocks. Measured: ConfigWatchTest.leaseExpiresThoughMonotonicClockStoodStill failed before and passes.

--- a/net/src/main/java/org/ragwortrun/net/control/ConfigWatch.java
+++ b/net/src/main/java/org/ragwortrun/net/control/ConfigWatch.java
@@ -110,11 +110,14 @@
         }
     }
 
-    /** Returns the configuration in force, if the lease on it is valid. */
+    /**
+     * Returns the configuration in force, if the lease on it is valid by both clocks. The monotonic one may have stood still
+     * while the host was suspended.
+     */
     public Optional<Configuration> inForce() {
         ConfigState s = state;
         Confirmation c = confirmation;
-        boolean valid = !closed && c != null && c.leaseUntil - time.nanos() > 0;
+        boolean valid = !closed && c != null && c.lease.isValid(time.nanos(), time.wallMillis());
         return valid ? s.configuration() : Optional.empty();
     }
 
@@ -345,20 +348,28 @@
      *
      * @param sentAt monotonic time at which the call was sent
      * @param sentWallMillis the same by the wall clock
-     * @param leaseUntil end of the lease, as monotonic time
+     * @param lease the end of the latest lease, which may be that of an earlier answer
      */
-    private record Confirmation(long sentAt, long sentWallMillis, long leaseUntil) {
+    private record Confirmation(long sentAt, long sentWallMillis, Lease lease) {
         /** Returns the confirmation after an answer, which extends the lease only if it has one. */
         static Confirmation of(Call call, int leaseMs, @Nullable Confirmation before) {
-            long leaseUntil = call.sentAt + TimeUnit.MILLISECONDS.toNanos(leaseMs);
+            Lease lease =
+                    new Lease(call.sentAt + TimeUnit.MILLISECONDS.toNanos(leaseMs), call.sentWallMillis + leaseMs);
             if (before == null) {
-                return new Confirmation(call.sentAt, call.sentWallMillis, leaseUntil);
+                return new Confirmation(call.sentAt, call.sentWallMillis, lease);
             }
             boolean later = call.sentAt - before.sentAt > 0;
             return new Confirmation(
                     later ? call.sentAt : before.sentAt,
                     later ? call.sentWallMillis : before.sentWallMillis,
-                    leaseUntil - before.leaseUntil > 0 ? leaseUntil : before.leaseUntil);
+                    lease.nanos - before.lease.nanos > 0 ? lease : before.lease);
+        }
+    }
+
+    /** The end of a lease by the monotonic and the wall clock. */
+    private record Lease(long nanos, long wallMillis) {
+        boolean isValid(long nowNanos, long nowWallMillis) {
+            return nanos - nowNanos > 0 && wallMillis - nowWallMillis > 0;
         }
     }
 }
--- a/net/src/test/java/org/ragwortrun/net/control/ConfigWatchTest.java
+++ b/net/src/test/java/org/ragwortrun/net/control/ConfigWatchTest.java
@@ -87,6 +87,17 @@
         assertThat(watch.latest().isPresent()).isTrue();
     }
 
+    /** Guards against work by an ended lease on a host whose monotonic clock stood still while it was suspended. */
+    @Test
+    void leaseExpiresThoughMonotonicClockStoodStill() throws Exception {
+        watch.start(SHORT_INTERVAL);
+        awaitNumber(1);
+        repliesSuppressed = true;
+        TimeUnit.MILLISECONDS.sleep(50);
+        wallMillis.addAndGet(LEASE_MS);
+        assertThat(watch.inForce().isEmpty()).isTrue();
+    }
+
     /** Guards against an outdated member that sends an older configuration. */
     @Test
     void ignoresLowerNumber() throws Exception {
