Send no request whose time limit has passed while it waited

Callers saw: a request may wait at the router before its exchange begins, and one whose time limit had passed meanwhile was still sent to an endpoint, which worked for nobody. Change: an exchange whose time limit has passed ends at its start, as not run. Measured: UnconfirmedConfigurationTest.sendsNoRequestWhoseTimeLimitHasPassed failed before and passes.

--- a/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
@@ -124,6 +124,10 @@
         deadlineTimer = services.loop()
                 .schedule(this::onDeadline, deadlineNanos - services.time().nanos(), TimeUnit.NANOSECONDS);
         services.retries().onRequest(origin.name(), startNanos);
+        if (deadlineNanos - services.time().nanos() <= 0) {
+            onDeadline();
+            return;
+        }
         if (refuseIfQuarantined()) {
             return;
         }
--- a/router/src/test/java/org/ragwortrun/router/UnconfirmedConfigurationTest.java
+++ b/router/src/test/java/org/ragwortrun/router/UnconfirmedConfigurationTest.java
@@ -7,6 +7,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -21,6 +22,7 @@
     private static final long LONGEST_ANSWER_MS = 400;
     private static final String REQUEST_ID = "q1";
 
+    private final AtomicInteger executions = new AtomicInteger();
     private ForwardHarness harness;
     private FakeControl control;
     private ForwardHarness.Router router;
@@ -30,6 +32,7 @@
         harness = new ForwardHarness();
         control = harness.control;
         harness.addEndpoint("e1", (request, out) -> {
+            executions.incrementAndGet();
             write(out, ok(REQUEST_ID, "done"));
             return true;
         });
@@ -104,6 +107,13 @@
         assertThat(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - start)).isLessThan(LONGEST_ANSWER_MS);
     }
 
+    /** Guards against a request that is sent to an endpoint though its time limit passed while it waited. */
+    @Test
+    void sendsNoRequestWhoseTimeLimitHasPassed() throws Exception {
+        assertThat(get("/read/x", "secret\r\nRagwortrun-Deadline-Ms: 0")).startsWith("HTTP/1.1 503");
+        assertThat(executions.get()).isEqualTo(0);
+    }
+
     private String getUntilNot(String status, String path, String key) throws Exception {
         long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ForwardHarness.TIMEOUT_MS);
         String answer = get(path, key);
