Let requests of a woken router wait for an election while members are reached

Cause: 500 ms are enough for a new connection, not for an election, although the other routers get no answer meanwhile either. Change: the wait is up to 1.5 s while control members send frames. A router that runs all the time does not wait: its calls have been unanswered for longer before its confirmation is too old.

--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ConfigurationSource.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ConfigurationSource.java
@@ -6,6 +6,7 @@
 import java.util.function.Supplier;
 import org.ragwortrun.core.config.Configuration;
 import org.ragwortrun.net.control.ConfigWatch;
+import org.ragwortrun.net.control.ControlClient;
 
 /** Source of the latest configuration that this router has received, if there is one. */
 interface ConfigurationSource extends Supplier<Optional<Configuration>> {
@@ -21,6 +22,9 @@
      */
     OptionalLong unansweredSinceNanos();
 
+    /** Returns whether a control member has sent something lately, whether or not one leads. */
+    boolean reachesMembers();
+
     /** Requests a confirmation, unless one is under way. */
     void confirm();
 
@@ -33,7 +37,7 @@
      * @param denialAge time since a confirmation was sent for which the configuration counts as recent, so that requests
      *     may be denied by it
      */
-    static ConfigurationSource of(ConfigWatch watch, Duration denialAge) {
+    static ConfigurationSource of(ConfigWatch watch, ControlClient control, Duration denialAge) {
         return new ConfigurationSource() {
             @Override
             public Optional<Configuration> get() {
@@ -55,6 +59,11 @@
                 return watch.unansweredSinceNanos();
             }
 
+            @Override
+            public boolean reachesMembers() {
+                return !control.isPartitioned();
+            }
+
             @Override
             public void confirm() {
                 watch.confirm();
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ConfirmationGate.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ConfirmationGate.java
@@ -20,16 +20,18 @@
  * Holds requests back until the configuration is known to be recent.
  *
  * <p>A process that stood still may read requests before it reads the changes that wait in its other sockets. Requests then
- * wait for a confirmation by a control member, for a bounded time. They do not wait while no member answers, because a host
- * that is cut off serves what it knows. Used on the event loop only.
+ * wait for a confirmation by a control member, for a bounded time. They do not wait while calls have had no answer for that
+ * time, because a host that is cut off serves what it knows. Used on the event loop only.
  */
 final class ConfirmationGate {
-    /** Longest wait of a process that runs. */
+    /** Longest wait while no member can be reached. Covers a new connection to the leader. */
     static final Duration MAX_WAIT = Duration.ofMillis(500);
+    /** Longest wait while members can be reached. Covers an election. */
+    static final Duration MAX_ELECTION_WAIT = Duration.ofMillis(1_500);
 
     private static final Logger LOG = LogManager.getLogger(ConfirmationGate.class);
-    // Standstills during one wait after which it ends all the same.
-    private static final int MAX_EXTENSIONS = 3;
+    // Ends the wait of a process that stands still again and again.
+    private static final int MAX_EXTENSIONS = 6;
 
     private final ConfigurationSource configuration;
     private final StandstillMonitor standstills;
@@ -125,10 +127,11 @@
         if (waiting.isEmpty()) {
             return;
         }
-        long left = MAX_WAIT.toNanos() - nanosSince(waitStartNanos, standstills.runningSinceNanos());
+        Duration limit = configuration.reachesMembers() ? MAX_ELECTION_WAIT : MAX_WAIT;
+        long left = limit.toNanos() - nanosSince(waitStartNanos, standstills.runningSinceNanos());
         if (left > 0 && extensions < MAX_EXTENSIONS) {
             extensions++;
-            await(left);
+            await(Math.min(left, MAX_WAIT.toNanos()));
             return;
         }
         givenUpNanos = time.nanos();
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
@@ -195,7 +195,7 @@
                 new CrashDetector(quarantine, partQuarantine, crashReports::add, evidence, metrics, time, loop);
         ForwardServices services = new ForwardServices(
                 settings.dataCenter(),
-                ConfigurationSource.of(watch, settings.denialAge()),
+                ConfigurationSource.of(watch, control, settings.denialAge()),
                 standstills,
                 endpoints,
                 limits.reader(),
--- a/router/src/test/java/org/ragwortrun/router/internal/forward/CallerConnectionTest.java
+++ b/router/src/test/java/org/ragwortrun/router/internal/forward/CallerConnectionTest.java
@@ -209,6 +209,11 @@
                 return OptionalLong.empty();
             }
 
+            @Override
+            public boolean reachesMembers() {
+                return false;
+            }
+
             @Override
             public void confirm() {
                 // Nothing confirms the configuration here.
--- a/router/src/test/java/org/ragwortrun/router/internal/forward/RejectionLogTest.java
+++ b/router/src/test/java/org/ragwortrun/router/internal/forward/RejectionLogTest.java
@@ -48,6 +48,11 @@
             return OptionalLong.empty();
         }
 
+        @Override
+        public boolean reachesMembers() {
+            return false;
+        }
+
         @Override
         public void confirm() {
             // Nothing confirms the configuration here.
