Ask woken routers for dropped keys and moved services too

Each change moves a route to the next one and replaces the only API key, and the probes ask for the old route, key and service, with bounds of their own for routers that were frozen and for others. WokenRouterTest asks for all three.

--- a/measure/src/main/java/org/ragwortrun/measure/answers/RouterMain.java
+++ b/measure/src/main/java/org/ragwortrun/measure/answers/RouterMain.java
@@ -11,7 +11,10 @@
 import org.ragwortrun.router.ForwardDaemon;
 import org.ragwortrun.router.internal.forward.HeaderNames;
 
-/** Entry point of a forwarding router with a fixed list of endpoints: the settings file, then their addresses. */
+/**
+ * Entry point of a forwarding router with a fixed list of endpoints: the settings file, then their addresses, each after
+ * its origin and an {@code @} unless it is that of the measurement of answers.
+ */
 public final class RouterMain {
     private static final int SLOTS = 32;
 
@@ -26,10 +29,12 @@
                 0);
     }
 
-    private static ListedEndpoint listed(String address) {
+    private static ListedEndpoint listed(String argument) {
+        int at = argument.indexOf('@');
+        String address = argument.substring(at + 1);
         return ListedEndpoint.newBuilder()
                 .setId("e" + address.substring(address.indexOf(':') + 1))
-                .setService(AnswersRun.ORIGIN)
+                .setService(at < 0 ? AnswersRun.ORIGIN : argument.substring(0, at))
                 .setAddress(address)
                 .setDataCenter("dc1")
                 .setVersion("v1")
--- a/measure/src/main/java/org/ragwortrun/measure/config/ConfigFleet.java
+++ b/measure/src/main/java/org/ragwortrun/measure/config/ConfigFleet.java
@@ -24,11 +24,13 @@
     private final Closer closer = new Closer();
     private final Fleet fleet;
     private final Map<String, List<FaultProxy>> links = new LinkedHashMap<>();
+    private final OriginServers origins;
     private final List<String> members;
 
     /** Adds the processes without starting them. */
     ConfigFleet(int memberCount, int routerCount) throws FleetException, IOException {
         fleet = closer.register(new Fleet(SHARDS, FleetOptions.DEPLOYED));
+        origins = closer.register(new OriginServers(fleet));
         fleet.addControls(memberCount);
         members = IntStream.rangeClosed(1, memberCount).mapToObj(i -> "c" + i).toList();
         for (int i = 1; i <= routerCount; i++) {
@@ -47,7 +49,7 @@
         }
         links.put(name, List.copyOf(proxies));
         fleet.addForwardingRouter(
-                name, dataCenter, RouterMain.class.getName(), List.of(), String.join(", ", addresses));
+                name, dataCenter, RouterMain.class.getName(), origins.routerArguments(), String.join(", ", addresses));
     }
 
     Fleet processes() {
--- a/measure/src/main/java/org/ragwortrun/measure/config/ConfigJudge.java
+++ b/measure/src/main/java/org/ragwortrun/measure/config/ConfigJudge.java
@@ -56,15 +56,15 @@
     }
 
     /**
-     * Returns whether a router was restarted or one of its links harmed a short time before it answered for a dropped
-     * route, or meanwhile. Then it may follow the route, because it may be cut off.
+     * Returns whether a router was restarted or one of its links harmed a short time before it was asked for an old part of
+     * the configuration, or meanwhile. Then it may follow it, because it may be cut off.
      */
-    boolean mayBeCutOff(DroppedRoute d) {
+    boolean mayBeCutOff(OldPartAnswer d) {
         return wasDisturbed(d.router(), d.sentNanos(), d.answeredNanos(), CUT_OFF);
     }
 
-    /** Returns whether a router was suspended a short time before it answered for a dropped route, or meanwhile. */
-    boolean wasFrozen(DroppedRoute d) {
+    /** Returns whether a router was suspended a short time before it was asked for an old part, or meanwhile. */
+    boolean wasFrozen(OldPartAnswer d) {
         return wasDisturbed(d.router(), d.sentNanos(), d.answeredNanos(), Set.of(Disturbance.Kind.FROZEN));
     }
 
--- a/measure/src/main/java/org/ragwortrun/measure/config/ConfigMeasurement.java
+++ b/measure/src/main/java/org/ragwortrun/measure/config/ConfigMeasurement.java
@@ -32,7 +32,7 @@
             covered(run, report);
             ConfigJudge judge = new ConfigJudge(run.log().disturbances());
             denials(run, judge, report);
-            dropped(run, judge, report);
+            oldParts(run, judge, report);
             delays(run, judge, report);
             report.figure("own_lag_worst", run.worstLagNanos() / NANOS_PER_MS, MS, Bound.none());
             answers(run, report);
@@ -68,22 +68,27 @@
         report.figure("denials_in_time", all.size() - late.size(), ONE, Bound.none());
     }
 
-    private static void dropped(ConfigRun run, ConfigJudge judge, FigureReport report) {
-        List<DroppedRoute> all =
-                run.records().stream().flatMap(r -> r.dropped().stream()).toList();
-        report.covered("dropped_routes_asked", all.size());
-        List<DroppedRoute> served = all.stream().filter(DroppedRoute::served).toList();
-        List<DroppedRoute> late =
-                served.stream().filter(d -> !judge.mayBeCutOff(d)).toList();
-        late.stream()
+    private static void oldParts(ConfigRun run, ConfigJudge judge, FigureReport report) {
+        List<OldPartAnswer> all =
+                run.records().stream().flatMap(r -> r.oldParts().stream()).toList();
+        report.covered("old_parts_asked", all.size());
+        List<OldPartAnswer> followed =
+                all.stream().filter(OldPartAnswer::followed).toList();
+        List<OldPartAnswer> connected =
+                followed.stream().filter(d -> !judge.mayBeCutOff(d)).toList();
+        connected.stream()
                 .limit(MOST_TRACED)
-                .forEach(d -> report.note("dropped route served " + d + " sent "
+                .forEach(d -> report.note("old part followed " + d + " sent "
                         + run.log().wallTime(d.sentNanos()) + " answered "
                         + run.log().wallTime(d.answeredNanos())));
-        long frozen = late.stream().filter(judge::wasFrozen).count();
-        report.figure("dropped_served_not_frozen", late.size() - frozen, ONE, Bound.atMost(0));
-        report.figure("dropped_served_frozen", frozen, ONE, Bound.atMost(0));
-        report.figure("dropped_served_cut_off", served.size() - late.size(), ONE, Bound.none());
+        for (OldPart part : OldPart.values()) {
+            List<OldPartAnswer> of =
+                    connected.stream().filter(d -> d.part() == part).toList();
+            long frozen = of.stream().filter(judge::wasFrozen).count();
+            report.figure("old_" + part.text() + "_followed_not_frozen", of.size() - frozen, ONE, Bound.atMost(0));
+            report.figure("old_" + part.text() + "_followed_frozen", frozen, ONE, Bound.atMost(0));
+        }
+        report.figure("old_parts_followed_cut_off", followed.size() - connected.size(), ONE, Bound.none());
     }
 
     private static void delays(ConfigRun run, ConfigJudge judge, FigureReport report) {
--- a/measure/src/main/java/org/ragwortrun/measure/config/ConfigRun.java
+++ b/measure/src/main/java/org/ragwortrun/measure/config/ConfigRun.java
@@ -123,7 +123,7 @@
     private void startProbes(String router) {
         RouterRecord record = new RouterRecord(router, changes);
         records.add(record);
-        startDroppedRouteProbe(record);
+        startOldPartProbe(record);
         for (int i = 0; i < PROBES; i++) {
             start(
                     "probe",
@@ -131,11 +131,11 @@
         }
     }
 
-    private void startDroppedRouteProbe(RouterRecord record) {
+    private void startOldPartProbe(RouterRecord record) {
         String router = record.router();
         start(
-                "dropped",
-                new DroppedRouteProbe(router + "d", fleet.processes().url(router), record, changes, () -> running));
+                "old-parts",
+                new OldPartProbe(router + "o", fleet.processes().url(router), record, changes, () -> running));
     }
 
     private Thread play(List<FaultPlayer.Fault> faults, int mostPauseMs, long end) {
--- a/measure/src/main/java/org/ragwortrun/measure/config/Publisher.java
+++ b/measure/src/main/java/org/ragwortrun/measure/config/Publisher.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.apache.commons.rng.UniformRandomProvider;
+import org.ragwortrun.core.id.Digests;
 import org.ragwortrun.net.control.ControlClient;
 import org.ragwortrun.proto.Frame;
 import org.ragwortrun.proto.Publish;
@@ -14,7 +15,7 @@
 
 /**
  * Publishes a configuration with one more route about every half second, and now and then removes old ones. Each
- * configuration has a further route that no other one has.
+ * configuration has a further route and a key that no other one has, and moves a route to another origin.
  */
 final class Publisher {
     private static final int META_GROUP = 0;
@@ -58,6 +59,7 @@
             routes.remove();
         }
         Publish publish = configuration();
+        changes.onSent(number);
         while (!isAccepted(publish)) {
             if (System.nanoTime() - endNanos >= 0) {
                 return;
@@ -88,6 +90,16 @@
         publish.addSections(Section.newBuilder().setKind("origin").setName(ORIGIN));
         routes.forEach(r -> publish.addSections(route("route-" + r, ChangeLog.path(r))));
         publish.addSections(route("only-" + number, ChangeLog.onlyPath(number)));
+        publish.addSections(route("moved", ChangeLog.MOVED_PATH).putProperties("to", OriginServers.origin(number)));
+        publish.addSections(route("key", ChangeLog.KEY_PATH).putProperties("open", "no"));
+        publish.addSections(Section.newBuilder()
+                .setKind("account")
+                .setName("a")
+                .putProperties("keys", Digests.apiKey(ChangeLog.onlyKey(number)))
+                .putProperties("metered", "no"));
+        for (int i = 0; i < OriginServers.COUNT; i++) {
+            publish.addSections(Section.newBuilder().setKind("origin").setName(OriginServers.origin(i)));
+        }
         return publish.build();
     }
 
@@ -100,6 +112,7 @@
                 .putProperties("kind", "idempotent")
                 .putProperties("to", ORIGIN)
                 .putProperties("timeout", "1500ms")
-                .putProperties("attempts", "1");
+                .putProperties("attempts", "1")
+                .putProperties("open", "yes");
     }
 }
--- a/measure/src/main/java/org/ragwortrun/measure/config/RouterRecord.java
+++ b/measure/src/main/java/org/ragwortrun/measure/config/RouterRecord.java
@@ -14,7 +14,7 @@
     private final ChangeLog changes;
     private final Map<Integer, Long> seenNanos = new HashMap<>();
     private final Queue<Denial> denials = new ConcurrentLinkedQueue<>();
-    private final Queue<DroppedRoute> dropped = new ConcurrentLinkedQueue<>();
+    private final Queue<OldPartAnswer> oldParts = new ConcurrentLinkedQueue<>();
     private final Map<String, Integer> answers = new ConcurrentHashMap<>();
     private int newestSeen;
 
@@ -51,13 +51,13 @@
         denials.add(denial);
     }
 
-    void onDroppedRouteAsked(DroppedRoute answer) {
-        dropped.add(answer);
+    void onOldPartAsked(OldPartAnswer answer) {
+        oldParts.add(answer);
     }
 
-    /** Returns the answers for routes that had been dropped. */
-    Queue<DroppedRoute> dropped() {
-        return dropped;
+    /** Returns the answers to requests that only older configurations allow. */
+    Queue<OldPartAnswer> oldParts() {
+        return oldParts;
     }
 
     void onAnswer(String kind) {
--- a/measure/src/test/java/org/ragwortrun/measure/config/WokenRouterTest.java
+++ b/measure/src/test/java/org/ragwortrun/measure/config/WokenRouterTest.java
@@ -21,12 +21,12 @@
     private static final int ROUNDS = 4;
     private static final long START_S = 30;
     private static final long CALM_MS = 1_500;
-    // Longer than the time within which a change is in force, so that requests for routes dropped meanwhile wait.
+    // Longer than the time within which a change is in force, so that requests for what was dropped meanwhile wait.
     private static final long SUSPENDED_MS = 3_000;
 
     /** Guards against requests that a router follows by the configuration from before it stood still. */
     @Test
-    void followsNoRouteThatWasDroppedWhileItStoodStill() throws Exception {
+    void followsNoConfigurationFromBeforeItStoodStill() throws Exception {
         try (Closer closer = new Closer()) {
             ConfigFleet fleet = closer.register(new ConfigFleet(3, 1));
             Transport transport = closer.register(new Transport(
@@ -45,15 +45,16 @@
             RouterRecord record = new RouterRecord(ROUTER, changes);
             AtomicBoolean running = new AtomicBoolean(true);
             closer.register(() -> running.set(false));
-            Thread probe = new Thread(
-                    new DroppedRouteProbe("p", fleet.processes().url(ROUTER), record, changes, running::get));
+            Thread probe =
+                    new Thread(new OldPartProbe("p", fleet.processes().url(ROUTER), record, changes, running::get));
             probe.start();
             suspendInTurn(fleet.processes().process(ROUTER), publisher);
             running.set(false);
             probe.join();
-            List<DroppedRoute> all = List.copyOf(record.dropped());
-            assertThat(all.stream().filter(DroppedRoute::served).toList()).isEmpty();
-            assertThat(all.size()).isGreaterThan(ROUNDS);
+            List<OldPartAnswer> all = List.copyOf(record.oldParts());
+            assertThat(all.stream().filter(OldPartAnswer::followed).toList()).isEmpty();
+            assertThat(all.stream().map(OldPartAnswer::part).distinct().toList())
+                    .hasSize(OldPart.values().length);
         }
     }
 
