Publish the end of a standstill before the check that saw it

Cause: the monitor of standstills recorded its check first, so a reader between the two writes saw neither a late check nor the end of the standstill, and a request could pass by an old configuration. Found by reading; the window is too short for a test. Change: the order of the two writes. A request that is admitted without a confirmation adds nothing to the histogram of ages, not 0. Three fakes of the source of the configuration in tests are one.

--- a/core/src/main/java/org/ragwortrun/core/concurrent/StandstillMonitor.java
+++ b/core/src/main/java/org/ragwortrun/core/concurrent/StandstillMonitor.java
@@ -45,10 +45,14 @@
     public void check() {
         Check before = last;
         Check now = new Check(time.nanos(), time.wallMillis());
-        last = now;
         long lateMs = lateMs(before, now);
-        if (lateMs >= SHORTEST_MS) {
+        boolean stoodStill = lateMs >= SHORTEST_MS;
+        if (stoodStill) {
             endNanos = now.nanos;
+        }
+        // Set after the end of the standstill, so that a reader that sees no late check sees that end.
+        last = now;
+        if (stoodStill) {
             metrics.recordDuration("standstill", "", lateMs);
             Event.of("process-stood-still")
                     .with("thread", Thread.currentThread().getName())
@@ -64,7 +68,6 @@
      * time if the thread is late now.
      */
     public long runningSinceNanos() {
-        // Read first, so that a check that runs meanwhile does not hide a standstill.
         Check before = last;
         Check now = new Check(time.nanos(), time.wallMillis());
         return lateMs(before, now) >= SHORTEST_MS ? now.nanos : endNanos;
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/RequestAdmission.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/RequestAdmission.java
@@ -261,7 +261,7 @@
                 .flatMap(configuration::origin)
                 .orElseThrow(() -> refusedWithRetry(RefusalReason.NO_ENDPOINT, "the route has no origin"));
         OptionalLong confirmedAgeMs = services.configuration().confirmedAgeMs();
-        services.metrics().recordDuration("admission_configuration_age", "", confirmedAgeMs.orElse(0));
+        confirmedAgeMs.ifPresent(ms -> services.metrics().recordDuration("admission_configuration_age", "", ms));
         Admitted admitted = new Admitted(route, origin, account, configuration.number(), confirmedAgeMs, startNanos);
         return new Exchange(services, request, head, body, admitted, answer, new Exchange.Observer() {
             @Override
--- a/router/src/test/java/org/ragwortrun/router/internal/forward/CallerConnectionTest.java
+++ b/router/src/test/java/org/ragwortrun/router/internal/forward/CallerConnectionTest.java
@@ -23,8 +23,6 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -33,7 +31,6 @@
 import org.ragwortrun.core.concurrent.Closer;
 import org.ragwortrun.core.concurrent.StandstillMonitor;
 import org.ragwortrun.core.config.CallerLimits;
-import org.ragwortrun.core.config.Configuration;
 import org.ragwortrun.core.metrics.Metrics;
 import org.ragwortrun.core.time.Time;
 import org.ragwortrun.router.internal.evidence.EvidenceCollector;
@@ -47,7 +44,7 @@
     private static final long MAX_HELD_BYTES = 1 << 20;
 
     private final Closer closer = new Closer();
-    private int configurationReads;
+    private final FakeConfigurationSource configuration = new FakeConfigurationSource();
     private final Deque<Runnable> tasks = new ArrayDeque<>();
     private final EmbeddedChannel channel = connection();
 
@@ -60,9 +57,9 @@
     @Test
     void handlesRequestAfterAllReceivedDataIsRead() {
         request();
-        assertThat(configurationReads).isEqualTo(0);
+        assertThat(configuration.reads).isEqualTo(0);
         runTasks();
-        assertThat(configurationReads).isGreaterThan(0);
+        assertThat(configuration.reads).isGreaterThan(0);
         HttpResponse answer = channel.readOutbound();
         assertThat(answer.status().code()).isEqualTo(503);
         assertThat(Double.parseDouble(answer.headers().get("Retry-After"))).isAtLeast(1.0);
@@ -74,7 +71,7 @@
         request();
         channel.pipeline().fireChannelInactive();
         runTasks();
-        assertThat(configurationReads).isEqualTo(0);
+        assertThat(configuration.reads).isEqualTo(0);
     }
 
     /** Guards against a second answer after one that closes the connection and is not written completely yet. */
@@ -137,7 +134,7 @@
         RequestAdmission admission = new RequestAdmission(
                 new ForwardServices(
                         "dc",
-                        configuration(),
+                        configuration,
                         new StandstillMonitor(time, metrics),
                         endpoints,
                         new LimitReader(headers, endpoints, metrics, time),
@@ -185,44 +182,4 @@
                 .set(field, value);
         channel.pipeline().fireChannelRead(request);
     }
-
-    private ConfigurationSource configuration() {
-        return new ConfigurationSource() {
-            @Override
-            public Optional<Configuration> get() {
-                configurationReads++;
-                return Optional.empty();
-            }
-
-            @Override
-            public boolean isConfirmed(Configuration configuration) {
-                return true;
-            }
-
-            @Override
-            public boolean isRecent() {
-                return true;
-            }
-
-            @Override
-            public OptionalLong unansweredSinceNanos() {
-                return OptionalLong.empty();
-            }
-
-            @Override
-            public boolean reachesMembers() {
-                return false;
-            }
-
-            @Override
-            public void confirm() {
-                // Nothing confirms the configuration here.
-            }
-
-            @Override
-            public OptionalLong confirmedAgeMs() {
-                return OptionalLong.empty();
-            }
-        };
-    }
 }
--- a/router/src/test/java/org/ragwortrun/router/internal/forward/ConfirmationGateTest.java
+++ b/router/src/test/java/org/ragwortrun/router/internal/forward/ConfirmationGateTest.java
@@ -35,16 +35,16 @@
     };
     private long nowMs = 100_000;
     private long confirmedAtMs = nowMs;
-    private OptionalLong unansweredSince = OptionalLong.empty();
-    private boolean reachesMembers;
-    private int confirmationsRequested;
+    private final FakeConfigurationSource source = new FakeConfigurationSource();
     private int served;
     private final StandstillMonitor standstills = new StandstillMonitor(time, Metrics.local());
     private final ConfirmationGate gate =
-            new ConfirmationGate(new Source(), standstills, channel.eventLoop(), Runnable::run, Metrics.local(), time);
+            new ConfirmationGate(source, standstills, channel.eventLoop(), Runnable::run, Metrics.local(), time);
 
     @BeforeEach
-    void start() {
+    void start() throws ConfigurationException {
+        source.configuration = Optional.of(Configuration.of(1, List.of(), List.of(), List.of()));
+        source.recent = () -> nowMs - confirmedAtMs < RECENT_MS;
         channel.freezeTime();
     }
 
@@ -60,7 +60,7 @@
         request();
         run(40);
         assertThat(served).isEqualTo(0);
-        assertThat(confirmationsRequested).isEqualTo(1);
+        assertThat(source.confirmationsRequested).isEqualTo(1);
         confirm();
         assertThat(served).isEqualTo(1);
     }
@@ -72,14 +72,14 @@
         request();
         gate.onConfirmed();
         assertThat(served).isEqualTo(0);
-        assertThat(confirmationsRequested).isEqualTo(2);
+        assertThat(source.confirmationsRequested).isEqualTo(2);
     }
 
     /** Guards against a host without a way to the members whose callers wait for their time limits. */
     @Test
     void servesAfterLongestWait() {
         standStill(3_000);
-        unansweredSince = OptionalLong.of(time.nanos());
+        source.unansweredSinceNanos = OptionalLong.of(time.nanos());
         request();
         run(MAX_WAIT_MS + 10);
         assertThat(served).isEqualTo(1);
@@ -90,7 +90,7 @@
     /** Guards against a wait at a host that has been cut off for a while. */
     @Test
     void holdsNothingWhileCutOff() {
-        unansweredSince = OptionalLong.of(time.nanos());
+        source.unansweredSinceNanos = OptionalLong.of(time.nanos());
         run(RECENT_MS + 10);
         request();
         assertThat(served).isEqualTo(1);
@@ -99,7 +99,7 @@
     /** Guards against a call that went unanswered only because the process stood still. */
     @Test
     void holdsRequestsThoughCallBeforeStandstillIsUnanswered() {
-        unansweredSince = OptionalLong.of(time.nanos());
+        source.unansweredSinceNanos = OptionalLong.of(time.nanos());
         standStill(3_000);
         request();
         assertThat(served).isEqualTo(0);
@@ -132,9 +132,9 @@
     /** Guards against a process that wakes while the members elect a leader and serves by what it knew before. */
     @Test
     void waitsForElectionWhileMembersAreReached() {
-        reachesMembers = true;
+        source.reachesMembers = true;
         standStill(3_000);
-        unansweredSince = OptionalLong.of(time.nanos());
+        source.unansweredSinceNanos = OptionalLong.of(time.nanos());
         request();
         run(MAX_WAIT_MS + 500);
         assertThat(served).isEqualTo(0);
@@ -159,7 +159,7 @@
 
     private void confirm() {
         confirmedAtMs = nowMs;
-        unansweredSince = OptionalLong.empty();
+        source.unansweredSinceNanos = OptionalLong.empty();
         gate.onConfirmed();
     }
 
@@ -184,51 +184,4 @@
         channel.advanceTimeBy(ms, TimeUnit.MILLISECONDS);
         channel.runScheduledPendingTasks();
     }
-
-    private final class Source implements ConfigurationSource {
-        private final Optional<Configuration> configuration;
-
-        Source() {
-            try {
-                configuration = Optional.of(Configuration.of(1, List.of(), List.of(), List.of()));
-            } catch (ConfigurationException e) {
-                throw new AssertionError(e);
-            }
-        }
-
-        @Override
-        public Optional<Configuration> get() {
-            return configuration;
-        }
-
-        @Override
-        public boolean isConfirmed(Configuration used) {
-            return isRecent();
-        }
-
-        @Override
-        public boolean isRecent() {
-            return nowMs - confirmedAtMs < RECENT_MS;
-        }
-
-        @Override
-        public OptionalLong unansweredSinceNanos() {
-            return unansweredSince;
-        }
-
-        @Override
-        public boolean reachesMembers() {
-            return reachesMembers;
-        }
-
-        @Override
-        public void confirm() {
-            confirmationsRequested++;
-        }
-
-        @Override
-        public OptionalLong confirmedAgeMs() {
-            return OptionalLong.of(nowMs - confirmedAtMs);
-        }
-    }
 }
--- a/router/src/test/java/org/ragwortrun/router/internal/forward/RejectionLogTest.java
+++ b/router/src/test/java/org/ragwortrun/router/internal/forward/RejectionLogTest.java
@@ -6,7 +6,6 @@
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
-import org.ragwortrun.core.config.Configuration;
 import org.ragwortrun.core.log.Event;
 import org.ragwortrun.core.refusal.Refusal;
 import org.ragwortrun.core.refusal.RefusalReason;
@@ -27,47 +26,13 @@
             return 0;
         }
     };
-    private final ConfigurationSource configuration = new ConfigurationSource() {
-        @Override
-        public Optional<Configuration> get() {
-            return Optional.empty();
-        }
-
-        @Override
-        public boolean isConfirmed(Configuration used) {
-            return false;
-        }
-
-        @Override
-        public boolean isRecent() {
-            return false;
-        }
-
-        @Override
-        public OptionalLong unansweredSinceNanos() {
-            return OptionalLong.empty();
-        }
-
-        @Override
-        public boolean reachesMembers() {
-            return false;
-        }
-
-        @Override
-        public void confirm() {
-            // Nothing confirms the configuration here.
-        }
-
-        @Override
-        public OptionalLong confirmedAgeMs() {
-            return OptionalLong.of(2_300);
-        }
-    };
+    private final FakeConfigurationSource configuration = new FakeConfigurationSource();
     private final RejectionLog log = new RejectionLog(configuration, time);
 
     /** Guards against a refusal that leaves no trace of the knowledge that it was made by. */
     @Test
     void namesReasonAndAgeOfConfiguration() {
+        configuration.confirmedAgeMs = OptionalLong.of(2_300);
         assertThat(line())
                 .hasValue("event=request-rejected status=413 reason=request-too-large config=0 confirmed-ms=2300"
                         + " unlogged=0");
