--- a/measure/src/main/java/org/ragwortrun/measure/config/ConfigMeasurement.java
+++ b/measure/src/main/java/org/ragwortrun/measure/config/ConfigMeasurement.java
@@ -63,8 +63,8 @@
                 .forEach(d ->
                         report.note("false denial " + d + " sent " + run.log().wallTime(d.sentNanos())));
         long frozen = late.stream().filter(judge::wasFrozen).count();
-        report.figure("latedenials_not_frozen", late.size() - frozen, ONE, Bound.atMost(0));
-        report.figure("latedenials_frozen", frozen, ONE, Bound.atMost(0));
+        report.figure("false_denials_not_frozen", late.size() - frozen, ONE, Bound.atMost(0));
+        report.figure("false_denials_frozen", frozen, ONE, Bound.atMost(0));
         report.figure("denials_in_time", all.size() - late.size(), ONE, Bound.none());
     }
 
