Use one client for the probes of the measurement of the configuration

Change: ProbeClient serves both. The endpoints of the measurement take the names of headers from HeaderNames. No figure, bound or check changes. A comment named a member where an index is returned. Measured: formatter, linter and null checks of all modules that the measurement needs; WokenRouterTest and ConfigJudgeTest pass.

--- a/measure/src/main/java/org/ragwortrun/measure/config/ConfigRun.java
+++ b/measure/src/main/java/org/ragwortrun/measure/config/ConfigRun.java
@@ -125,17 +125,16 @@
         records.add(record);
         startOldPartProbe(record);
         for (int i = 0; i < PROBES; i++) {
-            start(
-                    "probe",
-                    new RouteProbe(router + "p" + i, fleet.processes().url(router), record, changes, () -> running));
+            start("probe", new RouteProbe(client(router, "p" + i), record, changes, () -> running));
         }
     }
 
+    private ProbeClient client(String router, String probe) {
+        return new ProbeClient(router + probe, fleet.processes().url(router));
+    }
+
     private void startOldPartProbe(RouterRecord record) {
-        String router = record.router();
-        start(
-                "old-parts",
-                new OldPartProbe(router + "o", fleet.processes().url(router), record, changes, () -> running));
+        start("old-parts", new OldPartProbe(client(record.router(), "o"), record, changes, () -> running));
     }
 
     private Thread play(List<FaultPlayer.Fault> faults, int mostPauseMs, long end) {
--- a/measure/src/main/java/org/ragwortrun/measure/config/MemberFaults.java
+++ b/measure/src/main/java/org/ragwortrun/measure/config/MemberFaults.java
@@ -135,7 +135,7 @@
         return leader.get().filter(members::contains).orElseGet(this::any);
     }
 
-    /** Returns a member that may lose its data. The settings of the other processes name the first one for good. */
+    /** Returns the index of a member that may lose its data. The settings of the other processes name the first one for good. */
     private int anyButFirst() {
         return random.nextInt(1, members.size());
     }
--- a/measure/src/main/java/org/ragwortrun/measure/config/OldPartProbe.java
+++ b/measure/src/main/java/org/ragwortrun/measure/config/OldPartProbe.java
@@ -1,10 +1,7 @@
 package org.ragwortrun.measure.config;
 
-import java.net.URI;
-import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
-import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.stream.IntStream;
@@ -17,29 +14,19 @@
 final class OldPartProbe implements Runnable {
     private static final long INTERVAL_MS = 100;
     private static final int OK = 200;
-    private static final Duration TIMEOUT = Duration.ofSeconds(6);
 
-    private final HttpClient http = HttpClient.newBuilder()
-            .version(HttpClient.Version.HTTP_1_1)
-            .connectTimeout(TIMEOUT)
-            .build();
-    private final String name;
-    private final String base;
+    private final ProbeClient client;
     private final RouterRecord record;
     private final ChangeLog changes;
     private final BooleanSupplier running;
-    private long requests;
 
     /**
      * Creates a probe.
      *
-     * @param name name that no other probe has
-     * @param base address of the router
      * @param running whether to go on
      */
-    OldPartProbe(String name, String base, RouterRecord record, ChangeLog changes, BooleanSupplier running) {
-        this.name = name;
-        this.base = base;
+    OldPartProbe(ProbeClient client, RouterRecord record, ChangeLog changes, BooleanSupplier running) {
+        this.client = client;
         this.record = record;
         this.changes = changes;
         this.running = running;
@@ -63,7 +50,8 @@
         for (OldPart part : OldPart.values()) {
             long sent = System.nanoTime();
             // A request without an answer shows nothing: the router was stopped, or suspended for too long.
-            http.sendAsync(request(part, change.number() - 1), HttpResponse.BodyHandlers.ofString())
+            client.http()
+                    .sendAsync(request(part, change.number() - 1), HttpResponse.BodyHandlers.ofString())
                     .thenAccept(answer -> record.onOldPartAsked(new OldPartAnswer(
                             record.router(), part, change, sent, System.nanoTime(), follows(part, change, answer))));
         }
@@ -82,16 +70,13 @@
     }
 
     private HttpRequest request(OldPart part, int older) {
-        requests++;
         String path =
                 switch (part) {
                     case ROUTE -> ChangeLog.onlyPath(older);
                     case KEY -> ChangeLog.KEY_PATH;
                     case ORIGIN -> ChangeLog.MOVED_PATH;
                 };
-        return HttpRequest.newBuilder(URI.create(base + path))
-                .timeout(TIMEOUT)
-                .header("X-Request-Id", name + "-" + requests)
+        return client.request(path)
                 .header("Authorization", "Bearer " + ChangeLog.onlyKey(older))
                 .build();
     }
--- a/measure/src/main/java/org/ragwortrun/measure/config/OriginServers.java
+++ b/measure/src/main/java/org/ragwortrun/measure/config/OriginServers.java
@@ -10,6 +10,7 @@
 import org.ragwortrun.core.concurrent.Closer;
 import org.ragwortrun.measure.fleet.Fleet;
 import org.ragwortrun.measure.fleet.FleetException;
+import org.ragwortrun.router.internal.forward.HeaderNames;
 
 /** One endpoint for each of some origins, which answers with the number of its origin. */
 final class OriginServers implements AutoCloseable {
@@ -48,9 +49,10 @@
 
     private static void answer(HttpExchange e, byte[] body) throws IOException {
         e.getRequestBody().readAllBytes();
-        String id = e.getRequestHeaders().getFirst("X-Request-Id");
-        e.getResponseHeaders().set("X-Request-Id", id);
-        e.getResponseHeaders().set("Ragwortrun-Proof", id);
+        HeaderNames names = HeaderNames.STANDARD;
+        String id = e.getRequestHeaders().getFirst(names.requestId());
+        e.getResponseHeaders().set(names.requestId(), id);
+        e.getResponseHeaders().set(names.proof(), id);
         e.sendResponseHeaders(OK, body.length);
         e.getResponseBody().write(body);
         e.close();
--- a/measure/src/main/java/org/ragwortrun/measure/config/RouteProbe.java
+++ b/measure/src/main/java/org/ragwortrun/measure/config/RouteProbe.java
@@ -1,11 +1,7 @@
 package org.ragwortrun.measure.config;
 
 import java.io.IOException;
-import java.net.URI;
-import java.net.http.HttpClient;
-import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
-import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -15,32 +11,22 @@
 /** Asks one router, on a connection that it keeps, for the routes of the newest changes. */
 final class RouteProbe implements Runnable {
     private static final long INTERVAL_MS = 20;
-    private static final Duration TIMEOUT = Duration.ofSeconds(6);
     private static final long RECONNECT_MS = 100;
     private static final int MOST_ASKED = 12;
     private static final Set<Integer> DENIED = Set.of(401, 403, 404);
 
-    private final HttpClient http = HttpClient.newBuilder()
-            .version(HttpClient.Version.HTTP_1_1)
-            .connectTimeout(TIMEOUT)
-            .build();
-    private final String name;
-    private final String base;
+    private final ProbeClient client;
     private final RouterRecord record;
     private final ChangeLog changes;
     private final BooleanSupplier running;
-    private long requests;
 
     /**
      * Creates a probe.
      *
-     * @param name name that no other probe has
-     * @param base address of the router
      * @param running whether to go on
      */
-    RouteProbe(String name, String base, RouterRecord record, ChangeLog changes, BooleanSupplier running) {
-        this.name = name;
-        this.base = base;
+    RouteProbe(ProbeClient client, RouterRecord record, ChangeLog changes, BooleanSupplier running) {
+        this.client = client;
         this.record = record;
         this.changes = changes;
         this.running = running;
@@ -74,7 +60,10 @@
     private void ask(Change change) throws InterruptedException {
         long sent = System.nanoTime();
         try {
-            HttpResponse<String> answer = http.send(request(change), HttpResponse.BodyHandlers.ofString());
+            HttpResponse<String> answer = client.http()
+                    .send(
+                            client.request(ChangeLog.path(change.number())).build(),
+                            HttpResponse.BodyHandlers.ofString());
             long answered = System.nanoTime();
             String reason = ProblemReason.of(answer.body());
             record.onAnswer(answer.statusCode() + "_" + reason);
@@ -89,12 +78,4 @@
             TimeUnit.MILLISECONDS.sleep(RECONNECT_MS);
         }
     }
-
-    private HttpRequest request(Change change) {
-        requests++;
-        return HttpRequest.newBuilder(URI.create(base + ChangeLog.path(change.number())))
-                .timeout(TIMEOUT)
-                .header("X-Request-Id", name + "-" + requests)
-                .build();
-    }
 }
--- a/measure/src/test/java/org/ragwortrun/measure/config/WokenRouterTest.java
+++ b/measure/src/test/java/org/ragwortrun/measure/config/WokenRouterTest.java
@@ -45,8 +45,8 @@
             RouterRecord record = new RouterRecord(ROUTER, changes);
             AtomicBoolean running = new AtomicBoolean(true);
             closer.register(() -> running.set(false));
-            Thread probe =
-                    new Thread(new OldPartProbe("p", fleet.processes().url(ROUTER), record, changes, running::get));
+            Thread probe = new Thread(new OldPartProbe(
+                    new ProbeClient("p", fleet.processes().url(ROUTER)), record, changes, running::get));
             probe.start();
             suspendInTurn(fleet.processes().process(ROUTER), publisher);
             running.set(false);
