--- a/ledger/src/main/java/org/ragwortrun/ledger/MetaState.java
+++ b/ledger/src/main/java/org/ragwortrun/ledger/MetaState.java
@@ -94,6 +94,7 @@
             case START_MOVE -> startMove(command.getStartMove(), command.getNowMs());
             case SET_BASELINE -> setBaseline(command.getSetBaseline());
             case READ_BARRIER -> numberResult();
+            case EVACUATION -> error("unsupported-command", "evacuations are not supported yet");
             case OP_NOT_SET -> error("malformed-command", "command has no operation");
         };
     }
--- a/proto/src/main/java/org/ragwortrun/proto/ConfigReply.java
+++ b/proto/src/main/java/org/ragwortrun/proto/ConfigReply.java
@@ -18,6 +18,7 @@
     sections_ = emptyProtobufList();
     document_ = com.google.protobuf.ByteString.EMPTY;
     orderedMoves_ = emptyProtobufList();
+    evacuations_ = emptyProtobufList();
   }
   public static final int NUMBER_FIELD_NUMBER = 1;
   private long number_;
@@ -286,6 +287,100 @@
     orderedMoves_.remove(index);
   }
 
+  public static final int EVACUATIONS_FIELD_NUMBER = 6;
+  private com.google.protobuf.Internal.ProtobufList<org.ragwortrun.proto.Evacuation> evacuations_;
+  /**
+   * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 6;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.ragwortrun.proto.Evacuation> getEvacuationsList() {
+    return evacuations_;
+  }
+  /**
+   * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 6;</code>
+   */
+  public java.util.List<? extends org.ragwortrun.proto.EvacuationOrBuilder> 
+      getEvacuationsOrBuilderList() {
+    return evacuations_;
+  }
+  /**
+   * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 6;</code>
+   */
+  @java.lang.Override
+  public int getEvacuationsCount() {
+    return evacuations_.size();
+  }
+  /**
+   * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 6;</code>
+   */
+  @java.lang.Override
+  public org.ragwortrun.proto.Evacuation getEvacuations(int index) {
+    return evacuations_.get(index);
+  }
+  /**
+   * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 6;</code>
+   */
+  public org.ragwortrun.proto.EvacuationOrBuilder getEvacuationsOrBuilder(
+      int index) {
+    return evacuations_.get(index);
+  }
+  private void ensureEvacuationsIsMutable() {
+    com.google.protobuf.Internal.ProtobufList<org.ragwortrun.proto.Evacuation> tmp = evacuations_;
+    if (!tmp.isModifiable()) {
+      evacuations_ =
+          com.google.protobuf.GeneratedMessageLite.mutableCopy(tmp);
+     }
+  }
+
+  /**
+   * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 6;</code>
+   */
+  private void setEvacuations(
+      int index, org.ragwortrun.proto.Evacuation value) {
+    java.util.Objects.requireNonNull(value);
+    ensureEvacuationsIsMutable();
+    evacuations_.set(index, value);
+  }
+  /**
+   * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 6;</code>
+   */
+  private void addEvacuations(org.ragwortrun.proto.Evacuation value) {
+    java.util.Objects.requireNonNull(value);
+    ensureEvacuationsIsMutable();
+    evacuations_.add(value);
+  }
+  /**
+   * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 6;</code>
+   */
+  private void addEvacuations(
+      int index, org.ragwortrun.proto.Evacuation value) {
+    java.util.Objects.requireNonNull(value);
+    ensureEvacuationsIsMutable();
+    evacuations_.add(index, value);
+  }
+  /**
+   * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 6;</code>
+   */
+  private void addAllEvacuations(
+      java.lang.Iterable<? extends org.ragwortrun.proto.Evacuation> values) {
+    ensureEvacuationsIsMutable();
+    com.google.protobuf.AbstractMessageLite.addAll(
+        values, evacuations_);
+  }
+  /**
+   * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 6;</code>
+   */
+  private void clearEvacuations() {
+    evacuations_ = emptyProtobufList();
+  }
+  /**
+   * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 6;</code>
+   */
+  private void removeEvacuations(int index) {
+    ensureEvacuationsIsMutable();
+    evacuations_.remove(index);
+  }
+
   public static org.ragwortrun.proto.ConfigReply parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -671,6 +766,108 @@
       return this;
     }
 
+    /**
+     * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 6;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.ragwortrun.proto.Evacuation> getEvacuationsList() {
+      return java.util.Collections.unmodifiableList(
+          instance.getEvacuationsList());
+    }
+    /**
+     * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 6;</code>
+     */
+    @java.lang.Override
+    public int getEvacuationsCount() {
+      return instance.getEvacuationsCount();
+    }/**
+     * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 6;</code>
+     */
+    @java.lang.Override
+    public org.ragwortrun.proto.Evacuation getEvacuations(int index) {
+      return instance.getEvacuations(index);
+    }
+    /**
+     * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 6;</code>
+     */
+    public Builder setEvacuations(
+        int index, org.ragwortrun.proto.Evacuation value) {
+      copyOnWrite();
+      instance.setEvacuations(index, value);
+      return this;
+    }
+    /**
+     * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 6;</code>
+     */
+    public Builder setEvacuations(
+        int index, org.ragwortrun.proto.Evacuation.Builder builderForValue) {
+      copyOnWrite();
+      instance.setEvacuations(index,
+          builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 6;</code>
+     */
+    public Builder addEvacuations(org.ragwortrun.proto.Evacuation value) {
+      copyOnWrite();
+      instance.addEvacuations(value);
+      return this;
+    }
+    /**
+     * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 6;</code>
+     */
+    public Builder addEvacuations(
+        int index, org.ragwortrun.proto.Evacuation value) {
+      copyOnWrite();
+      instance.addEvacuations(index, value);
+      return this;
+    }
+    /**
+     * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 6;</code>
+     */
+    public Builder addEvacuations(
+        org.ragwortrun.proto.Evacuation.Builder builderForValue) {
+      copyOnWrite();
+      instance.addEvacuations(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 6;</code>
+     */
+    public Builder addEvacuations(
+        int index, org.ragwortrun.proto.Evacuation.Builder builderForValue) {
+      copyOnWrite();
+      instance.addEvacuations(index,
+          builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 6;</code>
+     */
+    public Builder addAllEvacuations(
+        java.lang.Iterable<? extends org.ragwortrun.proto.Evacuation> values) {
+      copyOnWrite();
+      instance.addAllEvacuations(values);
+      return this;
+    }
+    /**
+     * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 6;</code>
+     */
+    public Builder clearEvacuations() {
+      copyOnWrite();
+      instance.clearEvacuations();
+      return this;
+    }
+    /**
+     * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 6;</code>
+     */
+    public Builder removeEvacuations(int index) {
+      copyOnWrite();
+      instance.removeEvacuations(index);
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.ragwortrun.proto.ConfigReply)
   }
   @java.lang.Override
@@ -694,10 +891,12 @@
             "document_",
             "orderedMoves_",
             org.ragwortrun.proto.OrderedMove.class,
+            "evacuations_",
+            org.ragwortrun.proto.Evacuation.class,
           };
           java.lang.String info =
-              "\u0000\u0005\u0000\u0000\u0001\u0005\u0005\u0000\u0002\u0000\u0001\u0003\u0002\u001b" +
-              "\u0003\u0003\u0004\n\u0005\u001b";
+              "\u0000\u0006\u0000\u0000\u0001\u0006\u0006\u0000\u0003\u0000\u0001\u0003\u0002\u001b" +
+              "\u0003\u0003\u0004\n\u0005\u001b\u0006\u001b";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/proto/src/main/java/org/ragwortrun/proto/ConfigReplyOrBuilder.java
+++ b/proto/src/main/java/org/ragwortrun/proto/ConfigReplyOrBuilder.java
@@ -55,4 +55,18 @@
    * <code>repeated .org.ragwortrun.proto.OrderedMove ordered_moves = 5;</code>
    */
   int getOrderedMovesCount();
+
+  /**
+   * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 6;</code>
+   */
+  java.util.List<org.ragwortrun.proto.Evacuation> 
+      getEvacuationsList();
+  /**
+   * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 6;</code>
+   */
+  org.ragwortrun.proto.Evacuation getEvacuations(int index);
+  /**
+   * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 6;</code>
+   */
+  int getEvacuationsCount();
 }
--- a/proto/src/main/java/org/ragwortrun/proto/ConfigUpdate.java
+++ b/proto/src/main/java/org/ragwortrun/proto/ConfigUpdate.java
@@ -25,6 +25,7 @@
     decisions_ = emptyProtobufList();
     suspects_ = emptyProtobufList();
     orderedMoves_ = emptyProtobufList();
+    evacuations_ = emptyProtobufList();
   }
   public static final int NUMBER_FIELD_NUMBER = 1;
   private long number_;
@@ -680,6 +681,144 @@
     ageMs_ = 0L;
   }
 
+  public static final int EVACUATIONS_FIELD_NUMBER = 22;
+  private com.google.protobuf.Internal.ProtobufList<org.ragwortrun.proto.Evacuation> evacuations_;
+  /**
+   * <pre>
+   * All evacuations, not only those that changed since the base.
+   * </pre>
+   *
+   * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 22;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.ragwortrun.proto.Evacuation> getEvacuationsList() {
+    return evacuations_;
+  }
+  /**
+   * <pre>
+   * All evacuations, not only those that changed since the base.
+   * </pre>
+   *
+   * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 22;</code>
+   */
+  public java.util.List<? extends org.ragwortrun.proto.EvacuationOrBuilder> 
+      getEvacuationsOrBuilderList() {
+    return evacuations_;
+  }
+  /**
+   * <pre>
+   * All evacuations, not only those that changed since the base.
+   * </pre>
+   *
+   * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 22;</code>
+   */
+  @java.lang.Override
+  public int getEvacuationsCount() {
+    return evacuations_.size();
+  }
+  /**
+   * <pre>
+   * All evacuations, not only those that changed since the base.
+   * </pre>
+   *
+   * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 22;</code>
+   */
+  @java.lang.Override
+  public org.ragwortrun.proto.Evacuation getEvacuations(int index) {
+    return evacuations_.get(index);
+  }
+  /**
+   * <pre>
+   * All evacuations, not only those that changed since the base.
+   * </pre>
+   *
+   * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 22;</code>
+   */
+  public org.ragwortrun.proto.EvacuationOrBuilder getEvacuationsOrBuilder(
+      int index) {
+    return evacuations_.get(index);
+  }
+  private void ensureEvacuationsIsMutable() {
+    com.google.protobuf.Internal.ProtobufList<org.ragwortrun.proto.Evacuation> tmp = evacuations_;
+    if (!tmp.isModifiable()) {
+      evacuations_ =
+          com.google.protobuf.GeneratedMessageLite.mutableCopy(tmp);
+     }
+  }
+
+  /**
+   * <pre>
+   * All evacuations, not only those that changed since the base.
+   * </pre>
+   *
+   * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 22;</code>
+   */
+  private void setEvacuations(
+      int index, org.ragwortrun.proto.Evacuation value) {
+    java.util.Objects.requireNonNull(value);
+    ensureEvacuationsIsMutable();
+    evacuations_.set(index, value);
+  }
+  /**
+   * <pre>
+   * All evacuations, not only those that changed since the base.
+   * </pre>
+   *
+   * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 22;</code>
+   */
+  private void addEvacuations(org.ragwortrun.proto.Evacuation value) {
+    java.util.Objects.requireNonNull(value);
+    ensureEvacuationsIsMutable();
+    evacuations_.add(value);
+  }
+  /**
+   * <pre>
+   * All evacuations, not only those that changed since the base.
+   * </pre>
+   *
+   * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 22;</code>
+   */
+  private void addEvacuations(
+      int index, org.ragwortrun.proto.Evacuation value) {
+    java.util.Objects.requireNonNull(value);
+    ensureEvacuationsIsMutable();
+    evacuations_.add(index, value);
+  }
+  /**
+   * <pre>
+   * All evacuations, not only those that changed since the base.
+   * </pre>
+   *
+   * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 22;</code>
+   */
+  private void addAllEvacuations(
+      java.lang.Iterable<? extends org.ragwortrun.proto.Evacuation> values) {
+    ensureEvacuationsIsMutable();
+    com.google.protobuf.AbstractMessageLite.addAll(
+        values, evacuations_);
+  }
+  /**
+   * <pre>
+   * All evacuations, not only those that changed since the base.
+   * </pre>
+   *
+   * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 22;</code>
+   */
+  private void clearEvacuations() {
+    evacuations_ = emptyProtobufList();
+  }
+  /**
+   * <pre>
+   * All evacuations, not only those that changed since the base.
+   * </pre>
+   *
+   * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 22;</code>
+   */
+  private void removeEvacuations(int index) {
+    ensureEvacuationsIsMutable();
+    evacuations_.remove(index);
+  }
+
   public static org.ragwortrun.proto.ConfigUpdate parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -1489,6 +1628,156 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * All evacuations, not only those that changed since the base.
+     * </pre>
+     *
+     * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 22;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.ragwortrun.proto.Evacuation> getEvacuationsList() {
+      return java.util.Collections.unmodifiableList(
+          instance.getEvacuationsList());
+    }
+    /**
+     * <pre>
+     * All evacuations, not only those that changed since the base.
+     * </pre>
+     *
+     * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 22;</code>
+     */
+    @java.lang.Override
+    public int getEvacuationsCount() {
+      return instance.getEvacuationsCount();
+    }/**
+     * <pre>
+     * All evacuations, not only those that changed since the base.
+     * </pre>
+     *
+     * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 22;</code>
+     */
+    @java.lang.Override
+    public org.ragwortrun.proto.Evacuation getEvacuations(int index) {
+      return instance.getEvacuations(index);
+    }
+    /**
+     * <pre>
+     * All evacuations, not only those that changed since the base.
+     * </pre>
+     *
+     * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 22;</code>
+     */
+    public Builder setEvacuations(
+        int index, org.ragwortrun.proto.Evacuation value) {
+      copyOnWrite();
+      instance.setEvacuations(index, value);
+      return this;
+    }
+    /**
+     * <pre>
+     * All evacuations, not only those that changed since the base.
+     * </pre>
+     *
+     * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 22;</code>
+     */
+    public Builder setEvacuations(
+        int index, org.ragwortrun.proto.Evacuation.Builder builderForValue) {
+      copyOnWrite();
+      instance.setEvacuations(index,
+          builderForValue.build());
+      return this;
+    }
+    /**
+     * <pre>
+     * All evacuations, not only those that changed since the base.
+     * </pre>
+     *
+     * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 22;</code>
+     */
+    public Builder addEvacuations(org.ragwortrun.proto.Evacuation value) {
+      copyOnWrite();
+      instance.addEvacuations(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * All evacuations, not only those that changed since the base.
+     * </pre>
+     *
+     * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 22;</code>
+     */
+    public Builder addEvacuations(
+        int index, org.ragwortrun.proto.Evacuation value) {
+      copyOnWrite();
+      instance.addEvacuations(index, value);
+      return this;
+    }
+    /**
+     * <pre>
+     * All evacuations, not only those that changed since the base.
+     * </pre>
+     *
+     * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 22;</code>
+     */
+    public Builder addEvacuations(
+        org.ragwortrun.proto.Evacuation.Builder builderForValue) {
+      copyOnWrite();
+      instance.addEvacuations(builderForValue.build());
+      return this;
+    }
+    /**
+     * <pre>
+     * All evacuations, not only those that changed since the base.
+     * </pre>
+     *
+     * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 22;</code>
+     */
+    public Builder addEvacuations(
+        int index, org.ragwortrun.proto.Evacuation.Builder builderForValue) {
+      copyOnWrite();
+      instance.addEvacuations(index,
+          builderForValue.build());
+      return this;
+    }
+    /**
+     * <pre>
+     * All evacuations, not only those that changed since the base.
+     * </pre>
+     *
+     * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 22;</code>
+     */
+    public Builder addAllEvacuations(
+        java.lang.Iterable<? extends org.ragwortrun.proto.Evacuation> values) {
+      copyOnWrite();
+      instance.addAllEvacuations(values);
+      return this;
+    }
+    /**
+     * <pre>
+     * All evacuations, not only those that changed since the base.
+     * </pre>
+     *
+     * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 22;</code>
+     */
+    public Builder clearEvacuations() {
+      copyOnWrite();
+      instance.clearEvacuations();
+      return this;
+    }
+    /**
+     * <pre>
+     * All evacuations, not only those that changed since the base.
+     * </pre>
+     *
+     * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 22;</code>
+     */
+    public Builder removeEvacuations(int index) {
+      copyOnWrite();
+      instance.removeEvacuations(index);
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.ragwortrun.proto.ConfigUpdate)
   }
   @java.lang.Override
@@ -1520,10 +1809,13 @@
             "orderedMoves_",
             org.ragwortrun.proto.OrderedMove.class,
             "ageMs_",
+            "evacuations_",
+            org.ragwortrun.proto.Evacuation.class,
           };
           java.lang.String info =
-              "\u0000\t\u0000\u0000\u0001\u0015\t\u0000\u0006\u0000\u0001\u0003\u0002\u0003\u0003" +
-              "\u001b\u0004\u001b\u0005\u001b\u0006\u001b\u0007\u001b\u0014\u001b\u0015\u0003";
+              "\u0000\n\u0000\u0000\u0001\u0016\n\u0000\u0007\u0000\u0001\u0003\u0002\u0003\u0003" +
+              "\u001b\u0004\u001b\u0005\u001b\u0006\u001b\u0007\u001b\u0014\u001b\u0015\u0003\u0016" +
+              "\u001b";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/proto/src/main/java/org/ragwortrun/proto/ConfigUpdateOrBuilder.java
+++ b/proto/src/main/java/org/ragwortrun/proto/ConfigUpdateOrBuilder.java
@@ -115,4 +115,30 @@
    * @return The ageMs.
    */
   long getAgeMs();
+
+  /**
+   * <pre>
+   * All evacuations, not only those that changed since the base.
+   * </pre>
+   *
+   * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 22;</code>
+   */
+  java.util.List<org.ragwortrun.proto.Evacuation> 
+      getEvacuationsList();
+  /**
+   * <pre>
+   * All evacuations, not only those that changed since the base.
+   * </pre>
+   *
+   * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 22;</code>
+   */
+  org.ragwortrun.proto.Evacuation getEvacuations(int index);
+  /**
+   * <pre>
+   * All evacuations, not only those that changed since the base.
+   * </pre>
+   *
+   * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 22;</code>
+   */
+  int getEvacuationsCount();
 }
--- a/proto/src/main/java/org/ragwortrun/proto/Frame.java
+++ b/proto/src/main/java/org/ragwortrun/proto/Frame.java
@@ -71,6 +71,13 @@
     PERMIT_REQUEST(46),
     PERMIT_REPLY(47),
     LIMIT_REPORT(48),
+    EVACUATION_ORDER(49),
+    EVACUATION_REPLY(50),
+    PERFORMANCE_REPORT(51),
+    WITHDRAWAL_REQUEST(52),
+    WITHDRAWAL_REPLY(53),
+    ROUTE_QUERY(54),
+    ROUTE_EXPLANATION(55),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -133,6 +140,13 @@
         case 46: return PERMIT_REQUEST;
         case 47: return PERMIT_REPLY;
         case 48: return LIMIT_REPORT;
+        case 49: return EVACUATION_ORDER;
+        case 50: return EVACUATION_REPLY;
+        case 51: return PERFORMANCE_REPORT;
+        case 52: return WITHDRAWAL_REQUEST;
+        case 53: return WITHDRAWAL_REPLY;
+        case 54: return ROUTE_QUERY;
+        case 55: return ROUTE_EXPLANATION;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -2530,6 +2544,356 @@
     }
   }
 
+  public static final int EVACUATION_ORDER_FIELD_NUMBER = 49;
+  /**
+   * <code>.org.ragwortrun.proto.EvacuationOrder evacuation_order = 49;</code>
+   */
+  @java.lang.Override
+  public boolean hasEvacuationOrder() {
+    return bodyCase_ == 49;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.EvacuationOrder evacuation_order = 49;</code>
+   */
+  @java.lang.Override
+  public org.ragwortrun.proto.EvacuationOrder getEvacuationOrder() {
+    if (bodyCase_ == 49) {
+       return (org.ragwortrun.proto.EvacuationOrder) body_;
+    }
+    return org.ragwortrun.proto.EvacuationOrder.getDefaultInstance();
+  }
+  /**
+   * <code>.org.ragwortrun.proto.EvacuationOrder evacuation_order = 49;</code>
+   */
+  private void setEvacuationOrder(org.ragwortrun.proto.EvacuationOrder value) {
+    java.util.Objects.requireNonNull(value);
+    body_ = value;
+    bodyCase_ = 49;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.EvacuationOrder evacuation_order = 49;</code>
+   */
+  private void mergeEvacuationOrder(org.ragwortrun.proto.EvacuationOrder value) {
+    java.util.Objects.requireNonNull(value);
+    if (bodyCase_ == 49 &&
+        body_ != org.ragwortrun.proto.EvacuationOrder.getDefaultInstance()) {
+      body_ = org.ragwortrun.proto.EvacuationOrder.newBuilder((org.ragwortrun.proto.EvacuationOrder) body_)
+          .mergeFrom(value).buildPartial();
+    } else {
+      body_ = value;
+    }
+    bodyCase_ = 49;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.EvacuationOrder evacuation_order = 49;</code>
+   */
+  private void clearEvacuationOrder() {
+    if (bodyCase_ == 49) {
+      bodyCase_ = 0;
+      body_ = null;
+    }
+  }
+
+  public static final int EVACUATION_REPLY_FIELD_NUMBER = 50;
+  /**
+   * <code>.org.ragwortrun.proto.EvacuationReply evacuation_reply = 50;</code>
+   */
+  @java.lang.Override
+  public boolean hasEvacuationReply() {
+    return bodyCase_ == 50;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.EvacuationReply evacuation_reply = 50;</code>
+   */
+  @java.lang.Override
+  public org.ragwortrun.proto.EvacuationReply getEvacuationReply() {
+    if (bodyCase_ == 50) {
+       return (org.ragwortrun.proto.EvacuationReply) body_;
+    }
+    return org.ragwortrun.proto.EvacuationReply.getDefaultInstance();
+  }
+  /**
+   * <code>.org.ragwortrun.proto.EvacuationReply evacuation_reply = 50;</code>
+   */
+  private void setEvacuationReply(org.ragwortrun.proto.EvacuationReply value) {
+    java.util.Objects.requireNonNull(value);
+    body_ = value;
+    bodyCase_ = 50;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.EvacuationReply evacuation_reply = 50;</code>
+   */
+  private void mergeEvacuationReply(org.ragwortrun.proto.EvacuationReply value) {
+    java.util.Objects.requireNonNull(value);
+    if (bodyCase_ == 50 &&
+        body_ != org.ragwortrun.proto.EvacuationReply.getDefaultInstance()) {
+      body_ = org.ragwortrun.proto.EvacuationReply.newBuilder((org.ragwortrun.proto.EvacuationReply) body_)
+          .mergeFrom(value).buildPartial();
+    } else {
+      body_ = value;
+    }
+    bodyCase_ = 50;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.EvacuationReply evacuation_reply = 50;</code>
+   */
+  private void clearEvacuationReply() {
+    if (bodyCase_ == 50) {
+      bodyCase_ = 0;
+      body_ = null;
+    }
+  }
+
+  public static final int PERFORMANCE_REPORT_FIELD_NUMBER = 51;
+  /**
+   * <code>.org.ragwortrun.proto.PerformanceReport performance_report = 51;</code>
+   */
+  @java.lang.Override
+  public boolean hasPerformanceReport() {
+    return bodyCase_ == 51;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.PerformanceReport performance_report = 51;</code>
+   */
+  @java.lang.Override
+  public org.ragwortrun.proto.PerformanceReport getPerformanceReport() {
+    if (bodyCase_ == 51) {
+       return (org.ragwortrun.proto.PerformanceReport) body_;
+    }
+    return org.ragwortrun.proto.PerformanceReport.getDefaultInstance();
+  }
+  /**
+   * <code>.org.ragwortrun.proto.PerformanceReport performance_report = 51;</code>
+   */
+  private void setPerformanceReport(org.ragwortrun.proto.PerformanceReport value) {
+    java.util.Objects.requireNonNull(value);
+    body_ = value;
+    bodyCase_ = 51;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.PerformanceReport performance_report = 51;</code>
+   */
+  private void mergePerformanceReport(org.ragwortrun.proto.PerformanceReport value) {
+    java.util.Objects.requireNonNull(value);
+    if (bodyCase_ == 51 &&
+        body_ != org.ragwortrun.proto.PerformanceReport.getDefaultInstance()) {
+      body_ = org.ragwortrun.proto.PerformanceReport.newBuilder((org.ragwortrun.proto.PerformanceReport) body_)
+          .mergeFrom(value).buildPartial();
+    } else {
+      body_ = value;
+    }
+    bodyCase_ = 51;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.PerformanceReport performance_report = 51;</code>
+   */
+  private void clearPerformanceReport() {
+    if (bodyCase_ == 51) {
+      bodyCase_ = 0;
+      body_ = null;
+    }
+  }
+
+  public static final int WITHDRAWAL_REQUEST_FIELD_NUMBER = 52;
+  /**
+   * <code>.org.ragwortrun.proto.WithdrawalRequest withdrawal_request = 52;</code>
+   */
+  @java.lang.Override
+  public boolean hasWithdrawalRequest() {
+    return bodyCase_ == 52;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.WithdrawalRequest withdrawal_request = 52;</code>
+   */
+  @java.lang.Override
+  public org.ragwortrun.proto.WithdrawalRequest getWithdrawalRequest() {
+    if (bodyCase_ == 52) {
+       return (org.ragwortrun.proto.WithdrawalRequest) body_;
+    }
+    return org.ragwortrun.proto.WithdrawalRequest.getDefaultInstance();
+  }
+  /**
+   * <code>.org.ragwortrun.proto.WithdrawalRequest withdrawal_request = 52;</code>
+   */
+  private void setWithdrawalRequest(org.ragwortrun.proto.WithdrawalRequest value) {
+    java.util.Objects.requireNonNull(value);
+    body_ = value;
+    bodyCase_ = 52;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.WithdrawalRequest withdrawal_request = 52;</code>
+   */
+  private void mergeWithdrawalRequest(org.ragwortrun.proto.WithdrawalRequest value) {
+    java.util.Objects.requireNonNull(value);
+    if (bodyCase_ == 52 &&
+        body_ != org.ragwortrun.proto.WithdrawalRequest.getDefaultInstance()) {
+      body_ = org.ragwortrun.proto.WithdrawalRequest.newBuilder((org.ragwortrun.proto.WithdrawalRequest) body_)
+          .mergeFrom(value).buildPartial();
+    } else {
+      body_ = value;
+    }
+    bodyCase_ = 52;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.WithdrawalRequest withdrawal_request = 52;</code>
+   */
+  private void clearWithdrawalRequest() {
+    if (bodyCase_ == 52) {
+      bodyCase_ = 0;
+      body_ = null;
+    }
+  }
+
+  public static final int WITHDRAWAL_REPLY_FIELD_NUMBER = 53;
+  /**
+   * <code>.org.ragwortrun.proto.WithdrawalReply withdrawal_reply = 53;</code>
+   */
+  @java.lang.Override
+  public boolean hasWithdrawalReply() {
+    return bodyCase_ == 53;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.WithdrawalReply withdrawal_reply = 53;</code>
+   */
+  @java.lang.Override
+  public org.ragwortrun.proto.WithdrawalReply getWithdrawalReply() {
+    if (bodyCase_ == 53) {
+       return (org.ragwortrun.proto.WithdrawalReply) body_;
+    }
+    return org.ragwortrun.proto.WithdrawalReply.getDefaultInstance();
+  }
+  /**
+   * <code>.org.ragwortrun.proto.WithdrawalReply withdrawal_reply = 53;</code>
+   */
+  private void setWithdrawalReply(org.ragwortrun.proto.WithdrawalReply value) {
+    java.util.Objects.requireNonNull(value);
+    body_ = value;
+    bodyCase_ = 53;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.WithdrawalReply withdrawal_reply = 53;</code>
+   */
+  private void mergeWithdrawalReply(org.ragwortrun.proto.WithdrawalReply value) {
+    java.util.Objects.requireNonNull(value);
+    if (bodyCase_ == 53 &&
+        body_ != org.ragwortrun.proto.WithdrawalReply.getDefaultInstance()) {
+      body_ = org.ragwortrun.proto.WithdrawalReply.newBuilder((org.ragwortrun.proto.WithdrawalReply) body_)
+          .mergeFrom(value).buildPartial();
+    } else {
+      body_ = value;
+    }
+    bodyCase_ = 53;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.WithdrawalReply withdrawal_reply = 53;</code>
+   */
+  private void clearWithdrawalReply() {
+    if (bodyCase_ == 53) {
+      bodyCase_ = 0;
+      body_ = null;
+    }
+  }
+
+  public static final int ROUTE_QUERY_FIELD_NUMBER = 54;
+  /**
+   * <code>.org.ragwortrun.proto.RouteQuery route_query = 54;</code>
+   */
+  @java.lang.Override
+  public boolean hasRouteQuery() {
+    return bodyCase_ == 54;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.RouteQuery route_query = 54;</code>
+   */
+  @java.lang.Override
+  public org.ragwortrun.proto.RouteQuery getRouteQuery() {
+    if (bodyCase_ == 54) {
+       return (org.ragwortrun.proto.RouteQuery) body_;
+    }
+    return org.ragwortrun.proto.RouteQuery.getDefaultInstance();
+  }
+  /**
+   * <code>.org.ragwortrun.proto.RouteQuery route_query = 54;</code>
+   */
+  private void setRouteQuery(org.ragwortrun.proto.RouteQuery value) {
+    java.util.Objects.requireNonNull(value);
+    body_ = value;
+    bodyCase_ = 54;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.RouteQuery route_query = 54;</code>
+   */
+  private void mergeRouteQuery(org.ragwortrun.proto.RouteQuery value) {
+    java.util.Objects.requireNonNull(value);
+    if (bodyCase_ == 54 &&
+        body_ != org.ragwortrun.proto.RouteQuery.getDefaultInstance()) {
+      body_ = org.ragwortrun.proto.RouteQuery.newBuilder((org.ragwortrun.proto.RouteQuery) body_)
+          .mergeFrom(value).buildPartial();
+    } else {
+      body_ = value;
+    }
+    bodyCase_ = 54;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.RouteQuery route_query = 54;</code>
+   */
+  private void clearRouteQuery() {
+    if (bodyCase_ == 54) {
+      bodyCase_ = 0;
+      body_ = null;
+    }
+  }
+
+  public static final int ROUTE_EXPLANATION_FIELD_NUMBER = 55;
+  /**
+   * <code>.org.ragwortrun.proto.RouteExplanation route_explanation = 55;</code>
+   */
+  @java.lang.Override
+  public boolean hasRouteExplanation() {
+    return bodyCase_ == 55;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.RouteExplanation route_explanation = 55;</code>
+   */
+  @java.lang.Override
+  public org.ragwortrun.proto.RouteExplanation getRouteExplanation() {
+    if (bodyCase_ == 55) {
+       return (org.ragwortrun.proto.RouteExplanation) body_;
+    }
+    return org.ragwortrun.proto.RouteExplanation.getDefaultInstance();
+  }
+  /**
+   * <code>.org.ragwortrun.proto.RouteExplanation route_explanation = 55;</code>
+   */
+  private void setRouteExplanation(org.ragwortrun.proto.RouteExplanation value) {
+    java.util.Objects.requireNonNull(value);
+    body_ = value;
+    bodyCase_ = 55;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.RouteExplanation route_explanation = 55;</code>
+   */
+  private void mergeRouteExplanation(org.ragwortrun.proto.RouteExplanation value) {
+    java.util.Objects.requireNonNull(value);
+    if (bodyCase_ == 55 &&
+        body_ != org.ragwortrun.proto.RouteExplanation.getDefaultInstance()) {
+      body_ = org.ragwortrun.proto.RouteExplanation.newBuilder((org.ragwortrun.proto.RouteExplanation) body_)
+          .mergeFrom(value).buildPartial();
+    } else {
+      body_ = value;
+    }
+    bodyCase_ = 55;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.RouteExplanation route_explanation = 55;</code>
+   */
+  private void clearRouteExplanation() {
+    if (bodyCase_ == 55) {
+      bodyCase_ = 0;
+      body_ = null;
+    }
+  }
+
   public static org.ragwortrun.proto.Frame parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -4927,6 +5291,342 @@
       return this;
     }
 
+    /**
+     * <code>.org.ragwortrun.proto.EvacuationOrder evacuation_order = 49;</code>
+     */
+    @java.lang.Override
+    public boolean hasEvacuationOrder() {
+      return instance.hasEvacuationOrder();
+    }
+    /**
+     * <code>.org.ragwortrun.proto.EvacuationOrder evacuation_order = 49;</code>
+     */
+    @java.lang.Override
+    public org.ragwortrun.proto.EvacuationOrder getEvacuationOrder() {
+      return instance.getEvacuationOrder();
+    }
+    /**
+     * <code>.org.ragwortrun.proto.EvacuationOrder evacuation_order = 49;</code>
+     */
+    public Builder setEvacuationOrder(org.ragwortrun.proto.EvacuationOrder value) {
+      copyOnWrite();
+      instance.setEvacuationOrder(value);
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.EvacuationOrder evacuation_order = 49;</code>
+     */
+    public Builder setEvacuationOrder(
+        org.ragwortrun.proto.EvacuationOrder.Builder builderForValue) {
+      copyOnWrite();
+      instance.setEvacuationOrder(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.EvacuationOrder evacuation_order = 49;</code>
+     */
+    public Builder mergeEvacuationOrder(org.ragwortrun.proto.EvacuationOrder value) {
+      copyOnWrite();
+      instance.mergeEvacuationOrder(value);
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.EvacuationOrder evacuation_order = 49;</code>
+     */
+    public Builder clearEvacuationOrder() {
+      copyOnWrite();
+      instance.clearEvacuationOrder();
+      return this;
+    }
+
+    /**
+     * <code>.org.ragwortrun.proto.EvacuationReply evacuation_reply = 50;</code>
+     */
+    @java.lang.Override
+    public boolean hasEvacuationReply() {
+      return instance.hasEvacuationReply();
+    }
+    /**
+     * <code>.org.ragwortrun.proto.EvacuationReply evacuation_reply = 50;</code>
+     */
+    @java.lang.Override
+    public org.ragwortrun.proto.EvacuationReply getEvacuationReply() {
+      return instance.getEvacuationReply();
+    }
+    /**
+     * <code>.org.ragwortrun.proto.EvacuationReply evacuation_reply = 50;</code>
+     */
+    public Builder setEvacuationReply(org.ragwortrun.proto.EvacuationReply value) {
+      copyOnWrite();
+      instance.setEvacuationReply(value);
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.EvacuationReply evacuation_reply = 50;</code>
+     */
+    public Builder setEvacuationReply(
+        org.ragwortrun.proto.EvacuationReply.Builder builderForValue) {
+      copyOnWrite();
+      instance.setEvacuationReply(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.EvacuationReply evacuation_reply = 50;</code>
+     */
+    public Builder mergeEvacuationReply(org.ragwortrun.proto.EvacuationReply value) {
+      copyOnWrite();
+      instance.mergeEvacuationReply(value);
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.EvacuationReply evacuation_reply = 50;</code>
+     */
+    public Builder clearEvacuationReply() {
+      copyOnWrite();
+      instance.clearEvacuationReply();
+      return this;
+    }
+
+    /**
+     * <code>.org.ragwortrun.proto.PerformanceReport performance_report = 51;</code>
+     */
+    @java.lang.Override
+    public boolean hasPerformanceReport() {
+      return instance.hasPerformanceReport();
+    }
+    /**
+     * <code>.org.ragwortrun.proto.PerformanceReport performance_report = 51;</code>
+     */
+    @java.lang.Override
+    public org.ragwortrun.proto.PerformanceReport getPerformanceReport() {
+      return instance.getPerformanceReport();
+    }
+    /**
+     * <code>.org.ragwortrun.proto.PerformanceReport performance_report = 51;</code>
+     */
+    public Builder setPerformanceReport(org.ragwortrun.proto.PerformanceReport value) {
+      copyOnWrite();
+      instance.setPerformanceReport(value);
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.PerformanceReport performance_report = 51;</code>
+     */
+    public Builder setPerformanceReport(
+        org.ragwortrun.proto.PerformanceReport.Builder builderForValue) {
+      copyOnWrite();
+      instance.setPerformanceReport(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.PerformanceReport performance_report = 51;</code>
+     */
+    public Builder mergePerformanceReport(org.ragwortrun.proto.PerformanceReport value) {
+      copyOnWrite();
+      instance.mergePerformanceReport(value);
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.PerformanceReport performance_report = 51;</code>
+     */
+    public Builder clearPerformanceReport() {
+      copyOnWrite();
+      instance.clearPerformanceReport();
+      return this;
+    }
+
+    /**
+     * <code>.org.ragwortrun.proto.WithdrawalRequest withdrawal_request = 52;</code>
+     */
+    @java.lang.Override
+    public boolean hasWithdrawalRequest() {
+      return instance.hasWithdrawalRequest();
+    }
+    /**
+     * <code>.org.ragwortrun.proto.WithdrawalRequest withdrawal_request = 52;</code>
+     */
+    @java.lang.Override
+    public org.ragwortrun.proto.WithdrawalRequest getWithdrawalRequest() {
+      return instance.getWithdrawalRequest();
+    }
+    /**
+     * <code>.org.ragwortrun.proto.WithdrawalRequest withdrawal_request = 52;</code>
+     */
+    public Builder setWithdrawalRequest(org.ragwortrun.proto.WithdrawalRequest value) {
+      copyOnWrite();
+      instance.setWithdrawalRequest(value);
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.WithdrawalRequest withdrawal_request = 52;</code>
+     */
+    public Builder setWithdrawalRequest(
+        org.ragwortrun.proto.WithdrawalRequest.Builder builderForValue) {
+      copyOnWrite();
+      instance.setWithdrawalRequest(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.WithdrawalRequest withdrawal_request = 52;</code>
+     */
+    public Builder mergeWithdrawalRequest(org.ragwortrun.proto.WithdrawalRequest value) {
+      copyOnWrite();
+      instance.mergeWithdrawalRequest(value);
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.WithdrawalRequest withdrawal_request = 52;</code>
+     */
+    public Builder clearWithdrawalRequest() {
+      copyOnWrite();
+      instance.clearWithdrawalRequest();
+      return this;
+    }
+
+    /**
+     * <code>.org.ragwortrun.proto.WithdrawalReply withdrawal_reply = 53;</code>
+     */
+    @java.lang.Override
+    public boolean hasWithdrawalReply() {
+      return instance.hasWithdrawalReply();
+    }
+    /**
+     * <code>.org.ragwortrun.proto.WithdrawalReply withdrawal_reply = 53;</code>
+     */
+    @java.lang.Override
+    public org.ragwortrun.proto.WithdrawalReply getWithdrawalReply() {
+      return instance.getWithdrawalReply();
+    }
+    /**
+     * <code>.org.ragwortrun.proto.WithdrawalReply withdrawal_reply = 53;</code>
+     */
+    public Builder setWithdrawalReply(org.ragwortrun.proto.WithdrawalReply value) {
+      copyOnWrite();
+      instance.setWithdrawalReply(value);
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.WithdrawalReply withdrawal_reply = 53;</code>
+     */
+    public Builder setWithdrawalReply(
+        org.ragwortrun.proto.WithdrawalReply.Builder builderForValue) {
+      copyOnWrite();
+      instance.setWithdrawalReply(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.WithdrawalReply withdrawal_reply = 53;</code>
+     */
+    public Builder mergeWithdrawalReply(org.ragwortrun.proto.WithdrawalReply value) {
+      copyOnWrite();
+      instance.mergeWithdrawalReply(value);
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.WithdrawalReply withdrawal_reply = 53;</code>
+     */
+    public Builder clearWithdrawalReply() {
+      copyOnWrite();
+      instance.clearWithdrawalReply();
+      return this;
+    }
+
+    /**
+     * <code>.org.ragwortrun.proto.RouteQuery route_query = 54;</code>
+     */
+    @java.lang.Override
+    public boolean hasRouteQuery() {
+      return instance.hasRouteQuery();
+    }
+    /**
+     * <code>.org.ragwortrun.proto.RouteQuery route_query = 54;</code>
+     */
+    @java.lang.Override
+    public org.ragwortrun.proto.RouteQuery getRouteQuery() {
+      return instance.getRouteQuery();
+    }
+    /**
+     * <code>.org.ragwortrun.proto.RouteQuery route_query = 54;</code>
+     */
+    public Builder setRouteQuery(org.ragwortrun.proto.RouteQuery value) {
+      copyOnWrite();
+      instance.setRouteQuery(value);
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.RouteQuery route_query = 54;</code>
+     */
+    public Builder setRouteQuery(
+        org.ragwortrun.proto.RouteQuery.Builder builderForValue) {
+      copyOnWrite();
+      instance.setRouteQuery(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.RouteQuery route_query = 54;</code>
+     */
+    public Builder mergeRouteQuery(org.ragwortrun.proto.RouteQuery value) {
+      copyOnWrite();
+      instance.mergeRouteQuery(value);
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.RouteQuery route_query = 54;</code>
+     */
+    public Builder clearRouteQuery() {
+      copyOnWrite();
+      instance.clearRouteQuery();
+      return this;
+    }
+
+    /**
+     * <code>.org.ragwortrun.proto.RouteExplanation route_explanation = 55;</code>
+     */
+    @java.lang.Override
+    public boolean hasRouteExplanation() {
+      return instance.hasRouteExplanation();
+    }
+    /**
+     * <code>.org.ragwortrun.proto.RouteExplanation route_explanation = 55;</code>
+     */
+    @java.lang.Override
+    public org.ragwortrun.proto.RouteExplanation getRouteExplanation() {
+      return instance.getRouteExplanation();
+    }
+    /**
+     * <code>.org.ragwortrun.proto.RouteExplanation route_explanation = 55;</code>
+     */
+    public Builder setRouteExplanation(org.ragwortrun.proto.RouteExplanation value) {
+      copyOnWrite();
+      instance.setRouteExplanation(value);
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.RouteExplanation route_explanation = 55;</code>
+     */
+    public Builder setRouteExplanation(
+        org.ragwortrun.proto.RouteExplanation.Builder builderForValue) {
+      copyOnWrite();
+      instance.setRouteExplanation(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.RouteExplanation route_explanation = 55;</code>
+     */
+    public Builder mergeRouteExplanation(org.ragwortrun.proto.RouteExplanation value) {
+      copyOnWrite();
+      instance.mergeRouteExplanation(value);
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.RouteExplanation route_explanation = 55;</code>
+     */
+    public Builder clearRouteExplanation() {
+      copyOnWrite();
+      instance.clearRouteExplanation();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.ragwortrun.proto.Frame)
   }
   @java.lang.Override
@@ -4993,15 +5693,23 @@
             org.ragwortrun.proto.PermitRequest.class,
             org.ragwortrun.proto.PermitReply.class,
             org.ragwortrun.proto.LimitReport.class,
+            org.ragwortrun.proto.EvacuationOrder.class,
+            org.ragwortrun.proto.EvacuationReply.class,
+            org.ragwortrun.proto.PerformanceReport.class,
+            org.ragwortrun.proto.WithdrawalRequest.class,
+            org.ragwortrun.proto.WithdrawalReply.class,
+            org.ragwortrun.proto.RouteQuery.class,
+            org.ragwortrun.proto.RouteExplanation.class,
           };
           java.lang.String info =
-              "\u00000\u0001\u0000\u000100\u0000\u0000\u0000\u0001\u0003\u0002<\u0000\u0003<\u0000" +
+              "\u00007\u0001\u0000\u000177\u0000\u0000\u0000\u0001\u0003\u0002<\u0000\u0003<\u0000" +
               "\u0004<\u0000\u0005<\u0000\u0006<\u0000\u0007<\u0000\b<\u0000\t<\u0000\n<\u0000\u000b" +
               "<\u0000\f<\u0000\r<\u0000\u000e<\u0000\u000f<\u0000\u0010<\u0000\u0011<\u0000\u0012" +
               "<\u0000\u0013<\u0000\u0014<\u0000\u0015<\u0000\u0016<\u0000\u0017<\u0000\u0018<\u0000" +
               "\u0019<\u0000\u001a<\u0000\u001b<\u0000\u001c<\u0000\u001d<\u0000\u001e<\u0000\u001f" +
               "<\u0000 <\u0000!<\u0000\"<\u0000#<\u0000$<\u0000%<\u0000&<\u0000\'<\u0000(<\u0000" +
-              ")<\u0000*<\u0000+<\u0000,<\u0000-<\u0000.<\u0000/<\u00000<\u0000";
+              ")<\u0000*<\u0000+<\u0000,<\u0000-<\u0000.<\u0000/<\u00000<\u00001<\u00002<\u0000" +
+              "3<\u00004<\u00005<\u00006<\u00007<\u0000";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/proto/src/main/java/org/ragwortrun/proto/FrameOrBuilder.java
+++ b/proto/src/main/java/org/ragwortrun/proto/FrameOrBuilder.java
@@ -533,5 +533,82 @@
    */
   org.ragwortrun.proto.LimitReport getLimitReport();
 
+  /**
+   * <code>.org.ragwortrun.proto.EvacuationOrder evacuation_order = 49;</code>
+   * @return Whether the evacuationOrder field is set.
+   */
+  boolean hasEvacuationOrder();
+  /**
+   * <code>.org.ragwortrun.proto.EvacuationOrder evacuation_order = 49;</code>
+   * @return The evacuationOrder.
+   */
+  org.ragwortrun.proto.EvacuationOrder getEvacuationOrder();
+
+  /**
+   * <code>.org.ragwortrun.proto.EvacuationReply evacuation_reply = 50;</code>
+   * @return Whether the evacuationReply field is set.
+   */
+  boolean hasEvacuationReply();
+  /**
+   * <code>.org.ragwortrun.proto.EvacuationReply evacuation_reply = 50;</code>
+   * @return The evacuationReply.
+   */
+  org.ragwortrun.proto.EvacuationReply getEvacuationReply();
+
+  /**
+   * <code>.org.ragwortrun.proto.PerformanceReport performance_report = 51;</code>
+   * @return Whether the performanceReport field is set.
+   */
+  boolean hasPerformanceReport();
+  /**
+   * <code>.org.ragwortrun.proto.PerformanceReport performance_report = 51;</code>
+   * @return The performanceReport.
+   */
+  org.ragwortrun.proto.PerformanceReport getPerformanceReport();
+
+  /**
+   * <code>.org.ragwortrun.proto.WithdrawalRequest withdrawal_request = 52;</code>
+   * @return Whether the withdrawalRequest field is set.
+   */
+  boolean hasWithdrawalRequest();
+  /**
+   * <code>.org.ragwortrun.proto.WithdrawalRequest withdrawal_request = 52;</code>
+   * @return The withdrawalRequest.
+   */
+  org.ragwortrun.proto.WithdrawalRequest getWithdrawalRequest();
+
+  /**
+   * <code>.org.ragwortrun.proto.WithdrawalReply withdrawal_reply = 53;</code>
+   * @return Whether the withdrawalReply field is set.
+   */
+  boolean hasWithdrawalReply();
+  /**
+   * <code>.org.ragwortrun.proto.WithdrawalReply withdrawal_reply = 53;</code>
+   * @return The withdrawalReply.
+   */
+  org.ragwortrun.proto.WithdrawalReply getWithdrawalReply();
+
+  /**
+   * <code>.org.ragwortrun.proto.RouteQuery route_query = 54;</code>
+   * @return Whether the routeQuery field is set.
+   */
+  boolean hasRouteQuery();
+  /**
+   * <code>.org.ragwortrun.proto.RouteQuery route_query = 54;</code>
+   * @return The routeQuery.
+   */
+  org.ragwortrun.proto.RouteQuery getRouteQuery();
+
+  /**
+   * <code>.org.ragwortrun.proto.RouteExplanation route_explanation = 55;</code>
+   * @return Whether the routeExplanation field is set.
+   */
+  boolean hasRouteExplanation();
+  /**
+   * <code>.org.ragwortrun.proto.RouteExplanation route_explanation = 55;</code>
+   * @return The routeExplanation.
+   */
+  org.ragwortrun.proto.RouteExplanation getRouteExplanation();
+
   public org.ragwortrun.proto.Frame.BodyCase getBodyCase();
 }
--- a/proto/src/main/java/org/ragwortrun/proto/MetaCommand.java
+++ b/proto/src/main/java/org/ragwortrun/proto/MetaCommand.java
@@ -33,6 +33,7 @@
     READ_BARRIER(8),
     SET_BASELINE(9),
     CRASH_EVIDENCE(10),
+    EVACUATION(11),
     OP_NOT_SET(0);
     private final int value;
     private OpCase(int value) {
@@ -57,6 +58,7 @@
         case 8: return READ_BARRIER;
         case 9: return SET_BASELINE;
         case 10: return CRASH_EVIDENCE;
+        case 11: return EVACUATION;
         case 0: return OP_NOT_SET;
         default: return null;
       }
@@ -554,6 +556,56 @@
     }
   }
 
+  public static final int EVACUATION_FIELD_NUMBER = 11;
+  /**
+   * <code>.org.ragwortrun.proto.EvacuationOrder evacuation = 11;</code>
+   */
+  @java.lang.Override
+  public boolean hasEvacuation() {
+    return opCase_ == 11;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.EvacuationOrder evacuation = 11;</code>
+   */
+  @java.lang.Override
+  public org.ragwortrun.proto.EvacuationOrder getEvacuation() {
+    if (opCase_ == 11) {
+       return (org.ragwortrun.proto.EvacuationOrder) op_;
+    }
+    return org.ragwortrun.proto.EvacuationOrder.getDefaultInstance();
+  }
+  /**
+   * <code>.org.ragwortrun.proto.EvacuationOrder evacuation = 11;</code>
+   */
+  private void setEvacuation(org.ragwortrun.proto.EvacuationOrder value) {
+    java.util.Objects.requireNonNull(value);
+    op_ = value;
+    opCase_ = 11;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.EvacuationOrder evacuation = 11;</code>
+   */
+  private void mergeEvacuation(org.ragwortrun.proto.EvacuationOrder value) {
+    java.util.Objects.requireNonNull(value);
+    if (opCase_ == 11 &&
+        op_ != org.ragwortrun.proto.EvacuationOrder.getDefaultInstance()) {
+      op_ = org.ragwortrun.proto.EvacuationOrder.newBuilder((org.ragwortrun.proto.EvacuationOrder) op_)
+          .mergeFrom(value).buildPartial();
+    } else {
+      op_ = value;
+    }
+    opCase_ = 11;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.EvacuationOrder evacuation = 11;</code>
+   */
+  private void clearEvacuation() {
+    if (opCase_ == 11) {
+      opCase_ = 0;
+      op_ = null;
+    }
+  }
+
   public static org.ragwortrun.proto.MetaCommand parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -1127,6 +1179,54 @@
       return this;
     }
 
+    /**
+     * <code>.org.ragwortrun.proto.EvacuationOrder evacuation = 11;</code>
+     */
+    @java.lang.Override
+    public boolean hasEvacuation() {
+      return instance.hasEvacuation();
+    }
+    /**
+     * <code>.org.ragwortrun.proto.EvacuationOrder evacuation = 11;</code>
+     */
+    @java.lang.Override
+    public org.ragwortrun.proto.EvacuationOrder getEvacuation() {
+      return instance.getEvacuation();
+    }
+    /**
+     * <code>.org.ragwortrun.proto.EvacuationOrder evacuation = 11;</code>
+     */
+    public Builder setEvacuation(org.ragwortrun.proto.EvacuationOrder value) {
+      copyOnWrite();
+      instance.setEvacuation(value);
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.EvacuationOrder evacuation = 11;</code>
+     */
+    public Builder setEvacuation(
+        org.ragwortrun.proto.EvacuationOrder.Builder builderForValue) {
+      copyOnWrite();
+      instance.setEvacuation(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.EvacuationOrder evacuation = 11;</code>
+     */
+    public Builder mergeEvacuation(org.ragwortrun.proto.EvacuationOrder value) {
+      copyOnWrite();
+      instance.mergeEvacuation(value);
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.EvacuationOrder evacuation = 11;</code>
+     */
+    public Builder clearEvacuation() {
+      copyOnWrite();
+      instance.clearEvacuation();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.ragwortrun.proto.MetaCommand)
   }
   @java.lang.Override
@@ -1155,11 +1255,12 @@
             org.ragwortrun.proto.ReadBarrier.class,
             org.ragwortrun.proto.SetBaseline.class,
             org.ragwortrun.proto.CrashEvidence.class,
+            org.ragwortrun.proto.EvacuationOrder.class,
           };
           java.lang.String info =
-              "\u0000\n\u0001\u0000\u0001\n\n\u0000\u0000\u0000\u0001\u0002\u0002<\u0000\u0003<" +
-              "\u0000\u0004<\u0000\u0005<\u0000\u0006<\u0000\u0007<\u0000\b<\u0000\t<\u0000\n<\u0000" +
-              "";
+              "\u0000\u000b\u0001\u0000\u0001\u000b\u000b\u0000\u0000\u0000\u0001\u0002\u0002<\u0000" +
+              "\u0003<\u0000\u0004<\u0000\u0005<\u0000\u0006<\u0000\u0007<\u0000\b<\u0000\t<\u0000" +
+              "\n<\u0000\u000b<\u0000";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/proto/src/main/java/org/ragwortrun/proto/MetaCommandOrBuilder.java
+++ b/proto/src/main/java/org/ragwortrun/proto/MetaCommandOrBuilder.java
@@ -115,5 +115,16 @@
    */
   org.ragwortrun.proto.CrashEvidence getCrashEvidence();
 
+  /**
+   * <code>.org.ragwortrun.proto.EvacuationOrder evacuation = 11;</code>
+   * @return Whether the evacuation field is set.
+   */
+  boolean hasEvacuation();
+  /**
+   * <code>.org.ragwortrun.proto.EvacuationOrder evacuation = 11;</code>
+   * @return The evacuation.
+   */
+  org.ragwortrun.proto.EvacuationOrder getEvacuation();
+
   public org.ragwortrun.proto.MetaCommand.OpCase getOpCase();
 }
--- a/proto/src/main/java/org/ragwortrun/proto/MetaResult.java
+++ b/proto/src/main/java/org/ragwortrun/proto/MetaResult.java
@@ -25,6 +25,7 @@
     FENCING(3),
     ERROR(4),
     START_MOVE(5),
+    EVACUATION(6),
     RESULT_NOT_SET(0);
     private final int value;
     private ResultCase(int value) {
@@ -45,6 +46,7 @@
         case 3: return FENCING;
         case 4: return ERROR;
         case 5: return START_MOVE;
+        case 6: return EVACUATION;
         case 0: return RESULT_NOT_SET;
         default: return null;
       }
@@ -308,6 +310,56 @@
     }
   }
 
+  public static final int EVACUATION_FIELD_NUMBER = 6;
+  /**
+   * <code>.org.ragwortrun.proto.EvacuationReply evacuation = 6;</code>
+   */
+  @java.lang.Override
+  public boolean hasEvacuation() {
+    return resultCase_ == 6;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.EvacuationReply evacuation = 6;</code>
+   */
+  @java.lang.Override
+  public org.ragwortrun.proto.EvacuationReply getEvacuation() {
+    if (resultCase_ == 6) {
+       return (org.ragwortrun.proto.EvacuationReply) result_;
+    }
+    return org.ragwortrun.proto.EvacuationReply.getDefaultInstance();
+  }
+  /**
+   * <code>.org.ragwortrun.proto.EvacuationReply evacuation = 6;</code>
+   */
+  private void setEvacuation(org.ragwortrun.proto.EvacuationReply value) {
+    java.util.Objects.requireNonNull(value);
+    result_ = value;
+    resultCase_ = 6;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.EvacuationReply evacuation = 6;</code>
+   */
+  private void mergeEvacuation(org.ragwortrun.proto.EvacuationReply value) {
+    java.util.Objects.requireNonNull(value);
+    if (resultCase_ == 6 &&
+        result_ != org.ragwortrun.proto.EvacuationReply.getDefaultInstance()) {
+      result_ = org.ragwortrun.proto.EvacuationReply.newBuilder((org.ragwortrun.proto.EvacuationReply) result_)
+          .mergeFrom(value).buildPartial();
+    } else {
+      result_ = value;
+    }
+    resultCase_ = 6;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.EvacuationReply evacuation = 6;</code>
+   */
+  private void clearEvacuation() {
+    if (resultCase_ == 6) {
+      resultCase_ = 0;
+      result_ = null;
+    }
+  }
+
   public static org.ragwortrun.proto.MetaResult parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -649,6 +701,54 @@
       return this;
     }
 
+    /**
+     * <code>.org.ragwortrun.proto.EvacuationReply evacuation = 6;</code>
+     */
+    @java.lang.Override
+    public boolean hasEvacuation() {
+      return instance.hasEvacuation();
+    }
+    /**
+     * <code>.org.ragwortrun.proto.EvacuationReply evacuation = 6;</code>
+     */
+    @java.lang.Override
+    public org.ragwortrun.proto.EvacuationReply getEvacuation() {
+      return instance.getEvacuation();
+    }
+    /**
+     * <code>.org.ragwortrun.proto.EvacuationReply evacuation = 6;</code>
+     */
+    public Builder setEvacuation(org.ragwortrun.proto.EvacuationReply value) {
+      copyOnWrite();
+      instance.setEvacuation(value);
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.EvacuationReply evacuation = 6;</code>
+     */
+    public Builder setEvacuation(
+        org.ragwortrun.proto.EvacuationReply.Builder builderForValue) {
+      copyOnWrite();
+      instance.setEvacuation(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.EvacuationReply evacuation = 6;</code>
+     */
+    public Builder mergeEvacuation(org.ragwortrun.proto.EvacuationReply value) {
+      copyOnWrite();
+      instance.mergeEvacuation(value);
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.EvacuationReply evacuation = 6;</code>
+     */
+    public Builder clearEvacuation() {
+      copyOnWrite();
+      instance.clearEvacuation();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.ragwortrun.proto.MetaResult)
   }
   @java.lang.Override
@@ -670,10 +770,11 @@
             org.ragwortrun.proto.PublishReply.class,
             org.ragwortrun.proto.ErrorReply.class,
             org.ragwortrun.proto.StartMoveReply.class,
+            org.ragwortrun.proto.EvacuationReply.class,
           };
           java.lang.String info =
-              "\u0000\u0005\u0001\u0000\u0001\u0005\u0005\u0000\u0000\u0000\u0001<\u0000\u00026" +
-              "\u0000\u00036\u0000\u0004<\u0000\u0005<\u0000";
+              "\u0000\u0006\u0001\u0000\u0001\u0006\u0006\u0000\u0000\u0000\u0001<\u0000\u00026" +
+              "\u0000\u00036\u0000\u0004<\u0000\u0005<\u0000\u0006<\u0000";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/proto/src/main/java/org/ragwortrun/proto/MetaResultOrBuilder.java
+++ b/proto/src/main/java/org/ragwortrun/proto/MetaResultOrBuilder.java
@@ -73,5 +73,16 @@
    */
   org.ragwortrun.proto.StartMoveReply getStartMove();
 
+  /**
+   * <code>.org.ragwortrun.proto.EvacuationReply evacuation = 6;</code>
+   * @return Whether the evacuation field is set.
+   */
+  boolean hasEvacuation();
+  /**
+   * <code>.org.ragwortrun.proto.EvacuationReply evacuation = 6;</code>
+   * @return The evacuation.
+   */
+  org.ragwortrun.proto.EvacuationReply getEvacuation();
+
   public org.ragwortrun.proto.MetaResult.ResultCase getResultCase();
 }
--- a/proto/src/main/java/org/ragwortrun/proto/PermitReply.java
+++ b/proto/src/main/java/org/ragwortrun/proto/PermitReply.java
@@ -148,6 +148,73 @@
     bitField0_ = (bitField0_ & ~0x00000001);
   }
 
+  public static final int RAMP_FIELD_NUMBER = 4;
+  private org.ragwortrun.proto.Ramp ramp_;
+  /**
+   * <pre>
+   * The ramp of the endpoint as the coordinator knows it; not set if there is none.
+   * </pre>
+   *
+   * <code>.org.ragwortrun.proto.Ramp ramp = 4;</code>
+   */
+  @java.lang.Override
+  public boolean hasRamp() {
+    return ((bitField0_ & 0x00000002) != 0);
+  }
+  /**
+   * <pre>
+   * The ramp of the endpoint as the coordinator knows it; not set if there is none.
+   * </pre>
+   *
+   * <code>.org.ragwortrun.proto.Ramp ramp = 4;</code>
+   */
+  @java.lang.Override
+  public org.ragwortrun.proto.Ramp getRamp() {
+    return ramp_ == null ? org.ragwortrun.proto.Ramp.getDefaultInstance() : ramp_;
+  }
+  /**
+   * <pre>
+   * The ramp of the endpoint as the coordinator knows it; not set if there is none.
+   * </pre>
+   *
+   * <code>.org.ragwortrun.proto.Ramp ramp = 4;</code>
+   */
+  private void setRamp(org.ragwortrun.proto.Ramp value) {
+    java.util.Objects.requireNonNull(value);
+    ramp_ = value;
+    bitField0_ |= 0x00000002;
+  }
+  /**
+   * <pre>
+   * The ramp of the endpoint as the coordinator knows it; not set if there is none.
+   * </pre>
+   *
+   * <code>.org.ragwortrun.proto.Ramp ramp = 4;</code>
+   */
+  @java.lang.SuppressWarnings("ReferenceEquality")
+  private void mergeRamp(org.ragwortrun.proto.Ramp value) {
+    java.util.Objects.requireNonNull(value);
+    if (ramp_ != null &&
+        ramp_ != org.ragwortrun.proto.Ramp.getDefaultInstance()) {
+      ramp_ =
+        org.ragwortrun.proto.Ramp.newBuilder(ramp_).mergeFrom(value).buildPartial();
+    } else {
+      ramp_ = value;
+    }
+    bitField0_ |= 0x00000002;
+  }
+  /**
+   * <pre>
+   * The ramp of the endpoint as the coordinator knows it; not set if there is none.
+   * </pre>
+   *
+   * <code>.org.ragwortrun.proto.Ramp ramp = 4;</code>
+   */
+  private void clearRamp() {
+    ramp_ = null;
+    bitField0_ = (bitField0_ & ~0x00000002);
+  }
+
   public static org.ragwortrun.proto.PermitReply parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -384,6 +451,77 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * The ramp of the endpoint as the coordinator knows it; not set if there is none.
+     * </pre>
+     *
+     * <code>.org.ragwortrun.proto.Ramp ramp = 4;</code>
+     */
+    @java.lang.Override
+    public boolean hasRamp() {
+      return instance.hasRamp();
+    }
+    /**
+     * <pre>
+     * The ramp of the endpoint as the coordinator knows it; not set if there is none.
+     * </pre>
+     *
+     * <code>.org.ragwortrun.proto.Ramp ramp = 4;</code>
+     */
+    @java.lang.Override
+    public org.ragwortrun.proto.Ramp getRamp() {
+      return instance.getRamp();
+    }
+    /**
+     * <pre>
+     * The ramp of the endpoint as the coordinator knows it; not set if there is none.
+     * </pre>
+     *
+     * <code>.org.ragwortrun.proto.Ramp ramp = 4;</code>
+     */
+    public Builder setRamp(org.ragwortrun.proto.Ramp value) {
+      copyOnWrite();
+      instance.setRamp(value);
+      return this;
+      }
+    /**
+     * <pre>
+     * The ramp of the endpoint as the coordinator knows it; not set if there is none.
+     * </pre>
+     *
+     * <code>.org.ragwortrun.proto.Ramp ramp = 4;</code>
+     */
+    public Builder setRamp(
+        org.ragwortrun.proto.Ramp.Builder builderForValue) {
+      copyOnWrite();
+      instance.setRamp(builderForValue.build());
+      return this;
+    }
+    /**
+     * <pre>
+     * The ramp of the endpoint as the coordinator knows it; not set if there is none.
+     * </pre>
+     *
+     * <code>.org.ragwortrun.proto.Ramp ramp = 4;</code>
+     */
+    public Builder mergeRamp(org.ragwortrun.proto.Ramp value) {
+      copyOnWrite();
+      instance.mergeRamp(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * The ramp of the endpoint as the coordinator knows it; not set if there is none.
+     * </pre>
+     *
+     * <code>.org.ragwortrun.proto.Ramp ramp = 4;</code>
+     */
+    public Builder clearRamp() {  copyOnWrite();
+      instance.clearRamp();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.ragwortrun.proto.PermitReply)
   }
   @java.lang.Override
@@ -404,10 +542,11 @@
             "granted_",
             "waitMs_",
             "limit_",
+            "ramp_",
           };
           java.lang.String info =
-              "\u0000\u0003\u0000\u0001\u0001\u0003\u0003\u0000\u0000\u0000\u0001\u000b\u0002\u000b" +
-              "\u0003\u1009\u0000";
+              "\u0000\u0004\u0000\u0001\u0001\u0004\u0004\u0000\u0000\u0000\u0001\u000b\u0002\u000b" +
+              "\u0003\u1009\u0000\u0004\u1009\u0001";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/proto/src/main/java/org/ragwortrun/proto/PermitReplyOrBuilder.java
+++ b/proto/src/main/java/org/ragwortrun/proto/PermitReplyOrBuilder.java
@@ -44,4 +44,23 @@
    * @return The limit.
    */
   org.ragwortrun.proto.LimitReport getLimit();
+
+  /**
+   * <pre>
+   * The ramp of the endpoint as the coordinator knows it; not set if there is none.
+   * </pre>
+   *
+   * <code>.org.ragwortrun.proto.Ramp ramp = 4;</code>
+   * @return Whether the ramp field is set.
+   */
+  boolean hasRamp();
+  /**
+   * <pre>
+   * The ramp of the endpoint as the coordinator knows it; not set if there is none.
+   * </pre>
+   *
+   * <code>.org.ragwortrun.proto.Ramp ramp = 4;</code>
+   * @return The ramp.
+   */
+  org.ragwortrun.proto.Ramp getRamp();
 }
--- a/proto/src/main/java/org/ragwortrun/proto/PermitRequest.java
+++ b/proto/src/main/java/org/ragwortrun/proto/PermitRequest.java
@@ -126,6 +126,137 @@
     wanted_ = 0;
   }
 
+  public static final int RAMP_FIELD_NUMBER = 3;
+  private org.ragwortrun.proto.Ramp ramp_;
+  /**
+   * <pre>
+   * Set if the asking router holds the endpoint to a rate because it is warming up or has recovered.
+   * </pre>
+   *
+   * <code>.org.ragwortrun.proto.Ramp ramp = 3;</code>
+   */
+  @java.lang.Override
+  public boolean hasRamp() {
+    return ((bitField0_ & 0x00000002) != 0);
+  }
+  /**
+   * <pre>
+   * Set if the asking router holds the endpoint to a rate because it is warming up or has recovered.
+   * </pre>
+   *
+   * <code>.org.ragwortrun.proto.Ramp ramp = 3;</code>
+   */
+  @java.lang.Override
+  public org.ragwortrun.proto.Ramp getRamp() {
+    return ramp_ == null ? org.ragwortrun.proto.Ramp.getDefaultInstance() : ramp_;
+  }
+  /**
+   * <pre>
+   * Set if the asking router holds the endpoint to a rate because it is warming up or has recovered.
+   * </pre>
+   *
+   * <code>.org.ragwortrun.proto.Ramp ramp = 3;</code>
+   */
+  private void setRamp(org.ragwortrun.proto.Ramp value) {
+    java.util.Objects.requireNonNull(value);
+    ramp_ = value;
+    bitField0_ |= 0x00000002;
+  }
+  /**
+   * <pre>
+   * Set if the asking router holds the endpoint to a rate because it is warming up or has recovered.
+   * </pre>
+   *
+   * <code>.org.ragwortrun.proto.Ramp ramp = 3;</code>
+   */
+  @java.lang.SuppressWarnings("ReferenceEquality")
+  private void mergeRamp(org.ragwortrun.proto.Ramp value) {
+    java.util.Objects.requireNonNull(value);
+    if (ramp_ != null &&
+        ramp_ != org.ragwortrun.proto.Ramp.getDefaultInstance()) {
+      ramp_ =
+        org.ragwortrun.proto.Ramp.newBuilder(ramp_).mergeFrom(value).buildPartial();
+    } else {
+      ramp_ = value;
+    }
+    bitField0_ |= 0x00000002;
+  }
+  /**
+   * <pre>
+   * Set if the asking router holds the endpoint to a rate because it is warming up or has recovered.
+   * </pre>
+   *
+   * <code>.org.ragwortrun.proto.Ramp ramp = 3;</code>
+   */
+  private void clearRamp() {
+    ramp_ = null;
+    bitField0_ = (bitField0_ & ~0x00000002);
+  }
+
+  public static final int GOOD_ANSWERS_FIELD_NUMBER = 4;
+  private int goodAnswers_;
+  /**
+   * <pre>
+   * Answers of the endpoint that this router received since its previous request, for the rate of the ramp.
+   * </pre>
+   *
+   * <code>uint32 good_answers = 4;</code>
+   * @return The goodAnswers.
+   */
+  @java.lang.Override
+  public int getGoodAnswers() {
+    return goodAnswers_;
+  }
+  /**
+   * <pre>
+   * Answers of the endpoint that this router received since its previous request, for the rate of the ramp.
+   * </pre>
+   *
+   * <code>uint32 good_answers = 4;</code>
+   * @param value The goodAnswers to set.
+   */
+  private void setGoodAnswers(int value) {
+    
+    goodAnswers_ = value;
+  }
+  /**
+   * <pre>
+   * Answers of the endpoint that this router received since its previous request, for the rate of the ramp.
+   * </pre>
+   *
+   * <code>uint32 good_answers = 4;</code>
+   */
+  private void clearGoodAnswers() {
+
+    goodAnswers_ = 0;
+  }
+
+  public static final int BAD_ANSWERS_FIELD_NUMBER = 5;
+  private int badAnswers_;
+  /**
+   * <code>uint32 bad_answers = 5;</code>
+   * @return The badAnswers.
+   */
+  @java.lang.Override
+  public int getBadAnswers() {
+    return badAnswers_;
+  }
+  /**
+   * <code>uint32 bad_answers = 5;</code>
+   * @param value The badAnswers to set.
+   */
+  private void setBadAnswers(int value) {
+    
+    badAnswers_ = value;
+  }
+  /**
+   * <code>uint32 bad_answers = 5;</code>
+   */
+  private void clearBadAnswers() {
+
+    badAnswers_ = 0;
+  }
+
   public static org.ragwortrun.proto.PermitRequest parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -338,6 +469,145 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Set if the asking router holds the endpoint to a rate because it is warming up or has recovered.
+     * </pre>
+     *
+     * <code>.org.ragwortrun.proto.Ramp ramp = 3;</code>
+     */
+    @java.lang.Override
+    public boolean hasRamp() {
+      return instance.hasRamp();
+    }
+    /**
+     * <pre>
+     * Set if the asking router holds the endpoint to a rate because it is warming up or has recovered.
+     * </pre>
+     *
+     * <code>.org.ragwortrun.proto.Ramp ramp = 3;</code>
+     */
+    @java.lang.Override
+    public org.ragwortrun.proto.Ramp getRamp() {
+      return instance.getRamp();
+    }
+    /**
+     * <pre>
+     * Set if the asking router holds the endpoint to a rate because it is warming up or has recovered.
+     * </pre>
+     *
+     * <code>.org.ragwortrun.proto.Ramp ramp = 3;</code>
+     */
+    public Builder setRamp(org.ragwortrun.proto.Ramp value) {
+      copyOnWrite();
+      instance.setRamp(value);
+      return this;
+      }
+    /**
+     * <pre>
+     * Set if the asking router holds the endpoint to a rate because it is warming up or has recovered.
+     * </pre>
+     *
+     * <code>.org.ragwortrun.proto.Ramp ramp = 3;</code>
+     */
+    public Builder setRamp(
+        org.ragwortrun.proto.Ramp.Builder builderForValue) {
+      copyOnWrite();
+      instance.setRamp(builderForValue.build());
+      return this;
+    }
+    /**
+     * <pre>
+     * Set if the asking router holds the endpoint to a rate because it is warming up or has recovered.
+     * </pre>
+     *
+     * <code>.org.ragwortrun.proto.Ramp ramp = 3;</code>
+     */
+    public Builder mergeRamp(org.ragwortrun.proto.Ramp value) {
+      copyOnWrite();
+      instance.mergeRamp(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Set if the asking router holds the endpoint to a rate because it is warming up or has recovered.
+     * </pre>
+     *
+     * <code>.org.ragwortrun.proto.Ramp ramp = 3;</code>
+     */
+    public Builder clearRamp() {  copyOnWrite();
+      instance.clearRamp();
+      return this;
+    }
+
+    /**
+     * <pre>
+     * Answers of the endpoint that this router received since its previous request, for the rate of the ramp.
+     * </pre>
+     *
+     * <code>uint32 good_answers = 4;</code>
+     * @return The goodAnswers.
+     */
+    @java.lang.Override
+    public int getGoodAnswers() {
+      return instance.getGoodAnswers();
+    }
+    /**
+     * <pre>
+     * Answers of the endpoint that this router received since its previous request, for the rate of the ramp.
+     * </pre>
+     *
+     * <code>uint32 good_answers = 4;</code>
+     * @param value The goodAnswers to set.
+     * @return This builder for chaining.
+     */
+    public Builder setGoodAnswers(int value) {
+      copyOnWrite();
+      instance.setGoodAnswers(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Answers of the endpoint that this router received since its previous request, for the rate of the ramp.
+     * </pre>
+     *
+     * <code>uint32 good_answers = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearGoodAnswers() {
+      copyOnWrite();
+      instance.clearGoodAnswers();
+      return this;
+    }
+
+    /**
+     * <code>uint32 bad_answers = 5;</code>
+     * @return The badAnswers.
+     */
+    @java.lang.Override
+    public int getBadAnswers() {
+      return instance.getBadAnswers();
+    }
+    /**
+     * <code>uint32 bad_answers = 5;</code>
+     * @param value The badAnswers to set.
+     * @return This builder for chaining.
+     */
+    public Builder setBadAnswers(int value) {
+      copyOnWrite();
+      instance.setBadAnswers(value);
+      return this;
+    }
+    /**
+     * <code>uint32 bad_answers = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearBadAnswers() {
+      copyOnWrite();
+      instance.clearBadAnswers();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.ragwortrun.proto.PermitRequest)
   }
   @java.lang.Override
@@ -357,10 +627,13 @@
             "bitField0_",
             "limit_",
             "wanted_",
+            "ramp_",
+            "goodAnswers_",
+            "badAnswers_",
           };
           java.lang.String info =
-              "\u0000\u0002\u0000\u0001\u0001\u0002\u0002\u0000\u0000\u0000\u0001\u1009\u0000\u0002" +
-              "\u000b";
+              "\u0000\u0005\u0000\u0001\u0001\u0005\u0005\u0000\u0000\u0000\u0001\u1009\u0000\u0002" +
+              "\u000b\u0003\u1009\u0001\u0004\u000b\u0005\u000b";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/proto/src/main/java/org/ragwortrun/proto/PermitRequestOrBuilder.java
+++ b/proto/src/main/java/org/ragwortrun/proto/PermitRequestOrBuilder.java
@@ -38,4 +38,39 @@
    * @return The wanted.
    */
   int getWanted();
+
+  /**
+   * <pre>
+   * Set if the asking router holds the endpoint to a rate because it is warming up or has recovered.
+   * </pre>
+   *
+   * <code>.org.ragwortrun.proto.Ramp ramp = 3;</code>
+   * @return Whether the ramp field is set.
+   */
+  boolean hasRamp();
+  /**
+   * <pre>
+   * Set if the asking router holds the endpoint to a rate because it is warming up or has recovered.
+   * </pre>
+   *
+   * <code>.org.ragwortrun.proto.Ramp ramp = 3;</code>
+   * @return The ramp.
+   */
+  org.ragwortrun.proto.Ramp getRamp();
+
+  /**
+   * <pre>
+   * Answers of the endpoint that this router received since its previous request, for the rate of the ramp.
+   * </pre>
+   *
+   * <code>uint32 good_answers = 4;</code>
+   * @return The goodAnswers.
+   */
+  int getGoodAnswers();
+
+  /**
+   * <code>uint32 bad_answers = 5;</code>
+   * @return The badAnswers.
+   */
+  int getBadAnswers();
 }
--- a/proto/src/main/java/org/ragwortrun/proto/StatusReply.java
+++ b/proto/src/main/java/org/ragwortrun/proto/StatusReply.java
@@ -18,6 +18,7 @@
     member_ = "";
     groups_ = emptyProtobufList();
     daemons_ = emptyProtobufList();
+    evacuations_ = emptyProtobufList();
   }
   public static final int MEMBER_FIELD_NUMBER = 1;
   private java.lang.String member_;
@@ -306,6 +307,100 @@
     daemons_.remove(index);
   }
 
+  public static final int EVACUATIONS_FIELD_NUMBER = 6;
+  private com.google.protobuf.Internal.ProtobufList<org.ragwortrun.proto.Evacuation> evacuations_;
+  /**
+   * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 6;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.ragwortrun.proto.Evacuation> getEvacuationsList() {
+    return evacuations_;
+  }
+  /**
+   * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 6;</code>
+   */
+  public java.util.List<? extends org.ragwortrun.proto.EvacuationOrBuilder> 
+      getEvacuationsOrBuilderList() {
+    return evacuations_;
+  }
+  /**
+   * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 6;</code>
+   */
+  @java.lang.Override
+  public int getEvacuationsCount() {
+    return evacuations_.size();
+  }
+  /**
+   * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 6;</code>
+   */
+  @java.lang.Override
+  public org.ragwortrun.proto.Evacuation getEvacuations(int index) {
+    return evacuations_.get(index);
+  }
+  /**
+   * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 6;</code>
+   */
+  public org.ragwortrun.proto.EvacuationOrBuilder getEvacuationsOrBuilder(
+      int index) {
+    return evacuations_.get(index);
+  }
+  private void ensureEvacuationsIsMutable() {
+    com.google.protobuf.Internal.ProtobufList<org.ragwortrun.proto.Evacuation> tmp = evacuations_;
+    if (!tmp.isModifiable()) {
+      evacuations_ =
+          com.google.protobuf.GeneratedMessageLite.mutableCopy(tmp);
+     }
+  }
+
+  /**
+   * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 6;</code>
+   */
+  private void setEvacuations(
+      int index, org.ragwortrun.proto.Evacuation value) {
+    java.util.Objects.requireNonNull(value);
+    ensureEvacuationsIsMutable();
+    evacuations_.set(index, value);
+  }
+  /**
+   * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 6;</code>
+   */
+  private void addEvacuations(org.ragwortrun.proto.Evacuation value) {
+    java.util.Objects.requireNonNull(value);
+    ensureEvacuationsIsMutable();
+    evacuations_.add(value);
+  }
+  /**
+   * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 6;</code>
+   */
+  private void addEvacuations(
+      int index, org.ragwortrun.proto.Evacuation value) {
+    java.util.Objects.requireNonNull(value);
+    ensureEvacuationsIsMutable();
+    evacuations_.add(index, value);
+  }
+  /**
+   * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 6;</code>
+   */
+  private void addAllEvacuations(
+      java.lang.Iterable<? extends org.ragwortrun.proto.Evacuation> values) {
+    ensureEvacuationsIsMutable();
+    com.google.protobuf.AbstractMessageLite.addAll(
+        values, evacuations_);
+  }
+  /**
+   * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 6;</code>
+   */
+  private void clearEvacuations() {
+    evacuations_ = emptyProtobufList();
+  }
+  /**
+   * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 6;</code>
+   */
+  private void removeEvacuations(int index) {
+    ensureEvacuationsIsMutable();
+    evacuations_.remove(index);
+  }
+
   public static org.ragwortrun.proto.StatusReply parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -712,6 +807,108 @@
       return this;
     }
 
+    /**
+     * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 6;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.ragwortrun.proto.Evacuation> getEvacuationsList() {
+      return java.util.Collections.unmodifiableList(
+          instance.getEvacuationsList());
+    }
+    /**
+     * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 6;</code>
+     */
+    @java.lang.Override
+    public int getEvacuationsCount() {
+      return instance.getEvacuationsCount();
+    }/**
+     * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 6;</code>
+     */
+    @java.lang.Override
+    public org.ragwortrun.proto.Evacuation getEvacuations(int index) {
+      return instance.getEvacuations(index);
+    }
+    /**
+     * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 6;</code>
+     */
+    public Builder setEvacuations(
+        int index, org.ragwortrun.proto.Evacuation value) {
+      copyOnWrite();
+      instance.setEvacuations(index, value);
+      return this;
+    }
+    /**
+     * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 6;</code>
+     */
+    public Builder setEvacuations(
+        int index, org.ragwortrun.proto.Evacuation.Builder builderForValue) {
+      copyOnWrite();
+      instance.setEvacuations(index,
+          builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 6;</code>
+     */
+    public Builder addEvacuations(org.ragwortrun.proto.Evacuation value) {
+      copyOnWrite();
+      instance.addEvacuations(value);
+      return this;
+    }
+    /**
+     * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 6;</code>
+     */
+    public Builder addEvacuations(
+        int index, org.ragwortrun.proto.Evacuation value) {
+      copyOnWrite();
+      instance.addEvacuations(index, value);
+      return this;
+    }
+    /**
+     * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 6;</code>
+     */
+    public Builder addEvacuations(
+        org.ragwortrun.proto.Evacuation.Builder builderForValue) {
+      copyOnWrite();
+      instance.addEvacuations(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 6;</code>
+     */
+    public Builder addEvacuations(
+        int index, org.ragwortrun.proto.Evacuation.Builder builderForValue) {
+      copyOnWrite();
+      instance.addEvacuations(index,
+          builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 6;</code>
+     */
+    public Builder addAllEvacuations(
+        java.lang.Iterable<? extends org.ragwortrun.proto.Evacuation> values) {
+      copyOnWrite();
+      instance.addAllEvacuations(values);
+      return this;
+    }
+    /**
+     * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 6;</code>
+     */
+    public Builder clearEvacuations() {
+      copyOnWrite();
+      instance.clearEvacuations();
+      return this;
+    }
+    /**
+     * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 6;</code>
+     */
+    public Builder removeEvacuations(int index) {
+      copyOnWrite();
+      instance.removeEvacuations(index);
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.ragwortrun.proto.StatusReply)
   }
   @java.lang.Override
@@ -735,10 +932,12 @@
             org.ragwortrun.proto.GroupState.class,
             "daemons_",
             org.ragwortrun.proto.DaemonState.class,
+            "evacuations_",
+            org.ragwortrun.proto.Evacuation.class,
           };
           java.lang.String info =
-              "\u0000\u0005\u0000\u0000\u0001\u0005\u0005\u0000\u0002\u0000\u0001\u0208\u0002\u0003" +
-              "\u0003\u0007\u0004\u001b\u0005\u001b";
+              "\u0000\u0006\u0000\u0000\u0001\u0006\u0006\u0000\u0003\u0000\u0001\u0208\u0002\u0003" +
+              "\u0003\u0007\u0004\u001b\u0005\u001b\u0006\u001b";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/proto/src/main/java/org/ragwortrun/proto/StatusReplyOrBuilder.java
+++ b/proto/src/main/java/org/ragwortrun/proto/StatusReplyOrBuilder.java
@@ -61,4 +61,18 @@
    * <code>repeated .org.ragwortrun.proto.DaemonState daemons = 5;</code>
    */
   int getDaemonsCount();
+
+  /**
+   * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 6;</code>
+   */
+  java.util.List<org.ragwortrun.proto.Evacuation> 
+      getEvacuationsList();
+  /**
+   * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 6;</code>
+   */
+  org.ragwortrun.proto.Evacuation getEvacuations(int index);
+  /**
+   * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 6;</code>
+   */
+  int getEvacuationsCount();
 }
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointSelector.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointSelector.java
@@ -1,11 +1,13 @@
 package org.ragwortrun.router.internal.forward;
 
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import org.ragwortrun.core.config.Account;
+import org.ragwortrun.core.config.Configuration;
+import org.ragwortrun.core.config.Forward;
 import org.ragwortrun.core.config.Origin;
 
 /**
@@ -31,19 +33,18 @@
     private final ForwardServices services;
     private final CallerRequest request;
     private final Origin origin;
+    private final Forward route;
+    private final Optional<Account> account;
     private final OriginPicker picker;
     private final long goalNanos;
 
-    /**
-     * Creates a selector.
-     *
-     * @param goal goal for the time to the beginning of the answer
-     */
-    EndpointSelector(ForwardServices services, CallerRequest request, Origin origin, Duration goal) {
-        goalNanos = goal.toNanos();
+    EndpointSelector(ForwardServices services, CallerRequest request, Admitted admitted) {
         this.services = services;
         this.request = request;
-        this.origin = origin;
+        origin = admitted.origin();
+        route = admitted.route();
+        account = admitted.account();
+        goalNanos = route.goal().toNanos();
         picker = new OriginPicker(services.random());
     }
 
@@ -66,7 +67,7 @@
         eligible.removeIf(s -> tried.contains(s.id()));
         List<EndpointState> allowed = services.configuration()
                 .get()
-                .map(c -> picker.endpointsOfDrawnVersion(c, origin.name(), eligible))
+                .map(c -> picker.endpointsOfDrawnVersion(c, origin.name(), permitted(c, eligible)))
                 .orElse(List.of());
         long now = services.time().nanos();
         int maxConnections = maxConnectionsPerEndpoint();
@@ -91,6 +92,14 @@
         return new Choice(chosen, earliest, allowed.size());
     }
 
+    private List<EndpointState> permitted(Configuration configuration, List<EndpointState> eligible) {
+        return eligible.stream()
+                .filter(s -> services.filters().stream()
+                        .allMatch(f ->
+                                f.exclusion(s, configuration, route, account).isEmpty()))
+                .toList();
+    }
+
     /** Returns the earliest time at which an endpoint may accept a request while some endpoints have a limit. */
     private long hasRoomFrom(EndpointState s, boolean mayAskForPermit, long now) {
         if (s.limit().isLimited()) {
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
@@ -109,7 +109,7 @@
         account = admitted.account();
         this.answer = answer;
         this.observer = observer;
-        selector = new EndpointSelector(services, request, origin, route.goal());
+        selector = new EndpointSelector(services, request, admitted);
         content = new RequestContent(account.map(Account::name).orElse(""), head.method(), request.target(), body);
         sharedParts = SharedParts.of(origin.name(), request.parts());
         startNanos = admitted.startNanos();
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
@@ -198,6 +198,7 @@
                 ConfigurationSource.of(watch, control, settings.denialAge()),
                 standstills,
                 endpoints,
+                List.of(),
                 limits.reader(),
                 limits.permits(),
                 new RetryAllowance(
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardServices.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardServices.java
@@ -1,6 +1,7 @@
 package org.ragwortrun.router.internal.forward;
 
 import io.netty.channel.EventLoop;
+import java.util.List;
 import java.util.concurrent.Executor;
 import java.util.function.DoubleSupplier;
 import org.ragwortrun.core.concurrent.StandstillMonitor;
@@ -18,6 +19,7 @@
  * @param configuration source of the latest configuration
  * @param standstills monitor of the thread that applies configurations
  * @param endpoints endpoints of all origins
+ * @param filters rules that exclude endpoints from requests
  * @param limits reader of the limits that endpoints name
  * @param permits source of permits for requests to endpoints with a limit
  * @param retries allowance for retries at other endpoints
@@ -38,6 +40,7 @@
         ConfigurationSource configuration,
         StandstillMonitor standstills,
         EndpointTable endpoints,
+        List<EndpointFilter> filters,
         LimitReader limits,
         PermitSource permits,
         RetryAllowance retries,
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardSettings.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardSettings.java
@@ -31,6 +31,7 @@
  * @param longestPause longest time for which an endpoint may ask to get no requests
  * @param stopLinger time after the start of a stop during which new connections are still served
  * @param stopTimeout longest time that a stop waits for running requests
+ * @param scheduling settings of the decisions under load
  */
 public record ForwardSettings(
         String name,
@@ -51,7 +52,8 @@
         Duration retryWindow,
         Duration longestPause,
         Duration stopLinger,
-        Duration stopTimeout) {
+        Duration stopTimeout,
+        SchedulingSettings scheduling) {
     private static final Duration MIN_DENIAL_AGE = Duration.ofMillis(500);
     private static final Duration MAX_DENIAL_AGE = Duration.ofMinutes(1);
     private static final Duration LONGEST_CONFIRM_INTERVAL = Duration.ofSeconds(1);
@@ -87,7 +89,8 @@
                 s.duration("retries.window", Duration.ofSeconds(10)),
                 s.duration("endpoints.longest-pause", Duration.ofMinutes(5)),
                 s.duration("daemon.stop-linger", Duration.ofMillis(2_900)),
-                s.duration("daemon.stop-timeout", Duration.ofMillis(7_100)));
+                s.duration("daemon.stop-timeout", Duration.ofMillis(7_100)),
+                SchedulingSettings.read(s));
         s.check();
         return read;
     }
--- /dev/null
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/SchedulingSettings.java
@@ -0,0 +1,47 @@
+package org.ragwortrun.router.internal.forward;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.ragwortrun.core.settings.Settings;
+
+/**
+ * Settings of the decisions that a router makes under load.
+ *
+ * @param enabled whether requests are queued, placed by learned speeds, and shed by an overloaded host. The bounds on
+ *     endpoints that warm up, evacuations and home regions do not depend on it
+ * @param linkMbps bandwidth of this host's network link in megabits per second, 0 if unknown
+ * @param cores processor cores that this host may use, 0 if unknown
+ * @param regions region of each data center
+ */
+record SchedulingSettings(boolean enabled, double linkMbps, double cores, Map<String, String> regions) {
+    private static final double MAX_LINK_MBPS = 1_000_000;
+    private static final double MAX_CORES = 1_024;
+    private static final String REGIONS = "regions.data-centers";
+
+    static SchedulingSettings read(Settings s) {
+        return new SchedulingSettings(
+                "yes".equals(s.text("scheduling.enabled", "no")),
+                s.decimal("host.link-mbps", 0, 0, MAX_LINK_MBPS),
+                s.decimal("host.core-share", 0, 0, MAX_CORES) * s.decimal("host.cores", 1, 0, MAX_CORES),
+                regions(s));
+    }
+
+    /** Returns the region of a data center, if the settings name it. */
+    Optional<String> region(String dataCenter) {
+        return Optional.ofNullable(regions.get(dataCenter));
+    }
+
+    private static Map<String, String> regions(Settings s) {
+        Map<String, String> regions = new LinkedHashMap<>();
+        for (String entry : s.optionalList(REGIONS)) {
+            String[] parts = entry.split("=", 2);
+            if (parts.length != 2 || parts[0].isBlank() || parts[1].isBlank()) {
+                s.reject(REGIONS, "must be a list of DATA_CENTER=REGION, not " + entry);
+            } else {
+                regions.put(parts[0].trim(), parts[1].trim());
+            }
+        }
+        return Map.copyOf(regions);
+    }
+}
--- a/router/src/test/java/org/ragwortrun/router/internal/forward/CallerConnectionTest.java
+++ b/router/src/test/java/org/ragwortrun/router/internal/forward/CallerConnectionTest.java
@@ -137,6 +137,7 @@
                         configuration,
                         new StandstillMonitor(time, metrics),
                         endpoints,
+                        List.of(),
                         new LimitReader(headers, endpoints, metrics, time),
                         new PermitSource() {
                             @Override
