Reject answers whose status line is not valid

Cause: the decoders of Netty, HttpCore and HttpURLConnection accept any number as a status, so a router passed on 000, 42, 600 or 200200 with the endpoint's proof, and took +200 and 0200 for a success. Change: a status line must be HTTP/1.0 or HTTP/1.1 with three digits from 100 to 599; everything else is a failure of the endpoint, also after an interim response, in streams, at agents, and in documents that are read over HTTP.

--- a/agent/src/main/java/org/ragwortrun/agent/internal/HttpEndpoint.java
+++ b/agent/src/main/java/org/ragwortrun/agent/internal/HttpEndpoint.java
@@ -54,7 +54,8 @@
                         .setTcpNoDelay(true)
                         .setSoTimeout(Timeout.of(idleTimeout))
                         .build())
-                .setIOSessionDecorator(session -> new PausableSession(session, Timeout.of(idleTimeout)))
+                .setIOSessionDecorator(
+                        session -> new PausableSession(session, Timeout.of(idleTimeout), new StatusLineCheck()))
                 .setHttp1Config(Http1Config.custom()
                         .setInitialWindowSize(HttpExchange.WINDOW_BYTES)
                         .setMaxLineLength(MAX_LINE_BYTES)
--- a/agent/src/main/java/org/ragwortrun/agent/internal/PausableSession.java
+++ b/agent/src/main/java/org/ragwortrun/agent/internal/PausableSession.java
@@ -14,16 +14,23 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Connection that reads nothing while reading is paused and whose idle timeout cannot be changed.
+ * Connection for one answer that reads nothing while reading is paused, whose idle timeout cannot be changed, and that fails
+ * on an invalid status line.
  *
  * <p>The decoder of chunked answers reads from the connection while bytes arrive, even if the capacity window is used
  * up, so one fast engine could occupy the thread and fill the memory. The requester sets its connect timeout on each new
  * connection, which would end every stream whose engine is silent for that long.
  */
-record PausableSession(IOSession session, Timeout idle) implements IOSession {
+record PausableSession(IOSession session, Timeout idle, StatusLineCheck statusLines) implements IOSession {
     @Override
     public int read(ByteBuffer target) throws IOException {
-        return (session.getEventMask() & SelectionKey.OP_READ) == 0 ? 0 : session.read(target);
+        if ((session.getEventMask() & SelectionKey.OP_READ) == 0) {
+            return 0;
+        }
+        int start = target.position();
+        int read = session.read(target);
+        statusLines.onRead(target, start);
+        return read;
     }
 
     @Override
--- a/net/src/main/java/org/ragwortrun/net/http/DocumentReader.java
+++ b/net/src/main/java/org/ragwortrun/net/http/DocumentReader.java
@@ -67,6 +67,11 @@
                 });
         int status = call.getResponseCode();
         done.set(true);
+        String line = call.getHeaderField(0);
+        if (line == null || !StatusLines.isWellFormed(line)) {
+            call.disconnect();
+            throw new IOException("the answer has no valid status line");
+        }
         return status;
     }
 
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/AnswerDecoder.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/AnswerDecoder.java
@@ -4,8 +4,12 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import java.util.function.Predicate;
+import org.ragwortrun.net.http.StatusLines;
 
-/** Decodes the answers of an endpoint, and tells whether data has arrived that is not decoded yet. */
+/**
+ * Decodes the answers of an endpoint, and tells whether data has arrived that is not decoded yet. An answer without a valid
+ * status line is a failure of the endpoint.
+ */
 final class AnswerDecoder extends HttpResponseDecoder {
     private final Predicate<HttpResponse> bodyless;
 
@@ -22,6 +26,15 @@
         return actualReadableBytes() > 0;
     }
 
+    /** The decoder accepts any number as a status, also with a sign or other than three digits. */
+    @Override
+    protected HttpMessage createMessage(String[] statusLine) {
+        if (!StatusLines.areWellFormed(statusLine[0], statusLine[1])) {
+            throw new IllegalArgumentException("the answer has no valid status line");
+        }
+        return super.createMessage(statusLine);
+    }
+
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
         return super.isContentAlwaysEmpty(message) || message instanceof HttpResponse answer && bodyless.test(answer);
--- a/router/src/test/java/org/ragwortrun/router/FaultyAnswersTest.java
+++ b/router/src/test/java/org/ragwortrun/router/FaultyAnswersTest.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -243,6 +244,64 @@
         assertThat(answer.endsWith("0\r\n\r\n")).isEqualTo(wholeEvents);
     }
 
+    private static List<String> invalidStatuses() {
+        return List.of(
+                "000",
+                "007",
+                "042",
+                "0",
+                "20",
+                "99",
+                "600",
+                "999",
+                "1000",
+                "2000",
+                "200200",
+                "+200",
+                "0200",
+                "-200",
+                "2x0",
+                "\u0662\u0660\u0660",
+                "");
+    }
+
+    /** Guards against an answer without a valid status that a caller receives as an answer of the endpoint. */
+    @ParameterizedTest
+    @MethodSource("invalidStatuses")
+    void failsRequestWhoseAnswerHasNoValidStatus(String status) throws Exception {
+        AtomicReference<String> line = new AtomicReference<>("");
+        harness.addEndpoint("e1", (request, out) -> {
+            write(out, line.get() + ok(id(request), "done").split("\r\n", 2)[1]);
+            return true;
+        });
+        ForwardHarness.Router router = harness.startRouter("r1");
+        for (String version : List.of("HTTP/1.1", "HTTP/1.0", "HTTP/2.0", "HTTP/1.11")) {
+            for (String reason : List.of(" OK", "")) {
+                line.set(version + " " + status + reason + "\r\n");
+                String answer = router.send(get("/order/"));
+                assertWithMessage(line.get()).that(answer).startsWith("HTTP/1.1 502");
+                assertWithMessage(line.get()).that(answer).doesNotContain("Ragwortrun-Proof");
+            }
+        }
+    }
+
+    /** Guards against an invalid status after an interim response, and in the head of a stream. */
+    @ParameterizedTest
+    @ValueSource(strings = {"000", "+200", "0200", "600"})
+    void failsRequestWithInvalidStatusOfStreamOrAfterInterimResponse(String status) throws Exception {
+        harness.addEndpoint("e1", (request, out) -> {
+            boolean stream = request.startsWith("GET /draft/");
+            String answer =
+                    stream ? streamHead(id(request)) + chunk(TWO_EVENTS) + "0\r\n\r\n" : ok(id(request), "done");
+            String interim = stream ? "" : "HTTP/1.1 103 Early Hints\r\nLink: l\r\n\r\n";
+            write(out, interim + answer.replaceFirst(" 200 ", " " + status.replace("+", "\\+") + " "));
+            return true;
+        });
+        ForwardHarness.Router router = harness.startRouter("r1");
+        assertThat(router.send(get("/order/"))).startsWith("HTTP/1.1 502");
+        assertThat(router.send(get("/draft/"))).startsWith("HTTP/1.1 502");
+    }
+
     private String get(String target) {
         return "GET " + target + " HTTP/1.1\r\nHost: h\r\nX-Request-Id: q" + ids.incrementAndGet()
                 + "\r\nAuthorization: Bearer secret\r\nConnection: close\r\n\r\n";
