Shed load and withdraw from the rotation in forwarding routers

While requests are shed, the decision is made on the head; requests behind others on their connection are decided when their turn comes. The hub of the data center grants withdrawals.

--- a/router/src/main/java/org/ragwortrun/router/internal/forward/CallerConnection.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/CallerConnection.java
@@ -52,6 +52,8 @@
     private @Nullable ByteBuf body;
     private @Nullable CompleteRequest current;
     private @Nullable Exchange exchange;
+    private @Nullable DiscardedBody discarded;
+    private boolean headAccepted;
     private boolean answerStarted;
     private boolean endsWithConnection;
     private boolean closing;
@@ -118,6 +120,10 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, HttpObject part) {
+        DiscardedBody rest = discarded;
+        if (rest != null) {
+            rest.onPart(part);
+        }
         if (waiting.isInputEnded()) {
             return;
         }
@@ -151,6 +157,14 @@
             reject(ctx, admission.tooLarge("the body is larger than allowed"));
             return;
         }
+        // Otherwise the refusal would overtake the answer to an earlier request.
+        boolean first = current == null && waiting.isEmpty() && !closing;
+        HostAdmission.Decision decision = first ? admission.host().decide(request) : HostAdmission.Decision.UNDECIDED;
+        if (decision == HostAdmission.Decision.REFUSED) {
+            refuseOnHead(ctx, request);
+            return;
+        }
+        headAccepted = decision == HostAdmission.Decision.ACCEPTED;
         head = request;
         headReceivedNanos = time.nanos();
         // Grows with the received data, because the declared length need not arrive.
@@ -160,6 +174,20 @@
         }
     }
 
+    /** Refuses a request before its body is read, and closes the connection once the caller has the answer. */
+    private void refuseOnHead(ChannelHandlerContext ctx, HttpRequest request) {
+        waiting.endInput();
+        closing = true;
+        Refusal refusal = HostAdmission.refusal();
+        admission.onRejected(refusal);
+        String id = request.headers().get(admission.headers().idHeader(), "");
+        DefaultFullHttpResponse out = response(refusal, id, isHead(request));
+        out.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        DiscardedBody rest = new DiscardedBody(ctx.channel());
+        discarded = rest;
+        ctx.writeAndFlush(out).addListener(f -> rest.onAnswerWritten());
+    }
+
     private void onContent(ChannelHandlerContext ctx, HttpContent content) {
         HttpRequest h = head;
         ByteBuf b = body;
@@ -178,7 +206,7 @@
         if (content instanceof LastHttpContent) {
             head = null;
             body = null;
-            waiting.add(h, b);
+            waiting.add(new CompleteRequest(h, b, headAccepted));
             if (waiting.isFull()) {
                 ctx.channel().config().setAutoRead(false);
             }
@@ -208,7 +236,7 @@
         current = w;
         answerStarted = false;
         exchange = null;
-        Exchange started = admission.handle(w.head(), w.body(), startNanos, this);
+        Exchange started = admission.handle(w, startNanos, this);
         // An exchange whose request was refused at once has already ended.
         exchange = current == null ? null : started;
     }
@@ -286,7 +314,12 @@
     }
 
     private void setKeepAlive(CompleteRequest w, HttpResponse out) {
-        boolean keep = HttpUtil.isKeepAlive(w.head()) && !closing && !waiting.isExhausted() && !admission.isStopping();
+        boolean moves = admission.host().closesConnections() && head == null && waiting.isEmpty();
+        boolean keep = HttpUtil.isKeepAlive(w.head())
+                && !closing
+                && !moves
+                && !waiting.isExhausted()
+                && !admission.isStopping();
         if (!keep) {
             closing = true;
             out.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
@@ -369,7 +402,7 @@
             abort();
             return;
         }
-        if (refusal.reason() == RefusalReason.MALFORMED_REQUEST) {
+        if (refusal.reason() == RefusalReason.MALFORMED_REQUEST || refusal.reason() == RefusalReason.HOST_OVERLOADED) {
             closing = true;
         }
         String id = w.head().headers().get(admission.headers().idHeader(), "");
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/CallerRequest.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/CallerRequest.java
@@ -28,6 +28,11 @@
 
     /** Returns the path without the query. */
     public String path() {
+        return path(target);
+    }
+
+    /** Returns the path of a request target, without the query. */
+    static String path(String target) {
         int query = target.indexOf('?');
         return query < 0 ? target : target.substring(0, query);
     }
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointConnectionPool.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointConnectionPool.java
@@ -14,6 +14,7 @@
 import java.util.function.Consumer;
 import org.ragwortrun.core.time.Time;
 import org.ragwortrun.net.Address;
+import org.ragwortrun.router.internal.host.TrafficMeter;
 
 /** Pool of connections to one endpoint. The most recently used one is reused first, so that the others can expire. */
 final class EndpointConnectionPool {
@@ -29,17 +30,24 @@
     private final Time time;
     private final RequestHeaders headers;
     private final ConnectionEvents events;
+    private final TrafficMeter traffic;
     private final Deque<EndpointConnection> idle = new ArrayDeque<>();
     private HeadListener headListener = (head, current) -> {};
     private int open;
 
     EndpointConnectionPool(
-            EventLoop loop, Address address, Time time, RequestHeaders headers, ConnectionEvents events) {
+            EventLoop loop,
+            Address address,
+            Time time,
+            RequestHeaders headers,
+            ConnectionEvents events,
+            TrafficMeter traffic) {
         this.loop = loop;
         this.address = address;
         this.time = time;
         this.headers = headers;
         this.events = events;
+        this.traffic = traffic;
     }
 
     /** Receives the heads of answers. */
@@ -105,6 +113,7 @@
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel ch) {
+                        traffic.watch(ch.pipeline());
                         connection.addTo(ch.pipeline());
                     }
                 })
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
@@ -49,6 +49,12 @@
 import org.ragwortrun.router.internal.evidence.CrashReports;
 import org.ragwortrun.router.internal.evidence.EvidenceCollector;
 import org.ragwortrun.router.internal.evidence.PartQuarantine;
+import org.ragwortrun.router.internal.host.HostGuard;
+import org.ragwortrun.router.internal.host.MeasuredHost;
+import org.ragwortrun.router.internal.host.ProcessorTime;
+import org.ragwortrun.router.internal.host.TrafficMeter;
+import org.ragwortrun.router.internal.host.WithdrawalClient;
+import org.ragwortrun.router.internal.host.WithdrawalServer;
 import org.ragwortrun.router.internal.http.ProblemWriter;
 import org.ragwortrun.router.internal.ledger.GrantClient;
 import org.ragwortrun.router.internal.ledger.HeldReservations;
@@ -145,8 +151,12 @@
         RequestHeaders headers = new RequestHeaders(names);
         UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create();
         NoticeReader notices = new NoticeReader(headers, metrics, time, random::nextDouble);
+        TrafficMeter traffic = new TrafficMeter(settings.scheduling().watchesHost());
         EndpointTable endpoints = new EndpointTable(
-                time, e -> connections(loop, e, time, headers, metrics), notices::read, settings.longestPause());
+                time,
+                e -> connections(loop, e, time, headers, metrics, traffic),
+                notices::read,
+                settings.longestPause());
         ForwardPushHandler pushes = new ForwardPushHandler(loop, endpoints);
         ControlClient control = closer.register(new ControlClient(transport, settings.members(), pushes));
         ConfigWatch watch =
@@ -179,12 +189,15 @@
         TokenSource tokens = local;
         Limits limits = limits(settings, headers, endpoints, transport, loop, metrics, time, random, closer);
         PeerLinks links = limits.links();
+        WithdrawalServer withdrawals = new WithdrawalServer(settings.name(), settings.dataCenter(), links, time);
         if (settings.peers().isPresent()) {
             pushes.setPeerLinks(links);
             grants.useHomesIf(links::hasHomes);
             tokens = new PooledTokens(settings.name(), incarnation, local, links, timer, time);
-            closer.register(transport.listen(settings.peers().get(), new PeerFrames(home, limits.server())));
+            closer.register(
+                    transport.listen(settings.peers().get(), new PeerFrames(home, limits.server(), withdrawals)));
             SingleThreadExecutor.repeat(timer, home, SECOND_MS, SECOND_MS);
+            SingleThreadExecutor.repeat(timer, withdrawals, SECOND_MS, SECOND_MS);
         }
         EvidenceCollector evidence = new EvidenceCollector(control);
         ContentQuarantine quarantine = new ContentQuarantine(watch::crashTimes, time);
@@ -216,8 +229,15 @@
                 loop,
                 new AfterReadExecutor(loop),
                 random::nextDouble);
+        HostGuard guard = guard(
+                settings,
+                traffic,
+                new WithdrawalClient(settings.name(), settings.dataCenter(), links, withdrawals),
+                loop,
+                metrics,
+                time);
         RequestAdmission admission =
-                new RequestAdmission(services, Runtime.getRuntime().maxMemory() / MEMORY_HEAP_SHARE);
+                new RequestAdmission(services, Runtime.getRuntime().maxMemory() / MEMORY_HEAP_SHARE, guard);
         pushes.connect(watch, grants);
         pushes.setConfigurationListener(admission::recheckQuarantine);
         watch.setConfirmationListener(() -> loop.execute(admission::onConfirmed));
@@ -234,12 +254,14 @@
                 listeners,
                 group,
                 settings.callers(),
+                traffic,
                 () -> admission.limits().headerBytes(),
                 () -> new CallerConnection(admission, admission::limits, problems, time));
         listen(
                 closer,
                 group,
                 settings.readiness(),
+                traffic,
                 () -> admission.limits().headerBytes(),
                 () -> new ReadinessHandler(admission::isReady));
         Event.of("router-started")
@@ -251,6 +273,23 @@
         return new ForwardRouter(settings, time, admission, home, loop, listeners, closer);
     }
 
+    private static HostGuard guard(
+            ForwardSettings settings,
+            TrafficMeter traffic,
+            WithdrawalClient withdrawals,
+            EventLoop loop,
+            Metrics metrics,
+            Time time) {
+        if (!settings.scheduling().watchesHost()) {
+            return HostGuard.NONE;
+        }
+        MeasuredHost host = new MeasuredHost(
+                settings.scheduling().capacity(), traffic, ProcessorTime.ofProcess(), withdrawals, loop, metrics, time);
+        host.addGauges();
+        SingleThreadExecutor.repeat(loop, host, MeasuredHost.INTERVAL_MS, MeasuredHost.INTERVAL_MS);
+        return host;
+    }
+
     private static void addGauges(
             Metrics metrics, RequestAdmission admission, HomeServer home, SettlementQueue settlements) {
         metrics.gauge("running_requests", "Requests that have not ended", admission::active);
@@ -307,16 +346,22 @@
     }
 
     private static EndpointConnectionPool connections(
-            EventLoop loop, ListedEndpoint endpoint, Time time, RequestHeaders headers, Metrics metrics) {
+            EventLoop loop,
+            ListedEndpoint endpoint,
+            Time time,
+            RequestHeaders headers,
+            Metrics metrics,
+            TrafficMeter traffic) {
         ConnectionEvents events = new ConnectionEvents(metrics);
         try {
-            return new EndpointConnectionPool(loop, Address.parse(endpoint.getAddress()), time, headers, events);
+            return new EndpointConnectionPool(
+                    loop, Address.parse(endpoint.getAddress()), time, headers, events, traffic);
         } catch (AddressException e) {
             // The source omits entries without an address, so this entry names no endpoint that could answer.
             Event.of("endpoint-address-unreadable")
                     .with("endpoint", endpoint.getId())
                     .warn(LOG, e);
-            return new EndpointConnectionPool(loop, new Address("127.0.0.1", 0), time, headers, events);
+            return new EndpointConnectionPool(loop, new Address("127.0.0.1", 0), time, headers, events, traffic);
         }
     }
 
@@ -324,6 +369,7 @@
             Closer closer,
             EventLoopGroup group,
             Address address,
+            TrafficMeter traffic,
             IntSupplier headerBytes,
             Supplier<ChannelHandler> handler)
             throws TransportException {
@@ -339,6 +385,7 @@
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel ch) {
+                        traffic.watch(ch.pipeline());
                         ch.pipeline()
                                 .addLast(new StrictRequestDecoder(headerBytes), new HttpResponseEncoder())
                                 .addLast(handler.get());
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/RequestAdmission.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/RequestAdmission.java
@@ -1,6 +1,5 @@
 package org.ragwortrun.router.internal.forward;
 
-import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpRequest;
 import java.time.Duration;
@@ -27,6 +26,8 @@
 import org.ragwortrun.core.refusal.RefusalReason;
 import org.ragwortrun.core.refusal.RefusedException;
 import org.ragwortrun.router.internal.DenialRule;
+import org.ragwortrun.router.internal.forward.WaitingRequests.CompleteRequest;
+import org.ragwortrun.router.internal.host.HostGuard;
 
 /** Admits requests: finds their route, client account and origin, and starts an exchange. Used on the event loop. */
 final class RequestAdmission {
@@ -43,6 +44,7 @@
     private final FlushBatcher flushBatcher;
     private final ConfirmationGate gate;
     private final MemoryLimit memory;
+    private final HostAdmission host;
     private final Set<CallerConnection> connections = new HashSet<>();
     private final Map<String, String> keyDigests = new LinkedHashMap<>() {
         private static final long serialVersionUID = 1L;
@@ -63,9 +65,11 @@
      * Creates the admission of a router.
      *
      * @param maxHeldBytes maximum number of bytes that requests and answers of all callers may occupy
+     * @param guard decides which requests this host refuses because of its load
      */
-    RequestAdmission(ForwardServices services, long maxHeldBytes) {
+    RequestAdmission(ForwardServices services, long maxHeldBytes, HostGuard guard) {
         this.services = services;
+        host = new HostAdmission(guard, services.configuration(), services.headers(), this::keyDigest);
         memory = new MemoryLimit(maxHeldBytes, () -> connections, services.metrics());
         startNanos = services.time().nanos();
         denials = new DenialRule(services.configuration()::isConfirmed, RETRY_AFTER);
@@ -93,6 +97,10 @@
         return services.configuration().get().map(Configuration::limits).orElse(CallerLimits.DEFAULTS);
     }
 
+    HostAdmission host() {
+        return host;
+    }
+
     boolean isStopping() {
         return stopping;
     }
@@ -120,6 +128,7 @@
     /** Returns whether requests can be served. */
     boolean isReady() {
         return !stopping
+                && !host.isWithdrawn()
                 && services.configuration().get().isPresent()
                 && services.endpoints().hasList();
     }
@@ -195,14 +204,15 @@
      * @param startNanos monotonic time from which the time limit of the request runs
      */
     @Nullable
-    Exchange handle(HttpRequest head, ByteBuf body, long startNanos, AnswerWriter answer) {
+    Exchange handle(CompleteRequest complete, long startNanos, AnswerWriter answer) {
+        HttpRequest head = complete.head();
         try {
-            Exchange exchange = admit(head, body, startNanos, answer);
+            Exchange exchange = admit(complete, startNanos, answer);
             active++;
             exchange.start();
             return exchange;
         } catch (RefusedException e) {
-            body.release();
+            complete.body().release();
             Refusal refusal = e.refusal();
             services.metrics().refused(refusal.reason());
             Event.of("request")
@@ -227,8 +237,8 @@
         }
     }
 
-    private Exchange admit(HttpRequest head, ByteBuf body, long startNanos, AnswerWriter answer)
-            throws RefusedException {
+    private Exchange admit(CompleteRequest complete, long startNanos, AnswerWriter answer) throws RefusedException {
+        HttpRequest head = complete.head();
         CallerRequest request;
         try {
             request = services.headers().read(head);
@@ -251,6 +261,9 @@
                     RefusalReason.STOPPING, "this host is stopping; retry at another host", RETRY_ELSEWHERE));
         }
         Optional<Account> account = account(configuration, route, request);
+        if (!complete.accepted()) {
+            host.check(route, account);
+        }
         if (exceedsPrepaid(configuration, account, request)) {
             throw denied(
                     configuration,
@@ -263,7 +276,7 @@
         OptionalLong confirmedAgeMs = services.configuration().confirmedAgeMs();
         confirmedAgeMs.ifPresent(ms -> services.metrics().recordDuration("admission_configuration_age", "", ms));
         Admitted admitted = new Admitted(route, origin, account, configuration.number(), confirmedAgeMs, startNanos);
-        return new Exchange(services, request, head, body, admitted, answer, new Exchange.Observer() {
+        return new Exchange(services, request, head, complete.body(), admitted, answer, new Exchange.Observer() {
             @Override
             public void onAnswered(long durationNanos) {
                 shutdownAdmission.onAnswered(route.name(), durationNanos);
@@ -291,14 +304,17 @@
 
     private Optional<Account> account(Configuration configuration, Forward route, CallerRequest request)
             throws RefusedException {
-        Optional<Account> account =
-                request.key().flatMap(k -> configuration.accountByKey(keyDigests.computeIfAbsent(k, Digests::apiKey)));
+        Optional<Account> account = request.key().flatMap(k -> configuration.accountByKey(keyDigest(k)));
         if (account.isEmpty() && configuration.hasAccounts() && !route.open()) {
             throw denied(configuration, RefusalReason.UNKNOWN_KEY, "the request has no API key of a client account");
         }
         return account;
     }
 
+    private String keyDigest(String key) {
+        return keyDigests.computeIfAbsent(key, Digests::apiKey);
+    }
+
     private static boolean exceedsPrepaid(
             Configuration configuration, Optional<Account> account, CallerRequest request) {
         long maxTokens = request.usage().map(TokenUsage::maxTotal).orElse(0L);
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/RequestHeaders.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/RequestHeaders.java
@@ -71,14 +71,19 @@
                 id,
                 String.valueOf(h.get(HttpHeaderNames.HOST)),
                 head.uri(),
-                Optional.ofNullable(h.get(names.key()))
-                        .map(k -> k.startsWith(BEARER) ? k.substring(BEARER.length()) : k),
+                key(h),
                 number(h, names.deadline()),
                 usage(h),
                 parts(h),
                 number(h, LAST_EVENT_ID));
     }
 
+    /** Returns the API key of a request. */
+    Optional<String> key(HttpHeaders h) {
+        return Optional.ofNullable(h.get(names.key()))
+                .map(k -> k.startsWith(BEARER) ? k.substring(BEARER.length()) : k);
+    }
+
     /** Copies the headers of a caller's request to one for an endpoint, except those that only the system may set. */
     void copyToEndpoint(HttpHeaders from, HttpHeaders to) {
         Set<String> listed = listedAsHopByHop(from);
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/SchedulingSettings.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/SchedulingSettings.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.ragwortrun.core.settings.Settings;
+import org.ragwortrun.routing.HostLoad;
 
 /**
  * Settings of the decisions that a router makes under load.
@@ -19,6 +20,8 @@
     private static final double MAX_CORES = 1_024;
     private static final String REGIONS = "regions.data-centers";
 
+    private static final double MEGABIT_BYTES = 1e6 / 8;
+
     static SchedulingSettings read(Settings s) {
         return new SchedulingSettings(
                 "yes".equals(s.text("scheduling.enabled", "no")),
@@ -27,6 +30,16 @@
                 regions(s));
     }
 
+    /** Returns the capacity of this host, as far as it is known. */
+    HostLoad.Capacity capacity() {
+        return new HostLoad.Capacity(linkMbps * MEGABIT_BYTES, cores);
+    }
+
+    /** Returns whether this host measures its load and refuses requests when it is overloaded. */
+    boolean watchesHost() {
+        return enabled && capacity().isKnown();
+    }
+
     /** Returns the region of a data center, if the settings name it. */
     Optional<String> region(String dataCenter) {
         return Optional.ofNullable(regions.get(dataCenter));
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/WaitingRequests.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/WaitingRequests.java
@@ -13,15 +13,19 @@
     private final Deque<CompleteRequest> requests = new ArrayDeque<>();
     private boolean inputEnded;
 
-    /** A request with its whole body. */
-    record CompleteRequest(HttpRequest head, ByteBuf body) {
+    /**
+     * A request with its whole body.
+     *
+     * @param accepted whether the load of this host allowed it when its head arrived; otherwise this is checked later
+     */
+    record CompleteRequest(HttpRequest head, ByteBuf body, boolean accepted) {
         long heldBytes() {
             return body.refCnt() == 0 ? 0 : body.capacity();
         }
     }
 
-    void add(HttpRequest head, ByteBuf body) {
-        requests.add(new CompleteRequest(head, body));
+    void add(CompleteRequest request) {
+        requests.add(request);
     }
 
     /** Removes and returns the first request. */
--- /dev/null
+++ b/router/src/main/java/org/ragwortrun/router/internal/host/WithdrawalClient.java
@@ -0,0 +1,62 @@
+package org.ragwortrun.router.internal.host;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.ragwortrun.proto.Frame;
+import org.ragwortrun.proto.WithdrawalReply;
+import org.ragwortrun.proto.WithdrawalRequest;
+import org.ragwortrun.router.internal.pool.PeerLinks;
+import org.ragwortrun.router.internal.pool.RouterPeer;
+
+/** Asks the coordinator of the own data center for permission to leave the rotation of the load balancer. */
+public final class WithdrawalClient {
+    // The reply may wait behind other data on a full link.
+    private static final Duration TIMEOUT = Duration.ofMillis(900);
+
+    private final String ownName;
+    private final String dataCenter;
+    private final PeerLinks links;
+    private final WithdrawalServer ownServer;
+
+    public WithdrawalClient(String ownName, String dataCenter, PeerLinks links, WithdrawalServer ownServer) {
+        this.ownName = ownName;
+        this.dataCenter = dataCenter;
+        this.links = links;
+        this.ownServer = ownServer;
+    }
+
+    /**
+     * Asks for a lease, or returns one if the time is 0. The result is empty without a coordinator or without its reply,
+     * and may be completed by another thread.
+     */
+    CompletableFuture<Optional<WithdrawalLease>> ask(long nanos) {
+        List<String> listed = links.names(dataCenter);
+        int known = listed.size() + (listed.contains(ownName) ? 0 : 1);
+        WithdrawalRequest request = WithdrawalRequest.newBuilder()
+                .setDurationMs((int) TimeUnit.NANOSECONDS.toMillis(nanos))
+                .setKnownRouters(known)
+                .build();
+        return links.hub(dataCenter)
+                .map(hub -> ask(hub, request))
+                .orElseGet(() -> CompletableFuture.completedFuture(Optional.empty()));
+    }
+
+    private CompletableFuture<Optional<WithdrawalLease>> ask(RouterPeer hub, WithdrawalRequest request) {
+        if (hub.name().equals(ownName)) {
+            return CompletableFuture.completedFuture(
+                    Optional.of(lease(ownServer.request(ownName, request), hub.name())));
+        }
+        return links.call(hub, Frame.newBuilder().setWithdrawalRequest(request), TIMEOUT)
+                .handle((reply, failure) -> Optional.ofNullable(reply)
+                        .filter(Frame::hasWithdrawalReply)
+                        .map(r -> lease(r.getWithdrawalReply(), hub.name())));
+    }
+
+    private static WithdrawalLease lease(WithdrawalReply reply, String coordinator) {
+        return new WithdrawalLease(
+                reply.getGranted(), TimeUnit.MILLISECONDS.toNanos(reply.getDurationMs()), coordinator);
+    }
+}
--- a/router/src/main/java/org/ragwortrun/router/internal/pool/PeerFrames.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/pool/PeerFrames.java
@@ -9,22 +9,33 @@
  *
  * @param reservations handles reservations of tokens
  * @param permits handles requests for permits
+ * @param withdrawals handles requests to leave the rotation of the load balancer
  */
-public record PeerFrames(FrameHandler reservations, FrameHandler permits) implements FrameHandler {
+public record PeerFrames(FrameHandler reservations, FrameHandler permits, FrameHandler withdrawals)
+        implements FrameHandler {
     @Override
     public void onConnected(Peer peer) {
         reservations.onConnected(peer);
         permits.onConnected(peer);
+        withdrawals.onConnected(peer);
     }
 
     @Override
     public void onFrame(Peer peer, Frame frame) {
-        (frame.hasPermitRequest() ? permits : reservations).onFrame(peer, frame);
+        handler(frame).onFrame(peer, frame);
     }
 
     @Override
     public void onClosed(Peer peer) {
         reservations.onClosed(peer);
         permits.onClosed(peer);
+        withdrawals.onClosed(peer);
+    }
+
+    private FrameHandler handler(Frame frame) {
+        if (frame.hasWithdrawalRequest()) {
+            return withdrawals;
+        }
+        return frame.hasPermitRequest() ? permits : reservations;
     }
 }
--- a/router/src/main/java/org/ragwortrun/router/internal/pool/PeerLinks.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/pool/PeerLinks.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
@@ -76,6 +77,21 @@
         return cached(coordinatorsByEndpoint, endpoint, e -> HomeRouters.ranked(e, routers));
     }
 
+    /** Returns the names of the listed routers of a data center. */
+    public List<String> names(String dataCenter) {
+        return routers.stream()
+                .filter(r -> r.dataCenter().equals(dataCenter))
+                .map(RouterPeer::name)
+                .toList();
+    }
+
+    /** Returns the router that decides for a data center, if any of its routers is listed. */
+    public Optional<RouterPeer> hub(String dataCenter) {
+        return coordinators("").stream()
+                .filter(r -> r.dataCenter().equals(dataCenter))
+                .findFirst();
+    }
+
     private static List<RouterPeer> cached(
             Map<String, List<RouterPeer>> cache, String key, Function<String, List<RouterPeer>> ranking) {
         if (cache.size() > MAX_CACHED_KEYS) {
--- a/router/src/test/java/org/ragwortrun/router/internal/forward/CallerConnectionTest.java
+++ b/router/src/test/java/org/ragwortrun/router/internal/forward/CallerConnectionTest.java
@@ -35,6 +35,7 @@
 import org.ragwortrun.core.time.Time;
 import org.ragwortrun.router.internal.evidence.EvidenceCollector;
 import org.ragwortrun.router.internal.evidence.PartQuarantine;
+import org.ragwortrun.router.internal.host.HostGuard;
 import org.ragwortrun.router.internal.http.ProblemWriter;
 import org.ragwortrun.router.internal.limits.PermitSource;
 import org.ragwortrun.routing.EndpointLimit;
@@ -160,7 +161,8 @@
                         loop,
                         tasks::add,
                         () -> 0),
-                MAX_HELD_BYTES);
+                MAX_HELD_BYTES,
+                HostGuard.NONE);
         return new EmbeddedChannel(new CallerConnection(
                 admission, () -> CallerLimits.DEFAULTS, new ProblemWriter(new ObjectMapper()), time));
     }
