Evacuate data centers by an operators' order and restrict requests to home regions

Cause: operators must be able to stop all requests to the endpoints of a data center, and some routes and client accounts must stay within their regions. The check before sending moves from Exchange to EndpointSelector.

--- a/agent/src/main/java/org/ragwortrun/agent/internal/RequestDispatcher.java
+++ b/agent/src/main/java/org/ragwortrun/agent/internal/RequestDispatcher.java
@@ -66,6 +66,7 @@
     private final WaitEstimator waitEstimator = new WaitEstimator();
     private final PendingCrashReports pendingCrashReports = new PendingCrashReports();
     private final AtomicLong totalUnsent = new AtomicLong();
+    private final EvacuationRule evacuation;
     private final List<DispatchRule> identityRules;
     private final List<DispatchRule> capacityRules;
     private long arrivals;
@@ -100,9 +101,11 @@
         outbox = new UsageOutbox(identity.name(), settings.shards(), limits.outbox(), ports.shards());
         identityRules =
                 List.of(new IncarnationRule(identity), new RouterFencedRule(fenced), new TombstoneRule(tombstones));
+        evacuation = new EvacuationRule(latest, settings.endpoint());
         capacityRules = List.of(
                 new LeavingRule(() -> leaving),
                 new LeaseRule(inForce, settings.endpoint()),
+                evacuation,
                 new HealthyRule(() -> healthy),
                 new BodySizeRule(limits.bodyBytes()),
                 new OutboxRule(outbox),
@@ -465,6 +468,7 @@
     }
 
     private void startQueued() {
+        evacuation.refusal().ifPresent(refusal -> queue.removeIf(r -> true).forEach(r -> refuseAccepted(r, refusal)));
         while (true) {
             AcceptedRequest r = queue.first();
             if (r == null || !healthy || !ports.limit().hasPermitBehind(0)) {
--- a/cli/src/main/java/org/ragwortrun/cli/internal/Program.java
+++ b/cli/src/main/java/org/ragwortrun/cli/internal/Program.java
@@ -38,6 +38,7 @@
                         new PublishCommand(time),
                         new StatusCommand(),
                         new MovesCommand(),
+                        new EvacuateCommand(),
                         new StatementCommand(),
                         new ExplainCommand(),
                         new DaemonCommand("router", "run a router on an entry host", RouterDaemon::start),
--- a/cli/src/main/java/org/ragwortrun/cli/internal/StatusCommand.java
+++ b/cli/src/main/java/org/ragwortrun/cli/internal/StatusCommand.java
@@ -3,12 +3,14 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.Options;
 import org.ragwortrun.proto.DaemonState;
+import org.ragwortrun.proto.Evacuation;
 import org.ragwortrun.proto.GroupState;
 import org.ragwortrun.proto.StatusReply;
 
@@ -26,7 +28,7 @@
 
     @Override
     public String summary() {
-        return "show the control groups, the daemons and which configuration each has applied";
+        return "show the control groups, the daemons and their configuration, and the evacuations";
     }
 
     @Override
@@ -92,6 +94,23 @@
         }
         console.print("");
         console.table(daemons);
+        if (s.getEvacuationsCount() > 0) {
+            console.print("");
+            console.table(evacuations(s));
+        }
+    }
+
+    private static List<List<String>> evacuations(StatusReply s) {
+        List<List<String>> rows = new ArrayList<>();
+        rows.add(List.of("data center", "evacuation", "configuration", "since"));
+        for (Evacuation e : s.getEvacuationsList()) {
+            rows.add(List.of(
+                    e.getDataCenter(),
+                    e.getActive() ? "active" : "ended",
+                    Long.toString(e.getNumber()),
+                    Instant.ofEpochMilli(e.getChangedMs()).toString()));
+        }
+        return rows;
     }
 
     private static ObjectNode json(StatusReply s, boolean fromLeader) {
@@ -123,6 +142,15 @@
                     .put("number", d.getConfigNumber())
                     .put("leaseValid", d.getLeaseValid());
         }
+        ArrayNode evacuations = root.putArray("evacuations");
+        for (Evacuation e : s.getEvacuationsList()) {
+            evacuations
+                    .addObject()
+                    .put("dataCenter", e.getDataCenter())
+                    .put("active", e.getActive())
+                    .put("number", e.getNumber())
+                    .put("changedMs", e.getChangedMs());
+        }
         return root;
     }
 
--- a/control/src/main/java/org/ragwortrun/control/internal/ControlNode.java
+++ b/control/src/main/java/org/ragwortrun/control/internal/ControlNode.java
@@ -25,6 +25,7 @@
             Frame.BodyCase.MOVES_QUERY,
             Frame.BodyCase.CONFIG_QUERY,
             Frame.BodyCase.START_MOVE,
+            Frame.BodyCase.EVACUATION_ORDER,
             Frame.BodyCase.EVIDENCE,
             Frame.BodyCase.CRASH_REPORT,
             Frame.BodyCase.CRASH_EVIDENCE);
--- a/control/src/main/java/org/ragwortrun/control/internal/HostedGroups.java
+++ b/control/src/main/java/org/ragwortrun/control/internal/HostedGroups.java
@@ -13,6 +13,7 @@
 import org.ragwortrun.ledger.ShardState;
 import org.ragwortrun.net.Peer;
 import org.ragwortrun.net.Transport;
+import org.ragwortrun.proto.Evacuation;
 import org.ragwortrun.proto.Frame;
 import org.ragwortrun.replication.CorruptLogException;
 import org.ragwortrun.replication.GroupHost;
@@ -50,6 +51,12 @@
         ShardCountFile.check(settings.folder(), settings.shards());
         Map<Integer, StateMachine> machines = new TreeMap<>();
         MetaState metaState = new MetaState(new ConfigurationCheckerRules());
+        metrics.gauge(
+                "evacuated_data_centers",
+                "Data centers whose endpoints get no requests, as applied by this member",
+                () -> metaState.evacuations().stream()
+                        .filter(Evacuation::getActive)
+                        .count());
         MetaStateMachine metaMachine = new MetaStateMachine(metaState, time);
         machines.put(0, metaMachine);
         List<ShardState> states = new ArrayList<>();
--- a/control/src/main/java/org/ragwortrun/control/internal/MetaService.java
+++ b/control/src/main/java/org/ragwortrun/control/internal/MetaService.java
@@ -27,7 +27,7 @@
 import org.ragwortrun.proto.StatusReply;
 
 /**
- * The tasks of the meta group's leader: publishes, configuration leases, configuration updates and moves.
+ * The tasks of the meta group's leader: publishes, configuration leases and updates, moves and evacuations.
  *
  * <p>All state is confined to one thread. The public methods only queue tasks for it and may be called by any thread.
  */
@@ -44,6 +44,7 @@
     private final DaemonLeases leases;
     private final InForceWaiters waiters;
     private final Watchers watchers;
+    private final EvacuationOrders evacuations;
     private OptionalLong term = OptionalLong.empty();
     private long nextMoveNanos;
 
@@ -67,13 +68,15 @@
         leases = new DaemonLeases(time, settings.configLease());
         watchers = new Watchers(group);
         waiters = new InForceWaiters(time, leases);
+        evacuations = new EvacuationOrders(time, group);
         duty = new SingleThreadExecutor("control-meta", settings.requestRing());
         group.onChange(() -> duty.offer(this::advance));
     }
 
     /** Queues a request. Replies with a typed error if the queue is full. */
     public void offer(Peer peer, Frame request) {
-        if (!duty.offer(() -> FailureReplies.guard(peer, request, () -> handle(peer, request)))) {
+        Arrival arrival = Arrival.now(time);
+        if (!duty.offer(() -> FailureReplies.guard(peer, request, () -> handle(peer, request, arrival)))) {
             peer.send(FailureReplies.overloaded(request, "the request queue of the meta group is full"));
         }
     }
@@ -109,7 +112,7 @@
         duty.close();
     }
 
-    private void handle(Peer peer, Frame request) {
+    private void handle(Peer peer, Frame request, Arrival arrival) {
         advance();
         if (!isLeader()) {
             peer.send(FailureReplies.notLeader(request, group));
@@ -124,6 +127,7 @@
                 replyIfLeader(peer, request, Replies.to(request).setMovesReply(movesReply(group.snapshot())));
             case CONFIG_QUERY -> readConfiguration(peer, request);
             case START_MOVE -> startMove(peer, request);
+            case EVACUATION_ORDER -> evacuations.propose(peer, request, arrival);
             case EVIDENCE -> {
                 moveDriver.onEvidence(peer.hello(), request.getEvidence());
                 acknowledge(peer, request);
@@ -337,7 +341,7 @@
     private void sendStatus(Peer peer, Frame request, StatusReply.Builder reply) {
         advance();
         long number = group.number();
-        reply.setConfigNumber(number);
+        reply.setConfigNumber(number).addAllEvacuations(group.snapshot().evacuations());
         if (isLeader()) {
             reply.setConfigInForce(leases.inForce(number)).addAllDaemons(leases.states());
             replyIfLeader(peer, request, Replies.to(request).setStatusReply(reply));
--- a/control/src/main/java/org/ragwortrun/control/internal/MetaSnapshot.java
+++ b/control/src/main/java/org/ragwortrun/control/internal/MetaSnapshot.java
@@ -1,6 +1,7 @@
 package org.ragwortrun.control.internal;
 
 import java.util.List;
+import org.ragwortrun.proto.Evacuation;
 import org.ragwortrun.proto.MoveProgress;
 import org.ragwortrun.proto.OrderedMove;
 import org.ragwortrun.proto.Section;
@@ -14,13 +15,15 @@
  * @param moves progress of the moves
  * @param decisions decisions on versions
  * @param orderedMoves moves ordered by operators, by service
+ * @param evacuations latest evacuation order of each data center
  */
 public record MetaSnapshot(
         long number,
         List<Section> sections,
         List<MoveProgress> moves,
         List<VersionDecision> decisions,
-        List<OrderedMove> orderedMoves) {
+        List<OrderedMove> orderedMoves,
+        List<Evacuation> evacuations) {
     /** State before the first publish. */
-    public static final MetaSnapshot EMPTY = new MetaSnapshot(0, List.of(), List.of(), List.of(), List.of());
+    public static final MetaSnapshot EMPTY = new MetaSnapshot(0, List.of(), List.of(), List.of(), List.of(), List.of());
 }
--- a/control/src/main/java/org/ragwortrun/control/internal/MetaSnapshotCache.java
+++ b/control/src/main/java/org/ragwortrun/control/internal/MetaSnapshotCache.java
@@ -20,7 +20,8 @@
                     state.configuration().getSectionsList(),
                     state.moves(),
                     state.decisions(),
-                    state.orderedMoves());
+                    state.orderedMoves(),
+                    state.evacuations());
             // The parts are consistent only if no entry was applied between the reads.
             number = state.number();
             if (read.number() == number) {
--- a/core/src/main/java/org/ragwortrun/core/config/Configuration.java
+++ b/core/src/main/java/org/ragwortrun/core/config/Configuration.java
@@ -7,16 +7,18 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Function;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
+import org.ragwortrun.proto.Evacuation;
 import org.ragwortrun.proto.MoveProgress;
 import org.ragwortrun.proto.MoveState;
 import org.ragwortrun.proto.OrderedMove;
 import org.ragwortrun.proto.Section;
 import org.ragwortrun.proto.VersionDecision;
 
-/** An accepted configuration with the state of its moves. Immutable. */
+/** An accepted configuration with the state of its moves and evacuations. Immutable. */
 public final class Configuration {
     private static final int WHOLE_PERMILLE = 1000;
     // 5 %, half of the 10 % exposure to a bad version that an operator's order permits.
@@ -37,13 +39,17 @@
     private final ForwardTable forwards;
     private final CallerLimits limits;
     private final Map<String, List<OrderedMove>> orderedMoves;
+    private final Map<String, Evacuation> evacuations;
+    private final Set<String> evacuated;
+    private final boolean restrictsRegions;
 
     private Configuration(
             long number,
             Collection<Section> sections,
             Collection<MoveProgress> moveProgress,
             Collection<VersionDecision> versionDecisions,
-            Collection<OrderedMove> ordered)
+            Collection<OrderedMove> ordered,
+            Collection<Evacuation> ordersToEvacuate)
             throws ConfigurationException {
         this.number = number;
         SectionReader reader = new SectionReader();
@@ -68,6 +74,15 @@
         forwards = new ForwardTable(reader.forwards(sections));
         limits = reader.limits(sections).orElse(CallerLimits.DEFAULTS);
         orderedMoves = ordered.stream().collect(Collectors.groupingBy(OrderedMove::getService));
+        evacuations = index(ordersToEvacuate, Evacuation::getDataCenter);
+        evacuated = ordersToEvacuate.stream()
+                .filter(Evacuation::getActive)
+                .map(Evacuation::getDataCenter)
+                .collect(Collectors.toUnmodifiableSet());
+        restrictsRegions = Stream.concat(
+                        accounts.values().stream().map(Account::regions),
+                        forwards.all().stream().map(Forward::regions))
+                .anyMatch(r -> !r.isEmpty());
         reader.throwIfErrors();
     }
 
@@ -82,7 +97,7 @@
             Collection<MoveProgress> moves,
             Collection<VersionDecision> decisions)
             throws ConfigurationException {
-        return new Configuration(number, sections, moves, decisions, List.of());
+        return new Configuration(number, sections, moves, decisions, List.of(), List.of());
     }
 
     /**
@@ -97,7 +112,42 @@
             Collection<VersionDecision> decisions,
             Collection<OrderedMove> ordered)
             throws ConfigurationException {
-        return new Configuration(number, sections, moves, decisions, ordered);
+        return new Configuration(number, sections, moves, decisions, ordered, List.of());
+    }
+
+    /**
+     * Builds a configuration with the moves and evacuations that operators have ordered.
+     *
+     * @throws ConfigurationException if a value cannot be read; names every such value
+     */
+    public static Configuration of(
+            long number,
+            Collection<Section> sections,
+            Collection<MoveProgress> moves,
+            Collection<VersionDecision> decisions,
+            Collection<OrderedMove> ordered,
+            Collection<Evacuation> evacuations)
+            throws ConfigurationException {
+        return new Configuration(number, sections, moves, decisions, ordered, evacuations);
+    }
+
+    /** Returns whether endpoints of a data center must not get requests, because operators evacuate it. */
+    public boolean isEvacuated(String dataCenter) {
+        return evacuated.contains(dataCenter);
+    }
+
+    /** Returns the latest evacuation order of each data center that has had one. */
+    public Collection<Evacuation> evacuations() {
+        return evacuations.values();
+    }
+
+    /** Returns whether a forward or an account restricts the regions of its requests. */
+    public boolean restrictsRegions() {
+        return restrictsRegions;
+    }
+
+    public Optional<Account> account(String name) {
+        return Optional.ofNullable(accounts.get(name));
     }
 
     public Optional<Origin> origin(String name) {
--- a/core/src/main/java/org/ragwortrun/core/config/Forward.java
+++ b/core/src/main/java/org/ragwortrun/core/config/Forward.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * A host and path prefix whose requests are forwarded unchanged to an origin.
@@ -19,6 +20,7 @@
  * @param attempts maximum number of endpoints to which a request is sent
  * @param open whether callers need no API key
  * @param sticky whether requests with the same prompt prefix should reach the same endpoint
+ * @param regions regions whose endpoints may get its requests, empty if all may
  */
 public record Forward(
         String name,
@@ -33,7 +35,8 @@
         Map<String, Integer> shares,
         int attempts,
         boolean open,
-        boolean sticky) {
+        boolean sticky,
+        Set<String> regions) {
     /** Whether a request may run more than once. */
     public enum Kind {
         /** May run more than once. */
--- a/core/src/main/java/org/ragwortrun/core/config/ForwardTable.java
+++ b/core/src/main/java/org/ragwortrun/core/config/ForwardTable.java
@@ -11,6 +11,7 @@
 /** Finds the forward of a request: among those of its host, the one with the longest path prefix. Immutable. */
 public final class ForwardTable {
     private final Map<String, List<Forward>> byHost;
+    private final Map<String, Forward> byName;
 
     ForwardTable(Collection<Forward> forwards) {
         byHost = forwards.stream()
@@ -18,6 +19,11 @@
                         .reversed()
                         .thenComparing(Forward::name))
                 .collect(Collectors.groupingBy(f -> normalized(f.host())));
+        byName = forwards.stream().collect(Collectors.toUnmodifiableMap(Forward::name, f -> f, (a, b) -> a));
+    }
+
+    public Optional<Forward> named(String name) {
+        return Optional.ofNullable(byName.get(name));
     }
 
     public Optional<Forward> find(String host, String path) {
--- a/core/src/main/java/org/ragwortrun/core/config/SectionReader.java
+++ b/core/src/main/java/org/ragwortrun/core/config/SectionReader.java
@@ -7,6 +7,7 @@
 import java.util.Arrays;
 import java.util.Collection;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -27,6 +28,7 @@
     private static final int DEFAULT_SLOTS = 16;
     private static final int DEFAULT_CONNECTIONS = 256;
     private static final String TOTAL = "prepaid";
+    private static final String REGIONS = "regions";
 
     private final List<ConfigurationError> errors = new ArrayList<>();
 
@@ -34,7 +36,7 @@
         return read(
                 sections,
                 SectionKind.ACCOUNT,
-                s -> new Account(s.getName(), list(s, "keys"), priority(s), yesOrNo(s, "metered", false)));
+                s -> new Account(s.getName(), list(s, "keys"), priority(s), yesOrNo(s, "metered", false), regions(s)));
     }
 
     List<Budget> budgets(Collection<Section> sections) {
@@ -80,7 +82,8 @@
                         shares(s),
                         (int) number(s, "attempts", 1, Integer.MAX_VALUE),
                         yesOrNo(s, "open", false),
-                        yesOrNo(s, "sticky", false)));
+                        yesOrNo(s, "sticky", false),
+                        regions(s)));
     }
 
     Optional<CallerLimits> limits(Collection<Section> sections) {
@@ -116,6 +119,20 @@
         return shares;
     }
 
+    /** Reads a list of regions. A list that is present must name at least one, so that it never means all regions. */
+    private Set<String> regions(Section s) {
+        if (!s.containsProperties(REGIONS)) {
+            return Set.of();
+        }
+        List<String> names = Arrays.stream(s.getPropertiesOrDefault(REGIONS, "").split(",", -1))
+                .map(String::trim)
+                .toList();
+        if (!names.stream().allMatch(Locations::isRegion)) {
+            fail(s, REGIONS, "regions", "names of 1 to 64 visible characters, separated by commas");
+        }
+        return Set.copyOf(new LinkedHashSet<>(names));
+    }
+
     private OptionalInt priority(Section s) {
         return s.containsProperties("priority")
                 ? OptionalInt.of((int) number(s, "priority", DEFAULT_PRIORITY, Integer.MAX_VALUE))
--- a/core/src/main/java/org/ragwortrun/core/config/rule/UnknownKeyRule.java
+++ b/core/src/main/java/org/ragwortrun/core/config/rule/UnknownKeyRule.java
@@ -14,7 +14,7 @@
 public final class UnknownKeyRule implements ConfigurationRule {
     private static final String TOP_UP = "topup.";
     private static final Map<SectionKind, List<String>> KEYS = Map.of(
-            SectionKind.ACCOUNT, List.of("keys", "priority", "metered"),
+            SectionKind.ACCOUNT, List.of("keys", "priority", "metered", "regions"),
             SectionKind.BUDGET, List.of("prepaid"),
             SectionKind.SERVICE, List.of("kind", "model", "version"),
             SectionKind.ROUTE, List.of("service", "path", "repeatable", "price", "max-output", "priority", "deadline"),
@@ -45,7 +45,8 @@
                             "to",
                             "attempts",
                             "open",
-                            "sticky"),
+                            "sticky",
+                            "regions"),
             SectionKind.LIMITS, List.of("header-bytes", "body-bytes", "header-timeout", "idle-timeout"));
 
     @Override
--- a/ledger/src/main/java/org/ragwortrun/ledger/MetaState.java
+++ b/ledger/src/main/java/org/ragwortrun/ledger/MetaState.java
@@ -10,8 +10,10 @@
 import java.util.Optional;
 import java.util.SortedMap;
 import java.util.TreeMap;
+import org.ragwortrun.core.config.Locations;
 import org.ragwortrun.core.config.SectionKind;
 import org.ragwortrun.ledger.internal.CrashCounts;
+import org.ragwortrun.ledger.internal.Evacuations;
 import org.ragwortrun.ledger.internal.OrderedMoves;
 import org.ragwortrun.ledger.internal.PublishReplyCache;
 import org.ragwortrun.ledger.internal.SectionStore;
@@ -23,6 +25,9 @@
 import org.ragwortrun.proto.ConfigUpdate;
 import org.ragwortrun.proto.CrashReport;
 import org.ragwortrun.proto.ErrorReply;
+import org.ragwortrun.proto.Evacuation;
+import org.ragwortrun.proto.EvacuationOrder;
+import org.ragwortrun.proto.EvacuationReply;
 import org.ragwortrun.proto.MetaCommand;
 import org.ragwortrun.proto.MetaResult;
 import org.ragwortrun.proto.MoveProgress;
@@ -38,14 +43,16 @@
 
 /**
  * State machine of the meta group. It holds the accepted configuration and its number, version decisions, move
- * progress, crash counts and fencing numbers.
+ * progress, crash counts, fencing numbers and evacuations.
  *
  * <p>Each change that daemons must receive increments the configuration number. A publication is accepted if no other
  * publication has been accepted since the number on which it is based. Version decisions and move progress do not cause
  * a conflict.
  */
 public final class MetaState {
-    private static final long FORMAT = 2;
+    private static final long FORMAT = 3;
+    // Snapshots of members that did not know evacuations.
+    private static final long FORMAT_WITHOUT_EVACUATIONS = 2;
 
     private final ConfigurationRules rules;
     private SectionStore sections = new SectionStore();
@@ -60,6 +67,7 @@
     private long generation;
     private ByteString document = ByteString.EMPTY;
     private OrderedMoves orderedMoves = new OrderedMoves();
+    private Evacuations evacuations = new Evacuations();
 
     public MetaState(ConfigurationRules rules) {
         this.rules = rules;
@@ -94,7 +102,7 @@
             case START_MOVE -> startMove(command.getStartMove(), command.getNowMs());
             case SET_BASELINE -> setBaseline(command.getSetBaseline());
             case READ_BARRIER -> numberResult();
-            case EVACUATION -> error("unsupported-command", "evacuations are not supported yet");
+            case EVACUATION -> evacuate(command.getEvacuation(), command.getNowMs());
             case OP_NOT_SET -> error("malformed-command", "command has no operation");
         };
     }
@@ -191,6 +199,25 @@
         return numberResult();
     }
 
+    /** Begins or ends an evacuation. An order that changes nothing is accepted with the number of the earlier one. */
+    private MetaResult evacuate(EvacuationOrder order, long nowMs) {
+        if (!Locations.isDataCenter(order.getDataCenter())) {
+            return error("malformed-data-center", "a data center has 1 to 64 visible characters and no slash");
+        }
+        if (evacuations.changes(order)) {
+            if (!evacuations.hasRoomFor(order)) {
+                return error("too-many-evacuations", Evacuations.MAX_ENTRIES + " data centers are evacuated");
+            }
+            number = Math.addExact(number, 1);
+            evacuations.record(order, number, nowMs);
+        }
+        return MetaResult.newBuilder()
+                .setEvacuation(EvacuationReply.newBuilder()
+                        .setOutcome(EvacuationReply.Outcome.ACCEPTED)
+                        .setNumber(evacuations.number(order.getDataCenter()).orElse(number)))
+                .build();
+    }
+
     private static Optional<Map<String, String>> moveProperties(List<Section> all, String move) {
         return all.stream()
                 .filter(s -> s.getKind().equals(SectionKind.MOVE.text())
@@ -261,9 +288,15 @@
                 .setGeneration(generation)
                 .setDocument(document)
                 .addAllOrderedMoves(orderedMoves())
+                .addAllEvacuations(evacuations.all())
                 .build();
     }
 
+    /** Returns the latest evacuation order of each data center. */
+    public synchronized List<Evacuation> evacuations() {
+        return evacuations.all();
+    }
+
     /** Returns the ordered moves with their progress. */
     public synchronized List<OrderedMove> orderedMoves() {
         return orderedMoves.all().stream().map(this::withProgress).toList();
@@ -294,6 +327,7 @@
                 .addAllMoves(moves.changedAfter(from))
                 .addAllDecisions(decisions.changedAfter(from))
                 .addAllOrderedMoves(orderedMoves.all())
+                .addAllEvacuations(evacuations.all())
                 .addAllSuspects(crashCounts.refusedAfter(from));
         if (known) {
             update.addAllRemoved(sections.removedAfter(from));
@@ -337,13 +371,14 @@
         out.number(generation);
         out.bytes(document.toByteArray());
         orderedMoves.write(out);
+        evacuations.write(out);
         out.flush();
     }
 
     /** Replaces the state with a snapshot. If the snapshot cannot be read, the state is unchanged. */
     public synchronized void readSnapshot(InputStream stream) throws IOException {
         SnapshotReader in = new SnapshotReader(stream);
-        in.expect(FORMAT);
+        long format = in.expectBetween(FORMAT_WITHOUT_EVACUATIONS, FORMAT);
         long readNumber = in.number();
         long readPublished = in.number();
         long readIndex = in.number();
@@ -357,6 +392,7 @@
         long readGeneration = in.number();
         ByteString readDocument = ByteString.copyFrom(in.bytes());
         OrderedMoves readOrdered = OrderedMoves.read(in);
+        Evacuations readEvacuations = format == FORMAT_WITHOUT_EVACUATIONS ? new Evacuations() : Evacuations.read(in);
         number = readNumber;
         publishedNumber = readPublished;
         appliedIndex = readIndex;
@@ -369,5 +405,6 @@
         generation = readGeneration;
         document = readDocument;
         orderedMoves = readOrdered;
+        evacuations = readEvacuations;
     }
 }
--- a/ledger/src/main/java/org/ragwortrun/ledger/internal/SnapshotReader.java
+++ b/ledger/src/main/java/org/ragwortrun/ledger/internal/SnapshotReader.java
@@ -60,6 +60,15 @@
         }
     }
 
+    /** Reads a format number, fails if it is not between two known ones, and returns it. */
+    public long expectBetween(long first, long last) throws IOException {
+        long found = number();
+        if (found < first || found > last) {
+            throw new IOException("snapshot has format " + found + ", expected " + first + " to " + last);
+        }
+        return found;
+    }
+
     /** Reads one element of a collection. */
     @FunctionalInterface
     public interface Element {
--- a/net/src/main/java/org/ragwortrun/net/control/ConfigState.java
+++ b/net/src/main/java/org/ragwortrun/net/control/ConfigState.java
@@ -67,7 +67,8 @@
                 nextSections.values(),
                 nextMoves.values(),
                 nextDecisions.values(),
-                update.getOrderedMovesList());
+                update.getOrderedMovesList(),
+                update.getEvacuationsList());
         return new ConfigState(
                 next,
                 nextSections,
--- a/router/src/main/java/org/ragwortrun/router/internal/agents/AgentPool.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/agents/AgentPool.java
@@ -65,11 +65,12 @@
         return Optional.ofNullable(links.get(endpoint));
     }
 
-    /** Returns the endpoints of a version that may receive new requests, except the excluded ones. */
+    /** Returns the endpoints of a version that may get new requests, except the excluded ones. */
     public List<EndpointCandidate> candidates(
             Configuration configuration, String service, String version, Set<String> excluded) {
         return configuration.endpointsOf(service).stream()
                 .filter(e -> e.version().equals(version))
+                .filter(e -> !configuration.isEvacuated(e.dataCenter()))
                 .filter(e -> !excluded.contains(e.name()))
                 .flatMap(e -> link(e.name()).stream())
                 .flatMap(l -> l.candidate().stream())
--- a/router/src/main/java/org/ragwortrun/router/internal/flow/EndpointSelection.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/flow/EndpointSelection.java
@@ -51,6 +51,15 @@
         return services.chooser().choose(choice(), candidates);
     }
 
+    /** Returns whether a selected endpoint may still get the request, whose claim in the register has taken time. */
+    boolean isStillAllowed(EndpointCandidate candidate) {
+        Configuration configuration = configuration();
+        return configuration
+                .endpoint(candidate.name())
+                .filter(e -> configuration.isEvacuated(e.dataCenter()))
+                .isEmpty();
+    }
+
     private ChoiceRequest choice() {
         return new ChoiceRequest(
                 request.budget().getAccount(),
--- a/router/src/main/java/org/ragwortrun/router/internal/flow/RequestFlow.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/flow/RequestFlow.java
@@ -330,8 +330,8 @@
     private void dispatch(EndpointCandidate candidate) {
         report.setTarget(candidate);
         Optional<ConnectedAgent> agent = finder.connected(candidate);
-        if (agent.isEmpty()) {
-            onNotSent("the agent " + candidate.name() + " is not connected");
+        if (agent.isEmpty() || !selection.isStillAllowed(candidate)) {
+            onNotSent("the agent " + candidate.name() + " is not connected or its data center is evacuated");
             return;
         }
         report.countAttempt();
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointSelector.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointSelector.java
@@ -92,12 +92,29 @@
         return new Choice(chosen, earliest, allowed.size());
     }
 
+    /**
+     * Returns whether a selected endpoint still accepts the request when it is about to be sent, which may be some time
+     * after the selection because a connection had to be opened. The request already counts as in flight.
+     */
+    boolean stillAccepts(EndpointState endpoint) {
+        long now = services.time().nanos();
+        return endpoint.isEligible()
+                && services.configuration()
+                        .get()
+                        .filter(c -> isPermitted(c, endpoint))
+                        .isPresent()
+                && endpoint.notices().earliestSendTime(now, endpoint.inFlight() - 1).stream()
+                        .anyMatch(from -> from - now <= 0);
+    }
+
     private List<EndpointState> permitted(Configuration configuration, List<EndpointState> eligible) {
-        return eligible.stream()
-                .filter(s -> services.filters().stream()
-                        .allMatch(f ->
-                                f.exclusion(s, configuration, route, account).isEmpty()))
-                .toList();
+        return eligible.stream().filter(s -> isPermitted(configuration, s)).toList();
+    }
+
+    private boolean isPermitted(Configuration configuration, EndpointState endpoint) {
+        return services.filters().stream()
+                .allMatch(f ->
+                        f.exclusion(endpoint, configuration, route, account).isEmpty());
     }
 
     /** Returns the earliest time at which an endpoint may accept a request while some endpoints have a limit. */
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
@@ -504,7 +504,7 @@
                 endpoint.connections().release(c);
                 return;
             }
-            if (!stillAccepts()) {
+            if (!selector.stillAccepts(endpoint)) {
                 endpoint.connections().release(c);
                 end();
                 onNotRun("endpoint-wants-nothing", false);
@@ -521,14 +521,6 @@
             c.send(endpointRequest(), body.retainedDuplicate(), request.id(), this);
         }
 
-        /** Returns whether the endpoint still accepts the request after its connection was opened. */
-        private boolean stillAccepts() {
-            long now = services.time().nanos();
-            return endpoint.isEligible()
-                    && endpoint.notices().earliestSendTime(now, endpoint.inFlight() - 1).stream()
-                            .anyMatch(from -> from - now <= 0);
-        }
-
         private HttpRequest endpointRequest() {
             HttpRequest out = new DefaultHttpRequest(HttpVersion.HTTP_1_1, head.method(), head.uri());
             services.headers().copyToEndpoint(head.headers(), out.headers());
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
@@ -149,8 +149,11 @@
                 time, e -> connections(loop, e, time, headers, metrics), notices::read, settings.longestPause());
         ForwardPushHandler pushes = new ForwardPushHandler(loop, endpoints);
         ControlClient control = closer.register(new ControlClient(transport, settings.members(), pushes));
-        ConfigWatch watch =
-                closer.register(new ConfigWatch(control, timer, time, metrics, c -> pushes.onConfigurationApplied()));
+        EvacuationTracker evacuations = new EvacuationTracker(time, metrics);
+        ConfigWatch watch = closer.register(new ConfigWatch(control, timer, time, metrics, c -> {
+            evacuations.apply(c);
+            pushes.onConfigurationApplied();
+        }));
         Shards shards = new Shards(control, settings.shards());
         Sessions sessions = new Sessions(shards, timer, settings.name(), incarnation, true, processStartNanos);
         GrantPool pool = new GrantPool(
@@ -198,7 +201,7 @@
                 ConfigurationSource.of(watch, control, settings.denialAge()),
                 standstills,
                 endpoints,
-                List.of(),
+                List.of(new EvacuationFilter(), new HomeRegionFilter(settings.scheduling()::region)),
                 limits.reader(),
                 limits.permits(),
                 new RetryAllowance(
--- a/router/src/test/java/org/ragwortrun/router/internal/forward/ShutdownAdmissionTest.java
+++ b/router/src/test/java/org/ragwortrun/router/internal/forward/ShutdownAdmissionTest.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.ragwortrun.core.config.Forward;
 
@@ -66,8 +67,8 @@
     }
 
     private boolean accepts(String route, Forward.Kind kind, Duration timeLimit, long remainingMs) {
-        Forward forward =
-                new Forward(route, "h", "/", kind, false, TIMEOUT, TIMEOUT, TIMEOUT, 0, Map.of(), 1, false, false);
+        Forward forward = new Forward(
+                route, "h", "/", kind, false, TIMEOUT, TIMEOUT, TIMEOUT, 0, Map.of(), 1, false, false, Set.of());
         return admission.accepts(
                 forward, timeLimit, Duration.ofMillis(remainingMs).toNanos());
     }
