Test evacuations and bind regions of accounts on the path over agents

Cause: orders must survive changes of leader, restarts and wiped disks, and no path may reach an evacuated data center or leave an account's regions. Routers of the path over agents check evacuations and the regions of the account, when they choose and when they dispatch. A configuration that consists of orders only, before the first publication, confirms no denial.

--- a/agent/src/test/java/org/ragwortrun/agent/ControlOrdersTest.java
+++ b/agent/src/test/java/org/ragwortrun/agent/ControlOrdersTest.java
@@ -67,6 +67,29 @@
                 .isTrue();
     }
 
+    /** Guards against a request that waits at the agent and starts after the evacuation of its data center began. */
+    @Test
+    void refusesQueuedAndNewRequestsWhileDataCenterIsEvacuated() throws Exception {
+        start(Map.of("agent.queue-wait", "10s"));
+        AnswerReader running = fixture.send(router, fixture.chat("r1", "run [len=300]"));
+        running.accepted();
+        AnswerReader queued = fixture.send(router, fixture.chat("r2", "wait [len=5]"));
+        queued.accepted();
+        fixture.control().evacuate("coast-a", true);
+        Refused refused = queued.refused();
+        assertThat(refused.getReason()).isEqualTo("no-endpoint");
+        assertThat(refused.getRun()).isEqualTo(RunState.RUN_NOT_RUN);
+        assertThat(fixture.send(router, fixture.chat("r3", "late")).refused().getReason())
+                .isEqualTo("no-endpoint");
+        assertThat(running.finished().getFailure()).isEmpty();
+        fixture.control().evacuate("coast-a", false);
+        AgentFixture.await(() -> fixture.control().confirmed() == 3);
+        assertThat(fixture.send(router, fixture.chat("r4", "next [len=5]"))
+                        .finished()
+                        .getFailure())
+                .isEmpty();
+    }
+
     /** Guards against usage that is lost or dropped while no shard acknowledges it. */
     @Test
     void resendsUsageUntilAcknowledged() throws Exception {
--- a/agent/src/test/java/org/ragwortrun/agent/FakeControl.java
+++ b/agent/src/test/java/org/ragwortrun/agent/FakeControl.java
@@ -17,6 +17,7 @@
 import org.ragwortrun.proto.ConfigUpdate;
 import org.ragwortrun.proto.CrashReport;
 import org.ragwortrun.proto.ErrorReply;
+import org.ragwortrun.proto.Evacuation;
 import org.ragwortrun.proto.Frame;
 import org.ragwortrun.proto.Heartbeat;
 import org.ragwortrun.proto.Hello;
@@ -39,6 +40,9 @@
     private final BlockingQueue<Frame> otherFrames = new LinkedBlockingQueue<>();
     private volatile int leaseMs = 3_000;
     private volatile boolean settles = true;
+    private volatile int number = 1;
+    private volatile long confirmed;
+    private volatile Evacuation evacuation = Evacuation.getDefaultInstance();
 
     FakeControl() throws Exception {
         Transport transport = closer.register(new Transport(
@@ -62,6 +66,30 @@
         leaseMs = ms;
     }
 
+    /** Sends agents the next configuration, with evacuations. */
+    void evacuate(String dataCenter, boolean active) {
+        evacuation = Evacuation.newBuilder()
+                .setDataCenter(dataCenter)
+                .setActive(active)
+                .setNumber(number + 1)
+                .build();
+        number++;
+        push(Frame.newBuilder().setConfigUpdate(update()).build());
+    }
+
+    /** Returns the number of the latest confirmation. */
+    long confirmed() {
+        return confirmed;
+    }
+
+    private ConfigUpdate update() {
+        return ConfigUpdate.newBuilder()
+                .setNumber(number)
+                .addAllChanged(sections)
+                .addEvacuations(evacuation)
+                .build();
+    }
+
     void setSettles(boolean newSettles) {
         settles = newSettles;
     }
@@ -100,14 +128,13 @@
     @Override
     public void onFrame(Peer peer, Frame frame) {
         switch (frame.getBodyCase()) {
-            case CONFIRM ->
-                peer.send(Replies.to(frame)
-                        .setHeartbeat(Heartbeat.newBuilder().setNumber(1).setLeaseMs(leaseMs))
-                        .build());
-            case WATCH ->
+            case CONFIRM -> {
+                confirmed = frame.getConfirm().getNumber();
                 peer.send(Replies.to(frame)
-                        .setConfigUpdate(ConfigUpdate.newBuilder().setNumber(1).addAllChanged(sections))
+                        .setHeartbeat(Heartbeat.newBuilder().setNumber(number).setLeaseMs(leaseMs))
                         .build());
+            }
+            case WATCH -> peer.send(Replies.to(frame).setConfigUpdate(update()).build());
             case SHARD_REQUEST -> settle(peer, frame);
             case CRASH_REPORT -> {
                 crashes.add(frame.getCrashReport());
--- a/cli/src/test/java/org/ragwortrun/cli/internal/ProgramTest.java
+++ b/cli/src/test/java/org/ragwortrun/cli/internal/ProgramTest.java
@@ -177,6 +177,28 @@
         assertThat(run("explain", "a", "no-such-id", "--control", address)).isEqualTo(1);
     }
 
+    @Test
+    @Order(9)
+    void ordersAndListsEvacuations() throws IOException {
+        assertThat(run("evacuate", "--control", address)).isEqualTo(2);
+        assertThat(run("evacuate", "start", "n1", "--control", address)).isEqualTo(2);
+        assertThat(run("evacuate", "begin", "a/b", "--control", address)).isEqualTo(2);
+        assertThat(run("evacuate", "begin", "n1", "--control", "127.0.0.1:1", "--timeout", "200ms"))
+                .isEqualTo(4);
+        assertThat(json("status").get("evacuations").size()).isEqualTo(0);
+        long number = json("evacuate", "begin", "n1").get("number").asLong();
+        assertThat(json("evacuate", "begin", "n1").get("number").asLong()).isEqualTo(number);
+        JsonNode evacuation = json("status").get("evacuations").get(0);
+        assertThat(evacuation.get("dataCenter").asText()).isEqualTo("n1");
+        assertThat(evacuation.get("active").asBoolean()).isTrue();
+        assertThat(run("evacuate", "finish", "n1", "--control", address)).isEqualTo(0);
+        assertThat(json("status").get("evacuations").get(0).get("active").asBoolean())
+                .isFalse();
+        out.reset();
+        assertThat(run("status", "--control", address)).isEqualTo(0);
+        assertThat(out.toString(StandardCharsets.UTF_8)).containsMatch("n1 +ended");
+    }
+
     private JsonNode move() throws IOException {
         return json("moves").get("moves").get(0);
     }
--- a/control/src/test/java/org/ragwortrun/control/ControlDaemonTest.java
+++ b/control/src/test/java/org/ragwortrun/control/ControlDaemonTest.java
@@ -7,12 +7,17 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -28,6 +33,7 @@
 import org.ragwortrun.proto.CrashEvidence;
 import org.ragwortrun.proto.CrashReport;
 import org.ragwortrun.proto.EndpointCrash;
+import org.ragwortrun.proto.EvacuationOrder;
 import org.ragwortrun.proto.Frame;
 import org.ragwortrun.proto.Hello;
 import org.ragwortrun.proto.Publish;
@@ -117,6 +123,72 @@
         assertThat(configNumber()).isEqualTo(1);
     }
 
+    /** Guards against an acknowledged order that is lost with the leader, with all power, or with a disk. */
+    @Test
+    void keepsEvacuationsAcrossLeaderStopRestartAndWipedDisk() throws Exception {
+        evacuate("n1", true);
+        String leader = client.leader(0).orElseThrow();
+        running.remove(leader).close();
+        assertThat(evacuations()).containsExactly("n1 active");
+        evacuate("n2", true);
+        evacuate("n1", false);
+        startMember(leader);
+        running.values().forEach(ControlDaemon::close);
+        running.clear();
+        for (String name : members.keySet()) {
+            startMember(name);
+        }
+        assertThat(evacuations()).containsExactly("n1 ended", "n2 active").inOrder();
+        evacuate("n3", true);
+        String wiped = client.leader(0).orElseThrow();
+        running.remove(wiped).close();
+        delete(folder.resolve(wiped));
+        startMember(wiped);
+        assertThat(evacuations())
+                .containsExactly("n1 ended", "n2 active", "n3 active")
+                .inOrder();
+    }
+
+    private static void delete(Path tree) throws IOException {
+        try (Stream<Path> files = Files.walk(tree)) {
+            for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+                Files.delete(file);
+            }
+        }
+    }
+
+    /** Sends an order until it is acknowledged, as operators do. */
+    private void evacuate(String dataCenter, boolean begin) throws Exception {
+        EvacuationOrder.Builder order = EvacuationOrder.newBuilder()
+                .setDataCenter(dataCenter)
+                .setBegin(begin)
+                .setValidMs(900);
+        retry(Frame.newBuilder().setEvacuationOrder(order), Frame::hasEvacuationReply);
+    }
+
+    private List<String> evacuations() throws Exception {
+        Frame.Builder query = Frame.newBuilder().setConfigQuery(ConfigQuery.getDefaultInstance());
+        return retry(query, Frame::hasConfigReply).getConfigReply().getEvacuationsList().stream()
+                .map(e -> e.getDataCenter() + (e.getActive() ? " active" : " ended"))
+                .toList();
+    }
+
+    private Frame retry(Frame.Builder request, Predicate<Frame> isReply) throws Exception {
+        long end = System.nanoTime() + TIMEOUT.toNanos();
+        while (true) {
+            try {
+                Frame reply =
+                        client.call(0, request.clone(), Duration.ofMillis(900)).get();
+                if (isReply.test(reply)) {
+                    return reply;
+                }
+            } catch (ExecutionException e) {
+                TimeUnit.MILLISECONDS.sleep(20);
+            }
+            assertThat(System.nanoTime()).isLessThan(end);
+        }
+    }
+
     /** Guards against a daemon that starts with an unknown key or an invalid value. */
     @Test
     void reportsEveryInvalidSetting() throws IOException {
--- a/control/src/test/java/org/ragwortrun/control/internal/ControlNodeTest.java
+++ b/control/src/test/java/org/ragwortrun/control/internal/ControlNodeTest.java
@@ -18,6 +18,8 @@
 import org.ragwortrun.proto.ApplyTopUps;
 import org.ragwortrun.proto.BudgetRef;
 import org.ragwortrun.proto.Confirm;
+import org.ragwortrun.proto.EvacuationOrder;
+import org.ragwortrun.proto.EvacuationReply;
 import org.ragwortrun.proto.FenceConfirmed;
 import org.ragwortrun.proto.Frame;
 import org.ragwortrun.proto.Heartbeat;
@@ -153,6 +155,34 @@
         assertThat(reply.getAwaitedDaemonsList()).containsExactly("r1");
     }
 
+    /** Guards against an order that is acknowledged and not pushed to routers, or not known to be in force. */
+    @Test
+    void pushesEvacuationAndAwaitsConfirmation() throws Exception {
+        time.advance(LEADER_SIDE_LEASE);
+        confirm(router, 0);
+        assertThat(evacuate("n1", true).getNumber()).isEqualTo(1);
+        Frame update =
+                router.await(f -> f.hasConfigUpdate() && f.getConfigUpdate().getNumber() == 1);
+        assertThat(update.getConfigUpdate().getEvacuations(0).getDataCenter()).isEqualTo("n1");
+        StatusReply status = status().get();
+        assertThat(status.getConfigInForce()).isFalse();
+        assertThat(status.getEvacuations(0).getActive()).isTrue();
+        confirm(router, 1);
+        assertThat(status().get().getConfigInForce()).isTrue();
+        assertThat(evacuate("n1", true).getNumber()).isEqualTo(1);
+        assertThat(evacuate("n1", false).getNumber()).isEqualTo(2);
+        assertThat(status().get().getEvacuations(0).getActive()).isFalse();
+    }
+
+    /** Guards against an order that a member without a lease acknowledges. */
+    @Test
+    void redirectsEvacuationToLeader() throws Exception {
+        meta.term = OptionalLong.empty();
+        node.onFrame(operator, evacuationFrame("n1", true));
+        assertThat(operator.await(f -> true).getNotLeader().getLeaderName()).isEqualTo("c2");
+        assertThat(meta.number()).isEqualTo(0);
+    }
+
     /** Guards against a new leader that ignores the leases granted by its predecessor. */
     @Test
     void newLeaderWaitsForLeasesOfPredecessor() throws Exception {
@@ -329,6 +359,20 @@
         return operator.await(Frame::hasPublishReply).getPublishReply();
     }
 
+    private EvacuationReply evacuate(String dataCenter, boolean begin) throws Exception {
+        Frame order = evacuationFrame(dataCenter, begin);
+        node.onFrame(operator, order);
+        return operator.await(f -> f.getCall() == order.getCall()).getEvacuationReply();
+    }
+
+    private Frame evacuationFrame(String dataCenter, boolean begin) {
+        return frame().setEvacuationOrder(EvacuationOrder.newBuilder()
+                        .setDataCenter(dataCenter)
+                        .setBegin(begin)
+                        .setValidMs(900))
+                .build();
+    }
+
     private Frame publishFrame(String id, long basedOn, int waitMs, List<Section> files) {
         return frame().setPublish(Publish.newBuilder()
                         .setPublishId(id)
--- a/core/src/main/java/org/ragwortrun/core/config/Configuration.java
+++ b/core/src/main/java/org/ragwortrun/core/config/Configuration.java
@@ -42,6 +42,7 @@
     private final Map<String, Evacuation> evacuations;
     private final Set<String> evacuated;
     private final boolean restrictsRegions;
+    private final boolean onlyOrders;
 
     private Configuration(
             long number,
@@ -52,6 +53,7 @@
             Collection<Evacuation> ordersToEvacuate)
             throws ConfigurationException {
         this.number = number;
+        onlyOrders = sections.isEmpty() && !ordersToEvacuate.isEmpty();
         SectionReader reader = new SectionReader();
         accounts = index(reader.accounts(sections), Account::name);
         accountsByKey = accounts.values().stream()
@@ -131,6 +133,14 @@
         return new Configuration(number, sections, moves, decisions, ordered, evacuations);
     }
 
+    /**
+     * Returns whether it consists of orders to evacuate without any section, as before the first publication. Such a
+     * configuration has a number, but says nothing about routes and accounts.
+     */
+    public boolean hasOnlyOrders() {
+        return onlyOrders;
+    }
+
     /** Returns whether endpoints of a data center must not get requests, because operators evacuate it. */
     public boolean isEvacuated(String dataCenter) {
         return evacuated.contains(dataCenter);
--- a/core/src/test/java/org/ragwortrun/core/config/ForwardConfigurationTest.java
+++ b/core/src/test/java/org/ragwortrun/core/config/ForwardConfigurationTest.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
+import org.ragwortrun.proto.Evacuation;
 import org.ragwortrun.proto.MoveProgress;
 import org.ragwortrun.proto.MoveState;
 import org.ragwortrun.proto.OrderedMove;
@@ -77,6 +78,43 @@
                 .containsExactly("v1", 1000);
     }
 
+    @Test
+    void readsRegionsOfForwardsAndAccounts() throws ConfigurationException {
+        Section f = forward("f", "/a/", "o").toBuilder()
+                .putProperties("regions", "north, south")
+                .build();
+        Configuration c = configuration(f, section("account", "c", Map.of("regions", "west")));
+        assertThat(c.forwards().named("f").orElseThrow().regions()).containsExactly("north", "south");
+        assertThat(c.account("c").orElseThrow().regions()).containsExactly("west");
+        assertThat(c.restrictsRegions()).isTrue();
+        assertThat(configuration(forward("f", "/a/", "o")).restrictsRegions()).isFalse();
+        assertThat(rules(f)).isEmpty();
+    }
+
+    /** Guards against a list that names no region and is taken for no restriction. */
+    @Test
+    void rejectsMalformedRegions() {
+        for (String wrong : List.of("", " ", ",", "north,", "no rth", "x".repeat(65))) {
+            Section f = forward("f", "/a/", "o").toBuilder()
+                    .putProperties("regions", wrong)
+                    .build();
+            assertThat(rules(f)).containsExactly("regions");
+            assertThat(rules(section("account", "c", Map.of("regions", wrong)))).containsExactly("regions");
+        }
+    }
+
+    @Test
+    void knowsEvacuatedDataCenters() throws ConfigurationException {
+        Evacuation active =
+                Evacuation.newBuilder().setDataCenter("n1").setActive(true).build();
+        Evacuation ended = Evacuation.newBuilder().setDataCenter("n2").build();
+        Configuration c = Configuration.of(1, List.of(), List.of(), List.of(), List.of(), List.of(active, ended));
+        assertThat(c.isEvacuated("n1")).isTrue();
+        assertThat(c.isEvacuated("n2")).isFalse();
+        assertThat(c.isEvacuated("n3")).isFalse();
+        assertThat(c.evacuations()).containsExactly(active, ended);
+    }
+
     private static Map<String, Integer> shares(
             List<OrderedMove> moves, List<MoveProgress> progress, List<VersionDecision> decisions)
             throws ConfigurationException {
--- a/net/src/main/java/org/ragwortrun/net/control/ConfigWatch.java
+++ b/net/src/main/java/org/ragwortrun/net/control/ConfigWatch.java
@@ -145,7 +145,10 @@
      * may have stood still while the host was suspended, so the wall clock must agree.
      */
     public boolean isConfirmedWithin(Duration age, Configuration configuration) {
-        return configuration.number() > 0 && newest <= configuration.number() && isConfirmedWithin(age);
+        return configuration.number() > 0
+                && !configuration.hasOnlyOrders()
+                && newest <= configuration.number()
+                && isConfirmedWithin(age);
     }
 
     /**
--- a/router/src/main/java/org/ragwortrun/router/internal/RouterSettings.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/RouterSettings.java
@@ -4,6 +4,7 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.Map;
+import org.ragwortrun.core.config.RegionMap;
 import org.ragwortrun.core.settings.Settings;
 import org.ragwortrun.core.settings.SettingsException;
 import org.ragwortrun.net.Address;
@@ -80,7 +81,8 @@
                 s.duration("agents.query-wait", Duration.ofSeconds(1)),
                 s.duration("agents.call-timeout", Duration.ofSeconds(1)),
                 s.duration("streams.stall-timeout", Duration.ofMinutes(5)),
-                (int) s.number("streams.resume-bytes", 256 << 10, 0, 8 * MIB));
+                (int) s.number("streams.resume-bytes", 256 << 10, 0, 8 * MIB),
+                RegionMap.read(s));
         RouterSettings settings = new RouterSettings(
                 name,
                 dataCenter,
@@ -112,7 +114,8 @@
                 flow.queryWait(),
                 flow.callTimeout(),
                 flow.stallTimeout(),
-                flow.resumeBytes());
+                flow.resumeBytes(),
+                flow.regions());
     }
 
     private static String hostList(Settings s) {
--- a/router/src/main/java/org/ragwortrun/router/internal/agents/AgentPool.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/agents/AgentPool.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Predicate;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.ragwortrun.core.config.Configuration;
@@ -65,12 +66,20 @@
         return Optional.ofNullable(links.get(endpoint));
     }
 
-    /** Returns the endpoints of a version that may get new requests, except the excluded ones. */
+    /**
+     * Returns the endpoints of a version that may receive new requests, except the excluded ones.
+     *
+     * @param permitted returns whether an endpoint may get the request, whatever its state
+     */
     public List<EndpointCandidate> candidates(
-            Configuration configuration, String service, String version, Set<String> excluded) {
+            Configuration configuration,
+            String service,
+            String version,
+            Set<String> excluded,
+            Predicate<Endpoint> permitted) {
         return configuration.endpointsOf(service).stream()
                 .filter(e -> e.version().equals(version))
-                .filter(e -> !configuration.isEvacuated(e.dataCenter()))
+                .filter(permitted)
                 .filter(e -> !excluded.contains(e.name()))
                 .flatMap(e -> link(e.name()).stream())
                 .flatMap(l -> l.candidate().stream())
--- a/router/src/main/java/org/ragwortrun/router/internal/flow/EndpointSelection.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/flow/EndpointSelection.java
@@ -3,7 +3,10 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import org.ragwortrun.core.config.Account;
 import org.ragwortrun.core.config.Configuration;
+import org.ragwortrun.core.config.Endpoint;
+import org.ragwortrun.core.config.HomeRegions;
 import org.ragwortrun.router.internal.request.AdmittedRequest;
 import org.ragwortrun.router.internal.request.ChatRequest;
 import org.ragwortrun.routing.ChoiceRequest;
@@ -45,21 +48,38 @@
 
     private Optional<EndpointCandidate> choose(Configuration configuration, String version, Set<String> excluded) {
         String service = request.service().name();
-        List<EndpointCandidate> untried = services.agents().candidates(configuration, service, version, excluded);
+        List<EndpointCandidate> untried = candidates(configuration, service, version, excluded);
         List<EndpointCandidate> candidates =
-                untried.isEmpty() ? services.agents().candidates(configuration, service, version, Set.of()) : untried;
+                untried.isEmpty() ? candidates(configuration, service, version, Set.of()) : untried;
         return services.chooser().choose(choice(), candidates);
     }
 
+    private List<EndpointCandidate> candidates(
+            Configuration configuration, String service, String version, Set<String> excluded) {
+        return services.agents()
+                .candidates(configuration, service, version, excluded, e -> isPermitted(configuration, e));
+    }
+
     /** Returns whether a selected endpoint may still get the request, whose claim in the register has taken time. */
-    boolean isStillAllowed(EndpointCandidate candidate) {
+    boolean isStillPermitted(EndpointCandidate candidate) {
         Configuration configuration = configuration();
         return configuration
                 .endpoint(candidate.name())
-                .filter(e -> configuration.isEvacuated(e.dataCenter()))
+                .filter(e -> !isPermitted(configuration, e))
                 .isEmpty();
     }
 
+    /** Returns whether an endpoint is outside evacuated data centers and in the regions of the client account. */
+    private boolean isPermitted(Configuration configuration, Endpoint endpoint) {
+        Set<String> regions = configuration
+                .account(request.budget().getAccount())
+                .map(Account::regions)
+                .orElse(Set.of());
+        return !configuration.isEvacuated(endpoint.dataCenter())
+                && new HomeRegions(Set.of(), regions)
+                        .permit(services.settings().regions().region(endpoint.dataCenter()));
+    }
+
     private ChoiceRequest choice() {
         return new ChoiceRequest(
                 request.budget().getAccount(),
--- a/router/src/main/java/org/ragwortrun/router/internal/flow/FlowSettings.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/flow/FlowSettings.java
@@ -1,6 +1,7 @@
 package org.ragwortrun.router.internal.flow;
 
 import java.time.Duration;
+import org.ragwortrun.core.config.RegionMap;
 
 /**
  * Settings of the request flow.
@@ -13,6 +14,7 @@
  * @param callTimeout time limit of a query to an agent
  * @param stallTimeout time without progress after which the connection of a stalled reader is closed
  * @param resumeBytes maximum text in bytes that is kept for a resume on another endpoint
+ * @param regions regions of data centers
  */
 public record FlowSettings(
         String name,
@@ -22,4 +24,5 @@
         Duration queryWait,
         Duration callTimeout,
         Duration stallTimeout,
-        int resumeBytes) {}
+        int resumeBytes,
+        RegionMap regions) {}
--- a/router/src/main/java/org/ragwortrun/router/internal/flow/RequestFlow.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/flow/RequestFlow.java
@@ -330,8 +330,8 @@
     private void dispatch(EndpointCandidate candidate) {
         report.setTarget(candidate);
         Optional<ConnectedAgent> agent = finder.connected(candidate);
-        if (agent.isEmpty() || !selection.isStillAllowed(candidate)) {
-            onNotSent("the agent " + candidate.name() + " is not connected or its data center is evacuated");
+        if (agent.isEmpty() || !selection.isStillPermitted(candidate)) {
+            onNotSent("the agent " + candidate.name() + " is not connected or its data center is excluded");
             return;
         }
         report.countAttempt();
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/HomeRegionFilter.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/HomeRegionFilter.java
@@ -6,6 +6,7 @@
 import org.ragwortrun.core.config.Account;
 import org.ragwortrun.core.config.Configuration;
 import org.ragwortrun.core.config.Forward;
+import org.ragwortrun.core.config.HomeRegions;
 
 /**
  * Excludes endpoints outside the regions of the request's route or client account, and endpoints whose region is unknown.
@@ -30,18 +31,13 @@
         if (!configuration.restrictsRegions()) {
             return Optional.empty();
         }
-        Set<String> ofRoute =
-                configuration.forwards().named(route.name()).orElse(route).regions();
-        Set<String> ofAccount = account.map(
-                        a -> configuration.account(a.name()).orElse(a).regions())
-                .orElse(Set.of());
-        if (ofRoute.isEmpty() && ofAccount.isEmpty()) {
-            return Optional.empty();
-        }
-        Optional<String> region = regionOf.apply(endpoint.listed().getDataCenter());
-        boolean home = region.filter(r -> ofRoute.isEmpty() || ofRoute.contains(r))
-                .filter(r -> ofAccount.isEmpty() || ofAccount.contains(r))
-                .isPresent();
-        return home ? Optional.empty() : Optional.of("outside-home-regions");
+        HomeRegions home = new HomeRegions(
+                configuration.forwards().named(route.name()).orElse(route).regions(),
+                account.map(a -> configuration.account(a.name()).orElse(a).regions())
+                        .orElse(Set.of()));
+        return !home.isRestricted()
+                        || home.permit(regionOf.apply(endpoint.listed().getDataCenter()))
+                ? Optional.empty()
+                : Optional.of("outside-home-regions");
     }
 }
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/SchedulingSettings.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/SchedulingSettings.java
@@ -1,8 +1,8 @@
 package org.ragwortrun.router.internal.forward;
 
-import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import org.ragwortrun.core.config.RegionMap;
 import org.ragwortrun.core.settings.Settings;
 
 /**
@@ -17,31 +17,17 @@
 record SchedulingSettings(boolean enabled, double linkMbps, double cores, Map<String, String> regions) {
     private static final double MAX_LINK_MBPS = 1_000_000;
     private static final double MAX_CORES = 1_024;
-    private static final String REGIONS = "regions.data-centers";
 
     static SchedulingSettings read(Settings s) {
         return new SchedulingSettings(
                 "yes".equals(s.text("scheduling.enabled", "no")),
                 s.decimal("host.link-mbps", 0, 0, MAX_LINK_MBPS),
                 s.decimal("host.core-share", 0, 0, MAX_CORES) * s.decimal("host.cores", 1, 0, MAX_CORES),
-                regions(s));
+                RegionMap.read(s).byDataCenter());
     }
 
     /** Returns the region of a data center, if the settings name it. */
     Optional<String> region(String dataCenter) {
         return Optional.ofNullable(regions.get(dataCenter));
     }
-
-    private static Map<String, String> regions(Settings s) {
-        Map<String, String> regions = new LinkedHashMap<>();
-        for (String entry : s.optionalList(REGIONS)) {
-            String[] parts = entry.split("=", 2);
-            if (parts.length != 2 || parts[0].isBlank() || parts[1].isBlank()) {
-                s.reject(REGIONS, "must be a list of DATA_CENTER=REGION, not " + entry);
-            } else {
-                regions.put(parts[0].trim(), parts[1].trim());
-            }
-        }
-        return Map.copyOf(regions);
-    }
 }
--- a/router/src/test/java/org/ragwortrun/router/FakeControl.java
+++ b/router/src/test/java/org/ragwortrun/router/FakeControl.java
@@ -1,11 +1,14 @@
 package org.ragwortrun.router;
 
+import static com.google.common.truth.Truth.assertThat;
+
 import com.google.protobuf.ByteString;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
 import org.ragwortrun.core.id.Digests;
 import org.ragwortrun.ledger.GrantPolicy;
 import org.ragwortrun.ledger.MetaState;
@@ -18,6 +21,7 @@
 import org.ragwortrun.proto.ConfigUpdate;
 import org.ragwortrun.proto.CrashEvidence;
 import org.ragwortrun.proto.CrashReport;
+import org.ragwortrun.proto.EvacuationOrder;
 import org.ragwortrun.proto.EvidenceRow;
 import org.ragwortrun.proto.Frame;
 import org.ragwortrun.proto.Heartbeat;
@@ -48,6 +52,8 @@
     private final List<CrashReport> suspects = new ArrayList<>();
     private final MetaState meta = new MetaState((previous, next, now) -> List.of());
     private volatile long number = 1;
+    // Highest number that a router has confirmed.
+    private volatile long confirmed;
 
     synchronized void putSection(String kind, String name, Map<String, String> properties) {
         sections.removeIf(s -> s.getKind().equals(kind) && s.getName().equals(name));
@@ -80,6 +86,32 @@
         number++;
     }
 
+    /** Orders that the evacuation of a data center begins or ends, without telling the routers. */
+    synchronized void orderEvacuation(String dataCenter, boolean begin) {
+        meta.apply(MetaCommand.newBuilder()
+                .setNowMs(System.currentTimeMillis())
+                .setEvacuation(
+                        EvacuationOrder.newBuilder().setDataCenter(dataCenter).setBegin(begin))
+                .build());
+        number++;
+    }
+
+    /** Orders that the evacuation of a data center begins or ends, and waits until a router has confirmed it. */
+    void evacuate(String dataCenter, boolean begin) throws InterruptedException {
+        orderEvacuation(dataCenter, begin);
+        sendToAll(Frame.newBuilder().setConfigUpdate(update()).build());
+        awaitConfirmation();
+    }
+
+    /** Waits until a router has confirmed the newest configuration. */
+    void awaitConfirmation() throws InterruptedException {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(5);
+        while (confirmed < number && System.nanoTime() < end) {
+            TimeUnit.MILLISECONDS.sleep(5);
+        }
+        assertThat(confirmed).isAtLeast(number);
+    }
+
     /** Sends a message to all routers that watch the configuration. */
     void sendToAll(Frame frame) {
         watchers.forEach(p -> p.send(frame));
@@ -145,6 +177,7 @@
             watchers.add(peer);
             peer.send(reply.setConfigUpdate(update()).build());
         } else {
+            confirmed = Math.max(confirmed, f.getConfirm().getNumber());
             int lease = leased && f.getConfirm().getNumber() == number ? LEASE_MS : 0;
             peer.send(
                     reply.setHeartbeat(Heartbeat.newBuilder().setNumber(number).setLeaseMs(lease))
@@ -175,6 +208,7 @@
                 .addAllChanged(sections)
                 .addAllSuspects(suspects)
                 .addAllSuspects(meta.updateFrom(0).getSuspectsList())
+                .addAllEvacuations(meta.evacuations())
                 .build();
     }
 }
--- a/router/src/test/java/org/ragwortrun/router/ScriptedEndpoint.java
+++ b/router/src/test/java/org/ragwortrun/router/ScriptedEndpoint.java
@@ -24,6 +24,7 @@
     final List<String> requests = new CopyOnWriteArrayList<>();
     final CountDownLatch callerDisconnected = new CountDownLatch(1);
     volatile Script script;
+    volatile String dataCenter = "dc";
     volatile @Nullable ConnectionScript connectionScript;
     private final Set<Socket> openConnections = ConcurrentHashMap.newKeySet();
     private final int port;
@@ -87,7 +88,7 @@
                 .setId(id)
                 .setService("o")
                 .setAddress("127.0.0.1:" + port)
-                .setDataCenter("dc")
+                .setDataCenter(dataCenter)
                 .setVersion("v1")
                 .setSlots(8)
                 .build();
