--- a/router/src/main/java/org/ragwortrun/router/internal/forward/SchedulingSettings.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/SchedulingSettings.java
@@ -1,8 +1,8 @@
 package org.ragwortrun.router.internal.forward;
 
-import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import org.ragwortrun.core.config.RegionMap;
 import org.ragwortrun.core.settings.Settings;
 import org.ragwortrun.routing.HostLoad;
 
@@ -18,7 +18,6 @@
 record SchedulingSettings(boolean enabled, double linkMbps, double cores, Map<String, String> regions) {
     private static final double MAX_LINK_MBPS = 1_000_000;
     private static final double MAX_CORES = 1_024;
-    private static final String REGIONS = "regions.data-centers";
 
     private static final double MEGABIT_BYTES = 1e6 / 8;
 
@@ -27,7 +26,7 @@
                 "yes".equals(s.text("scheduling.enabled", "no")),
                 s.decimal("host.link-mbps", 0, 0, MAX_LINK_MBPS),
                 s.decimal("host.core-share", 0, 0, MAX_CORES) * s.decimal("host.cores", 1, 0, MAX_CORES),
-                regions(s));
+                RegionMap.read(s).byDataCenter());
     }
 
     /** Returns the capacity of this host, as far as it is known. */
@@ -44,17 +43,4 @@
     Optional<String> region(String dataCenter) {
         return Optional.ofNullable(regions.get(dataCenter));
     }
-
-    private static Map<String, String> regions(Settings s) {
-        Map<String, String> regions = new LinkedHashMap<>();
-        for (String entry : s.optionalList(REGIONS)) {
-            String[] parts = entry.split("=", 2);
-            if (parts.length != 2 || parts[0].isBlank() || parts[1].isBlank()) {
-                s.reject(REGIONS, "must be a list of DATA_CENTER=REGION, not " + entry);
-            } else {
-                regions.put(parts[0].trim(), parts[1].trim());
-            }
-        }
-        return Map.copyOf(regions);
-    }
 }
