Let requests wait at the router until an endpoint has room

A request is refused today when all connections are in use, or when every endpoint has rejected it as full, even if room appears milliseconds later.

Where scheduling is enabled, RequestScheduler queues such a request and sends the first one that fits when an attempt ends, a request arrives, or 20 ms have passed. It refuses at once what would wait for too long, and applies the admission rule of a router that stops to waiting requests. An endpoint that rejects requests as full gets fewer of them.

Tested: AdmissionQueueTest of router/: 8 tests pass. With scheduling disabled, ForwardDaemonTest, EndpointNoticesTest, EndpointLimitTest, FailureTest, FaultyAnswersTest, CrashingContentTest, CallerConnectionTest and ShutdownAndSlowReadersTest: 111 tests pass.

--- a/router/src/main/java/org/ragwortrun/router/internal/forward/CallerRequest.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/CallerRequest.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.stream.Collectors;
 
 /**
  * Values that the router reads from the head of a request.
@@ -26,6 +27,11 @@
         List<PromptPart> parts,
         OptionalLong lastEventId) {
 
+    /** Returns the ids of the parts of the prompt for a log line. */
+    String partIds() {
+        return parts.stream().map(PromptPart::id).collect(Collectors.joining(","));
+    }
+
     /** Returns the path without the query. */
     public String path() {
         int query = target.indexOf('?');
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointSelector.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointSelector.java
@@ -54,8 +54,17 @@
      * @param endpoint selected endpoint, if one is available now
      * @param earliestNanos earliest monotonic time at which an endpoint accepts a request, if some accept none now
      * @param allowed number of endpoints that the configuration and the list allow
+     * @param busy number of them that are full or whose connections are in use
      */
-    record Choice(Optional<EndpointState> endpoint, OptionalLong earliestNanos, int allowed) {}
+    record Choice(Optional<EndpointState> endpoint, OptionalLong earliestNanos, int allowed, int busy) {
+        /** Returns why no endpoint is available now. */
+        String cause() {
+            if (earliestNanos.isPresent()) {
+                return "endpoints-want-time";
+            }
+            return allowed == 0 ? "no-endpoint" : "connections-in-use";
+        }
+    }
 
     /**
      * Selects an endpoint among those that have not been tried.
@@ -74,6 +83,7 @@
         List<Placement.Candidate> healthy = new ArrayList<>();
         List<Placement.Candidate> others = new ArrayList<>();
         OptionalLong earliest = OptionalLong.empty();
+        int busy = 0;
         boolean anyLimited = allowed.stream().anyMatch(s -> s.limit().isLimited());
         for (EndpointState s : allowed) {
             long acceptsFrom = s.notices().earliestSendTime(now, s.inFlight()).orElse(now);
@@ -82,14 +92,17 @@
             }
             if (acceptsFrom - now > 0) {
                 earliest = OptionalLong.of(Math.min(acceptsFrom, earliest.orElse(acceptsFrom)));
-            } else if (!s.connections().isFull(maxConnections)) {
+            } else if (!s.connections().isFull(maxConnections)
+                    && services.scheduler().hasRoom(s, origin, now)) {
                 (s.health().isUsable(now) ? healthy : others).add(candidate(s, now));
+            } else {
+                busy++;
             }
         }
         Optional<EndpointState> chosen = Placement.choose(
                         healthy.isEmpty() ? others : healthy, request.parts(), origin.model())
                 .flatMap(c -> services.endpoints().find(c.id()));
-        return new Choice(chosen, earliest, allowed.size());
+        return new Choice(chosen, earliest, allowed.size(), busy);
     }
 
     private List<EndpointState> permitted(Configuration configuration, List<EndpointState> eligible) {
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointState.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointState.java
@@ -5,12 +5,14 @@
 import org.ragwortrun.proto.ListedEndpoint;
 import org.ragwortrun.routing.EndpointLimit;
 import org.ragwortrun.routing.EndpointNotices;
+import org.ragwortrun.routing.EndpointWindow;
 
 /** State of one endpoint as this router knows it. Used on the event loop only. */
 final class EndpointState {
     private final EndpointHealth health = new EndpointHealth();
     private final PrefixCacheEstimate prefixCache = new PrefixCacheEstimate();
     private final InterruptedRequests interruptedRequests = new InterruptedRequests();
+    private final EndpointWindow window = new EndpointWindow();
     private final EndpointConnectionPool connections;
     private final EndpointNotices notices;
     private final EndpointLimit limit;
@@ -60,6 +62,10 @@
         return limit;
     }
 
+    EndpointWindow window() {
+        return window;
+    }
+
     InterruptedRequests interruptedRequests() {
         return interruptedRequests;
     }
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
@@ -17,20 +17,16 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.Collectors;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.jspecify.annotations.Nullable;
-import org.ragwortrun.core.concurrent.Causes;
 import org.ragwortrun.core.config.Account;
-import org.ragwortrun.core.config.Budget;
 import org.ragwortrun.core.config.Configuration;
 import org.ragwortrun.core.config.Forward;
 import org.ragwortrun.core.config.Origin;
 import org.ragwortrun.core.log.Event;
 import org.ragwortrun.core.refusal.Refusal;
 import org.ragwortrun.core.refusal.RefusalReason;
-import org.ragwortrun.core.refusal.RefusedException;
 import org.ragwortrun.core.refusal.RunOutcome;
 import org.ragwortrun.proto.BudgetRef;
 import org.ragwortrun.proto.Usage;
@@ -44,7 +40,7 @@
  * not run the request. A repeatable request is retried while its route and the retry allowance permit. Used on the
  * event loop.
  */
-final class Exchange {
+final class Exchange implements RequestWait.Sender {
     private static final Logger LOG = LogManager.getLogger(Exchange.class);
     // Endpoints that are tried for one request, even if each proves that it did not run it.
     private static final int MAX_TRIES = 4;
@@ -53,7 +49,6 @@
     // An answer up to this size is buffered until it is complete, so that the request can be retried if the answer is
     // lost.
     private static final int MAX_BUFFERED_BYTES = 64 << 10;
-    private static final Duration RETRY_AFTER = Duration.ofMillis(400);
     private static final int SERVER_ERROR = 500;
     private static final int UNAVAILABLE = 503;
     private static final int MISDIRECTED = 421;
@@ -77,12 +72,15 @@
     private final long startNanos;
     private final long deadlineNanos;
     private final Set<String> tried = new HashSet<>();
+    private final Set<String> rejectedBy = new HashSet<>();
+    private final RequestWait wait;
     private final EventSplitter events = new EventSplitter();
     private @Nullable TokenReservation reservation;
     private @Nullable ScheduledFuture<?> deadlineTimer;
     private @Nullable Attempt current;
     private int runs;
     private int tries;
+    private int triesInTurn;
     private int deniedPermits;
     private boolean answerStarted;
     private boolean billable;
@@ -117,6 +115,7 @@
         deadlineNanos = startNanos
                 + TimeUnit.MILLISECONDS.toNanos(
                         Math.min(deadlineMs, route.timeout().toMillis()));
+        wait = new RequestWait(services.scheduler(), admitted, request, body.capacity(), deadlineNanos, this);
     }
 
     /** Reserves the tokens that the request may consume and sends it to an endpoint. */
@@ -131,7 +130,7 @@
         if (refuseIfQuarantined()) {
             return;
         }
-        Optional<BudgetRef> budget = budget();
+        Optional<BudgetRef> budget = admitted.budget(request);
         if (budget.isEmpty()) {
             sendToEndpoint();
             return;
@@ -178,31 +177,10 @@
         finish("caller-left", 0);
     }
 
-    private Optional<BudgetRef> budget() {
-        return request.usage()
-                .flatMap(u -> account)
-                .filter(Account::metered)
-                .map(a -> BudgetRef.newBuilder()
-                        .setAccount(a.name())
-                        .setService(Budget.ALL_ORIGINS)
-                        .build());
-    }
-
-    private static Refusal reservationRefusal(@Nullable Throwable failure) {
-        if (failure == null || !(Causes.of(failure) instanceof RefusedException e)) {
-            return Refusal.notRun(RefusalReason.BUDGET_UNREACHABLE, "no tokens could be reserved", RETRY_AFTER);
-        }
-        // The account is metered here, so an owner that does not know its budget has not applied the configuration yet.
-        return e.refusal().reason() == RefusalReason.UNKNOWN_BUDGET
-                ? Refusal.notRun(
-                        RefusalReason.BUDGET_UNREACHABLE, "the owner of the budget does not know it yet", RETRY_AFTER)
-                : e.refusal();
-    }
-
     private void onReserved(@Nullable TokenReservation r, @Nullable Throwable failure) {
         if (r == null) {
             if (!ended) {
-                refuse(reservationRefusal(failure));
+                refuse(ExchangeRefusals.ofReservation(failure));
             }
         } else if (ended) {
             r.release();
@@ -256,13 +234,38 @@
         if (refuseIfQuarantined()) {
             return;
         }
+        if (wait.mustQueue()) {
+            beginWait("queue");
+            return;
+        }
         EndpointSelector.Choice choice = selector.choose(tried, deniedPermits < MAX_DENIED_PERMITS);
         if (choice.endpoint().isPresent()) {
             sendIfPermitted(choice.endpoint().get());
-        } else if (choice.earliestNanos().isPresent()) {
-            giveUpUntil(choice.earliestNanos().getAsLong(), choice.allowed());
+        } else if (wait.canWait(choice, !rejectedBy.isEmpty())) {
+            beginWait(choice.cause());
         } else {
-            giveUp(choice.allowed() == 0 ? "no-endpoint" : "connections-in-use");
+            giveUp(choice.cause(), ExchangeRefusals.retryAfter(services, request, origin, wait, choice));
+        }
+    }
+
+    /** Waits for an endpoint. One that has rejected the request has not run it, so it may be tried again. */
+    private void beginWait(String cause) {
+        tried.removeAll(rejectedBy);
+        rejectedBy.clear();
+        triesInTurn = 0;
+        deniedPermits = 0;
+        wait.begin(cause);
+    }
+
+    @Override
+    public EndpointSelector.Choice choose() {
+        return selector.choose(tried, true);
+    }
+
+    @Override
+    public void sendAfterWait(EndpointState endpoint) {
+        if (!refuseIfQuarantined()) {
+            sendIfPermitted(endpoint);
         }
     }
 
@@ -286,6 +289,7 @@
 
     private void send(EndpointState endpoint) {
         tries++;
+        triesInTurn++;
         current = new Attempt(endpoint);
         current.begin();
     }
@@ -293,13 +297,18 @@
     /** Retries or gives up after an attempt that the endpoint did not run. */
     private void onNotRun(String cause, boolean sent) {
         lastCause = cause;
-        boolean retry = tries < MAX_TRIES
+        boolean waits = triesInTurn >= MAX_TRIES && sent && wait.isEnabled();
+        boolean retry = (waits || triesInTurn < MAX_TRIES)
                 && deadlineNanos - services.time().nanos() > 0
                 && (!sent
                         || services.retries()
                                 .tryAcquire(origin.name(), services.time().nanos()));
         if (retry) {
             services.metrics().retried(cause);
+        }
+        if (retry && waits) {
+            beginWait(cause);
+        } else if (retry) {
             sendToEndpoint();
         } else {
             giveUp(cause);
@@ -314,7 +323,7 @@
         boolean retry = route.isRepeatable()
                 && resumable
                 && runs < route.attempts()
-                && tries < MAX_TRIES
+                && triesInTurn < MAX_TRIES
                 && services.retries().tryAcquire(origin.name(), services.time().nanos());
         if (retry) {
             services.metrics().retried(cause);
@@ -325,36 +334,24 @@
         }
     }
 
-    /**
-     * Ends a request that no endpoint accepts before a time. Spreads the retries of callers over an interval after it.
-     */
-    private void giveUpUntil(long earliest, int endpoints) {
-        long waitNanos = Math.max(0, earliest - services.time().nanos());
-        long spread = (long) (services.random().getAsDouble() * Math.max(waitNanos / 2, RETRY_AFTER.toNanos()));
-        Event.of("endpoints-want-time")
-                .with("id", request.id())
-                .with("origin", origin.name())
-                .with("endpoints", endpoints)
-                .with("earliest-ms", waitNanos / 1_000_000)
-                .info(LOG);
-        giveUp("endpoints-want-time", Duration.ofNanos(waitNanos + spread));
-    }
-
     /** Ends a request that is not sent to another endpoint. */
     private void giveUp(String cause) {
-        giveUp(cause, RETRY_AFTER);
+        giveUp(cause, wait.retryAfter(cause));
     }
 
     private void giveUp(String cause, Duration retryAfter) {
+        giveUp(ExchangeRefusals.reason(cause), cause, retryAfter);
+    }
+
+    @Override
+    public void giveUp(RefusalReason why, String cause, Duration retryAfter) {
         if (answerStarted) {
             answer.abort();
             finish("broken-off:" + cause, 0);
         } else if (runs > 0) {
             refuse(Refusal.unknown(RefusalReason.ENDPOINT_FAILED, "the endpoint's answer was lost: " + cause));
         } else {
-            RefusalReason reason =
-                    "no-endpoint".equals(cause) ? RefusalReason.NO_ENDPOINT : RefusalReason.ENDPOINT_FULL;
-            refuse(Refusal.notRun(reason, "no endpoint has run the request: " + cause, retryAfter));
+            refuse(Refusal.notRun(why, "no endpoint has run the request: " + cause, retryAfter));
         }
     }
 
@@ -368,8 +365,7 @@
         } else if (runs > 0) {
             refuse(Refusal.unknown(RefusalReason.ENDPOINT_TIMEOUT, "no answer within the time limit"));
         } else {
-            refuse(Refusal.notRun(
-                    RefusalReason.ENDPOINT_FULL, "the request was not started within the time limit", RETRY_AFTER));
+            refuse(ExchangeRefusals.NOT_STARTED);
         }
     }
 
@@ -385,6 +381,7 @@
     /** Ends the exchange: stops a running attempt, bills the request, and logs the outcome. */
     private void finish(String outcome, int status) {
         ended = true;
+        wait.leave();
         Attempt last = current;
         if (last != null) {
             last.stop();
@@ -416,7 +413,7 @@
         long output = Math.min(usage.maxOutput(), (long) events.events() * origin.tokensPerEvent());
         long tokens = usage.prompt() + output;
         r.bill(Usage.newBuilder()
-                .setBudget(budget().orElse(BudgetRef.getDefaultInstance()))
+                .setBudget(admitted.budget(request).orElse(BudgetRef.getDefaultInstance()))
                 .setRequestId(request.id())
                 .setTokens(tokens)
                 .setPromptTokens(usage.prompt())
@@ -428,10 +425,6 @@
         return tokens;
     }
 
-    private String partIds() {
-        return request.parts().stream().map(PromptPart::id).collect(Collectors.joining(","));
-    }
-
     private void log(String outcome, int status, @Nullable Attempt last, long tokens) {
         long now = services.time().nanos();
         Event line = Event.of("request")
@@ -448,9 +441,9 @@
         if (last != null) {
             last.addAnswer(line);
         }
-        admitted.addTo(line)
+        wait.addTo(admitted.addTo(line))
                 .with("content", content.hexIfComputed())
-                .with("parts", reason.equals(RefusalReason.PART_QUARANTINED.code()) ? partIds() : "")
+                .with("parts", reason.equals(RefusalReason.PART_QUARANTINED.code()) ? request.partIds() : "")
                 .with("tokens", tokens)
                 .with("events", events.events())
                 .with("first-ms", firstByteNanos == 0 ? -1 : (firstByteNanos - startNanos) / 1_000_000)
@@ -534,17 +527,13 @@
             services.headers().copyToEndpoint(head.headers(), out.headers());
             long leftMs = TimeUnit.NANOSECONDS.toMillis(
                     deadlineNanos - services.time().nanos());
-            int urgency = account.map(Account::priority)
-                    .filter(p -> p.isPresent())
-                    .map(p -> p.getAsInt())
-                    .orElse(route.priority());
             services.headers()
                     .setEndpointHeaders(
                             out.headers(),
                             account.map(Account::name),
                             leftMs,
                             endpoint.id(),
-                            Math.min(MAX_URGENCY, urgency));
+                            Math.min(MAX_URGENCY, admitted.priority()));
             OptionalLong last = events.lastId();
             if (last.isPresent()) {
                 services.headers().setLastEventId(out.headers(), last.getAsLong());
@@ -731,6 +720,9 @@
             runs--;
             if (r.status().code() == MISDIRECTED) {
                 endpoint.markReplaced();
+            } else {
+                rejectedBy.add(endpoint.id());
+                services.scheduler().onRejected(endpoint, sentNanos);
             }
             log("endpoint-refused", "status-" + r.status().code());
             onNotRun(r.status().code() == MISDIRECTED ? "endpoint-replaced" : "endpoint-full", true);
@@ -744,6 +736,7 @@
             end();
             boolean good = r.status().code() < SERVER_ERROR;
             recordOutcome(good);
+            services.scheduler().onAnswered(endpoint, admitted, services.time().nanos() - sentNanos);
             services.quarantine().onAnswered(content);
             if (isSuccess()) {
                 services.partQuarantine().onAnswered(sharedParts);
@@ -826,6 +819,7 @@
                 counted = false;
                 onPromptRead();
                 endpoint.onRequestEnded();
+                services.scheduler().onAttemptEnded(origin);
                 if (probe) {
                     endpoint.health().onProbeEnded();
                 }
@@ -841,7 +835,7 @@
         private void log(String event, String cause) {
             addAnswer(Event.of(event).with("id", request.id()).with("endpoint", endpoint.id()))
                     .with("content", content.hexIfComputed())
-                    .with("parts", partIds())
+                    .with("parts", request.partIds())
                     .with("events", events.events() - eventsBefore)
                     .with("cause", cause)
                     .with("health-out", endpoint.health().isExcluded())
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
@@ -201,6 +201,8 @@
                 List.of(),
                 limits.reader(),
                 limits.permits(),
+                new RequestScheduler(
+                        settings.scheduling().enabled(), endpoints, metrics, time, loop, random::nextDouble),
                 new RetryAllowance(
                         settings.retryRatio(),
                         () -> settings.retrySlack(endpoints.routers()),
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardServices.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardServices.java
@@ -22,6 +22,7 @@
  * @param filters rules that exclude endpoints from requests
  * @param limits reader of the limits that endpoints name
  * @param permits source of permits for requests to endpoints with a limit
+ * @param scheduler queue of the requests that wait for an endpoint
  * @param retries allowance for retries at other endpoints
  * @param tokens source of the tokens of client accounts
  * @param evidence collector of outcomes by version
@@ -43,6 +44,7 @@
         List<EndpointFilter> filters,
         LimitReader limits,
         PermitSource permits,
+        RequestScheduler scheduler,
         RetryAllowance retries,
         TokenSource tokens,
         EvidenceCollector evidence,
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/RequestAdmission.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/RequestAdmission.java
@@ -176,6 +176,11 @@
     void limitAdmission(long end) {
         admissionLimited = true;
         endNanos = end;
+        services.scheduler().limitAdmission(w -> {
+            long now = services.time().nanos();
+            Duration left = Duration.ofNanos(w.deadlineNanos() - now);
+            return shutdownAdmission.accepts(w.admitted().route(), left, end - now);
+        });
         List.copyOf(connections).forEach(CallerConnection::closeWhenIdle);
     }
 
--- a/router/src/test/java/org/ragwortrun/router/internal/forward/CallerConnectionTest.java
+++ b/router/src/test/java/org/ragwortrun/router/internal/forward/CallerConnectionTest.java
@@ -148,6 +148,7 @@
                             @Override
                             public void report(String endpoint, EndpointLimit limit) {}
                         },
+                        new RequestScheduler(false, endpoints, metrics, time, loop, () -> 0),
                         new RetryAllowance(0, () -> 0, 1),
                         (budget, tokens, id, longest) -> new CompletableFuture<>(),
                         evidence,
