--- a/router/src/test/java/org/ragwortrun/router/internal/forward/EndpointSelectorTest.java
+++ b/router/src/test/java/org/ragwortrun/router/internal/forward/EndpointSelectorTest.java
@@ -15,6 +15,7 @@
 import org.ragwortrun.core.config.ConfigurationException;
 import org.ragwortrun.core.config.Forward;
 import org.ragwortrun.core.config.Origin;
+import org.ragwortrun.core.metrics.Metrics;
 import org.ragwortrun.core.time.Time;
 import org.ragwortrun.proto.Evacuation;
 import org.ragwortrun.proto.ListedEndpoint;
@@ -25,10 +26,11 @@
     private static final Duration SECOND = Duration.ofSeconds(1);
     private static final Map<String, String> REGIONS = Map.of("n1", "north", "s1", "south");
 
+    private final Metrics metrics = Metrics.local();
     private final FakeConfigurationSource configuration = new FakeConfigurationSource();
     private final EndpointTable endpoints = new EndpointTable(
             Time.steady(),
-            e -> new EndpointConnectionPool(null, null, null, null, null),
+            e -> new EndpointConnectionPool(null, null, null, null, null, null),
             (endpoint, head, current) -> {},
             SECOND);
 
@@ -136,6 +138,7 @@
                 List.of(new EvacuationFilter(), new HomeRegionFilter(d -> Optional.ofNullable(REGIONS.get(d)))),
                 null,
                 null,
+                new RequestScheduler(false, endpoints, metrics, Time.steady(), null, () -> 0),
                 null,
                 null,
                 null,
@@ -143,7 +146,7 @@
                 null,
                 null,
                 null,
-                null,
+                metrics,
                 Time.steady(),
                 null,
                 null,
