Hold the tracker of evacuations in the push handler

Change: ForwardPushHandler, which applies configurations, owns the tracker and offers it. Tests for orders before the first publication, for updates that replace the evacuations, and for the check at dispatch over agents.

--- a/net/src/test/java/org/ragwortrun/net/control/ConfigWatchTest.java
+++ b/net/src/test/java/org/ragwortrun/net/control/ConfigWatchTest.java
@@ -3,7 +3,9 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -22,6 +24,7 @@
 import org.ragwortrun.net.Replies;
 import org.ragwortrun.net.Transport;
 import org.ragwortrun.proto.ConfigUpdate;
+import org.ragwortrun.proto.Evacuation;
 import org.ragwortrun.proto.Frame;
 import org.ragwortrun.proto.Heartbeat;
 import org.ragwortrun.proto.Hello;
@@ -38,6 +41,7 @@
     private final Closer closer = new Closer();
     private final AtomicLong nanos = new AtomicLong();
     private final AtomicLong wallMillis = new AtomicLong();
+    private final List<Evacuation> evacuations = new CopyOnWriteArrayList<>();
     private volatile long number = 1;
     private volatile int leaseMs = LEASE_MS;
     private volatile long term = 1;
@@ -217,6 +221,34 @@
         assertThat(isConfirmed()).isFalse();
     }
 
+    /** Guards against denials by a configuration that has a number only because a data center was evacuated before. */
+    @Test
+    void isNotConfirmedByOrdersBeforeFirstPublication() throws Exception {
+        evacuations.add(
+                Evacuation.newBuilder().setDataCenter("n1").setActive(true).build());
+        watch.start(SHORT_INTERVAL);
+        awaitNumber(1);
+        assertThat(watch.latest().orElseThrow().isEvacuated("n1")).isTrue();
+        assertThat(isConfirmed()).isFalse();
+    }
+
+    /** Guards against a daemon that keeps an evacuation of which an update omits the end, or forgets an active one. */
+    @Test
+    void eachUpdateReplacesEvacuations() throws Exception {
+        evacuations.add(
+                Evacuation.newBuilder().setDataCenter("n1").setActive(true).build());
+        watch.start(SHORT_INTERVAL);
+        awaitNumber(1);
+        evacuations.clear();
+        evacuations.add(
+                Evacuation.newBuilder().setDataCenter("n2").setActive(true).build());
+        watch.onPush(Frame.newBuilder().setConfigUpdate(update(2).setBase(1)).build());
+        number = 2;
+        awaitNumber(2);
+        assertThat(watch.latest().orElseThrow().isEvacuated("n1")).isFalse();
+        assertThat(watch.latest().orElseThrow().isEvacuated("n2")).isTrue();
+    }
+
     /** Makes one reading of the clock fail, as any step of a confirmation may if the process runs out of memory. */
     private void failNextRead(Throwable failure) {
         AtomicBoolean failed = new AtomicBoolean();
@@ -271,7 +303,7 @@
         }
     }
 
-    private static ConfigUpdate.Builder update(long number) {
-        return ConfigUpdate.newBuilder().setNumber(number);
+    private ConfigUpdate.Builder update(long number) {
+        return ConfigUpdate.newBuilder().setNumber(number).addAllEvacuations(evacuations);
     }
 }
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardPushHandler.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardPushHandler.java
@@ -6,6 +6,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.jspecify.annotations.Nullable;
+import org.ragwortrun.core.config.Configuration;
 import org.ragwortrun.core.log.Event;
 import org.ragwortrun.net.Address;
 import org.ragwortrun.net.AddressException;
@@ -26,13 +27,20 @@
 
     private final EventLoop loop;
     private final EndpointTable endpoints;
+    private final EvacuationTracker evacuations;
     private final ControlPushes common = new ControlPushes();
     private volatile @Nullable PeerLinks links;
     private volatile Runnable configurationListener = () -> {};
 
-    ForwardPushHandler(EventLoop loop, EndpointTable endpoints) {
+    ForwardPushHandler(EventLoop loop, EndpointTable endpoints, EvacuationTracker evacuations) {
         this.loop = loop;
         this.endpoints = endpoints;
+        this.evacuations = evacuations;
+    }
+
+    /** Returns the evacuations in the applied configurations. */
+    EvacuationTracker evacuations() {
+        return evacuations;
     }
 
     void connect(ConfigWatch configWatch, Grants pool) {
@@ -49,7 +57,8 @@
         configurationListener = listener;
     }
 
-    void onConfigurationApplied() {
+    void onConfigurationApplied(Configuration configuration) {
+        evacuations.apply(configuration);
         loop.execute(configurationListener);
     }
 
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
@@ -147,13 +147,10 @@
         NoticeReader notices = new NoticeReader(headers, metrics, time, random::nextDouble);
         EndpointTable endpoints = new EndpointTable(
                 time, e -> connections(loop, e, time, headers, metrics), notices::read, settings.longestPause());
-        ForwardPushHandler pushes = new ForwardPushHandler(loop, endpoints);
+        ForwardPushHandler pushes = new ForwardPushHandler(loop, endpoints, new EvacuationTracker(time, metrics));
         ControlClient control = closer.register(new ControlClient(transport, settings.members(), pushes));
-        EvacuationTracker evacuations = new EvacuationTracker(time, metrics);
-        ConfigWatch watch = closer.register(new ConfigWatch(control, timer, time, metrics, c -> {
-            evacuations.apply(c);
-            pushes.onConfigurationApplied();
-        }));
+        ConfigWatch watch =
+                closer.register(new ConfigWatch(control, timer, time, metrics, pushes::onConfigurationApplied));
         Shards shards = new Shards(control, settings.shards());
         Sessions sessions = new Sessions(shards, timer, settings.name(), incarnation, true, processStartNanos);
         GrantPool pool = new GrantPool(
--- a/router/src/test/java/org/ragwortrun/router/AgentEvacuationTest.java
+++ b/router/src/test/java/org/ragwortrun/router/AgentEvacuationTest.java
@@ -4,6 +4,8 @@
 
 import java.net.http.HttpResponse;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -60,6 +62,22 @@
         assertThat(harness.second.dispatches).hasSize(1);
     }
 
+    /** Guards against a request that is dispatched after the evacuation began, because its claim has taken time. */
+    @Test
+    void requestIsCheckedAgainWhenItIsDispatched() throws Exception {
+        assertThat(harness.get("/orders/1").statusCode()).isEqualTo(200);
+        harness.control.ignoresShardRequests = true;
+        CompletableFuture<HttpResponse<String>> answer = harness.sendAsync(harness.request("/orders/2")
+                .header("Idempotency-Key", RouterHarness.key("k"))
+                .GET());
+        // The register is unreachable only after 1.5 s; then the request would be dispatched without a claim.
+        TimeUnit.MILLISECONDS.sleep(500);
+        assertThat(answer.isDone()).isFalse();
+        harness.control.evacuate("a", true);
+        assertThat(answer.get().statusCode()).isEqualTo(503);
+        assertThat(harness.orders.dispatches).hasSize(1);
+    }
+
     /** Guards against requests of a restricted account over agents in another or in an unknown region. */
     @Test
     void regionsOfAccountBind() throws Exception {
