--- a/router/src/main/java/org/ragwortrun/router/internal/host/MeasuredHost.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/host/MeasuredHost.java
@@ -22,8 +22,6 @@
     private static final Logger LOG = LogManager.getLogger(MeasuredHost.class);
     private static final long LINE_NANOS = TimeUnit.SECONDS.toNanos(1);
     private static final double PERMILLE = 1_000;
-    // Below, refusals correct single bursts, which pass without a withdrawal.
-    private static final double LASTING_FRACTION = 0.02;
 
     private final TrafficMeter traffic;
     private final LongSupplier processorNanos;
@@ -90,7 +88,7 @@
         shedder.update(latest, now);
         fraction = shedder.fraction();
         logShedding(now);
-        switch (policy.update(fraction > LASTING_FRACTION, latest, now)) {
+        switch (policy.update(shedder.isOverloaded(), latest, now)) {
             case ASK -> ask(now);
             case RETURN -> {
                 withdrawals.ask(0);
--- a/routing/src/main/java/org/ragwortrun/routing/LoadShedder.java
+++ b/routing/src/main/java/org/ragwortrun/routing/LoadShedder.java
@@ -27,6 +27,8 @@
     private static final double INTEGRAL_GAIN_PER_SECOND = 1.5;
     // Some requests are always served: the load may have a cause that refusals do not remove.
     private static final double MAX_FRACTION = 0.9;
+    // Only the integral counts, because the proportional part falls to 0 in each random lull of an overloaded host.
+    private static final double LASTING_FRACTION = 0.05;
     private static final double MAX_STEP_SECONDS = 0.3;
     private static final long CALM_NANOS = 500_000_000L;
     // With fewer requests than these, something else uses the processor, such as the compiler after a start.
@@ -65,6 +67,11 @@
         return fraction;
     }
 
+    /** Returns whether the load has exceeded the target for longer than random peaks do. */
+    public boolean isOverloaded() {
+        return integral > LASTING_FRACTION;
+    }
+
     /** Returns the recent requests per second, refused ones included. */
     public double requestsPerSecond() {
         return priorities.values().stream().mapToDouble(PriorityLoad::perSecond).sum();
--- a/routing/src/main/java/org/ragwortrun/routing/WithdrawalCoordinator.java
+++ b/routing/src/main/java/org/ragwortrun/routing/WithdrawalCoordinator.java
@@ -10,7 +10,8 @@
 /**
  * Lets overloaded routers of a data center leave the rotation of the load balancer for a time.
  *
- * <p>At most a third of the known routers are out at the same time, and at least two remain. A coordinator that has
+ * <p>At most a third of the known routers are out at the same time, at least two remain, and none may leave while more
+ * than half of the routers are overloaded. A coordinator that has
  * restarted or taken over does not know the leases that another one has granted, so it grants none until they have
  * ended. Not thread-safe. Times are monotonic nanoseconds.
  */
@@ -20,6 +21,10 @@
 
     private static final int PART_OUT = 3;
     private static final int MIN_REMAINING = 2;
+    // If more routers than this part are overloaded, a withdrawal only moves load to others that are overloaded too.
+    private static final double GENERAL_OVERLOAD = 0.5;
+    // Longer than the time after which a refused router asks again.
+    private static final long OVERLOADED_NANOS = TimeUnit.SECONDS.toNanos(6);
     private static final long MIN_RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
     // Covers two of the longest leases with the pause between them.
     private static final long REMEMBERED_NANOS = TimeUnit.MINUTES.toNanos(1);
@@ -59,7 +64,8 @@
     public Answer request(String router, long nanos, int knownToRouter, Collection<String> listed, long now) {
         leaseEndsNanos.values().removeIf(end -> end - now <= 0);
         askedNanos.values().removeIf(t -> now - t > REMEMBERED_NANOS);
-        if (askedNanos.size() < MAX_ROUTERS) {
+        askedNanos.remove(router);
+        if (nanos > 0 && askedNanos.size() < MAX_ROUTERS) {
             askedNanos.put(router, now);
         }
         leaseEndsNanos.remove(router);
@@ -81,6 +87,12 @@
                     .orElse(MAX_LEASE_NANOS);
             return new Answer(false, Math.max(MIN_RETRY_NANOS, next), out, known);
         }
+        long overloaded = askedNanos.values().stream()
+                .filter(t -> now - t <= OVERLOADED_NANOS)
+                .count();
+        if (known > MIN_REMAINING && overloaded > GENERAL_OVERLOAD * known) {
+            return new Answer(false, OVERLOADED_NANOS / 2, out, known);
+        }
         long lease = Math.min(nanos, MAX_LEASE_NANOS);
         leaseEndsNanos.put(router, now + lease);
         return new Answer(true, lease, out + 1, known);
--- a/routing/src/main/java/org/ragwortrun/routing/WithdrawalPolicy.java
+++ b/routing/src/main/java/org/ragwortrun/routing/WithdrawalPolicy.java
@@ -63,11 +63,11 @@
     /**
      * Decides what to do now. Called at regular intervals.
      *
-     * @param sheds whether the router refuses requests because of its load
+     * @param isOverloaded whether the router would be overloaded if it refused no requests
      */
-    public Action update(boolean sheds, HostUtilization u, long now) {
-        overloadedSinceNanos = sheds && overloaded ? overloadedSinceNanos : now;
-        overloaded = sheds;
+    public Action update(boolean isOverloaded, HostUtilization u, long now) {
+        overloadedSinceNanos = isOverloaded && overloaded ? overloadedSinceNanos : now;
+        overloaded = isOverloaded;
         boolean isLow = u.highest() < LOW_UTILIZATION;
         lowSinceNanos = isLow && low ? lowSinceNanos : now;
         low = isLow;
--- a/routing/src/test/java/org/ragwortrun/routing/WithdrawalTest.java
+++ b/routing/src/test/java/org/ragwortrun/routing/WithdrawalTest.java
@@ -150,6 +150,29 @@
                 .isFalse();
     }
 
+    /** Guards against withdrawals that only move load to routers that are overloaded as well. */
+    @Test
+    void grantsNothingWhileMostRoutersAreOverloaded() {
+        coordinator.setResponsible(true, 0);
+        long t = WithdrawalCoordinator.MAX_LEASE_NANOS;
+        for (int i = 0; i < 5; i++) {
+            coordinator.request("r" + i, 6 * SECOND, 9, List.of(), t);
+        }
+        coordinator.request("r0", 0, 9, List.of(), t + SECOND);
+        assertThat(coordinator
+                        .request("r4", 6 * SECOND, 9, List.of(), t + SECOND)
+                        .granted())
+                .isTrue();
+        assertThat(coordinator
+                        .request("r0", 6 * SECOND, 9, List.of(), t + 5 * SECOND)
+                        .granted())
+                .isFalse();
+        assertThat(coordinator
+                        .request("r0", 6 * SECOND, 9, List.of(), t + 12 * SECOND)
+                        .granted())
+                .isTrue();
+    }
+
     private Action update(int times, boolean sheds, HostUtilization u) {
         Action last = Action.NONE;
         for (int i = 0; i < times; i++) {
