Refuse requests whose expected wait leaves no time for a retry

Any wait that left time for the answer was accepted, so in an overload the queue grew until all requests were served just before their deadline.

WaitLimit accepts a wait of at most half of the time in which the request can be sent. The estimate of the requests ahead follows the order of the queue.

--- a/router/src/main/java/org/ragwortrun/router/internal/forward/RequestScheduler.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/RequestScheduler.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLongArray;
 import java.util.function.DoubleSupplier;
@@ -20,6 +21,7 @@
 import org.ragwortrun.routing.RetryAfterPolicy;
 import org.ragwortrun.routing.RetryAfterPolicy.Backlog;
 import org.ragwortrun.routing.ReturningCallers;
+import org.ragwortrun.routing.WaitLimit;
 
 /**
  * Decides which waiting request is sent when an endpoint has room, and which are refused.
@@ -31,14 +33,6 @@
 final class RequestScheduler {
     private static final long MS = 1_000_000;
     private static final long POLL_NANOS = 20 * MS;
-    // A request that holds its tokens for longer takes them from others of its account.
-    private static final long MAX_WAIT_NANOS = 3_000 * MS;
-    // The caller keeps as much time for a retry at another router, unless the wait is expected to be longer.
-    private static final double PART_OF_REMAINING = 0.5;
-    // A wait that exceeds its estimate by half shows that the estimate was wrong.
-    private static final double OVERRUN = 1.5;
-    // The duration of requests of one route varies, so the mean may not exclude those with little time.
-    private static final double MAX_SERVICE_PART = 0.5;
     // Requests at the head of the queue that are examined for one free place; they may differ in what they fit.
     private static final int EXAMINED = 4;
     private static final int MAX_SENT_AT_ONCE = 64;
@@ -139,17 +133,20 @@
         OriginQueue q = queue(wait.admitted().origin().name());
         q.update(now);
         long left = wait.deadlineNanos() - now;
-        int ahead = q.queue().ahead(wait.account(), wait.admitted().priority());
+        int ahead = ahead(q, wait);
         double perSecond = q.perSecond(running(wait));
         wait.onDecision(ahead, perSecond);
         double expected =
                 Math.max((ahead + 1) / perSecond * TimeUnit.SECONDS.toNanos(1), (double) (q.closedUntilNanos() - now));
-        long longest = longestWaitNanos(q, wait, now);
-        if (expected > longest || !isAdmitted(wait)) {
-            giveUp(wait, isAdmitted(wait) ? RefusalReason.WAIT_TOO_LONG : RefusalReason.STOPPING, cause);
+        if (!isAdmitted(wait)) {
+            giveUp(wait, RefusalReason.STOPPING, cause);
+            return;
+        }
+        OptionalLong limit = WaitLimit.accept(left, usualNanos(q, wait), expected);
+        if (limit.isEmpty()) {
+            giveUp(wait, RefusalReason.WAIT_TOO_LONG, cause);
             return;
         }
-        long bounded = Math.min(longest, (long) Math.max(PART_OF_REMAINING * left, OVERRUN * expected));
         wait.onEntered(q.queue()
                 .add(
                         wait,
@@ -158,7 +155,7 @@
                                 wait.admitted().priority(),
                                 wait.goesFirst(),
                                 wait.deadlineNanos(),
-                                now + bounded,
+                                now + limit.getAsLong(),
                                 wait.bytes(),
                                 1),
                         now));
@@ -176,13 +173,17 @@
         long now = time.nanos();
         OriginQueue q = queue(wait.admitted().origin().name());
         q.onNoRoom(choice, now);
-        return choice.allowed() > 0 && q.closedUntilNanos() - now <= longestWaitNanos(q, wait, now);
+        return choice.allowed() > 0
+                && q.closedUntilNanos() - now
+                        <= WaitLimit.longestNanos(wait.deadlineNanos() - now, usualNanos(q, wait));
+    }
+
+    private static int ahead(OriginQueue q, RequestWait wait) {
+        return q.queue().ahead(wait.account(), wait.admitted().priority(), wait.goesFirst(), wait.deadlineNanos());
     }
 
-    private static long longestWaitNanos(OriginQueue q, RequestWait wait, long now) {
-        long left = Math.max(0, wait.deadlineNanos() - now);
-        long service = Math.min(q.usualNanos(wait.admitted().route().name()), (long) (MAX_SERVICE_PART * left));
-        return Math.min(MAX_WAIT_NANOS, left - service);
+    private static long usualNanos(OriginQueue q, RequestWait wait) {
+        return q.usualNanos(wait.admitted().route().name());
     }
 
     /** Removes a request whose exchange has ended. */
@@ -211,7 +212,7 @@
         long now = time.nanos();
         OriginQueue q = queue(wait.admitted().origin().name());
         q.update(now);
-        int ahead = q.queue().ahead(wait.account(), wait.admitted().priority());
+        int ahead = ahead(q, wait);
         double perSecond = q.perSecond(running(wait));
         wait.onDecision(ahead, perSecond);
         Duration after = retryAfter.retryAfter(
--- a/routing/src/main/java/org/ragwortrun/routing/AdmissionQueue.java
+++ b/routing/src/main/java/org/ragwortrun/routing/AdmissionQueue.java
@@ -132,6 +132,20 @@
             return head.place.returning() ? served - head.place.cost() : served;
         }
 
+        /** Returns how many requests of the account go before a new one. */
+        int earlier(boolean returning, long deadlineNanos) {
+            int earlier = 0;
+            for (Entry<T> e : entries) {
+                boolean later =
+                        returning == e.place.returning() ? e.place.deadlineNanos() - deadlineNanos > 0 : returning;
+                if (later) {
+                    break;
+                }
+                earlier++;
+            }
+            return earlier;
+        }
+
         double finish() {
             return served + waitingCost;
         }
@@ -158,6 +172,22 @@
             }
         }
 
+        int ahead(String account, boolean returning, long deadlineNanos) {
+            Flow<T> flow = flows.get(account);
+            int earlier = flow == null ? 0 : flow.earlier(returning, deadlineNanos);
+            double start = Math.max(flow == null ? 0 : flow.served, lastServed) - (returning ? 1 : 0);
+            int before = 0;
+            for (Flow<T> f : byStart) {
+                boolean later = f.start() > start
+                        || f.start() == start && f.entries.first().place.deadlineNanos() - deadlineNanos > 0;
+                if (f == flow || later) {
+                    break;
+                }
+                before++;
+            }
+            return (int) Math.min(byAge.size(), before + (long) earlier * byStart.size());
+        }
+
         void attach(Flow<T> flow) {
             if (!flow.entries.isEmpty()) {
                 byStart.add(flow);
@@ -280,21 +310,17 @@
     }
 
     /**
-     * Returns about how many waiting requests go before a new one: those of more urgent priorities, and of its own
-     * priority as many of each account as wait of its own account.
+     * Returns about how many waiting requests go before a new one: those of more urgent priorities, the requests of
+     * accounts that are served before it in the next round, and a round of all accounts for each request of its own
+     * account that goes before it. Takes a time linear in the number of accounts and of the account's requests.
      */
-    public int ahead(String account, int priority) {
+    public int ahead(String account, int priority, boolean returning, long deadlineNanos) {
         int ahead = 0;
         for (Level<T> l : levels.headMap(priority, false).values()) {
             ahead += l.byAge.size();
         }
         Level<T> own = levels.get(priority);
-        if (own == null) {
-            return ahead;
-        }
-        Flow<T> flow = own.flows.get(account);
-        long turns = flow == null ? 1 : flow.entries.size() + 1L;
-        return ahead + (int) Math.min(own.byAge.size(), turns * own.byStart.size());
+        return own == null ? ahead : ahead + own.ahead(account, returning, deadlineNanos);
     }
 
     public boolean isEmpty() {
--- a/routing/src/test/java/org/ragwortrun/routing/AdmissionQueueTest.java
+++ b/routing/src/test/java/org/ragwortrun/routing/AdmissionQueueTest.java
@@ -152,10 +152,12 @@
             add("many", "many", 1, 1);
         }
         add("urgent", "x", 0, 1);
-        assertThat(queue.ahead("few", 1)).isEqualTo(2);
-        assertThat(queue.ahead("many", 1)).isEqualTo(51);
-        assertThat(queue.ahead("few", 0)).isEqualTo(1);
-        assertThat(queue.ahead("few", 2)).isEqualTo(51);
+        assertThat(queue.ahead("few", 1, false, 2 * MS)).isEqualTo(2);
+        assertThat(queue.ahead("few", 1, false, 0)).isEqualTo(1);
+        assertThat(queue.ahead("few", 1, true, 2 * MS)).isEqualTo(1);
+        assertThat(queue.ahead("many", 1, false, 2 * MS)).isEqualTo(51);
+        assertThat(queue.ahead("few", 0, false, 2 * MS)).isEqualTo(1);
+        assertThat(queue.ahead("few", 2, false, 2 * MS)).isEqualTo(51);
     }
 
     /** Guards against orders that become inconsistent when requests leave from all positions. */
@@ -210,7 +212,7 @@
             for (int i = 0; i < decisions; i++) {
                 String account = "a" + random.nextInt(340);
                 int priority = random.nextInt(3);
-                q.ahead(account, priority);
+                q.ahead(account, priority, false, i);
                 q.add(i, new Place(account, priority, false, random.nextInt(), LATE, 1, 1), 0);
                 q.displace();
                 q.expire(0);
