Learn the speeds of endpoints and place requests by them

Cause: one endpoint in four is half as fast as the others but gets as many requests, and an endpoint that becomes five times slower keeps them, because placement assumes the same fixed rates for all endpoints. Change: routers learn for each endpoint the ratio of its answers' times to those that the origin's common model predicts, share it through the hub of their data center, and draw endpoints in proportion to their speed. It takes effect where scheduling.enabled is yes; otherwise Placement decides as before.

--- a/core/src/main/java/org/ragwortrun/core/metrics/Metrics.java
+++ b/core/src/main/java/org/ragwortrun/core/metrics/Metrics.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import org.ragwortrun.core.log.DroppedLogLines;
 import org.ragwortrun.core.refusal.RefusalReason;
 
@@ -90,6 +91,14 @@
                 .buildWithCallback(m -> m.record(value.getAsLong()));
     }
 
+    /** Registers gauges with a label, which are read at each scrape until the returned object is closed. */
+    public AutoCloseable gauges(String name, String description, String label, Supplier<Map<String, Double>> values) {
+        AttributeKey<String> key = AttributeKey.stringKey(label);
+        return meter.gaugeBuilder("ragwortrun_" + name)
+                .setDescription(description)
+                .buildWithCallback(m -> values.get().forEach((l, v) -> m.record(v, Attributes.of(key, l))));
+    }
+
     @Override
     public void close() {
         provider.close();
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointSelector.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointSelector.java
@@ -71,8 +71,8 @@
                 .orElse(List.of());
         long now = services.time().nanos();
         int maxConnections = maxConnectionsPerEndpoint();
-        List<Placement.Candidate> healthy = new ArrayList<>();
-        List<Placement.Candidate> others = new ArrayList<>();
+        List<EndpointState> healthy = new ArrayList<>();
+        List<EndpointState> others = new ArrayList<>();
         OptionalLong earliest = OptionalLong.empty();
         boolean anyLimited = allowed.stream().anyMatch(s -> s.limit().isLimited());
         for (EndpointState s : allowed) {
@@ -83,12 +83,11 @@
             if (acceptsFrom - now > 0) {
                 earliest = OptionalLong.of(Math.min(acceptsFrom, earliest.orElse(acceptsFrom)));
             } else if (!s.connections().isFull(maxConnections)) {
-                (s.health().isUsable(now) ? healthy : others).add(candidate(s, now));
+                (s.health().isUsable(now) ? healthy : others).add(s);
             }
         }
-        Optional<EndpointState> chosen = Placement.choose(
-                        healthy.isEmpty() ? others : healthy, request.parts(), origin.model())
-                .flatMap(c -> services.endpoints().find(c.id()));
+        Optional<EndpointState> chosen =
+                services.placement().choose(healthy.isEmpty() ? others : healthy, request, origin, now);
         return new Choice(chosen, earliest, allowed.size());
     }
 
@@ -116,17 +115,4 @@
                 ? Integer.MAX_VALUE
                 : Math.max(MIN_CONNECTIONS, (int) (origin.maxConnections() * CONNECTION_SHARE / routers));
     }
-
-    private Placement.Candidate candidate(EndpointState s, long now) {
-        int slots = origin.slots() > 0 ? origin.slots() : s.listed().getSlots();
-        return new Placement.Candidate(
-                s.id(),
-                s.inFlight(),
-                s.listed().getRunning() + s.listed().getWaiting(),
-                slots,
-                s.pendingTokens(),
-                s.prefixCache().cachedTokens(request.parts()),
-                s.listed().getDataCenter().equals(services.dataCenter()),
-                s.isCold(now));
-    }
 }
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointState.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointState.java
@@ -5,11 +5,13 @@
 import org.ragwortrun.proto.ListedEndpoint;
 import org.ragwortrun.routing.EndpointLimit;
 import org.ragwortrun.routing.EndpointNotices;
+import org.ragwortrun.routing.EndpointPerformance;
 
 /** State of one endpoint as this router knows it. Used on the event loop only. */
 final class EndpointState {
     private final EndpointHealth health = new EndpointHealth();
     private final PrefixCacheEstimate prefixCache = new PrefixCacheEstimate();
+    private final EndpointPerformance performance;
     private final InterruptedRequests interruptedRequests = new InterruptedRequests();
     private final EndpointConnectionPool connections;
     private final EndpointNotices notices;
@@ -33,6 +35,7 @@
         this.connections = connections;
         this.notices = notices;
         this.limit = limit;
+        performance = new EndpointPerformance(now);
         update(listed, now);
     }
 
@@ -52,6 +55,10 @@
         return prefixCache;
     }
 
+    EndpointPerformance performance() {
+        return performance;
+    }
+
     EndpointNotices notices() {
         return notices;
     }
@@ -123,10 +130,9 @@
 
     /** Returns for how long the endpoint has not begun to answer the oldest request of this router, in nanoseconds. */
     long longestWaitNanos(long now) {
-        return unansweredSince.values().stream()
-                .findFirst()
-                .map(sent -> now - sent)
-                .orElse(0L);
+        return unansweredSince.isEmpty()
+                ? 0
+                : now - unansweredSince.values().iterator().next();
     }
 
     void onRequestStarted(int tokens) {
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointTable.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointTable.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -188,6 +189,11 @@
         return notices(id).limit();
     }
 
+    /** Returns the states of all endpoints that are listed or still run requests. */
+    Collection<EndpointState> all() {
+        return states.values();
+    }
+
     Optional<EndpointState> find(String id) {
         return Optional.ofNullable(states.get(id));
     }
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
@@ -470,8 +470,7 @@
     private final class Attempt implements AnswerListener {
         private final EndpointState endpoint;
         private final long attemptStartNanos = services.time().nanos();
-        // The last part of a prompt is specific to its session; the parts before it are shared.
-        private final AnswerLatency latency = new AnswerLatency(request.parts().size() > 1, attemptStartNanos);
+        private final AnswerObserver observed;
         private final int eventsBefore = events.events();
         private final OptionalLong resumedAfter = answerStarted ? events.lastId() : OptionalLong.empty();
         private @Nullable EndpointConnection connection;
@@ -487,6 +486,7 @@
 
         Attempt(EndpointState endpoint) {
             this.endpoint = endpoint;
+            observed = services.performance().observe(endpoint, origin, request, attemptStartNanos);
         }
 
         void begin() {
@@ -633,7 +633,7 @@
                 return;
             }
             onPromptRead();
-            latency.onEvents(events.events() - eventsBefore, services.time().nanos())
+            observed.onEvents(events.events() - eventsBefore, services.time().nanos())
                     .ifPresent(l -> services.evidence().recordLatency(evidenceKey(), l));
             boolean first = !answerStarted;
             if (first) {
@@ -801,7 +801,7 @@
 
         private void recordEvidence(boolean good) {
             services.evidence()
-                    .record(evidenceKey(), good, latency.onEnd(services.time().nanos()));
+                    .record(evidenceKey(), good, observed.onEnd(services.time().nanos(), isSuccess()));
         }
 
         private EvidenceKey evidenceKey() {
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
@@ -177,13 +177,28 @@
         LocalTokens local = new LocalTokens(grants, settlements::add, incarnation);
         HomeServer home = new HomeServer(local, time);
         TokenSource tokens = local;
+        PerformanceTable performance =
+                new PerformanceTable(settings.scheduling().enabled(), endpoints);
         Limits limits = limits(settings, headers, endpoints, transport, loop, metrics, time, random, closer);
         PeerLinks links = limits.links();
         if (settings.peers().isPresent()) {
             pushes.setPeerLinks(links);
             grants.useHomesIf(links::hasHomes);
             tokens = new PooledTokens(settings.name(), incarnation, local, links, timer, time);
-            closer.register(transport.listen(settings.peers().get(), new PeerFrames(home, limits.server())));
+            PerformanceSharing sharing = new PerformanceSharing(
+                    settings.name(),
+                    settings.dataCenter(),
+                    links,
+                    new PerformanceMessages(endpoints, performance),
+                    endpoints,
+                    loop,
+                    metrics,
+                    time);
+            closer.register(transport.listen(settings.peers().get(), new PeerFrames(home, limits.server(), sharing)));
+            if (performance.isEnabled()) {
+                SingleThreadExecutor.repeat(
+                        loop, sharing::report, PerformanceSharing.TICK_MS, PerformanceSharing.TICK_MS);
+            }
             SingleThreadExecutor.repeat(timer, home, SECOND_MS, SECOND_MS);
         }
         EvidenceCollector evidence = new EvidenceCollector(control);
@@ -198,6 +213,8 @@
                 ConfigurationSource.of(watch, control, settings.denialAge()),
                 standstills,
                 endpoints,
+                placement(settings, endpoints, performance, random),
+                performance,
                 List.of(),
                 limits.reader(),
                 limits.permits(),
@@ -228,6 +245,10 @@
         SingleThreadExecutor.repeat(loop, endpoints::closeExpired, SECOND_MS, SECOND_MS);
         readOwnList(source, endpoints, loop, closer);
         addGauges(metrics, admission, home, settlements);
+        if (performance.isEnabled()) {
+            performance.addGauges(metrics);
+            SingleThreadExecutor.repeat(loop, () -> performance.updateGauges(time.nanos()), SECOND_MS, SECOND_MS);
+        }
         ProblemWriter problems = new ProblemWriter(new ObjectMapper());
         Closer listeners = closer.register(new Closer());
         listen(
@@ -251,6 +272,17 @@
         return new ForwardRouter(settings, time, admission, home, loop, listeners, closer);
     }
 
+    private static EndpointPlacement placement(
+            ForwardSettings settings,
+            EndpointTable endpoints,
+            PerformanceTable performance,
+            UniformRandomProvider random) {
+        return settings.scheduling().enabled()
+                ? new LearnedRatePlacement(
+                        settings.dataCenter(), endpoints, performance, new LearnedPlacement(random::nextDouble))
+                : new FixedRatePlacement(settings.dataCenter());
+    }
+
     private static void addGauges(
             Metrics metrics, RequestAdmission admission, HomeServer home, SettlementQueue settlements) {
         metrics.gauge("running_requests", "Requests that have not ended", admission::active);
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardServices.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardServices.java
@@ -19,6 +19,8 @@
  * @param configuration source of the latest configuration
  * @param standstills monitor of the thread that applies configurations
  * @param endpoints endpoints of all origins
+ * @param placement chooses among the endpoints that may get a request
+ * @param performance what was learned from answers
  * @param filters rules that exclude endpoints from requests
  * @param limits reader of the limits that endpoints name
  * @param permits source of permits for requests to endpoints with a limit
@@ -40,6 +42,8 @@
         ConfigurationSource configuration,
         StandstillMonitor standstills,
         EndpointTable endpoints,
+        EndpointPlacement placement,
+        PerformanceTable performance,
         List<EndpointFilter> filters,
         LimitReader limits,
         PermitSource permits,
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/Placement.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/Placement.java
@@ -56,6 +56,11 @@
         return Optional.ofNullable(best);
     }
 
+    /** Returns the cost of an endpoint for a request whose shared parts it does not prefer. */
+    static double cost(Candidate c, Collection<PromptPart> parts, boolean model) {
+        return cost(c, parts.stream().mapToInt(PromptPart::tokens).sum(), c.cachedTokens(), model);
+    }
+
     private static double cost(Candidate c, int tokens, int cached, boolean model) {
         int running = Math.max(c.inFlight(), c.reported());
         double cost = c.sameDataCenter() ? 0 : OTHER_DATA_CENTER_PENALTY_MS;
--- a/router/src/main/java/org/ragwortrun/router/internal/pool/PeerFrames.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/pool/PeerFrames.java
@@ -9,22 +9,28 @@
  *
  * @param reservations handles reservations of tokens
  * @param permits handles requests for permits
+ * @param performance handles reports of what routers have learned about endpoints
  */
-public record PeerFrames(FrameHandler reservations, FrameHandler permits) implements FrameHandler {
+public record PeerFrames(FrameHandler reservations, FrameHandler permits, FrameHandler performance)
+        implements FrameHandler {
     @Override
     public void onConnected(Peer peer) {
         reservations.onConnected(peer);
         permits.onConnected(peer);
+        performance.onConnected(peer);
     }
 
     @Override
     public void onFrame(Peer peer, Frame frame) {
-        (frame.hasPermitRequest() ? permits : reservations).onFrame(peer, frame);
+        FrameHandler handler =
+                frame.hasPermitRequest() ? permits : frame.hasPerformanceReport() ? performance : reservations;
+        handler.onFrame(peer, frame);
     }
 
     @Override
     public void onClosed(Peer peer) {
         reservations.onClosed(peer);
         permits.onClosed(peer);
+        performance.onClosed(peer);
     }
 }
--- a/router/src/main/java/org/ragwortrun/router/internal/pool/PeerLinks.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/pool/PeerLinks.java
@@ -76,6 +76,12 @@
         return cached(coordinatorsByEndpoint, endpoint, e -> HomeRouters.ranked(e, routers));
     }
 
+    /** Returns the number of routers of a data center. */
+    public int routersIn(String dataCenter) {
+        return (int)
+                routers.stream().filter(r -> r.dataCenter().equals(dataCenter)).count();
+    }
+
     private static List<RouterPeer> cached(
             Map<String, List<RouterPeer>> cache, String key, Function<String, List<RouterPeer>> ranking) {
         if (cache.size() > MAX_CACHED_KEYS) {
--- a/router/src/test/java/org/ragwortrun/router/internal/forward/CallerConnectionTest.java
+++ b/router/src/test/java/org/ragwortrun/router/internal/forward/CallerConnectionTest.java
@@ -137,6 +137,8 @@
                         configuration,
                         new StandstillMonitor(time, metrics),
                         endpoints,
+                        new FixedRatePlacement("dc"),
+                        new PerformanceTable(false, endpoints),
                         List.of(),
                         new LimitReader(headers, endpoints, metrics, time),
                         new PermitSource() {
