Measure the division of requests among endpoints of different speed

Cause: bin/measure routing did not exist, and no load showed whether learned rates serve more than fixed ones.

--- a/measure/src/main/java/org/ragwortrun/measure/Measurements.java
+++ b/measure/src/main/java/org/ragwortrun/measure/Measurements.java
@@ -12,6 +12,7 @@
 import org.ragwortrun.measure.process.OverheadMeasurement;
 import org.ragwortrun.measure.process.SoakMeasurement;
 import org.ragwortrun.measure.replication.ReplicationMeasurement;
+import org.ragwortrun.measure.routing.RoutingMeasurement;
 import org.ragwortrun.measure.version.VersionsMeasurement;
 
 /** Registry of the measurements by name. */
@@ -29,6 +30,7 @@
                 Map.entry("limits", new LimitsMeasurement()),
                 Map.entry("notices", new NoticesMeasurement()),
                 Map.entry("replication", new ReplicationMeasurement()),
+                Map.entry("routing", new RoutingMeasurement()),
                 Map.entry("soak", new SoakMeasurement()),
                 Map.entry("versions", new VersionsMeasurement())));
     }
