--- a/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointSelector.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointSelector.java
@@ -80,8 +80,8 @@
                 .orElse(List.of());
         long now = services.time().nanos();
         int maxConnections = maxConnectionsPerEndpoint();
-        List<Placement.Candidate> healthy = new ArrayList<>();
-        List<Placement.Candidate> others = new ArrayList<>();
+        List<EndpointState> healthy = new ArrayList<>();
+        List<EndpointState> others = new ArrayList<>();
         OptionalLong earliest = OptionalLong.empty();
         int busy = 0;
         boolean anyLimited = allowed.stream().anyMatch(s -> s.limit().isLimited());
@@ -94,14 +94,13 @@
                 earliest = OptionalLong.of(Math.min(acceptsFrom, earliest.orElse(acceptsFrom)));
             } else if (!s.connections().isFull(maxConnections)
                     && services.scheduler().hasRoom(s, origin, now)) {
-                (s.health().isUsable(now) ? healthy : others).add(candidate(s, now));
+                (s.health().isUsable(now) ? healthy : others).add(s);
             } else {
                 busy++;
             }
         }
-        Optional<EndpointState> chosen = Placement.choose(
-                        healthy.isEmpty() ? others : healthy, request.parts(), origin.model())
-                .flatMap(c -> services.endpoints().find(c.id()));
+        Optional<EndpointState> chosen =
+                services.placement().choose(healthy.isEmpty() ? others : healthy, request, origin, now);
         return new Choice(chosen, earliest, allowed.size(), busy);
     }
 
@@ -146,17 +145,4 @@
                 ? Integer.MAX_VALUE
                 : Math.max(MIN_CONNECTIONS, (int) (origin.maxConnections() * CONNECTION_SHARE / routers));
     }
-
-    private Placement.Candidate candidate(EndpointState s, long now) {
-        int slots = origin.slots() > 0 ? origin.slots() : s.listed().getSlots();
-        return new Placement.Candidate(
-                s.id(),
-                s.inFlight(),
-                s.listed().getRunning() + s.listed().getWaiting(),
-                slots,
-                s.pendingTokens(),
-                s.prefixCache().cachedTokens(request.parts()),
-                s.listed().getDataCenter().equals(services.dataCenter()),
-                s.isCold(now));
-    }
 }
--- a/router/src/main/java/org/ragwortrun/router/internal/pool/PeerFrames.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/pool/PeerFrames.java
@@ -10,14 +10,17 @@
  * @param reservations handles reservations of tokens
  * @param permits handles requests for permits
  * @param withdrawals handles requests to leave the rotation of the load balancer
+ * @param performance handles reports of what routers have learned about endpoints
  */
-public record PeerFrames(FrameHandler reservations, FrameHandler permits, FrameHandler withdrawals)
+public record PeerFrames(
+        FrameHandler reservations, FrameHandler permits, FrameHandler withdrawals, FrameHandler performance)
         implements FrameHandler {
     @Override
     public void onConnected(Peer peer) {
         reservations.onConnected(peer);
         permits.onConnected(peer);
         withdrawals.onConnected(peer);
+        performance.onConnected(peer);
     }
 
     @Override
@@ -30,12 +33,16 @@
         reservations.onClosed(peer);
         permits.onClosed(peer);
         withdrawals.onClosed(peer);
+        performance.onClosed(peer);
     }
 
     private FrameHandler handler(Frame frame) {
         if (frame.hasWithdrawalRequest()) {
             return withdrawals;
         }
+        if (frame.hasPerformanceReport()) {
+            return performance;
+        }
         return frame.hasPermitRequest() ? permits : reservations;
     }
 }
--- a/router/src/test/java/org/ragwortrun/router/internal/forward/EndpointSelectorTest.java
+++ b/router/src/test/java/org/ragwortrun/router/internal/forward/EndpointSelectorTest.java
@@ -135,6 +135,8 @@
                 configuration,
                 null,
                 endpoints,
+                new FixedRatePlacement("dc"),
+                new PerformanceTable(false, endpoints),
                 List.of(new EvacuationFilter(), new HomeRegionFilter(d -> Optional.ofNullable(REGIONS.get(d)))),
                 null,
                 null,
