Read how long endpoints are cold and what they then tolerate

Cause: operators name the seconds for which an endpoint of a service is cold after its start and the requests per second that it tolerates meanwhile, and the configuration dropped both. Change: cold_start_s and cold_per_s become the keys warm-up and warm-up-rate of an origin; a rate without a time, a time above 10 minutes and a value that is no number are rejected.

--- a/core/src/main/java/org/ragwortrun/core/config/Origin.java
+++ b/core/src/main/java/org/ragwortrun/core/config/Origin.java
@@ -1,5 +1,7 @@
 package org.ragwortrun.core.config;
 
+import java.time.Duration;
+
 /**
  * A service whose endpoints routers call directly, without agents. Its endpoints come from the platform's list.
  *
@@ -10,6 +12,8 @@
  * @param slots maximum number of concurrent requests of one endpoint, 0 if the list of endpoints specifies it
  * @param kvCapacity tokens of KV cache of one endpoint, 0 if unknown
  * @param tokensPerEvent maximum number of output tokens in one event of a stream
+ * @param warmUp time for which an endpoint is cold after its start
+ * @param warmUpRate requests per second that a cold endpoint tolerates from all routers together, 0 for no limit
  */
 public record Origin(
         String name,
@@ -18,4 +22,12 @@
         int maxConnections,
         int slots,
         long kvCapacity,
-        int tokensPerEvent) {}
+        int tokensPerEvent,
+        Duration warmUp,
+        double warmUpRate) {
+
+    /** Returns whether the requests to a cold endpoint are limited. */
+    public boolean limitsWarmUp() {
+        return warmUpRate > 0;
+    }
+}
--- a/core/src/main/java/org/ragwortrun/core/config/SectionReader.java
+++ b/core/src/main/java/org/ragwortrun/core/config/SectionReader.java
@@ -27,6 +27,8 @@
     private static final int DEFAULT_SLOTS = 16;
     private static final int DEFAULT_CONNECTIONS = 256;
     private static final String TOTAL = "prepaid";
+    private static final double MAX_WARM_UP_RATE = 1_000_000;
+    private static final Duration MAX_WARM_UP = Duration.ofMinutes(10);
 
     private final List<ConfigurationError> errors = new ArrayList<>();
 
@@ -60,7 +62,9 @@
                         (int) number(s, "max-connections", DEFAULT_CONNECTIONS, Integer.MAX_VALUE),
                         (int) number(s, "slots", 0, Integer.MAX_VALUE),
                         number(s, "kv-capacity", 0),
-                        (int) number(s, "tokens-per-event", 1, Integer.MAX_VALUE)));
+                        (int) number(s, "tokens-per-event", 1, Integer.MAX_VALUE),
+                        warmUp(s),
+                        decimal(s, "warm-up-rate", 0, MAX_WARM_UP_RATE)));
     }
 
     List<Forward> forwards(Collection<Section> sections) {
@@ -122,6 +126,16 @@
                 : OptionalInt.empty();
     }
 
+    /** Reads how long an endpoint is cold, which must be known if a warm-up rate is given. */
+    private Duration warmUp(Section s) {
+        Duration time = duration(s, "warm-up", Duration.ZERO);
+        boolean limited = decimal(s, "warm-up-rate", 0, MAX_WARM_UP_RATE) > 0;
+        if (limited && time.isZero() || time.compareTo(MAX_WARM_UP) > 0) {
+            fail(s, "warm-up", "warm-up", "a duration of at most 10m, above 0 if there is a warm-up-rate");
+        }
+        return time;
+    }
+
     private Duration positive(Section s, String key, Duration fallback) {
         Duration value = duration(s, key, fallback);
         if (value.isZero()) {
@@ -255,6 +269,23 @@
         return fallback;
     }
 
+    private double decimal(Section s, String key, double fallback, double max) {
+        String value = s.getPropertiesMap().get(key);
+        if (value == null) {
+            return fallback;
+        }
+        try {
+            double n = Double.parseDouble(value.trim());
+            if (n >= 0 && n <= max) {
+                return n;
+            }
+        } catch (NumberFormatException e) {
+            // reported below with the numbers out of range
+        }
+        fail(s, key, "number", "a number from 0 to " + max);
+        return fallback;
+    }
+
     /** Reads a percentage such as {@code 12.5%} or {@code 12.5}. */
     private int permille(Section s, String key, int fallback) {
         String value = s.getPropertiesMap().get(key);
--- a/core/src/main/java/org/ragwortrun/core/config/rule/UnknownKeyRule.java
+++ b/core/src/main/java/org/ragwortrun/core/config/rule/UnknownKeyRule.java
@@ -31,7 +31,15 @@
                             "dedupe-header"),
             SectionKind.MOVE, List.of("service", "from", "to", "share", "trial-share", "start", "finish"),
             SectionKind.ORIGIN,
-                    List.of("model", "health", "max-connections", "slots", "kv-capacity", "tokens-per-event"),
+                    List.of(
+                            "model",
+                            "health",
+                            "max-connections",
+                            "slots",
+                            "kv-capacity",
+                            "tokens-per-event",
+                            "warm-up",
+                            "warm-up-rate"),
             SectionKind.FORWARD,
                     List.of(
                             "host",
--- a/core/src/test/java/org/ragwortrun/core/config/ForwardConfigurationTest.java
+++ b/core/src/test/java/org/ragwortrun/core/config/ForwardConfigurationTest.java
@@ -33,6 +33,26 @@
         assertThat(rules(forward("f", "/a/", "o", "0ms"))).containsExactly("positive-duration");
     }
 
+    /** Guards against a rate for cold endpoints that never applies, because they are never cold. */
+    @Test
+    void checksWarmUp() {
+        assertThat(warmUpRules(Map.of("warm-up", "3s", "warm-up-rate", "12.5"))).isEmpty();
+        assertThat(warmUpRules(Map.of("warm-up", "3s"))).isEmpty();
+        assertThat(warmUpRules(Map.of("warm-up-rate", "12"))).containsExactly("warm-up");
+        assertThat(warmUpRules(Map.of("warm-up", "11m"))).containsExactly("warm-up");
+        for (String rate : List.of("-1", "NaN", "Infinity", "many")) {
+            assertThat(warmUpRules(Map.of("warm-up", "3s", "warm-up-rate", rate)))
+                    .contains("number");
+        }
+    }
+
+    private static List<String> warmUpRules(Map<String, String> properties) {
+        return ConfigurationChecker.standard().check(List.of(section("origin", "o", properties)), List.of(), 0).stream()
+                .map(ConfigurationError::rule)
+                .distinct()
+                .toList();
+    }
+
     @Test
     void rejectsOriginBudgetWithoutAccount() {
         Section budget = section("budget", "c", Map.of("prepaid", "5"));
