Hold endpoints that start or recover to a shared rate

Cause: a cold endpoint tolerates few requests from all routers together, but each router sent it its usual share. Change: the coordinators of limits also grant permits by ramps. A router derives that an endpoint may be cold from the list, refused and reset connections and the end of an evacuation (the source of that is a stub), asks for permits at the warm-up rate, and tells the coordinator, which tells all connected routers. Routers with scheduling.enabled also follow the ramps of endpoints that started or failed and are not cold; the ramp replaces their own exclusion.

--- a/router/src/main/java/org/ragwortrun/router/internal/forward/CrashDetector.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/CrashDetector.java
@@ -79,7 +79,7 @@
     }
 
     private void onUnreachable(EndpointState endpoint, String cause) {
-        endpoint.health().onUnreachable(time.nanos());
+        endpoint.outcomes().onUnreachable(cause, time.nanos());
         loop.schedule(() -> evaluate(endpoint, cause), SETTLE_DELAY_MS, TimeUnit.MILLISECONDS);
     }
 
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointSelector.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointSelector.java
@@ -18,7 +18,8 @@
  * is no other.
  *
  * <p>While some endpoints have a limit, their requests go to the others. These are not overloaded with them: one that has
- * kept a request of this router waiting for too long accepts no further request. Used on the event loop.
+ * kept a request of this router waiting for too long accepts no further request. An endpoint with a ramp gets the requests
+ * that the ramp permits, and if it is not cold, also those that no other endpoint can serve. Used on the event loop.
  */
 final class EndpointSelector {
     // Leaves room because callers are spread unevenly over the routers and connections that are being closed still
@@ -52,18 +53,19 @@
      * Result of a selection.
      *
      * @param endpoint selected endpoint, if one is available now
+     * @param lastResort whether no other endpoint can serve the request, so that it needs no permit by a ramp
      * @param earliestNanos earliest monotonic time at which an endpoint accepts a request, if some accept none now
      * @param allowed number of endpoints that the configuration and the list allow
      */
-    record Choice(Optional<EndpointState> endpoint, OptionalLong earliestNanos, int allowed) {}
+    record Choice(Optional<EndpointState> endpoint, boolean lastResort, OptionalLong earliestNanos, int allowed) {}
 
     /**
      * Selects an endpoint among those that have not been tried.
      *
-     * @param mayAskForPermit whether an endpoint with a limit may be selected
+     * @param mayAskForPermit whether an endpoint with a limit or a ramp may be selected
      */
     Choice choose(Set<String> tried, boolean mayAskForPermit) {
-        List<EndpointState> eligible = services.endpoints().eligible(origin.name());
+        List<EndpointState> eligible = services.endpoints().eligible(origin);
         eligible.removeIf(s -> tried.contains(s.id()));
         List<EndpointState> allowed = services.configuration()
                 .get()
@@ -73,23 +75,34 @@
         int maxConnections = maxConnectionsPerEndpoint();
         List<Placement.Candidate> healthy = new ArrayList<>();
         List<Placement.Candidate> others = new ArrayList<>();
+        List<Placement.Candidate> withoutPermit = new ArrayList<>();
         OptionalLong earliest = OptionalLong.empty();
         boolean anyLimited = allowed.stream().anyMatch(s -> s.limit().isLimited());
         for (EndpointState s : allowed) {
             long acceptsFrom = s.notices().earliestSendTime(now, s.inFlight()).orElse(now);
-            if (anyLimited) {
+            boolean paused = acceptsFrom - now > 0;
+            if (anyLimited || s.limit().needsPermit(now)) {
                 acceptsFrom = Math.max(acceptsFrom, hasRoomFrom(s, mayAskForPermit, now));
             }
-            if (acceptsFrom - now > 0) {
+            boolean full = s.connections().isFull(maxConnections);
+            if (acceptsFrom - now <= 0) {
+                if (!full) {
+                    (s.isUsable(now) ? healthy : others).add(candidate(s, now));
+                }
+            } else if (!paused
+                    && !full
+                    && s.limit().needsPermit(now)
+                    && s.limit().allowsLastResort(now)) {
+                withoutPermit.add(candidate(s, now));
+            } else {
                 earliest = OptionalLong.of(Math.min(acceptsFrom, earliest.orElse(acceptsFrom)));
-            } else if (!s.connections().isFull(maxConnections)) {
-                (s.health().isUsable(now) ? healthy : others).add(candidate(s, now));
             }
         }
-        Optional<EndpointState> chosen = Placement.choose(
-                        healthy.isEmpty() ? others : healthy, request.parts(), origin.model())
+        boolean lastResort = healthy.isEmpty() && others.isEmpty();
+        List<Placement.Candidate> candidates = lastResort ? withoutPermit : healthy.isEmpty() ? others : healthy;
+        Optional<EndpointState> chosen = Placement.choose(candidates, request.parts(), origin.model())
                 .flatMap(c -> services.endpoints().find(c.id()));
-        return new Choice(chosen, earliest, allowed.size());
+        return new Choice(chosen, lastResort, earliest, allowed.size());
     }
 
     private List<EndpointState> permitted(Configuration configuration, List<EndpointState> eligible) {
@@ -100,9 +113,9 @@
                 .toList();
     }
 
-    /** Returns the earliest time at which an endpoint may accept a request while some endpoints have a limit. */
+    /** Returns the earliest time at which an endpoint may accept a request while some endpoints have a limit or a ramp. */
     private long hasRoomFrom(EndpointState s, boolean mayAskForPermit, long now) {
-        if (s.limit().isLimited()) {
+        if (s.limit().needsPermit(now)) {
             long permittedFrom = s.limit().earliestNanos(now);
             return mayAskForPermit ? permittedFrom : Math.max(permittedFrom, now + NOT_ASKED_NANOS);
         }
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointState.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointState.java
@@ -14,6 +14,7 @@
     private final EndpointConnectionPool connections;
     private final EndpointNotices notices;
     private final EndpointLimit limit;
+    private final EndpointOutcomes outcomes;
     private ListedEndpoint listed;
     private boolean listedNow = true;
     private boolean replaced;
@@ -28,11 +29,13 @@
             EndpointConnectionPool connections,
             EndpointNotices notices,
             EndpointLimit limit,
+            Runnable rampReporter,
             long now) {
         this.listed = listed;
         this.connections = connections;
         this.notices = notices;
         this.limit = limit;
+        outcomes = new EndpointOutcomes(health, limit.ramp(), rampReporter);
         update(listed, now);
     }
 
@@ -48,6 +51,15 @@
         return health;
     }
 
+    EndpointOutcomes outcomes() {
+        return outcomes;
+    }
+
+    /** Returns whether a request may be sent to the endpoint for its health. A ramp replaces the exclusion. */
+    boolean isUsable(long now) {
+        return limit.ramp().isFollowing() || health.isUsable(now);
+    }
+
     PrefixCacheEstimate prefixCache() {
         return prefixCache;
     }
@@ -100,7 +112,12 @@
     }
 
     boolean isCold(long now) {
-        return coldUntilNanos - now > 0;
+        return coldUntilNanos - now > 0 || limit.ramp().isCold(now);
+    }
+
+    /** Records that a list was read that contains the endpoint as it is known. */
+    void onListRead(long readNanos, long now) {
+        limit.ramp().warmUp().onListed(listed.getColdMs(), readNanos, now);
     }
 
     int inFlight() {
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointTable.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointTable.java
@@ -9,16 +9,21 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.BiConsumer;
 import java.util.function.Function;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.ragwortrun.core.config.Origin;
 import org.ragwortrun.core.log.Event;
 import org.ragwortrun.core.time.Time;
 import org.ragwortrun.proto.EndpointList;
 import org.ragwortrun.proto.ListedEndpoint;
 import org.ragwortrun.routing.EndpointLimit;
 import org.ragwortrun.routing.EndpointNotices;
+import org.ragwortrun.routing.RampReport;
+import org.ragwortrun.routing.WarmUp;
 
 /**
  * The endpoints of all origins, from the latest list.
@@ -32,6 +37,8 @@
     // Assumed until a leader has sent the number, so that the shares of this router are too small rather than too
     // large.
     private static final int DEFAULT_ROUTERS = 64;
+    // Endpoints that a restarted router lists first later than this have started since.
+    private static final long LIST_PERIOD_NANOS = 1_000_000_000L;
     // Several times the number of endpoints of the largest fleet.
     private static final int MAX_NOTICES = 4_096;
 
@@ -49,6 +56,10 @@
             return size() > MAX_NOTICES;
         }
     };
+    private final boolean followsRamps;
+    private final long startNanos;
+    private EvacuationEnds evacuationEnds = dataCenter -> OptionalLong.empty();
+    private BiConsumer<String, EndpointLimit> rampReporter = (endpoint, limit) -> {};
     private long term;
     private long sequence;
     private List<ListedEndpoint> leaderList = List.of();
@@ -76,17 +87,31 @@
      * @param connector creates the connection pool of an endpoint
      * @param headReader receives the head of each answer of an endpoint
      * @param longestPause longest time for which an endpoint may ask to get no requests
+     * @param followsRamps whether this router follows the ramps of endpoints that are not cold
      */
     EndpointTable(
             Time time,
             Function<ListedEndpoint, EndpointConnectionPool> connector,
             HeadReader headReader,
-            Duration longestPause) {
+            Duration longestPause,
+            boolean followsRamps) {
         this.time = time;
         this.connector = connector;
         this.headReader = headReader;
         this.longestPause = longestPause;
-        leaderListNanos = time.nanos();
+        this.followsRamps = followsRamps;
+        startNanos = time.nanos();
+        leaderListNanos = startNanos;
+    }
+
+    /** Sets the source of the times at which evacuations ended. */
+    void setEvacuationEnds(EvacuationEnds source) {
+        evacuationEnds = source;
+    }
+
+    /** Sets what reports the ramp of a failing endpoint to its coordinator. */
+    void setRampReporter(BiConsumer<String, EndpointLimit> reporter) {
+        rampReporter = reporter;
     }
 
     /**
@@ -111,6 +136,7 @@
             ownListApplied = false;
             replace(leaderList, "leader");
         }
+        onListRead();
         return true;
     }
 
@@ -119,6 +145,12 @@
         listReadNanos = time.nanos();
         ownListApplied = true;
         replace(list, "own-read");
+        onListRead();
+    }
+
+    private void onListRead() {
+        long now = time.nanos();
+        states.values().stream().filter(EndpointState::isListed).forEach(s -> s.onListRead(listReadNanos, now));
     }
 
     private void replace(List<ListedEndpoint> list, String source) {
@@ -129,7 +161,11 @@
             EndpointState state = states.get(e.getId());
             boolean moved = state != null && !state.listed().getAddress().equals(e.getAddress());
             if (state == null || moved) {
-                states.put(e.getId(), createState(e, now));
+                EndpointState created = createState(e, now);
+                states.put(e.getId(), created);
+                if (moved || listKnown && now - startNanos > LIST_PERIOD_NANOS) {
+                    created.outcomes().onStarted(now);
+                }
                 log("endpoint-added", e, source);
             } else {
                 if (!state.listed().getDraining() && e.getDraining()) {
@@ -151,13 +187,15 @@
     private EndpointState createState(ListedEndpoint e, long now) {
         EndpointConnectionPool connections = connector.apply(e);
         Notices known = notices(e.getId());
-        EndpointState state = new EndpointState(e, connections, known.general(), known.limit(), now);
+        Runnable reporter = () -> rampReporter.accept(e.getId(), known.limit());
+        EndpointState state = new EndpointState(e, connections, known.general(), known.limit(), reporter, now);
         connections.setHeadListener((head, current) -> headReader.read(state, head, current));
         return state;
     }
 
     private Notices notices(String id) {
-        return notices.computeIfAbsent(id, i -> new Notices(new EndpointNotices(longestPause), new EndpointLimit()));
+        return notices.computeIfAbsent(
+                id, i -> new Notices(new EndpointNotices(longestPause), new EndpointLimit(followsRamps)));
     }
 
     private static void log(String event, ListedEndpoint e, String source) {
@@ -173,16 +211,28 @@
     /**
      * Returns a new list of the endpoints of an origin to which new requests may be sent, regardless of their health.
      */
-    List<EndpointState> eligible(String origin) {
+    List<EndpointState> eligible(Origin origin) {
+        long now = time.nanos();
         List<EndpointState> eligible = new ArrayList<>();
         for (EndpointState s : states.values()) {
-            if (s.isEligible() && s.listed().getService().equals(origin)) {
+            if (s.isEligible() && s.listed().getService().equals(origin.name())) {
+                WarmUp warmUp = s.limit().ramp().warmUp();
+                warmUp.setBounds(origin.warmUpRate(), origin.warmUp().toNanos());
+                evacuationEnds
+                        .endedNanos(s.listed().getDataCenter())
+                        .ifPresent(ended -> warmUp.onEvacuationEnded(ended, now));
                 eligible.add(s);
             }
         }
         return eligible;
     }
 
+    /** Records the ramp of an endpoint, which may not be listed yet, as a coordinator knows it. */
+    void onRampReported(String id, RampReport ramp) {
+        long now = time.nanos();
+        limit(id).ramp().onReported(Optional.of(ramp), now, now);
+    }
+
     /** Returns the limit of an endpoint, which may not be listed yet. */
     EndpointLimit limit(String id) {
         return notices(id).limit();
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
@@ -258,7 +258,7 @@
         }
         EndpointSelector.Choice choice = selector.choose(tried, deniedPermits < MAX_DENIED_PERMITS);
         if (choice.endpoint().isPresent()) {
-            sendIfPermitted(choice.endpoint().get());
+            sendIfPermitted(choice.endpoint().get(), choice.lastResort());
         } else if (choice.earliestNanos().isPresent()) {
             giveUpUntil(choice.earliestNanos().getAsLong(), choice.allowed());
         } else {
@@ -266,9 +266,9 @@
         }
     }
 
-    private void sendIfPermitted(EndpointState endpoint) {
-        if (!endpoint.limit().isLimited()) {
-            send(endpoint);
+    private void sendIfPermitted(EndpointState endpoint, boolean lastResort) {
+        if (lastResort || !endpoint.limit().needsPermit(services.time().nanos())) {
+            send(endpoint, false);
             return;
         }
         services.permits().acquire(endpoint.id(), endpoint.limit(), granted -> {
@@ -276,7 +276,7 @@
                 return;
             }
             if (granted) {
-                send(endpoint);
+                send(endpoint, true);
             } else {
                 deniedPermits++;
                 sendToEndpoint();
@@ -284,9 +284,9 @@
         });
     }
 
-    private void send(EndpointState endpoint) {
+    private void send(EndpointState endpoint, boolean permitted) {
         tries++;
-        current = new Attempt(endpoint);
+        current = new Attempt(endpoint, permitted);
         current.begin();
     }
 
@@ -469,6 +469,7 @@
     /** One attempt to run the request at one endpoint. */
     private final class Attempt implements AnswerListener {
         private final EndpointState endpoint;
+        private final boolean permitted;
         private final long attemptStartNanos = services.time().nanos();
         // The last part of a prompt is specific to its session; the parts before it are shared.
         private final AnswerLatency latency = new AnswerLatency(request.parts().size() > 1, attemptStartNanos);
@@ -485,8 +486,9 @@
         private boolean pauseRequested;
         private long sentNanos;
 
-        Attempt(EndpointState endpoint) {
+        Attempt(EndpointState endpoint, boolean permitted) {
             this.endpoint = endpoint;
+            this.permitted = permitted;
         }
 
         void begin() {
@@ -514,7 +516,7 @@
             runs++;
             sentNanos = services.time().nanos();
             endpoint.onRequestSent(this, sentNanos);
-            if (endpoint.limit().isLimited()) {
+            if (permitted) {
                 services.metrics().count("requests_to_limited_endpoints", 1);
             }
             endpoint.prefixCache().onPromptSent(request.parts(), services.time().nanos());
@@ -525,6 +527,7 @@
         private boolean stillAccepts() {
             long now = services.time().nanos();
             return endpoint.isEligible()
+                    && endpoint.limit().maySend(permitted, attemptStartNanos, now)
                     && endpoint.notices().earliestSendTime(now, endpoint.inFlight() - 1).stream()
                             .anyMatch(from -> from - now <= 0);
         }
@@ -563,7 +566,7 @@
                 return;
             }
             end();
-            endpoint.health().onUnreachable(services.time().nanos());
+            endpoint.outcomes().onUnreachable(cause, services.time().nanos());
             log("endpoint-unreachable", cause);
             onNotRun(cause, false);
         }
@@ -771,7 +774,7 @@
             if (c != null) {
                 c.close();
             }
-            endpoint.health().onFailure(services.time().nanos());
+            endpoint.outcomes().onBroken(cause, services.time().nanos());
             services.metrics().count("endpoint_breaks", 1);
             services.crashDetector().onInterrupted(endpoint, content, evidenceKey(), unansweredParts());
             log("endpoint-broken", cause);
@@ -791,11 +794,7 @@
             if (pauseRequested) {
                 return;
             }
-            if (good) {
-                endpoint.health().onSuccess();
-            } else {
-                endpoint.health().onFailure(services.time().nanos());
-            }
+            endpoint.outcomes().onAnswered(good, sentNanos, services.time().nanos());
             recordEvidence(good);
         }
 
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
@@ -146,7 +146,11 @@
         UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create();
         NoticeReader notices = new NoticeReader(headers, metrics, time, random::nextDouble);
         EndpointTable endpoints = new EndpointTable(
-                time, e -> connections(loop, e, time, headers, metrics), notices::read, settings.longestPause());
+                time,
+                e -> connections(loop, e, time, headers, metrics),
+                notices::read,
+                settings.longestPause(),
+                settings.scheduling().enabled());
         ForwardPushHandler pushes = new ForwardPushHandler(loop, endpoints);
         ControlClient control = closer.register(new ControlClient(transport, settings.members(), pushes));
         ConfigWatch watch =
@@ -278,11 +282,14 @@
             Closer closer) {
         String name = settings.name();
         LimitReader reader = new LimitReader(headers, endpoints, metrics, time);
-        PeerLinks links =
-                closer.register(new PeerLinks(name, transport, new LimitReportHandler(reader::onReported, loop, time)));
+        PeerLinks links = closer.register(new PeerLinks(
+                name, transport, new LimitReportHandler(reader::onReported, endpoints::onRampReported, loop, time)));
         PermitServer server = new PermitServer(name, links, metrics, time);
         PermitClient permits = new PermitClient(
                 name, links, server, reader::onReported, endpoints::routers, loop, metrics, time, random::nextDouble);
+        endpoints.setRampReporter(permits::report);
+        SingleThreadExecutor.repeat(loop, server, SECOND_MS, SECOND_MS);
+        metrics.gauge("ramps", "Ramps that this router coordinates", server::rampsInForce);
         return new Limits(reader, permits, server, links);
     }
 
--- a/router/src/main/java/org/ragwortrun/router/internal/limits/PermitClient.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/limits/PermitClient.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
@@ -22,15 +23,17 @@
 import org.ragwortrun.proto.LimitReport;
 import org.ragwortrun.proto.PermitReply;
 import org.ragwortrun.proto.PermitRequest;
-import org.ragwortrun.router.internal.evidence.BoundedMap;
 import org.ragwortrun.router.internal.pool.PeerLinks;
 import org.ragwortrun.router.internal.pool.RouterPeer;
+import org.ragwortrun.routing.AnswerCounts;
+import org.ragwortrun.routing.ColdShares;
 import org.ragwortrun.routing.EndpointLimit;
+import org.ragwortrun.routing.FallbackPermits;
 import org.ragwortrun.routing.LimitStatement;
-import org.ragwortrun.routing.PermitSchedule;
+import org.ragwortrun.routing.RampReport;
 
 /**
- * Gets permits from the coordinator of each endpoint with a limit.
+ * Gets permits from the coordinator of each endpoint with a limit or a ramp.
  *
  * <p>Requests that arrive while the coordinator is being asked share the next question. A coordinator that does not
  * answer is not asked for a while. If none can be asked, the router uses its share of the limit: an equal part if there
@@ -45,11 +48,7 @@
     private static final long BACKOFF_NANOS = 1_000_000_000L;
     // A process that was suspended must not use permits that were granted before.
     private static final long MAX_PERMIT_AGE_NANOS = 400_000_000L;
-    private static final long UNREACHABLE_WAIT_NANOS = 250_000_000L;
     private static final int MAX_COORDINATORS = 2;
-    private static final double UNREACHABLE_SHARE = 0.5;
-    // Several times the number of endpoints of the largest fleet.
-    private static final int MAX_SCHEDULES = 4_096;
 
     private final String ownName;
     private final PeerLinks links;
@@ -59,10 +58,9 @@
     private final Executor loop;
     private final Metrics metrics;
     private final Time time;
-    private final DoubleSupplier random;
+    private final FallbackPermits fallback;
     private final Map<String, Waiting> waiting = new HashMap<>();
     private final Map<String, Long> backoffUntilNanos = new HashMap<>();
-    private final Map<String, PermitSchedule> schedules = new BoundedMap<>(MAX_SCHEDULES);
 
     /**
      * Creates a client.
@@ -90,7 +88,7 @@
         this.loop = loop;
         this.metrics = metrics;
         this.time = time;
-        this.random = random;
+        fallback = new FallbackPermits(random);
     }
 
     /** Requests that wait for permits of one endpoint. */
@@ -151,10 +149,7 @@
             return;
         }
         RouterPeer coordinator = q.coordinators().get(next);
-        PermitRequest request = PermitRequest.newBuilder()
-                .setLimit(message(q))
-                .setWanted(q.requests().size())
-                .build();
+        PermitRequest request = request(q);
         if (coordinator.name().equals(ownName)) {
             onReply(q, ownServer.grant(request), "own");
             return;
@@ -170,6 +165,19 @@
                 }));
     }
 
+    private PermitRequest request(Question q) {
+        PermitRequest.Builder request = PermitRequest.newBuilder()
+                .setLimit(message(q))
+                .setWanted(q.requests().size());
+        q.limit().ramp().report(time.nanos()).ifPresent(r -> {
+            AnswerCounts answers = q.limit().ramp().takeCounts();
+            request.setRamp(LimitReports.toMessage(q.endpoint(), r))
+                    .setGoodAnswers(answers.good())
+                    .setBadAnswers(answers.bad());
+        });
+        return request.build();
+    }
+
     private LimitReport message(Question q) {
         long now = time.nanos();
         return LimitReports.toMessage(q.endpoint(), q.limit().newest().orElse(LimitStatement.unlimited(now, now)), now);
@@ -178,7 +186,10 @@
     private void onReply(Question q, PermitReply reply, String coordinator) {
         long now = time.nanos();
         statements.accept(q.endpoint(), LimitReports.toStatement(reply.getLimit(), now));
-        boolean expired = now - q.askedNanos() > MAX_PERMIT_AGE_NANOS;
+        Optional<RampReport> ramp = reply.hasRamp() ? LimitReports.toReport(reply.getRamp()) : Optional.empty();
+        q.limit().ramp().onReported(ramp, q.askedNanos(), now);
+        long maxAge = q.limit().ramp().isCold(now) ? ColdShares.MAX_PERMIT_AGE_NANOS : MAX_PERMIT_AGE_NANOS;
+        boolean expired = now - q.askedNanos() > maxAge;
         int granted = expired ? 0 : Math.min(reply.getGranted(), q.requests().size());
         decide(q, granted, TimeUnit.MILLISECONDS.toNanos(reply.getWaitMs()), coordinator);
     }
@@ -203,21 +214,9 @@
         if (q.requests().isEmpty()) {
             return;
         }
-        double perSecond =
-                q.limit().limit().map(LimitStatement::usablePerSecond).orElse(Double.POSITIVE_INFINITY);
-        if (Double.isInfinite(perSecond)) {
-            decide(q, q.requests().size(), 0, "none");
-            return;
-        }
-        double share = perSecond / Math.max(1, routers.getAsInt()) * (q.anyCoordinator() ? UNREACHABLE_SHARE : 1);
-        PermitSchedule schedule =
-                schedules.computeIfAbsent(q.endpoint(), id -> new PermitSchedule(share, random.getAsDouble(), now));
-        int granted = 0;
-        while (granted < q.requests().size() && schedule.tryTake(share, now)) {
-            granted++;
-        }
-        long wait = schedule.nanosUntilNext(share, now);
-        decide(q, granted, q.anyCoordinator() ? Math.min(UNREACHABLE_WAIT_NANOS, wait) : wait, "none");
+        FallbackPermits.Granted granted = fallback.take(
+                q.endpoint(), q.limit(), q.requests().size(), routers.getAsInt(), q.anyCoordinator(), now);
+        decide(q, granted.granted(), granted.waitNanos(), "none");
     }
 
     private void decide(Question q, int granted, long waitNanos, String coordinator) {
--- a/router/src/test/java/org/ragwortrun/router/internal/forward/CallerConnectionTest.java
+++ b/router/src/test/java/org/ragwortrun/router/internal/forward/CallerConnectionTest.java
@@ -130,7 +130,8 @@
                     throw new AssertionError("nothing is sent");
                 },
                 (endpoint, head, current) -> {},
-                Duration.ZERO);
+                Duration.ZERO,
+                false);
         RequestAdmission admission = new RequestAdmission(
                 new ForwardServices(
                         "dc",
--- a/routing/src/main/java/org/ragwortrun/routing/PermitBucket.java
+++ b/routing/src/main/java/org/ragwortrun/routing/PermitBucket.java
@@ -12,13 +12,20 @@
     private static final double MIN_CAPACITY = 2;
     private static final double CAPACITY_SECONDS = 0.25;
 
+    private final double maxCapacity;
     private double perSecond;
     private double level;
     private long updatedNanos;
 
     /** Creates an empty bucket. */
     public PermitBucket(double perSecond, long now) {
+        this(perSecond, Double.POSITIVE_INFINITY, now);
+    }
+
+    /** Creates an empty bucket that keeps no more than a number of unused permits, whatever its rate. */
+    public PermitBucket(double perSecond, double maxCapacity, long now) {
         this.perSecond = perSecond;
+        this.maxCapacity = maxCapacity;
         updatedNanos = now;
     }
 
@@ -57,7 +64,7 @@
     }
 
     private void update(long now) {
-        double capacity = Math.max(MIN_CAPACITY, perSecond * CAPACITY_SECONDS);
+        double capacity = Math.min(maxCapacity, Math.max(MIN_CAPACITY, perSecond * CAPACITY_SECONDS));
         double elapsed = Math.max(0, now - updatedNanos) / SECOND_NANOS;
         level = Math.min(capacity, level + elapsed * perSecond);
         updatedNanos = now;
--- a/routing/src/main/java/org/ragwortrun/routing/PermitSchedule.java
+++ b/routing/src/main/java/org/ragwortrun/routing/PermitSchedule.java
@@ -10,6 +10,7 @@
     private static final double SECOND_NANOS = 1e9;
     private static final long VALIDITY_NANOS = 1_000_000_000L;
 
+    private final long validityNanos;
     private long nextNanos;
 
     /**
@@ -18,6 +19,17 @@
      * @param random random number from 0 to 1, exclusive, for the time of the first permit
      */
     public PermitSchedule(double perSecond, double random, long now) {
+        this(perSecond, VALIDITY_NANOS, random, now);
+    }
+
+    /**
+     * Creates a schedule.
+     *
+     * @param validityNanos time after which a permit that was not used expires
+     * @param random random number from 0 to 1, exclusive, for the time of the first permit
+     */
+    public PermitSchedule(double perSecond, long validityNanos, double random, long now) {
+        this.validityNanos = validityNanos;
         nextNanos = now + (long) (random * periodNanos(perSecond));
     }
 
@@ -34,7 +46,7 @@
     public long nanosUntilNext(double perSecond, long now) {
         long period = periodNanos(perSecond);
         nextNanos = Math.min(nextNanos, now + period);
-        long expired = now - VALIDITY_NANOS - nextNanos;
+        long expired = now - validityNanos - nextNanos;
         if (expired > 0) {
             nextNanos += (expired + period - 1) / period * period;
         }
