--- a/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointSelector.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointSelector.java
@@ -18,7 +18,8 @@
  * is no other.
  *
  * <p>While some endpoints have a limit, their requests go to the others. These are not overloaded with them: one that has
- * kept a request of this router waiting for too long accepts no further request. Used on the event loop.
+ * kept a request of this router waiting for too long accepts no further request. An endpoint with a ramp gets the requests
+ * that the ramp permits, and if it is not cold, also those that no other endpoint can serve. Used on the event loop.
  */
 final class EndpointSelector {
     // Leaves room because callers are spread unevenly over the routers and connections that are being closed still
@@ -52,11 +53,13 @@
      * Result of a selection.
      *
      * @param endpoint selected endpoint, if one is available now
+     * @param lastResort whether no other endpoint can serve the request, so that it needs no permit by a ramp
      * @param earliestNanos earliest monotonic time at which an endpoint accepts a request, if some accept none now
      * @param allowed number of endpoints that the configuration and the list allow
      * @param busy number of them that are full or whose connections are in use
      */
-    record Choice(Optional<EndpointState> endpoint, OptionalLong earliestNanos, int allowed, int busy) {
+    record Choice(
+            Optional<EndpointState> endpoint, boolean lastResort, OptionalLong earliestNanos, int allowed, int busy) {
         /** Returns why no endpoint is available now. */
         String cause() {
             if (earliestNanos.isPresent()) {
@@ -69,10 +72,10 @@
     /**
      * Selects an endpoint among those that have not been tried.
      *
-     * @param mayAskForPermit whether an endpoint with a limit may be selected
+     * @param mayAskForPermit whether an endpoint with a limit or a ramp may be selected
      */
     Choice choose(Set<String> tried, boolean mayAskForPermit) {
-        List<EndpointState> eligible = services.endpoints().eligible(origin.name());
+        List<EndpointState> eligible = services.endpoints().eligible(origin);
         eligible.removeIf(s -> tried.contains(s.id()));
         List<EndpointState> allowed = services.configuration()
                 .get()
@@ -82,35 +85,50 @@
         int maxConnections = maxConnectionsPerEndpoint();
         List<EndpointState> healthy = new ArrayList<>();
         List<EndpointState> others = new ArrayList<>();
+        List<EndpointState> withoutPermit = new ArrayList<>();
         OptionalLong earliest = OptionalLong.empty();
         int busy = 0;
         boolean anyLimited = allowed.stream().anyMatch(s -> s.limit().isLimited());
         for (EndpointState s : allowed) {
             long acceptsFrom = s.notices().earliestSendTime(now, s.inFlight()).orElse(now);
-            if (anyLimited) {
+            boolean paused = acceptsFrom - now > 0;
+            if (anyLimited || s.limit().needsPermit(now)) {
                 acceptsFrom = Math.max(acceptsFrom, hasRoomFrom(s, mayAskForPermit, now));
             }
-            if (acceptsFrom - now > 0) {
-                earliest = OptionalLong.of(Math.min(acceptsFrom, earliest.orElse(acceptsFrom)));
-            } else if (!s.connections().isFull(maxConnections)
-                    && services.scheduler().hasRoom(s, origin, now)) {
-                (s.health().isUsable(now) ? healthy : others).add(s);
+            boolean full = s.connections().isFull(maxConnections)
+                    || !services.scheduler().hasRoom(s, origin, now);
+            if (acceptsFrom - now <= 0) {
+                if (full) {
+                    busy++;
+                } else {
+                    (s.isUsable(now) ? healthy : others).add(s);
+                }
+            } else if (!paused
+                    && !full
+                    && s.limit().needsPermit(now)
+                    && s.limit().allowsLastResort(now)) {
+                withoutPermit.add(s);
             } else {
-                busy++;
+                earliest = OptionalLong.of(Math.min(acceptsFrom, earliest.orElse(acceptsFrom)));
             }
         }
-        Optional<EndpointState> chosen =
-                services.placement().choose(healthy.isEmpty() ? others : healthy, request, origin, now);
-        return new Choice(chosen, earliest, allowed.size(), busy);
+        boolean lastResort = healthy.isEmpty() && others.isEmpty();
+        List<EndpointState> candidates = lastResort ? withoutPermit : healthy.isEmpty() ? others : healthy;
+        Optional<EndpointState> chosen = services.placement().choose(candidates, request, origin, now);
+        return new Choice(chosen, lastResort, earliest, allowed.size(), busy);
     }
 
     /**
      * Returns whether a selected endpoint still accepts the request when it is about to be sent, which may be some time
      * after the selection because a connection had to be opened. The request already counts as in flight.
+     *
+     * @param permitted whether the request has a permit
+     * @param selectedNanos monotonic time at which the endpoint was selected
      */
-    boolean stillAccepts(EndpointState endpoint) {
+    boolean stillAccepts(EndpointState endpoint, boolean permitted, long selectedNanos) {
         long now = services.time().nanos();
         return endpoint.isEligible()
+                && endpoint.limit().maySend(permitted, selectedNanos, now)
                 && services.configuration()
                         .get()
                         .filter(c -> isPermitted(c, endpoint))
@@ -129,9 +147,9 @@
                         f.exclusion(endpoint, configuration, route, account).isEmpty());
     }
 
-    /** Returns the earliest time at which an endpoint may accept a request while some endpoints have a limit. */
+    /** Returns the earliest time at which an endpoint may accept a request while some endpoints have a limit or a ramp. */
     private long hasRoomFrom(EndpointState s, boolean mayAskForPermit, long now) {
-        if (s.limit().isLimited()) {
+        if (s.limit().needsPermit(now)) {
             long permittedFrom = s.limit().earliestNanos(now);
             return mayAskForPermit ? permittedFrom : Math.max(permittedFrom, now + NOT_ASKED_NANOS);
         }
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
@@ -240,7 +240,7 @@
         }
         EndpointSelector.Choice choice = selector.choose(tried, deniedPermits < MAX_DENIED_PERMITS);
         if (choice.endpoint().isPresent()) {
-            sendIfPermitted(choice.endpoint().get());
+            sendIfPermitted(choice.endpoint().get(), choice.lastResort());
         } else if (wait.canWait(choice, !rejectedBy.isEmpty())) {
             beginWait(choice.cause());
         } else {
@@ -263,15 +263,15 @@
     }
 
     @Override
-    public void sendAfterWait(EndpointState endpoint) {
+    public void sendAfterWait(EndpointState endpoint, boolean lastResort) {
         if (!refuseIfQuarantined()) {
-            sendIfPermitted(endpoint);
+            sendIfPermitted(endpoint, lastResort);
         }
     }
 
-    private void sendIfPermitted(EndpointState endpoint) {
-        if (!endpoint.limit().isLimited()) {
-            send(endpoint);
+    private void sendIfPermitted(EndpointState endpoint, boolean lastResort) {
+        if (lastResort || !endpoint.limit().needsPermit(services.time().nanos())) {
+            send(endpoint, false);
             return;
         }
         services.permits().acquire(endpoint.id(), endpoint.limit(), granted -> {
@@ -279,7 +279,7 @@
                 return;
             }
             if (granted) {
-                send(endpoint);
+                send(endpoint, true);
             } else {
                 deniedPermits++;
                 sendToEndpoint();
@@ -287,10 +287,10 @@
         });
     }
 
-    private void send(EndpointState endpoint) {
+    private void send(EndpointState endpoint, boolean permitted) {
         tries++;
         triesInTurn++;
-        current = new Attempt(endpoint);
+        current = new Attempt(endpoint, permitted);
         current.begin();
     }
 
@@ -462,6 +462,7 @@
     /** One attempt to run the request at one endpoint. */
     private final class Attempt implements AnswerListener {
         private final EndpointState endpoint;
+        private final boolean permitted;
         private final long attemptStartNanos = services.time().nanos();
         private final AnswerObserver observed;
         private final int eventsBefore = events.events();
@@ -477,9 +478,10 @@
         private boolean pauseRequested;
         private long sentNanos;
 
-        Attempt(EndpointState endpoint) {
+        Attempt(EndpointState endpoint, boolean permitted) {
             this.endpoint = endpoint;
             observed = services.performance().observe(endpoint, origin, request, attemptStartNanos);
+            this.permitted = permitted;
         }
 
         void begin() {
@@ -497,7 +499,7 @@
                 endpoint.connections().release(c);
                 return;
             }
-            if (!selector.stillAccepts(endpoint)) {
+            if (!selector.stillAccepts(endpoint, permitted, attemptStartNanos)) {
                 endpoint.connections().release(c);
                 end();
                 onNotRun("endpoint-wants-nothing", false);
@@ -507,7 +509,7 @@
             runs++;
             sentNanos = services.time().nanos();
             endpoint.onRequestSent(this, sentNanos);
-            if (endpoint.limit().isLimited()) {
+            if (permitted) {
                 services.metrics().count("requests_to_limited_endpoints", 1);
             }
             endpoint.prefixCache().onPromptSent(request.parts(), services.time().nanos());
@@ -544,7 +546,7 @@
                 return;
             }
             end();
-            endpoint.health().onUnreachable(services.time().nanos());
+            endpoint.outcomes().onUnreachable(cause, services.time().nanos());
             log("endpoint-unreachable", cause);
             onNotRun(cause, false);
         }
@@ -756,7 +758,7 @@
             if (c != null) {
                 c.close();
             }
-            endpoint.health().onFailure(services.time().nanos());
+            endpoint.outcomes().onBroken(cause, services.time().nanos());
             services.metrics().count("endpoint_breaks", 1);
             services.crashDetector().onInterrupted(endpoint, content, evidenceKey(), unansweredParts());
             log("endpoint-broken", cause);
@@ -776,11 +778,7 @@
             if (pauseRequested) {
                 return;
             }
-            if (good) {
-                endpoint.health().onSuccess();
-            } else {
-                endpoint.health().onFailure(services.time().nanos());
-            }
+            endpoint.outcomes().onAnswered(good, sentNanos, services.time().nanos());
             recordEvidence(good);
         }
 
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
@@ -156,8 +156,11 @@
                 time,
                 e -> connections(loop, e, time, headers, metrics, traffic),
                 notices::read,
-                settings.longestPause());
-        ForwardPushHandler pushes = new ForwardPushHandler(loop, endpoints, new EvacuationTracker(time, metrics));
+                settings.longestPause(),
+                settings.scheduling().enabled());
+        EvacuationTracker evacuations = new EvacuationTracker(time, metrics);
+        endpoints.setEvacuationEnds(evacuations::endedNanos);
+        ForwardPushHandler pushes = new ForwardPushHandler(loop, endpoints, evacuations);
         ControlClient control = closer.register(new ControlClient(transport, settings.members(), pushes));
         ConfigWatch watch =
                 closer.register(new ConfigWatch(control, timer, time, metrics, pushes::onConfigurationApplied));
@@ -351,11 +354,14 @@
             Closer closer) {
         String name = settings.name();
         LimitReader reader = new LimitReader(headers, endpoints, metrics, time);
-        PeerLinks links =
-                closer.register(new PeerLinks(name, transport, new LimitReportHandler(reader::onReported, loop, time)));
+        PeerLinks links = closer.register(new PeerLinks(
+                name, transport, new LimitReportHandler(reader::onReported, endpoints::onRampReported, loop, time)));
         PermitServer server = new PermitServer(name, links, metrics, time);
         PermitClient permits = new PermitClient(
                 name, links, server, reader::onReported, endpoints::routers, loop, metrics, time, random::nextDouble);
+        endpoints.setRampReporter(permits::report);
+        SingleThreadExecutor.repeat(loop, server, SECOND_MS, SECOND_MS);
+        metrics.gauge("ramps", "Ramps that this router coordinates", server::rampsInForce);
         return new Limits(reader, permits, server, links);
     }
 
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/RequestScheduler.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/RequestScheduler.java
@@ -229,8 +229,8 @@
      */
     private boolean hasRoomForOthers(Origin origin) {
         long now = time.nanos();
-        return endpoints.eligible(origin.name()).stream()
-                .anyMatch(s -> s.health().isUsable(now)
+        return endpoints.eligible(origin).stream()
+                .anyMatch(s -> s.isUsable(now)
                         && hasRoom(s, origin, now)
                         && s.listed().getRunning() + s.listed().getWaiting() < slots(s, origin));
     }
@@ -240,7 +240,7 @@
     }
 
     private int running(RequestWait wait) {
-        return endpoints.eligible(wait.admitted().origin().name()).stream()
+        return endpoints.eligible(wait.admitted().origin()).stream()
                 .mapToInt(EndpointState::inFlight)
                 .sum();
     }
@@ -318,7 +318,7 @@
         q.onServed();
         metrics.recordDuration("queue_wait_ms", "sent", (now - entry.enteredNanos()) / MS);
         wait.onLeft(now);
-        wait.sender().sendAfterWait(choice.endpoint().get());
+        wait.sender().sendAfterWait(choice.endpoint().get(), choice.lastResort());
         return true;
     }
 
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/RequestWait.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/RequestWait.java
@@ -28,7 +28,7 @@
         EndpointSelector.Choice choose();
 
         /** Sends the request, which no longer waits. */
-        void sendAfterWait(EndpointState endpoint);
+        void sendAfterWait(EndpointState endpoint, boolean lastResort);
 
         /** Gives up the request, which no longer waits. */
         void giveUp(RefusalReason reason, String cause, Duration retryAfter);
--- a/router/src/test/java/org/ragwortrun/router/internal/forward/EndpointSelectorTest.java
+++ b/router/src/test/java/org/ragwortrun/router/internal/forward/EndpointSelectorTest.java
@@ -32,7 +32,8 @@
             Time.steady(),
             e -> new EndpointConnectionPool(null, null, null, null, null, null),
             (endpoint, head, current) -> {},
-            SECOND);
+            SECOND,
+            false);
 
     /** Guards against a request that is sent after the evacuation began, because its connection was being opened. */
     @Test
@@ -42,12 +43,12 @@
         EndpointSelector selector = selector(Set.of(), Set.of());
         EndpointState chosen = selector.choose(Set.of(), true).endpoint().orElseThrow();
         chosen.onRequestStarted(0);
-        assertThat(selector.stillAccepts(chosen)).isTrue();
+        assertThat(selector.stillAccepts(chosen, false, Time.steady().nanos())).isTrue();
         configure(List.of("n1"));
-        assertThat(selector.stillAccepts(chosen)).isFalse();
+        assertThat(selector.stillAccepts(chosen, false, Time.steady().nanos())).isFalse();
         assertThat(selector.choose(Set.of(), true).allowed()).isEqualTo(0);
         configure(List.of("s1"));
-        assertThat(selector.stillAccepts(chosen)).isTrue();
+        assertThat(selector.stillAccepts(chosen, false, Time.steady().nanos())).isTrue();
     }
 
     /** Guards against a waiting request that leaves the regions to which its route was restricted meanwhile. */
@@ -58,14 +59,14 @@
         EndpointSelector selector = selector(Set.of(), Set.of());
         EndpointState north = endpoints.find("n1").orElseThrow();
         north.onRequestStarted(0);
-        assertThat(selector.stillAccepts(north)).isTrue();
+        assertThat(selector.stillAccepts(north, false, Time.steady().nanos())).isTrue();
         configure(
                 List.of(),
                 section(
                         "forward",
                         "f",
                         Map.of("host", "h", "path", "/", "kind", "once", "to", "o", "regions", "south")));
-        assertThat(selector.stillAccepts(north)).isFalse();
+        assertThat(selector.stillAccepts(north, false, Time.steady().nanos())).isFalse();
         assertThat(choose(selector)).isEqualTo("s1");
         configure(List.of(), section("account", "c", Map.of("regions", "north")));
         assertThat(choose(selector)).isEqualTo("n1");
@@ -115,7 +116,7 @@
         Forward route = new Forward(
                 "f", "h", "/", Forward.Kind.ONCE, false, SECOND, SECOND, SECOND, 0, Map.of(), 1, false, false, ofRoute);
         Account account = new Account("c", Set.of(), OptionalInt.empty(), false, ofAccount);
-        Origin origin = new Origin("o", false, "/", 0, 1, 0, 1);
+        Origin origin = new Origin("o", false, "/", 0, 1, 0, 1, Duration.ZERO, 0);
         CallerRequest request = new CallerRequest(
                 "q",
                 "h",
--- a/router/src/test/java/org/ragwortrun/router/internal/forward/PerformanceMessagesTest.java
+++ b/router/src/test/java/org/ragwortrun/router/internal/forward/PerformanceMessagesTest.java
@@ -12,8 +12,8 @@
 import org.ragwortrun.net.Address;
 import org.ragwortrun.proto.EndpointPerformance;
 import org.ragwortrun.proto.ListedEndpoint;
-import org.ragwortrun.router.internal.host.TrafficMeter;
 import org.ragwortrun.proto.PerformanceReport;
+import org.ragwortrun.router.internal.host.TrafficMeter;
 
 final class PerformanceMessagesTest {
     private static final long MS = 1_000_000L;
@@ -135,7 +135,8 @@
                             new ConnectionEvents(Metrics.local()),
                             new TrafficMeter(false)),
                     (endpoint, head, current) -> {},
-                    Duration.ZERO);
+                    Duration.ZERO,
+                    false);
             List<ListedEndpoint> list = new ArrayList<>();
             for (int i = 0; i < count; i++) {
                 list.add(ListedEndpoint.newBuilder()
