Delay the claim in the test of the check at dispatch

Cause: a trial without the check passed the test, because the request was refused for want of tokens and never reached the dispatch. Change: the fake control member ignores only claims, a request before the order shows that it is dispatched without one, and the refusal must be no-endpoint.

--- a/router/src/test/java/org/ragwortrun/router/AgentEvacuationTest.java
+++ b/router/src/test/java/org/ragwortrun/router/AgentEvacuationTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -65,16 +66,18 @@
     /** Guards against a request that is dispatched after the evacuation began, because its claim has taken time. */
     @Test
     void requestIsCheckedAgainWhenItIsDispatched() throws Exception {
-        assertThat(harness.get("/orders/1").statusCode()).isEqualTo(200);
-        harness.control.ignoresShardRequests = true;
-        CompletableFuture<HttpResponse<String>> answer = harness.sendAsync(harness.request("/orders/2")
-                .header("Idempotency-Key", RouterHarness.key("k"))
-                .GET());
-        // The register is unreachable only after 1.5 s; then the request would be dispatched without a claim.
+        harness.control.ignoresClaims = true;
+        HttpRequest.Builder order = harness.request("/orders/1").GET();
+        // Without the register, a request that may be repeated is dispatched without a claim after 1.5 s.
+        assertThat(harness.send(order.copy().header("Idempotency-Key", RouterHarness.key("k1")))
+                        .statusCode())
+                .isEqualTo(200);
+        CompletableFuture<HttpResponse<String>> answer =
+                harness.sendAsync(order.copy().header("Idempotency-Key", RouterHarness.key("k2")));
         TimeUnit.MILLISECONDS.sleep(500);
         assertThat(answer.isDone()).isFalse();
         harness.control.evacuate("a", true);
-        assertThat(answer.get().statusCode()).isEqualTo(503);
+        assertNoEndpoint(answer.get());
         assertThat(harness.orders.dispatches).hasSize(1);
     }
 
--- a/router/src/test/java/org/ragwortrun/router/FakeControl.java
+++ b/router/src/test/java/org/ragwortrun/router/FakeControl.java
@@ -43,6 +43,7 @@
     final List<ShardCommand> commands = new CopyOnWriteArrayList<>();
     volatile boolean leased = true;
     volatile boolean ignoresShardRequests;
+    volatile boolean ignoresClaims;
     volatile boolean ignoresCrashReports;
     volatile boolean ignoresWatches;
     // Answers no call about the configuration.
@@ -158,7 +159,9 @@
                             .setExplanation(shard(f.getShardRequest().getGroup())
                                     .explain(f.getShardRequest().getExplain())))
                     .build());
-        } else if (f.hasShardRequest() && !ignoresShardRequests) {
+        } else if (f.hasShardRequest()
+                && !ignoresShardRequests
+                && !(ignoresClaims && f.getShardRequest().getCommand().hasClaim())) {
             ShardCommand command = f.getShardRequest().getCommand().toBuilder()
                     .setNowMs(System.currentTimeMillis())
                     .build();
