--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
@@ -189,15 +189,11 @@
         TokenSource tokens = local;
         Limits limits = limits(settings, headers, endpoints, transport, loop, metrics, time, random, closer);
         PeerLinks links = limits.links();
-        WithdrawalServer withdrawals = new WithdrawalServer(settings.name(), settings.dataCenter(), links, time);
         if (settings.peers().isPresent()) {
             pushes.setPeerLinks(links);
             grants.useHomesIf(links::hasHomes);
             tokens = new PooledTokens(settings.name(), incarnation, local, links, timer, time);
-            closer.register(
-                    transport.listen(settings.peers().get(), new PeerFrames(home, limits.server(), withdrawals)));
-            SingleThreadExecutor.repeat(timer, home, SECOND_MS, SECOND_MS);
-            SingleThreadExecutor.repeat(timer, withdrawals, SECOND_MS, SECOND_MS);
+            servePeers(settings.peers().get(), transport, home, limits, timer, closer);
         }
         EvidenceCollector evidence = new EvidenceCollector(control);
         ContentQuarantine quarantine = new ContentQuarantine(watch::crashTimes, time);
@@ -229,15 +225,10 @@
                 loop,
                 new AfterReadExecutor(loop),
                 random::nextDouble);
-        HostGuard guard = guard(
-                settings,
-                traffic,
-                new WithdrawalClient(settings.name(), settings.dataCenter(), links, withdrawals),
-                loop,
-                metrics,
-                time);
-        RequestAdmission admission =
-                new RequestAdmission(services, Runtime.getRuntime().maxMemory() / MEMORY_HEAP_SHARE, guard);
+        RequestAdmission admission = new RequestAdmission(
+                services,
+                Runtime.getRuntime().maxMemory() / MEMORY_HEAP_SHARE,
+                guard(settings, traffic, limits, loop, metrics, time));
         pushes.connect(watch, grants);
         pushes.setConfigurationListener(admission::recheckQuarantine);
         watch.setConfirmationListener(() -> loop.execute(admission::onConfirmed));
@@ -274,17 +265,18 @@
     }
 
     private static HostGuard guard(
-            ForwardSettings settings,
-            TrafficMeter traffic,
-            WithdrawalClient withdrawals,
-            EventLoop loop,
-            Metrics metrics,
-            Time time) {
+            ForwardSettings settings, TrafficMeter traffic, Limits limits, EventLoop loop, Metrics metrics, Time time) {
         if (!settings.scheduling().watchesHost()) {
             return HostGuard.NONE;
         }
         MeasuredHost host = new MeasuredHost(
-                settings.scheduling().capacity(), traffic, ProcessorTime.ofProcess(), withdrawals, loop, metrics, time);
+                settings.scheduling().capacity(),
+                traffic,
+                ProcessorTime.ofProcess(),
+                new WithdrawalClient(settings.name(), settings.dataCenter(), limits.links(), limits.withdrawals()),
+                loop,
+                metrics,
+                time);
         host.addGauges();
         SingleThreadExecutor.repeat(loop, host, MeasuredHost.INTERVAL_MS, MeasuredHost.INTERVAL_MS);
         return host;
@@ -298,12 +290,31 @@
         metrics.gauge("pending_settlements", "Bills that no shard has acknowledged", settlements::pending);
     }
 
+    private static void servePeers(
+            Address address,
+            Transport transport,
+            HomeServer home,
+            Limits limits,
+            ScheduledExecutorService timer,
+            Closer closer)
+            throws TransportException {
+        closer.register(transport.listen(address, new PeerFrames(home, limits.server(), limits.withdrawals())));
+        SingleThreadExecutor.repeat(timer, home, SECOND_MS, SECOND_MS);
+        SingleThreadExecutor.repeat(timer, limits.withdrawals(), SECOND_MS, SECOND_MS);
+    }
+
     /**
-     * Components that keep requests within the limits of endpoints.
+     * Components that keep requests within the limits of endpoints and of data centers.
      *
+     * @param withdrawals decides which routers of the data center may leave the rotation
      * @param links connections to the routers that coordinate limits
      */
-    private record Limits(LimitReader reader, PermitClient permits, PermitServer server, PeerLinks links) {}
+    private record Limits(
+            LimitReader reader,
+            PermitClient permits,
+            PermitServer server,
+            WithdrawalServer withdrawals,
+            PeerLinks links) {}
 
     private static Limits limits(
             ForwardSettings settings,
@@ -322,7 +333,8 @@
         PermitServer server = new PermitServer(name, links, metrics, time);
         PermitClient permits = new PermitClient(
                 name, links, server, reader::onReported, endpoints::routers, loop, metrics, time, random::nextDouble);
-        return new Limits(reader, permits, server, links);
+        return new Limits(
+                reader, permits, server, new WithdrawalServer(name, settings.dataCenter(), links, time), links);
     }
 
     private static void readOwnList(EndpointSource source, EndpointTable endpoints, EventLoop loop, Closer closer) {
