Check the control of shedding on five seeds, and urgent and unknown callers over sockets

Cause: the test compared a single smoothed reading, which random arrivals move by a seventh, and allowed 0.85 of the capacity where the link receives; nothing covered priorities and unknown keys over real connections.

Change: the mean of the second after the start of the overload must be within 0.1 of the target of 0.92, and 0.9 of the capacity must be served in both directions, with five seeds.

--- a/router/src/test/java/org/ragwortrun/router/OverloadedHostTest.java
+++ b/router/src/test/java/org/ragwortrun/router/OverloadedHostTest.java
@@ -114,6 +114,53 @@
         assertThat(awaitReadiness(hot, true, 2 * ForwardHarness.TIMEOUT_MS)).isTrue();
     }
 
+    /** Guards against urgent requests that are refused while less urgent ones are served. */
+    @Test
+    void urgentRequestsAreServed() throws Exception {
+        harness.control.putSection(
+                "forward",
+                "urgent",
+                Map.of(
+                        "host",
+                        "h",
+                        "path",
+                        "/urgent/",
+                        "kind",
+                        "idempotent",
+                        "to",
+                        "o",
+                        "timeout",
+                        "3s",
+                        "priority",
+                        "0"));
+        ForwardHarness.Router router = harness.startRouter("r1", SMALL_LINK);
+        load(router);
+        int refused = 0;
+        for (int i = 0; i < ATTEMPTS; i++) {
+            refused += router.send(request("s" + i, "Connection: close\r\n")).startsWith("HTTP/1.1 503") ? 1 : 0;
+            if (i % 4 == 0) {
+                String urgent = request("t" + i, "Connection: close\r\n").replace("/read/", "/urgent/");
+                assertThat(router.send(urgent)).startsWith("HTTP/1.1 200");
+            }
+            Thread.sleep(LOAD_PAUSE_MS);
+        }
+        assertThat(refused).isAtLeast(5);
+    }
+
+    /** Guards against a final refusal that is hidden by one that invites a retry. */
+    @Test
+    void unknownKeyIsRefusedAsSuchDuringOverload() throws Exception {
+        ForwardHarness.Router router = harness.startRouter("r1", SMALL_LINK);
+        load(router);
+        int refused = 0;
+        for (int i = 0; i < ATTEMPTS; i++) {
+            String request = request("k" + i, "Connection: close\r\n");
+            refused += router.send(request).startsWith("HTTP/1.1 503") ? 1 : 0;
+            assertThat(router.send(request.replace("secret", "no"))).startsWith("HTTP/1.1 401");
+        }
+        assertThat(refused).isAtLeast(5);
+    }
+
     /** Guards against refusals where the settings do not enable them. */
     @Test
     void routerWithoutSchedulingRefusesNothing() throws Exception {
--- a/routing/src/test/java/org/ragwortrun/routing/LoadShedderTest.java
+++ b/routing/src/test/java/org/ragwortrun/routing/LoadShedderTest.java
@@ -6,6 +6,8 @@
 import java.util.Map;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests the shedding of requests by a simulated host whose link transmits answers in order. */
 final class LoadShedderTest {
@@ -45,14 +47,18 @@
     }
 
     /** Guards against a link that stays full, and against refusals of requests that could be served. */
-    @Test
-    void bringsUtilizationToTargetWithinSecond() {
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5})
+    void bringsUtilizationToTargetWithinSecond(long seed) {
+        random.setSeed(seed);
         Source urgent = new Source("a", 0, 0.4 * CAPACITY_PER_SECOND);
         Source normal = new Source("a", 1, 0.4 * CAPACITY_PER_SECOND);
         Source least = new Source("a", 2, 0.6 * CAPACITY_PER_SECOND);
         run(1, false, urgent, normal, least);
-        assertThat(load.utilization().link()).isAtMost(1.0);
-        run(9, false, urgent, normal, least);
+        long bytes = queuedBytes;
+        run(1, false, urgent, normal, least);
+        assertThat((queuedBytes - bytes) / LINK).isWithin(0.1).of(0.92);
+        run(8, false, urgent, normal, least);
         assertThat(total(served)).isAtLeast((int) (0.9 * 10 * CAPACITY_PER_SECOND));
         assertThat(served.get("a0")).isAtLeast((int) (0.99 * sent.get("a0")));
         assertThat(served.get("a1")).isAtLeast((int) (0.95 * sent.get("a1")));
@@ -61,11 +67,13 @@
     }
 
     /** Guards against a link whose excess cannot be measured, because it receives no more than its capacity. */
-    @Test
-    void drainsReceivingLinkThatIsFull() {
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5})
+    void drainsReceivingLinkThatIsFull(long seed) {
+        random.setSeed(seed);
         run(2, true, new Source("a", 1, 1.4 * CAPACITY_PER_SECOND));
         run(8, true, new Source("a", 1, 1.4 * CAPACITY_PER_SECOND));
-        assertThat(total(served)).isAtLeast((int) (0.85 * 10 * CAPACITY_PER_SECOND));
+        assertThat(total(served)).isAtLeast((int) (0.9 * 10 * CAPACITY_PER_SECOND));
         assertThat(maxWaitAfterFirstSeconds).isLessThan(0.8);
         assertThat(Math.max(0, linkFree - now)).isLessThan(200 * MS);
     }
