--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
@@ -194,7 +194,6 @@
                 new PerformanceTable(settings.scheduling().enabled(), endpoints);
         Limits limits = limits(settings, headers, endpoints, transport, loop, metrics, time, random, closer);
         PeerLinks links = limits.links();
-        WithdrawalServer withdrawals = new WithdrawalServer(settings.name(), settings.dataCenter(), links, time);
         if (settings.peers().isPresent()) {
             pushes.setPeerLinks(links);
             grants.useHomesIf(links::hasHomes);
@@ -209,13 +208,13 @@
                     metrics,
                     time);
             closer.register(transport.listen(
-                    settings.peers().get(), new PeerFrames(home, limits.server(), withdrawals, sharing)));
+                    settings.peers().get(), new PeerFrames(home, limits.server(), limits.withdrawals(), sharing)));
             if (performance.isEnabled()) {
                 SingleThreadExecutor.repeat(
                         loop, sharing::report, PerformanceSharing.TICK_MS, PerformanceSharing.TICK_MS);
             }
             SingleThreadExecutor.repeat(timer, home, SECOND_MS, SECOND_MS);
-            SingleThreadExecutor.repeat(timer, withdrawals, SECOND_MS, SECOND_MS);
+            SingleThreadExecutor.repeat(timer, limits.withdrawals(), SECOND_MS, SECOND_MS);
         }
         EvidenceCollector evidence = new EvidenceCollector(control);
         ContentQuarantine quarantine = new ContentQuarantine(watch::crashTimes, time);
@@ -251,15 +250,10 @@
                 loop,
                 new AfterReadExecutor(loop),
                 random::nextDouble);
-        HostGuard guard = guard(
-                settings,
-                traffic,
-                new WithdrawalClient(settings.name(), settings.dataCenter(), links, withdrawals),
-                loop,
-                metrics,
-                time);
-        RequestAdmission admission =
-                new RequestAdmission(services, Runtime.getRuntime().maxMemory() / MEMORY_HEAP_SHARE, guard);
+        RequestAdmission admission = new RequestAdmission(
+                services,
+                Runtime.getRuntime().maxMemory() / MEMORY_HEAP_SHARE,
+                guard(settings, traffic, limits, loop, metrics, time));
         pushes.connect(watch, grants);
         pushes.setConfigurationListener(admission::recheckQuarantine);
         watch.setConfirmationListener(() -> loop.execute(admission::onConfirmed));
@@ -300,17 +294,18 @@
     }
 
     private static HostGuard guard(
-            ForwardSettings settings,
-            TrafficMeter traffic,
-            WithdrawalClient withdrawals,
-            EventLoop loop,
-            Metrics metrics,
-            Time time) {
+            ForwardSettings settings, TrafficMeter traffic, Limits limits, EventLoop loop, Metrics metrics, Time time) {
         if (!settings.scheduling().watchesHost()) {
             return HostGuard.NONE;
         }
         MeasuredHost host = new MeasuredHost(
-                settings.scheduling().capacity(), traffic, ProcessorTime.ofProcess(), withdrawals, loop, metrics, time);
+                settings.scheduling().capacity(),
+                traffic,
+                ProcessorTime.ofProcess(),
+                new WithdrawalClient(settings.name(), settings.dataCenter(), limits.links(), limits.withdrawals()),
+                loop,
+                metrics,
+                time);
         host.addGauges();
         SingleThreadExecutor.repeat(loop, host, MeasuredHost.INTERVAL_MS, MeasuredHost.INTERVAL_MS);
         return host;
@@ -336,11 +331,17 @@
     }
 
     /**
-     * Components that keep requests within the limits of endpoints.
+     * Components that keep requests within the limits of endpoints and of data centers.
      *
+     * @param withdrawals decides which routers of the data center may leave the rotation
      * @param links connections to the routers that coordinate limits
      */
-    private record Limits(LimitReader reader, PermitClient permits, PermitServer server, PeerLinks links) {}
+    private record Limits(
+            LimitReader reader,
+            PermitClient permits,
+            PermitServer server,
+            WithdrawalServer withdrawals,
+            PeerLinks links) {}
 
     private static Limits limits(
             ForwardSettings settings,
@@ -362,7 +363,8 @@
         endpoints.setRampReporter(permits::report);
         SingleThreadExecutor.repeat(loop, server, SECOND_MS, SECOND_MS);
         metrics.gauge("ramps", "Ramps that this router coordinates", server::rampsInForce);
-        return new Limits(reader, permits, server, links);
+        return new Limits(
+                reader, permits, server, new WithdrawalServer(name, settings.dataCenter(), links, time), links);
     }
 
     private static void readOwnList(EndpointSource source, EndpointTable endpoints, EventLoop loop, Closer closer) {
