Explain where a router would send a request

Cause: an operator cannot see which endpoints a router would consider for a request, nor what excludes the others. Change: ragwortrun explain-route asks a running router at peers.address, which answers on its event loop from the same selection as for a request. Nothing is sent to an endpoint and no token is reserved; budgets and quarantined contents are not considered. Peers are served once all parts of a router exist.

--- a/cli/src/main/java/org/ragwortrun/cli/internal/Program.java
+++ b/cli/src/main/java/org/ragwortrun/cli/internal/Program.java
@@ -17,7 +17,7 @@
 
 /** Selects the subcommand, prints help and maps failures to exit codes. */
 public final class Program {
-    private static final int NAME_WIDTH = 12;
+    private static final int NAME_WIDTH = 15;
     private static final int OPTION_WIDTH = 26;
 
     private final List<Command> commands;
@@ -40,6 +40,7 @@
                         new MovesCommand(),
                         new StatementCommand(),
                         new ExplainCommand(),
+                        new ExplainRouteCommand(),
                         new DaemonCommand("router", "run a router on an entry host", RouterDaemon::start),
                         new DaemonCommand("agent", "run an agent beside an endpoint", AgentDaemon::start),
                         new DaemonCommand("control", "run a control member", ControlDaemon::start)),
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointSelector.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointSelector.java
@@ -109,7 +109,7 @@
     }
 
     /** Returns how many connections this router may open to each endpoint: its share of what the endpoint accepts. */
-    private int maxConnectionsPerEndpoint() {
+    int maxConnectionsPerEndpoint() {
         int routers = Math.max(1, services.endpoints().routers());
         return origin.maxConnections() == 0
                 ? Integer.MAX_VALUE
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
@@ -185,20 +185,6 @@
             pushes.setPeerLinks(links);
             grants.useHomesIf(links::hasHomes);
             tokens = new PooledTokens(settings.name(), incarnation, local, links, timer, time);
-            PerformanceSharing sharing = new PerformanceSharing(
-                    settings.name(),
-                    settings.dataCenter(),
-                    links,
-                    new PerformanceMessages(endpoints, performance),
-                    endpoints,
-                    loop,
-                    metrics,
-                    time);
-            closer.register(transport.listen(settings.peers().get(), new PeerFrames(home, limits.server(), sharing)));
-            if (performance.isEnabled()) {
-                SingleThreadExecutor.repeat(
-                        loop, sharing::report, PerformanceSharing.TICK_MS, PerformanceSharing.TICK_MS);
-            }
             SingleThreadExecutor.repeat(timer, home, SECOND_MS, SECOND_MS);
         }
         EvidenceCollector evidence = new EvidenceCollector(control);
@@ -233,6 +219,24 @@
                 loop,
                 new AfterReadExecutor(loop),
                 random::nextDouble);
+        if (settings.peers().isPresent()) {
+            PerformanceSharing sharing = new PerformanceSharing(
+                    settings.name(),
+                    settings.dataCenter(),
+                    links,
+                    new PerformanceMessages(endpoints, performance),
+                    endpoints,
+                    loop,
+                    metrics,
+                    time);
+            closer.register(transport.listen(
+                    settings.peers().get(),
+                    new PeerFrames(home, limits.server(), sharing, new RouteExplainer(services, loop))));
+            if (performance.isEnabled()) {
+                SingleThreadExecutor.repeat(
+                        loop, sharing::report, PerformanceSharing.TICK_MS, PerformanceSharing.TICK_MS);
+            }
+        }
         RequestAdmission admission =
                 new RequestAdmission(services, Runtime.getRuntime().maxMemory() / MEMORY_HEAP_SHARE);
         pushes.connect(watch, grants);
--- a/router/src/main/java/org/ragwortrun/router/internal/pool/PeerFrames.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/pool/PeerFrames.java
@@ -1,5 +1,6 @@
 package org.ragwortrun.router.internal.pool;
 
+import java.util.stream.Stream;
 import org.ragwortrun.net.FrameHandler;
 import org.ragwortrun.net.Peer;
 import org.ragwortrun.proto.Frame;
@@ -10,27 +11,35 @@
  * @param reservations handles reservations of tokens
  * @param permits handles requests for permits
  * @param performance handles reports of what routers have learned about endpoints
+ * @param routes handles questions about where a request would be sent
  */
-public record PeerFrames(FrameHandler reservations, FrameHandler permits, FrameHandler performance)
+public record PeerFrames(FrameHandler reservations, FrameHandler permits, FrameHandler performance, FrameHandler routes)
         implements FrameHandler {
     @Override
     public void onConnected(Peer peer) {
-        reservations.onConnected(peer);
-        permits.onConnected(peer);
-        performance.onConnected(peer);
+        all().forEach(h -> h.onConnected(peer));
     }
 
     @Override
     public void onFrame(Peer peer, Frame frame) {
-        FrameHandler handler =
-                frame.hasPermitRequest() ? permits : frame.hasPerformanceReport() ? performance : reservations;
-        handler.onFrame(peer, frame);
+        receiver(frame).onFrame(peer, frame);
+    }
+
+    private FrameHandler receiver(Frame frame) {
+        return switch (frame.getBodyCase()) {
+            case PERMIT_REQUEST -> permits;
+            case PERFORMANCE_REPORT -> performance;
+            case ROUTE_QUERY -> routes;
+            default -> reservations;
+        };
     }
 
     @Override
     public void onClosed(Peer peer) {
-        reservations.onClosed(peer);
-        permits.onClosed(peer);
-        performance.onClosed(peer);
+        all().forEach(h -> h.onClosed(peer));
+    }
+
+    private Stream<FrameHandler> all() {
+        return Stream.of(reservations, permits, performance, routes);
     }
 }
--- a/router/src/test/java/org/ragwortrun/router/ForwardHarness.java
+++ b/router/src/test/java/org/ragwortrun/router/ForwardHarness.java
@@ -145,7 +145,7 @@
                 .setDataCenter("dc")
                 .setAddress(peers.toString())
                 .build());
-        return new Router(daemon, port);
+        return new Router(daemon, port, peers);
     }
 
     /** Sends the lists of endpoints and routers to all routers, as the leader does. */
@@ -193,8 +193,8 @@
         closer.close();
     }
 
-    /** A started router and the port for its callers. */
-    record Router(ForwardDaemon daemon, int port) {
+    /** A started router, the port for its callers, and the address for other routers. */
+    record Router(ForwardDaemon daemon, int port, Address peers) {
         /** Sends a request and returns the complete answer, which is empty if the connection was closed without one. */
         String send(String request) throws IOException {
             return send(request, TIMEOUT_MS);
