--- a/measure/src/main/java/org/ragwortrun/measure/routing/RoutingRun.java
+++ b/measure/src/main/java/org/ragwortrun/measure/routing/RoutingRun.java
@@ -237,7 +237,7 @@
         private final SimulatedView view;
         private final boolean counted;
         private final long sentNanos = events.nanos();
-        private final long tokens;
+        private final double tokens;
         private final int uncached;
         private boolean begun;
 
@@ -247,7 +247,7 @@
             this.counted = counted;
             long pending = view.pendingTokens();
             uncached = view.onSent(this, request.parts(), sentNanos);
-            tokens = pending + uncached;
+            tokens = (double) pending + uncached;
         }
 
         @Override
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/AnswerObserver.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/AnswerObserver.java
@@ -17,7 +17,7 @@
     private final EndpointState endpoint;
     private final Origin origin;
     private final long sentNanos;
-    private final long tokens;
+    private final double tokens;
     private long firstEventNanos;
     private int firstEvents;
     private boolean gapKnown;
@@ -44,7 +44,7 @@
         for (PromptPart p : parts) {
             uncached += p.tokens();
         }
-        tokens = endpoint.pendingTokens() + Math.max(0, uncached);
+        tokens = (double) endpoint.pendingTokens() + Math.max(0, uncached);
     }
 
     /**
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
@@ -219,24 +219,7 @@
                 loop,
                 new AfterReadExecutor(loop),
                 random::nextDouble);
-        if (settings.peers().isPresent()) {
-            PerformanceSharing sharing = new PerformanceSharing(
-                    settings.name(),
-                    settings.dataCenter(),
-                    links,
-                    new PerformanceMessages(endpoints, performance),
-                    endpoints,
-                    loop,
-                    metrics,
-                    time);
-            closer.register(transport.listen(
-                    settings.peers().get(),
-                    new PeerFrames(home, limits.server(), sharing, new RouteExplainer(services, loop))));
-            if (performance.isEnabled()) {
-                SingleThreadExecutor.repeat(
-                        loop, sharing::report, PerformanceSharing.TICK_MS, PerformanceSharing.TICK_MS);
-            }
-        }
+        connectPeers(settings, home, limits, services, transport, closer);
         RequestAdmission admission =
                 new RequestAdmission(services, Runtime.getRuntime().maxMemory() / MEMORY_HEAP_SHARE);
         pushes.connect(watch, grants);
@@ -245,14 +228,9 @@
         watch.start(settings.confirmInterval());
         sessions.open();
         SingleThreadExecutor.repeat(timer, evidence, SECOND_MS, SECOND_MS);
-        SingleThreadExecutor.repeat(loop, admission::closeIdle, SECOND_MS, SECOND_MS);
-        SingleThreadExecutor.repeat(loop, endpoints::closeExpired, SECOND_MS, SECOND_MS);
+        closeIdleConnections(loop, admission, endpoints);
         readOwnList(source, endpoints, loop, closer);
         addGauges(metrics, admission, home, settlements);
-        if (performance.isEnabled()) {
-            performance.addGauges(metrics);
-            SingleThreadExecutor.repeat(loop, () -> performance.updateGauges(time.nanos()), SECOND_MS, SECOND_MS);
-        }
         ProblemWriter problems = new ProblemWriter(new ObjectMapper());
         Closer listeners = closer.register(new Closer());
         listen(
@@ -276,6 +254,47 @@
         return new ForwardRouter(settings, time, admission, home, loop, listeners, closer);
     }
 
+    /** Publishes what is learned about endpoints to metrics and to other routers, and listens to the latter. */
+    private static void connectPeers(
+            ForwardSettings settings,
+            HomeServer home,
+            Limits limits,
+            ForwardServices services,
+            Transport transport,
+            Closer closer)
+            throws TransportException {
+        EventLoop loop = services.loop();
+        PerformanceTable performance = services.performance();
+        if (performance.isEnabled()) {
+            performance.addGauges(services.metrics());
+            SingleThreadExecutor.repeat(
+                    loop, () -> performance.updateGauges(services.time().nanos()), SECOND_MS, SECOND_MS);
+        }
+        if (settings.peers().isEmpty()) {
+            return;
+        }
+        PerformanceSharing sharing = new PerformanceSharing(
+                settings.name(),
+                settings.dataCenter(),
+                limits.links(),
+                new PerformanceMessages(services.endpoints(), performance),
+                services.endpoints(),
+                loop,
+                services.metrics(),
+                services.time());
+        closer.register(transport.listen(
+                settings.peers().get(),
+                new PeerFrames(home, limits.server(), sharing, new RouteExplainer(services, loop))));
+        if (performance.isEnabled()) {
+            SingleThreadExecutor.repeat(loop, sharing::report, PerformanceSharing.TICK_MS, PerformanceSharing.TICK_MS);
+        }
+    }
+
+    private static void closeIdleConnections(EventLoop loop, RequestAdmission admission, EndpointTable endpoints) {
+        SingleThreadExecutor.repeat(loop, admission::closeIdle, SECOND_MS, SECOND_MS);
+        SingleThreadExecutor.repeat(loop, endpoints::closeExpired, SECOND_MS, SECOND_MS);
+    }
+
     private static EndpointPlacement placement(
             ForwardSettings settings,
             EndpointTable endpoints,
