Count rejections, and expect whole answers to take longer than first events

Cause: an endpoint that rejects most requests and answers the others fast looked as fast as its peers. On an origin with streams and other answers, a whole answer that was awaited looked late beside first events, and its endpoint got less. The log line on a changed factor came too often with noisy answers. Change: a rejection without Retry-After counts as five times the predicted time; a wait is compared with the longer of both predictions; the line needs a factor of two and 10 s.

--- a/router/src/main/java/org/ragwortrun/router/internal/forward/LearnedPlacement.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/LearnedPlacement.java
@@ -111,7 +111,7 @@
         double factor = target.performance().factor(now);
         // An answer that is late is evidence before it arrives.
         double pending = target.pendingTokens();
-        double expectedWait = factor * origin.predictMs(pending);
+        double expectedWait = factor * origin.predictWaitMs(pending);
         double late = target.waitedNanos(now) / 1e6 / expectedWait;
         factor *= Math.max(1, Math.min(MAX_LATE_RATIO, late));
         int running = Math.max(target.inFlight(), target.reported());
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/NoticeReader.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/NoticeReader.java
@@ -64,6 +64,8 @@
         String retryAfter = headers.get(HttpHeaderNames.RETRY_AFTER);
         if (current && status == UNAVAILABLE && retryAfter != null) {
             onPauseRequested(endpoint, retryAfter);
+        } else if (current && requestHeaders.isNotRun(headers)) {
+            endpoint.performance().onRejected(time.nanos());
         }
     }
 
--- a/routing/src/main/java/org/ragwortrun/routing/EndpointPerformance.java
+++ b/routing/src/main/java/org/ragwortrun/routing/EndpointPerformance.java
@@ -28,8 +28,11 @@
     private static final double MAX_FACTOR = 20;
     // The factor changes little in this time unless answers arrive. Saves the computation in most decisions.
     private static final long CACHED_NANOS = 50_000_000L;
-    private static final long LOG_INTERVAL_NANOS = 5_000_000_000L;
-    private static final double LOG_CHANGE = 1.5;
+    // Answers of a busy endpoint vary by less, so that lines show lasting changes.
+    private static final double LOG_CHANGE = 2;
+    private static final long LOG_INTERVAL_NANOS = 10_000_000_000L;
+    // A full endpoint is worse than a slow one, which still answers.
+    private static final double REJECTION_RATIO = 5;
 
     private final long createdNanos;
     private final DecayedMean recent = new DecayedMean(RECENT_HALF_LIFE_NANOS, MAX_RECENT_WEIGHT);
@@ -75,6 +78,14 @@
         cached = false;
     }
 
+    /**
+     * Records that the endpoint has rejected a request because it is full. Otherwise one that rejects most requests and
+     * answers the others fast would look fast.
+     */
+    public void onRejected(long now) {
+        record(REJECTION_RATIO, 1, 1, now);
+    }
+
     /** Returns the expected duration of an answer relative to the mean of the origin. */
     public double factor(long now) {
         if (!cached || now - cachedNanos > CACHED_NANOS) {
--- a/routing/src/main/java/org/ragwortrun/routing/OriginPerformance.java
+++ b/routing/src/main/java/org/ragwortrun/routing/OriginPerformance.java
@@ -64,6 +64,15 @@
         return model().predict(tokens);
     }
 
+    /**
+     * Returns the expected time until an endpoint of mean speed has either begun a stream or given another answer, in
+     * milliseconds. An answer that is no stream takes longer than the first event of one, and both may be awaited.
+     */
+    public double predictWaitMs(double tokens) {
+        double first = model().predict(tokens);
+        return durations.weight() > 0 ? Math.max(first, durations.predict(tokens)) : first;
+    }
+
     /** Returns the part of the expected time that does not depend on the prompt, in milliseconds. */
     public double baseMs() {
         return model().baseMs();
--- a/routing/src/test/java/org/ragwortrun/routing/OriginPerformanceTest.java
+++ b/routing/src/test/java/org/ragwortrun/routing/OriginPerformanceTest.java
@@ -58,6 +58,19 @@
         assertThat(endpoints[0].factor(now) / endpoints[1].factor(now)).isGreaterThan(1.7);
     }
 
+    /** Streams and other answers of one origin: a whole answer that is awaited looks late beside first events. */
+    @Test
+    void expectsToWaitForWholeAnswers() {
+        long now = play(0, 400, 1);
+        double first = origin.predictWaitMs(1_000);
+        assertThat(first).isEqualTo(origin.predictMs(1_000));
+        for (int i = 0; i < 100; i++) {
+            origin.onAnswer(endpoints[i % ENDPOINTS], 1_000, 2_000 * MS, now);
+        }
+        assertThat(origin.predictMs(1_000)).isEqualTo(first);
+        assertThat(origin.predictWaitMs(1_000)).isWithin(200).of(2_000);
+    }
+
     /** Streams that begin in time but continue slowly. */
     @Test
     void learnsFromGaps() {
