--- a/router/src/main/java/org/ragwortrun/router/internal/pool/PeerFrames.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/pool/PeerFrames.java
@@ -1,5 +1,6 @@
 package org.ragwortrun.router.internal.pool;
 
+import java.util.stream.Stream;
 import org.ragwortrun.net.FrameHandler;
 import org.ragwortrun.net.Peer;
 import org.ragwortrun.proto.Frame;
@@ -11,38 +12,41 @@
  * @param permits handles requests for permits
  * @param withdrawals handles requests to leave the rotation of the load balancer
  * @param performance handles reports of what routers have learned about endpoints
+ * @param routes handles questions about where a request would be sent
  */
 public record PeerFrames(
-        FrameHandler reservations, FrameHandler permits, FrameHandler withdrawals, FrameHandler performance)
+        FrameHandler reservations,
+        FrameHandler permits,
+        FrameHandler withdrawals,
+        FrameHandler performance,
+        FrameHandler routes)
         implements FrameHandler {
     @Override
     public void onConnected(Peer peer) {
-        reservations.onConnected(peer);
-        permits.onConnected(peer);
-        withdrawals.onConnected(peer);
-        performance.onConnected(peer);
+        all().forEach(h -> h.onConnected(peer));
     }
 
     @Override
     public void onFrame(Peer peer, Frame frame) {
-        handler(frame).onFrame(peer, frame);
+        receiver(frame).onFrame(peer, frame);
+    }
+
+    private FrameHandler receiver(Frame frame) {
+        return switch (frame.getBodyCase()) {
+            case PERMIT_REQUEST -> permits;
+            case WITHDRAWAL_REQUEST -> withdrawals;
+            case PERFORMANCE_REPORT -> performance;
+            case ROUTE_QUERY -> routes;
+            default -> reservations;
+        };
     }
 
     @Override
     public void onClosed(Peer peer) {
-        reservations.onClosed(peer);
-        permits.onClosed(peer);
-        withdrawals.onClosed(peer);
-        performance.onClosed(peer);
+        all().forEach(h -> h.onClosed(peer));
     }
 
-    private FrameHandler handler(Frame frame) {
-        if (frame.hasWithdrawalRequest()) {
-            return withdrawals;
-        }
-        if (frame.hasPerformanceReport()) {
-            return performance;
-        }
-        return frame.hasPermitRequest() ? permits : reservations;
+    private Stream<FrameHandler> all() {
+        return Stream.of(reservations, permits, withdrawals, performance, routes);
     }
 }
--- a/router/src/test/java/org/ragwortrun/router/ForwardHarness.java
+++ b/router/src/test/java/org/ragwortrun/router/ForwardHarness.java
@@ -145,7 +145,7 @@
                 .setDataCenter("dc")
                 .setAddress(peers.toString())
                 .build());
-        return new Router(daemon, port, readiness);
+        return new Router(daemon, port, readiness, peers);
     }
 
     /** Sends the lists of endpoints and routers to all routers, as the leader does. */
@@ -193,8 +193,8 @@
         closer.close();
     }
 
-    /** A started router, the port for its callers, and that of its readiness check. */
-    record Router(ForwardDaemon daemon, int port, int readiness) {
+    /** A started router, the port for its callers, that of its readiness check, and the address for other routers. */
+    record Router(ForwardDaemon daemon, int port, int readiness, Address peers) {
         /** Returns whether the readiness check succeeds. */
         boolean isReady() throws IOException {
             return ForwardHarness.isReady(readiness);
