Let ramps grow faster and test them against one probe for each router

Change: the rate doubles in each quarter of a second, more slowly each time an endpoint flaps, and falls to no less than two requests in a second. A permit is void 0.1 s after the question and 0.1 s later.

--- a/router/src/main/java/org/ragwortrun/router/internal/limits/PermitClient.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/limits/PermitClient.java
@@ -188,7 +188,7 @@
         statements.accept(q.endpoint(), LimitReports.toStatement(reply.getLimit(), now));
         Optional<RampReport> ramp = reply.hasRamp() ? LimitReports.toReport(reply.getRamp()) : Optional.empty();
         q.limit().ramp().onReported(ramp, q.askedNanos(), now);
-        long maxAge = q.limit().ramp().isCold(now) ? ColdShares.MAX_PERMIT_AGE_NANOS : MAX_PERMIT_AGE_NANOS;
+        long maxAge = q.limit().ramp().isCold(now) ? ColdShares.MAX_REPLY_AGE_NANOS : MAX_PERMIT_AGE_NANOS;
         boolean expired = now - q.askedNanos() > maxAge;
         int granted = expired ? 0 : Math.min(reply.getGranted(), q.requests().size());
         decide(q, granted, TimeUnit.MILLISECONDS.toNanos(reply.getWaitMs()), coordinator);
--- a/router/src/test/java/org/ragwortrun/router/internal/forward/EndpointRampTest.java
+++ b/router/src/test/java/org/ragwortrun/router/internal/forward/EndpointRampTest.java
@@ -19,6 +19,9 @@
     // What operators tolerate in any second: 1.5 times the rate and 5 requests.
     private static final int MOST_IN_SECOND = (int) (1.5 * WARM_UP_PER_SECOND + 5);
     private static final double LOAD = 600;
+    private static final Settings NOT_COLD = new Settings(true, 0, 0, true, r -> true);
+    // The decision that ramps replace: each router sends one probe, and then all requests.
+    private static final Settings PROBES = new Settings(false, 0, 0, true, r -> true);
     private static final List<Long> SEEDS = List.of(1L, 2L, 3L, 4L, 5L);
 
     /** Guards against routers that together exceed what a cold endpoint tolerates, whatever they know. */
@@ -94,6 +97,155 @@
         }
     }
 
+    /** Guards against a ramp that keeps a sound endpoint from its normal share for longer than three seconds. */
+    @Test
+    void soundEndpointReachesNormalShare() {
+        for (long seed : SEEDS) {
+            RampSimulation s = simulation(NOT_COLD, seed);
+            restart(s, 0, false);
+            s.run(14 * SECOND);
+            long share = s.endpoints.get(1).arrivals(9_500 * MS, 11_500 * MS);
+            assertWithMessage("seed " + seed)
+                    .that(s.endpoints.get(0).arrivals(9_500 * MS, 11_500 * MS))
+                    .isAtLeast((long) (0.8 * share));
+        }
+    }
+
+    /** Guards against a ramp that leaves a sound endpoint idle for much longer than one probe of each router did. */
+    @Test
+    void soundEndpointGetsMostOfWhatProbesGaveIt() {
+        for (long seed : SEEDS) {
+            long ramps = requestsAfterRestart(NOT_COLD, seed);
+            long probes = requestsAfterRestart(PROBES, seed);
+            assertWithMessage("seed " + seed).that(ramps).isAtLeast((long) (0.75 * probes));
+        }
+    }
+
+    private static long requestsAfterRestart(Settings settings, long seed) {
+        RampSimulation s = simulation(settings, seed);
+        restart(s, 0, false);
+        s.run(17 * SECOND);
+        return s.endpoints.get(0).arrivals(6_500 * MS, 16_500 * MS);
+    }
+
+    /** Guards against a ramp that grows without answers, or that a list which calls the endpoint sound ends. */
+    @Test
+    void failingEndpointThatIsListedAsSoundStaysHeld() {
+        for (long seed : SEEDS) {
+            long ramps = badAnswersOfFailingEndpoint(NOT_COLD, seed);
+            long probes = badAnswersOfFailingEndpoint(PROBES, seed);
+            assertWithMessage("seed " + seed).that(ramps).isAtMost(20 + 2 * 20);
+            assertWithMessage("seed " + seed).that(ramps).isAtMost((long) (0.25 * probes));
+        }
+    }
+
+    private static long badAnswersOfFailingEndpoint(Settings settings, long seed) {
+        RampSimulation s = simulation(settings, seed);
+        s.at(5 * SECOND, () -> s.endpoints.get(0).failsAll = true);
+        s.run(26 * SECOND);
+        return s.endpoints.get(0).badAnswers.stream()
+                .filter(t -> t >= 6 * SECOND)
+                .count();
+    }
+
+    /** Guards against requests that an endpoint fails because it gets all at once, again after each success. */
+    @Test
+    void endpointThatFailsAboveRateGetsFewerRequestsThanItFails() {
+        for (long seed : SEEDS) {
+            RampSimulation ramps = failingAbove(NOT_COLD, seed);
+            RampSimulation probes = failingAbove(PROBES, seed);
+            assertWithMessage("seed " + seed)
+                    .that(ramps.endpoints.get(0).badAnswers.size())
+                    .isAtMost((int) (0.35 * probes.endpoints.get(0).badAnswers.size()));
+            assertWithMessage("seed " + seed).that(ramps.served).isAtLeast(probes.served);
+        }
+    }
+
+    private static RampSimulation failingAbove(Settings settings, long seed) {
+        RampSimulation s = simulation(settings, seed);
+        s.at(5 * SECOND, () -> s.endpoints.get(0).failsAbovePerSecond = 20);
+        s.run(25 * SECOND);
+        return s;
+    }
+
+    /** Guards against requests that are lost because an endpoint gets its whole share whenever it is up for a moment. */
+    @Test
+    void flappingEndpointInterruptsFewerRequests() {
+        for (long seed : SEEDS) {
+            RampSimulation ramps = flapping(NOT_COLD, seed);
+            RampSimulation probes = flapping(PROBES, seed);
+            assertWithMessage("seed " + seed)
+                    .that(ramps.endpoints.get(0).interrupted)
+                    .isAtMost((long) (0.6 * probes.endpoints.get(0).interrupted));
+            assertWithMessage("seed " + seed).that(ramps.served).isAtLeast((long) (0.98 * probes.served));
+        }
+    }
+
+    private static RampSimulation flapping(Settings settings, long seed) {
+        RampSimulation s = simulation(settings, seed);
+        s.endpoints.get(0).changesId = false;
+        for (long t = 5 * SECOND; t < 40 * SECOND; t += 4 * SECOND) {
+            s.endpoints.get(0).restart(t, t + 1_500 * MS);
+        }
+        s.run(42 * SECOND);
+        return s;
+    }
+
+    /** Guards against a bound that fails, or capacity that is lost, while a whole service restarts under full load. */
+    @Test
+    void serviceRestartsEndpointByEndpoint() {
+        for (long seed : SEEDS) {
+            RampSimulation s = simulation(settings(true, true, ROUTERS), seed);
+            for (int i = 0; i < ENDPOINTS; i++) {
+                s.endpoints.get(i).restart((5 + 4L * i) * SECOND, (6 + 4L * i) * SECOND);
+            }
+            s.run(42 * SECOND);
+            for (int i = 0; i < ENDPOINTS; i++) {
+                long start = (6 + 4L * i) * SECOND;
+                assertWithMessage("seed " + seed + ", endpoint " + i)
+                        .that(s.endpoints.get(i).mostInSecond(start, start + WARM_UP))
+                        .isAtMost(MOST_IN_SECOND);
+            }
+            assertWithMessage("seed " + seed).that(s.refused).isEqualTo(0);
+            assertWithMessage("seed " + seed).that(s.served).isAtLeast((long) (0.97 * LOAD * 42));
+        }
+    }
+
+    /** Guards against ramps that refuse requests although endpoints could serve them. */
+    @Test
+    void rampsDoNotExcludeLastEndpoints() {
+        for (long seed : SEEDS) {
+            RampSimulation s = simulation(NOT_COLD, seed);
+            for (Endpoint e : s.endpoints) {
+                e.changesId = false;
+                e.restart(5 * SECOND, 6 * SECOND);
+            }
+            s.at(6 * SECOND, () -> s.refused = 0);
+            s.run(8 * SECOND);
+            assertWithMessage("seed " + seed).that(s.refused).isAtMost((long) (0.02 * LOAD));
+        }
+    }
+
+    /** Guards against cold endpoints that exceed their rate because no other endpoint is left. */
+    @Test
+    void coldEndpointsKeepToRateWhenWholeServiceRestarts() {
+        for (long seed : SEEDS) {
+            RampSimulation s = simulation(settings(true, true, ROUTERS), seed);
+            for (Endpoint e : s.endpoints) {
+                e.restart(5 * SECOND, 6 * SECOND);
+            }
+            s.run(12 * SECOND);
+            for (Endpoint e : s.endpoints) {
+                assertWithMessage("seed " + seed)
+                        .that(e.mostInSecond(6 * SECOND, 9 * SECOND))
+                        .isAtMost(MOST_IN_SECOND);
+                assertWithMessage("seed " + seed)
+                        .that(e.arrivals(7 * SECOND, 9 * SECOND))
+                        .isAtLeast((long) (0.5 * 2 * WARM_UP_PER_SECOND));
+            }
+        }
+    }
+
     private static RampSimulation warmUp(Settings settings, boolean changesId, long seed) {
         RampSimulation s = simulation(settings, seed);
         // Bursts beside the usual load.
--- a/router/src/test/java/org/ragwortrun/router/internal/forward/RampSimulation.java
+++ b/router/src/test/java/org/ragwortrun/router/internal/forward/RampSimulation.java
@@ -119,6 +119,7 @@
         private final int index;
         final List<Long> arrivals = new ArrayList<>();
         final List<Long> badAnswers = new ArrayList<>();
+        long interrupted;
         private final List<Long> slotsFreeAt = new ArrayList<>();
         long serviceNanos = 150 * MS;
         int slots = 24;
@@ -382,6 +383,7 @@
 
         private void onBroken(int e, Request request) {
             inFlight[e]--;
+            endpoints.get(e).interrupted++;
             outcomes.get(e).onBroken("connection-reset", now);
             if (endpoints.get(e).down) {
                 outcomes.get(e).onUnreachable(EndpointConnectionPool.REFUSED, now);
--- a/router/src/test/java/org/ragwortrun/router/internal/limits/PermitClientTest.java
+++ b/router/src/test/java/org/ragwortrun/router/internal/limits/PermitClientTest.java
@@ -19,6 +19,7 @@
 import org.ragwortrun.router.internal.pool.RouterPeer;
 import org.ragwortrun.routing.EndpointLimit;
 import org.ragwortrun.routing.LimitStatement;
+import org.ragwortrun.routing.WarmUp;
 
 /** Tests a router that coordinates the limit of an endpoint itself. */
 final class PermitClientTest {
@@ -82,6 +83,20 @@
         assertThat(decisions).containsExactly(true);
     }
 
+    /** Guards against requests to a cold endpoint without a limit that are permitted as if it were warm. */
+    @Test
+    void holdsColdEndpointToWarmUpRate() {
+        EndpointLimit cold = new EndpointLimit();
+        cold.ramp().warmUp().setBounds(4, 60 * SECOND_NANOS);
+        cold.ramp().warmUp().onSign(WarmUp.Sign.STARTED, nanos.get());
+        for (int i = 0; i < 1_000; i++) {
+            nanos.addAndGet(SECOND_NANOS / 100);
+            permits.acquire("e2", cold, decisions::add);
+        }
+        assertThat(decisions.stream().filter(d -> d).count()).isAtMost(40);
+        assertThat(decisions.stream().filter(d -> d).count()).isAtLeast(30);
+    }
+
     private void failQuestions(boolean value) {
         fails = value;
     }
--- a/routing/src/main/java/org/ragwortrun/routing/ColdShares.java
+++ b/routing/src/main/java/org/ragwortrun/routing/ColdShares.java
@@ -5,9 +5,9 @@
  *
  * <p>Operators tolerate 1.5 times the rate and 5 requests in any second. Not all routers need to reach the same
  * coordinator, so the parts of a preferred one, of its replacement, and of the routers that reach neither add up. A permit
- * may be used up to {@link #MAX_PERMIT_AGE_NANOS} after it was granted, so that up to 1.2 seconds' worth of permits can
- * arrive within one second, and a router without a coordinator keeps a permit for a quarter of a second. The sum is
- * 1.2 x (0.9 + 0.15) + 1.25 x 0.15 = 1.45 times the rate, and two unused permits of each coordinator.
+ * may be used up to 0.2 s after it was granted, so that up to 1.2 seconds' worth of permits can arrive within one second, and
+ * a router without a coordinator keeps a permit for a quarter of a second. The sum is
+ * 1.2 x (0.9 + 0.15) + 1.35 x 0.15 = 1.47 times the rate, and two unused permits of each coordinator.
  */
 public final class ColdShares {
     /** Part that the preferred coordinator grants. */
@@ -25,8 +25,11 @@
     /** Unused permits that a coordinator keeps. */
     public static final double MAX_UNUSED = 2;
 
-    /** Time after its request during which a permit may be used. */
-    public static final long MAX_PERMIT_AGE_NANOS = 200_000_000L;
+    /** Time after which the answer to a request for permits is too late. */
+    public static final long MAX_REPLY_AGE_NANOS = 100_000_000L;
+
+    /** Time for which a request with a permit may wait for its connection. */
+    public static final long MAX_CONNECT_NANOS = 100_000_000L;
 
     /** Time for which a router without a coordinator keeps an unused permit. */
     public static final long VALIDITY_NANOS = 250_000_000L;
--- a/routing/src/main/java/org/ragwortrun/routing/EndpointLimit.java
+++ b/routing/src/main/java/org/ragwortrun/routing/EndpointLimit.java
@@ -86,7 +86,7 @@
      * @param permitted whether the request was permitted when the attempt began
      */
     public boolean maySend(boolean permitted, long begunNanos, long now) {
-        return !ramp.isCold(now) || permitted && now - begunNanos <= ColdShares.MAX_PERMIT_AGE_NANOS;
+        return !ramp.isCold(now) || permitted && now - begunNanos <= ColdShares.MAX_CONNECT_NANOS;
     }
 
     /** Returns the earliest time at which a permit may be available, at least {@code now}. */
--- a/routing/src/main/java/org/ragwortrun/routing/EndpointRamp.java
+++ b/routing/src/main/java/org/ragwortrun/routing/EndpointRamp.java
@@ -5,15 +5,16 @@
  *
  * <p>The rate begins low, doubles in each interval in which the endpoint answers well, and is halved when it does not. It
  * never exceeds the warm-up rate while the endpoint is cold. The ramp ends when the rate exceeds what an endpoint usually
- * gets. After each failure the rate grows more slowly, and an endpoint that fails soon after a ramp has begun waits twice
- * as long for the next one. Times are monotonic nanoseconds.
+ * gets. After each failure the rate grows more slowly. An endpoint that fails soon after a ramp has begun waits twice as
+ * long for the next one, which takes twice as long. Times are monotonic nanoseconds.
  */
 public final class EndpointRamp {
-    /** Requests per second at the beginning of a ramp. */
+    /**
+     * Requests per second at the beginning of a ramp, and the least. Two attempts in a second for the whole fleet show soon
+     * enough that a crashed endpoint is back.
+     */
     public static final double START_PER_SECOND = 2;
 
-    // One probe in a second for the whole fleet shows soon enough that a crashed endpoint is back.
-    private static final double MIN_PER_SECOND = 1;
     // An endpoint that has answered well at this rate for an interval takes its normal share: the endpoints of the
     // largest deployments get 20 to 40 requests in a second.
     private static final double END_PER_SECOND = 32;
@@ -23,8 +24,12 @@
     private static final double FACTOR = 2;
     // Some answers are errors of the request and not of the endpoint. Same threshold as for an exclusion.
     private static final double MAX_BAD_PART = 0.3;
-    private static final long INTERVAL_NANOS = 500_000_000L;
-    private static final long MAX_INTERVAL_NANOS = 8 * INTERVAL_NANOS;
+    private static final long INTERVAL_NANOS = 250_000_000L;
+    private static final long MAX_INTERVAL_NANOS = 16 * INTERVAL_NANOS;
+    // Answers to requests that were sent before the rate was halved do not halve it again.
+    private static final long MIN_HALVING_NANOS = 500_000_000L;
+    // Routers take a rate of 0 for none.
+    private static final double MIN_REPORTED = 0.1;
     private static final long FIRST_PAUSE_NANOS = 400_000_000L;
     private static final long MAX_PAUSE_NANOS = 16 * FIRST_PAUSE_NANOS;
     // A ramp that begins sooner after the previous one shows that the endpoint flaps.
@@ -56,8 +61,9 @@
     public void onReport(RampReport report, AnswerCounts answers, long now) {
         boolean claimsCold = report.warmUpMs() > 0 && report.warmUpPerSecond() > 0;
         boolean follows = report.perSecond() > 0;
-        if (!isInForce(now) && (claimsCold || follows && (!begun || answers.bad() > 0))) {
-            begin(claimsCold ? report.warmUpPerSecond() : 0, answers.bad() > 0, now);
+        boolean failed = isBad(answers.good(), answers.bad());
+        if (!isInForce(now) && (claimsCold || follows && (!begun || failed))) {
+            begin(claimsCold ? report.warmUpPerSecond() : 0, failed, now);
         } else if (isInForce(now)) {
             onAnswers(answers, now);
         }
@@ -83,7 +89,9 @@
         begunNanos = now;
         changedNanos = now;
         halvedNanos = now;
-        intervalNanos = INTERVAL_NANOS;
+        intervalNanos = failed
+                ? Math.min(MAX_INTERVAL_NANOS, INTERVAL_NANOS * (pauseNanos / FIRST_PAUSE_NANOS))
+                : INTERVAL_NANOS;
         answersWell = false;
         rate = startPerSecond(warmUpPerSecond);
         coldUntilNanos = now;
@@ -93,13 +101,13 @@
     private void onAnswers(AnswerCounts answers, long now) {
         good += answers.good();
         bad += answers.bad();
-        if (bad > MAX_BAD_PART * (good + bad)) {
-            if (now - halvedNanos >= INTERVAL_NANOS) {
+        if (isBad(good, bad)) {
+            if (now - halvedNanos >= MIN_HALVING_NANOS) {
                 halvedNanos = now;
                 // An endpoint that has only been unreachable does not need to grow more slowly.
                 intervalNanos = answersWell ? Math.min(MAX_INTERVAL_NANOS, 2 * intervalNanos) : intervalNanos;
                 answersWell = false;
-                change(Math.max(MIN_PER_SECOND, rate / FACTOR), now);
+                change(Math.max(START_PER_SECOND, rate / FACTOR), now);
             }
         } else if (good > 0 && !answersWell) {
             answersWell = true;
@@ -109,6 +117,10 @@
         }
     }
 
+    private static boolean isBad(int good, int bad) {
+        return bad > MAX_BAD_PART * (good + bad);
+    }
+
     private void change(double next, long now) {
         rate = next;
         changedNanos = now;
@@ -163,7 +175,7 @@
     public RampReport report(long now) {
         long coldMs = isCold(now) ? Math.max(1, (coldUntilNanos - now) / MILLI_NANOS) : 0;
         // Above 0 during a pause as well, because the routers shall follow the ramp.
-        return new RampReport(Math.max(MIN_PER_SECOND, perSecond(now)), coldPerSecond(now), coldMs);
+        return new RampReport(Math.max(MIN_REPORTED, perSecond(now)), coldPerSecond(now), coldMs);
     }
 
     private double endPerSecond() {
--- a/routing/src/main/java/org/ragwortrun/routing/LimitCoordinator.java
+++ b/routing/src/main/java/org/ragwortrun/routing/LimitCoordinator.java
@@ -18,8 +18,8 @@
     private static final double SECOND_NANOS = 1e9;
     private static final long MIN_WAIT_NANOS = 20_000_000L;
     private static final long MAX_WAIT_NANOS = 5_000_000_000L;
-    // The rate of a ramp may double within half a second.
-    private static final long MAX_RAMP_WAIT_NANOS = 1_000_000_000L;
+    // The rate of a ramp may double in a shorter time.
+    private static final long MAX_RAMP_WAIT_NANOS = 500_000_000L;
     // Several times the number of endpoints of the largest fleet.
     private static final int MAX_ENDPOINTS = 4_096;
 
