Limit the log lines of refused withdrawals

Cause: while all routers of a large data center are overloaded, each asks about every 3 s, and each denial was logged.

Change: at most one denial a second, with the number of routers that have asked lately.

--- a/router/src/main/java/org/ragwortrun/router/internal/host/WithdrawalServer.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/host/WithdrawalServer.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.ragwortrun.core.log.Event;
@@ -18,18 +19,21 @@
 /** Answers the routers of the own data center that ask to leave the rotation of the load balancer. */
 public final class WithdrawalServer implements FrameHandler, Runnable {
     private static final Logger LOG = LogManager.getLogger(WithdrawalServer.class);
+    private static final long DENIAL_LINE_NANOS = TimeUnit.SECONDS.toNanos(1);
 
     private final String ownName;
     private final String dataCenter;
     private final PeerLinks links;
     private final Time time;
     private final WithdrawalCoordinator coordinator = new WithdrawalCoordinator();
+    private final AtomicLong nextDenialLineNanos;
 
     public WithdrawalServer(String ownName, String dataCenter, PeerLinks links, Time time) {
         this.ownName = ownName;
         this.dataCenter = dataCenter;
         this.links = links;
         this.time = time;
+        nextDenialLineNanos = new AtomicLong(time.nanos());
     }
 
     @Override
@@ -58,20 +62,30 @@
             updateResponsibility();
             answer = coordinator.request(router, nanos, request.getKnownRouters(), listed, time.nanos());
         }
-        Event.of("withdrawal-decided")
-                .with("router", router)
-                .with("wanted-ms", request.getDurationMs())
-                .with("granted", answer.granted())
-                .with("ms", TimeUnit.NANOSECONDS.toMillis(answer.nanos()))
-                .with("out", answer.out())
-                .with("known", answer.known())
-                .info(LOG);
+        if (answer.granted() || denialLineIsDue()) {
+            Event.of("withdrawal-decided")
+                    .with("router", router)
+                    .with("wanted-ms", request.getDurationMs())
+                    .with("granted", answer.granted())
+                    .with("ms", TimeUnit.NANOSECONDS.toMillis(answer.nanos()))
+                    .with("out", answer.out())
+                    .with("overloaded", answer.overloaded())
+                    .with("known", answer.known())
+                    .info(LOG);
+        }
         return WithdrawalReply.newBuilder()
                 .setGranted(answer.granted())
                 .setDurationMs((int) TimeUnit.NANOSECONDS.toMillis(answer.nanos()))
                 .build();
     }
 
+    /** Returns whether a denial is logged: at most one a second, because all routers may ask. */
+    private boolean denialLineIsDue() {
+        long now = time.nanos();
+        long due = nextDenialLineNanos.get();
+        return now - due >= 0 && nextDenialLineNanos.compareAndSet(due, now + DENIAL_LINE_NANOS);
+    }
+
     private void updateResponsibility() {
         boolean responsible =
                 links.hub(dataCenter).filter(h -> h.name().equals(ownName)).isPresent();
--- a/routing/src/main/java/org/ragwortrun/routing/WithdrawalCoordinator.java
+++ b/routing/src/main/java/org/ragwortrun/routing/WithdrawalCoordinator.java
@@ -42,9 +42,10 @@
      * @param granted whether the router may leave
      * @param nanos granted time, or the time after which to ask again
      * @param out routers that are out, the asking one included if it may leave
+     * @param overloaded routers that have asked lately
      * @param known routers of the data center
      */
-    public record Answer(boolean granted, long nanos, int out, int known) {}
+    public record Answer(boolean granted, long nanos, int out, int overloaded, int known) {}
 
     /** Sets whether this router coordinates its data center now. Called at regular intervals and before requests. */
     public void setResponsible(boolean isResponsible, long now) {
@@ -73,28 +74,28 @@
         names.addAll(askedNanos.keySet());
         int known = Math.max(knownToRouter, names.size());
         int out = leaseEndsNanos.size();
+        int overloaded = (int) askedNanos.values().stream()
+                .filter(t -> now - t <= OVERLOADED_NANOS)
+                .count();
         if (nanos <= 0) {
-            return new Answer(true, 0, out, known);
+            return new Answer(true, 0, out, overloaded, known);
         }
         long quiet = responsibleSinceNanos + MAX_LEASE_NANOS - now;
         if (!responsible || quiet > 0) {
-            return new Answer(false, Math.max(MIN_RETRY_NANOS, responsible ? quiet : 0), out, known);
+            return new Answer(false, Math.max(MIN_RETRY_NANOS, responsible ? quiet : 0), out, overloaded, known);
         }
         if (out >= Math.min(known / PART_OUT, known - MIN_REMAINING)) {
             long next = leaseEndsNanos.values().stream()
                     .mapToLong(end -> end - now)
                     .min()
                     .orElse(MAX_LEASE_NANOS);
-            return new Answer(false, Math.max(MIN_RETRY_NANOS, next), out, known);
+            return new Answer(false, Math.max(MIN_RETRY_NANOS, next), out, overloaded, known);
         }
-        long overloaded = askedNanos.values().stream()
-                .filter(t -> now - t <= OVERLOADED_NANOS)
-                .count();
         if (known > MIN_REMAINING && overloaded > GENERAL_OVERLOAD * known) {
-            return new Answer(false, OVERLOADED_NANOS / 2, out, known);
+            return new Answer(false, OVERLOADED_NANOS / 2, out, overloaded, known);
         }
         long lease = Math.min(nanos, MAX_LEASE_NANOS);
         leaseEndsNanos.put(router, now + lease);
-        return new Answer(true, lease, out + 1, known);
+        return new Answer(true, lease, out + 1, overloaded, known);
     }
 }
