Move only the excess load of an overloaded host, and refuse at once while the ledger is silent

Time-outs of connections at a host with a full link began ramps for all routers. Change: answers close connections a few at a time and only above 0.7 of the link; refusals before the body is read are for large bodies only; the number of routers includes those that are not listed; requests that cannot be served without the owner of their budget are refused at once while it is silent, where scheduling is enabled; only refused connections begin ramps.

--- a/router/src/main/java/org/ragwortrun/router/internal/forward/CallerConnection.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/CallerConnection.java
@@ -40,6 +40,9 @@
 final class CallerConnection extends SimpleChannelInboundHandler<HttpObject>
         implements AnswerWriter, MemoryLimit.Holder {
     private static final int FIRST_BODY_BYTES = 64 << 10;
+    // A caller sends a shorter body without waiting, so a refusal before it is read saves nothing and costs the
+    // connection.
+    private static final int MIN_UNREAD_BODY_BYTES = 64 << 10;
     private static final Duration RETRY_AFTER = Duration.ofMillis(500);
 
     private final RequestAdmission admission;
@@ -159,7 +162,9 @@
         }
         // Otherwise the refusal would overtake the answer to an earlier request.
         boolean first = current == null && waiting.isEmpty() && !closing;
-        HostAdmission.Decision decision = first ? admission.host().decide(request) : HostAdmission.Decision.UNDECIDED;
+        boolean large = length > MIN_UNREAD_BODY_BYTES || HttpUtil.is100ContinueExpected(request);
+        HostAdmission.Decision decision =
+                first && large ? admission.host().decide(request) : HostAdmission.Decision.UNDECIDED;
         if (decision == HostAdmission.Decision.REFUSED) {
             refuseOnHead(ctx, request);
             return;
@@ -402,7 +407,7 @@
             abort();
             return;
         }
-        if (refusal.reason() == RefusalReason.MALFORMED_REQUEST || refusal.reason() == RefusalReason.HOST_OVERLOADED) {
+        if (refusal.reason() == RefusalReason.MALFORMED_REQUEST) {
             closing = true;
         }
         String id = w.head().headers().get(admission.headers().idHeader(), "");
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointOutcomes.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointOutcomes.java
@@ -29,12 +29,17 @@
         ramp.onStartOrFailure(now);
     }
 
-    /** Records that no connection could be opened. A refusal shows that the endpoint is down; a time-out may be local. */
+    /**
+     * Records that no connection could be opened. A refusal shows that the endpoint is down. A time-out may be local: a
+     * router whose own link is full would hold all routers to the ramps of sound endpoints.
+     */
     void onUnreachable(String cause, long now) {
         health.onUnreachable(now);
         boolean refused = EndpointConnectionPool.REFUSED.equals(cause);
         ramp.warmUp().onSign(refused ? WarmUp.Sign.DOWN : WarmUp.Sign.POSSIBLE, now);
-        onFailure(now);
+        if (refused) {
+            onFailure(now);
+        }
     }
 
     /** Records that an attempt was broken off. Others have to know only of an endpoint that then refuses connections. */
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
@@ -187,6 +187,9 @@
                 () -> settlements.pending() == 0,
                 new HeldReservations(control, shards)));
         closer.register(settlements);
+        if (settings.scheduling().enabled()) {
+            grants.refuseWhileSilent();
+        }
         LocalTokens local = new LocalTokens(grants, settlements::add, incarnation);
         HomeServer home = new HomeServer(local, time);
         TokenSource tokens = local;
@@ -239,7 +242,7 @@
         RequestAdmission admission = new RequestAdmission(
                 services,
                 Runtime.getRuntime().maxMemory() / MEMORY_HEAP_SHARE,
-                guard(settings, traffic, limits, loop, metrics, time));
+                guard(settings, traffic, limits, services));
         pushes.connect(watch, grants);
         pushes.setConfigurationListener(admission::recheckQuarantine);
         watch.setConfirmationListener(() -> loop.execute(admission::onConfirmed));
@@ -275,7 +278,7 @@
     }
 
     private static HostGuard guard(
-            ForwardSettings settings, TrafficMeter traffic, Limits limits, EventLoop loop, Metrics metrics, Time time) {
+            ForwardSettings settings, TrafficMeter traffic, Limits limits, ForwardServices services) {
         if (!settings.scheduling().watchesHost()) {
             return HostGuard.NONE;
         }
@@ -283,12 +286,17 @@
                 settings.scheduling().capacity(),
                 traffic,
                 ProcessorTime.ofProcess(),
-                new WithdrawalClient(settings.name(), settings.dataCenter(), limits.links(), limits.withdrawals()),
-                loop,
-                metrics,
-                time);
+                new WithdrawalClient(
+                        settings.name(),
+                        settings.dataCenter(),
+                        limits.links(),
+                        limits.withdrawals(),
+                        services.endpoints()::routers),
+                services.loop(),
+                services.metrics(),
+                services.time());
         host.addGauges();
-        SingleThreadExecutor.repeat(loop, host, MeasuredHost.INTERVAL_MS, MeasuredHost.INTERVAL_MS);
+        SingleThreadExecutor.repeat(services.loop(), host, MeasuredHost.INTERVAL_MS, MeasuredHost.INTERVAL_MS);
         return host;
     }
 
--- a/router/src/main/java/org/ragwortrun/router/internal/host/MeasuredHost.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/host/MeasuredHost.java
@@ -19,6 +19,10 @@
     /** Interval at which the utilization is measured. */
     public static final long INTERVAL_MS = 100;
 
+    // Load up to this utilization stays here. Moving all of it would only overload the next host in the same way.
+    private static final double KEPT_UTILIZATION = 0.7;
+    // Callers open their connections elsewhere a few at a time, so that the measured load shows when enough have moved.
+    private static final int ANSWERS_PER_CLOSE = 8;
     private static final Logger LOG = LogManager.getLogger(MeasuredHost.class);
     private static final long LINE_NANOS = TimeUnit.SECONDS.toNanos(1);
     private static final double PERMILLE = 1_000;
@@ -38,6 +42,7 @@
     private long arrived;
     private volatile HostUtilization latest = HostUtilization.IDLE;
     private volatile double fraction;
+    private int closableAnswers;
     private volatile boolean withdrawn;
 
     /**
@@ -123,7 +128,8 @@
 
     @Override
     public boolean closesConnections() {
-        return policy.closesConnections(time.nanos());
+        boolean overloaded = latest.highest() > KEPT_UTILIZATION && policy.closesConnections(time.nanos());
+        return overloaded && ++closableAnswers % ANSWERS_PER_CLOSE == 0;
     }
 
     private void ask(long asked) {
--- a/router/src/main/java/org/ragwortrun/router/internal/host/WithdrawalClient.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/host/WithdrawalClient.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.IntSupplier;
 import org.ragwortrun.proto.Frame;
 import org.ragwortrun.proto.WithdrawalReply;
 import org.ragwortrun.proto.WithdrawalRequest;
@@ -20,12 +21,24 @@
     private final String dataCenter;
     private final PeerLinks links;
     private final WithdrawalServer ownServer;
+    private final IntSupplier connectedRouters;
 
-    public WithdrawalClient(String ownName, String dataCenter, PeerLinks links, WithdrawalServer ownServer) {
+    /**
+     * Creates a client.
+     *
+     * @param connectedRouters number of routers of all data centers
+     */
+    public WithdrawalClient(
+            String ownName,
+            String dataCenter,
+            PeerLinks links,
+            WithdrawalServer ownServer,
+            IntSupplier connectedRouters) {
         this.ownName = ownName;
         this.dataCenter = dataCenter;
         this.links = links;
         this.ownServer = ownServer;
+        this.connectedRouters = connectedRouters;
     }
 
     /**
@@ -34,7 +47,7 @@
      */
     CompletableFuture<Optional<WithdrawalLease>> ask(long nanos) {
         List<String> listed = links.names(dataCenter);
-        int known = listed.size() + (listed.contains(ownName) ? 0 : 1);
+        int known = Math.max(listed.size() + (listed.contains(ownName) ? 0 : 1), estimatedRouters(listed.size()));
         WithdrawalRequest request = WithdrawalRequest.newBuilder()
                 .setDurationMs((int) TimeUnit.NANOSECONDS.toMillis(nanos))
                 .setKnownRouters(known)
@@ -44,6 +57,12 @@
                 .orElseGet(() -> CompletableFuture.completedFuture(Optional.empty()));
     }
 
+    /** Routers on hosts with control members are not listed. They are spread over the data centers like the others. */
+    private int estimatedRouters(int listedHere) {
+        int listed = links.size();
+        return listed == 0 ? 0 : (int) Math.round((double) listedHere * connectedRouters.getAsInt() / listed);
+    }
+
     private CompletableFuture<Optional<WithdrawalLease>> ask(RouterPeer hub, WithdrawalRequest request) {
         if (hub.name().equals(ownName)) {
             return CompletableFuture.completedFuture(
--- a/router/src/main/java/org/ragwortrun/router/internal/pool/PeerLinks.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/pool/PeerLinks.java
@@ -77,6 +77,11 @@
         return cached(coordinatorsByEndpoint, endpoint, e -> HomeRouters.ranked(e, routers));
     }
 
+    /** Returns the number of listed routers. */
+    public int size() {
+        return routers.size();
+    }
+
     /** Returns the names of the listed routers of a data center. */
     public List<String> names(String dataCenter) {
         return routers.stream()
