--- a/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointSelector.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointSelector.java
@@ -108,13 +108,18 @@
     }
 
     private List<EndpointState> permitted(Configuration configuration, List<EndpointState> eligible) {
-        return eligible.stream().filter(s -> isPermitted(configuration, s)).toList();
+        eligible.removeIf(s -> !isPermitted(configuration, s));
+        return eligible;
     }
 
+    // A loop is cheaper than a stream, and this runs for each endpoint in each selection.
     private boolean isPermitted(Configuration configuration, EndpointState endpoint) {
-        return services.filters().stream()
-                .allMatch(f ->
-                        f.exclusion(endpoint, configuration, route, account).isEmpty());
+        for (EndpointFilter f : services.filters()) {
+            if (f.exclusion(endpoint, configuration, route, account).isPresent()) {
+                return false;
+            }
+        }
+        return true;
     }
 
     /** Returns the earliest time at which an endpoint may accept a request while some endpoints have a limit. */
