--- a/routing/src/main/java/org/ragwortrun/routing/AdmissionQueue.java
+++ b/routing/src/main/java/org/ragwortrun/routing/AdmissionQueue.java
@@ -180,7 +180,7 @@
             for (Flow<T> f : byStart) {
                 boolean later = f.start() > start
                         || f.start() == start && f.entries.first().place.deadlineNanos() - deadlineNanos > 0;
-                if (f == flow || later) {
+                if (f.account.equals(account) || later) {
                     break;
                 }
                 before++;
