Bound the waits of requests whose endpoints want time

A request is refused at once if no endpoint accepts requests within its wait, its first limit applies to later waits, and endpoints without a limit get one request for each that has ended while others have a limit. An arriving request is examined once, so that arrivals cost little while there is no room. A time to retry is at most a third of the remaining time.

Tested: AdmissionQueueTest of router/: 8 tests pass.

--- a/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointSelector.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointSelector.java
@@ -55,8 +55,10 @@
      * @param earliestNanos earliest monotonic time at which an endpoint accepts a request, if some accept none now
      * @param allowed number of endpoints that the configuration and the list allow
      * @param busy number of them that are full or whose connections are in use
+     * @param limited whether any of them has a limit
      */
-    record Choice(Optional<EndpointState> endpoint, OptionalLong earliestNanos, int allowed, int busy) {
+    record Choice(
+            Optional<EndpointState> endpoint, OptionalLong earliestNanos, int allowed, int busy, boolean limited) {
         /** Returns why no endpoint is available now. */
         String cause() {
             if (earliestNanos.isPresent()) {
@@ -102,7 +104,7 @@
         Optional<EndpointState> chosen = Placement.choose(
                         healthy.isEmpty() ? others : healthy, request.parts(), origin.model())
                 .flatMap(c -> services.endpoints().find(c.id()));
-        return new Choice(chosen, earliest, allowed.size(), busy);
+        return new Choice(chosen, earliest, allowed.size(), busy, anyLimited);
     }
 
     private List<EndpointState> permitted(Configuration configuration, List<EndpointState> eligible) {
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
@@ -819,7 +819,7 @@
                 counted = false;
                 onPromptRead();
                 endpoint.onRequestEnded();
-                services.scheduler().onAttemptEnded(origin);
+                services.scheduler().onAttemptEnded(endpoint, origin);
                 if (probe) {
                     endpoint.health().onProbeEnded();
                 }
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ExchangeRefusals.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ExchangeRefusals.java
@@ -61,6 +61,6 @@
                 .with("endpoints", choice.allowed())
                 .with("earliest-ms", waitNanos / 1_000_000)
                 .info(LOG);
-        return Duration.ofNanos(waitNanos + spread);
+        return wait.atMostHonored(Duration.ofNanos(waitNanos + spread));
     }
 }
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/OriginQueue.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/OriginQueue.java
@@ -27,6 +27,8 @@
         }
     };
     private long closedUntilNanos;
+    private boolean paced;
+    private int freed;
     private double meanDurationNanos = DEFAULT_DURATION_NANOS;
 
     OriginQueue(long now) {
@@ -50,6 +52,32 @@
     /** Records that no endpoint is available to a request that was examined. */
     void onNoRoom(EndpointSelector.Choice choice, long now) {
         closedUntilNanos = choice.busy() == 0 ? choice.earliestNanos().orElse(now) : now;
+        paced |= choice.limited();
+    }
+
+    /** Records that an attempt at an endpoint without a limit has ended. */
+    void onAttemptEnded() {
+        freed++;
+    }
+
+    /** Returns whether requests are sent one by one to endpoints without a limit, because others have one. */
+    boolean isPaced() {
+        paced &= !queue.isEmpty();
+        return paced;
+    }
+
+    /**
+     * Returns whether a request may be sent to an endpoint without a limit. Such an endpoint would otherwise receive the
+     * whole queue in the moment in which it accepts a request, so each attempt that has ended allows one.
+     */
+    boolean tryTake(boolean endpointIsIdle) {
+        if (!isPaced() || endpointIsIdle) {
+            freed = 0;
+            return true;
+        }
+        boolean taken = freed > 0;
+        freed = Math.max(0, freed - 1);
+        return taken;
     }
 
     /** Returns the time until which the endpoints want no request, not after {@code now} if they may accept one. */
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/RequestScheduler.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/RequestScheduler.java
@@ -38,6 +38,10 @@
     private static final int MAX_SENT_AT_ONCE = 64;
     private static final Duration RETRY_ELSEWHERE = Duration.ofMillis(50);
     private static final int PRIORITIES = 3;
+    // Callers honor Retry-After up to a third of their remaining time.
+    private static final int HONORED_DIVISOR = 3;
+    // Far more than a configuration has; origins of earlier configurations are discarded.
+    private static final int MAX_ORIGINS = 256;
 
     private final boolean enabled;
     private final EndpointTable endpoints;
@@ -120,10 +124,15 @@
     }
 
     /** Considers the waiting requests soon, because an attempt has ended. */
-    void onAttemptEnded(Origin origin) {
-        if (hasWaiting(origin.name()) && !scheduled) {
-            scheduled = true;
-            loop.execute(this::considerAll);
+    void onAttemptEnded(EndpointState endpoint, Origin origin) {
+        if (hasWaiting(origin.name())) {
+            if (!endpoint.limit().isLimited()) {
+                queue(origin.name()).onAttemptEnded();
+            }
+            if (!scheduled) {
+                scheduled = true;
+                loop.execute(this::considerAll);
+            }
         }
     }
 
@@ -133,17 +142,21 @@
         OriginQueue q = queue(wait.admitted().origin().name());
         q.update(now);
         long left = wait.deadlineNanos() - now;
+        EndpointSelector.Choice choice = wait.sender().choose();
+        if (choice.endpoint().isEmpty()) {
+            q.onNoRoom(choice, now);
+        }
         int ahead = ahead(q, wait);
         double perSecond = q.perSecond(running(wait));
         wait.onDecision(ahead, perSecond);
         double expected =
                 Math.max((ahead + 1) / perSecond * TimeUnit.SECONDS.toNanos(1), (double) (q.closedUntilNanos() - now));
-        if (!isAdmitted(wait)) {
-            giveUp(wait, RefusalReason.STOPPING, cause);
+        if (choice.allowed() == 0 || !isAdmitted(wait)) {
+            giveUp(wait, choice.allowed() == 0 ? RefusalReason.NO_ENDPOINT : RefusalReason.STOPPING, cause);
             return;
         }
         OptionalLong limit = WaitLimit.accept(left, usualNanos(q, wait), expected);
-        if (limit.isEmpty()) {
+        if (limit.isEmpty() || wait.isOverdue(now)) {
             giveUp(wait, RefusalReason.WAIT_TOO_LONG, cause);
             return;
         }
@@ -155,17 +168,20 @@
                                 wait.admitted().priority(),
                                 wait.goesFirst(),
                                 wait.deadlineNanos(),
-                                now + limit.getAsLong(),
+                                wait.latestStart(now + limit.getAsLong()),
                                 wait.bytes(),
                                 1),
                         now));
         giveUp(q.queue().displace(), RefusalReason.QUEUE_FULL);
-        consider(q);
-        Entry<RequestWait> entry = wait.entry();
-        if (entry != null && !considering) {
-            sendOrGiveUp(q, entry);
-        }
         poll();
+        // Examining only the new request bounds the work of an arrival while there is no room.
+        if (!considering && choice.endpoint().isPresent()) {
+            consider(q);
+            Entry<RequestWait> entry = wait.entry();
+            if (entry != null) {
+                sendOrGiveUp(q, entry);
+            }
+        }
     }
 
     /** Returns whether an endpoint may accept a request before it would have to be given up. */
@@ -173,9 +189,10 @@
         long now = time.nanos();
         OriginQueue q = queue(wait.admitted().origin().name());
         q.onNoRoom(choice, now);
+        long closedNanos = Math.max(0, q.closedUntilNanos() - now);
         return choice.allowed() > 0
-                && q.closedUntilNanos() - now
-                        <= WaitLimit.longestNanos(wait.deadlineNanos() - now, usualNanos(q, wait));
+                && WaitLimit.accept(wait.deadlineNanos() - now, usualNanos(q, wait), closedNanos)
+                        .isPresent();
     }
 
     private static int ahead(OriginQueue q, RequestWait wait) {
@@ -207,6 +224,12 @@
         considerAll();
     }
 
+    /** Returns a time to retry, at most a third of what remains to the caller. */
+    Duration atMostHonored(RequestWait wait, Duration after) {
+        long honored = Math.max(0, wait.deadlineNanos() - time.nanos()) / HONORED_DIVISOR;
+        return after.toNanos() > honored ? Duration.ofNanos(honored) : after;
+    }
+
     /** Returns when the caller of a request that is given up should retry, and remembers it. */
     Duration retryAfter(RequestWait wait) {
         long now = time.nanos();
@@ -246,6 +269,9 @@
     }
 
     private OriginQueue queue(String origin) {
+        if (origins.size() > MAX_ORIGINS) {
+            origins.values().removeIf(q -> q.queue().isEmpty());
+        }
         return origins.computeIfAbsent(origin, o -> new OriginQueue(time.nanos()));
     }
 
@@ -314,11 +340,15 @@
             q.onNoRoom(choice, now);
             return false;
         }
+        EndpointState endpoint = choice.endpoint().get();
+        if (!endpoint.limit().isLimited() && !q.tryTake(endpoint.inFlight() == 0)) {
+            return false;
+        }
         q.queue().serve(entry);
         q.onServed();
         metrics.recordDuration("queue_wait_ms", "sent", (now - entry.enteredNanos()) / MS);
         wait.onLeft(now);
-        wait.sender().sendAfterWait(choice.endpoint().get());
+        wait.sender().sendAfterWait(endpoint);
         return true;
     }
 
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/RequestWait.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/RequestWait.java
@@ -1,6 +1,7 @@
 package org.ragwortrun.router.internal.forward;
 
 import java.time.Duration;
+import java.util.OptionalLong;
 import org.jspecify.annotations.Nullable;
 import org.ragwortrun.core.config.Account;
 import org.ragwortrun.core.log.Event;
@@ -18,6 +19,7 @@
     private final boolean returning;
     private @Nullable Entry<RequestWait> entry;
     private long waitedNanos;
+    private OptionalLong giveUpNanos = OptionalLong.empty();
     private int entered;
     private int ahead;
     private double perSecond;
@@ -85,6 +87,11 @@
                 : ExchangeRefusals.RETRY_AFTER;
     }
 
+    /** Returns the part of a time to retry that callers honor, which is a third of what remains to them. */
+    Duration atMostHonored(Duration after) {
+        return isEnabled() ? scheduler.atMostHonored(this, after) : after;
+    }
+
     /** Adds how long the request has waited, and what the last decision about it was based on. */
     Event addTo(Event line) {
         return !isEnabled() || entered == 0 && perSecond == 0
@@ -128,6 +135,21 @@
         return entry;
     }
 
+    /** Returns whether the request has waited before and may wait no longer. */
+    boolean isOverdue(long now) {
+        return giveUpNanos.isPresent() && giveUpNanos.getAsLong() - now <= 0;
+    }
+
+    /**
+     * Returns the time from which the request may not be sent. If it waits repeatedly, the time of its first wait remains
+     * valid, so that the time for which it holds tokens is bounded.
+     */
+    long latestStart(long proposed) {
+        long first = giveUpNanos.orElse(proposed);
+        giveUpNanos = OptionalLong.of(first);
+        return first - proposed < 0 ? first : proposed;
+    }
+
     /** Records the state of the queue on which a decision is based. */
     void onDecision(int waitingAhead, double drainPerSecond) {
         ahead = waitingAhead;
