--- a/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointSelector.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/EndpointSelector.java
@@ -57,9 +57,15 @@
      * @param earliestNanos earliest monotonic time at which an endpoint accepts a request, if some accept none now
      * @param allowed number of endpoints that the configuration and the list allow
      * @param busy number of them that are full or whose connections are in use
+     * @param limited whether any of them has a limit
      */
     record Choice(
-            Optional<EndpointState> endpoint, boolean lastResort, OptionalLong earliestNanos, int allowed, int busy) {
+            Optional<EndpointState> endpoint,
+            boolean lastResort,
+            OptionalLong earliestNanos,
+            int allowed,
+            int busy,
+            boolean limited) {
         /** Returns why no endpoint is available now. */
         String cause() {
             if (earliestNanos.isPresent()) {
@@ -115,7 +121,7 @@
         boolean lastResort = healthy.isEmpty() && others.isEmpty();
         List<EndpointState> candidates = lastResort ? withoutPermit : healthy.isEmpty() ? others : healthy;
         Optional<EndpointState> chosen = services.placement().choose(candidates, request, origin, now);
-        return new Choice(chosen, lastResort, earliest, allowed.size(), busy);
+        return new Choice(chosen, lastResort, earliest, allowed.size(), busy, anyLimited);
     }
 
     /**
