Send a few requests without a shared part to the first endpoint drawn

Cause: with scheduling.enabled set for all routers of EndpointNoticesTest (trial), one of two idle endpoints got no request for 4 s after its pause had ended, because it had answered slowly once. Change: three in a hundred requests without a shared part go to the first endpoint drawn, unless it is full. Result: in the same trial sendsNothingToEndpointDuringItsRetryAfter passes. As committed, RoutingRunTest (31), LearnedPlacementTest (9), LearnedPlacementDaemonTest (5), EndpointPerformanceTest (12), OriginPerformanceTest (7), PerformanceMessagesTest (5) and PlacementTest (5) pass, and verify without tests for core, routing, router, measure and cli.

--- a/router/src/main/java/org/ragwortrun/router/internal/forward/LearnedPlacement.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/LearnedPlacement.java
@@ -38,6 +38,10 @@
     // An endpoint that is slower than this does not become the preferred one of a shared part.
     private static final double MAX_PREFERRED_FACTOR = 1.6;
     private static final int DRAWN = 2;
+    // Share of the requests without a shared part that go to the first endpoint drawn. Of few idle endpoints, one that
+    // has
+    // answered slowly once would otherwise get no request for seconds.
+    private static final double EXPLORED_SHARE = 0.03;
     // A draw already prefers fast endpoints. If costs were compared as they are, slow endpoints would be left idle
     // until
     // the others are overloaded; without their speed, slow endpoints would get their full share when others are idle.
@@ -96,7 +100,11 @@
             add(considered, preferred);
             addMostCached(considered, fitting, request);
         }
-        return Optional.ofNullable(cheapest(considered, preferred, request, origin, now));
+        T first = considered.get(0);
+        boolean explores = preferred == null && !isFull(first) && random.getAsDouble() < EXPLORED_SHARE;
+        return explores
+                ? Optional.of(first)
+                : Optional.ofNullable(cheapest(considered, preferred, request, origin, now));
     }
 
     /**
@@ -126,6 +134,10 @@
                 + (target.isCold(now) ? COLD_PENALTY_MS : 0);
     }
 
+    private static boolean isFull(PlacementTarget t) {
+        return t.slots() > 0 && Math.max(t.inFlight(), t.reported()) >= t.slots();
+    }
+
     /** Returns the endpoints that have memory for a request, or all if none has. */
     private static <T extends PlacementTarget> List<T> fitting(List<T> targets, Request request) {
         if (request.maxTokens() == 0) {
