Wait for the rejection in the test of a full endpoint

The test assumed that the endpoint is reached within 25 ms, which a busy machine does not guarantee; it now opens the endpoint after the first rejection.

--- a/router/src/test/java/org/ragwortrun/router/AdmissionQueueTest.java
+++ b/router/src/test/java/org/ragwortrun/router/AdmissionQueueTest.java
@@ -145,7 +145,10 @@
             return true;
         };
         CompletableFuture<String> answer = call("/order/", "");
-        TimeUnit.MILLISECONDS.sleep(25);
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ForwardHarness.TIMEOUT_MS);
+        while (rejections.get() == 0 && System.nanoTime() < end) {
+            TimeUnit.MILLISECONDS.sleep(1);
+        }
         room.countDown();
         assertThat(answer.get()).startsWith("HTTP/1.1 200");
         assertThat(rejections.get()).isAtLeast(1);
