Keep a reported warm-up until its end and refuse with the time of a permit

Cause: with scheduling.enabled = yes, one run of EndpointWarmUpTest saw 33 requests in a second to a restarted endpoint where 11 are tolerated: a list that did not show the start yet ended the warm-up that others had reported while the endpoint was down. And routers were told to come back after at most half a second although the next permit for a cold endpoint was later. Change: a list no longer ends what others have reported.

--- a/routing/src/main/java/org/ragwortrun/routing/LimitCoordinator.java
+++ b/routing/src/main/java/org/ragwortrun/routing/LimitCoordinator.java
@@ -18,7 +18,7 @@
     private static final double SECOND_NANOS = 1e9;
     private static final long MIN_WAIT_NANOS = 20_000_000L;
     private static final long MAX_WAIT_NANOS = 5_000_000_000L;
-    // The rate of a ramp may double in a shorter time.
+    // The rate of a ramp may double in a shorter time, and a pause may end.
     private static final long MAX_RAMP_WAIT_NANOS = 500_000_000L;
     // Several times the number of endpoints of the largest fleet.
     private static final int MAX_ENDPOINTS = 4_096;
@@ -116,7 +116,7 @@
         double limit = newest.isLimited() ? share * newest.usablePerSecond() : Double.POSITIVE_INFINITY;
         double ramp = e.ramp.perSecond(request.ramp(), share, now);
         int granted = grant(e, limit, ramp, request.wanted(), now);
-        long wait = granted < request.wanted() ? waitNanos(e, limit, ramp, now) : 0;
+        long wait = granted < request.wanted() ? waitNanos(e, limit, ramp, isSteady(request), now) : 0;
         return new Answer(granted, wait, newest, newest.perSecond() != before, e.ramp.inForce(now), e.ramp.change(now));
     }
 
@@ -166,10 +166,17 @@
                 .toList();
     }
 
-    private static long waitNanos(Entry e, double limit, double ramp, long now) {
+    /** Returns whether the rate is that of a cold endpoint, which does not grow, for a router that follows no ramps. */
+    private static boolean isSteady(Request request) {
+        return request.ramp()
+                .filter(r -> r.warmUpPerSecond() > 0 && r.perSecond() == 0)
+                .isPresent();
+    }
+
+    private static long waitNanos(Entry e, double limit, double ramp, boolean steady, long now) {
         double perSecond = Math.min(limit, ramp);
         PermitBucket bucket = ramp < limit ? e.ramp.bucket(ramp, now) : e.bucket(limit, now);
-        long max = ramp < limit ? MAX_RAMP_WAIT_NANOS : MAX_WAIT_NANOS;
+        long max = ramp < limit && !steady ? MAX_RAMP_WAIT_NANOS : MAX_WAIT_NANOS;
         if (perSecond == 0) {
             return max;
         }
--- a/routing/src/main/java/org/ragwortrun/routing/WarmUp.java
+++ b/routing/src/main/java/org/ragwortrun/routing/WarmUp.java
@@ -28,7 +28,6 @@
     private long evacuationEndedNanos = Long.MIN_VALUE;
     private long listedUntilNanos;
     private long reportedUntilNanos;
-    private long reportedNanos;
     private boolean listed;
     private boolean reported;
 
@@ -91,16 +90,15 @@
         if (readNanos - signNanos >= LIST_LAG_NANOS && (sign != Sign.DOWN || listed)) {
             sign = Sign.NONE;
         }
-        if (readNanos - reportedNanos >= LIST_LAG_NANOS) {
-            reported = false;
-        }
     }
 
-    /** Records for how long the endpoint stays cold according to another router. */
+    /**
+     * Records for how long the endpoint stays cold according to another router. A list does not end this, because the
+     * endpoint may have started after the other router has noticed that it was down.
+     */
     public void onReported(long coldMs, long now) {
         if (coldMs > 0) {
             reported = true;
-            reportedNanos = now;
             reportedUntilNanos = now + coldMs * MILLI_NANOS;
         }
     }
--- a/routing/src/test/java/org/ragwortrun/routing/WarmUpTest.java
+++ b/routing/src/test/java/org/ragwortrun/routing/WarmUpTest.java
@@ -43,6 +43,15 @@
         assertThat(warmUp.isCold(23 * SECOND)).isFalse();
     }
 
+    /** Guards against a list that is read soon after the start, still shows the endpoint as before, and ends the warm-up. */
+    @Test
+    void listDoesNotEndWarmUpThatOthersReport() {
+        warmUp.onReported(3_000, SECOND);
+        warmUp.onListed(0, 3 * SECOND, 3 * SECOND);
+        assertThat(warmUp.isCold(3 * SECOND)).isTrue();
+        assertThat(warmUp.isCold(4 * SECOND)).isFalse();
+    }
+
     /** Guards against routers that confirm each other's reports, so that the warm-up never ends. */
     @Test
     void doesNotRepeatReportsOfOthers() {
