--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
@@ -157,7 +157,7 @@
                 e -> connections(loop, e, time, headers, metrics, traffic),
                 notices::read,
                 settings.longestPause(),
-                settings.scheduling().enabled());
+                settings.scheduling().ramps());
         EvacuationTracker evacuations = new EvacuationTracker(time, metrics);
         endpoints.setEvacuationEnds(evacuations::endedNanos);
         ForwardPushHandler pushes = new ForwardPushHandler(loop, endpoints, evacuations);
@@ -194,7 +194,7 @@
         HomeServer home = new HomeServer(local, time);
         TokenSource tokens = local;
         PerformanceTable performance =
-                new PerformanceTable(settings.scheduling().enabled(), endpoints);
+                new PerformanceTable(settings.scheduling().learnedPlacement(), endpoints);
         Limits limits = limits(settings, headers, endpoints, transport, loop, metrics, time, random, closer);
         PeerLinks links = limits.links();
         if (settings.peers().isPresent()) {
@@ -221,8 +221,7 @@
                 List.of(new EvacuationFilter(), new HomeRegionFilter(settings.scheduling()::region)),
                 limits.reader(),
                 limits.permits(),
-                new RequestScheduler(
-                        settings.scheduling().enabled(), endpoints, metrics, time, loop, random::nextDouble),
+                new RequestScheduler(settings.scheduling().queue(), endpoints, metrics, time, loop, random::nextDouble),
                 new RetryAllowance(
                         settings.retryRatio(),
                         () -> settings.retrySlack(endpoints.routers()),
@@ -347,7 +346,7 @@
             EndpointTable endpoints,
             PerformanceTable performance,
             UniformRandomProvider random) {
-        return settings.scheduling().enabled()
+        return settings.scheduling().learnedPlacement()
                 ? new LearnedRatePlacement(
                         settings.dataCenter(), endpoints, performance, new LearnedPlacement(random::nextDouble))
                 : new FixedRatePlacement(settings.dataCenter());
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/HostAdmission.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/HostAdmission.java
@@ -60,7 +60,7 @@
         return c.forwards()
                 .find(host, CallerRequest.path(head.uri()))
                 .filter(r -> account.isPresent() || r.open() || !c.hasAccounts())
-                .map(r -> accepts(r, account) ? Decision.ACCEPTED : Decision.REFUSED)
+                .map(r -> accepts(r, account, false) ? Decision.ACCEPTED : Decision.REFUSED)
                 .orElse(Decision.UNDECIDED);
     }
 
@@ -70,7 +70,7 @@
      * @throws RefusedException if this host refuses it because of its load
      */
     void check(Forward route, Optional<Account> account) throws RefusedException {
-        if (!accepts(route, account)) {
+        if (!accepts(route, account, true)) {
             throw new RefusedException(refusal());
         }
     }
@@ -89,10 +89,10 @@
                 RefusalReason.HOST_OVERLOADED, "this host is overloaded; retry at another host", RETRY_ELSEWHERE);
     }
 
-    private boolean accepts(Forward route, Optional<Account> account) {
+    private boolean accepts(Forward route, Optional<Account> account, boolean received) {
         int priority = account.filter(a -> a.priority().isPresent())
                 .map(a -> a.priority().getAsInt())
                 .orElse(route.priority());
-        return guard.accepts(priority, account.map(Account::name).orElse(""));
+        return guard.accepts(priority, account.map(Account::name).orElse(""), received);
     }
 }
--- a/router/src/main/java/org/ragwortrun/router/internal/host/HostGuard.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/host/HostGuard.java
@@ -10,7 +10,7 @@
         }
 
         @Override
-        public boolean accepts(int priority, String account) {
+        public boolean accepts(int priority, String account, boolean received) {
             return true;
         }
 
@@ -33,8 +33,9 @@
      *
      * @param priority lower numbers are more urgent
      * @param account name of the client account, empty if there is none
+     * @param received whether its body has been received, so that a refusal does not relieve the receiving link
      */
-    boolean accepts(int priority, String account);
+    boolean accepts(int priority, String account, boolean received);
 
     /** Returns whether the readiness check fails, so that the load balancer sends new connections elsewhere. */
     boolean isWithdrawn();
--- a/router/src/main/java/org/ragwortrun/router/internal/host/MeasuredHost.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/host/MeasuredHost.java
@@ -35,6 +35,7 @@
     private final Time time;
     private final HostLoad load;
     private final LoadShedder shedder;
+    private final LoadShedder receivedShedder;
     private final WithdrawalPolicy policy;
     private boolean shedding;
     private long lineNanos;
@@ -70,6 +71,7 @@
         // The processor time before this moment belongs to the start.
         load = new HostLoad(capacity, new HostLoad.Counters(0, 0, processorNanos.getAsLong()), now);
         shedder = new LoadShedder(now);
+        receivedShedder = new LoadShedder(now);
         policy = new WithdrawalPolicy(now);
         lineNanos = now - LINE_NANOS;
     }
@@ -91,7 +93,9 @@
         load.sample(new HostLoad.Counters(traffic.bytesIn(), traffic.bytesOut(), processorNanos.getAsLong()), now);
         latest = load.utilization();
         shedder.update(latest, now);
-        fraction = shedder.fraction();
+        // Refusals of requests that have been received do not relieve the receiving link. Only a withdrawal does.
+        receivedShedder.update(latest.withoutReceiving(), now);
+        fraction = receivedShedder.fraction();
         logShedding(now);
         switch (policy.update(shedder.isOverloaded(), latest, now)) {
             case ASK -> ask(now);
@@ -111,9 +115,12 @@
     }
 
     @Override
-    public boolean accepts(int priority, String account) {
+    public boolean accepts(int priority, String account, boolean received) {
         arrived++;
-        boolean accepted = shedder.accepts(priority, account);
+        // Both count each request, because they control the shares of priorities and accounts.
+        boolean acceptedUnread = shedder.accepts(priority, account);
+        boolean acceptedReceived = receivedShedder.accepts(priority, account);
+        boolean accepted = received ? acceptedReceived : acceptedUnread;
         if (!accepted) {
             refused++;
             metrics.count("requests_shed_priority_" + LoadShedder.reportedPriority(priority), 1);
--- a/router/src/main/java/org/ragwortrun/router/internal/host/WithdrawalClient.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/host/WithdrawalClient.java
@@ -15,7 +15,7 @@
 /** Asks the coordinator of the own data center for permission to leave the rotation of the load balancer. */
 public final class WithdrawalClient {
     // The reply may wait behind other data on a full link.
-    private static final Duration TIMEOUT = Duration.ofMillis(900);
+    private static final Duration TIMEOUT = Duration.ofMillis(2_500);
 
     private final String ownName;
     private final String dataCenter;
--- a/routing/src/main/java/org/ragwortrun/routing/HostUtilization.java
+++ b/routing/src/main/java/org/ragwortrun/routing/HostUtilization.java
@@ -17,6 +17,11 @@
         return Math.max(in, out);
     }
 
+    /** Returns the utilization without the receiving direction of the link. */
+    public HostUtilization withoutReceiving() {
+        return new HostUtilization(0, out, processor);
+    }
+
     /** Returns the highest utilization. */
     public double highest() {
         return Math.max(link(), processor);
--- a/routing/src/main/java/org/ragwortrun/routing/WithdrawalPolicy.java
+++ b/routing/src/main/java/org/ragwortrun/routing/WithdrawalPolicy.java
@@ -20,7 +20,8 @@
     private static final long PAUSE_NANOS = 4 * SECOND_NANOS;
     private static final long MIN_RETRY_NANOS = SECOND_NANOS / 2;
     private static final long MAX_RETRY_NANOS = 5 * SECOND_NANOS;
-    private static final long REPLY_TIMEOUT_NANOS = SECOND_NANOS;
+    // The reply waits for the full link too; a lease whose reply came later would be too short to be of use.
+    private static final long REPLY_TIMEOUT_NANOS = 3 * SECOND_NANOS;
     // An overload that returns this soon was not over, so the next lease is longer.
     private static final long RELAPSE_NANOS = 10 * SECOND_NANOS;
     private static final double LOW_UTILIZATION = 0.60;
