--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
@@ -187,9 +187,6 @@
                 () -> settlements.pending() == 0,
                 new HeldReservations(control, shards)));
         closer.register(settlements);
-        if (settings.scheduling().enabled()) {
-            grants.refuseWhileSilent();
-        }
         LocalTokens local = new LocalTokens(grants, settlements::add, incarnation);
         HomeServer home = new HomeServer(local, time);
         TokenSource tokens = local;
--- a/router/src/main/java/org/ragwortrun/router/internal/ledger/GrantClient.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/ledger/GrantClient.java
@@ -69,7 +69,6 @@
     private final AtomicInteger openReservations = new AtomicInteger();
     private final int maxHeldResults;
     private volatile BooleanSupplier usesHomes = () -> false;
-    private volatile boolean refusesWhileSilent;
     private final @Nullable ReservationDeclarer declarer;
 
     /**
@@ -109,7 +108,7 @@
             pool.refill(budget).ifPresent(this::sendGrantRequest);
             return declare(r.reservation());
         }
-        if (declarer != null && (shards.isPartitioned() || isKnownSilent(budget))) {
+        if (declarer != null && shards.isPartitioned()) {
             return CompletableFuture.failedFuture(new RefusedException(Refusal.notRun(
                     RefusalReason.BUDGET_UNREACHABLE,
                     "the grants of this host do not suffice, and it is cut off from the owner of the budget",
@@ -138,7 +137,7 @@
             return CompletableFuture.completedFuture(handle);
         }
         CompletableFuture<Reservation> result = new CompletableFuture<>();
-        d.declare(reservation, isKnownSilent(reservation.budget()) ? Duration.ZERO : timeout, allowed -> {
+        d.declare(reservation, timeout, allowed -> {
             if (allowed) {
                 result.complete(handle);
             } else {
@@ -163,19 +162,6 @@
         usesHomes = condition;
     }
 
-    /**
-     * Makes requests that cannot be served without the owner of their budget fail at once while it does not answer. They
-     * would wait for it and mostly fail later, when their callers have less time to retry.
-     */
-    public void refuseWhileSilent() {
-        refusesWhileSilent = true;
-    }
-
-    private boolean isKnownSilent(BudgetRef budget) {
-        ReservationDeclarer d = declarer;
-        return refusesWhileSilent && d != null && d.isSilent(shards.groupOf(budget));
-    }
-
     /** Returns the number of reservations whose bill is not known. */
     public int heldReservations() {
         return held.size();
--- a/router/src/main/java/org/ragwortrun/router/internal/ledger/ReservationDeclarer.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/ledger/ReservationDeclarer.java
@@ -66,12 +66,6 @@
                 .add(new PendingDeclaration(reservation, System.nanoTime() + maxWait.toNanos(), done));
     }
 
-    /** Returns whether the owner of a budget has not acknowledged the latest declaration. */
-    boolean isSilent(int group) {
-        ShardQueue q = queues.get(group);
-        return q != null && q.unresponsive;
-    }
-
     private void declareAll() {
         queues.values().forEach(q -> SingleThreadExecutor.guarded(q::declareAll).run());
     }
