--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
@@ -142,10 +142,7 @@
         closer.register(() -> SingleThreadExecutor.stop(timer));
         StandstillMonitor standstills = new StandstillMonitor(time, metrics);
         standstills.start(timer);
-        EventLoopGroup group = new MultiThreadIoEventLoopGroup(
-                1, new DefaultThreadFactory("forward", true), NioIoHandler.newFactory());
-        closer.register(() ->
-                group.shutdownGracefully(0, SECOND_MS, TimeUnit.MILLISECONDS).awaitUninterruptibly(SECOND_MS));
+        EventLoopGroup group = eventLoopGroup(closer);
         SingleThreadEventLoop loop = (SingleThreadEventLoop) group.next();
         Transport transport = closer.register(new Transport(hello(settings, incarnation), 1));
         RequestHeaders headers = new RequestHeaders(names);
@@ -158,9 +155,7 @@
                 notices::read,
                 settings.longestPause(),
                 settings.scheduling().ramps());
-        EvacuationTracker evacuations = new EvacuationTracker(time, metrics);
-        endpoints.setEvacuationEnds(evacuations::endedNanos);
-        ForwardPushHandler pushes = new ForwardPushHandler(loop, endpoints, evacuations);
+        ForwardPushHandler pushes = pushHandler(loop, endpoints, time, metrics);
         ControlClient control = closer.register(new ControlClient(transport, settings.members(), pushes));
         ConfigWatch watch =
                 closer.register(new ConfigWatch(control, timer, time, metrics, pushes::onConfigurationApplied));
@@ -248,6 +243,39 @@
         closeIdleConnections(loop, admission, endpoints);
         readOwnList(source, endpoints, loop, closer);
         addGauges(metrics, admission, home, settlements);
+        Closer listeners = listen(settings, group, traffic, admission, time, closer);
+        Event.of("router-started")
+                .with("name", settings.name())
+                .with("incarnation", incarnation)
+                .with("callers", settings.callers())
+                .with("control", settings.members().values())
+                .info(LOG);
+        return new ForwardRouter(settings, time, admission, home, loop, listeners, closer);
+    }
+
+    private static EventLoopGroup eventLoopGroup(Closer closer) {
+        EventLoopGroup group = new MultiThreadIoEventLoopGroup(
+                1, new DefaultThreadFactory("forward", true), NioIoHandler.newFactory());
+        closer.register(() ->
+                group.shutdownGracefully(0, SECOND_MS, TimeUnit.MILLISECONDS).awaitUninterruptibly(SECOND_MS));
+        return group;
+    }
+
+    private static ForwardPushHandler pushHandler(EventLoop loop, EndpointTable endpoints, Time time, Metrics metrics) {
+        EvacuationTracker evacuations = new EvacuationTracker(time, metrics);
+        endpoints.setEvacuationEnds(evacuations::endedNanos);
+        return new ForwardPushHandler(loop, endpoints, evacuations);
+    }
+
+    /** Listens for callers and for the readiness check. Returns a closer of what listens for callers. */
+    private static Closer listen(
+            ForwardSettings settings,
+            EventLoopGroup group,
+            TrafficMeter traffic,
+            RequestAdmission admission,
+            Time time,
+            Closer closer)
+            throws TransportException {
         ProblemWriter problems = new ProblemWriter(new ObjectMapper());
         Closer listeners = closer.register(new Closer());
         listen(
@@ -264,13 +292,7 @@
                 traffic,
                 () -> admission.limits().headerBytes(),
                 () -> new ReadinessHandler(admission::isReady));
-        Event.of("router-started")
-                .with("name", settings.name())
-                .with("incarnation", incarnation)
-                .with("callers", settings.callers())
-                .with("control", settings.members().values())
-                .info(LOG);
-        return new ForwardRouter(settings, time, admission, home, loop, listeners, closer);
+        return listeners;
     }
 
     private static HostGuard guard(
