--- a/router/src/test/java/org/ragwortrun/router/OverloadedHostTest.java
+++ b/router/src/test/java/org/ragwortrun/router/OverloadedHostTest.java
@@ -163,6 +163,7 @@
             String request = request("k" + i, "Connection: close\r\n");
             refused += router.send(request).startsWith("HTTP/1.1 503") ? 1 : 0;
             assertThat(router.send(request.replace("secret", "no"))).startsWith("HTTP/1.1 401");
+            Thread.sleep(LOAD_PAUSE_MS);
         }
         assertThat(refused).isAtLeast(5);
     }
