--- a/review/stand-ins-2/ForeignEntry.java
+++ b/review/stand-ins-2/ForeignEntry.java
@@ -13,6 +13,8 @@
     private static final double DRAIN_S = 3.0;
     // Serves on for a little longer than drain_ms.
     private static final double STOP_S = 4.5;
+    // No JSON and no UTF-8, but without brackets, quotes and commas, so that the ends of the entry are plain.
+    private static final byte[] UNREADABLE = {0x17, 0x03, (byte) 0xff, (byte) 0xfe, ' ', 0x01, 'A', ' ', '#', (byte) 0x9c};
     private static final Map<String, Double> drainingAt = new ConcurrentHashMap<>();
     private static final Queue<String> late = new ConcurrentLinkedQueue<>();
     private static Fleet fleet;
@@ -80,8 +82,7 @@
             clients.add(t);
         }
         Thread.sleep(4_000);
-        // The entry of a writer that ended while it wrote.
-        fleet.foreignEntries = trouble ? "{\"id\":\"i-7f3a\",\"serv".getBytes(StandardCharsets.UTF_8) : new byte[0];
+        fleet.foreignEntries = trouble ? UNREADABLE : new byte[0];
         fleet.log("entry that cannot be read in the list: " + trouble);
         Thread.sleep(2_000);
         for (int i = 0; i < 3; i++) {
