Keep the end of a move against decisions that were under way

Callers saw a completed rollout turn into a rolled-back one. One cause: the leader proposes a decision each second without waiting for the one before, and the state machine replaced the end of a move by whatever came next, so a rollback that was proposed while the completion was under way undid it, and blocked the version.

A decision now names the move that the leader held to be undecided, and has no effect once the log has ended that move. The condition is part of the entry, so a replay of older entries gives the same state and number on every member. While a member of an older build replays such an entry, only that build ignores the condition.

--- a/control/src/main/java/org/ragwortrun/control/EvidenceMoveDriver.java
+++ b/control/src/main/java/org/ragwortrun/control/EvidenceMoveDriver.java
@@ -75,6 +75,7 @@
 
     private static MetaCommand.Builder progress(Move move, MoveDecision decision, long wallMillis) {
         return MetaCommand.newBuilder()
+                .setUndecidedMove(move.name())
                 .setMoveProgress(MoveProgress.newBuilder()
                         .setMove(move.name())
                         .setSharePermille(decision.sharePermille())
@@ -85,6 +86,7 @@
 
     private static MetaCommand.Builder blockVersion(Move move, MoveDecision decision, long wallMillis) {
         return MetaCommand.newBuilder()
+                .setUndecidedMove(move.name())
                 .setVersionDecision(VersionDecision.newBuilder()
                         .setService(move.service())
                         .setVersion(move.to())
--- a/control/src/main/java/org/ragwortrun/control/TimedMoveDriver.java
+++ b/control/src/main/java/org/ragwortrun/control/TimedMoveDriver.java
@@ -44,7 +44,9 @@
         List<MetaCommand.Builder> commands = new ArrayList<>();
         for (Move move : configuration.moves()) {
             nextProgress(configuration, move, wallMillis)
-                    .ifPresent(p -> commands.add(MetaCommand.newBuilder().setMoveProgress(p)));
+                    .ifPresent(p -> commands.add(MetaCommand.newBuilder()
+                            .setUndecidedMove(p.getMove())
+                            .setMoveProgress(p)));
         }
         return commands;
     }
--- a/ledger/src/main/java/org/ragwortrun/ledger/MetaState.java
+++ b/ledger/src/main/java/org/ragwortrun/ledger/MetaState.java
@@ -89,8 +89,10 @@
                 MetaResult.newBuilder()
                         .setPublish(publish(command.getPublish(), command.getNowMs()))
                         .build();
-            case VERSION_DECISION -> recordDecision(command.getVersionDecision());
-            case MOVE_PROGRESS -> recordProgress(command.getMoveProgress());
+            case VERSION_DECISION ->
+                decidesEndedMove(command) ? numberResult() : recordDecision(command.getVersionDecision());
+            case MOVE_PROGRESS ->
+                decidesEndedMove(command) ? numberResult() : recordProgress(command.getMoveProgress());
             case CRASH -> crashResult(crashCounts.count(command.getCrash(), number + 1, command.getNowMs()));
             case CRASH_EVIDENCE ->
                 crashResult(crashCounts.count(command.getCrashEvidence(), number + 1, command.getNowMs()));
@@ -186,6 +188,14 @@
                 .build();
     }
 
+    /**
+     * Returns whether the command decides on a move that has already been completed or rolled back. Commands that do not name the move take effect, so
+     * that a replay of entries from before the field reaches the state that other members have.
+     */
+    private boolean decidesEndedMove(MetaCommand command) {
+        return isMoveFinished(command.getUndecidedMove());
+    }
+
     private boolean isMoveFinished(String move) {
         return moves.find(move)
                 .filter(p -> p.getState() == MoveState.MOVE_DONE || p.getState() == MoveState.MOVE_TAKEN_BACK)
--- a/ledger/src/test/java/org/ragwortrun/ledger/GenerationTest.java
+++ b/ledger/src/test/java/org/ragwortrun/ledger/GenerationTest.java
@@ -12,7 +12,7 @@
 
 /** Publications with a generation number that the publisher assigns. */
 final class GenerationTest {
-    private final MetaState state = new MetaState(
+    private MetaState state = new MetaState(
             (previous, next, nowMs) -> next.stream().anyMatch(s -> s.getName().equals("bad"))
                     ? List.of(ConfigError.newBuilder().setRule("bad").build())
                     : List.of());
@@ -49,10 +49,7 @@
         publish(7, "a");
         baseline("v1");
         assertThat(start("v2")).isEqualTo(StartMoveReply.Outcome.STARTED);
-        ByteArrayOutputStream out = new ByteArrayOutputStream();
-        state.writeSnapshot(out);
-        MetaState copy = new MetaState((previous, next, nowMs) -> List.of());
-        copy.readSnapshot(new ByteArrayInputStream(out.toByteArray()));
+        MetaState copy = restored();
         assertThat(copy.configuration()).isEqualTo(state.configuration());
     }
 
@@ -81,6 +78,74 @@
         assertThat(state.orderedMoves().get(2).getFrom()).isEqualTo("v2");
     }
 
+    /** Guards against a completed move that is rolled back by a decision that was under way when it completed. */
+    @Test
+    void completedMoveStaysCompleted() throws IOException {
+        publish(7, "a");
+        baseline("v1");
+        start("v2");
+        decide(MoveState.MOVE_DONE);
+        state = restored();
+        long number = state.number();
+        decide(MoveState.MOVE_TAKEN_BACK);
+        block();
+        assertThat(state.moves().get(0).getState()).isEqualTo(MoveState.MOVE_DONE);
+        assertThat(state.decisions()).isEmpty();
+        assertThat(state.number()).isEqualTo(number);
+    }
+
+    /** Guards against a move that was rolled back and completes by a decision that was under way. */
+    @Test
+    void rolledBackMoveStaysRolledBack() {
+        publish(7, "a");
+        baseline("v1");
+        start("v2");
+        block();
+        decide(MoveState.MOVE_TAKEN_BACK);
+        decide(MoveState.MOVE_DONE);
+        assertThat(state.moves().get(0).getState()).isEqualTo(MoveState.MOVE_TAKEN_BACK);
+        assertThat(state.decisions()).hasSize(1);
+    }
+
+    /** Guards against members whose states differ because one of them replays a decision that others applied. */
+    @Test
+    void appliesDecisionsThatNameNoMove() {
+        publish(7, "a");
+        baseline("v1");
+        start("v2");
+        decide(MoveState.MOVE_DONE);
+        state.apply(decision(MoveState.MOVE_TAKEN_BACK).clearUndecidedMove().build());
+        assertThat(state.moves().get(0).getState()).isEqualTo(MoveState.MOVE_TAKEN_BACK);
+    }
+
+    private void decide(MoveState decided) {
+        state.apply(decision(decided).build());
+    }
+
+    private static MetaCommand.Builder decision(MoveState decided) {
+        return MetaCommand.newBuilder()
+                .setUndecidedMove("@a/v2")
+                .setMoveProgress(MoveProgress.newBuilder().setMove("@a/v2").setState(decided));
+    }
+
+    private void block() {
+        state.apply(MetaCommand.newBuilder()
+                .setUndecidedMove("@a/v2")
+                .setVersionDecision(VersionDecision.newBuilder()
+                        .setService("a")
+                        .setVersion("v2")
+                        .setBlocked(true))
+                .build());
+    }
+
+    private MetaState restored() throws IOException {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        state.writeSnapshot(out);
+        MetaState copy = new MetaState((previous, next, nowMs) -> List.of());
+        copy.readSnapshot(new ByteArrayInputStream(out.toByteArray()));
+        return copy;
+    }
+
     private void baseline(String version) {
         state.apply(MetaCommand.newBuilder()
                 .setSetBaseline(SetBaseline.newBuilder().setService("a").setVersion(version))
--- a/proto/src/main/java/org/ragwortrun/proto/MetaCommand.java
+++ b/proto/src/main/java/org/ragwortrun/proto/MetaCommand.java
@@ -19,6 +19,7 @@
     // @@protoc_insertion_point(message_implements:org.ragwortrun.proto.MetaCommand)
     MetaCommandOrBuilder {
   private MetaCommand() {
+    undecidedMove_ = "";
   }
   private int opCase_ = 0;
   private java.lang.Object op_;
@@ -606,6 +607,78 @@
     }
   }
 
+  public static final int UNDECIDED_MOVE_FIELD_NUMBER = 12;
+  private java.lang.String undecidedMove_;
+  /**
+   * <pre>
+   * Name of the move that the leader decided on. A decision has no effect if this move was completed or rolled back
+   * earlier in the log. Empty for decisions on no move, and in entries of members that did not know the field.
+   * </pre>
+   *
+   * <code>string undecided_move = 12;</code>
+   * @return The undecidedMove.
+   */
+  @java.lang.Override
+  public java.lang.String getUndecidedMove() {
+    return undecidedMove_;
+  }
+  /**
+   * <pre>
+   * Name of the move that the leader decided on. A decision has no effect if this move was completed or rolled back
+   * earlier in the log. Empty for decisions on no move, and in entries of members that did not know the field.
+   * </pre>
+   *
+   * <code>string undecided_move = 12;</code>
+   * @return The bytes for undecidedMove.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getUndecidedMoveBytes() {
+    return com.google.protobuf.ByteString.copyFromUtf8(undecidedMove_);
+  }
+  /**
+   * <pre>
+   * Name of the move that the leader decided on. A decision has no effect if this move was completed or rolled back
+   * earlier in the log. Empty for decisions on no move, and in entries of members that did not know the field.
+   * </pre>
+   *
+   * <code>string undecided_move = 12;</code>
+   * @param value The undecidedMove to set.
+   */
+  private void setUndecidedMove(
+      java.lang.String value) {
+    java.util.Objects.requireNonNull(value);
+
+    undecidedMove_ = value;
+  }
+  /**
+   * <pre>
+   * Name of the move that the leader decided on. A decision has no effect if this move was completed or rolled back
+   * earlier in the log. Empty for decisions on no move, and in entries of members that did not know the field.
+   * </pre>
+   *
+   * <code>string undecided_move = 12;</code>
+   */
+  private void clearUndecidedMove() {
+
+    undecidedMove_ = getDefaultInstance().getUndecidedMove();
+  }
+  /**
+   * <pre>
+   * Name of the move that the leader decided on. A decision has no effect if this move was completed or rolled back
+   * earlier in the log. Empty for decisions on no move, and in entries of members that did not know the field.
+   * </pre>
+   *
+   * <code>string undecided_move = 12;</code>
+   * @param value The bytes for undecidedMove to set.
+   */
+  private void setUndecidedMoveBytes(
+      com.google.protobuf.ByteString value) {
+    checkByteStringIsUtf8(value);
+    undecidedMove_ = value.toStringUtf8();
+
+  }
+
   public static org.ragwortrun.proto.MetaCommand parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -1227,6 +1300,80 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Name of the move that the leader decided on. A decision has no effect if this move was completed or rolled back
+     * earlier in the log. Empty for decisions on no move, and in entries of members that did not know the field.
+     * </pre>
+     *
+     * <code>string undecided_move = 12;</code>
+     * @return The undecidedMove.
+     */
+    @java.lang.Override
+    public java.lang.String getUndecidedMove() {
+      return instance.getUndecidedMove();
+    }
+    /**
+     * <pre>
+     * Name of the move that the leader decided on. A decision has no effect if this move was completed or rolled back
+     * earlier in the log. Empty for decisions on no move, and in entries of members that did not know the field.
+     * </pre>
+     *
+     * <code>string undecided_move = 12;</code>
+     * @return The bytes for undecidedMove.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getUndecidedMoveBytes() {
+      return instance.getUndecidedMoveBytes();
+    }
+    /**
+     * <pre>
+     * Name of the move that the leader decided on. A decision has no effect if this move was completed or rolled back
+     * earlier in the log. Empty for decisions on no move, and in entries of members that did not know the field.
+     * </pre>
+     *
+     * <code>string undecided_move = 12;</code>
+     * @param value The undecidedMove to set.
+     * @return This builder for chaining.
+     */
+    public Builder setUndecidedMove(
+        java.lang.String value) {
+      copyOnWrite();
+      instance.setUndecidedMove(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Name of the move that the leader decided on. A decision has no effect if this move was completed or rolled back
+     * earlier in the log. Empty for decisions on no move, and in entries of members that did not know the field.
+     * </pre>
+     *
+     * <code>string undecided_move = 12;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearUndecidedMove() {
+      copyOnWrite();
+      instance.clearUndecidedMove();
+      return this;
+    }
+    /**
+     * <pre>
+     * Name of the move that the leader decided on. A decision has no effect if this move was completed or rolled back
+     * earlier in the log. Empty for decisions on no move, and in entries of members that did not know the field.
+     * </pre>
+     *
+     * <code>string undecided_move = 12;</code>
+     * @param value The bytes for undecidedMove to set.
+     * @return This builder for chaining.
+     */
+    public Builder setUndecidedMoveBytes(
+        com.google.protobuf.ByteString value) {
+      copyOnWrite();
+      instance.setUndecidedMoveBytes(value);
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.ragwortrun.proto.MetaCommand)
   }
   @java.lang.Override
@@ -1256,11 +1403,12 @@
             org.ragwortrun.proto.SetBaseline.class,
             org.ragwortrun.proto.CrashEvidence.class,
             org.ragwortrun.proto.EvacuationOrder.class,
+            "undecidedMove_",
           };
           java.lang.String info =
-              "\u0000\u000b\u0001\u0000\u0001\u000b\u000b\u0000\u0000\u0000\u0001\u0002\u0002<\u0000" +
-              "\u0003<\u0000\u0004<\u0000\u0005<\u0000\u0006<\u0000\u0007<\u0000\b<\u0000\t<\u0000" +
-              "\n<\u0000\u000b<\u0000";
+              "\u0000\f\u0001\u0000\u0001\f\f\u0000\u0000\u0000\u0001\u0002\u0002<\u0000\u0003<" +
+              "\u0000\u0004<\u0000\u0005<\u0000\u0006<\u0000\u0007<\u0000\b<\u0000\t<\u0000\n<\u0000" +
+              "\u000b<\u0000\f\u0208";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/proto/src/main/java/org/ragwortrun/proto/MetaCommandOrBuilder.java
+++ b/proto/src/main/java/org/ragwortrun/proto/MetaCommandOrBuilder.java
@@ -126,5 +126,27 @@
    */
   org.ragwortrun.proto.EvacuationOrder getEvacuation();
 
+  /**
+   * <pre>
+   * Name of the move that the leader decided on. A decision has no effect if this move was completed or rolled back
+   * earlier in the log. Empty for decisions on no move, and in entries of members that did not know the field.
+   * </pre>
+   *
+   * <code>string undecided_move = 12;</code>
+   * @return The undecidedMove.
+   */
+  java.lang.String getUndecidedMove();
+  /**
+   * <pre>
+   * Name of the move that the leader decided on. A decision has no effect if this move was completed or rolled back
+   * earlier in the log. Empty for decisions on no move, and in entries of members that did not know the field.
+   * </pre>
+   *
+   * <code>string undecided_move = 12;</code>
+   * @return The bytes for undecidedMove.
+   */
+  com.google.protobuf.ByteString
+      getUndecidedMoveBytes();
+
   public org.ragwortrun.proto.MetaCommand.OpCase getOpCase();
 }
