--- a/control/src/test/java/org/ragwortrun/control/EvidenceMoveDriverTest.java
+++ b/control/src/test/java/org/ragwortrun/control/EvidenceMoveDriverTest.java
@@ -49,6 +49,25 @@
                 .isEmpty();
     }
 
+    /** Guards against rolling back a completed move, whose old version may have been shut down. */
+    @Test
+    void leavesCompletedMove() throws ConfigurationException {
+        MoveProgress done = MoveProgress.newBuilder()
+                .setMove("m")
+                .setSharePermille(1000)
+                .setState(MoveState.MOVE_DONE)
+                .build();
+        for (int s = 0; s < 120; s++) {
+            assertThat(driver.decide(configuration(Optional.of(done)), START + s * 1000L))
+                    .isEmpty();
+            driver.onEvidence(
+                    Hello.getDefaultInstance(),
+                    Evidence.newBuilder()
+                            .addRows(row("v2", 100, s < 60 ? 0 : 40))
+                            .build());
+        }
+    }
+
     private static Evidence evidence(Optional<MoveProgress> progress) {
         long newer = progress.map(p -> p.getSharePermille() / 10L).orElse(0L);
         return Evidence.newBuilder()
--- a/core/src/main/java/org/ragwortrun/core/config/Move.java
+++ b/core/src/main/java/org/ragwortrun/core/config/Move.java
@@ -22,4 +22,9 @@
         int sharePermille,
         int trialPermille,
         Instant start,
-        Instant finish) {}
+        Instant finish) {
+    /** Returns whether the old version keeps a share of the traffic after the move. */
+    public boolean keepsOldVersion() {
+        return sharePermille < 1000;
+    }
+}
--- a/ledger/src/main/java/org/ragwortrun/ledger/MetaState.java
+++ b/ledger/src/main/java/org/ragwortrun/ledger/MetaState.java
@@ -189,8 +189,8 @@
     }
 
     /**
-     * Returns whether the command decides on a move that has already been completed or rolled back. Commands that do not name the move take effect, so
-     * that a replay of entries from before the field reaches the state that other members have.
+     * Returns whether the command decides on a move that has already been completed or rolled back. Commands that do not
+     * name the move take effect, so that a replay of entries from before the field reaches the state of other members.
      */
     private boolean decidesEndedMove(MetaCommand command) {
         return isMoveFinished(command.getUndecidedMove());
