Watch a version at its target share before completion

A move was told as completed in the second in which its share rose to the target, so nothing had judged the version under all of its traffic. That was left to the watch after completion, which may no longer change anything.

The move now stays running at the target share until shortly before its finish (a twentieth of its duration, 1.5 to 10 s, so that a new leader can still complete it in time), and is rolled back if it is suspicious then. Moves without a finish time are watched for 10 s. bin/measure versions ends a move where the control leader does, and no longer counts rollbacks in the hours after it as successes.

--- a/measure/src/main/java/org/ragwortrun/measure/version/MoveRun.java
+++ b/measure/src/main/java/org/ragwortrun/measure/version/MoveRun.java
@@ -49,7 +49,6 @@
 
     /** Runs the move and tells the observer each second of it. */
     MoveOutcome run(VersionMove decisions, Observer observer) {
-        boolean done = false;
         for (long second = -HISTORY_S; second < durationSeconds + watchSeconds; second++) {
             MoveDecision decision = decisions.decide(move.start().toEpochMilli() + second * MILLIS);
             if (second >= 0) {
@@ -57,12 +56,15 @@
             }
             if (decision.state() == MoveState.MOVE_TAKEN_BACK) {
                 double delay = firstShown < 0 ? 0 : second - firstShown;
-                return new MoveOutcome(done, true, shown, received, total, delay, decision.reason());
+                return new MoveOutcome(false, true, shown, received, total, delay, decision.reason());
+            }
+            if (decision.state() == MoveState.MOVE_DONE) {
+                // The control leader acts on no evidence about a completed move.
+                return new MoveOutcome(second <= durationSeconds, false, shown, received, total, Double.NaN, "");
             }
-            done |= decision.state() == MoveState.MOVE_DONE && second <= durationSeconds;
             decisions.observe(second(second, decision.sharePermille()));
         }
-        return new MoveOutcome(done, false, shown, received, total, Double.NaN, "");
+        return new MoveOutcome(false, false, shown, received, total, Double.NaN, "");
     }
 
     private List<EvidenceRow> second(long second, int sharePermille) {
--- a/routing/src/main/java/org/ragwortrun/routing/version/SequentialVersionMove.java
+++ b/routing/src/main/java/org/ragwortrun/routing/version/SequentialVersionMove.java
@@ -10,13 +10,18 @@
 /**
  * Increases the share of the new version as the evidence allows and rolls it back on an alarm.
  *
- * <p>The share stays within the trial limit until the evidence of the trial suffices. Monitoring continues after the
- * target is reached. With too little traffic to reach the target by the finish time, the move is late and continues.
+ * <p>The share stays within the trial limit until the evidence of the trial suffices. At the target share the version is
+ * watched until shortly before the finish time, because completion is final. With too little traffic to reach the target
+ * by then, the move is late and continues.
  */
 public final class SequentialVersionMove implements VersionMove {
     private static final long INTERVAL_MS = 5_000;
-    // Decisions are made once a second and must take effect by the finish.
-    private static final long DECISION_MARGIN_MS = 1_500;
+    // Decisions are made once a second and must take effect by the finish. Longer moves leave time for a new leader.
+    private static final long MIN_DECISION_MARGIN_MS = 1_500;
+    private static final long MAX_DECISION_MARGIN_MS = 10_000;
+    private static final double DECISION_MARGIN_FRACTION = 0.05;
+    // A move without a finish time is watched at its target share for as long as at any other share.
+    private static final long OPEN_ENDED_WATCH_MS = 10_000;
 
     private final Move move;
     private final Comparison comparison;
@@ -28,6 +33,7 @@
     private int step;
     private boolean started;
     private boolean checkedAtDeadline;
+    private boolean completed;
     private String rollbackReason = "";
 
     public SequentialVersionMove(Move move) {
@@ -79,7 +85,7 @@
             stepStartedMillis = nowMillis;
             requestsInStep = 0;
         }
-        return currentDecision(left);
+        return currentDecision(left, nowMillis);
     }
 
     private boolean mayAdvance(long nowMillis) {
@@ -91,22 +97,31 @@
                         step, requestsInStep, nowMillis - stepStartedMillis, nowMillis - startedMillis, duration);
     }
 
-    private MoveDecision currentDecision(long leftMs) {
+    private MoveDecision currentDecision(long leftMs, long nowMillis) {
         int share = plan.share(step);
-        if (step == plan.lastStep()) {
-            return new MoveDecision(MoveState.MOVE_DONE, share, "target share reached, still watched");
-        }
-        if (leftMs == 0 && comparison.isSuspicious()) {
+        if (leftMs == 0 && !completed && comparison.isSuspicious()) {
             // There may be no operator to decide, and the old version is still in service.
             rollbackReason = "not shown to be good by the finish time";
             return rolledBack();
         }
+        if (step == plan.lastStep()) {
+            completed |= leftMs == 0 || mayEndOpenEnded(nowMillis);
+            return completed
+                    ? new MoveDecision(MoveState.MOVE_DONE, share, "target share reached, still watched")
+                    : new MoveDecision(MoveState.MOVE_RUNNING, share, "watched at the target share");
+        }
         if (leftMs == 0) {
             return new MoveDecision(MoveState.MOVE_LATE, share, "too little traffic to judge the version in time");
         }
         return new MoveDecision(MoveState.MOVE_RUNNING, share, "gathers evidence");
     }
 
+    private boolean mayEndOpenEnded(long nowMillis) {
+        return finishMillis() == Long.MAX_VALUE
+                && nowMillis - stepStartedMillis >= OPEN_ENDED_WATCH_MS
+                && !comparison.isSuspicious();
+    }
+
     /** Returns the finish time, or {@code Long.MAX_VALUE} if the move has none and may take as long as it needs. */
     private long finishMillis() {
         return move.finish().equals(Instant.MAX)
@@ -116,7 +131,13 @@
 
     /** Returns the latest time for a decision that must take effect by the finish time. */
     private long decisionDeadlineMillis() {
-        return finishMillis() == Long.MAX_VALUE ? Long.MAX_VALUE : finishMillis() - DECISION_MARGIN_MS;
+        if (finishMillis() == Long.MAX_VALUE) {
+            return Long.MAX_VALUE;
+        }
+        double fraction =
+                DECISION_MARGIN_FRACTION * (finishMillis() - move.start().toEpochMilli());
+        long margin = Math.max(MIN_DECISION_MARGIN_MS, Math.min(MAX_DECISION_MARGIN_MS, (long) fraction));
+        return finishMillis() - margin;
     }
 
     private MoveDecision rolledBack() {
--- a/routing/src/test/java/org/ragwortrun/routing/version/SequentialVersionMoveTest.java
+++ b/routing/src/test/java/org/ragwortrun/routing/version/SequentialVersionMoveTest.java
@@ -46,6 +46,33 @@
         assertThat(late.state()).isEqualTo(MoveState.MOVE_TAKEN_BACK);
     }
 
+    /** Guards against completing a move, which is final, to a version that fails only under the full traffic. */
+    @Test
+    void rollsBackVersionThatFailsAtTargetShare() {
+        MoveDecision decision = run(0, 1, 5, 0, 0, 400_000);
+        long second = 1;
+        while (decision.sharePermille() < 1000) {
+            decision = run(second, ++second, 5, 0, 0, 400_000);
+        }
+        assertThat(decision.state()).isEqualTo(MoveState.MOVE_RUNNING);
+        assertThat(run(second, 30 * MINUTE, 5, 0.5, 0, 400_000).state()).isEqualTo(MoveState.MOVE_TAKEN_BACK);
+    }
+
+    /** Guards against a move without a finish time that never completes. */
+    @Test
+    void completesMoveWithoutFinishTime() {
+        move = new SequentialVersionMove(new Move("m", "s", "old", "new", 1000, 50, START, Instant.MAX));
+        assertThat(run(0, 30 * MINUTE, 5, 0, 0, 400_000).state()).isEqualTo(MoveState.MOVE_DONE);
+    }
+
+    /** Guards against a new leader that collects evidence anew at the target share and completes the move late. */
+    @Test
+    void newLeaderCompletesMoveInTime() {
+        move = new SequentialVersionMove(
+                MOVE, 1000, START.plusSeconds(29 * MINUTE).toEpochMilli());
+        assertThat(run(29 * MINUTE, 30 * MINUTE, 5, 0, 0, 400_000).state()).isEqualTo(MoveState.MOVE_DONE);
+    }
+
     /** Guards against a version that is slow but never fails. */
     @Test
     void rollsBackSlowVersion() {
