Count a confirmation that comes after the call was given up

A router whose calls to the leader take longer than 400 ms, because its host has too little processor or its link is full, was never confirmed again. It then served dropped routes later than 2 s after a change was acknowledged, and denied nothing. ConfigWatch ended each call after 400 ms and threw its answer away, though an answer is true as of the moment at which the call was sent, whenever it comes.

After 400 ms the watch now calls again, as before, and the client presumes the leader to be lost, but the answer is accepted for 2 s. A late answer replaces no leader that was found since. Whether a confirmation is recent is still counted from the sending of its call.

ConfigWatchTest.isConfirmedByLateAnswer (answers after 700 ms) failed before: no configuration was in force after 5 s. ConfigWatchTest and ControlClientTest pass with the change.

--- a/net/src/main/java/org/ragwortrun/net/control/ConfigWatch.java
+++ b/net/src/main/java/org/ragwortrun/net/control/ConfigWatch.java
@@ -32,12 +32,14 @@
  *
  * <p>Periodic work calls the leader, to confirm the configuration or to fetch a newer one. It does not depend on the end
  * of an earlier call, which only makes the next one come sooner: after a call without an answer, a newer number, or the
- * announcement of a leader. State changes on the thread of the timer only.
+ * announcement of a leader. An answer that comes after the next call was sent still counts. State changes on the thread of the timer only.
  */
 public final class ConfigWatch implements AutoCloseable {
     private static final int META_GROUP = 0;
     // If the leader is isolated and does not answer, a lease of 3 s leaves time to try several other members.
-    private static final Duration CALL_TIMEOUT = Duration.ofMillis(400);
+    private static final Duration PATIENCE = Duration.ofMillis(400);
+    // A later answer confirms nothing recent.
+    private static final Duration CALL_TIMEOUT = Duration.ofSeconds(2);
     private static final long RETRY_MS = 100;
     private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
 
@@ -226,20 +228,37 @@
         Frame.Builder request = behind
                 ? Frame.newBuilder().setWatch(Watch.newBuilder().setHaveNumber(s.number()))
                 : Frame.newBuilder().setConfirm(Confirm.newBuilder().setNumber(s.number()));
-        Call c = new Call(s.number(), behind, sentAt, sentWallMillis, sentAt + CALL_TIMEOUT.toNanos());
+        Call c = new Call(s.number(), behind, sentAt, sentWallMillis, sentAt + PATIENCE.toNanos());
         running = c;
         if (unansweredSince == null) {
             unansweredSince = sentAt;
         }
-        control.call(META_GROUP, request, CALL_TIMEOUT).whenComplete((reply, failure) -> {
+        control.call(META_GROUP, request, PATIENCE, CALL_TIMEOUT).whenComplete((reply, failure) -> {
             long receivedAt = time.nanos();
             execute(() -> onReply(c, reply, failure, receivedAt));
         });
+        timer.schedule(SingleThreadExecutor.guarded(() -> onOverdue(c)), PATIENCE.toMillis(), TimeUnit.MILLISECONDS);
     }
 
-    private void onReply(Call call, @Nullable Frame reply, @Nullable Throwable failure, long receivedAt) {
+    /** Calls again, while the answer to this call may still come. */
+    private void onOverdue(Call call) {
         if (call.equals(running)) {
             running = null;
+            onUnanswered(call, null);
+        }
+    }
+
+    private void onUnanswered(Call call, @Nullable Throwable failure) {
+        if (!closed) {
+            log.onUnanswered(call.fetch, confirmedAgeMs(), failure);
+            callLater();
+        }
+    }
+
+    private void onReply(Call call, @Nullable Frame reply, @Nullable Throwable failure, long receivedAt) {
+        boolean inTime = call.equals(running);
+        if (inTime) {
+            running = null;
         }
         if (reply != null && reply.hasHeartbeat() && reply.getHeartbeat().getTerm() >= term) {
             onAnswered();
@@ -247,9 +266,8 @@
         } else if (reply != null && reply.hasConfigUpdate()) {
             onAnswered();
             onFetched(reply.getConfigUpdate(), receivedAt);
-        } else if (!closed) {
-            log.onUnanswered(call.fetch, confirmedAgeMs(), failure);
-            callLater();
+        } else if (inTime) {
+            onUnanswered(call, failure);
         }
     }
 
--- a/net/src/main/java/org/ragwortrun/net/control/ControlClient.java
+++ b/net/src/main/java/org/ragwortrun/net/control/ControlClient.java
@@ -78,10 +78,21 @@
      *     {@code NOT_SENT} if no leader was found in time and the request certainly had no effect
      */
     public CompletableFuture<Frame> call(int group, Frame.Builder request, Duration timeout) {
-        long deadline = System.nanoTime() + timeout.toNanos();
-        CompletableFuture<Frame> result = new CompletableFuture<>();
-        attempt(group, request.build(), deadline, result);
-        return result;
+        return call(group, request, timeout, timeout);
+    }
+
+    /**
+     * Calls the leader of a group and accepts a reply that comes after the leader is presumed to be lost.
+     *
+     * @param patience time within which the request is sent and after which a silent leader is presumed to be lost
+     * @param timeout time after which the call fails
+     */
+    public CompletableFuture<Frame> call(int group, Frame.Builder request, Duration patience, Duration timeout) {
+        long now = System.nanoTime();
+        Call call = new Call(
+                group, request.build(), now + patience.toNanos(), now + timeout.toNanos(), new CompletableFuture<>());
+        attempt(call);
+        return call.result;
     }
 
     /** Returns the presumed leader of a group and its address, empty if unknown. */
@@ -132,40 +143,54 @@
         closer.close();
     }
 
-    private void attempt(int group, Frame request, long deadline, CompletableFuture<Frame> result) {
-        endOnError(result, () -> callTarget(group, request, deadline, result));
+    private void attempt(Call call) {
+        endOnError(call.result, () -> callTarget(call));
     }
 
-    private void callTarget(int group, Frame request, long deadline, CompletableFuture<Frame> result) {
-        long remainingMs = TimeUnit.NANOSECONDS.toMillis(deadline - System.nanoTime());
-        if (remainingMs <= 0) {
-            result.completeExceptionally(new TransportException(
-                    TransportException.Kind.NOT_SENT, "no leader of group " + group + " was found in time"));
+    private void callTarget(Call call) {
+        long now = System.nanoTime();
+        if (call.isOverdue(now)) {
+            call.result.completeExceptionally(new TransportException(
+                    TransportException.Kind.NOT_SENT, "no leader of group " + call.group + " was found in time"));
             return;
         }
-        String target = target(group);
+        String target = target(call.group);
         FrameClient client = clients.get(target);
         if (client == null) {
-            leaders.remove(group, target);
-            retryLater(group, request, deadline, result);
+            leaders.remove(call.group, target);
+            retryLater(call);
             return;
         }
-        client.call(request.toBuilder(), Duration.ofMillis(remainingMs))
-                .whenComplete((reply, failure) -> endOnError(result, () -> {
+        if (call.deadline - call.sendBy > 0) {
+            transport.schedule(() -> presumeLost(call, target), Duration.ofNanos(call.sendBy - now));
+        }
+        client.call(call.request.toBuilder(), Duration.ofNanos(call.deadline - now))
+                .whenComplete((reply, failure) -> endOnError(call.result, () -> {
                     if (failure != null) {
-                        onFailure(group, request, deadline, result, target, Causes.of(failure));
+                        onFailure(call, target, Causes.of(failure));
                     } else if (reply.hasNotLeader()) {
-                        onNotLeader(group, target, reply.getNotLeader());
-                        retryLater(group, request, deadline, result);
+                        onNotLeader(call.group, target, reply.getNotLeader());
+                        retryLater(call);
                     } else {
-                        onReply(group, target, reply);
-                        result.complete(reply);
+                        onReply(call, target, reply);
+                        call.result.complete(reply);
                     }
                 }));
     }
 
-    private void onReply(int group, String target, Frame reply) {
-        leaders.put(group, target);
+    private void presumeLost(Call call, String target) {
+        if (!call.result.isDone()) {
+            leaders.remove(call.group, target);
+        }
+    }
+
+    private void onReply(Call call, String target, Frame reply) {
+        if (call.isOverdue(System.nanoTime())) {
+            // Another leader may have been found since.
+            leaders.putIfAbsent(call.group, target);
+        } else {
+            leaders.put(call.group, target);
+        }
         if (reply.hasHeartbeat() && reply.getHeartbeat().getMembersCount() > 0) {
             learn(reply.getHeartbeat().getMembersList());
         }
@@ -181,19 +206,13 @@
         }
     }
 
-    private void onFailure(
-            int group,
-            Frame request,
-            long deadline,
-            CompletableFuture<Frame> result,
-            String target,
-            Throwable failure) {
-        leaders.remove(group, target);
+    private void onFailure(Call call, String target, Throwable failure) {
+        leaders.remove(call.group, target);
         boolean notSent = failure instanceof TransportException e && e.kind() == TransportException.Kind.NOT_SENT;
         if (notSent) {
-            retryLater(group, request, deadline, result);
+            retryLater(call);
         } else {
-            result.completeExceptionally(failure);
+            call.result.completeExceptionally(failure);
         }
     }
 
@@ -237,10 +256,10 @@
         }
     }
 
-    private void retryLater(int group, Frame request, long deadline, CompletableFuture<Frame> result) {
+    private void retryLater(Call call) {
         // Without a connection no attempt can succeed, and frequent attempts waste CPU time during a partition.
         long delayMs = connectedNames(p -> true).isEmpty() ? DISCONNECTED_RETRY_DELAY_MS : RETRY_DELAY_MS;
-        transport.schedule(() -> attempt(group, request, deadline, result), Duration.ofMillis(delayMs));
+        transport.schedule(() -> attempt(call), Duration.ofMillis(delayMs));
     }
 
     private String target(int group) {
@@ -254,6 +273,18 @@
         return candidates.get(Math.floorMod(nextMember.getAndIncrement(), candidates.size()));
     }
 
+    /**
+     * A call that may be attempted at several members.
+     *
+     * @param sendBy monotonic time in nanoseconds after which the request is sent to no further member
+     * @param deadline monotonic time in nanoseconds after which the call fails
+     */
+    private record Call(int group, Frame request, long sendBy, long deadline, CompletableFuture<Frame> result) {
+        boolean isOverdue(long now) {
+            return now - sendBy >= 0;
+        }
+    }
+
     /** Takes the sender of a heartbeat that no call requested for the leader of the meta group. */
     private final class LeaderTracker implements FrameHandler {
         private final FrameHandler next;
--- a/net/src/test/java/org/ragwortrun/net/control/ConfigWatchTest.java
+++ b/net/src/test/java/org/ragwortrun/net/control/ConfigWatchTest.java
@@ -44,6 +44,8 @@
     private final List<Evacuation> evacuations = new CopyOnWriteArrayList<>();
     private volatile long number = 1;
     private volatile int leaseMs = LEASE_MS;
+    private volatile long replyDelayMs;
+    private final ScheduledExecutorService network = SingleThreadExecutor.timer("network");
     private volatile long term = 1;
     private volatile boolean repliesSuppressed;
     private volatile boolean nextWatchIgnored;
@@ -59,6 +61,7 @@
                 transport, Map.of("c1", new Address("127.0.0.1", server.port())), (p, f) -> watch.onPush(f)));
         ScheduledExecutorService timer = SingleThreadExecutor.timer(TIMER);
         closer.register(() -> SingleThreadExecutor.stop(timer));
+        closer.register(() -> SingleThreadExecutor.stop(network));
         Time time = new Time() {
             @Override
             public long nanos() {
@@ -212,6 +215,15 @@
         assertThat(isConfirmed()).isFalse();
     }
 
+    /** Guards against a host behind a slow network path that is never confirmed, because it gives up on each answer. */
+    @Test
+    void isConfirmedByLateAnswer() throws Exception {
+        replyDelayMs = 700;
+        watch.start(INTERVAL);
+        awaitNumber(1);
+        assertThat(isConfirmed()).isTrue();
+    }
+
     /** Guards against denials by the empty configuration that exists before the first publication. */
     @Test
     void hasNoConfigurationBeforeFirstPublication() throws Exception {
@@ -281,6 +293,14 @@
     }
 
     private void answer(Peer peer, Frame f) {
+        if (replyDelayMs == 0) {
+            answerNow(peer, f);
+        } else {
+            network.schedule(() -> answerNow(peer, f), replyDelayMs, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void answerNow(Peer peer, Frame f) {
         if (repliesSuppressed) {
             return;
         }
