Keep calling a silent leader that sends changes

When the leader did not answer a router in 400 ms, the router forgot it and asked the other members one after the other, while changes from the leader kept coming on the open connection. In the log of a router with lost packets that added "no leader of group 0 was found in time" to each answer that was late, and the configuration stayed unconfirmed for seconds.

A member that has sent a configuration update within the last second stays the presumed leader as long as its connection is open, and is presumed to lead if no other member is. Only a leader sends updates, and a lost one is replaced within about a second. A new leader's announcement still replaces it, and so does the answer of a member that it no longer leads.

ControlClientTest.keepsSilentLeaderThatSendsChanges failed before (no leader); it and forgetsSilentLeader pass.

--- a/net/src/main/java/org/ragwortrun/net/control/ControlClient.java
+++ b/net/src/main/java/org/ragwortrun/net/control/ControlClient.java
@@ -45,6 +45,9 @@
     // Members send a keep-alive frame every 450 ms; the additional half interval allows for a late one.
     private static final long MEMBER_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
 
+    // A leader that is lost is replaced within about this time.
+    private static final long PUSH_VALID_NANOS = TimeUnit.SECONDS.toNanos(1);
+
     private static final Logger LOG = LogManager.getLogger(ControlClient.class);
 
     private final Transport transport;
@@ -54,6 +57,7 @@
     private final Map<Integer, String> leaders = new ConcurrentHashMap<>();
     private final AtomicInteger nextMember = new AtomicInteger();
     private final AtomicLong announcedTerm = new AtomicLong();
+    private volatile Push lastPush = new Push("", 0);
     private final Closer closer = new Closer();
 
     /**
@@ -180,7 +184,16 @@
 
     private void presumeLost(Call call, String target) {
         if (!call.result.isDone()) {
-            leaders.remove(call.group, target);
+            forgetUnlessLeading(call.group, target);
+        }
+    }
+
+    /** Forgets a leader that does not answer, unless it sends changes, which only a leader does. */
+    private void forgetUnlessLeading(int group, String target) {
+        FrameClient client = clients.get(target);
+        boolean connected = client != null && client.peer().isPresent();
+        if (group != META_GROUP || !connected || !lastPush.isFrom(target, System.nanoTime())) {
+            leaders.remove(group, target);
         }
     }
 
@@ -207,7 +220,7 @@
     }
 
     private void onFailure(Call call, String target, Throwable failure) {
-        leaders.remove(call.group, target);
+        forgetUnlessLeading(call.group, target);
         boolean notSent = failure instanceof TransportException e && e.kind() == TransportException.Kind.NOT_SENT;
         if (notSent) {
             retryLater(call);
@@ -285,7 +298,19 @@
         }
     }
 
-    /** Takes the sender of a heartbeat that no call requested for the leader of the meta group. */
+    /**
+     * A configuration update that no call requested.
+     *
+     * @param sender name of the member
+     * @param nanos monotonic time at which it was received
+     */
+    private record Push(String sender, long nanos) {
+        boolean isFrom(String name, long now) {
+            return sender.equals(name) && now - nanos < PUSH_VALID_NANOS;
+        }
+    }
+
+    /** Takes the sender of a heartbeat or update that no call requested for the leader of the meta group. */
     private final class LeaderTracker implements FrameHandler {
         private final FrameHandler next;
 
@@ -303,9 +328,20 @@
             if (frame.hasHeartbeat() && frame.getCall() == 0) {
                 onAnnouncement(peer.hello().getName(), frame.getHeartbeat().getTerm());
             }
+            if (frame.hasConfigUpdate() && frame.getCall() == 0) {
+                onPush(peer.hello().getName());
+            }
             next.onFrame(peer, frame);
         }
 
+        private void onPush(String name) {
+            lastPush = new Push(name, System.nanoTime());
+            if (clients.containsKey(name)) {
+                // An update names no term, so it does not replace a leader that announced itself or answered.
+                leaders.putIfAbsent(META_GROUP, name);
+            }
+        }
+
         private void onAnnouncement(String name, long term) {
             boolean latest = term >= announcedTerm.getAndAccumulate(term, Math::max);
             if (latest && clients.containsKey(name)) {
--- a/net/src/test/java/org/ragwortrun/net/control/ControlClientTest.java
+++ b/net/src/test/java/org/ragwortrun/net/control/ControlClientTest.java
@@ -8,14 +8,17 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.ragwortrun.core.concurrent.Causes;
 import org.ragwortrun.core.concurrent.Closer;
 import org.ragwortrun.net.Address;
 import org.ragwortrun.net.FrameHandler;
 import org.ragwortrun.net.FrameServer;
 import org.ragwortrun.net.Peer;
 import org.ragwortrun.net.Transport;
+import org.ragwortrun.net.TransportException;
 import org.ragwortrun.proto.ConfigQuery;
 import org.ragwortrun.proto.ConfigReply;
+import org.ragwortrun.proto.ConfigUpdate;
 import org.ragwortrun.proto.Frame;
 import org.ragwortrun.proto.Heartbeat;
 import org.ragwortrun.proto.Hello;
@@ -25,6 +28,7 @@
 
 final class ControlClientTest {
     private static final Duration TIMEOUT = Duration.ofSeconds(10);
+    private static final Duration SHORT_TIMEOUT = Duration.ofMillis(200);
     private static final int POLLS = 400;
     private static final long POLL_MS = 10;
 
@@ -77,6 +81,41 @@
         assertThat(reply.getHeartbeat().getTerm()).isEqualTo(2);
     }
 
+    /** Guards against calls that wander among the members while the leader sends changes on an open connection. */
+    @Test
+    void keepsSilentLeaderThatSendsChanges() throws Exception {
+        FrameServer leader = listen(
+                "c1",
+                (peer, frame) -> peer.send(Frame.newBuilder()
+                        .setConfigUpdate(ConfigUpdate.getDefaultInstance())
+                        .build()));
+        ControlClient client = client(leader.port());
+        callUntilSent(client);
+        assertThat(client.leader(0)).hasValue("c1");
+    }
+
+    /** Guards against calls that stay with a leader that neither answers nor sends changes. */
+    @Test
+    void forgetsSilentLeader() throws Exception {
+        FrameServer leader = listen("c1", (peer, frame) -> {});
+        ControlClient client = client(leader.port());
+        callUntilSent(client);
+        assertThat(client.leader(0)).isEmpty();
+    }
+
+    /** Calls until a request was sent, so that the call ended without an answer and not without a connection. */
+    private static void callUntilSent(ControlClient client) {
+        Optional<TransportException.Kind> failure = Optional.of(TransportException.Kind.NOT_SENT);
+        for (int i = 0; i < POLLS && failure.equals(Optional.of(TransportException.Kind.NOT_SENT)); i++) {
+            failure = client.call(0, Frame.newBuilder().setHeartbeat(Heartbeat.getDefaultInstance()), SHORT_TIMEOUT)
+                    .handle((reply, e) -> Optional.ofNullable(e)
+                            .map(Causes::of)
+                            .map(TransportException.class::cast)
+                            .map(TransportException::kind))
+                    .join();
+        }
+    }
+
     private static FrameHandler heartbeats(long term) {
         return (peer, frame) ->
                 peer.send(heartbeat(term).setCall(frame.getCall()).build());
