Hold requests while a leader is heard but confirms nothing

A router that gave up waiting for a confirmation once, or whose calls had no answer for 500 ms, served by what it knew until it was confirmed again, also while the leader's changes kept reaching it. In the log of a router with lost packets it admitted requests on dropped routes by configurations confirmed 4.4 to 6.4 s before.

Silence now begins with the last frame of a leader: an answer, an update or an announcement. A frame without a call does not confirm anything, since the time at which it was sent is not known, but it shows that the host is not cut off. Requests then wait for a confirmation again, up to 1.5 s each time. A host that hears no leader serves by what it knows, as before.

ConfirmationGateTest.holdsRequestsAgainAfterLeaderIsHeard and holdsRequestsWhileLeaderIsHeard failed before (served at once); all 11 pass.

--- a/net/src/main/java/org/ragwortrun/net/control/ConfigWatch.java
+++ b/net/src/main/java/org/ragwortrun/net/control/ConfigWatch.java
@@ -53,6 +53,7 @@
     // Highest number that a member has named.
     private volatile long newest;
     private volatile @Nullable Long unansweredSince;
+    private volatile @Nullable Long leaderHeardNanos;
     private volatile Runnable confirmationListener = () -> {};
     private volatile boolean closed;
     private @Nullable Call running;
@@ -104,10 +105,12 @@
     public void onPush(Frame frame) {
         if (frame.hasConfigUpdate()) {
             long receivedAt = time.nanos();
+            leaderHeardNanos = receivedAt;
             // A late reply to a call that has ended has the number of the call.
             ConfigDelivery delivery = frame.getCall() == 0 ? ConfigDelivery.PUSH : ConfigDelivery.FETCH;
             execute(() -> apply(frame.getConfigUpdate(), delivery, receivedAt));
         } else if (frame.hasHeartbeat() && frame.getCall() == 0) {
+            leaderHeardNanos = time.nanos();
             execute(() -> onAnnouncement(frame.getHeartbeat()));
         }
     }
@@ -174,6 +177,15 @@
         return since == null ? OptionalLong.empty() : OptionalLong.of(since);
     }
 
+    /**
+     * Returns the monotonic time in nanoseconds at which a leader last answered a call or sent an update or announcement,
+     * empty if none has. What it sent then may be older: a frame without a call does not confirm anything.
+     */
+    public OptionalLong leaderHeardNanos() {
+        Long heard = leaderHeardNanos;
+        return heard == null ? OptionalLong.empty() : OptionalLong.of(heard);
+    }
+
     /**
      * Returns the time in milliseconds since the last answered confirmation of the configuration was sent, empty if none
      * was answered.
@@ -261,18 +273,19 @@
             running = null;
         }
         if (reply != null && reply.hasHeartbeat() && reply.getHeartbeat().getTerm() >= term) {
-            onAnswered();
+            onAnswered(receivedAt);
             onHeartbeat(call, reply.getHeartbeat());
         } else if (reply != null && reply.hasConfigUpdate()) {
-            onAnswered();
+            onAnswered(receivedAt);
             onFetched(reply.getConfigUpdate(), receivedAt);
         } else if (inTime) {
             onUnanswered(call, failure);
         }
     }
 
-    private void onAnswered() {
+    private void onAnswered(long receivedAt) {
         unansweredSince = null;
+        leaderHeardNanos = receivedAt;
         log.onAnswered();
     }
 
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ConfigurationSource.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ConfigurationSource.java
@@ -22,6 +22,11 @@
      */
     OptionalLong unansweredSinceNanos();
 
+    /**
+     * Returns the monotonic time in nanoseconds at which a leader last answered or sent something, empty if there is none.
+     */
+    OptionalLong leaderHeardNanos();
+
     /** Returns whether a control member has sent something lately, whether or not one leads. */
     boolean reachesMembers();
 
@@ -59,6 +64,11 @@
                 return watch.unansweredSinceNanos();
             }
 
+            @Override
+            public OptionalLong leaderHeardNanos() {
+                return watch.leaderHeardNanos();
+            }
+
             @Override
             public boolean reachesMembers() {
                 return !control.isPartitioned();
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ConfirmationGate.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ConfirmationGate.java
@@ -21,7 +21,8 @@
  *
  * <p>A process that stood still may read requests before it reads the changes that wait in its other sockets. Requests then
  * wait for a confirmation by a control member, for a bounded time. They do not wait while calls have had no answer for that
- * time, because a host that is cut off serves what it knows. Used on the event loop only.
+ * time, because a host that is cut off serves what it knows. A host that hears a leader is not cut off, whether or not its
+ * own calls are answered. Used on the event loop only.
  */
 final class ConfirmationGate {
     /** Longest wait while no member can be reached. Covers a new connection to the leader. */
@@ -107,15 +108,22 @@
         return isCutOff();
     }
 
-    /** Returns whether no member has answered for the longest wait, all of which this process has run. */
+    /** Returns whether no leader has been heard for the longest wait, all of which this process has run. */
     private boolean isCutOff() {
-        long running = standstills.runningSinceNanos();
+        long silent = silentSinceNanos();
         Long givenUp = givenUpNanos;
-        if (givenUp != null && givenUp - running > 0) {
+        if (givenUp != null && givenUp - silent > 0) {
             return true;
         }
         OptionalLong unanswered = configuration.unansweredSinceNanos();
-        return unanswered.isPresent() && nanosSince(unanswered.getAsLong(), running) >= MAX_WAIT.toNanos();
+        return unanswered.isPresent() && nanosSince(unanswered.getAsLong(), silent) >= MAX_WAIT.toNanos();
+    }
+
+    /** Returns the later of the last standstill and the last frame of a leader, after which a silence can begin. */
+    private long silentSinceNanos() {
+        long running = standstills.runningSinceNanos();
+        long heard = configuration.leaderHeardNanos().orElse(running);
+        return heard - running > 0 ? heard : running;
     }
 
     private void await(long nanos) {
--- a/router/src/test/java/org/ragwortrun/router/internal/forward/ConfirmationGateTest.java
+++ b/router/src/test/java/org/ragwortrun/router/internal/forward/ConfirmationGateTest.java
@@ -153,6 +153,37 @@
         assertThat(served).isEqualTo(1);
     }
 
+    /** Guards against a host that serves by an old configuration for good once it has not been confirmed in time. */
+    @Test
+    void holdsRequestsAgainAfterLeaderIsHeard() {
+        source.reachesMembers = true;
+        standStill(3_000);
+        source.unansweredSinceNanos = OptionalLong.of(time.nanos());
+        request();
+        run(ConfirmationGate.MAX_ELECTION_WAIT.toMillis() + 10);
+        request();
+        assertThat(served).isEqualTo(2);
+        run(MAX_WAIT_MS);
+        source.leaderHeardNanos = OptionalLong.of(time.nanos());
+        request();
+        assertThat(served).isEqualTo(2);
+        run(ConfirmationGate.MAX_ELECTION_WAIT.toMillis() + 10);
+        assertThat(served).isEqualTo(3);
+    }
+
+    /** Guards against a host that takes itself for cut off because only its own calls are not answered. */
+    @Test
+    void holdsRequestsWhileLeaderIsHeard() {
+        source.reachesMembers = true;
+        source.unansweredSinceNanos = OptionalLong.of(time.nanos());
+        run(RECENT_MS + 10);
+        source.leaderHeardNanos = OptionalLong.of(time.nanos());
+        request();
+        assertThat(served).isEqualTo(0);
+        confirm();
+        assertThat(served).isEqualTo(1);
+    }
+
     private void request() {
         gate.pass(() -> served++);
     }
--- a/router/src/test/java/org/ragwortrun/router/internal/forward/FakeConfigurationSource.java
+++ b/router/src/test/java/org/ragwortrun/router/internal/forward/FakeConfigurationSource.java
@@ -10,6 +10,7 @@
     Optional<Configuration> configuration = Optional.empty();
     BooleanSupplier recent = () -> false;
     OptionalLong unansweredSinceNanos = OptionalLong.empty();
+    OptionalLong leaderHeardNanos = OptionalLong.empty();
     OptionalLong confirmedAgeMs = OptionalLong.empty();
     boolean reachesMembers;
     int reads;
@@ -36,6 +37,11 @@
         return unansweredSinceNanos;
     }
 
+    @Override
+    public OptionalLong leaderHeardNanos() {
+        return leaderHeardNanos;
+    }
+
     @Override
     public boolean reachesMembers() {
         return reachesMembers;
