Let links stutter in the configuration measurement

The links of steady routers now also stall for 0.1 to 0.7 s at a time for 8 s, which excuses nothing.

--- a/measure/src/main/java/org/ragwortrun/measure/config/LinkFaults.java
+++ b/measure/src/main/java/org/ragwortrun/measure/config/LinkFaults.java
@@ -12,6 +12,10 @@
     private static final int LEAST_DELAY_MS = 20;
     private static final int MOST_DELAY_MS = 120;
     private static final int DELAYED_MS = 4_000;
+    private static final int LEAST_STALL_MS = 100;
+    private static final int MOST_STALL_MS = 700;
+    private static final int MOST_OPENING_MS = 100;
+    private static final int STUTTERING_MS = 8_000;
     private static final int LEAST_FAULT_MS = 200;
     private static final int MOST_FAULT_MS = 3_000;
     private static final int MOST_BYTES = 4_000;
@@ -33,6 +37,8 @@
                 this::delay,
                 this::delay,
                 this::delay,
+                this::stutter,
+                this::stutter,
                 this::reset,
                 () -> harm("links_reset_midway", p -> p.resetAfter(random.nextInt(MOST_BYTES))),
                 () -> harm("links_stalled", FaultProxy::freeze),
@@ -52,6 +58,24 @@
         links.forEach(p -> p.delay(0));
     }
 
+    /**
+     * Lets the links of a steady router through for short moments only, as a link that is full or loses packets does. No
+     * stall excuses the router from following the configuration.
+     */
+    private void stutter() throws InterruptedException {
+        List<String> steady = fleet.steadyRouters();
+        String router = steady.get(random.nextInt(steady.size()));
+        log.fault("links_stuttering", router + " ms=" + STUTTERING_MS);
+        List<FaultProxy> links = fleet.links(router);
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(STUTTERING_MS);
+        while (System.nanoTime() - end < 0) {
+            links.forEach(FaultProxy::freeze);
+            TimeUnit.MILLISECONDS.sleep(random.nextInt(LEAST_STALL_MS, MOST_STALL_MS));
+            links.forEach(FaultProxy::heal);
+            TimeUnit.MILLISECONDS.sleep(random.nextInt(1, MOST_OPENING_MS));
+        }
+    }
+
     private void reset() throws FleetException, InterruptedException {
         String router = next();
         List<FaultProxy> links = chosen(router);
