Carry out an order to move back to an earlier version

An operator who ordered a rollout to a version that had been completed before, and left for another one since, read an acknowledgement and the state of the move after it: the order was taken for a repetition of the first one and never carried out. Since a completed move is final, such an order is how an operator leaves a version that fails later.

A completed move starts again, from the present version and with no share, if another version is the baseline by then. Orders that are repeated after a lost answer, or that name a version that was rolled back, have no effect, as before. The leader marks the order, so that a replay of older entries gives the same state on every member.

--- a/control/src/main/java/org/ragwortrun/control/internal/MetaService.java
+++ b/control/src/main/java/org/ragwortrun/control/internal/MetaService.java
@@ -246,7 +246,7 @@
     }
 
     private void startMove(Peer peer, Frame request) {
-        StartMove order = request.getStartMove();
+        StartMove order = request.getStartMove().toBuilder().setRestarts(true).build();
         group.propose(MetaCommand.newBuilder().setStartMove(order)).whenComplete((result, failure) -> {
             if (result == null || failure != null) {
                 Throwable cause = failure == null ? new IllegalStateException("no result") : failure;
--- a/ledger/src/main/java/org/ragwortrun/ledger/MetaState.java
+++ b/ledger/src/main/java/org/ragwortrun/ledger/MetaState.java
@@ -179,9 +179,10 @@
                 .anyMatch(s -> s.getKind().equals(SectionKind.ORIGIN.text())
                         && s.getName().equals(order.getService()));
         StartMoveReply.Outcome outcome =
-                known ? orderedMoves.start(order, nowMs, this::isMoveFinished) : StartMoveReply.Outcome.UNKNOWN_SERVICE;
+                known ? orderedMoves.start(order, nowMs, this::moveState) : StartMoveReply.Outcome.UNKNOWN_SERVICE;
         if (outcome == StartMoveReply.Outcome.STARTED) {
             number = Math.addExact(number, 1);
+            resetProgress(OrderedMoves.name(order.getService(), order.getTarget()));
         }
         return MetaResult.newBuilder()
                 .setStartMove(StartMoveReply.newBuilder().setOutcome(outcome))
@@ -196,10 +197,19 @@
         return isMoveFinished(command.getUndecidedMove());
     }
 
+    /** Replaces the progress of a move that starts again, so that daemons do not apply the share it had. */
+    private void resetProgress(String move) {
+        if (moves.find(move).isPresent()) {
+            moves.put(move, MoveProgress.newBuilder().setMove(move).build(), number);
+        }
+    }
+
     private boolean isMoveFinished(String move) {
-        return moves.find(move)
-                .filter(p -> p.getState() == MoveState.MOVE_DONE || p.getState() == MoveState.MOVE_TAKEN_BACK)
-                .isPresent();
+        return OrderedMoves.isEnd(moveState(move));
+    }
+
+    private MoveState moveState(String move) {
+        return moves.find(move).map(MoveProgress::getState).orElse(MoveState.MOVE_UNSPECIFIED);
     }
 
     private MetaResult setBaseline(SetBaseline baseline) {
--- a/ledger/src/main/java/org/ragwortrun/ledger/internal/OrderedMoves.java
+++ b/ledger/src/main/java/org/ragwortrun/ledger/internal/OrderedMoves.java
@@ -6,7 +6,8 @@
 import java.util.Optional;
 import java.util.SortedMap;
 import java.util.TreeMap;
-import java.util.function.Predicate;
+import java.util.function.Function;
+import org.ragwortrun.proto.MoveState;
 import org.ragwortrun.proto.OrderedMove;
 import org.ragwortrun.proto.StartMove;
 import org.ragwortrun.proto.StartMoveReply;
@@ -22,21 +23,24 @@
     }
 
     /**
-     * Starts a move unless it is known or another move of the service is running.
+     * Starts a move unless it is known or another move of the service is running. A completed move starts again if another
+     * version is the baseline by now.
      *
-     * @param finished returns whether the move of this name has been completed or rolled back
+     * @param state returns the state of the move of a name
      */
-    public StartMoveReply.Outcome start(StartMove order, long nowMs, Predicate<String> finished) {
-        if (contains(name(order.getService(), order.getTarget()))) {
+    public StartMoveReply.Outcome start(StartMove order, long nowMs, Function<String, MoveState> state) {
+        String name = name(order.getService(), order.getTarget());
+        if (contains(name) && !mayRestart(order, state.apply(name))) {
             return StartMoveReply.Outcome.KNOWN;
         }
         Optional<OrderedMove> running = moves.stream()
                 .filter(m -> m.getService().equals(order.getService()))
-                .filter(m -> !finished.test(name(m.getService(), m.getTarget())))
+                .filter(m -> !isEnd(state.apply(name(m.getService(), m.getTarget()))))
                 .findFirst();
         if (running.isPresent()) {
             return StartMoveReply.Outcome.BUSY;
         }
+        moves.removeIf(m -> name(m.getService(), m.getTarget()).equals(name));
         moves.add(OrderedMove.newBuilder()
                 .setService(order.getService())
                 .setFrom(baselines.getOrDefault(order.getService(), ""))
@@ -47,6 +51,16 @@
         return StartMoveReply.Outcome.STARTED;
     }
 
+    private boolean mayRestart(StartMove order, MoveState state) {
+        boolean superseded = !order.getTarget().equals(baselines.get(order.getService()));
+        return order.getRestarts() && state == MoveState.MOVE_DONE && superseded;
+    }
+
+    /** Returns whether a move in this state has been completed or rolled back. */
+    public static boolean isEnd(MoveState state) {
+        return state == MoveState.MOVE_DONE || state == MoveState.MOVE_TAKEN_BACK;
+    }
+
     /** Sets the baseline version of an origin unless it has one, and returns whether it was set. */
     public boolean setBaseline(String service, String version) {
         return !version.isEmpty() && baselines.putIfAbsent(service, version) == null;
--- a/ledger/src/test/java/org/ragwortrun/ledger/GenerationTest.java
+++ b/ledger/src/test/java/org/ragwortrun/ledger/GenerationTest.java
@@ -118,6 +118,36 @@
         assertThat(state.moves().get(0).getState()).isEqualTo(MoveState.MOVE_TAKEN_BACK);
     }
 
+    /** Guards against an acknowledged order to move back to a version of before, which is never carried out. */
+    @Test
+    void completedMoveRestartsAfterAnother() throws IOException {
+        publish(7, "a");
+        baseline("v1");
+        start("v2");
+        decide(MoveState.MOVE_DONE);
+        assertThat(start("v2")).isEqualTo(StartMoveReply.Outcome.KNOWN);
+        start("v1");
+        state.apply(MetaCommand.newBuilder()
+                .setMoveProgress(MoveProgress.newBuilder().setMove("@a/v1").setState(MoveState.MOVE_DONE))
+                .build());
+        assertThat(start("v2")).isEqualTo(StartMoveReply.Outcome.STARTED);
+        assertThat(start("v2")).isEqualTo(StartMoveReply.Outcome.KNOWN);
+        OrderedMove last = restored().orderedMoves().get(2);
+        assertThat(last.getTarget()).isEqualTo("v2");
+        assertThat(last.getFrom()).isEqualTo("v1");
+        assertThat(last.getState()).isEqualTo(MoveState.MOVE_UNSPECIFIED);
+    }
+
+    /** Guards against a move to a failing version that starts again because its order was repeated. */
+    @Test
+    void rolledBackMoveDoesNotRestart() {
+        publish(7, "a");
+        baseline("v1");
+        start("v2");
+        decide(MoveState.MOVE_TAKEN_BACK);
+        assertThat(start("v2")).isEqualTo(StartMoveReply.Outcome.KNOWN);
+    }
+
     private void decide(MoveState decided) {
         state.apply(decision(decided).build());
     }
@@ -157,6 +187,7 @@
                         .setStartMove(StartMove.newBuilder()
                                 .setService("a")
                                 .setTarget(target)
+                                .setRestarts(true)
                                 .setDurationMs(10_000))
                         .build())
                 .getStartMove()
--- a/proto/src/main/java/org/ragwortrun/proto/StartMove.java
+++ b/proto/src/main/java/org/ragwortrun/proto/StartMove.java
@@ -142,6 +142,47 @@
     durationMs_ = 0;
   }
 
+  public static final int RESTARTS_FIELD_NUMBER = 4;
+  private boolean restarts_;
+  /**
+   * <pre>
+   * Whether a move that was completed starts again if another version has been moved to since. Set by the leader, so
+   * that a replay of older entries gives the state that other members have.
+   * </pre>
+   *
+   * <code>bool restarts = 4;</code>
+   * @return The restarts.
+   */
+  @java.lang.Override
+  public boolean getRestarts() {
+    return restarts_;
+  }
+  /**
+   * <pre>
+   * Whether a move that was completed starts again if another version has been moved to since. Set by the leader, so
+   * that a replay of older entries gives the state that other members have.
+   * </pre>
+   *
+   * <code>bool restarts = 4;</code>
+   * @param value The restarts to set.
+   */
+  private void setRestarts(boolean value) {
+    
+    restarts_ = value;
+  }
+  /**
+   * <pre>
+   * Whether a move that was completed starts again if another version has been moved to since. Set by the leader, so
+   * that a replay of older entries gives the state that other members have.
+   * </pre>
+   *
+   * <code>bool restarts = 4;</code>
+   */
+  private void clearRestarts() {
+
+    restarts_ = false;
+  }
+
   public static org.ragwortrun.proto.StartMove parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -369,6 +410,49 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Whether a move that was completed starts again if another version has been moved to since. Set by the leader, so
+     * that a replay of older entries gives the state that other members have.
+     * </pre>
+     *
+     * <code>bool restarts = 4;</code>
+     * @return The restarts.
+     */
+    @java.lang.Override
+    public boolean getRestarts() {
+      return instance.getRestarts();
+    }
+    /**
+     * <pre>
+     * Whether a move that was completed starts again if another version has been moved to since. Set by the leader, so
+     * that a replay of older entries gives the state that other members have.
+     * </pre>
+     *
+     * <code>bool restarts = 4;</code>
+     * @param value The restarts to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRestarts(boolean value) {
+      copyOnWrite();
+      instance.setRestarts(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether a move that was completed starts again if another version has been moved to since. Set by the leader, so
+     * that a replay of older entries gives the state that other members have.
+     * </pre>
+     *
+     * <code>bool restarts = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRestarts() {
+      copyOnWrite();
+      instance.clearRestarts();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.ragwortrun.proto.StartMove)
   }
   @java.lang.Override
@@ -388,10 +472,11 @@
             "service_",
             "target_",
             "durationMs_",
+            "restarts_",
           };
           java.lang.String info =
-              "\u0000\u0003\u0000\u0000\u0001\u0003\u0003\u0000\u0000\u0000\u0001\u0208\u0002\u0208" +
-              "\u0003\u000b";
+              "\u0000\u0004\u0000\u0000\u0001\u0004\u0004\u0000\u0000\u0000\u0001\u0208\u0002\u0208" +
+              "\u0003\u000b\u0004\u0007";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/proto/src/main/java/org/ragwortrun/proto/StartMoveOrBuilder.java
+++ b/proto/src/main/java/org/ragwortrun/proto/StartMoveOrBuilder.java
@@ -39,4 +39,15 @@
    * @return The durationMs.
    */
   int getDurationMs();
+
+  /**
+   * <pre>
+   * Whether a move that was completed starts again if another version has been moved to since. Set by the leader, so
+   * that a replay of older entries gives the state that other members have.
+   * </pre>
+   *
+   * <code>bool restarts = 4;</code>
+   * @return The restarts.
+   */
+  boolean getRestarts();
 }
