--- a/net/src/main/java/org/ragwortrun/net/control/ConfigWatch.java
+++ b/net/src/main/java/org/ragwortrun/net/control/ConfigWatch.java
@@ -32,7 +32,8 @@
  *
  * <p>Periodic work calls the leader, to confirm the configuration or to fetch a newer one. It does not depend on the end
  * of an earlier call, which only makes the next one come sooner: after a call without an answer, a newer number, or the
- * announcement of a leader. An answer that comes after the next call was sent still counts. State changes on the thread of the timer only.
+ * announcement of a leader. An answer that comes after the next call was sent still counts. State changes on the thread of
+ * the timer only.
  */
 public final class ConfigWatch implements AutoCloseable {
     private static final int META_GROUP = 0;
--- a/net/src/main/java/org/ragwortrun/net/control/ControlClient.java
+++ b/net/src/main/java/org/ragwortrun/net/control/ControlClient.java
@@ -44,7 +44,6 @@
     private static final int TARGET_MEMBER_CONNECTIONS = 3;
     // Members send a keep-alive frame every 450 ms; the additional half interval allows for a late one.
     private static final long MEMBER_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
-
     // A leader that is lost is replaced within about this time.
     private static final long PUSH_VALID_NANOS = TimeUnit.SECONDS.toNanos(1);
 
