Do not call a completed move watched

The reason of a completed move read "target share reached, still watched", which operators see in the list of moves. Where the new version has all of the traffic nothing watches it any more. The reason is now "target share reached"; SequentialVersionMoveTest, which pinned the former text, pins this one.

--- a/routing/src/main/java/org/ragwortrun/routing/version/SequentialVersionMove.java
+++ b/routing/src/main/java/org/ragwortrun/routing/version/SequentialVersionMove.java
@@ -107,7 +107,7 @@
         if (step == plan.lastStep()) {
             completed |= leftMs == 0 || mayEndOpenEnded(nowMillis);
             return completed
-                    ? new MoveDecision(MoveState.MOVE_DONE, share, "target share reached, still watched")
+                    ? new MoveDecision(MoveState.MOVE_DONE, share, "target share reached")
                     : new MoveDecision(MoveState.MOVE_RUNNING, share, "watched at the target share");
         }
         if (leftMs == 0) {
--- a/routing/src/test/java/org/ragwortrun/routing/version/SequentialVersionMoveTest.java
+++ b/routing/src/test/java/org/ragwortrun/routing/version/SequentialVersionMoveTest.java
@@ -105,8 +105,7 @@
         MoveDecision before = run(0, 90, 20, 0, 0, 400_000);
         assertThat(before.sharePermille()).isLessThan(1000);
         run(90, 4 * MINUTE, 20, 0.5, 0.5, 400_000);
-        assertThat(run(4 * MINUTE, 30 * MINUTE, 20, 0, 0, 400_000).reason())
-                .isEqualTo("target share reached, still watched");
+        assertThat(run(4 * MINUTE, 30 * MINUTE, 20, 0, 0, 400_000).reason()).isEqualTo("target share reached");
     }
 
     /** Guards against a full move at the finish time to a version that has received no requests. */
