--- a/measure/src/main/java/org/ragwortrun/measure/config/ConfigFleet.java
+++ b/measure/src/main/java/org/ragwortrun/measure/config/ConfigFleet.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -62,7 +63,12 @@
     }
 
     Map<String, Address> memberAddresses() {
-        return members.stream().collect(Collectors.toMap(m -> m, m -> new Address(HOST, fleet.controlPort(m))));
+        return addresses(members);
+    }
+
+    /** Returns the addresses of members that have been added. */
+    Map<String, Address> addresses(Collection<String> names) {
+        return names.stream().collect(Collectors.toMap(m -> m, m -> new Address(HOST, fleet.controlPort(m))));
     }
 
     List<String> routers() {
--- a/measure/src/main/java/org/ragwortrun/measure/fleet/Fleet.java
+++ b/measure/src/main/java/org/ragwortrun/measure/fleet/Fleet.java
@@ -123,7 +123,7 @@
         String settings = settings(name, dataCenter)
                 + "[control]\nmembers = " + controlMembers + "\n[cluster]\nshards = " + shards + "\n[http]\naddress = "
                 + Ports.HOST + ":" + routerPorts.get(name) + "\nreadiness = " + Ports.HOST + ":"
-                + readinessPorts.get(name) + "\n";
+                + readinessPorts.get(name) + "\n[peers]\naddress = " + Ports.HOST + ":" + ports.next() + "\n";
         try {
             Path file = Files.writeString(folder.resolve(name + ".ini"), settings);
             List<String> all = new ArrayList<>(List.of(file.toString()));
