--- a/control/src/main/java/org/ragwortrun/control/internal/MetaService.java
+++ b/control/src/main/java/org/ragwortrun/control/internal/MetaService.java
@@ -214,9 +214,13 @@
                 .with("operator", request.getPublish().getOperator())
                 .with("publish-id", request.getPublish().getPublishId())
                 .with("based-on", request.getPublish().getBasedOn())
+                .with("version", request.getPublish().getGeneration())
                 .with("outcome", reply.getOutcome())
                 .with("number", reply.getNumber())
                 .with("resent", reply.getResent())
+                .with("superseded", reply.getSuperseded())
+                .with("term", term.orElse(0))
+                .with("from", peer.hello().getName())
                 .info(LOG);
         advance();
         if (reply.getOutcome() != PublishReply.Outcome.ACCEPTED) {
--- a/ledger/src/main/java/org/ragwortrun/ledger/MetaState.java
+++ b/ledger/src/main/java/org/ragwortrun/ledger/MetaState.java
@@ -343,6 +343,7 @@
         ConfigUpdate.Builder update = ConfigUpdate.newBuilder()
                 .setNumber(number)
                 .setBase(from)
+                .setGeneration(generation)
                 .addAllChanged(sections.changedAfter(from))
                 .addAllMoves(moves.changedAfter(from))
                 .addAllDecisions(decisions.changedAfter(from))
--- a/net/src/main/java/org/ragwortrun/net/control/ConfigWatchLog.java
+++ b/net/src/main/java/org/ragwortrun/net/control/ConfigWatchLog.java
@@ -92,6 +92,7 @@
         Event.of("configuration-applied")
                 .with("number", update.getNumber())
                 .with("base", update.getBase())
+                .with("version", update.getGeneration())
                 .with("sections", sections)
                 .with("delivery", delivery.text())
                 .with("leader", leader.get())
--- a/proto/src/main/java/org/ragwortrun/proto/ConfigUpdate.java
+++ b/proto/src/main/java/org/ragwortrun/proto/ConfigUpdate.java
@@ -819,6 +819,44 @@
     evacuations_.remove(index);
   }
 
+  public static final int GENERATION_FIELD_NUMBER = 23;
+  private long generation_;
+  /**
+   * <pre>
+   * Version number that the source of the configuration assigned, 0 for none.
+   * </pre>
+   *
+   * <code>uint64 generation = 23;</code>
+   * @return The generation.
+   */
+  @java.lang.Override
+  public long getGeneration() {
+    return generation_;
+  }
+  /**
+   * <pre>
+   * Version number that the source of the configuration assigned, 0 for none.
+   * </pre>
+   *
+   * <code>uint64 generation = 23;</code>
+   * @param value The generation to set.
+   */
+  private void setGeneration(long value) {
+    
+    generation_ = value;
+  }
+  /**
+   * <pre>
+   * Version number that the source of the configuration assigned, 0 for none.
+   * </pre>
+   *
+   * <code>uint64 generation = 23;</code>
+   */
+  private void clearGeneration() {
+
+    generation_ = 0L;
+  }
+
   public static org.ragwortrun.proto.ConfigUpdate parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -1778,6 +1816,46 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Version number that the source of the configuration assigned, 0 for none.
+     * </pre>
+     *
+     * <code>uint64 generation = 23;</code>
+     * @return The generation.
+     */
+    @java.lang.Override
+    public long getGeneration() {
+      return instance.getGeneration();
+    }
+    /**
+     * <pre>
+     * Version number that the source of the configuration assigned, 0 for none.
+     * </pre>
+     *
+     * <code>uint64 generation = 23;</code>
+     * @param value The generation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setGeneration(long value) {
+      copyOnWrite();
+      instance.setGeneration(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Version number that the source of the configuration assigned, 0 for none.
+     * </pre>
+     *
+     * <code>uint64 generation = 23;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearGeneration() {
+      copyOnWrite();
+      instance.clearGeneration();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.ragwortrun.proto.ConfigUpdate)
   }
   @java.lang.Override
@@ -1811,11 +1889,12 @@
             "ageMs_",
             "evacuations_",
             org.ragwortrun.proto.Evacuation.class,
+            "generation_",
           };
           java.lang.String info =
-              "\u0000\n\u0000\u0000\u0001\u0016\n\u0000\u0007\u0000\u0001\u0003\u0002\u0003\u0003" +
-              "\u001b\u0004\u001b\u0005\u001b\u0006\u001b\u0007\u001b\u0014\u001b\u0015\u0003\u0016" +
-              "\u001b";
+              "\u0000\u000b\u0000\u0000\u0001\u0017\u000b\u0000\u0007\u0000\u0001\u0003\u0002\u0003" +
+              "\u0003\u001b\u0004\u001b\u0005\u001b\u0006\u001b\u0007\u001b\u0014\u001b\u0015\u0003" +
+              "\u0016\u001b\u0017\u0003";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/proto/src/main/java/org/ragwortrun/proto/ConfigUpdateOrBuilder.java
+++ b/proto/src/main/java/org/ragwortrun/proto/ConfigUpdateOrBuilder.java
@@ -141,4 +141,14 @@
    * <code>repeated .org.ragwortrun.proto.Evacuation evacuations = 22;</code>
    */
   int getEvacuationsCount();
+
+  /**
+   * <pre>
+   * Version number that the source of the configuration assigned, 0 for none.
+   * </pre>
+   *
+   * <code>uint64 generation = 23;</code>
+   * @return The generation.
+   */
+  long getGeneration();
 }
