--- a/measure/src/main/java/org/ragwortrun/measure/answers/RouterMain.java
+++ b/measure/src/main/java/org/ragwortrun/measure/answers/RouterMain.java
@@ -21,15 +21,19 @@
     private RouterMain() {}
 
     public static void main(String[] args) throws RagwortrunException {
-        List<ListedEndpoint> endpoints =
-                Stream.of(args).skip(1).map(RouterMain::listed).toList();
+        List<ListedEndpoint> endpoints = listed(args);
         StopSignal.runUntilStopped(
                 ForwardDaemon.start(
                         Settings.read(Path.of(args[0])), HeaderNames.STANDARD, () -> endpoints, ProcessStart.nanos()),
                 0);
     }
 
-    private static ListedEndpoint listed(String argument) {
+    /** Returns the endpoints in the arguments of a process. */
+    static List<ListedEndpoint> listed(String... args) {
+        return Stream.of(args).skip(1).map(RouterMain::endpoint).toList();
+    }
+
+    private static ListedEndpoint endpoint(String argument) {
         int at = argument.indexOf('@');
         String address = argument.substring(at + 1);
         return ListedEndpoint.newBuilder()
--- a/measure/src/main/java/org/ragwortrun/measure/config/ConfigFleet.java
+++ b/measure/src/main/java/org/ragwortrun/measure/config/ConfigFleet.java
@@ -9,6 +9,7 @@
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.ragwortrun.core.concurrent.Closer;
+import org.ragwortrun.measure.answers.MemberMain;
 import org.ragwortrun.measure.answers.RouterMain;
 import org.ragwortrun.measure.fleet.Fleet;
 import org.ragwortrun.measure.fleet.FleetException;
@@ -32,6 +33,7 @@
     ConfigFleet(int memberCount, int routerCount) throws FleetException, IOException {
         fleet = closer.register(new Fleet(SHARDS, FleetOptions.DEPLOYED));
         origins = closer.register(new OriginServers(fleet));
+        fleet.setMemberProgram(MemberMain.class.getName(), origins.routerArguments());
         fleet.addControls(memberCount);
         members = IntStream.rangeClosed(1, memberCount).mapToObj(i -> "c" + i).toList();
         for (int i = 1; i <= routerCount; i++) {
--- a/measure/src/main/java/org/ragwortrun/measure/fleet/Fleet.java
+++ b/measure/src/main/java/org/ragwortrun/measure/fleet/Fleet.java
@@ -9,6 +9,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
@@ -41,6 +42,7 @@
     private final Map<String, Integer> endpointPorts = new LinkedHashMap<>();
     private final Map<String, EndpointSpec> endpoints = new LinkedHashMap<>();
     private String members = "";
+    private Optional<Program> memberProgram = Optional.empty();
 
     /** Creates a fleet that keeps its files in a new temporary folder, which is deleted on close. */
     public Fleet(int shards) throws FleetException {
@@ -58,14 +60,17 @@
         }
     }
 
+    /** Replaces the program of the members that are added from now on. Its first argument is the settings file. */
+    public void setMemberProgram(String main, List<String> arguments) {
+        memberProgram = Optional.of(new Program(main, arguments));
+    }
+
     /** Adds control members named {@code c1}, {@code c2} and so on, each in a separate data center. */
     public void addControls(int count) throws FleetException {
         for (int i = 1; i <= count; i++) {
             controlPorts.put("c" + i, ports.next());
         }
-        members = controlPorts.entrySet().stream()
-                .map(e -> e.getKey() + "=" + Ports.HOST + ":" + e.getValue())
-                .collect(Collectors.joining(", "));
+        members = controlAddresses();
         String bootstrap = "bootstrap = " + String.join(", ", controlPorts.keySet()) + "\n";
         int i = 0;
         for (String name : controlPorts.keySet()) {
@@ -74,20 +79,31 @@
         }
     }
 
-    /** Adds a control member that the settings of no other process name. It joins the others when it is started. */
+    /**
+     * Adds a control member that the settings of no earlier process name. It joins the members that were added before when
+     * it is started.
+     */
     public void addJoiningControl(String name, String dataCenter) throws FleetException {
         controlPorts.put(name, ports.next());
-        addControl(name, dataCenter, members + ", " + name + "=" + Ports.HOST + ":" + controlPort(name), "");
+        addControl(name, dataCenter, controlAddresses(), "");
+    }
+
+    private String controlAddresses() {
+        return controlPorts.entrySet().stream()
+                .map(e -> e.getKey() + "=" + Ports.HOST + ":" + e.getValue())
+                .collect(Collectors.joining(", "));
     }
 
     private void addControl(String name, String dataCenter, String known, String bootstrap) throws FleetException {
-        addDaemon(
-                "control",
-                name,
-                options.controlJvm(),
+        String settings =
                 settings(name, dataCenter) + "[control]\nmembers = " + known + "\nlisten = " + Ports.HOST + ":"
                         + controlPort(name) + "\n[storage]\nfolder = " + folder.resolve("data-" + name)
-                        + "\n[cluster]\nshards = " + shards + "\n" + bootstrap + options.clusterSettings());
+                        + "\n[cluster]\nshards = " + shards + "\n" + bootstrap + options.clusterSettings();
+        if (memberProgram.isPresent()) {
+            addProgram(memberProgram.get(), name, options.controlJvm(), settings);
+        } else {
+            addDaemon("control", name, options.controlJvm(), settings);
+        }
     }
 
     /** Adds a router. */
@@ -124,14 +140,7 @@
                 + "[control]\nmembers = " + controlMembers + "\n[cluster]\nshards = " + shards + "\n[http]\naddress = "
                 + Ports.HOST + ":" + routerPorts.get(name) + "\nreadiness = " + Ports.HOST + ":"
                 + readinessPorts.get(name) + "\n[peers]\naddress = " + Ports.HOST + ":" + ports.next() + "\n";
-        try {
-            Path file = Files.writeString(folder.resolve(name + ".ini"), settings);
-            List<String> all = new ArrayList<>(List.of(file.toString()));
-            all.addAll(arguments);
-            add(name, FleetProcess.javaCommand(options.routerJvm(), main, all));
-        } catch (IOException e) {
-            throw new FleetException("cannot write settings of " + name, e);
-        }
+        addProgram(new Program(main, arguments), name, options.routerJvm(), settings);
     }
 
     /** Adds a stand-in endpoint and its agent. */
@@ -371,10 +380,20 @@
         return "[daemon]\nname = " + name + "\ndata-center = " + dataCenter + "\nmetrics-port = 0\n";
     }
 
+    private void addProgram(Program program, String name, List<String> jvm, String settings) throws FleetException {
+        List<String> all = new ArrayList<>(List.of(writeSettings(name, settings).toString()));
+        all.addAll(program.arguments());
+        add(name, FleetProcess.javaCommand(jvm, program.main(), all));
+    }
+
     private void addDaemon(String role, String name, List<String> jvm, String settings) throws FleetException {
+        Path file = writeSettings(name, settings);
+        add(name, FleetProcess.javaCommand(jvm, PROGRAM, List.of(role, "--settings", file.toString())));
+    }
+
+    private Path writeSettings(String name, String settings) throws FleetException {
         try {
-            Path file = Files.writeString(folder.resolve(name + ".ini"), settings);
-            add(name, FleetProcess.javaCommand(jvm, PROGRAM, List.of(role, "--settings", file.toString())));
+            return Files.writeString(folder.resolve(name + ".ini"), settings);
         } catch (IOException e) {
             throw new FleetException("cannot write settings of " + name, e);
         }
@@ -384,6 +403,9 @@
         processes.put(name, closer.register(new FleetProcess(name, command, folder.resolve(name + ".log"))));
     }
 
+    /** A main class and its arguments after the settings file. */
+    private record Program(String main, List<String> arguments) {}
+
     /** A condition to wait for. */
     @FunctionalInterface
     public interface Condition {
--- a/measure/src/test/java/org/ragwortrun/measure/config/ReplacedMembersTest.java
+++ b/measure/src/test/java/org/ragwortrun/measure/config/ReplacedMembersTest.java
@@ -3,17 +3,23 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.time.Clock;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.stream.Collectors;
 import org.apache.commons.rng.simple.RandomSource;
 import org.junit.jupiter.api.Test;
 import org.ragwortrun.core.concurrent.Closer;
 import org.ragwortrun.measure.fleet.Fleet;
 import org.ragwortrun.net.Transport;
 import org.ragwortrun.net.control.ControlClient;
+import org.ragwortrun.proto.Frame;
+import org.ragwortrun.proto.Heartbeat;
 import org.ragwortrun.proto.Hello;
+import org.ragwortrun.proto.Member;
 import org.ragwortrun.proto.Role;
 
 /** Tests a real forwarding router that is away while all control members are replaced by ones at other addresses. */
@@ -23,8 +29,8 @@
     private static final String AWAY = "r1";
     private static final long START_S = 30;
     private static final long CALM_MS = 1_500;
-    // A lost member has been removed from its groups after its replacement was added.
-    private static final long REPLACE_MS = 9_000;
+    private static final long REPLACE_S = 40;
+    private static final Duration CALL_TIMEOUT = Duration.ofMillis(900);
     // Time until a router that is back counts as connected, and until it follows the changes since.
     private static final long RETURN_MS = 5_000;
     private static final long ASKED_MS = 3_000;
@@ -60,7 +66,7 @@
             for (int i = 1; i <= MEMBERS; i++) {
                 processes.process("c" + i).kill();
                 processes.process("x" + i).start();
-                publish(publisher, REPLACE_MS);
+                awaitReplacement(control, publisher, "c" + i, "x" + i);
             }
             processes.process(AWAY).setSuspended(false);
             publish(publisher, RETURN_MS);
@@ -80,6 +86,27 @@
         }
     }
 
+    /** Publishes changes until a member that was lost has been replaced, so that the next loss leaves a majority. */
+    private static void awaitReplacement(ControlClient control, Publisher publisher, String lost, String replacement)
+            throws InterruptedException {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(REPLACE_S);
+        Set<String> voters = Set.of();
+        while (voters.contains(lost) || !voters.contains(replacement)) {
+            assertThat(System.nanoTime() - end).isLessThan(0L);
+            publish(publisher, CALM_MS);
+            voters = control
+                    .call(0, Frame.newBuilder().setHeartbeat(Heartbeat.getDefaultInstance()), CALL_TIMEOUT)
+                    .handle((reply, failure) -> reply == null ? Frame.getDefaultInstance() : reply)
+                    .join()
+                    .getHeartbeat()
+                    .getMembersList()
+                    .stream()
+                    .filter(Member::getVoter)
+                    .map(Member::getName)
+                    .collect(Collectors.toSet());
+        }
+    }
+
     /** Asks the router that was away for the newest routes and for dropped ones. */
     private static RouterRecord askFor(ConfigFleet fleet, ChangeLog changes, Publisher publisher, Closer closer)
             throws InterruptedException {
--- a/net/src/main/java/org/ragwortrun/net/control/ControlClient.java
+++ b/net/src/main/java/org/ragwortrun/net/control/ControlClient.java
@@ -15,7 +15,6 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.ragwortrun.core.concurrent.Causes;
-import org.ragwortrun.core.concurrent.Closer;
 import org.ragwortrun.core.log.Event;
 import org.ragwortrun.net.Address;
 import org.ragwortrun.net.AddressException;
@@ -51,13 +50,13 @@
 
     private final Transport transport;
     private final FrameHandler pushHandler;
-    private final List<String> configuredNames;
     private final Map<String, FrameClient> clients = new ConcurrentHashMap<>();
     private final Map<Integer, String> leaders = new ConcurrentHashMap<>();
     private final AtomicInteger nextMember = new AtomicInteger();
     private final AtomicLong announcedTerm = new AtomicLong();
     private volatile Push lastPush = new Push("", 0);
-    private final Closer closer = new Closer();
+    private final List<String> configuredNames;
+    private volatile List<Member> namedMembers = List.of();
 
     /**
      * Connects to all members.
@@ -69,8 +68,7 @@
         this.transport = transport;
         this.pushHandler = new LeaderTracker(pushHandler);
         configuredNames = List.copyOf(members.keySet());
-        members.forEach(
-                (name, address) -> clients.put(name, closer.register(transport.connect(address, this.pushHandler))));
+        members.forEach(this::connect);
     }
 
     /**
@@ -136,6 +134,16 @@
                         .orElse(false));
     }
 
+    /** Returns the members that the leader has named last, empty while no member is reached. */
+    public List<Member> members() {
+        return isPartitioned() ? List.of() : namedMembers;
+    }
+
+    /** Returns the names of the members that this client is connected to or tries to connect to, in order. */
+    public List<String> knownMembers() {
+        return clients.keySet().stream().sorted().toList();
+    }
+
     /** Returns whether a peer is a member and not a relay, which only redirects to members. */
     private static boolean isMember(Peer peer) {
         return peer.hello().getRole() != Role.RELAY;
@@ -143,7 +151,7 @@
 
     @Override
     public void close() {
-        closer.close();
+        clients.values().forEach(FrameClient::close);
     }
 
     private void attempt(Call call) {
@@ -189,9 +197,7 @@
 
     /** Forgets a leader that does not answer, unless it sends changes, which only a leader does. */
     private void forgetUnlessLeading(int group, String target) {
-        FrameClient client = clients.get(target);
-        boolean connected = client != null && client.peer().isPresent();
-        if (group != META_GROUP || !connected || !lastPush.isFrom(target, System.nanoTime())) {
+        if (group != META_GROUP || !isConnected(target) || !lastPush.isFrom(target, System.nanoTime())) {
             leaders.remove(group, target);
         }
     }
@@ -204,7 +210,8 @@
             leaders.put(call.group, target);
         }
         if (reply.hasHeartbeat() && reply.getHeartbeat().getMembersCount() > 0) {
-            learn(reply.getHeartbeat().getMembersList());
+            namedMembers = reply.getHeartbeat().getMembersList();
+            learn(namedMembers);
         }
     }
 
@@ -238,21 +245,38 @@
         }
     }
 
-    /** Connects to the members that the leader names and disconnects from former members. */
-    private void learn(List<Member> members) {
+    /**
+     * Connects to current members and disconnects from former ones that are not configured.
+     *
+     * @param members all members, as the leader has named them to this or another process
+     * @return whether one of them was unknown
+     */
+    public boolean learn(List<Member> members) {
+        List<String> before = knownMembers();
         members.stream()
                 .filter(m -> connectedNames(ControlClient::isMember).size() < TARGET_MEMBER_CONNECTIONS)
                 .forEach(m -> learn(m.getName(), m.getAddress()));
-        clients.keySet().stream()
-                .filter(n -> !configuredNames.contains(n) && !leaders.containsValue(n))
-                .filter(n -> members.stream().noneMatch(m -> m.getName().equals(n)))
-                .toList()
-                .forEach(n -> {
-                    FrameClient client = clients.remove(n);
-                    if (client != null) {
-                        client.close();
-                    }
-                });
+        closeFormer(members);
+        return !before.containsAll(knownMembers());
+    }
+
+    private void closeFormer(List<Member> members) {
+        Set<String> current = members.stream().map(Member::getName).collect(Collectors.toSet());
+        closeClients(n -> !configuredNames.contains(n) && !leaders.containsValue(n) && !current.contains(n));
+    }
+
+    private void closeClients(Predicate<String> condition) {
+        clients.keySet().stream().filter(condition).toList().forEach(n -> {
+            FrameClient client = clients.remove(n);
+            if (client != null) {
+                client.close();
+            }
+        });
+    }
+
+    private boolean isConnected(String name) {
+        FrameClient client = clients.get(name);
+        return client != null && client.peer().isPresent();
     }
 
     /** Connects to a member that was added after this client was created or that has contacted this process. */
@@ -261,13 +285,16 @@
             return;
         }
         try {
-            Address parsed = Address.parse(address);
-            clients.computeIfAbsent(name, n -> closer.register(transport.connect(parsed, pushHandler)));
+            connect(name, Address.parse(address));
         } catch (AddressException e) {
             Event.of("leader-address-unreadable").with("leader", name).warn(LOG, e);
         }
     }
 
+    private void connect(String name, Address address) {
+        clients.computeIfAbsent(name, n -> transport.connect(address, pushHandler));
+    }
+
     private void retryLater(Call call) {
         // Without a connection no attempt can succeed, and frequent attempts waste CPU time during a partition.
         long delayMs = connectedNames(p -> true).isEmpty() ? DISCONNECTED_RETRY_DELAY_MS : RETRY_DELAY_MS;
--- /dev/null
+++ b/net/src/test/java/org/ragwortrun/net/control/MemberRecoveryTest.java
@@ -0,0 +1,107 @@
+package org.ragwortrun.net.control;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.ragwortrun.core.concurrent.Closer;
+import org.ragwortrun.core.metrics.Metrics;
+import org.ragwortrun.core.time.Time;
+import org.ragwortrun.net.Address;
+import org.ragwortrun.net.FrameServer;
+import org.ragwortrun.net.Transport;
+import org.ragwortrun.proto.Hello;
+import org.ragwortrun.proto.Member;
+import org.ragwortrun.proto.Role;
+
+final class MemberRecoveryTest {
+    private static final int POLLS = 400;
+    private static final long POLL_MS = 10;
+
+    private final Closer closer = new Closer();
+
+    @AfterEach
+    void stop() {
+        closer.close();
+    }
+
+    /** Guards against a process that knows only members that are gone and never reaches control again. */
+    @Test
+    void findsMembersAfterAllKnownOnesAreGone() throws Exception {
+        FrameServer gone = listen("c1");
+        ControlClient client = client(gone.port());
+        gone.close();
+        FrameServer successor = listen("c9");
+        MemberRecovery recovery = recovery(client, source(member("c9", successor.port())));
+        await(() -> {
+            recovery.run();
+            return !client.isPartitioned();
+        });
+        assertThat(client.knownMembers()).containsExactly("c1", "c9");
+    }
+
+    /** Guards against lists of other processes that replace what a member has told. */
+    @Test
+    void asksNoOtherSourceWhileMemberIsReached() throws Exception {
+        ControlClient client = client(listen("c1").port());
+        await(() -> !client.isPartitioned());
+        recovery(client, source(member("c9", 1))).run();
+        assertThat(client.knownMembers()).containsExactly("c1");
+    }
+
+    /** Guards against connections to ever more members that are gone, at a process that stays cut off. */
+    @Test
+    void forgetsFoundMembersThatAreNoLongerNamed() throws Exception {
+        ControlClient client = client(1);
+        client.learn(List.of(member("c8", 1)));
+        client.learn(List.of(member("c9", 1)));
+        assertThat(client.knownMembers()).containsExactly("c1", "c9");
+    }
+
+    private static MemberRecovery recovery(ControlClient client, MemberSource source) {
+        return new MemberRecovery(client, List.of(source), Metrics.local(), Time.system());
+    }
+
+    private static MemberSource source(Member member) {
+        return new MemberSource() {
+            @Override
+            public String name() {
+                return "test";
+            }
+
+            @Override
+            public void find(Consumer<List<Member>> receiver) {
+                receiver.accept(List.of(member));
+            }
+        };
+    }
+
+    private static Member member(String name, int port) {
+        return Member.newBuilder().setName(name).setAddress("127.0.0.1:" + port).build();
+    }
+
+    private ControlClient client(int port) {
+        return closer.register(
+                new ControlClient(transport("r1"), Map.of("c1", new Address("127.0.0.1", port)), (peer, frame) -> {}));
+    }
+
+    private FrameServer listen(String name) throws Exception {
+        return closer.register(transport(name).listen(new Address("127.0.0.1", 0), (peer, frame) -> {}));
+    }
+
+    private Transport transport(String name) {
+        return closer.register(new Transport(
+                Hello.newBuilder().setName(name).setRole(Role.CONTROL).build(), 1));
+    }
+
+    private static void await(BooleanSupplier condition) throws InterruptedException {
+        for (int i = 0; i < POLLS && !condition.getAsBoolean(); i++) {
+            Thread.sleep(POLL_MS);
+        }
+        assertThat(condition.getAsBoolean()).isTrue();
+    }
+}
--- a/proto/src/main/java/org/ragwortrun/proto/Frame.java
+++ b/proto/src/main/java/org/ragwortrun/proto/Frame.java
@@ -78,6 +78,8 @@
     WITHDRAWAL_REPLY(53),
     ROUTE_QUERY(54),
     ROUTE_EXPLANATION(55),
+    MEMBERS_QUERY(56),
+    MEMBERS_REPLY(57),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -147,6 +149,8 @@
         case 53: return WITHDRAWAL_REPLY;
         case 54: return ROUTE_QUERY;
         case 55: return ROUTE_EXPLANATION;
+        case 56: return MEMBERS_QUERY;
+        case 57: return MEMBERS_REPLY;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -2894,6 +2898,106 @@
     }
   }
 
+  public static final int MEMBERS_QUERY_FIELD_NUMBER = 56;
+  /**
+   * <code>.org.ragwortrun.proto.MembersQuery members_query = 56;</code>
+   */
+  @java.lang.Override
+  public boolean hasMembersQuery() {
+    return bodyCase_ == 56;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.MembersQuery members_query = 56;</code>
+   */
+  @java.lang.Override
+  public org.ragwortrun.proto.MembersQuery getMembersQuery() {
+    if (bodyCase_ == 56) {
+       return (org.ragwortrun.proto.MembersQuery) body_;
+    }
+    return org.ragwortrun.proto.MembersQuery.getDefaultInstance();
+  }
+  /**
+   * <code>.org.ragwortrun.proto.MembersQuery members_query = 56;</code>
+   */
+  private void setMembersQuery(org.ragwortrun.proto.MembersQuery value) {
+    java.util.Objects.requireNonNull(value);
+    body_ = value;
+    bodyCase_ = 56;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.MembersQuery members_query = 56;</code>
+   */
+  private void mergeMembersQuery(org.ragwortrun.proto.MembersQuery value) {
+    java.util.Objects.requireNonNull(value);
+    if (bodyCase_ == 56 &&
+        body_ != org.ragwortrun.proto.MembersQuery.getDefaultInstance()) {
+      body_ = org.ragwortrun.proto.MembersQuery.newBuilder((org.ragwortrun.proto.MembersQuery) body_)
+          .mergeFrom(value).buildPartial();
+    } else {
+      body_ = value;
+    }
+    bodyCase_ = 56;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.MembersQuery members_query = 56;</code>
+   */
+  private void clearMembersQuery() {
+    if (bodyCase_ == 56) {
+      bodyCase_ = 0;
+      body_ = null;
+    }
+  }
+
+  public static final int MEMBERS_REPLY_FIELD_NUMBER = 57;
+  /**
+   * <code>.org.ragwortrun.proto.MembersReply members_reply = 57;</code>
+   */
+  @java.lang.Override
+  public boolean hasMembersReply() {
+    return bodyCase_ == 57;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.MembersReply members_reply = 57;</code>
+   */
+  @java.lang.Override
+  public org.ragwortrun.proto.MembersReply getMembersReply() {
+    if (bodyCase_ == 57) {
+       return (org.ragwortrun.proto.MembersReply) body_;
+    }
+    return org.ragwortrun.proto.MembersReply.getDefaultInstance();
+  }
+  /**
+   * <code>.org.ragwortrun.proto.MembersReply members_reply = 57;</code>
+   */
+  private void setMembersReply(org.ragwortrun.proto.MembersReply value) {
+    java.util.Objects.requireNonNull(value);
+    body_ = value;
+    bodyCase_ = 57;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.MembersReply members_reply = 57;</code>
+   */
+  private void mergeMembersReply(org.ragwortrun.proto.MembersReply value) {
+    java.util.Objects.requireNonNull(value);
+    if (bodyCase_ == 57 &&
+        body_ != org.ragwortrun.proto.MembersReply.getDefaultInstance()) {
+      body_ = org.ragwortrun.proto.MembersReply.newBuilder((org.ragwortrun.proto.MembersReply) body_)
+          .mergeFrom(value).buildPartial();
+    } else {
+      body_ = value;
+    }
+    bodyCase_ = 57;
+  }
+  /**
+   * <code>.org.ragwortrun.proto.MembersReply members_reply = 57;</code>
+   */
+  private void clearMembersReply() {
+    if (bodyCase_ == 57) {
+      bodyCase_ = 0;
+      body_ = null;
+    }
+  }
+
   public static org.ragwortrun.proto.Frame parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -5627,6 +5731,102 @@
       return this;
     }
 
+    /**
+     * <code>.org.ragwortrun.proto.MembersQuery members_query = 56;</code>
+     */
+    @java.lang.Override
+    public boolean hasMembersQuery() {
+      return instance.hasMembersQuery();
+    }
+    /**
+     * <code>.org.ragwortrun.proto.MembersQuery members_query = 56;</code>
+     */
+    @java.lang.Override
+    public org.ragwortrun.proto.MembersQuery getMembersQuery() {
+      return instance.getMembersQuery();
+    }
+    /**
+     * <code>.org.ragwortrun.proto.MembersQuery members_query = 56;</code>
+     */
+    public Builder setMembersQuery(org.ragwortrun.proto.MembersQuery value) {
+      copyOnWrite();
+      instance.setMembersQuery(value);
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.MembersQuery members_query = 56;</code>
+     */
+    public Builder setMembersQuery(
+        org.ragwortrun.proto.MembersQuery.Builder builderForValue) {
+      copyOnWrite();
+      instance.setMembersQuery(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.MembersQuery members_query = 56;</code>
+     */
+    public Builder mergeMembersQuery(org.ragwortrun.proto.MembersQuery value) {
+      copyOnWrite();
+      instance.mergeMembersQuery(value);
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.MembersQuery members_query = 56;</code>
+     */
+    public Builder clearMembersQuery() {
+      copyOnWrite();
+      instance.clearMembersQuery();
+      return this;
+    }
+
+    /**
+     * <code>.org.ragwortrun.proto.MembersReply members_reply = 57;</code>
+     */
+    @java.lang.Override
+    public boolean hasMembersReply() {
+      return instance.hasMembersReply();
+    }
+    /**
+     * <code>.org.ragwortrun.proto.MembersReply members_reply = 57;</code>
+     */
+    @java.lang.Override
+    public org.ragwortrun.proto.MembersReply getMembersReply() {
+      return instance.getMembersReply();
+    }
+    /**
+     * <code>.org.ragwortrun.proto.MembersReply members_reply = 57;</code>
+     */
+    public Builder setMembersReply(org.ragwortrun.proto.MembersReply value) {
+      copyOnWrite();
+      instance.setMembersReply(value);
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.MembersReply members_reply = 57;</code>
+     */
+    public Builder setMembersReply(
+        org.ragwortrun.proto.MembersReply.Builder builderForValue) {
+      copyOnWrite();
+      instance.setMembersReply(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.MembersReply members_reply = 57;</code>
+     */
+    public Builder mergeMembersReply(org.ragwortrun.proto.MembersReply value) {
+      copyOnWrite();
+      instance.mergeMembersReply(value);
+      return this;
+    }
+    /**
+     * <code>.org.ragwortrun.proto.MembersReply members_reply = 57;</code>
+     */
+    public Builder clearMembersReply() {
+      copyOnWrite();
+      instance.clearMembersReply();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.ragwortrun.proto.Frame)
   }
   @java.lang.Override
@@ -5700,16 +5900,18 @@
             org.ragwortrun.proto.WithdrawalReply.class,
             org.ragwortrun.proto.RouteQuery.class,
             org.ragwortrun.proto.RouteExplanation.class,
+            org.ragwortrun.proto.MembersQuery.class,
+            org.ragwortrun.proto.MembersReply.class,
           };
           java.lang.String info =
-              "\u00007\u0001\u0000\u000177\u0000\u0000\u0000\u0001\u0003\u0002<\u0000\u0003<\u0000" +
+              "\u00009\u0001\u0000\u000199\u0000\u0000\u0000\u0001\u0003\u0002<\u0000\u0003<\u0000" +
               "\u0004<\u0000\u0005<\u0000\u0006<\u0000\u0007<\u0000\b<\u0000\t<\u0000\n<\u0000\u000b" +
               "<\u0000\f<\u0000\r<\u0000\u000e<\u0000\u000f<\u0000\u0010<\u0000\u0011<\u0000\u0012" +
               "<\u0000\u0013<\u0000\u0014<\u0000\u0015<\u0000\u0016<\u0000\u0017<\u0000\u0018<\u0000" +
               "\u0019<\u0000\u001a<\u0000\u001b<\u0000\u001c<\u0000\u001d<\u0000\u001e<\u0000\u001f" +
               "<\u0000 <\u0000!<\u0000\"<\u0000#<\u0000$<\u0000%<\u0000&<\u0000\'<\u0000(<\u0000" +
               ")<\u0000*<\u0000+<\u0000,<\u0000-<\u0000.<\u0000/<\u00000<\u00001<\u00002<\u0000" +
-              "3<\u00004<\u00005<\u00006<\u00007<\u0000";
+              "3<\u00004<\u00005<\u00006<\u00007<\u00008<\u00009<\u0000";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/proto/src/main/java/org/ragwortrun/proto/FrameOrBuilder.java
+++ b/proto/src/main/java/org/ragwortrun/proto/FrameOrBuilder.java
@@ -610,5 +610,27 @@
    */
   org.ragwortrun.proto.RouteExplanation getRouteExplanation();
 
+  /**
+   * <code>.org.ragwortrun.proto.MembersQuery members_query = 56;</code>
+   * @return Whether the membersQuery field is set.
+   */
+  boolean hasMembersQuery();
+  /**
+   * <code>.org.ragwortrun.proto.MembersQuery members_query = 56;</code>
+   * @return The membersQuery.
+   */
+  org.ragwortrun.proto.MembersQuery getMembersQuery();
+
+  /**
+   * <code>.org.ragwortrun.proto.MembersReply members_reply = 57;</code>
+   * @return Whether the membersReply field is set.
+   */
+  boolean hasMembersReply();
+  /**
+   * <code>.org.ragwortrun.proto.MembersReply members_reply = 57;</code>
+   * @return The membersReply.
+   */
+  org.ragwortrun.proto.MembersReply getMembersReply();
+
   public org.ragwortrun.proto.Frame.BodyCase getBodyCase();
 }
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
@@ -43,6 +43,8 @@
 import org.ragwortrun.net.control.ControlClient;
 import org.ragwortrun.net.control.EndpointSource;
 import org.ragwortrun.net.control.EndpointSourceException;
+import org.ragwortrun.net.control.MemberRecovery;
+import org.ragwortrun.net.control.MemberSource;
 import org.ragwortrun.proto.Hello;
 import org.ragwortrun.proto.ListedEndpoint;
 import org.ragwortrun.proto.Role;
@@ -66,8 +68,10 @@
 import org.ragwortrun.router.internal.limits.PermitServer;
 import org.ragwortrun.router.internal.pool.HomeServer;
 import org.ragwortrun.router.internal.pool.LocalTokens;
+import org.ragwortrun.router.internal.pool.MembersServer;
 import org.ragwortrun.router.internal.pool.PeerFrames;
 import org.ragwortrun.router.internal.pool.PeerLinks;
+import org.ragwortrun.router.internal.pool.PeerMembers;
 import org.ragwortrun.router.internal.pool.PooledTokens;
 import org.ragwortrun.router.internal.pool.TokenSource;
 
@@ -229,7 +233,8 @@
                 loop,
                 new AfterReadExecutor(loop),
                 random::nextDouble);
-        connectPeers(settings, home, limits, services, transport, closer);
+        connectPeers(settings, home, limits, services, control, transport, closer);
+        recoverMembers(settings, control, links, timer, metrics, time);
         RequestAdmission admission = new RequestAdmission(
                 services,
                 Runtime.getRuntime().maxMemory() / MEMORY_HEAP_SHARE,
@@ -324,6 +329,7 @@
             HomeServer home,
             Limits limits,
             ForwardServices services,
+            ControlClient control,
             Transport transport,
             Closer closer)
             throws TransportException {
@@ -349,12 +355,28 @@
         closer.register(transport.listen(
                 settings.peers().get(),
                 new PeerFrames(
-                        home, limits.server(), limits.withdrawals(), sharing, new RouteExplainer(services, loop))));
+                        home,
+                        limits.server(),
+                        limits.withdrawals(),
+                        sharing,
+                        new RouteExplainer(services, loop),
+                        new MembersServer(control::members))));
         if (performance.isEnabled()) {
             SingleThreadExecutor.repeat(loop, sharing::report, PerformanceSharing.TICK_MS, PerformanceSharing.TICK_MS);
         }
     }
 
+    private static void recoverMembers(
+            ForwardSettings settings,
+            ControlClient control,
+            PeerLinks links,
+            ScheduledExecutorService timer,
+            Metrics metrics,
+            Time time) {
+        List<MemberSource> sources = settings.peers().isPresent() ? List.of(new PeerMembers(links)) : List.of();
+        new MemberRecovery(control, sources, metrics, time).start(timer);
+    }
+
     private static void closeIdleConnections(EventLoop loop, RequestAdmission admission, EndpointTable endpoints) {
         SingleThreadExecutor.repeat(loop, admission::closeIdle, SECOND_MS, SECOND_MS);
         SingleThreadExecutor.repeat(loop, endpoints::closeExpired, SECOND_MS, SECOND_MS);
--- a/router/src/main/java/org/ragwortrun/router/internal/pool/HomeRouters.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/pool/HomeRouters.java
@@ -47,7 +47,7 @@
         return peers.stream().max(rank(key)).orElseThrow();
     }
 
-    private static Comparator<RouterPeer> rank(String key) {
+    static Comparator<RouterPeer> rank(String key) {
         return Comparator.comparingInt((RouterPeer p) ->
                         MurmurHash3.hash32(key.hashCode(), p.name().hashCode()))
                 .thenComparing(RouterPeer::name);
--- a/router/src/main/java/org/ragwortrun/router/internal/pool/PeerFrames.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/pool/PeerFrames.java
@@ -13,13 +13,15 @@
  * @param withdrawals handles requests to leave the rotation of the load balancer
  * @param performance handles reports of what routers have learned about endpoints
  * @param routes handles questions about where a request would be sent
+ * @param members handles questions about the control members
  */
 public record PeerFrames(
         FrameHandler reservations,
         FrameHandler permits,
         FrameHandler withdrawals,
         FrameHandler performance,
-        FrameHandler routes)
+        FrameHandler routes,
+        FrameHandler members)
         implements FrameHandler {
     @Override
     public void onConnected(Peer peer) {
@@ -37,6 +39,7 @@
             case WITHDRAWAL_REQUEST -> withdrawals;
             case PERFORMANCE_REPORT -> performance;
             case ROUTE_QUERY -> routes;
+            case MEMBERS_QUERY -> members;
             default -> reservations;
         };
     }
@@ -47,6 +50,6 @@
     }
 
     private Stream<FrameHandler> all() {
-        return Stream.of(reservations, permits, withdrawals, performance, routes);
+        return Stream.of(reservations, permits, withdrawals, performance, routes, members);
     }
 }
--- a/router/src/main/java/org/ragwortrun/router/internal/pool/PeerLinks.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/pool/PeerLinks.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Function;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.ragwortrun.net.FrameClient;
 import org.ragwortrun.net.FrameHandler;
 import org.ragwortrun.net.Transport;
@@ -18,6 +19,8 @@
 /** The routers in the leader's latest list, and connections to those that serve as homes or coordinators. */
 public final class PeerLinks implements AutoCloseable {
     private static final int MAX_CACHED_KEYS = 10_000;
+    // Each neighbor that is called costs a connection for as long as it is listed.
+    private static final int MAX_NEIGHBORS = 8;
 
     private final String ownName;
     private final Transport transport;
@@ -77,6 +80,20 @@
         return cached(coordinatorsByEndpoint, endpoint, e -> HomeRouters.ranked(e, routers));
     }
 
+    /**
+     * Returns a few other routers: first those that this router is connected to, one in each data center, then others that
+     * differ between the callers.
+     */
+    List<RouterPeer> neighbors() {
+        return Stream.concat(
+                        HomeRouters.ranked("", routers).stream(),
+                        routers.stream().sorted(HomeRouters.rank(ownName).reversed()))
+                .filter(r -> !r.name().equals(ownName))
+                .distinct()
+                .limit(MAX_NEIGHBORS)
+                .toList();
+    }
+
     /** Returns the number of listed routers. */
     public int size() {
         return routers.size();
