--- a/agent/src/main/java/org/ragwortrun/agent/AgentDaemon.java
+++ b/agent/src/main/java/org/ragwortrun/agent/AgentDaemon.java
@@ -6,17 +6,20 @@
 import org.ragwortrun.core.error.RagwortrunException;
 import org.ragwortrun.core.settings.Settings;
 import org.ragwortrun.core.time.Time;
+import org.ragwortrun.net.control.MemberSettings;
 
 /** The agent of one endpoint. All requests and load orders reach the endpoint through its agent. */
 public final class AgentDaemon implements AutoCloseable {
     private final AgentProcess process;
+    private final MemberSettings members;
 
-    private AgentDaemon(AgentProcess process) {
+    private AgentDaemon(Settings settings, AgentProcess process) {
         this.process = process;
+        members = MemberSettings.follow(settings, process::configureMembers);
     }
 
     /**
-     * Starts an agent.
+     * Starts an agent, which reads the file of its settings again for changed control members.
      *
      * @throws RagwortrunException if the settings are invalid or the address cannot be bound
      */
@@ -26,7 +29,7 @@
 
     /** Starts an agent with the given admission gate and clock. */
     public static AgentDaemon start(Settings settings, AdmissionGate gate, Time time) throws RagwortrunException {
-        return new AgentDaemon(AgentProcess.start(AgentSettings.read(settings), gate, time));
+        return new AgentDaemon(settings, AgentProcess.start(AgentSettings.read(settings), gate, time));
     }
 
     /** Returns the port on which the agent listens for routers. */
@@ -46,6 +49,7 @@
     /** Refuses new requests, finishes running ones, delivers all usage, then stops. */
     @Override
     public void close() {
+        members.close();
         process.close();
     }
 }
--- a/agent/src/main/java/org/ragwortrun/agent/internal/AgentProcess.java
+++ b/agent/src/main/java/org/ragwortrun/agent/internal/AgentProcess.java
@@ -1,6 +1,7 @@
 package org.ragwortrun.agent.internal;
 
 import java.time.Duration;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
@@ -20,6 +21,7 @@
 import org.ragwortrun.core.refusal.Refusal;
 import org.ragwortrun.core.refusal.RefusalReason;
 import org.ragwortrun.core.time.Time;
+import org.ragwortrun.net.Address;
 import org.ragwortrun.net.FrameHandler;
 import org.ragwortrun.net.FrameServer;
 import org.ragwortrun.net.Peer;
@@ -141,6 +143,11 @@
         return process;
     }
 
+    /** Replaces the control members of the settings. */
+    public void configureMembers(Map<String, Address> members) {
+        control.configure(members);
+    }
+
     public int port() {
         return server.port();
     }
--- a/control/src/main/java/org/ragwortrun/control/ControlDaemon.java
+++ b/control/src/main/java/org/ragwortrun/control/ControlDaemon.java
@@ -26,6 +26,7 @@
 import org.ragwortrun.net.Transport;
 import org.ragwortrun.net.control.ControlClient;
 import org.ragwortrun.net.control.EndpointSource;
+import org.ragwortrun.net.control.MemberSettings;
 import org.ragwortrun.proto.Frame;
 import org.ragwortrun.proto.Hello;
 import org.ragwortrun.proto.Role;
@@ -104,7 +105,7 @@
     public static AutoCloseable start(Settings settings, EndpointSource endpoints, long processStartNanos)
             throws RagwortrunException {
         if (settings.text("storage.folder", "").isBlank()) {
-            return ControlRelay.start(RelaySettings.read(settings), Time.steady());
+            return relay(settings);
         }
         ControlSettings read = ControlSettings.read(settings);
         AtomicLong nextStartNanos = new AtomicLong(processStartNanos);
@@ -119,6 +120,14 @@
         });
     }
 
+    private static AutoCloseable relay(Settings settings) throws RagwortrunException {
+        ControlRelay relay = ControlRelay.start(RelaySettings.read(settings), Time.steady());
+        Closer closer = new Closer();
+        closer.register(relay);
+        closer.register(MemberSettings.follow(settings, relay::configureMembers));
+        return closer;
+    }
+
     private void addGauges(Metrics metrics) {
         metrics.gauge(
                 "control_meta_leader",
--- a/control/src/main/java/org/ragwortrun/control/internal/ControlRelay.java
+++ b/control/src/main/java/org/ragwortrun/control/internal/ControlRelay.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.ScheduledExecutorService;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -10,6 +11,7 @@
 import org.ragwortrun.core.error.RagwortrunException;
 import org.ragwortrun.core.log.Event;
 import org.ragwortrun.core.time.Time;
+import org.ragwortrun.net.Address;
 import org.ragwortrun.net.FrameHandler;
 import org.ragwortrun.net.Peer;
 import org.ragwortrun.net.Transport;
@@ -55,7 +57,7 @@
         boolean started = false;
         try {
             Transport transport = closer.register(new Transport(own, 1));
-            client = closer.register(new ControlClient(transport, settings.others(), (p, f) -> {}));
+            client = closer.register(new ControlClient(transport, settings.others(settings.members()), (p, f) -> {}));
             closer.register(transport.listen(settings.listen(), new Handler()));
             ScheduledExecutorService timer = SingleThreadExecutor.timer("relay-timer");
             closer.register(() -> SingleThreadExecutor.stop(timer));
@@ -82,6 +84,11 @@
         return new ControlRelay(settings, time);
     }
 
+    /** Replaces the control members of the settings, which may name this host. */
+    public void configureMembers(Map<String, Address> members) {
+        client.configure(settings.others(members));
+    }
+
     @Override
     public void close() {
         closer.close();
--- a/control/src/main/java/org/ragwortrun/control/internal/RelaySettings.java
+++ b/control/src/main/java/org/ragwortrun/control/internal/RelaySettings.java
@@ -29,9 +29,9 @@
         return new RelaySettings(all.name(), all.dataCenter(), all.members(), all.listen(), all.bootstrap());
     }
 
-    /** Returns the members without this host. */
-    Map<String, Address> others() {
-        Map<String, Address> others = new LinkedHashMap<>(members);
+    /** Returns members without this host. */
+    Map<String, Address> others(Map<String, Address> listed) {
+        Map<String, Address> others = new LinkedHashMap<>(listed);
         others.remove(name);
         return others;
     }
--- a/core/src/main/java/org/ragwortrun/core/settings/Settings.java
+++ b/core/src/main/java/org/ragwortrun/core/settings/Settings.java
@@ -1,7 +1,7 @@
 package org.ragwortrun.core.settings;
 
 import java.io.IOException;
-import java.io.Reader;
+import java.io.StringReader;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.DateTimeException;
@@ -12,8 +12,10 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.UnaryOperator;
 import org.apache.commons.configuration2.INIConfiguration;
 import org.apache.commons.configuration2.SubnodeConfiguration;
 import org.apache.commons.configuration2.ex.ConfigurationException;
@@ -28,25 +30,77 @@
 public final class Settings {
     private final String file;
     private final Map<String, String> values;
+    private final Optional<Source> source;
     private final Set<String> readKeys = new HashSet<>();
     private final List<String> problems = new ArrayList<>();
 
-    private Settings(String file, Map<String, String> values) {
+    private Settings(String file, Map<String, String> values, Optional<Source> source) {
         this.file = file;
         this.values = values;
+        this.source = source;
     }
 
+    /**
+     * Where settings come from.
+     *
+     * @param path the file
+     * @param content its content when it was read
+     * @param conversion converts what was read into the keys that the daemon uses
+     */
+    private record Source(Path path, String content, UnaryOperator<Settings> conversion) {}
+
     /**
      * Reads a file. Keys are named {@code section.key}.
      *
      * @throws SettingsException if the file cannot be read as INI
      */
     public static Settings read(Path path) throws SettingsException {
+        return parse(new Source(path, content(path), UnaryOperator.identity()));
+    }
+
+    /**
+     * Returns the settings as they are in the file now, converted in the same way, if the file has changed since these were
+     * read. Settings that do not come from a file never change.
+     *
+     * @throws SettingsException if the file cannot be read as INI
+     */
+    public Optional<Settings> readIfChanged() throws SettingsException {
+        if (source.isEmpty()) {
+            return Optional.empty();
+        }
+        Source s = source.get();
+        String content = content(s.path);
+        return content.equals(s.content)
+                ? Optional.empty()
+                : Optional.of(parse(new Source(s.path, content, s.conversion)));
+    }
+
+    /** Returns the settings after a conversion, which is applied again when the file is read again. */
+    public Settings converted(UnaryOperator<Settings> conversion) {
+        Settings copy = new Settings(file, values, source.map(s -> new Source(s.path, s.content, conversion)));
+        copy.readKeys.addAll(readKeys);
+        copy.problems.addAll(problems);
+        return conversion.apply(copy);
+    }
+
+    private static String content(Path path) throws SettingsException {
+        try {
+            return Files.readString(path);
+        } catch (IOException e) {
+            throw unreadable(path, e);
+        }
+    }
+
+    private static SettingsException unreadable(Path path, Exception cause) {
+        return new SettingsException(path.toString(), List.of("cannot be read: " + cause.getMessage()), cause);
+    }
+
+    private static Settings parse(Source source) throws SettingsException {
         INIConfiguration ini = new INIConfiguration();
-        try (Reader in = Files.newBufferedReader(path)) {
-            ini.read(in);
+        try {
+            ini.read(new StringReader(source.content));
         } catch (IOException | ConfigurationException e) {
-            throw new SettingsException(path.toString(), List.of("cannot be read: " + e.getMessage()), e);
+            throw unreadable(source.path, e);
         }
         Map<String, String> values = new TreeMap<>();
         for (String name : ini.getSections()) {
@@ -58,19 +112,19 @@
                 values.put(name == null ? plain : name + "." + plain, section.getString(key));
             }
         }
-        return new Settings(path.toString(), values);
+        return source.conversion.apply(new Settings(source.path.toString(), values, Optional.of(source)));
     }
 
     /** Creates settings from values, for tests and embedding. */
     public static Settings of(Map<String, String> values) {
-        return new Settings("settings", new TreeMap<>(values));
+        return new Settings("settings", new TreeMap<>(values), Optional.empty());
     }
 
     /** Returns a copy with another value for a key. The copy keeps the keys read and the problems found so far. */
     public Settings with(String key, String value) {
         Map<String, String> next = new TreeMap<>(values);
         next.put(key, value);
-        Settings settings = new Settings(file, next);
+        Settings settings = new Settings(file, next, source);
         settings.readKeys.addAll(readKeys);
         settings.problems.addAll(problems);
         return settings;
@@ -177,6 +231,15 @@
                 .filter(k -> !readKeys.contains(k))
                 .map(k -> k + " is not a known key")
                 .forEach(problems::add);
+        checkValues();
+    }
+
+    /**
+     * Fails if a value that has been read was invalid, whether or not other keys are known.
+     *
+     * @throws SettingsException with all problems
+     */
+    public void checkValues() throws SettingsException {
         if (!problems.isEmpty()) {
             throw new SettingsException(file, problems);
         }
--- a/net/src/main/java/org/ragwortrun/net/control/ControlClient.java
+++ b/net/src/main/java/org/ragwortrun/net/control/ControlClient.java
@@ -55,7 +55,7 @@
     private final AtomicInteger nextMember = new AtomicInteger();
     private final AtomicLong announcedTerm = new AtomicLong();
     private volatile Push lastPush = new Push("", 0);
-    private final List<String> configuredNames;
+    private volatile List<String> configuredNames;
     private volatile List<Member> namedMembers = List.of();
 
     /**
@@ -134,6 +134,26 @@
                         .orElse(false));
     }
 
+    /**
+     * Replaces the configured members. The leader is still asked for the others, so members that are no longer configured
+     * are used until it no longer names them.
+     *
+     * @param members addresses of the control members by name
+     */
+    public void configure(Map<String, Address> members) {
+        configuredNames = List.copyOf(members.keySet());
+        members.forEach((name, address) -> clients.compute(name, (n, client) -> {
+            if (client != null && client.address().equals(address)) {
+                return client;
+            }
+            if (client != null) {
+                client.close();
+            }
+            return transport.connect(address, pushHandler);
+        }));
+        closeClients(n -> !configuredNames.contains(n) && !isConnected(n));
+    }
+
     /** Returns the members that the leader has named last, empty while no member is reached. */
     public List<Member> members() {
         return isPartitioned() ? List.of() : namedMembers;
--- a/router/src/main/java/org/ragwortrun/router/internal/Router.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/Router.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
@@ -22,6 +23,7 @@
 import org.ragwortrun.core.time.Time;
 import org.ragwortrun.ledger.GrantPool;
 import org.ragwortrun.ledger.PoolSettings;
+import org.ragwortrun.net.Address;
 import org.ragwortrun.net.Transport;
 import org.ragwortrun.net.control.ConfigWatch;
 import org.ragwortrun.net.control.ControlClient;
@@ -69,13 +71,21 @@
     private final RouterSettings settings;
     private final Time time;
     private final RequestHandler handler;
+    private final ControlClient control;
     private final HttpServer http;
     private final Closer closer;
 
-    private Router(RouterSettings settings, Time time, RequestHandler handler, HttpServer http, Closer closer) {
+    private Router(
+            RouterSettings settings,
+            Time time,
+            RequestHandler handler,
+            ControlClient control,
+            HttpServer http,
+            Closer closer) {
         this.settings = settings;
         this.time = time;
         this.handler = handler;
+        this.control = control;
         this.http = http;
         this.closer = closer;
     }
@@ -164,7 +174,12 @@
                 .with("incarnation", incarnation)
                 .with("port", http.port())
                 .info(LOG);
-        return new Router(settings, time, handler, http, closer);
+        return new Router(settings, time, handler, control, http, closer);
+    }
+
+    /** Replaces the control members of the settings. */
+    public void configureMembers(Map<String, Address> members) {
+        control.configure(members);
     }
 
     /** Returns the port for callers. */
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
@@ -17,6 +17,7 @@
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntSupplier;
@@ -94,6 +95,7 @@
     private final ForwardSettings settings;
     private final Time time;
     private final RequestAdmission admission;
+    private final ControlClient control;
     private final HomeServer home;
     private final EventLoop loop;
     private final Closer listeners;
@@ -103,6 +105,7 @@
             ForwardSettings settings,
             Time time,
             RequestAdmission admission,
+            ControlClient control,
             HomeServer home,
             EventLoop loop,
             Closer listeners,
@@ -110,6 +113,7 @@
         this.settings = settings;
         this.time = time;
         this.admission = admission;
+        this.control = control;
         this.home = home;
         this.loop = loop;
         this.listeners = listeners;
@@ -255,7 +259,7 @@
                 .with("callers", settings.callers())
                 .with("control", settings.members().values())
                 .info(LOG);
-        return new ForwardRouter(settings, time, admission, home, loop, listeners, closer);
+        return new ForwardRouter(settings, time, admission, control, home, loop, listeners, closer);
     }
 
     private static EventLoopGroup eventLoopGroup(Closer closer) {
@@ -513,6 +517,11 @@
         closer.register(() -> bound.channel().close().awaitUninterruptibly());
     }
 
+    /** Replaces the control members of the settings. */
+    public void configureMembers(Map<String, Address> members) {
+        control.configure(members);
+    }
+
     /**
      * Stops in order: the readiness check fails, new connections are served until the load balancer stops sending them,
      * running requests finish, bills are delivered, and grants are returned.
