--- a/net/src/main/java/org/ragwortrun/net/control/ControlClient.java
+++ b/net/src/main/java/org/ragwortrun/net/control/ControlClient.java
@@ -142,15 +142,7 @@
      */
     public void configure(Map<String, Address> members) {
         configuredNames = List.copyOf(members.keySet());
-        members.forEach((name, address) -> clients.compute(name, (n, client) -> {
-            if (client != null && client.address().equals(address)) {
-                return client;
-            }
-            if (client != null) {
-                client.close();
-            }
-            return transport.connect(address, pushHandler);
-        }));
+        members.forEach(this::connect);
         closeClients(n -> !configuredNames.contains(n) && !isConnected(n));
     }
 
@@ -299,9 +291,12 @@
         return client != null && client.peer().isPresent();
     }
 
-    /** Connects to a member that was added after this client was created or that has contacted this process. */
+    /**
+     * Connects to a member that was added after this client was created or that has contacted this process. A connected
+     * member stays, and one in the settings stays at the address that they name.
+     */
     public void learn(String name, String address) {
-        if (name.isEmpty() || clients.containsKey(name)) {
+        if (name.isEmpty() || configuredNames.contains(name) || isConnected(name)) {
             return;
         }
         try {
@@ -312,7 +307,15 @@
     }
 
     private void connect(String name, Address address) {
-        clients.computeIfAbsent(name, n -> transport.connect(address, pushHandler));
+        clients.compute(name, (n, client) -> {
+            if (client != null && client.address().equals(address)) {
+                return client;
+            }
+            if (client != null) {
+                client.close();
+            }
+            return transport.connect(address, pushHandler);
+        });
     }
 
     private void retryLater(Call call) {
--- a/net/src/test/java/org/ragwortrun/net/control/MemberRecoveryTest.java
+++ b/net/src/test/java/org/ragwortrun/net/control/MemberRecoveryTest.java
@@ -62,6 +62,16 @@
         assertThat(client.knownMembers()).containsExactly("c1", "c9");
     }
 
+    /** Guards against a member that is not found again because it came back at another address under its name. */
+    @Test
+    void followsLearnedMemberToAnotherAddress() throws Exception {
+        FrameServer moved = listen("c9");
+        ControlClient client = client(1);
+        client.learn(List.of(member("c9", 1)));
+        client.learn(List.of(member("c9", moved.port())));
+        await(() -> !client.isPartitioned());
+    }
+
     private static MemberRecovery recovery(ControlClient client, MemberSource source) {
         return new MemberRecovery(client, List.of(source), Metrics.local(), Time.system());
     }
