--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ConfigurationSource.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ConfigurationSource.java
@@ -10,6 +10,11 @@
 
 /** Source of the latest configuration that this router has received, if there is one. */
 interface ConfigurationSource extends Supplier<Optional<Configuration>> {
+    /** Returns the number of the latest configuration, 0 if there is none. */
+    default long number() {
+        return get().map(Configuration::number).orElse(0L);
+    }
+
     /** Returns whether a control member has confirmed a configuration recently enough to deny requests by it. */
     boolean isConfirmed(Configuration configuration);
 
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
@@ -21,7 +21,6 @@
 import org.apache.logging.log4j.Logger;
 import org.jspecify.annotations.Nullable;
 import org.ragwortrun.core.config.Account;
-import org.ragwortrun.core.config.Configuration;
 import org.ragwortrun.core.config.Forward;
 import org.ragwortrun.core.config.Origin;
 import org.ragwortrun.core.log.Event;
@@ -450,12 +449,7 @@
                 .with("ms", (now - startNanos) / 1_000_000)
                 .with("limit-ms", (deadlineNanos - startNanos) / 1_000_000)
                 .with("list-age-ms", services.endpoints().ageMs())
-                .with(
-                        "config",
-                        services.configuration()
-                                .get()
-                                .map(Configuration::number)
-                                .orElse(0L))
+                .with("config", services.configuration().number())
                 .info(LOG);
     }
 
@@ -508,6 +502,7 @@
             connection = c;
             runs++;
             sentNanos = services.time().nanos();
+            admitted.logSent(request.id(), endpoint.id(), tries);
             endpoint.onRequestSent(this, sentNanos);
             if (permitted) {
                 services.metrics().count("requests_to_limited_endpoints", 1);
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/RequestAdmission.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/RequestAdmission.java
@@ -227,12 +227,7 @@
                     .with("cause", refusal.reason().code())
                     .with("host", head.headers().get("Host", ""))
                     .with("target", head.uri())
-                    .with(
-                            "config",
-                            services.configuration()
-                                    .get()
-                                    .map(Configuration::number)
-                                    .orElse(0L))
+                    .with("config", services.configuration().number())
                     .with(
                             "confirmed-ms",
                             services.configuration().confirmedAgeMs().orElse(-1))
