--- a/net/src/main/java/org/ragwortrun/net/control/ControlClient.java
+++ b/net/src/main/java/org/ragwortrun/net/control/ControlClient.java
@@ -45,6 +45,8 @@
     private static final long MEMBER_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
     // A leader that is lost is replaced within about this time.
     private static final long PUSH_VALID_NANOS = TimeUnit.SECONDS.toNanos(1);
+    // A leader is asked each second. It may be replaced in between.
+    private static final long MEMBERS_VALID_NANOS = TimeUnit.SECONDS.toNanos(3);
 
     private static final Logger LOG = LogManager.getLogger(ControlClient.class);
 
@@ -56,7 +58,7 @@
     private final AtomicLong announcedTerm = new AtomicLong();
     private volatile Push lastPush = new Push("", 0);
     private volatile List<String> configuredNames;
-    private volatile List<Member> namedMembers = List.of();
+    private volatile NamedMembers named = new NamedMembers(List.of(), System.nanoTime());
 
     /**
      * Connects to all members.
@@ -146,9 +148,14 @@
         closeClients(n -> !configuredNames.contains(n) && !isConnected(n));
     }
 
-    /** Returns the members that the leader has named last, empty while no member is reached. */
+    /** Returns the members that a leader has named lately, empty if none has. */
     public List<Member> members() {
-        return isPartitioned() ? List.of() : namedMembers;
+        return nanosSinceLeaderNamedMembers() < MEMBERS_VALID_NANOS ? named.members : List.of();
+    }
+
+    /** Returns the time since a leader has last named the members, or since this client was created. */
+    public long nanosSinceLeaderNamedMembers() {
+        return System.nanoTime() - named.nanos;
     }
 
     /** Returns the names of the members that this client is connected to or tries to connect to, in order. */
@@ -222,8 +229,8 @@
             leaders.put(call.group, target);
         }
         if (reply.hasHeartbeat() && reply.getHeartbeat().getMembersCount() > 0) {
-            namedMembers = reply.getHeartbeat().getMembersList();
-            learn(namedMembers);
+            named = new NamedMembers(reply.getHeartbeat().getMembersList(), System.nanoTime());
+            learn(named.members);
         }
     }
 
@@ -347,6 +354,13 @@
         }
     }
 
+    /**
+     * The members that a leader has named.
+     *
+     * @param nanos monotonic time at which it did
+     */
+    private record NamedMembers(List<Member> members, long nanos) {}
+
     /**
      * A configuration update that no call requested.
      *
--- a/net/src/main/java/org/ragwortrun/net/control/MemberRecovery.java
+++ b/net/src/main/java/org/ragwortrun/net/control/MemberRecovery.java
@@ -13,11 +13,12 @@
 import org.ragwortrun.proto.Member;
 
 /**
- * Finds the control members again while this process reaches none of those that it knows.
+ * Finds the control members again while this process gets no answer of a leader.
  *
- * <p>The leader names new members, but only to processes that reach it. A process that was cut off or suspended while all
- * members were replaced by ones at other addresses knows none of the new ones. While no member is reached, other sources
- * are searched at each interval. Used by one thread, apart from the results.
+ * <p>The leader names new members, but only to processes that it answers. A process that was cut off or suspended while
+ * members were replaced by ones at other addresses may know only members that are gone, or that run but no longer belong
+ * to the group. While no leader answers, other sources are searched at each interval. Used by one thread, apart from the
+ * results.
  */
 public final class MemberRecovery implements Runnable {
     /** Interval of the searches. */
@@ -25,6 +26,8 @@
 
     private static final Logger LOG = LogManager.getLogger(MemberRecovery.class);
     private static final long NONE = Long.MIN_VALUE;
+    // A leader is asked each second, and replaced within about a second if it is lost.
+    private static final long LOST_AFTER_NANOS = TimeUnit.SECONDS.toNanos(2);
     private static final long REPEATED_AFTER_SEARCHES = 30;
 
     private final ControlClient control;
@@ -38,7 +41,7 @@
      * Creates a recovery, which {@link #start} starts.
      *
      * @param control client whose members are looked for
-     * @param metrics receives the number of searches and the time without a member in milliseconds
+     * @param metrics receives the number of searches
      */
     public MemberRecovery(ControlClient control, List<MemberSource> sources, Metrics metrics, Time time) {
         this.control = control;
@@ -47,14 +50,14 @@
         this.time = time;
     }
 
-    /** Checks periodically whether a member is reached. */
+    /** Checks periodically whether a leader answers. */
     public void start(ScheduledExecutorService timer) {
         SingleThreadExecutor.repeat(timer, this, INTERVAL.toMillis(), INTERVAL.toMillis());
     }
 
     @Override
     public void run() {
-        if (control.isPartitioned()) {
+        if (isLost()) {
             search();
         } else if (lostNanos != NONE) {
             Event.of("control-regained")
@@ -67,6 +70,10 @@
         }
     }
 
+    private boolean isLost() {
+        return control.nanosSinceLeaderNamedMembers() >= LOST_AFTER_NANOS;
+    }
+
     private void search() {
         if (lostNanos == NONE) {
             lostNanos = time.nanos();
@@ -85,7 +92,7 @@
 
     private void onFound(MemberSource source, List<Member> found) {
         // The leader's own list goes before one that another process has passed on.
-        if (control.isPartitioned() && control.learn(found)) {
+        if (isLost() && control.learn(found)) {
             Event.of("members-found")
                     .with("source", source.name())
                     .with("members", found.stream().map(Member::getName).toList())
--- a/proto/src/main/java/org/ragwortrun/proto/MembersQuery.java
+++ b/proto/src/main/java/org/ragwortrun/proto/MembersQuery.java
@@ -7,7 +7,7 @@
 
 /**
  * <pre>
- * Asks another router for the members of the meta group, by a router that reaches none of those that it knows.
+ * Asks another router for the members of the meta group, by a router that gets no answer of a leader.
  * </pre>
  *
  * Protobuf type {@code org.ragwortrun.proto.MembersQuery}
@@ -105,7 +105,7 @@
 
   /**
    * <pre>
-   * Asks another router for the members of the meta group, by a router that reaches none of those that it knows.
+   * Asks another router for the members of the meta group, by a router that gets no answer of a leader.
    * </pre>
    *
    * Protobuf type {@code org.ragwortrun.proto.MembersQuery}
--- a/proto/src/main/java/org/ragwortrun/proto/MembersReply.java
+++ b/proto/src/main/java/org/ragwortrun/proto/MembersReply.java
@@ -21,7 +21,7 @@
   private com.google.protobuf.Internal.ProtobufList<org.ragwortrun.proto.Member> members_;
   /**
    * <pre>
-   * Members that the leader has named; empty if the replying router reaches no member either.
+   * Members that a leader has named lately; empty if none has answered the replying router either.
    * </pre>
    *
    * <code>repeated .org.ragwortrun.proto.Member members = 1;</code>
@@ -32,7 +32,7 @@
   }
   /**
    * <pre>
-   * Members that the leader has named; empty if the replying router reaches no member either.
+   * Members that a leader has named lately; empty if none has answered the replying router either.
    * </pre>
    *
    * <code>repeated .org.ragwortrun.proto.Member members = 1;</code>
@@ -43,7 +43,7 @@
   }
   /**
    * <pre>
-   * Members that the leader has named; empty if the replying router reaches no member either.
+   * Members that a leader has named lately; empty if none has answered the replying router either.
    * </pre>
    *
    * <code>repeated .org.ragwortrun.proto.Member members = 1;</code>
@@ -54,7 +54,7 @@
   }
   /**
    * <pre>
-   * Members that the leader has named; empty if the replying router reaches no member either.
+   * Members that a leader has named lately; empty if none has answered the replying router either.
    * </pre>
    *
    * <code>repeated .org.ragwortrun.proto.Member members = 1;</code>
@@ -65,7 +65,7 @@
   }
   /**
    * <pre>
-   * Members that the leader has named; empty if the replying router reaches no member either.
+   * Members that a leader has named lately; empty if none has answered the replying router either.
    * </pre>
    *
    * <code>repeated .org.ragwortrun.proto.Member members = 1;</code>
@@ -84,7 +84,7 @@
 
   /**
    * <pre>
-   * Members that the leader has named; empty if the replying router reaches no member either.
+   * Members that a leader has named lately; empty if none has answered the replying router either.
    * </pre>
    *
    * <code>repeated .org.ragwortrun.proto.Member members = 1;</code>
@@ -97,7 +97,7 @@
   }
   /**
    * <pre>
-   * Members that the leader has named; empty if the replying router reaches no member either.
+   * Members that a leader has named lately; empty if none has answered the replying router either.
    * </pre>
    *
    * <code>repeated .org.ragwortrun.proto.Member members = 1;</code>
@@ -109,7 +109,7 @@
   }
   /**
    * <pre>
-   * Members that the leader has named; empty if the replying router reaches no member either.
+   * Members that a leader has named lately; empty if none has answered the replying router either.
    * </pre>
    *
    * <code>repeated .org.ragwortrun.proto.Member members = 1;</code>
@@ -122,7 +122,7 @@
   }
   /**
    * <pre>
-   * Members that the leader has named; empty if the replying router reaches no member either.
+   * Members that a leader has named lately; empty if none has answered the replying router either.
    * </pre>
    *
    * <code>repeated .org.ragwortrun.proto.Member members = 1;</code>
@@ -135,7 +135,7 @@
   }
   /**
    * <pre>
-   * Members that the leader has named; empty if the replying router reaches no member either.
+   * Members that a leader has named lately; empty if none has answered the replying router either.
    * </pre>
    *
    * <code>repeated .org.ragwortrun.proto.Member members = 1;</code>
@@ -145,7 +145,7 @@
   }
   /**
    * <pre>
-   * Members that the leader has named; empty if the replying router reaches no member either.
+   * Members that a leader has named lately; empty if none has answered the replying router either.
    * </pre>
    *
    * <code>repeated .org.ragwortrun.proto.Member members = 1;</code>
@@ -254,7 +254,7 @@
 
     /**
      * <pre>
-     * Members that the leader has named; empty if the replying router reaches no member either.
+     * Members that a leader has named lately; empty if none has answered the replying router either.
      * </pre>
      *
      * <code>repeated .org.ragwortrun.proto.Member members = 1;</code>
@@ -266,7 +266,7 @@
     }
     /**
      * <pre>
-     * Members that the leader has named; empty if the replying router reaches no member either.
+     * Members that a leader has named lately; empty if none has answered the replying router either.
      * </pre>
      *
      * <code>repeated .org.ragwortrun.proto.Member members = 1;</code>
@@ -276,7 +276,7 @@
       return instance.getMembersCount();
     }/**
      * <pre>
-     * Members that the leader has named; empty if the replying router reaches no member either.
+     * Members that a leader has named lately; empty if none has answered the replying router either.
      * </pre>
      *
      * <code>repeated .org.ragwortrun.proto.Member members = 1;</code>
@@ -287,7 +287,7 @@
     }
     /**
      * <pre>
-     * Members that the leader has named; empty if the replying router reaches no member either.
+     * Members that a leader has named lately; empty if none has answered the replying router either.
      * </pre>
      *
      * <code>repeated .org.ragwortrun.proto.Member members = 1;</code>
@@ -300,7 +300,7 @@
     }
     /**
      * <pre>
-     * Members that the leader has named; empty if the replying router reaches no member either.
+     * Members that a leader has named lately; empty if none has answered the replying router either.
      * </pre>
      *
      * <code>repeated .org.ragwortrun.proto.Member members = 1;</code>
@@ -314,7 +314,7 @@
     }
     /**
      * <pre>
-     * Members that the leader has named; empty if the replying router reaches no member either.
+     * Members that a leader has named lately; empty if none has answered the replying router either.
      * </pre>
      *
      * <code>repeated .org.ragwortrun.proto.Member members = 1;</code>
@@ -326,7 +326,7 @@
     }
     /**
      * <pre>
-     * Members that the leader has named; empty if the replying router reaches no member either.
+     * Members that a leader has named lately; empty if none has answered the replying router either.
      * </pre>
      *
      * <code>repeated .org.ragwortrun.proto.Member members = 1;</code>
@@ -339,7 +339,7 @@
     }
     /**
      * <pre>
-     * Members that the leader has named; empty if the replying router reaches no member either.
+     * Members that a leader has named lately; empty if none has answered the replying router either.
      * </pre>
      *
      * <code>repeated .org.ragwortrun.proto.Member members = 1;</code>
@@ -352,7 +352,7 @@
     }
     /**
      * <pre>
-     * Members that the leader has named; empty if the replying router reaches no member either.
+     * Members that a leader has named lately; empty if none has answered the replying router either.
      * </pre>
      *
      * <code>repeated .org.ragwortrun.proto.Member members = 1;</code>
@@ -366,7 +366,7 @@
     }
     /**
      * <pre>
-     * Members that the leader has named; empty if the replying router reaches no member either.
+     * Members that a leader has named lately; empty if none has answered the replying router either.
      * </pre>
      *
      * <code>repeated .org.ragwortrun.proto.Member members = 1;</code>
@@ -379,7 +379,7 @@
     }
     /**
      * <pre>
-     * Members that the leader has named; empty if the replying router reaches no member either.
+     * Members that a leader has named lately; empty if none has answered the replying router either.
      * </pre>
      *
      * <code>repeated .org.ragwortrun.proto.Member members = 1;</code>
@@ -391,7 +391,7 @@
     }
     /**
      * <pre>
-     * Members that the leader has named; empty if the replying router reaches no member either.
+     * Members that a leader has named lately; empty if none has answered the replying router either.
      * </pre>
      *
      * <code>repeated .org.ragwortrun.proto.Member members = 1;</code>
--- a/proto/src/main/java/org/ragwortrun/proto/MembersReplyOrBuilder.java
+++ b/proto/src/main/java/org/ragwortrun/proto/MembersReplyOrBuilder.java
@@ -12,7 +12,7 @@
 
   /**
    * <pre>
-   * Members that the leader has named; empty if the replying router reaches no member either.
+   * Members that a leader has named lately; empty if none has answered the replying router either.
    * </pre>
    *
    * <code>repeated .org.ragwortrun.proto.Member members = 1;</code>
@@ -21,7 +21,7 @@
       getMembersList();
   /**
    * <pre>
-   * Members that the leader has named; empty if the replying router reaches no member either.
+   * Members that a leader has named lately; empty if none has answered the replying router either.
    * </pre>
    *
    * <code>repeated .org.ragwortrun.proto.Member members = 1;</code>
@@ -29,7 +29,7 @@
   org.ragwortrun.proto.Member getMembers(int index);
   /**
    * <pre>
-   * Members that the leader has named; empty if the replying router reaches no member either.
+   * Members that a leader has named lately; empty if none has answered the replying router either.
    * </pre>
    *
    * <code>repeated .org.ragwortrun.proto.Member members = 1;</code>
--- a/router/src/main/java/org/ragwortrun/router/internal/pool/MembersServer.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/pool/MembersServer.java
@@ -12,7 +12,7 @@
 /**
  * Tells other routers the control members that this router knows.
  *
- * @param members returns the members that the leader has named, empty while this router reaches none
+ * @param members returns the members that a leader has named lately, empty if none has
  */
 public record MembersServer(Supplier<List<Member>> members) implements FrameHandler {
     @Override
