--- a/net/src/main/java/org/ragwortrun/net/control/ControlClient.java
+++ b/net/src/main/java/org/ragwortrun/net/control/ControlClient.java
@@ -150,7 +150,8 @@
 
     /** Returns the members that a leader has named lately, empty if none has. */
     public List<Member> members() {
-        return nanosSinceLeaderNamedMembers() < MEMBERS_VALID_NANOS ? named.members : List.of();
+        NamedMembers n = named;
+        return System.nanoTime() - n.nanos < MEMBERS_VALID_NANOS ? n.members : List.of();
     }
 
     /** Returns the time since a leader has last named the members, or since this client was created. */
@@ -272,16 +273,18 @@
      */
     public boolean learn(List<Member> members) {
         List<String> before = knownMembers();
+        Set<String> current = members.stream().map(Member::getName).collect(Collectors.toSet());
         members.stream()
-                .filter(m -> connectedNames(ControlClient::isMember).size() < TARGET_MEMBER_CONNECTIONS)
+                .filter(m -> connectedMembers(current) < TARGET_MEMBER_CONNECTIONS)
                 .forEach(m -> learn(m.getName(), m.getAddress()));
-        closeFormer(members);
+        closeClients(n -> !configuredNames.contains(n) && !leaders.containsValue(n) && !current.contains(n));
         return !before.containsAll(knownMembers());
     }
 
-    private void closeFormer(List<Member> members) {
-        Set<String> current = members.stream().map(Member::getName).collect(Collectors.toSet());
-        closeClients(n -> !configuredNames.contains(n) && !leaders.containsValue(n) && !current.contains(n));
+    private long connectedMembers(Set<String> current) {
+        return connectedNames(ControlClient::isMember).stream()
+                .filter(current::contains)
+                .count();
     }
 
     private void closeClients(Predicate<String> condition) {
@@ -293,7 +296,8 @@
         });
     }
 
-    private boolean isConnected(String name) {
+    /** Returns whether there is a connection to a member. */
+    boolean isConnected(String name) {
         FrameClient client = clients.get(name);
         return client != null && client.peer().isPresent();
     }
--- a/net/src/test/java/org/ragwortrun/net/control/MemberRecoveryTest.java
+++ b/net/src/test/java/org/ragwortrun/net/control/MemberRecoveryTest.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.ragwortrun.core.concurrent.Closer;
@@ -60,6 +61,18 @@
         });
     }
 
+    /** Guards against former members that run, and take the places of the current ones. */
+    @Test
+    void connectsToCurrentMemberBesideThreeFormerOnes() throws Exception {
+        ControlClient client = closer.register(new ControlClient(
+                transport("r1"),
+                Map.of("c1", address(listen("c1")), "c2", address(listen("c2")), "c3", address(listen("c3"))),
+                (peer, frame) -> {}));
+        await(() -> Stream.of("c1", "c2", "c3").allMatch(client::isConnected));
+        client.learn(List.of(member("c9", listen("c9").port())));
+        await(() -> client.isConnected("c9"));
+    }
+
     /** Guards against lists of other processes that replace what the leader has told. */
     @Test
     void asksNoOtherSourceWhileLeaderAnswers() throws Exception {
@@ -126,6 +139,10 @@
                 new ControlClient(transport("r1"), Map.of("c1", new Address("127.0.0.1", port)), (peer, frame) -> {}));
     }
 
+    private static Address address(FrameServer server) {
+        return new Address("127.0.0.1", server.port());
+    }
+
     private FrameServer listen(String name) throws Exception {
         return listen(name, (peer, frame) -> {});
     }
