--- a/net/src/main/java/org/ragwortrun/net/control/MemberRecovery.java
+++ b/net/src/main/java/org/ragwortrun/net/control/MemberRecovery.java
@@ -76,7 +76,7 @@
 
     private void search() {
         if (lostNanos == NONE) {
-            lostNanos = time.nanos();
+            lostNanos = time.nanos() - control.nanosSinceLeaderNamedMembers();
         }
         if (searches % REPEATED_AFTER_SEARCHES == 0) {
             Event.of("control-lost")
--- a/net/src/main/java/org/ragwortrun/net/control/MemberSource.java
+++ b/net/src/main/java/org/ragwortrun/net/control/MemberSource.java
@@ -4,7 +4,7 @@
 import java.util.function.Consumer;
 import org.ragwortrun.proto.Member;
 
-/** A source of the control members other than the leader, for a process that reaches none. */
+/** A source of the control members other than the leader, for a process that no leader answers. */
 public interface MemberSource {
     /** Returns the name of the source for logs. */
     String name();
