--- a/replication/src/test/java/org/ragwortrun/replication/internal/FaultSimulation.java
+++ b/replication/src/test/java/org/ragwortrun/replication/internal/FaultSimulation.java
@@ -78,6 +78,7 @@
         private long leaseUntil;
         private long applied;
         private int sinceSnapshot;
+        private long syncTime;
         private List<String> machine = new ArrayList<>();
 
         SimulatedMember(String name) {
@@ -270,7 +271,7 @@
             int scheduledIncarnation = incarnation;
             int batch = unsynced.size();
             long delay = random.nextInt(20) == 0 ? 60 * MS : 5 * MS;
-            schedule((long) (random.nextDouble() * delay), () -> {
+            schedule(syncTime + (long) (random.nextDouble() * delay), () -> {
                 if (incarnation == scheduledIncarnation) {
                     finishSync(batch);
                 }
@@ -392,6 +393,18 @@
         checkRecovered();
     }
 
+    /** Runs without faults, while each member syncs in its own time up to a maximum, and checks the same. */
+    void runWithSlowSyncs(long maxSyncMillis, long millis) {
+        faultFree = true;
+        for (SimulatedMember b : membersByName.values()) {
+            b.syncTime = (long) (random.nextDouble() * maxSyncMillis * MS);
+            b.start();
+        }
+        scheduleProposals();
+        runUntil(millis * MS);
+        checkRecovered();
+    }
+
     private void runUntil(long end) {
         while (!actions.isEmpty() && actions.peek().at() <= end) {
             Action next = actions.remove();
--- a/replication/src/test/java/org/ragwortrun/replication/internal/RaftCoreTest.java
+++ b/replication/src/test/java/org/ragwortrun/replication/internal/RaftCoreTest.java
@@ -4,6 +4,7 @@
 
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.junit.jupiter.api.Test;
@@ -25,22 +26,28 @@
      */
     @Test
     void threeMembersKeepTheInvariants() {
-        runSimulations(3);
+        runSimulations(3, s -> s.run(10_000, 3_000));
     }
 
     /** Guards against the same failures with five members. */
     @Test
     void fiveMembersKeepTheInvariants() {
-        runSimulations(5);
+        runSimulations(5, s -> s.run(10_000, 3_000));
     }
 
-    private static void runSimulations(int members) {
+    /** Guards against elections without an end while a sync takes longer than the election timeout of 100 ms. */
+    @Test
+    void electsWhileSyncsTakeLongerThanTheTimeout() {
+        runSimulations(3, s -> s.runWithSlowSyncs(1_000, 30_000));
+    }
+
+    private static void runSimulations(int members, Consumer<FaultSimulation> run) {
         Map<String, Integer> counts = new TreeMap<>();
         long committed = 0;
         for (long seed = FIRST_SEED; seed < FIRST_SEED + COUNT; seed++) {
             FaultSimulation simulation = new FaultSimulation(seed, members);
             try {
-                simulation.run(10_000, 3_000);
+                run.accept(simulation);
             } catch (AssertionError | RuntimeException e) {
                 throw new AssertionError("seed " + seed + " with " + members + " members: " + e.getMessage(), e);
             }
