--- a/replication/src/main/java/org/ragwortrun/replication/internal/Election.java
+++ b/replication/src/main/java/org/ragwortrun/replication/internal/Election.java
@@ -14,12 +14,19 @@
  *
  * <p>A pre-vote checks whether an election could be won without changing the term, so that a member that returns after
  * a network partition does not depose the leader.
+ *
+ * <p>Votes are synced before they are sent, and a sync may take longer than the election timeout. So a member that is
+ * still saving a vote neither campaigns nor supports a campaign, and a candidate counts late votes of its election until
+ * it starts another one.
  */
 final class Election {
+    private static final int SYNCS_AWAITED = 2;
+
     private final RaftCore core;
-    private final Set<String> granted = new HashSet<>();
-    private boolean preVote;
-    private boolean transfer;
+    private final Set<String> preVotes = new HashSet<>();
+    private final Set<String> votes = new HashSet<>();
+    /** Term of the election in which this member has requested votes since it became a candidate, 0 for none. */
+    private long requestedTerm;
 
     Election(RaftCore core) {
         this.core = core;
@@ -30,18 +37,19 @@
         if (!core.isVoter()) {
             return;
         }
-        preVote = true;
-        transfer = false;
+        if (core.role() != Role.CANDIDATE) {
+            requestedTerm = 0;
+        }
         core.become(Role.CANDIDATE);
-        requestVotes(core.term() + 1);
-        countVote(now, core.identity());
+        preVotes.clear();
+        requestVotes(VoteRequest.newBuilder().setTerm(core.term() + 1).setPreVote(true));
+        countPreVote(now, core.identity());
     }
 
     /** Starts an election because the leader has released its lease to transfer leadership to this member. */
     void onTakeOver(long now, TakeOver request) {
         if (request.getTerm() == core.term() && core.leadership() == null && core.isVoter()) {
-            transfer = true;
-            startElection(now);
+            startElection(now, true);
         }
     }
 
@@ -52,7 +60,7 @@
             return;
         }
         if (r.getPreVote()) {
-            boolean grant = r.getTerm() > core.term() && isUpToDate(r);
+            boolean grant = r.getTerm() > core.term() && isUpToDate(r) && !core.isSavingState();
             reply(from, r, grant, grant ? r.getTerm() : core.term());
             return;
         }
@@ -63,10 +71,14 @@
         boolean grant = r.getTerm() == core.term() && (vote.isEmpty() || vote.equals(r.getIdentity())) && isUpToDate(r);
         if (grant && vote.isEmpty()) {
             core.save(core.state().toBuilder().setVote(r.getIdentity()).setStarted(true));
-            core.resetElection(now);
         }
         long term = core.term();
-        core.afterWrites(() -> reply(from, r, grant, term));
+        core.afterWrites(now, syncedAt -> {
+            if (grant) {
+                core.resetElection(syncedAt);
+            }
+            reply(from, r, grant, term);
+        });
     }
 
     void onReply(long now, VoteReply r) {
@@ -74,14 +86,17 @@
             core.stepDownIfNewer(now, r.getTerm(), r.getIdentity());
             return;
         }
-        long requestedTerm = preVote ? core.term() + 1 : core.term();
-        if (core.role() == Role.CANDIDATE && r.getPreVote() == preVote && r.getTerm() == requestedTerm) {
+        if (core.role() != Role.CANDIDATE) {
+            return;
+        }
+        if (r.getPreVote() && r.getTerm() == core.term() + 1) {
+            countPreVote(now, r.getIdentity());
+        } else if (!r.getPreVote() && r.getTerm() == core.term() && r.getTerm() == requestedTerm) {
             countVote(now, r.getIdentity());
         }
     }
 
-    private void startElection(long now) {
-        preVote = false;
+    private void startElection(long now, boolean transfer) {
         core.become(Role.CANDIDATE);
         core.save(core.state().toBuilder()
                 .setTerm(core.term() + 1)
@@ -89,37 +104,41 @@
                 .setStarted(true));
         core.resetElection(now);
         core.event(Event.of("election-started").with("transfer", transfer));
-        granted.clear();
         long term = core.term();
-        core.afterWrites(() -> {
-            if (core.term() == term && core.role() == Role.CANDIDATE && !preVote) {
-                requestVotes(term);
-                countVote(now, core.identity());
+        core.afterWrites(now, syncedAt -> {
+            if (core.term() == term && core.role() == Role.CANDIDATE) {
+                requestedTerm = term;
+                votes.clear();
+                requestVotes(VoteRequest.newBuilder().setTerm(term).setTransfer(transfer));
+                // The others have yet to sync their votes, which may take them as long.
+                core.resetElection(syncedAt + SYNCS_AWAITED * (syncedAt - now));
+                countVote(syncedAt, core.identity());
             }
         });
     }
 
-    private void countVote(long now, String identity) {
-        granted.add(identity);
-        // Votes of identities that are not voters are not counted.
-        if (!Members.hasQuorum(core.members(), granted::contains)) {
-            return;
+    private void countPreVote(long now, String identity) {
+        preVotes.add(identity);
+        if (isQuorum(preVotes)) {
+            startElection(now, false);
         }
-        if (preVote) {
-            startElection(now);
-        } else {
+    }
+
+    private void countVote(long now, String identity) {
+        votes.add(identity);
+        if (isQuorum(votes)) {
             core.lead(now);
         }
     }
 
-    private void requestVotes(long term) {
-        granted.clear();
-        VoteRequest.Builder request = VoteRequest.newBuilder()
-                .setTerm(term)
-                .setLastIndex(core.log().lastIndex())
+    /** Returns whether votes are enough. Votes of identities that are not voters are not counted. */
+    private boolean isQuorum(Set<String> granted) {
+        return Members.hasQuorum(core.members(), granted::contains);
+    }
+
+    private void requestVotes(VoteRequest.Builder request) {
+        request.setLastIndex(core.log().lastIndex())
                 .setLastTerm(core.log().lastTerm())
-                .setPreVote(preVote)
-                .setTransfer(transfer)
                 .setIdentity(core.identity());
         Members.voters(core.members())
                 .filter(m -> !m.getIdentity().equals(core.identity()))
--- a/replication/src/main/java/org/ragwortrun/replication/internal/RaftCore.java
+++ b/replication/src/main/java/org/ragwortrun/replication/internal/RaftCore.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import java.util.function.LongConsumer;
 import org.jspecify.annotations.Nullable;
 import org.ragwortrun.core.log.Event;
 import org.ragwortrun.proto.AppendReply;
@@ -52,6 +53,7 @@
     private long electionDeadline;
     private boolean leaderSeen;
     private long sequence;
+    private long stateSequence;
     private long persisted;
     private Outputs out = new Outputs();
 
@@ -59,7 +61,7 @@
     private record PendingWrite(long sequence, long lastIndex) {}
 
     /** Effect that is deferred until a write is synced. */
-    private record DeferredEffect(long sequence, Runnable effect) {}
+    private record DeferredEffect(long sequence, LongConsumer effect) {}
 
     public RaftCore(CoreSettings settings, RestoredState restored, SnapshotSource snapshots, Random random, long now) {
         this(settings, restored, snapshots, random, now, now);
@@ -113,6 +115,9 @@
         joining.tick(now);
         if (now - electionDeadline >= 0) {
             resetElection(now);
+            if (isSavingState()) {
+                return;
+            }
             if (!leaderSeen) {
                 electionDeadline = now + initialRetryDelay();
             }
@@ -153,7 +158,7 @@
             durable = Math.max(durable, pendingWrites.remove().lastIndex());
         }
         while (!deferredEffects.isEmpty() && deferredEffects.peek().sequence() <= persisted) {
-            deferredEffects.remove().effect().run();
+            deferredEffects.remove().effect().accept(now);
         }
         if (leadership != null) {
             leadership.onDurable(now);
@@ -321,14 +326,24 @@
         out.events().add(event.with("term", term()));
     }
 
-    /** Runs an effect once all writes requested so far are synced. */
-    void afterWrites(Runnable effect) {
-        afterWrite(sequence, effect);
+    /** Runs an effect, with the time, once all writes requested so far are synced. */
+    void afterWrites(long now, LongConsumer effect) {
+        if (sequence <= persisted) {
+            effect.accept(now);
+        } else {
+            deferredEffects.add(new DeferredEffect(sequence, effect));
+        }
+    }
+
+    /** Returns whether a term or vote is not yet synced, so that this member could not vote again by now. */
+    boolean isSavingState() {
+        return stateSequence > persisted;
     }
 
     void save(PersistedState.Builder changed) {
         state = changed.build();
         sequence++;
+        stateSequence = sequence;
         out.writes().add(new Write.State(sequence, state));
         pendingWrites.add(new PendingWrite(sequence, 0));
     }
@@ -463,14 +478,6 @@
         pendingWrites.addAll(limited);
     }
 
-    private void afterWrite(long awaited, Runnable effect) {
-        if (awaited <= persisted) {
-            effect.run();
-        } else {
-            deferredEffects.add(new DeferredEffect(awaited, effect));
-        }
-    }
-
     private void onAppend(long now, String from, AppendRequest a) {
         AppendReply.Builder reply =
                 AppendReply.newBuilder().setRound(a.getRound()).setIdentity(identity());
@@ -503,7 +510,7 @@
             reply(from, a.getIdentity(), reply.setMatchIndex(Math.min(verified, durable)));
         } else {
             reply.setMatchIndex(verified);
-            afterWrites(() -> reply(from, a.getIdentity(), reply));
+            afterWrites(now, syncedAt -> reply(from, a.getIdentity(), reply));
         }
     }
 
--- a/replication/src/main/java/org/ragwortrun/replication/internal/SnapshotReceiver.java
+++ b/replication/src/main/java/org/ragwortrun/replication/internal/SnapshotReceiver.java
@@ -54,14 +54,14 @@
             return;
         }
         installing = true;
-        core.afterWrites(() -> {
+        core.afterWrites(now, storedAt -> {
             installing = false;
             expectedOffset = 0;
             index = 0;
             if (c.getLastIndex() > core.commitIndex()) {
                 core.install(new SnapshotMeta(c.getLastIndex(), c.getLastTerm(), c.getMembers()));
             }
-            core.afterWrites(() -> reply(from, c, reply.setInstalled(true)));
+            core.afterWrites(storedAt, installedAt -> reply(from, c, reply.setInstalled(true)));
         });
     }
 
