--- a/router/src/main/java/org/ragwortrun/router/internal/forward/Admitted.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/Admitted.java
@@ -3,8 +3,6 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
 import org.ragwortrun.core.config.Account;
 import org.ragwortrun.core.config.Budget;
 import org.ragwortrun.core.config.Forward;
@@ -27,8 +25,6 @@
         long configuration,
         OptionalLong confirmedAgeMs,
         long startNanos) {
-    private static final Logger LOG = LogManager.getLogger(Exchange.class);
-
     /** Returns the budget from which the tokens of a request are spent, if any. */
     Optional<BudgetRef> budget(CallerRequest request) {
         return request.usage()
@@ -48,17 +44,6 @@
                 .orElse(route.priority());
     }
 
-    /** Logs that a request is sent to an endpoint, since its last line is missing if this process ends before its answer. */
-    void logSent(String requestId, String endpoint, int tries) {
-        addTo(Event.of("request-sent")
-                        .with("id", requestId)
-                        .with("route", route.name())
-                        .with("origin", origin.name())
-                        .with("endpoint", endpoint)
-                        .with("tries", tries))
-                .info(LOG);
-    }
-
     /** Adds the number and the age of the configuration. */
     Event addTo(Event line) {
         return line.with("admitted-by", configuration).with("confirmed-ms", confirmedAgeMs.orElse(-1));
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
@@ -231,6 +231,7 @@
                 quarantine,
                 partQuarantine,
                 crashDetector,
+                new FirstSends(),
                 headers,
                 metrics,
                 time,
--- a/router/src/test/java/org/ragwortrun/router/internal/forward/EndpointSelectorTest.java
+++ b/router/src/test/java/org/ragwortrun/router/internal/forward/EndpointSelectorTest.java
@@ -149,6 +149,7 @@
                 null,
                 null,
                 null,
+                null,
                 metrics,
                 Time.steady(),
                 null,
