--- a/router/src/main/java/org/ragwortrun/router/internal/forward/Admitted.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/Admitted.java
@@ -3,6 +3,8 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.ragwortrun.core.config.Account;
 import org.ragwortrun.core.config.Budget;
 import org.ragwortrun.core.config.Forward;
@@ -25,6 +27,8 @@
         long configuration,
         OptionalLong confirmedAgeMs,
         long startNanos) {
+    private static final Logger LOG = LogManager.getLogger(Exchange.class);
+
     /** Returns the budget from which the tokens of a request are spent, if any. */
     Optional<BudgetRef> budget(CallerRequest request) {
         return request.usage()
@@ -44,6 +48,28 @@
                 .orElse(route.priority());
     }
 
+    /**
+     * Logs a request that is sent although a newer configuration than its own is in force, such as one that waited. Its
+     * last line is missing if this process ends before its answer. All other requests are sent by the configuration in
+     * force, so they need no line.
+     *
+     * @param current number of the configuration in force
+     * @return whether a line was logged
+     */
+    boolean logIfOutdated(long current, String requestId, String endpoint) {
+        if (configuration >= current) {
+            return false;
+        }
+        addTo(Event.of("request-outdated")
+                        .with("id", requestId)
+                        .with("route", route.name())
+                        .with("origin", origin.name())
+                        .with("endpoint", endpoint)
+                        .with("current", current))
+                .info(LOG);
+        return true;
+    }
+
     /** Adds the number and the age of the configuration. */
     Event addTo(Event line) {
         return line.with("admitted-by", configuration).with("confirmed-ms", confirmedAgeMs.orElse(-1));
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/Exchange.java
@@ -502,7 +502,7 @@
             connection = c;
             runs++;
             sentNanos = services.time().nanos();
-            services.firstSends().onSent(admitted, request.id(), endpoint.id());
+            admitted.logIfOutdated(services.configuration().number(), request.id(), endpoint.id());
             endpoint.onRequestSent(this, sentNanos);
             if (permitted) {
                 services.metrics().count("requests_to_limited_endpoints", 1);
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardRouter.java
@@ -231,7 +231,6 @@
                 quarantine,
                 partQuarantine,
                 crashDetector,
-                new FirstSends(),
                 headers,
                 metrics,
                 time,
--- a/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardServices.java
+++ b/router/src/main/java/org/ragwortrun/router/internal/forward/ForwardServices.java
@@ -31,7 +31,6 @@
  * @param quarantine content that is not sent because it may crash endpoints
  * @param partQuarantine parts of prompts that are not sent because they may crash endpoints
  * @param crashDetector detector of crashed endpoints
- * @param firstSends log of the first request for each route under each configuration
  * @param headers reader and writer of heads
  * @param metrics counters
  * @param time clock
@@ -56,7 +55,6 @@
         ContentQuarantine quarantine,
         PartQuarantine partQuarantine,
         CrashDetector crashDetector,
-        FirstSends firstSends,
         RequestHeaders headers,
         Metrics metrics,
         Time time,
--- a/router/src/test/java/org/ragwortrun/router/internal/forward/CallerConnectionTest.java
+++ b/router/src/test/java/org/ragwortrun/router/internal/forward/CallerConnectionTest.java
@@ -159,7 +159,6 @@
                         quarantine,
                         parts,
                         new CrashDetector(quarantine, parts, crash -> {}, evidence, metrics, time, loop),
-                        new FirstSends(),
                         headers,
                         metrics,
                         time,
--- a/router/src/test/java/org/ragwortrun/router/internal/forward/EndpointSelectorTest.java
+++ b/router/src/test/java/org/ragwortrun/router/internal/forward/EndpointSelectorTest.java
@@ -149,7 +149,6 @@
                 null,
                 null,
                 null,
-                null,
                 metrics,
                 Time.steady(),
                 null,
