--- a/replication/src/main/java/org/ragwortrun/replication/internal/Election.java
+++ b/replication/src/main/java/org/ragwortrun/replication/internal/Election.java
@@ -20,6 +20,7 @@
  * it starts another one.
  */
 final class Election {
+    /** Additional time for the votes of others, as a multiple of the time that the sync of the own vote took. */
     private static final int SYNCS_AWAITED = 2;
 
     private final RaftCore core;
