--- a/cli/src/test/java/org/ragwortrun/cli/internal/ProgramTest.java
+++ b/cli/src/test/java/org/ragwortrun/cli/internal/ProgramTest.java
@@ -8,8 +8,6 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.PrintStream;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -27,6 +25,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.ragwortrun.control.ControlDaemon;
 import org.ragwortrun.core.settings.Settings;
+import org.ragwortrun.standins.FreePorts;
 
 /** Runs the commands against one control member on loopback. Each test relies on the state that earlier tests left. */
 @TestMethodOrder(MethodOrderer.OrderAnnotation.class)
@@ -47,9 +46,7 @@
 
     @BeforeAll
     static void startControl() throws Exception {
-        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            address = "127.0.0.1:" + s.getLocalPort();
-        }
+        address = "127.0.0.1:" + FreePorts.next();
         daemon = ControlDaemon.start(Settings.of(Map.of(
                 "daemon.name", "c1",
                 "daemon.data-center", "a",
--- a/control/src/test/java/org/ragwortrun/control/ControlDaemonTest.java
+++ b/control/src/test/java/org/ragwortrun/control/ControlDaemonTest.java
@@ -5,8 +5,6 @@
 
 import com.google.protobuf.ByteString;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -44,6 +42,7 @@
 import org.ragwortrun.proto.Statement;
 import org.ragwortrun.proto.StatementQuery;
 import org.ragwortrun.proto.Watch;
+import org.ragwortrun.standins.FreePorts;
 
 /** Runs three members with their files on the loopback interface. */
 final class ControlDaemonTest {
@@ -60,7 +59,7 @@
     @BeforeEach
     void start() throws Exception {
         for (String name : new String[] {"c1", "c2", "c3"}) {
-            members.put(name, new Address("127.0.0.1", freePort()));
+            members.put(name, new Address("127.0.0.1", FreePorts.next()));
         }
         for (String name : members.keySet()) {
             startMember(name);
@@ -322,10 +321,4 @@
         }
         return s.build();
     }
-
-    private static int freePort() throws IOException {
-        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return s.getLocalPort();
-        }
-    }
 }
--- a/control/src/test/java/org/ragwortrun/control/ControlRelayTest.java
+++ b/control/src/test/java/org/ragwortrun/control/ControlRelayTest.java
@@ -3,8 +3,6 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.HashMap;
@@ -24,6 +22,7 @@
 import org.ragwortrun.proto.Heartbeat;
 import org.ragwortrun.proto.Hello;
 import org.ragwortrun.proto.Role;
+import org.ragwortrun.standins.FreePorts;
 
 final class ControlRelayTest {
     private static final Duration TIMEOUT = Duration.ofSeconds(20);
@@ -109,9 +108,7 @@
 
     private void assignAddresses(String... names) throws IOException {
         for (String name : names) {
-            try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-                addresses.put(name, new Address("127.0.0.1", s.getLocalPort()));
-            }
+            addresses.put(name, new Address("127.0.0.1", FreePorts.next()));
         }
     }
 }
--- a/measure/src/main/java/org/ragwortrun/measure/fleet/Fleet.java
+++ b/measure/src/main/java/org/ragwortrun/measure/fleet/Fleet.java
@@ -15,12 +15,14 @@
 import java.util.stream.Stream;
 import org.ragwortrun.core.concurrent.Closer;
 import org.ragwortrun.core.id.Digests;
+import org.ragwortrun.standins.FreePorts;
 
 /** A fleet of control members, routers, agents and stand-in endpoints as separate processes on loopback. */
 public final class Fleet implements AutoCloseable {
     /** Main class of the {@code ragwortrun} program. */
     public static final String PROGRAM = "org.ragwortrun.cli.Main";
 
+    private static final String HOST = "127.0.0.1";
     private static final String STANDIN = "org.ragwortrun.standins.StandinMain";
     private static final long START_TIMEOUT_S = 30;
     private static final List<String> AGENT_JVM = List.of("-Xmx64m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1");
@@ -29,7 +31,6 @@
             List.of("-Xmx64m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xshare:auto");
 
     private final Closer closer = new Closer();
-    private final Ports ports = new Ports();
     private final Path folder;
     private final int shards;
     private final FleetOptions options;
@@ -68,7 +69,7 @@
     /** Adds control members named {@code c1}, {@code c2} and so on, each in a separate data center. */
     public void addControls(int count) throws FleetException {
         for (int i = 1; i <= count; i++) {
-            controlPorts.put("c" + i, ports.next());
+            controlPorts.put("c" + i, freePort());
         }
         members = controlAddresses();
         String bootstrap = "bootstrap = " + String.join(", ", controlPorts.keySet()) + "\n";
@@ -84,21 +85,20 @@
      * it is started.
      */
     public void addJoiningControl(String name, String dataCenter) throws FleetException {
-        controlPorts.put(name, ports.next());
+        controlPorts.put(name, freePort());
         addControl(name, dataCenter, controlAddresses(), "");
     }
 
     private String controlAddresses() {
         return controlPorts.entrySet().stream()
-                .map(e -> e.getKey() + "=" + Ports.HOST + ":" + e.getValue())
+                .map(e -> e.getKey() + "=" + HOST + ":" + e.getValue())
                 .collect(Collectors.joining(", "));
     }
 
     private void addControl(String name, String dataCenter, String known, String bootstrap) throws FleetException {
-        String settings =
-                settings(name, dataCenter) + "[control]\nmembers = " + known + "\nlisten = " + Ports.HOST + ":"
-                        + controlPort(name) + "\n[storage]\nfolder = " + folder.resolve("data-" + name)
-                        + "\n[cluster]\nshards = " + shards + "\n" + bootstrap + options.clusterSettings();
+        String settings = settings(name, dataCenter) + "[control]\nmembers = " + known + "\nlisten = " + HOST + ":"
+                + controlPort(name) + "\n[storage]\nfolder = " + folder.resolve("data-" + name)
+                + "\n[cluster]\nshards = " + shards + "\n" + bootstrap + options.clusterSettings();
         if (memberProgram.isPresent()) {
             addProgram(memberProgram.get(), name, options.controlJvm(), settings);
         } else {
@@ -113,7 +113,7 @@
 
     /** Adds a router that reaches the control members at the given addresses, such as those of fault proxies. */
     public void addRouter(String name, String dataCenter, String controlMembers) throws FleetException {
-        routerPorts.put(name, ports.next());
+        routerPorts.put(name, freePort());
         addDaemon(
                 "router",
                 name,
@@ -121,7 +121,7 @@
                 settings(name, dataCenter)
                         + "[control]\nmembers = " + controlMembers + "\n[cluster]\nshards = " + shards
                         + "\n[http]\naddress = "
-                        + Ports.HOST + ":" + routerPorts.get(name) + "\n");
+                        + HOST + ":" + routerPorts.get(name) + "\n");
     }
 
     /** Adds a router that forwards requests, started by a main class with its settings file and further arguments. */
@@ -134,23 +134,23 @@
     public void addForwardingRouter(
             String name, String dataCenter, String main, List<String> arguments, String controlMembers)
             throws FleetException {
-        routerPorts.put(name, ports.next());
-        readinessPorts.put(name, ports.next());
+        routerPorts.put(name, freePort());
+        readinessPorts.put(name, freePort());
         String settings = settings(name, dataCenter)
                 + "[control]\nmembers = " + controlMembers + "\n[cluster]\nshards = " + shards + "\n[http]\naddress = "
-                + Ports.HOST + ":" + routerPorts.get(name) + "\nreadiness = " + Ports.HOST + ":"
-                + readinessPorts.get(name) + "\n[peers]\naddress = " + Ports.HOST + ":" + ports.next() + "\n";
+                + HOST + ":" + routerPorts.get(name) + "\nreadiness = " + HOST + ":"
+                + readinessPorts.get(name) + "\n[peers]\naddress = " + HOST + ":" + freePort() + "\n";
         addProgram(new Program(main, arguments), name, options.routerJvm(), settings);
     }
 
     /** Adds a stand-in endpoint and its agent. */
     public void addEndpoint(EndpointSpec spec) throws FleetException {
-        int port = ports.next();
+        int port = freePort();
         endpoints.put(spec.name(), spec);
         endpointPorts.put(spec.name(), port);
-        agentPorts.put(spec.name(), ports.next());
+        agentPorts.put(spec.name(), freePort());
         List<String> args = new ArrayList<>(
-                List.of("--kind", spec.kind(), "--listen", Ports.HOST + ":" + port, "--version", spec.version()));
+                List.of("--kind", spec.kind(), "--listen", HOST + ":" + port, "--version", spec.version()));
         args.addAll(spec.standinOptions());
         add(standinName(spec.name()), FleetProcess.javaCommand(STANDIN_JVM, STANDIN, args));
         addDaemon(
@@ -159,8 +159,8 @@
                 AGENT_JVM,
                 settings(spec.name(), spec.dataCenter())
                         + "[control]\nmembers = " + members + "\n[cluster]\nshards = " + shards + "\n[agent]\nlisten = "
-                        + Ports.HOST + ":" + agentPorts.get(spec.name()) + "\n[endpoint]\nname = " + spec.name()
-                        + "\nurl = http://" + Ports.HOST + ":" + port + "\n");
+                        + HOST + ":" + agentPorts.get(spec.name()) + "\n[endpoint]\nname = " + spec.name()
+                        + "\nurl = http://" + HOST + ":" + port + "\n");
     }
 
     /** Returns the name of the stand-in process for an endpoint. */
@@ -195,7 +195,7 @@
 
     /** Returns the base URL of a router. */
     public String url(String router) {
-        return "http://" + Ports.HOST + ":" + routerPorts.get(router);
+        return "http://" + HOST + ":" + routerPorts.get(router);
     }
 
     /** Returns the port at which a router accepts callers. */
@@ -205,7 +205,7 @@
 
     /** Returns the base URL of a stand-in endpoint. */
     public String endpointUrl(String endpoint) {
-        return "http://" + Ports.HOST + ":" + endpointPorts.get(endpoint);
+        return "http://" + HOST + ":" + endpointPorts.get(endpoint);
     }
 
     public String members() {
@@ -219,7 +219,11 @@
 
     /** Returns a port that no process of the fleet uses. */
     public int freePort() throws FleetException {
-        return ports.next();
+        try {
+            return FreePorts.next();
+        } catch (IOException e) {
+            throw new FleetException("cannot find a free port", e);
+        }
     }
 
     public Path folder() {
@@ -229,9 +233,8 @@
     /** Waits until a router is ready. */
     public void awaitReady(String router) throws FleetException {
         Caller caller = new Caller("none");
-        String base = readinessPorts.containsKey(router)
-                ? "http://" + Ports.HOST + ":" + readinessPorts.get(router)
-                : url(router);
+        String base =
+                readinessPorts.containsKey(router) ? "http://" + HOST + ":" + readinessPorts.get(router) : url(router);
         await(router + " to be ready", () -> caller.get(base + "/readyz").status() == 200);
     }
 
@@ -283,7 +286,7 @@
                         .append(e.service())
                         .append("\nversion = ")
                         .append(e.version())
-                        .append("\nagent = " + Ports.HOST + ":")
+                        .append("\nagent = " + HOST + ":")
                         .append(agentPorts.get(e.name()))
                         .append("\nurl = ")
                         .append(endpointUrl(e.name()))
--- a/replication/src/test/java/org/ragwortrun/replication/TestCluster.java
+++ b/replication/src/test/java/org/ragwortrun/replication/TestCluster.java
@@ -2,13 +2,10 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -28,6 +25,7 @@
 import org.ragwortrun.net.Transport;
 import org.ragwortrun.proto.Frame;
 import org.ragwortrun.proto.Hello;
+import org.ragwortrun.standins.FreePorts;
 
 /** Group hosts in one process that communicate over loopback. */
 final class TestCluster implements AutoCloseable {
@@ -42,14 +40,8 @@
     TestCluster(Path root, int groups, String... names) throws IOException {
         this.root = root;
         this.groups = groups;
-        List<ServerSocket> reserved = new ArrayList<>();
         for (String name : names) {
-            ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-            reserved.add(socket);
-            addresses.put(name, new Address("127.0.0.1", socket.getLocalPort()));
-        }
-        for (ServerSocket socket : reserved) {
-            socket.close();
+            addresses.put(name, new Address("127.0.0.1", FreePorts.next()));
         }
     }
 
--- a/router/src/test/java/org/ragwortrun/router/ForwardHarness.java
+++ b/router/src/test/java/org/ragwortrun/router/ForwardHarness.java
@@ -1,9 +1,6 @@
 package org.ragwortrun.router;
 
 import java.io.IOException;
-import java.net.BindException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -11,7 +8,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
 import org.ragwortrun.core.concurrent.Closer;
 import org.ragwortrun.core.error.RagwortrunException;
 import org.ragwortrun.core.id.Digests;
@@ -29,14 +25,11 @@
 import org.ragwortrun.proto.ShardCommand;
 import org.ragwortrun.proto.TopUp;
 import org.ragwortrun.router.internal.forward.HeaderNames;
+import org.ragwortrun.standins.FreePorts;
 
 /** Forwarding routers over real connections, with one control member, one account and scripted endpoints. */
 final class ForwardHarness implements AutoCloseable {
     static final int TIMEOUT_MS = 5_000;
-    private static final int FIRST_PORT = 20_000;
-    private static final int PORTS = 12_000;
-    private static final AtomicInteger NEXT_PORT =
-            new AtomicInteger((int) ProcessHandle.current().pid() * 64);
 
     final FakeControl control = new FakeControl();
     private final Closer closer = new Closer();
@@ -111,9 +104,9 @@
     /** Starts a router with further settings and waits until it is ready or the timeout has passed. */
     Router startRouter(String name, Map<String, String> further)
             throws IOException, RagwortrunException, InterruptedException {
-        int port = freePort();
-        int readiness = freePort();
-        Address peers = new Address("127.0.0.1", freePort());
+        int port = FreePorts.next();
+        int readiness = FreePorts.next();
+        Address peers = new Address("127.0.0.1", FreePorts.next());
         Map<String, String> settings = new HashMap<>(Map.of(
                 "daemon.name",
                 name,
@@ -175,19 +168,6 @@
         }
     }
 
-    /** Returns a free port that the system does not give to outgoing connections until a router listens on it. */
-    private static int freePort() throws IOException {
-        for (int i = 0; i < PORTS; i++) {
-            int port = FIRST_PORT + Math.floorMod(NEXT_PORT.getAndIncrement(), PORTS);
-            try (ServerSocket s = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
-                return s.getLocalPort();
-            } catch (BindException e) {
-                // Another process listens on this port.
-            }
-        }
-        throw new IOException("no free port");
-    }
-
     @Override
     public void close() {
         closer.close();
