--- a/net/src/test/java/org/ragwortrun/net/control/MemberRecoveryTest.java
+++ b/net/src/test/java/org/ragwortrun/net/control/MemberRecoveryTest.java
@@ -1,44 +1,36 @@
 package org.ragwortrun.net.control;
 
 import static com.google.common.truth.Truth.assertThat;
+import static org.ragwortrun.net.control.LoopbackMembers.address;
+import static org.ragwortrun.net.control.LoopbackMembers.await;
 
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
-import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
-import org.ragwortrun.core.concurrent.Closer;
 import org.ragwortrun.core.metrics.Metrics;
 import org.ragwortrun.core.time.Time;
-import org.ragwortrun.net.Address;
-import org.ragwortrun.net.FrameHandler;
 import org.ragwortrun.net.FrameServer;
-import org.ragwortrun.net.Transport;
 import org.ragwortrun.proto.Frame;
 import org.ragwortrun.proto.Heartbeat;
-import org.ragwortrun.proto.Hello;
 import org.ragwortrun.proto.Member;
-import org.ragwortrun.proto.Role;
 
 final class MemberRecoveryTest {
-    private static final int POLLS = 400;
-    private static final long POLL_MS = 10;
-
-    private final Closer closer = new Closer();
+    private final LoopbackMembers members = new LoopbackMembers();
 
     @AfterEach
     void stop() {
-        closer.close();
+        members.close();
     }
 
     /** Guards against a process that knows only members that are gone and never reaches control again. */
     @Test
     void findsMembersAfterAllKnownOnesAreGone() throws Exception {
         FrameServer gone = listen("c1");
-        ControlClient client = client(gone.port());
+        ControlClient client = members.client(gone.port());
         gone.close();
         FrameServer successor = listen("c9");
         MemberRecovery recovery = recovery(client, source(member("c9", successor.port())));
@@ -52,7 +44,7 @@
     /** Guards against a process that stays with a member that runs and no longer belongs to the group. */
     @Test
     void findsMembersWhileOnlyFormerOneIsReached() throws Exception {
-        ControlClient client = client(listen("c1").port());
+        ControlClient client = members.client(listen("c1").port());
         await(() -> !client.isPartitioned());
         MemberRecovery recovery = recovery(client, source(member("c9", 1)));
         await(() -> {
@@ -64,10 +56,8 @@
     /** Guards against former members that run, and take the places of the current ones. */
     @Test
     void connectsToCurrentMemberBesideThreeFormerOnes() throws Exception {
-        ControlClient client = closer.register(new ControlClient(
-                transport("r1"),
-                Map.of("c1", address(listen("c1")), "c2", address(listen("c2")), "c3", address(listen("c3"))),
-                (peer, frame) -> {}));
+        ControlClient client = members.client(
+                Map.of("c1", address(listen("c1")), "c2", address(listen("c2")), "c3", address(listen("c3"))));
         await(() -> Stream.of("c1", "c2", "c3").allMatch(client::isConnected));
         client.learn(List.of(member("c9", listen("c9").port())));
         await(() -> client.isConnected("c9"));
@@ -76,13 +66,13 @@
     /** Guards against lists of other processes that replace what the leader has told. */
     @Test
     void asksNoOtherSourceWhileLeaderAnswers() throws Exception {
-        FrameServer leader = listen(
+        FrameServer leader = members.listen(
                 "c1",
                 (peer, frame) -> peer.send(Frame.newBuilder()
                         .setCall(frame.getCall())
                         .setHeartbeat(Heartbeat.newBuilder().addMembers(member("c1", 1)))
                         .build()));
-        ControlClient client = client(leader.port());
+        ControlClient client = members.client(leader.port());
         await(() -> {
             client.call(0, Frame.newBuilder().setHeartbeat(Heartbeat.getDefaultInstance()), Duration.ofSeconds(1))
                     .handle((reply, failure) -> reply)
@@ -96,7 +86,7 @@
     /** Guards against connections to ever more members that are gone, at a process that stays cut off. */
     @Test
     void forgetsFoundMembersThatAreNoLongerNamed() throws Exception {
-        ControlClient client = client(1);
+        ControlClient client = members.client(1);
         client.learn(List.of(member("c8", 1)));
         client.learn(List.of(member("c9", 1)));
         assertThat(client.knownMembers()).containsExactly("c1", "c9");
@@ -106,7 +96,7 @@
     @Test
     void followsLearnedMemberToAnotherAddress() throws Exception {
         FrameServer moved = listen("c9");
-        ControlClient client = client(1);
+        ControlClient client = members.client(1);
         client.learn(List.of(member("c9", 1)));
         client.learn(List.of(member("c9", moved.port())));
         await(() -> !client.isPartitioned());
@@ -134,32 +124,7 @@
         return Member.newBuilder().setName(name).setAddress("127.0.0.1:" + port).build();
     }
 
-    private ControlClient client(int port) {
-        return closer.register(
-                new ControlClient(transport("r1"), Map.of("c1", new Address("127.0.0.1", port)), (peer, frame) -> {}));
-    }
-
-    private static Address address(FrameServer server) {
-        return new Address("127.0.0.1", server.port());
-    }
-
     private FrameServer listen(String name) throws Exception {
-        return listen(name, (peer, frame) -> {});
-    }
-
-    private FrameServer listen(String name, FrameHandler handler) throws Exception {
-        return closer.register(transport(name).listen(new Address("127.0.0.1", 0), handler));
-    }
-
-    private Transport transport(String name) {
-        return closer.register(new Transport(
-                Hello.newBuilder().setName(name).setRole(Role.CONTROL).build(), 1));
-    }
-
-    private static void await(BooleanSupplier condition) throws InterruptedException {
-        for (int i = 0; i < POLLS && !condition.getAsBoolean(); i++) {
-            Thread.sleep(POLL_MS);
-        }
-        assertThat(condition.getAsBoolean()).isTrue();
+        return members.listen(name, LoopbackMembers.SILENT);
     }
 }
